--- /dev/null
+++ b/src/backend/list_client.rs
@@ -0,0 +1,33 @@
+//! Client of the platform's instance list.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use crate::backend::{ControlHttp, PlatformError};
+use crate::wire::Instance;
+
+/// Time for a call.
+const CALL_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Reads the instance list.
+#[derive(Debug, Clone)]
+pub struct ListClient {
+    http: ControlHttp,
+    addr: SocketAddr,
+}
+
+impl ListClient {
+    /// A client of the list at `addr`.
+    pub fn new(http: ControlHttp, addr: SocketAddr) -> ListClient {
+        ListClient { http, addr }
+    }
+
+    /// Reads the whole list.
+    ///
+    /// # Errors
+    /// Fails when the list does not answer well.
+    pub async fn read(&self) -> Result<Vec<Instance>, PlatformError> {
+        let url = format!("http://{}/instances", self.addr);
+        self.http.json(self.http.get(&url), CALL_TIMEOUT).await
+    }
+}
--- /dev/null
+++ b/src/backend/log_client.rs
@@ -0,0 +1,56 @@
+//! Client of the platform's log service.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use reqwest::Method;
+use serde_json::Value;
+
+use crate::backend::{ControlHttp, PlatformError};
+use crate::wire::{Appended, Page};
+
+/// Time for a call besides the time it is asked to wait.
+const CALL_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Reads and appends records.
+#[derive(Debug, Clone)]
+pub struct LogClient {
+    http: ControlHttp,
+    addr: SocketAddr,
+}
+
+impl LogClient {
+    /// A client of the log at `addr`.
+    pub fn new(http: ControlHttp, addr: SocketAddr) -> LogClient {
+        LogClient { http, addr }
+    }
+
+    /// Reads `stream` from offset `from` on, waiting up to `wait` for news.
+    ///
+    /// # Errors
+    /// Fails when the log does not answer well.
+    pub async fn read(
+        &self,
+        stream: &str,
+        from: u64,
+        wait: Duration,
+    ) -> Result<Page, PlatformError> {
+        let url = format!(
+            "http://{}/streams/{stream}/records?from={from}&wait_ms={}",
+            self.addr,
+            wait.as_millis()
+        );
+        self.http.json(self.http.get(&url), wait + CALL_TIMEOUT).await
+    }
+
+    /// Appends `body` to `stream` and returns its offset.
+    ///
+    /// # Errors
+    /// After [`PlatformError::NoAnswer`] the record may be there all the same.
+    pub async fn append(&self, stream: &str, body: &Value) -> Result<u64, PlatformError> {
+        let url = format!("http://{}/streams/{stream}/records", self.addr);
+        let request = self.http.request(Method::POST, &url).json(body);
+        let appended: Appended = self.http.json(request, CALL_TIMEOUT).await?;
+        Ok(appended.offset)
+    }
+}
--- /dev/null
+++ b/src/backend/mod.rs
@@ -0,0 +1,18 @@
+//! Clients of the systems around the routers.
+
+mod control_http;
+mod engine_client;
+mod list_client;
+mod log_client;
+mod meter;
+mod platform_error;
+mod router_client;
+
+pub use control_http::ControlHttp;
+pub use engine_client::EngineClient;
+pub use list_client::ListClient;
+pub use log_client::LogClient;
+pub use meter::Meter;
+pub use platform_error::PlatformError;
+pub(crate) use platform_error::error_text;
+pub use router_client::{RouterClient, TOKEN_HEADER};
--- /dev/null
+++ b/src/cli/daemon.rs
@@ -0,0 +1,58 @@
+//! Entry point of the daemon.
+
+use std::sync::Arc;
+
+use tokio::signal::unix::{Signal, SignalKind, signal};
+
+use crate::cli::CliError;
+use crate::cli::args::daemon_args;
+use crate::cli::check::read;
+use crate::clock::SystemClock;
+use crate::daemon::{Daemon, Stop};
+use crate::events::root_logger;
+
+/// Runs the daemon until it is told to stop.
+///
+/// # Errors
+/// Wrong settings, an address in use, or requests cut off at the end.
+pub fn run_daemon() -> Result<(), CliError> {
+    let args = daemon_args().run();
+    let settings = read(&args.settings)?;
+    let logger = root_logger(args.log_format, &settings.name);
+    let failed = |text: String| CliError::Failed(text);
+    let mut daemon = Daemon::start(settings, Arc::new(SystemClock), logger)
+        .map_err(|e| failed(format!("{e:?}")))?;
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(|e| failed(format!("cannot start: {e}")))?;
+    runtime.block_on(async {
+        let mut term = listen(SignalKind::terminate())?;
+        let mut interrupt = listen(SignalKind::interrupt())?;
+        either(&mut term, &mut interrupt).await;
+        let cutter = daemon.cutter();
+        let mut drain = std::pin::pin!(daemon.drain());
+        let stopped = tokio::select! {
+            stopped = drain.as_mut() => stopped,
+            () = either(&mut term, &mut interrupt) => {
+                cutter.send_replace(Stop::Cut);
+                drain.await
+            }
+        };
+        match stopped.cut {
+            0 => Ok(()),
+            cut => Err(failed(format!("{cut} connections were cut off"))),
+        }
+    })
+}
+
+fn listen(kind: SignalKind) -> Result<Signal, CliError> {
+    signal(kind).map_err(|e| CliError::Failed(format!("cannot listen for signals: {e}")))
+}
+
+async fn either(a: &mut Signal, b: &mut Signal) {
+    tokio::select! {
+        _ = a.recv() => {}
+        _ = b.recv() => {}
+    }
+}
--- /dev/null
+++ b/src/cli/mod.rs
@@ -0,0 +1,17 @@
+//! Command lines of both programs.
+
+mod args;
+mod check;
+mod cli_error;
+mod client;
+mod daemon;
+mod demo;
+mod in_force;
+mod init;
+mod run;
+mod standins;
+mod ticket;
+
+pub use cli_error::CliError;
+pub use daemon::run_daemon;
+pub use run::{report, run};
--- /dev/null
+++ b/src/cli/run.rs
@@ -0,0 +1,49 @@
+//! Entry point of the operators' program.
+
+use std::process::ExitCode;
+use std::time::Duration;
+
+use crate::cli::args::{Args, TicketArgs, args};
+use crate::cli::{CliError, check, demo, in_force, init, standins, ticket};
+
+/// Runs the command that the arguments name.
+///
+/// # Errors
+/// Tells what failed; [`CliError::code`] gives the exit code.
+pub fn run() -> Result<(), CliError> {
+    match args().run() {
+        Args::Init => init::run(),
+        Args::Check { file } => check::run(&file),
+        Args::Ticket(TicketArgs::CheckTicket { file }) => ticket::check(&file),
+        Args::Ticket(TicketArgs::PublishTicket { settings_arg, file }) => {
+            block_on(ticket::publish(&settings_arg, &file))
+        }
+        Args::Demo { seed, chats } => block_on(demo::run(seed, chats)),
+        Args::Standins { seconds, files } => {
+            block_on(standins::run(&files, Duration::from_secs(seconds)))
+        }
+        Args::InForce { settings_arg, json } => block_on(in_force::run(&settings_arg, json)),
+    }
+}
+
+/// Prints the error, if any, and gives the exit code.
+pub fn report(result: Result<(), CliError>) -> ExitCode {
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("error: {e}");
+            e.code()
+        }
+    }
+}
+
+/// Runs a command on a runtime of its own.
+fn block_on(command: impl Future<Output = Result<(), CliError>>) -> Result<(), CliError> {
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()
+        .map_err(|e| CliError::Failed(format!("cannot start threads: {e}")))?;
+    let result = runtime.block_on(command);
+    runtime.shutdown_background();
+    result
+}
--- /dev/null
+++ b/src/clock/clock.rs
@@ -0,0 +1,17 @@
+//! The clock interface.
+
+use std::fmt::Debug;
+use std::sync::Arc;
+use std::time::{Instant, SystemTime};
+
+/// Tells the time.
+pub trait Clock: Debug + Send + Sync {
+    /// Monotonic time of this process.
+    fn now(&self) -> Instant;
+
+    /// Wall-clock time; may jump and may differ between instances.
+    fn wall(&self) -> SystemTime;
+}
+
+/// A clock that many tasks share.
+pub type SharedClock = Arc<dyn Clock>;
--- /dev/null
+++ b/src/clock/system.rs
@@ -0,0 +1,19 @@
+//! The clock of the machine.
+
+use std::time::{Instant, SystemTime};
+
+use crate::clock::Clock;
+
+/// Real time; follows the runtime's virtual time where a test pauses it.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct SystemClock;
+
+impl Clock for SystemClock {
+    fn now(&self) -> Instant {
+        tokio::time::Instant::now().into_std()
+    }
+
+    fn wall(&self) -> SystemTime {
+        SystemTime::now()
+    }
+}
--- /dev/null
+++ b/src/daemon/control_api.rs
@@ -0,0 +1,92 @@
+//! Calls of the control side: health, metrics, state in force, events.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+
+use serde::Deserialize;
+use warp::http::{HeaderMap, StatusCode};
+use warp::reply::Response;
+use warp::{Filter, Reply};
+
+use crate::backend::TOKEN_HEADER;
+use crate::events::{Code, Fields};
+use crate::filters::{Reason, Refusal, Shared};
+use crate::wire::WireInForce;
+
+#[derive(Debug, Deserialize)]
+struct EventQuery {
+    #[serde(default)]
+    from: u64,
+}
+
+/// All calls of the control side.
+pub(crate) fn control_calls(
+    shared: &Arc<Shared>,
+) -> impl Filter<Extract = (Response,), Error = Infallible> + Clone + Send + Sync + 'static + use<>
+{
+    open_calls(shared).or(guarded_calls(shared)).unify().recover(unknown).unify()
+}
+
+/// Calls that need no token.
+fn open_calls(
+    shared: &Arc<Shared>,
+) -> impl Filter<Extract = (Response,), Error = warp::Rejection> + Clone + Send + Sync + 'static + use<>
+{
+    let healthy = warp::path!("healthz").map(|| "ok\n".into_response());
+    let it = Arc::clone(shared);
+    let ready = warp::path!("readyz").map(move || match it.view.peek().ready {
+        true => "ready\n".into_response(),
+        false => warp::reply::with_status("no state in force\n", StatusCode::SERVICE_UNAVAILABLE)
+            .into_response(),
+    });
+    let it = Arc::clone(shared);
+    let metrics = warp::path!("metrics").map(move || it.counters.text().into_response());
+    warp::get().and(healthy.or(ready).unify().or(metrics).unify())
+}
+
+/// Calls of operators and peers.
+fn guarded_calls(
+    shared: &Arc<Shared>,
+) -> impl Filter<Extract = (Response,), Error = warp::Rejection> + Clone + Send + Sync + 'static + use<>
+{
+    let it = Arc::clone(shared);
+    let in_force = warp::path!("v1" / "in-force").and(warp::header::headers_cloned()).map(
+        move |headers: HeaderMap| {
+            guarded(&it, &headers, |it| {
+                let state = WireInForce::from(it.view.peek().state.as_ref());
+                warp::reply::json(&state).into_response()
+            })
+        },
+    );
+    let it = Arc::clone(shared);
+    let events = warp::path!("v1" / "events")
+        .and(warp::query())
+        .and(warp::header::headers_cloned())
+        .map(move |query: EventQuery, headers: HeaderMap| {
+            guarded(&it, &headers, |it| {
+                warp::reply::json(&it.events.since(query.from)).into_response()
+            })
+        });
+    warp::get().and(in_force.or(events).unify())
+}
+
+/// Answers with `serve` if the caller shows the token, else 401.
+fn guarded(
+    shared: &Shared,
+    headers: &HeaderMap,
+    serve: impl FnOnce(&Shared) -> Response,
+) -> Response {
+    let shown = headers.get(TOKEN_HEADER).map_or(&[][..], |it| it.as_bytes());
+    let right = blake3::hash(shown) == blake3::hash(shared.settings.token.as_bytes());
+    if right {
+        return serve(shared);
+    }
+    let fields = Fields { subject: "", detail: "control call" };
+    shared.events.record(Code::Unauthorised, fields);
+    let message = format!("header `{TOKEN_HEADER}` is missing or wrong");
+    Refusal::not_run(Reason::Unauthorised, message).reply("").into_response()
+}
+
+async fn unknown(_: warp::Rejection) -> Result<Response, Infallible> {
+    Ok(Refusal::not_run(Reason::UnknownCall, "there is no such call").reply("").into_response())
+}
--- /dev/null
+++ b/src/daemon/daemon.rs
@@ -0,0 +1,199 @@
+//! The instance itself.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use error_stack::{Report, ResultExt};
+use slog::Logger;
+use tokio::net::TcpListener;
+use tokio::runtime::{Builder, Runtime};
+use tokio::sync::{oneshot, watch};
+use tokio::time::timeout;
+
+use crate::clock::SharedClock;
+use crate::daemon::control_thread::ControlThread;
+use crate::daemon::{Stop, Stopped, serve};
+use crate::events::{Code, EventLog, Fields};
+use crate::filters::{Counters, Shared, callers};
+use crate::fleet::ViewCell;
+use crate::settings::Settings;
+
+/// An instance that cannot start.
+#[derive(Debug)]
+pub enum DaemonError {
+    /// An address cannot be bound.
+    Bind(SocketAddr),
+    /// Threads, clients or counters cannot be made.
+    SetUp,
+}
+
+impl fmt::Display for DaemonError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            DaemonError::Bind(addr) => write!(f, "cannot listen on {addr}"),
+            DaemonError::SetUp => f.write_str("cannot set up threads or clients"),
+        }
+    }
+}
+
+impl std::error::Error for DaemonError {}
+
+/// A running instance.
+#[derive(Debug)]
+pub struct Daemon {
+    address: SocketAddr,
+    control: SocketAddr,
+    shared: Arc<Shared>,
+    stop: watch::Sender<Stop>,
+    done: Option<oneshot::Receiver<Stopped>>,
+    traffic: Option<Runtime>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl Daemon {
+    /// Starts an instance; it stops when dropped.
+    ///
+    /// # Errors
+    /// Fails when an address cannot be bound or threads cannot be started.
+    pub fn start(
+        settings: Settings,
+        clock: SharedClock,
+        logger: Logger,
+    ) -> Result<Daemon, Report<DaemonError>> {
+        let events = Arc::new(EventLog::new(&settings.name, Arc::clone(&clock), logger));
+        let http = reqwest::Client::builder()
+            .connect_timeout(settings.traffic.connect)
+            .retry(reqwest::retry::never())
+            .no_proxy()
+            .build()
+            .change_context(DaemonError::SetUp)?;
+        let shared = Arc::new(Shared {
+            view: Arc::new(ViewCell::default()),
+            events,
+            meter: Arc::default(),
+            counters: Counters::new().change_context(DaemonError::SetUp)?,
+            clock,
+            http,
+            settings,
+        });
+        let traffic = Builder::new_multi_thread()
+            .worker_threads(shared.settings.traffic.threads)
+            .thread_name("traffic")
+            .enable_all()
+            .build()
+            .change_context(DaemonError::SetUp)?;
+        let listener = listen(shared.settings.listen)?;
+        let address = listener.local_addr().change_context(DaemonError::SetUp)?;
+        let (stop, stopped) = watch::channel(Stop::Run);
+        let control = ControlThread::start(&shared, stopped.clone())?;
+        let (give, done) = oneshot::channel();
+        let it = Arc::clone(&shared);
+        let drained = control.drained;
+        traffic.spawn(async move {
+            let stopped = carry_traffic(&it, listener, drained).await;
+            let _ = give.send(stopped);
+        });
+        let detail = format!("callers {address}, control {}", control.address);
+        let fields = Fields { subject: &shared.settings.name, detail: &detail };
+        shared.events.record(Code::Started, fields);
+        Ok(Daemon {
+            address,
+            control: control.address,
+            shared,
+            stop,
+            done: Some(done),
+            traffic: Some(traffic),
+            thread: Some(control.thread),
+        })
+    }
+
+    /// Address for callers.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Address for operators and peers.
+    pub fn control(&self) -> SocketAddr {
+        self.control
+    }
+
+    /// What the requests share.
+    pub fn shared(&self) -> &Arc<Shared> {
+        &self.shared
+    }
+
+    /// Begins a shutdown.
+    pub fn stop(&self, how: Stop) {
+        self.stop.send_replace(how);
+    }
+
+    /// A handle that can cut a drain short.
+    pub fn cutter(&self) -> watch::Sender<Stop> {
+        self.stop.clone()
+    }
+
+    /// Drains for at most the set time, then cuts what is left.
+    pub async fn drain(&mut self) -> Stopped {
+        let subject = self.shared.settings.name.clone();
+        let record = |code, detail: &str| {
+            self.shared.events.record(code, Fields { subject: &subject, detail })
+        };
+        record(Code::ShutdownBegun, "");
+        self.stop(Stop::Drain);
+        let limit = self.shared.settings.traffic.drain;
+        let Some(mut done) = self.done.take() else {
+            return Stopped { cut: 0 };
+        };
+        let stopped = match timeout(limit, &mut done).await {
+            Ok(stopped) => stopped.unwrap_or(Stopped { cut: 0 }),
+            Err(_) => {
+                self.stop(Stop::Cut);
+                done.await.unwrap_or(Stopped { cut: 0 })
+            }
+        };
+        match stopped.cut {
+            0 => record(Code::ShutdownDone, ""),
+            cut => record(Code::ShutdownCut, &format!("{cut} connections")),
+        }
+        stopped
+    }
+}
+
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        self.stop.send_replace(Stop::Cut);
+        if let Some(traffic) = self.traffic.take() {
+            traffic.shutdown_background();
+        }
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
+/// Binds a listener; its runtime is chosen when it is first used.
+pub(crate) fn listen(addr: SocketAddr) -> Result<std::net::TcpListener, Report<DaemonError>> {
+    let bound = std::net::TcpListener::bind(addr).change_context(DaemonError::Bind(addr))?;
+    bound.set_nonblocking(true).change_context(DaemonError::Bind(addr))?;
+    Ok(bound)
+}
+
+/// Serves callers until told to stop.
+async fn carry_traffic(
+    shared: &Arc<Shared>,
+    listener: std::net::TcpListener,
+    stop: watch::Receiver<Stop>,
+) -> Stopped {
+    match TcpListener::from_std(listener) {
+        Ok(listener) => serve(listener, callers(shared), &shared.settings.limits, stop).await,
+        Err(_) => Stopped { cut: 0 },
+    }
+}
+
+/// How long callers may still use an address after it left the answers.
+pub(crate) fn grace(settings: &Settings) -> Duration {
+    settings.traffic.entry_ttl.min(settings.traffic.drain / 2)
+}
--- /dev/null
+++ b/src/daemon/mod.rs
@@ -0,0 +1,11 @@
+//! A running instance: one control thread, several traffic threads.
+
+mod control_api;
+mod control_thread;
+mod daemon;
+mod server;
+mod stop;
+
+pub use daemon::{Daemon, DaemonError};
+pub use server::serve;
+pub use stop::{Stop, Stopped};
--- /dev/null
+++ b/src/daemon/server.rs
@@ -0,0 +1,98 @@
+//! Accept loop with graceful shutdown.
+
+use std::convert::Infallible;
+use std::error::Error;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use hyper::body::{Body, Incoming};
+use hyper::server::conn::http1;
+use hyper::service::Service;
+use hyper::{Request, Response};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::service::TowerToHyperService;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::task::JoinSet;
+use tokio::time::sleep;
+use warp::{Filter, Reply};
+
+use crate::daemon::{Stop, Stopped};
+use crate::settings::Limits;
+
+/// Pause after a failed accept, so that a lack of file descriptors does not spin.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Serves `routes` until told to stop; a drain lets open requests finish.
+pub async fn serve<F>(
+    listener: TcpListener,
+    routes: F,
+    limits: &Limits,
+    mut stop: watch::Receiver<Stop>,
+) -> Stopped
+where
+    F: Filter<Error = Infallible> + Clone + Send + Sync + 'static,
+    F::Extract: Reply,
+{
+    let service = TowerToHyperService::new(warp::service(routes));
+    let mut http = http1::Builder::new();
+    http.timer(TokioTimer::new())
+        .header_read_timeout(limits.receive)
+        .max_buf_size(limits.head.as_u64() as usize);
+    let open = Arc::new(AtomicUsize::new(0));
+    let mut connections = JoinSet::new();
+    while *stop.borrow() == Stop::Run {
+        tokio::select! {
+            accepted = listener.accept() => match accepted {
+                Ok((stream, _)) => {
+                    let carried = carry(stream, http.clone(), service.clone(), stop.clone());
+                    let open = Arc::clone(&open);
+                    open.fetch_add(1, Ordering::Relaxed);
+                    connections.spawn(async move {
+                        carried.await;
+                        open.fetch_sub(1, Ordering::Relaxed);
+                    });
+                }
+                Err(_) => sleep(ACCEPT_PAUSE).await,
+            },
+            Some(_) = connections.join_next() => {}
+            changed = stop.changed() => if changed.is_err() { break },
+        }
+    }
+    drop(listener);
+    tokio::select! {
+        () = async { while connections.join_next().await.is_some() {} } => {}
+        () = told_to_cut(stop) => {}
+    }
+    Stopped { cut: open.load(Ordering::Relaxed) }
+}
+
+/// Serves one connection; a drain ends it after the request in flight.
+async fn carry<S, B>(
+    stream: TcpStream,
+    http: http1::Builder,
+    service: S,
+    mut stop: watch::Receiver<Stop>,
+) where
+    S: Service<Request<Incoming>, Response = Response<B>>,
+    S::Error: Into<Box<dyn Error + Send + Sync>>,
+    B: Body + 'static,
+    B::Error: Into<Box<dyn Error + Send + Sync>>,
+{
+    let _ = stream.set_nodelay(true);
+    let mut conn = std::pin::pin!(http.serve_connection(TokioIo::new(stream), service));
+    tokio::select! {
+        _ = conn.as_mut() => return,
+        _ = stop.wait_for(|it| *it != Stop::Run) => {}
+    }
+    conn.as_mut().graceful_shutdown();
+    let _ = conn.await;
+}
+
+/// Waits for the order to end at once.
+async fn told_to_cut(mut stop: watch::Receiver<Stop>) {
+    if stop.wait_for(|it| *it == Stop::Cut).await.is_err() {
+        std::future::pending().await
+    }
+}
--- /dev/null
+++ b/src/demo/caller.rs
@@ -0,0 +1,129 @@
+//! A caller that checks its own answers.
+
+use std::net::SocketAddr;
+
+use eventsource_stream::Eventsource;
+use futures_util::StreamExt;
+use serde_json::{Value, json};
+use standins::engine::answer;
+
+use crate::filters::{CHAT_HEADER, HINT_HEADER, ORGANISATION_HEADER};
+use crate::wire::EntryAnswer;
+
+/// One chat of one organisation.
+#[derive(Debug, Clone)]
+pub struct Caller {
+    /// Client.
+    pub http: reqwest::Client,
+    /// Organisation.
+    pub organisation: String,
+    /// Chat.
+    pub chat: String,
+    /// Hint of the last answer.
+    pub hint: Option<String>,
+}
+
+plain! {
+    /// One request of a chat.
+    pub struct Ask<'a> {
+        /// The conversation.
+        pub messages: &'a [Value],
+        /// Tokens of the answer.
+        pub tokens: u32,
+        /// Whether the answer comes token by token.
+        pub stream: bool,
+    }
+}
+
+impl Caller {
+    /// A caller for `chat` of `organisation`.
+    pub fn new(http: &reqwest::Client, organisation: &str, chat: &str) -> Caller {
+        Caller {
+            http: http.clone(),
+            organisation: organisation.to_owned(),
+            chat: chat.to_owned(),
+            hint: None,
+        }
+    }
+
+    /// Asks the router at `router` which address to use.
+    ///
+    /// # Errors
+    /// Tells why there is none.
+    pub async fn entry(&self, router: SocketAddr) -> Result<SocketAddr, String> {
+        let query = [("org", &self.organisation), ("chat", &self.chat)];
+        let query = serde_urlencoded::to_string(query).map_err(|e| e.to_string())?;
+        let url = format!("http://{router}/v1/entry?{query}");
+        let reply = self.http.get(url).send().await.map_err(|e| e.to_string())?;
+        let answer: EntryAnswer = reply.json().await.map_err(|e| e.to_string())?;
+        answer.addresses.first().map(|it| it.address).ok_or_else(|| "no address".to_owned())
+    }
+
+    /// Sends one request to the router at `router`; the answer must be the whole
+    /// one to this prompt.
+    ///
+    /// # Errors
+    /// Tells what is wrong with the answer, or the error body.
+    pub async fn ask(&mut self, router: SocketAddr, ask: &Ask<'_>) -> Result<String, String> {
+        let body = json!({
+            "model": "assistant",
+            "messages": ask.messages,
+            "max_tokens": ask.tokens,
+            "stream": ask.stream,
+        });
+        let mut request = self
+            .http
+            .post(format!("http://{router}/v1/chat/completions"))
+            .header(ORGANISATION_HEADER, &self.organisation)
+            .header(CHAT_HEADER, &self.chat)
+            .json(&body);
+        if let Some(hint) = &self.hint {
+            request = request.header(HINT_HEADER, hint);
+        }
+        let reply = request.send().await.map_err(|e| e.to_string())?;
+        let status = reply.status();
+        if !status.is_success() {
+            return Err(format!("{status}: {}", reply.text().await.unwrap_or_default()));
+        }
+        let hint = reply.headers().get(HINT_HEADER).and_then(|it| it.to_str().ok());
+        self.hint = hint.map(str::to_owned);
+        let text = if ask.stream { read_stream(reply).await? } else { read_whole(reply).await? };
+        if text == answer(&prompt(ask.messages), ask.tokens) {
+            Ok(text)
+        } else {
+            Err("the answer is not the one to this request".to_owned())
+        }
+    }
+}
+
+async fn read_whole(reply: reqwest::Response) -> Result<String, String> {
+    let body: Value = reply.json().await.map_err(|e| e.to_string())?;
+    let text = body["choices"][0]["message"]["content"].as_str();
+    text.map(str::to_owned).ok_or_else(|| "no content".to_owned())
+}
+
+async fn read_stream(reply: reqwest::Response) -> Result<String, String> {
+    let mut events = reply.bytes_stream().eventsource();
+    let mut text = String::new();
+    while let Some(event) = events.next().await {
+        let event = event.map_err(|e| e.to_string())?;
+        if event.data == "[DONE]" {
+            return Ok(text);
+        }
+        if event.event == "error" {
+            return Err(event.data);
+        }
+        let data: Value = serde_json::from_str(&event.data).map_err(|e| e.to_string())?;
+        text.push_str(data["choices"][0]["delta"]["content"].as_str().unwrap_or_default());
+    }
+    Err("the stream has no end mark".to_owned())
+}
+
+/// The prompt as the engine stand-in builds it.
+pub fn prompt(messages: &[Value]) -> String {
+    let line = |it: &Value| {
+        let part = |name: &str| it[name].as_str().unwrap_or_default();
+        format!("{} {}\n", part("role"), part("content"))
+    };
+    messages.iter().map(line).collect()
+}
--- /dev/null
+++ b/src/demo/mod.rs
@@ -0,0 +1,14 @@
+//! A whole fleet with stand-ins in one process, for the demonstration and for
+//! tests of several routers at once.
+
+mod caller;
+mod fleet;
+mod fleet_options;
+mod report;
+mod traffic;
+
+pub use caller::{Ask, Caller, prompt};
+pub use fleet::{DemoError, Fleet};
+pub use fleet_options::FleetOptions;
+pub use report::Report;
+pub use traffic::{Outcome, run_traffic};
--- /dev/null
+++ b/src/demo/report.rs
@@ -0,0 +1,70 @@
+//! The table at the end of the demonstration.
+
+use std::collections::BTreeMap;
+use std::fmt;
+use std::time::Duration;
+
+use crate::daemon::Daemon;
+use crate::demo::{Fleet, Outcome};
+
+/// Figures of one demonstration.
+#[derive(Debug)]
+pub struct Report {
+    outcome: Outcome,
+    verdicts: BTreeMap<(String, String), u64>,
+    prompt_tokens: u64,
+    cached_tokens: u64,
+    spilled: u64,
+    control_rate: f64,
+}
+
+impl Report {
+    /// Collects the figures after `time` of running.
+    pub fn new(fleet: &Fleet, outcome: Outcome, time: Duration) -> Report {
+        let sum = |figure: fn(&Daemon) -> u64| fleet.routers.iter().map(figure).sum::<u64>();
+        let mut verdicts = BTreeMap::new();
+        for router in &fleet.routers {
+            for (kind, verdict, count) in router.shared().counters.verdicts() {
+                *verdicts.entry((kind, verdict)).or_default() += count;
+            }
+        }
+        let control = sum(|it| it.shared().meter.total());
+        Report {
+            verdicts,
+            prompt_tokens: sum(|it| it.shared().counters.prompt_tokens.get()),
+            cached_tokens: sum(|it| it.shared().counters.cached_tokens.get()),
+            spilled: sum(|it| it.shared().counters.spilled.get()),
+            control_rate: control as f64 / fleet.routers.len() as f64 / time.as_secs_f64(),
+            outcome,
+        }
+    }
+
+    /// Whether every request got its own whole answer.
+    pub fn is_good(&self) -> bool {
+        self.outcome.wrong.is_empty() && self.outcome.asked > 0
+    }
+}
+
+impl fmt::Display for Report {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let outcome = &self.outcome;
+        let reuse = 100.0 * self.cached_tokens as f64 / self.prompt_tokens.max(1) as f64;
+        let worst = outcome.skews.iter().copied().fold(0.0, f64::max);
+        let mean = outcome.skews.iter().sum::<f64>() / outcome.skews.len().max(1) as f64;
+        writeln!(f, "{:<36}{:>10}", "chat requests", outcome.asked)?;
+        writeln!(f, "{:<36}{:>10}", "reservations", outcome.reserved)?;
+        for ((kind, verdict), count) in &self.verdicts {
+            writeln!(f, "{:<36}{count:>10}", format!("answers: {kind}, {verdict}"))?;
+        }
+        writeln!(f, "{:<36}{:>10}", "without their own whole answer", outcome.wrong.len())?;
+        writeln!(f, "{:<36}{reuse:>9.1}%", "cache reuse (prompt tokens)")?;
+        writeln!(f, "{:<36}{:>10}", "spilled requests", self.spilled)?;
+        writeln!(f, "{:<36}{worst:>10.2}", "skew in tokens, worst look")?;
+        writeln!(f, "{:<36}{mean:>10.2}", "skew in tokens, mean")?;
+        writeln!(f, "{:<36}{:>10.0}", "control bytes/router/s", self.control_rate)?;
+        for it in outcome.wrong.iter().take(10) {
+            writeln!(f, "  {it}")?;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/src/demo/traffic.rs
@@ -0,0 +1,148 @@
+//! Callers of the demonstration; each checks its own answers.
+
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use futures_util::{StreamExt, stream};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use serde_json::{Value, json};
+use tokio::time::{interval, sleep};
+
+use crate::demo::{Ask, Caller, Fleet};
+use crate::filters::{KEY_HEADER, ORGANISATION_HEADER};
+
+/// Callers at the same time.
+const CALLERS: usize = 16;
+/// Turns of one chat at most.
+const MAX_TURNS: usize = 5;
+/// Reservations.
+const RESERVATIONS: usize = 40;
+/// Pause between two looks at the load.
+const SAMPLE_EVERY: Duration = Duration::from_millis(20);
+
+/// What the callers saw.
+#[derive(Debug, Default)]
+pub struct Outcome {
+    /// Chat requests.
+    pub asked: usize,
+    /// Reservations.
+    pub reserved: usize,
+    /// What went wrong.
+    pub wrong: Vec<String>,
+    /// Busiest engine over the mean, at each look with enough work.
+    pub skews: Vec<f64>,
+}
+
+/// Runs `chats` chats and the reservations to their end.
+pub async fn run_traffic(fleet: &Fleet, seed: u64, chats: usize) -> Outcome {
+    let done = AtomicUsize::new(0);
+    let chat_calls = stream::iter(0..chats)
+        .map(|i| chat(fleet, seed, i, &done))
+        .buffer_unordered(CALLERS)
+        .collect::<Vec<_>>();
+    let reservations = stream::iter(0..RESERVATIONS)
+        .map(|i| reserve(fleet, i))
+        .buffer_unordered(4)
+        .collect::<Vec<_>>();
+    let calls = async { tokio::join!(chat_calls, reservations) };
+    let mut skews = Vec::new();
+    let (chat_results, reservation_results) = tokio::select! {
+        results = calls => results,
+        () = sample(fleet, &mut skews) => unreachable!("sampling never ends"),
+    };
+    let mut outcome = Outcome { skews, ..Outcome::default() };
+    for it in chat_results {
+        outcome.asked += it.0;
+        outcome.wrong.extend(it.1);
+    }
+    for it in reservation_results {
+        outcome.reserved += 1;
+        outcome.wrong.extend(it.err());
+    }
+    outcome
+}
+
+/// Looks at the true load of the engines for ever.
+async fn sample(fleet: &Fleet, skews: &mut Vec<f64>) {
+    let mut tick = interval(SAMPLE_EVERY);
+    loop {
+        tick.tick().await;
+        let loads: Vec<_> = fleet.engines.iter().map(|it| it.load()).collect();
+        let running: usize = loads.iter().map(|it| it.running).sum();
+        let total: u64 = loads.iter().map(|it| it.tokens).sum();
+        let most = loads.iter().map(|it| it.tokens).max().unwrap_or(0);
+        if running >= loads.len() {
+            skews.push(most as f64 * loads.len() as f64 / total as f64);
+        }
+    }
+}
+
+/// One chat with all its turns: the number of requests, and what went wrong.
+async fn chat(fleet: &Fleet, seed: u64, index: usize, done: &AtomicUsize) -> (usize, Vec<String>) {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed ^ ((index as u64) << 20));
+    let turns = rng.random_range(1..=MAX_TURNS);
+    let words = rng.random_range(20..200);
+    let mut messages = vec![message("user", &text(&mut rng, words))];
+    let mut caller = Caller::new(&fleet.http, "dalisay", &format!("chat-{index}"));
+    let mut wrong = Vec::new();
+    for turn in 0..turns {
+        let tokens = rng.random_range(8..48);
+        let ask = Ask { messages: &messages, tokens, stream: rng.random_bool(0.5) };
+        match turn_of(fleet, &mut caller, index, &ask).await {
+            Ok(reply) => messages.push(message("assistant", &reply)),
+            Err(e) => wrong.push(format!("chat {index} turn {turn}: {e}")),
+        }
+        messages.push(message("user", &text(&mut rng, 12)));
+        sleep(Duration::from_millis(rng.random_range(5..60))).await;
+    }
+    let count = done.fetch_add(1, Ordering::Relaxed) + 1;
+    if count.is_multiple_of(40) {
+        println!("  {count} chats done");
+    }
+    (turns, wrong)
+}
+
+/// One turn: asks for the address, then sends the request there.
+async fn turn_of(
+    fleet: &Fleet,
+    caller: &mut Caller,
+    index: usize,
+    ask: &Ask<'_>,
+) -> Result<String, String> {
+    let first = &fleet.routers[index % fleet.routers.len()];
+    let router = caller.entry(first.address()).await?;
+    caller.ask(router, ask).await
+}
+
+fn message(role: &str, content: &str) -> Value {
+    json!({ "role": role, "content": content })
+}
+
+fn text(rng: &mut ChaCha8Rng, words: usize) -> String {
+    let words: Vec<String> = (0..words).map(|_| format!("w{}", rng.random::<u32>())).collect();
+    words.join(" ")
+}
+
+/// One reservation, which must run exactly once.
+async fn reserve(fleet: &Fleet, index: usize) -> Result<(), String> {
+    let router = &fleet.routers[index % fleet.routers.len()];
+    let key = format!("reservation-{index}");
+    let url = format!("http://{}/v1/services/stockroom/reservations", router.address());
+    let reply = fleet
+        .http
+        .post(url)
+        .header(ORGANISATION_HEADER, "dalisay")
+        .header(KEY_HEADER, &key)
+        .json(&json!({ "item": format!("reed-{index}"), "quantity": 1 }))
+        .send()
+        .await
+        .map_err(|e| e.to_string())?;
+    if !reply.status().is_success() {
+        return Err(format!("reservation {index}: {}", reply.text().await.unwrap_or_default()));
+    }
+    match fleet.services.iter().map(|it| it.runs(&key)).sum::<u32>() {
+        1 => Ok(()),
+        runs => Err(format!("reservation {index} ran {runs} times")),
+    }
+}
--- /dev/null
+++ b/src/events/code.rs
@@ -0,0 +1,69 @@
+//! The catalogue of events; docs/EVENTS.md explains each.
+
+/// Declares the codes with their number, name and text.
+macro_rules! codes {
+    ($($number:literal $code:ident $text:literal;)*) => {
+        key! {
+            /// An event of the catalogue.
+            pub enum Code {
+                $(#[doc = $text] $code = $number,)*
+            }
+        }
+
+        impl Code {
+            /// All codes in the order of their numbers.
+            pub const ALL: &[Code] = &[$(Code::$code),*];
+
+            /// Number in the catalogue.
+            pub fn number(self) -> u16 {
+                self as u16
+            }
+
+            /// Name in the catalogue.
+            pub fn name(self) -> &'static str {
+                match self { $(Code::$code => stringify!($code)),* }
+            }
+
+            /// What it means.
+            pub fn text(self) -> &'static str {
+                match self { $(Code::$code => $text),* }
+            }
+        }
+    };
+}
+
+codes! {
+    // 1xx: process
+    100 Started "the instance serves callers";
+    101 Ready "the instance has a state in force";
+    102 ShutdownBegun "a graceful shutdown began";
+    103 ShutdownDone "a graceful shutdown ended with nothing cut off";
+    104 ShutdownCut "a shutdown cut off requests in flight";
+    // 2xx: tickets and state
+    200 TicketAccepted "a ticket came into force";
+    201 TicketRejected "a ticket did not come into force";
+    202 LogUnreachable "the log service does not answer";
+    203 LogReachable "the log service answers again";
+    // 3xx: membership
+    300 ListUnreachable "the instance list does not answer";
+    301 ListReachable "the instance list answers again";
+    302 InstanceJoined "an instance joined";
+    303 InstanceLeaving "an instance is leaving";
+    304 InstanceGone "an instance is gone";
+    // 4xx: placement and admission
+    400 Placed "a request was given to a backend server";
+    401 NoRoom "no backend server takes the request at present";
+    // 5xx: requests and answers
+    500 RequestDone "a request was answered whole";
+    501 RequestRefused "a request was refused";
+    502 BackendFailed "a backend server did not answer well";
+    503 RequestRetried "a request was tried again";
+    504 StreamCut "a stream ended before its end mark";
+    505 BadRequest "a request has a wrong form";
+    506 UnknownTarget "a request names a model or service that is not in force";
+    507 DeadlinePassed "a request took longer than its deadline";
+    508 NotReady "the instance has no state in force yet";
+    509 Unauthorised "a call came without the right token";
+    510 UnknownCall "a call names an unknown path or method";
+    511 TooLarge "a request is larger than allowed";
+}
--- /dev/null
+++ b/src/events/logger.rs
@@ -0,0 +1,48 @@
+//! Set-up of the log output.
+
+use std::str::FromStr;
+
+use slog::{Discard, Drain, Logger, o};
+
+key! {
+    /// Form of log lines.
+    pub enum LogFormat {
+        /// For people.
+        Text,
+        /// One JSON object a line.
+        Json,
+    }
+}
+
+impl FromStr for LogFormat {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<LogFormat, String> {
+        match text {
+            "text" => Ok(LogFormat::Text),
+            "json" => Ok(LogFormat::Json),
+            _ => Err(format!("`{text}` is no log format; `text` and `json` are")),
+        }
+    }
+}
+
+/// A logger to standard error that never blocks its callers.
+pub fn root_logger(format: LogFormat, instance: &str) -> Logger {
+    let values = o!("instance" => instance.to_owned());
+    match format {
+        LogFormat::Text => {
+            let decorator = slog_term::PlainDecorator::new(std::io::stderr());
+            let drain = slog_term::FullFormat::new(decorator).build().fuse();
+            Logger::root(slog_async::Async::new(drain).build().fuse(), values)
+        }
+        LogFormat::Json => {
+            let drain = slog_json::Json::default(std::io::stderr()).fuse();
+            Logger::root(slog_async::Async::new(drain).build().fuse(), values)
+        }
+    }
+}
+
+/// A logger that writes nothing.
+pub fn discard_logger() -> Logger {
+    Logger::root(Discard, o!())
+}
--- /dev/null
+++ b/src/filters/call.rs
@@ -0,0 +1,68 @@
+//! One request on its way through the chain.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use bytes::Bytes;
+use warp::http::{HeaderMap, Method};
+
+use crate::fleet::View;
+use crate::wire::ChatRequest;
+
+plain! {
+    /// Where a request is meant to go.
+    pub enum Target {
+        /// Not known yet.
+        Unknown,
+        /// Engines of a pool, under the name that they know the model by.
+        Model {
+            /// The pool.
+            pool: String,
+            /// Name for the engines.
+            name: String,
+        },
+        /// Instances of a plain service.
+        Service {
+            /// The pool.
+            pool: String,
+            /// Whether the call may not be repeated.
+            once: bool,
+        },
+    }
+}
+
+/// One request on its way through the chain.
+#[derive(Debug)]
+pub struct Call {
+    /// Id of the request; unique over all routers.
+    pub id: String,
+    /// Method.
+    pub method: Method,
+    /// Path, without query.
+    pub path: String,
+    /// Query, without question mark.
+    pub query: String,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+    /// Organisation; set by `identify`.
+    pub organisation: String,
+    /// Key of the chat; set by `identify`.
+    pub chat: u64,
+    /// When the answer must be there; set by `identify`.
+    pub deadline: Instant,
+    /// The view that holds for this request.
+    pub view: Arc<View>,
+    /// The parsed body of a chat request; set by `resolve`.
+    pub request: Option<ChatRequest>,
+    /// Where it goes; set by `resolve`.
+    pub target: Target,
+}
+
+impl Call {
+    /// The value of a header, if it is there and readable.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name)?.to_str().ok()
+    }
+}
--- /dev/null
+++ b/src/filters/chat.rs
@@ -0,0 +1,124 @@
+//! Chat requests.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use serde_json::Value;
+use warp::http::{HeaderValue, StatusCode};
+use warp::reply::Response;
+
+use crate::decide::{Verdict, combine, hash_bytes};
+use crate::events::{Code, Fields};
+use crate::filters::answer::{json, mark};
+use crate::filters::forward::{Chosen, Job, Plan, forward, send_failure};
+use crate::filters::stream::stream_answer;
+use crate::filters::{Call, HINT_HEADER, Reason, Refusal, Shared, Target};
+
+/// Answers `POST /v1/chat/completions`.
+pub(crate) async fn chat(shared: &Arc<Shared>, mut call: Call) -> Result<Response, Refusal> {
+    let Some(mut request) = call.request.take() else {
+        return Err(Refusal::not_run(Reason::BadRequest, "the body is missing"));
+    };
+    let Target::Model { pool, name } = call.target.clone() else {
+        return Err(Refusal::not_run(Reason::UnknownTarget, "the request names no model"));
+    };
+    request.model = name;
+    let plan = Plan {
+        key: combine(call.chat, hash_bytes(request.model.as_bytes())),
+        hint: call.header(HINT_HEADER).and_then(read_hint),
+        cost: request.cost(),
+        idempotent: true,
+    };
+    let body = serde_json::to_vec(&request)
+        .map_err(|e| Refusal::not_run(Reason::BadRequest, e.to_string()))?;
+    let job = ChatJob { body: Bytes::from(body), stream: request.stream };
+    forward(shared, &call, &pool, &plan, Job::Chat(&job)).await
+}
+
+/// A chat request as engines get it.
+pub(crate) struct ChatJob {
+    body: Bytes,
+    stream: bool,
+}
+
+/// Sends the request to the chosen engine and answers with what comes back.
+pub(crate) async fn send_chat(
+    shared: &Arc<Shared>,
+    call: &Call,
+    job: &ChatJob,
+    chosen: Chosen,
+) -> Result<Response, Refusal> {
+    let url = format!("http://{}/v1/chat/completions", chosen.server.address);
+    let left = call.deadline.saturating_duration_since(shared.clock.now());
+    let sent = shared
+        .http
+        .post(url)
+        .timeout(left)
+        .header("content-type", "application/json")
+        .header("x-request-id", &call.id)
+        .body(job.body.clone())
+        .send();
+    let reply = sent.await.map_err(|e| send_failure(&e))?;
+    if reply.status() != StatusCode::OK {
+        return Err(engine_refusal(reply.status()));
+    }
+    let hint = write_hint(chosen.engine.id, chosen.engine.incarnation);
+    let mut answer = if job.stream {
+        stream_answer(shared, &call.id, reply, chosen.work)
+    } else {
+        whole(shared, &call.id, reply).await?
+    };
+    mark(&mut answer, &call.id, Verdict::Ran);
+    if let Ok(hint) = HeaderValue::from_str(&hint) {
+        answer.headers_mut().insert(HINT_HEADER, hint);
+    }
+    Ok(answer)
+}
+
+/// What an engine's refusal means.
+fn engine_refusal(status: StatusCode) -> Refusal {
+    let message = format!("the engine answered {status}");
+    match status {
+        StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS | StatusCode::NOT_FOUND => {
+            Refusal::not_run(Reason::BackendFailed, message)
+        }
+        _ => Refusal::may_have_run(Reason::BackendFailed, message),
+    }
+}
+
+/// Reads a whole answer and checks that it belongs to the request.
+async fn whole(
+    shared: &Shared,
+    request: &str,
+    reply: reqwest::Response,
+) -> Result<Response, Refusal> {
+    let body: Value = reply.json().await.map_err(|e| send_failure(&e))?;
+    if body["id"] != request {
+        let message = "the engine answered another request";
+        return Err(Refusal::may_have_run(Reason::BackendFailed, message));
+    }
+    count_usage(shared, &body["usage"]);
+    let fields = Fields { subject: request, detail: "whole" };
+    shared.events.record(Code::RequestDone, fields);
+    Ok(json(&body))
+}
+
+/// Adds an answer's usage to the counters.
+pub(crate) fn count_usage(shared: &Shared, usage: &Value) {
+    let cached = usage["prompt_tokens_details"]["cached_tokens"].as_u64().unwrap_or(0);
+    let prompt = usage["prompt_tokens"].as_u64().unwrap_or(cached);
+    shared.counters.prompt_tokens.inc_by(prompt);
+    shared.counters.cached_tokens.inc_by(cached);
+}
+
+/// Writes a chat hint: engine and incarnation.
+fn write_hint(engine: u64, incarnation: u64) -> String {
+    format!("{engine:016x}.{incarnation:x}")
+}
+
+/// Reads a chat hint; a wrong one counts as none.
+fn read_hint(text: &str) -> Option<(u64, u64)> {
+    let (engine, incarnation) = text.split_once('.')?;
+    let engine = u64::from_str_radix(engine, 16).ok()?;
+    Some((engine, u64::from_str_radix(incarnation, 16).ok()?))
+}
--- /dev/null
+++ b/src/filters/identify.rs
@@ -0,0 +1,48 @@
+//! Finds out who asks, for which chat and until when.
+
+use std::time::Duration;
+
+use crate::decide::{chat_key, hash_bytes};
+use crate::filters::{
+    CHAT_HEADER, Call, DEADLINE_HEADER, ORGANISATION_HEADER, Reason, Refusal, Shared,
+};
+
+/// Longest name of an organisation or chat, in bytes.
+const MAX_NAME: usize = 256;
+
+/// Reads organisation, chat and deadline from the headers.
+pub(crate) fn identify(shared: &Shared, call: &mut Call) -> Result<(), Refusal> {
+    let organisation = name(call, ORGANISATION_HEADER)?;
+    let Some(organisation) = organisation else {
+        let message = format!("header `{ORGANISATION_HEADER}` is missing");
+        return Err(Refusal::not_run(Reason::BadRequest, message));
+    };
+    call.chat = match name(call, CHAT_HEADER)? {
+        Some(chat) => chat_key(&organisation, &chat),
+        None => hash_bytes(call.id.as_bytes()),
+    };
+    call.organisation = organisation;
+    if let Some(text) = call.header(DEADLINE_HEADER) {
+        let Ok(millis) = text.parse::<u64>() else {
+            let message =
+                format!("header `{DEADLINE_HEADER}` is `{text}`; milliseconds are needed");
+            return Err(Refusal::not_run(Reason::BadRequest, message));
+        };
+        let asked = Duration::from_millis(millis).min(shared.settings.traffic.deadline);
+        call.deadline = call.deadline.min(shared.clock.now() + asked);
+    }
+    Ok(())
+}
+
+/// The value of a header that holds a name.
+fn name(call: &Call, header: &str) -> Result<Option<String>, Refusal> {
+    let Some(value) = call.headers.get(header) else {
+        return Ok(None);
+    };
+    let text = value.to_str().unwrap_or_default();
+    if text.is_empty() || text.len() > MAX_NAME {
+        let message = format!("header `{header}` needs 1 to {MAX_NAME} visible characters");
+        return Err(Refusal::not_run(Reason::BadRequest, message));
+    }
+    Ok(Some(text.to_owned()))
+}
--- /dev/null
+++ b/src/filters/mod.rs
@@ -0,0 +1,40 @@
+//! The request path: a chain of filters, then the call to a backend server.
+
+mod answer;
+mod body;
+mod call;
+mod chain;
+mod chat;
+mod entry;
+mod forward;
+mod identify;
+mod in_flight;
+mod ready;
+mod refusal;
+mod resolve;
+mod router;
+mod service;
+mod shared;
+mod sse;
+mod stream;
+
+pub use call::{Call, Target};
+pub use chain::{Chain, Filter};
+pub use refusal::{Reason, Refusal};
+pub use router::callers;
+pub use shared::{Counters, Shared};
+
+/// Header that names the organisation.
+pub const ORGANISATION_HEADER: &str = "filberttiller-organisation";
+/// Header that names the chat.
+pub const CHAT_HEADER: &str = "filberttiller-chat";
+/// Header that carries the chat hint, both ways.
+pub const HINT_HEADER: &str = "filberttiller-hint";
+/// Header that names the request in answers.
+pub const REQUEST_HEADER: &str = "filberttiller-request";
+/// Header that carries the verdict in answers.
+pub const VERDICT_HEADER: &str = "filberttiller-verdict";
+/// Header that sets the deadline, in milliseconds from now.
+pub const DEADLINE_HEADER: &str = "filberttiller-deadline-ms";
+/// Header that carries the key of a call that may not be repeated.
+pub const KEY_HEADER: &str = "idempotency-key";
--- /dev/null
+++ b/src/filters/ready.rs
@@ -0,0 +1,17 @@
+//! Refuses requests while nothing is in force.
+
+use std::time::Duration;
+
+use crate::filters::{Call, Reason, Refusal, Shared};
+
+/// When a caller should try again.
+const RETRY: Duration = Duration::from_secs(1);
+
+/// Refuses while no state is in force.
+pub(crate) fn ready(_: &Shared, call: &mut Call) -> Result<(), Refusal> {
+    if call.view.ready {
+        return Ok(());
+    }
+    let message = "this router has no state in force yet";
+    Err(Refusal::not_run(Reason::NotReady, message).retry_after(RETRY))
+}
--- /dev/null
+++ b/src/filters/refusal.rs
@@ -0,0 +1,148 @@
+//! Errors of the request path.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use warp::http::{HeaderValue, Response, StatusCode};
+
+use crate::decide::Verdict;
+use crate::events::Code;
+use crate::filters::{REQUEST_HEADER, VERDICT_HEADER};
+use crate::wire::{ApiError, ApiErrorBody};
+
+key! {
+    /// Why a request has no whole answer.
+    pub enum Reason {
+        /// The request has a wrong form.
+        BadRequest,
+        /// The request is larger than allowed.
+        TooLarge,
+        /// The caller was too slow.
+        SlowCaller,
+        /// The path or method is unknown.
+        UnknownCall,
+        /// The model or service is not in force.
+        UnknownTarget,
+        /// The token is missing or wrong.
+        Unauthorised,
+        /// The router has no state in force.
+        NotReady,
+        /// No backend server takes the request.
+        NoRoom,
+        /// The backend server failed.
+        BackendFailed,
+        /// The deadline passed.
+        DeadlinePassed,
+    }
+}
+
+impl Reason {
+    /// Name for programs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Reason::BadRequest => "bad_request",
+            Reason::TooLarge => "too_large",
+            Reason::SlowCaller => "slow_caller",
+            Reason::UnknownCall => "unknown_call",
+            Reason::UnknownTarget => "unknown_target",
+            Reason::Unauthorised => "unauthorised",
+            Reason::NotReady => "not_ready",
+            Reason::NoRoom => "no_room",
+            Reason::BackendFailed => "backend_failed",
+            Reason::DeadlinePassed => "deadline_passed",
+        }
+    }
+
+    /// Status code of the answer.
+    pub fn status(self) -> StatusCode {
+        match self {
+            Reason::BadRequest => StatusCode::BAD_REQUEST,
+            Reason::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Reason::SlowCaller => StatusCode::REQUEST_TIMEOUT,
+            Reason::UnknownCall | Reason::UnknownTarget => StatusCode::NOT_FOUND,
+            Reason::Unauthorised => StatusCode::UNAUTHORIZED,
+            Reason::NotReady | Reason::NoRoom => StatusCode::SERVICE_UNAVAILABLE,
+            Reason::BackendFailed => StatusCode::BAD_GATEWAY,
+            Reason::DeadlinePassed => StatusCode::GATEWAY_TIMEOUT,
+        }
+    }
+
+    /// Event of the catalogue.
+    pub fn code(self) -> Code {
+        match self {
+            Reason::BadRequest | Reason::SlowCaller => Code::BadRequest,
+            Reason::TooLarge => Code::TooLarge,
+            Reason::UnknownCall => Code::UnknownCall,
+            Reason::UnknownTarget => Code::UnknownTarget,
+            Reason::Unauthorised => Code::Unauthorised,
+            Reason::NotReady => Code::NotReady,
+            Reason::NoRoom => Code::NoRoom,
+            Reason::BackendFailed => Code::BackendFailed,
+            Reason::DeadlinePassed => Code::DeadlinePassed,
+        }
+    }
+}
+
+plain! {
+    /// A request that gets no whole answer.
+    pub struct Refusal {
+        /// Why.
+        pub reason: Reason,
+        /// Whether it may have run.
+        pub verdict: Verdict,
+        /// Details for people.
+        pub message: String,
+        /// When to try again.
+        pub retry: Option<Duration>,
+    }
+}
+
+impl Refusal {
+    /// A refusal of a request that did not run.
+    pub fn not_run(reason: Reason, message: impl Into<String>) -> Refusal {
+        Refusal { reason, verdict: Verdict::NotRun, message: message.into(), retry: None }
+    }
+
+    /// A refusal of a request that may have run.
+    pub fn may_have_run(reason: Reason, message: impl Into<String>) -> Refusal {
+        Refusal { reason, verdict: Verdict::MayHaveRun, message: message.into(), retry: None }
+    }
+
+    /// Tells the caller when to try again.
+    pub fn retry_after(mut self, time: Duration) -> Refusal {
+        self.retry = Some(time);
+        self
+    }
+
+    /// The error body.
+    pub fn body(&self, request: &str) -> ApiErrorBody {
+        ApiErrorBody {
+            error: ApiError {
+                message: self.message.clone(),
+                reason: self.reason.as_str().to_owned(),
+                verdict: self.verdict.as_str().to_owned(),
+                event: self.reason.code().number(),
+                request: request.to_owned(),
+                retry_ms: self.retry.map(|it| it.as_millis() as u64),
+            },
+        }
+    }
+
+    /// The whole answer.
+    pub fn reply(&self, request: &str) -> Response<Bytes> {
+        let body = serde_json::to_vec(&self.body(request)).unwrap_or_default();
+        let mut reply = Response::new(Bytes::from(body));
+        *reply.status_mut() = self.reason.status();
+        let headers = reply.headers_mut();
+        headers.insert("content-type", HeaderValue::from_static("application/json"));
+        headers.insert(VERDICT_HEADER, HeaderValue::from_static(self.verdict.as_str()));
+        if let Ok(id) = HeaderValue::from_str(request) {
+            headers.insert(REQUEST_HEADER, id);
+        }
+        if let Some(time) = self.retry {
+            let seconds = time.as_millis().div_ceil(1_000) as u64;
+            headers.insert("retry-after", HeaderValue::from(seconds));
+        }
+        reply
+    }
+}
--- /dev/null
+++ b/src/filters/router.rs
@@ -0,0 +1,168 @@
+//! The calls that callers make.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+
+use bytes::Buf;
+use futures_util::Stream;
+use warp::filters::path::FullPath;
+use warp::http::{HeaderMap, Method};
+use warp::reply::Response;
+use warp::{Filter as _, Reply};
+
+use crate::decide::Verdict;
+use crate::events::Fields;
+use crate::filters::chat::chat;
+use crate::filters::entry::entry;
+use crate::filters::identify::identify;
+use crate::filters::ready::ready;
+use crate::filters::resolve::{parse_chat, resolve_model, resolve_service};
+use crate::filters::service::service;
+use crate::filters::{Call, Chain, Filter, Reason, Refusal, Shared, Target, body};
+
+/// Filters of chat requests.
+const CHAT: Chain = Chain {
+    filters: &[
+        Filter { name: "ready", apply: ready },
+        Filter { name: "identify", apply: identify },
+        Filter { name: "parse", apply: parse_chat },
+        Filter { name: "resolve", apply: resolve_model },
+    ],
+};
+
+/// Filters of service calls.
+const SERVICE: Chain = Chain {
+    filters: &[
+        Filter { name: "ready", apply: ready },
+        Filter { name: "identify", apply: identify },
+        Filter { name: "resolve", apply: resolve_service },
+    ],
+};
+
+/// Kinds of calls, as counted.
+#[derive(Debug, Clone, Copy)]
+enum Kind {
+    Entry,
+    Chat,
+    Service,
+    Unknown,
+}
+
+impl Kind {
+    fn as_str(self) -> &'static str {
+        match self {
+            Kind::Entry => "entry",
+            Kind::Chat => "chat",
+            Kind::Service => "service",
+            Kind::Unknown => "unknown",
+        }
+    }
+}
+
+/// All calls that callers make, as one filter.
+pub fn callers(
+    shared: &Arc<Shared>,
+) -> impl warp::Filter<Extract = (Response,), Error = Infallible> + Clone + Send + Sync + 'static + use<>
+{
+    let shared = Arc::clone(shared);
+    let query = warp::query::raw().or_else(|_| async { Ok::<_, Infallible>((String::new(),)) });
+    warp::method()
+        .and(warp::path::full())
+        .and(query)
+        .and(warp::header::headers_cloned())
+        .and(warp::body::stream())
+        .then(move |method, path: FullPath, query, headers, body| {
+            let shared = Arc::clone(&shared);
+            async move { answer(&shared, head(&shared, method, &path, query, headers), body).await }
+        })
+        .recover(|_| async { Ok::<_, Infallible>(unreadable()) })
+        .unify()
+}
+
+/// A call without its body.
+fn head(
+    shared: &Shared,
+    method: Method,
+    path: &FullPath,
+    query: String,
+    headers: HeaderMap,
+) -> Call {
+    Call {
+        id: format!("{:032x}", rand::random::<u128>()),
+        method,
+        path: path.as_str().to_owned(),
+        query,
+        headers,
+        body: bytes::Bytes::new(),
+        organisation: String::new(),
+        chat: 0,
+        deadline: shared.clock.now() + shared.settings.traffic.deadline,
+        view: shared.view.load(),
+        request: None,
+        target: Target::Unknown,
+    }
+}
+
+async fn answer<B, S>(shared: &Arc<Shared>, call: Call, body: S) -> Response
+where
+    B: Buf,
+    S: Stream<Item = Result<B, warp::Error>>,
+{
+    let id = call.id.clone();
+    let kind = kind(&call);
+    let result = serve(shared, kind, call, body).await;
+    let verdict = result.as_ref().map_or_else(|it| it.verdict, |_| Verdict::Ran);
+    shared.counters.requests.with_label_values(&[kind.as_str(), verdict.as_str()]).inc();
+    match result {
+        Ok(reply) => reply,
+        Err(refusal) => {
+            let detail = format!("{}: {}", refusal.verdict, refusal.message);
+            let fields = Fields { subject: &id, detail: &detail };
+            shared.events.record(refusal.reason.code(), fields);
+            refusal.reply(&id).into_response()
+        }
+    }
+}
+
+fn kind(call: &Call) -> Kind {
+    match (&call.method, call.path.as_str()) {
+        (&Method::GET, "/v1/entry") => Kind::Entry,
+        (&Method::POST, "/v1/chat/completions") => Kind::Chat,
+        (_, path) if path.starts_with("/v1/services/") => Kind::Service,
+        _ => Kind::Unknown,
+    }
+}
+
+async fn serve<B, S>(
+    shared: &Arc<Shared>,
+    kind: Kind,
+    mut call: Call,
+    body: S,
+) -> Result<Response, Refusal>
+where
+    B: Buf,
+    S: Stream<Item = Result<B, warp::Error>>,
+{
+    match kind {
+        Kind::Entry => entry(shared, &call),
+        Kind::Chat => {
+            call.body = body::read(body, &shared.settings.limits).await?;
+            CHAT.apply(shared, &mut call)?;
+            chat(shared, call).await
+        }
+        Kind::Service => {
+            call.body = body::read(body, &shared.settings.limits).await?;
+            SERVICE.apply(shared, &mut call)?;
+            service(shared, call).await
+        }
+        Kind::Unknown => {
+            let message = format!("there is no call {} {}", call.method, call.path);
+            Err(Refusal::not_run(Reason::UnknownCall, message))
+        }
+    }
+}
+
+/// The answer to what is no readable call.
+fn unreadable() -> Response {
+    Refusal::not_run(Reason::BadRequest, "the request cannot be read").reply("").into_response()
+}
--- /dev/null
+++ b/src/fleet/pool.rs
@@ -0,0 +1,26 @@
+//! Backend servers by pool.
+
+use std::net::SocketAddr;
+
+use crate::decide::Engine;
+
+plain! {
+    /// A backend server as traffic reaches it.
+    pub struct BackendServer {
+        /// Its name.
+        pub name: String,
+        /// Where it answers.
+        pub address: SocketAddr,
+        /// Its failure domain.
+        pub domain: String,
+    }
+}
+
+/// Backend servers of one pool.
+#[derive(Debug, Clone, Default)]
+pub struct Pool {
+    /// What placement needs. Invariant: same order and length as `servers`.
+    pub engines: Vec<Engine>,
+    /// What the connection needs.
+    pub servers: Vec<BackendServer>,
+}
--- /dev/null
+++ b/src/fleet/view.rs
@@ -0,0 +1,20 @@
+//! One version of the view.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use crate::fleet::{Pool, Router};
+use crate::state::InForce;
+
+/// What a router knows of the fleet at one moment.
+#[derive(Debug, Clone, Default)]
+pub struct View {
+    /// Whether any state is in force.
+    pub ready: bool,
+    /// The state in force.
+    pub state: Arc<InForce>,
+    /// Backend servers by pool name.
+    pub pools: HashMap<String, Pool>,
+    /// Routers, this one among them.
+    pub routers: Vec<Router>,
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,22 @@
+//! A router fleet between callers and backend servers.
+//!
+//! The request path runs through [`filters`], the state path through
+//! [`controllers`]; both meet in the immutable view of [`fleet`]. The decisions
+//! are in [`decide`], which depends on nothing else here.
+
+#[macro_use]
+mod macros;
+
+pub mod backend;
+pub mod cli;
+pub mod clock;
+pub mod controllers;
+pub mod daemon;
+pub mod decide;
+pub mod demo;
+pub mod events;
+pub mod filters;
+pub mod fleet;
+pub mod settings;
+pub mod state;
+pub mod wire;
--- /dev/null
+++ b/src/settings/check.rs
@@ -0,0 +1,135 @@
+//! Reading and checking of settings.
+
+use std::collections::BTreeSet;
+use std::path::Path;
+use std::time::Duration;
+
+use error_stack::Report;
+
+use crate::settings::{Problem, Settings, SettingsError};
+
+/// Fewest characters of the shared token.
+const MIN_TOKEN: usize = 16;
+/// Most threads that carry requests.
+const MAX_THREADS: usize = 256;
+
+/// Reads and checks a settings file.
+///
+/// # Errors
+/// Names the file and every problem found.
+pub fn read(path: &Path) -> Result<Settings, Report<SettingsError>> {
+    let file = path.display().to_string();
+    let text = std::fs::read_to_string(path).map_err(|e| {
+        let problem = Problem {
+            place: "the file".to_owned(),
+            found: format!("cannot be read ({e})"),
+            allowed: "a readable file in UTF-8 is needed".to_owned(),
+        };
+        Report::new(SettingsError { file: file.clone(), problems: vec![problem] })
+    })?;
+    parse(&file, &text)
+}
+
+/// Reads and checks the text of a settings file called `file`.
+///
+/// # Errors
+/// Names the file and every problem found.
+pub fn parse(file: &str, text: &str) -> Result<Settings, Report<SettingsError>> {
+    let fail = |problems| Report::new(SettingsError { file: file.to_owned(), problems });
+    let mut source = json5::Deserializer::from_str(text);
+    let settings: Settings =
+        serde_path_to_error::deserialize(&mut source).map_err(|e| fail(vec![form_problem(&e)]))?;
+    let problems = problems(&settings);
+    if problems.is_empty() { Ok(settings) } else { Err(fail(problems)) }
+}
+
+/// A problem of form: not JSON, an unknown key, a wrong type or unit.
+fn form_problem(error: &serde_path_to_error::Error<json5::Error>) -> Problem {
+    let path = error.path().to_string();
+    let at = error
+        .inner()
+        .position()
+        .map(|it| format!("line {}, column {}", it.line + 1, it.column + 1));
+    let place = match (path.as_str(), at) {
+        (".", Some(at)) => at,
+        (_, Some(at)) => format!("{path} ({at})"),
+        (_, None) => path.clone(),
+    };
+    Problem { place, found: error.inner().to_string(), allowed: allowed_at(&path).to_owned() }
+}
+
+/// What may stand at `path`.
+fn allowed_at(path: &str) -> &'static str {
+    match path {
+        "listen" | "control" | "log" | "list" => "an IP number with a port, as in `10.0.0.1:8080`",
+        "limits.body" | "limits.head" => "a size with a unit, as in `1MiB` or `16KiB`",
+        _ if path.contains("control") => "an IP number with a port, as in `10.0.0.1:8080`",
+        "." => "see `filberttiller init` for all keys",
+        _ => "see `filberttiller init` for the form of each key; times have a unit, as in `500ms`",
+    }
+}
+
+/// Everything that is wrong although the form is right.
+fn problems(settings: &Settings) -> Vec<Problem> {
+    let mut found = Vec::new();
+    let mut expect = |good: bool, place: &str, value: String, allowed: &str| {
+        if !good {
+            found.push(Problem {
+                place: place.to_owned(),
+                found: value,
+                allowed: allowed.to_owned(),
+            });
+        }
+    };
+    let s = settings;
+    expect(!s.name.is_empty(), "name", "it is empty".to_owned(), "a unique name is needed");
+    expect(!s.domain.is_empty(), "domain", "it is empty".to_owned(), "a name is needed");
+    expect(
+        s.token.len() >= MIN_TOKEN,
+        "token",
+        format!("it has {} characters", s.token.len()),
+        "at least 16 are needed",
+    );
+    let clash = s.listen == s.control && s.listen.port() != 0;
+    expect(!clash, "control", "it equals `listen`".to_owned(), "two addresses are needed");
+    let mut names = BTreeSet::from([s.name.as_str()]);
+    for (i, it) in s.seeds.iter().enumerate() {
+        let place = format!("seeds[{i}].name");
+        let fresh = names.insert(&it.name);
+        expect(fresh, &place, format!("`{}` stands twice", it.name), "names must differ");
+    }
+    let size = s.limits.body.as_u64();
+    expect(size > 0, "limits.body", "it is 0".to_owned(), "a size above 0 is needed");
+    let head = s.limits.head.as_u64();
+    expect(head >= 8_192, "limits.head", format!("it is {head} bytes"), "at least 8KiB is needed");
+    let threads = s.traffic.threads;
+    expect(
+        (1..=MAX_THREADS).contains(&threads),
+        "traffic.threads",
+        format!("it is {threads}"),
+        "1 to 256 are allowed",
+    );
+    let tries = s.traffic.tries;
+    expect(tries > 0, "traffic.tries", "it is 0".to_owned(), "at least 1 is needed");
+    let addresses = s.traffic.entry_addresses;
+    expect(addresses > 0, "traffic.entry_addresses", "it is 0".to_owned(), "at least 1 is needed");
+    for (place, time) in times(s) {
+        expect(time > Duration::ZERO, place, "it is 0".to_owned(), "a time above 0 is needed");
+    }
+    found
+}
+
+/// All times that must be above 0.
+fn times(s: &Settings) -> [(&'static str, Duration); 9] {
+    [
+        ("limits.receive", s.limits.receive),
+        ("traffic.connect", s.traffic.connect),
+        ("traffic.deadline", s.traffic.deadline),
+        ("traffic.entry_ttl", s.traffic.entry_ttl),
+        ("traffic.drain", s.traffic.drain),
+        ("state.list_every", s.upkeep.list_every),
+        ("state.load_every", s.upkeep.load_every),
+        ("state.log_wait", s.upkeep.log_wait),
+        ("state.retry_every", s.upkeep.retry_every),
+    ]
+}
--- /dev/null
+++ b/src/settings/control.rs
@@ -0,0 +1,36 @@
+//! How state is kept up to date.
+
+use std::time::Duration;
+
+use serde::Deserialize;
+
+plain! {
+    /// How state is kept up to date.
+    #[derive(Deserialize)]
+    #[serde(default, deny_unknown_fields)]
+    pub struct Control {
+        /// Pause between two looks at the instance list.
+        #[serde(with = "humantime_serde")]
+        pub list_every: Duration,
+        /// Pause between two looks at the load of an engine.
+        #[serde(with = "humantime_serde")]
+        pub load_every: Duration,
+        /// How long one read of the log waits for news.
+        #[serde(with = "humantime_serde")]
+        pub log_wait: Duration,
+        /// Pause after a failed call to the platform.
+        #[serde(with = "humantime_serde")]
+        pub retry_every: Duration,
+    }
+}
+
+impl Default for Control {
+    fn default() -> Control {
+        Control {
+            list_every: Duration::from_secs(1),
+            load_every: Duration::from_millis(500),
+            log_wait: Duration::from_secs(10),
+            retry_every: Duration::from_millis(500),
+        }
+    }
+}
--- /dev/null
+++ b/src/settings/mod.rs
@@ -0,0 +1,15 @@
+//! Settings of a daemon: JSON with comments, checked whole before start.
+
+mod check;
+mod control;
+mod limits;
+mod problem;
+mod settings;
+mod traffic;
+
+pub use check::{parse, read};
+pub use control::Control;
+pub use limits::Limits;
+pub use problem::{Problem, SettingsError};
+pub use settings::{DEFAULT_TEXT, Seed, Settings};
+pub use traffic::Traffic;
--- /dev/null
+++ b/src/settings/settings.rs
@@ -0,0 +1,54 @@
+//! All settings of one instance.
+
+use std::net::SocketAddr;
+
+use serde::Deserialize;
+
+use crate::settings::{Control, Limits, Traffic};
+
+/// The commented settings file that `filberttiller init` prints.
+pub const DEFAULT_TEXT: &str = include_str!("default.jsonc");
+
+plain! {
+    /// Settings of one instance.
+    #[derive(Deserialize)]
+    #[serde(deny_unknown_fields)]
+    pub struct Settings {
+        /// Name of this instance; unique in the fleet.
+        pub name: String,
+        /// Failure domain of this instance.
+        pub domain: String,
+        /// Address for callers.
+        pub listen: SocketAddr,
+        /// Address for operators and other routers.
+        pub control: SocketAddr,
+        /// Token that peers and operators show.
+        pub token: String,
+        /// Address of the platform's log service.
+        pub log: SocketAddr,
+        /// Address of the platform's instance list.
+        pub list: SocketAddr,
+        /// Other routers to ask first while the list is down.
+        #[serde(default)]
+        pub seeds: Vec<Seed>,
+        /// Limits on what callers send.
+        #[serde(default)]
+        pub limits: Limits,
+        /// How requests are carried.
+        #[serde(default)]
+        pub traffic: Traffic,
+        /// How state is kept up to date.
+        #[serde(default, rename = "state")]
+        pub upkeep: Control,
+    }
+
+    /// A router known beforehand.
+    #[derive(Deserialize)]
+    #[serde(deny_unknown_fields)]
+    pub struct Seed {
+        /// Its name.
+        pub name: String,
+        /// Its control address.
+        pub control: SocketAddr,
+    }
+}
--- /dev/null
+++ b/src/state/mod.rs
@@ -0,0 +1,15 @@
+//! Tickets and the state that they put in force.
+
+mod fold;
+mod object;
+mod rejection;
+mod spec;
+mod ticket;
+mod ticket_error;
+
+pub use fold::{Held, InForce, Outcome, Verdicts};
+pub use object::{Kind, Object, Spec};
+pub use rejection::Rejection;
+pub use spec::{AdapterSpec, ExperimentSpec, ModelSpec, OrganisationSpec, PolicySpec, ServiceSpec};
+pub use ticket::Ticket;
+pub use ticket_error::TicketError;
--- /dev/null
+++ b/src/state/ticket.rs
@@ -0,0 +1,76 @@
+//! A ticket: a numbered change that carries the whole new state of each object.
+
+use std::collections::BTreeSet;
+
+use crate::state::{Object, Spec, TicketError};
+
+/// Most objects that one ticket may change.
+const MAX_OBJECTS: usize = 1_000;
+
+plain! {
+    /// A checked ticket.
+    pub struct Ticket {
+        /// Number given by the operator; above 0.
+        pub number: u64,
+        /// Who made it.
+        pub author: String,
+        /// Why.
+        pub note: String,
+        /// What changes. Invariant: not empty, no object twice.
+        pub objects: Vec<Object>,
+        /// Hash of the whole content; equal for equal tickets.
+        pub digest: u64,
+    }
+}
+
+impl Ticket {
+    /// Checks what holds for a ticket by itself, whatever is in force.
+    ///
+    /// # Errors
+    /// Names the first fault found.
+    pub fn check(&self) -> Result<(), TicketError> {
+        if self.number == 0 {
+            return Err(TicketError::ZeroNumber);
+        }
+        if self.objects.is_empty() {
+            return Err(TicketError::Empty);
+        }
+        if self.objects.len() > MAX_OBJECTS {
+            return Err(TicketError::TooLarge { found: self.objects.len(), most: MAX_OBJECTS });
+        }
+        let mut seen = BTreeSet::new();
+        for it in &self.objects {
+            let place = format!("{} `{}`", it.kind, it.name);
+            if it.name.is_empty() {
+                return Err(TicketError::NoName { kind: it.kind });
+            }
+            if !seen.insert((it.kind, &it.name)) {
+                return Err(TicketError::Twice { object: place });
+            }
+            if let Some(spec) = &it.spec {
+                check_spec(spec).map_err(|fault| TicketError::Value { object: place, fault })?;
+            }
+        }
+        Ok(())
+    }
+}
+
+/// Checks the ranges of one object's values.
+fn check_spec(spec: &Spec) -> Result<(), &'static str> {
+    let ok = |good: bool, fault| if good { Ok(()) } else { Err(fault) };
+    match spec {
+        Spec::Model(it) => ok(!it.pool.is_empty(), "`pool` must not be empty"),
+        Spec::Adapter(it) => ok(!it.model.is_empty(), "`model` must not be empty"),
+        Spec::Service(it) => ok(!it.pool.is_empty(), "`pool` must not be empty"),
+        Spec::Organisation(it) => {
+            ok(it.weight > 0.0 && it.weight.is_finite(), "`weight` must be above 0")?;
+            ok(it.rate.is_none_or(|rate| rate >= 0.0), "`rate` must not be negative")
+        }
+        Spec::Experiment(it) => {
+            ok((0.0..=1.0).contains(&it.share), "`share` must be from 0 to 1")?;
+            ok(!it.model.is_empty(), "`model` must not be empty")?;
+            ok(!it.target.is_empty() || !it.policy.is_empty(), "`target` or `policy` must be given")
+        }
+        Spec::Policy(it) => ok(it.bound > 1.0 && it.bound.is_finite(), "`bound` must be above 1"),
+    }
+}
--- /dev/null
+++ b/src/state/ticket_error.rs
@@ -0,0 +1,74 @@
+//! What is wrong with a ticket by itself.
+
+use std::fmt;
+
+use crate::state::Kind;
+
+plain! {
+    /// A fault of a ticket.
+    pub enum TicketError {
+        /// Not JSON, or a key or type is wrong.
+        Form {
+            /// Path within the ticket.
+            path: String,
+            /// What was found and what is allowed.
+            fault: String,
+        },
+        /// A format version that this program does not know.
+        Version {
+            /// The version found.
+            found: u32,
+            /// The version known.
+            known: u32,
+        },
+        /// The number is 0.
+        ZeroNumber,
+        /// Nothing changes.
+        Empty,
+        /// Too many objects.
+        TooLarge {
+            /// How many there are.
+            found: usize,
+            /// How many may be.
+            most: usize,
+        },
+        /// An object without name.
+        NoName {
+            /// Its kind.
+            kind: Kind,
+        },
+        /// An object named twice.
+        Twice {
+            /// Kind and name.
+            object: String,
+        },
+        /// A value out of range.
+        Value {
+            /// Kind and name.
+            object: String,
+            /// What is wrong.
+            fault: &'static str,
+        },
+    }
+}
+
+impl fmt::Display for TicketError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            TicketError::Form { path, fault } => write!(f, "at `{path}`: {fault}"),
+            TicketError::Version { found, known } => {
+                write!(f, "`version` is {found}; this program knows {known}")
+            }
+            TicketError::ZeroNumber => f.write_str("`number` must be above 0"),
+            TicketError::Empty => f.write_str("`objects` must name at least one object"),
+            TicketError::TooLarge { found, most } => {
+                write!(f, "`objects` has {found} entries; {most} are allowed")
+            }
+            TicketError::NoName { kind } => write!(f, "a {kind} has an empty `name`"),
+            TicketError::Twice { object } => write!(f, "{object} is named twice"),
+            TicketError::Value { object, fault } => write!(f, "{object}: {fault}"),
+        }
+    }
+}
+
+impl std::error::Error for TicketError {}
--- /dev/null
+++ b/src/wire/mod.rs
@@ -0,0 +1,19 @@
+//! Forms in which values travel, apart from the types that the code works with.
+
+mod api_error;
+mod chat;
+mod entry;
+mod in_force;
+mod instance;
+mod load;
+mod log;
+mod ticket;
+
+pub use api_error::{ApiError, ApiErrorBody};
+pub use chat::{ChatMessage, ChatRequest};
+pub use entry::{EntryAddress, EntryAnswer};
+pub use in_force::{WireHeld, WireInForce, WireOutcome};
+pub use instance::{Instance, Role, Standing};
+pub use load::{LoadReport, Loaded};
+pub use log::{Appended, Page, Record};
+pub use ticket::{WireObject, WireTicket, parse_ticket};
--- /dev/null
+++ b/standins/src/engine/engine.rs
@@ -0,0 +1,320 @@
+//! The engine itself: shared state and controls for tests.
+
+use std::collections::{HashMap, VecDeque};
+use std::io;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use serde::{Deserialize, Serialize};
+use tokio::task::JoinHandle;
+use tokio::time::{Instant, sleep};
+
+use crate::engine::cache::CacheEvent;
+use crate::engine::feed::{End, Feed};
+use crate::engine::slots::Slots;
+use crate::engine::{Faults, Options, Order, OrderRequest, PrefixCache, http};
+use crate::server::{Server, Switch};
+
+/// Cache events kept for readers.
+const EVENT_WINDOW: usize = 4_096;
+/// Orders kept for tests to look at.
+const ORDER_WINDOW: usize = 256;
+
+/// Numbers incarnations so that two engines started at once differ.
+static STARTS: AtomicU64 = AtomicU64::new(0);
+
+/// A model version or adapter that an engine holds.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Loaded {
+    /// Model name.
+    pub model: String,
+    /// Version of the model.
+    #[serde(default)]
+    pub version: String,
+    /// Adapter on top of it; empty for none.
+    #[serde(default)]
+    pub adapter: String,
+}
+
+/// Answer to `GET /load`.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct LoadReport {
+    /// Changes at each start of the engine.
+    pub incarnation: u64,
+    /// Role, such as `serve`.
+    pub role: String,
+    /// Requests running.
+    pub running: usize,
+    /// Requests waiting.
+    pub queued: usize,
+    /// Tokens still to read or write, running and waiting.
+    pub tokens: u64,
+    /// Requests that can run at once.
+    pub slots: usize,
+    /// What is loaded.
+    pub loaded: Vec<Loaded>,
+    /// Cached blocks.
+    pub cached: usize,
+    /// Highest fencing number seen.
+    pub fencing: u64,
+}
+
+#[derive(Debug)]
+pub(crate) struct State {
+    pub(crate) faults: Faults,
+    pub(crate) cache: PrefixCache,
+    pub(crate) streams: HashMap<String, Arc<Feed>>,
+    pub(crate) running: usize,
+    pub(crate) queued: usize,
+    pub(crate) tokens: u64,
+    loaded: Vec<Loaded>,
+    role: String,
+    fencing: u64,
+    orders: VecDeque<OrderRequest>,
+    incarnation: u64,
+    reports: VecDeque<(Instant, LoadReport)>,
+    events: VecDeque<(Instant, CacheEvent)>,
+    /// Requests that began to run, by request id.
+    runs: HashMap<String, u32>,
+}
+
+#[derive(Debug)]
+pub(crate) struct Core {
+    pub(crate) options: Options,
+    pub(crate) slots: Slots,
+    pub(crate) switch: Arc<Switch>,
+    state: Mutex<State>,
+}
+
+/// Engine on a loopback address.
+#[derive(Debug)]
+pub struct EngineStandin {
+    server: Server,
+    core: Arc<Core>,
+    sampler: JoinHandle<()>,
+}
+
+impl EngineStandin {
+    /// Starts an engine.
+    ///
+    /// # Errors
+    /// Fails when the address cannot be bound.
+    pub async fn start(addr: SocketAddr, options: Options) -> io::Result<EngineStandin> {
+        let switch = Arc::new(Switch::default());
+        let core = Arc::new(Core::new(options, Arc::clone(&switch)));
+        let server = Server::start(addr, switch, http::routes(&core)).await?;
+        let sampled = Arc::clone(&core);
+        let period = (core.options.load_lag / 4).max(Duration::from_millis(5));
+        let sampler = tokio::spawn(async move {
+            loop {
+                sampled.sample();
+                sleep(period).await;
+            }
+        });
+        Ok(EngineStandin { server, core, sampler })
+    }
+
+    /// Where the engine answers.
+    pub fn addr(&self) -> SocketAddr {
+        self.server.addr()
+    }
+
+    /// Replaces the faults.
+    pub fn set_faults(&self, faults: Faults) {
+        self.core.state().faults = faults;
+    }
+
+    /// Cuts all work and connections and loses the cache, for `outage`.
+    pub fn crash(&self, outage: Duration) {
+        self.core.crash(outage);
+    }
+
+    /// Cuts all work and connections for good.
+    pub fn kill(&self) {
+        self.core.cut();
+    }
+
+    /// The load at this moment, without lag.
+    pub fn load(&self) -> LoadReport {
+        self.core.report()
+    }
+
+    /// Times that the request with `id` began to run.
+    pub fn runs(&self, id: &str) -> u32 {
+        self.core.state().runs.get(id).copied().unwrap_or(0)
+    }
+
+    /// Number of requests that began to run.
+    pub fn total_runs(&self) -> u64 {
+        self.core.state().runs.values().map(|it| u64::from(*it)).sum()
+    }
+
+    /// Orders taken, oldest first.
+    pub fn orders(&self) -> Vec<OrderRequest> {
+        self.core.state().orders.iter().cloned().collect()
+    }
+}
+
+impl Drop for EngineStandin {
+    fn drop(&mut self) {
+        self.sampler.abort();
+    }
+}
+
+impl Core {
+    fn new(options: Options, switch: Arc<Switch>) -> Core {
+        let state = State {
+            faults: Faults::default(),
+            cache: PrefixCache::new(options.cache_blocks),
+            streams: HashMap::new(),
+            running: 0,
+            queued: 0,
+            tokens: 0,
+            loaded: options.loaded.clone(),
+            role: "serve".to_owned(),
+            fencing: 0,
+            orders: VecDeque::new(),
+            incarnation: next_incarnation(),
+            reports: VecDeque::new(),
+            events: VecDeque::new(),
+            runs: HashMap::new(),
+        };
+        Core { slots: Slots::new(options.slots), options, switch, state: Mutex::new(state) }
+    }
+
+    pub(crate) fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap()
+    }
+
+    /// Scales a duration by the slowness fault.
+    pub(crate) fn paced(&self, time: Duration) -> Duration {
+        time * (1 + self.state().faults.slow)
+    }
+
+    /// Whether `model` is loaded; an engine with nothing loaded takes any.
+    pub(crate) fn holds(&self, model: &str) -> bool {
+        let state = self.state();
+        state.loaded.is_empty() || state.loaded.iter().any(|it| it.serves(model))
+    }
+
+    /// Counts the start of request `id`.
+    pub(crate) fn count_run(&self, id: &str) {
+        *self.state().runs.entry(id.to_owned()).or_default() += 1;
+    }
+
+    /// Takes an order, or returns the higher fencing number seen before.
+    pub(crate) fn order(&self, request: OrderRequest) -> Result<(), u64> {
+        let checks = self.options.checks_fencing;
+        let mut state = self.state();
+        if checks && request.fencing < state.fencing {
+            return Err(state.fencing);
+        }
+        state.fencing = state.fencing.max(request.fencing);
+        match &request.order {
+            Order::Load(it) if !state.loaded.contains(it) => state.loaded.push(it.clone()),
+            Order::Load(_) => {}
+            Order::Unload(it) => state.loaded.retain(|held| held != it),
+            Order::Role { role } => state.role.clone_from(role),
+        }
+        if state.orders.len() == ORDER_WINDOW {
+            state.orders.pop_front();
+        }
+        state.orders.push_back(request);
+        Ok(())
+    }
+
+    /// The load at this moment.
+    pub(crate) fn report(&self) -> LoadReport {
+        let state = self.state();
+        LoadReport {
+            incarnation: state.incarnation,
+            role: state.role.clone(),
+            running: state.running,
+            queued: state.queued,
+            tokens: state.tokens,
+            slots: self.options.slots,
+            loaded: state.loaded.clone(),
+            cached: state.cache.len(),
+            fencing: state.fencing,
+        }
+    }
+
+    /// The newest report that is old enough to be told.
+    pub(crate) fn lagged_report(&self) -> LoadReport {
+        let now = Instant::now();
+        let lag = self.options.load_lag;
+        let found = {
+            let mut state = self.state();
+            while state.reports.len() > 1 && now.duration_since(state.reports[1].0) >= lag {
+                state.reports.pop_front();
+            }
+            state.reports.front().map(|it| it.1.clone())
+        };
+        found.unwrap_or_else(|| self.report())
+    }
+
+    /// Cache events from `from` on that are old enough to be told, gaps left out.
+    pub(crate) fn events(&self, from: u64) -> Vec<CacheEvent> {
+        let now = Instant::now();
+        let gap = self.options.event_gap;
+        let state = self.state();
+        state
+            .events
+            .iter()
+            .filter(|(at, it)| it.seq >= from && now.duration_since(*at) >= self.options.event_lag)
+            .map(|(_, it)| *it)
+            .filter(|it| gap == 0 || it.seq % gap != gap - 1)
+            .collect()
+    }
+
+    fn sample(&self) {
+        let report = self.report();
+        let now = Instant::now();
+        let mut state = self.state();
+        state.reports.push_back((now, report));
+        for it in state.cache.take_events() {
+            state.events.push_back((now, it));
+        }
+        let extra = state.events.len().saturating_sub(EVENT_WINDOW);
+        state.events.drain(..extra);
+    }
+
+    /// Cuts all streams and connections.
+    fn cut(&self) {
+        self.switch.down();
+        let mut state = self.state();
+        for (_, feed) in state.streams.drain() {
+            feed.finish(End::Cut);
+        }
+        state.cache.clear();
+        state.reports.clear();
+    }
+
+    /// Goes down now and comes back as a new incarnation after `outage`.
+    pub(crate) fn crash(self: &Arc<Core>, outage: Duration) {
+        self.cut();
+        let core = Arc::clone(self);
+        tokio::spawn(async move {
+            sleep(outage).await;
+            core.state().incarnation = next_incarnation();
+            core.switch.up();
+        });
+    }
+}
+
+impl Loaded {
+    /// Whether a request for `model` can run on this: by model or adapter name,
+    /// with or without `@version`.
+    fn serves(&self, model: &str) -> bool {
+        let (name, version) = model.split_once('@').unwrap_or((model, ""));
+        let held = if self.adapter.is_empty() { &self.model } else { &self.adapter };
+        held == name && (version.is_empty() || self.version == version)
+    }
+}
+
+fn next_incarnation() -> u64 {
+    let micros = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |it| it.as_micros() as u64);
+    micros * 64 + STARTS.fetch_add(1, Ordering::Relaxed) % 64
+}
--- /dev/null
+++ b/standins/src/engine/faults.rs
@@ -0,0 +1,27 @@
+//! Faults of one engine.
+
+use serde::{Deserialize, Serialize};
+
+/// What goes wrong at present; all off by default.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Faults {
+    /// Multiplies every duration by `1 + slow`.
+    pub slow: u32,
+    /// Answers 503 before doing anything.
+    pub refuse: bool,
+    /// Accepts requests and never answers them.
+    pub hang: bool,
+    /// A prompt that contains this text takes the engine down.
+    pub crash_on: Option<String>,
+    /// Time until a crashed engine is back, in milliseconds.
+    pub restart_ms: u64,
+    /// Ends each stream after this many tokens without its end mark.
+    pub cut_after: Option<u32>,
+    /// Answers with the id of another request.
+    pub wrong_id: bool,
+    /// Repeats the second token of every stream.
+    pub repeat_token: bool,
+    /// Leaves the second token of every stream out.
+    pub skip_token: bool,
+}
--- /dev/null
+++ b/standins/src/engine/http.rs
@@ -0,0 +1,324 @@
+//! HTTP calls of the engine.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use futures_util::{Stream, stream};
+use serde::{Deserialize, Serialize};
+use serde_json::json;
+use warp::filters::BoxedFilter;
+use warp::http::{Response, StatusCode};
+use warp::{Filter, Reply, sse};
+
+use crate::engine::engine::Core;
+use crate::engine::feed::{End, Feed, Piece};
+use crate::engine::generate;
+use crate::engine::job::{ChatRequest, Job};
+use crate::engine::{Faults, OrderRequest};
+use crate::server::{bad_request, json_reply, not_found, status_reply};
+
+#[derive(Debug, Deserialize)]
+struct EventQuery {
+    #[serde(default)]
+    from: u64,
+}
+
+/// Exported KV cache of one prompt: its block hashes.
+#[derive(Debug, Serialize, Deserialize)]
+struct KvBlocks {
+    blocks: Vec<u64>,
+}
+
+/// Counts a reader for as long as it lives.
+struct Reader {
+    feed: Arc<Feed>,
+}
+
+impl Reader {
+    fn new(feed: Arc<Feed>) -> Reader {
+        feed.enter();
+        Reader { feed }
+    }
+}
+
+impl Drop for Reader {
+    fn drop(&mut self) {
+        self.feed.leave();
+    }
+}
+
+/// All routes of an engine.
+pub(crate) fn routes(
+    core: &Arc<Core>,
+) -> impl Filter<Extract = (impl Reply + use<>,), Error = Infallible>
++ Clone
++ Send
++ Sync
++ 'static
++ use<> {
+    work(core).or(control(core)).recover(not_found)
+}
+
+/// Routes that carry answers.
+fn work(core: &Arc<Core>) -> BoxedFilter<(warp::reply::Response,)> {
+    let it = Arc::clone(core);
+    let chat = warp::post()
+        .and(warp::path!("v1" / "chat" / "completions"))
+        .and(warp::header::optional("x-request-id"))
+        .and(warp::body::json())
+        .then(move |id: Option<String>, body: ChatRequest| chat(Arc::clone(&it), id, body));
+    let it = Arc::clone(core);
+    let resume = warp::get()
+        .and(warp::path!("v1" / "streams" / String))
+        .and(warp::header::optional("last-event-id"))
+        .map(move |id: String, last: Option<u32>| resume(&it, &id, last));
+    let it = Arc::clone(core);
+    let cancel =
+        warp::delete().and(warp::path!("v1" / "requests" / String)).map(move |id: String| {
+            let feed = it.state().streams.remove(&id);
+            let found = feed.is_some();
+            if let Some(feed) = feed {
+                feed.finish(End::Cut);
+            }
+            json_reply(StatusCode::OK, &json!({ "cancelled": found })).into_response()
+        });
+    chat.or(resume).unify().or(cancel).unify().boxed()
+}
+
+/// Routes for load, cache, orders and faults.
+fn control(core: &Arc<Core>) -> BoxedFilter<(Response<Bytes>,)> {
+    let it = Arc::clone(core);
+    let load = warp::get()
+        .and(warp::path!("load"))
+        .map(move || json_reply(StatusCode::OK, &it.lagged_report()));
+    let it = Arc::clone(core);
+    let events = warp::get()
+        .and(warp::path!("cache-events"))
+        .and(warp::query())
+        .map(move |query: EventQuery| json_reply(StatusCode::OK, &it.events(query.from)));
+    let it = Arc::clone(core);
+    let import =
+        warp::put().and(warp::path!("kv")).and(warp::body::json()).map(move |blocks: KvBlocks| {
+            it.state().cache.store(&blocks.blocks);
+            json_reply(StatusCode::OK, &json!({ "imported": blocks.blocks.len() }))
+        });
+    let it = Arc::clone(core);
+    let export = warp::post().and(warp::path!("kv" / "export")).and(warp::body::json()).map(
+        move |wanted: KvBlocks| {
+            let hits = it.state().cache.hits(&wanted.blocks);
+            let blocks = wanted.blocks[..hits].to_vec();
+            json_reply(StatusCode::OK, &KvBlocks { blocks })
+        },
+    );
+    let it = Arc::clone(core);
+    let order = warp::post().and(warp::path!("orders")).and(warp::body::json()).map(
+        move |request: OrderRequest| match it.order(request) {
+            Ok(()) => json_reply(StatusCode::OK, &json!({ "taken": true })),
+            Err(seen) => json_reply(StatusCode::CONFLICT, &json!({ "fencing": seen })),
+        },
+    );
+    let it = Arc::clone(core);
+    let faults = warp::post().and(warp::path!("faults")).and(warp::body::json()).map(
+        move |faults: Faults| {
+            it.state().faults = faults;
+            json_reply(StatusCode::OK, &true)
+        },
+    );
+    load.or(events)
+        .unify()
+        .or(import)
+        .unify()
+        .or(export)
+        .unify()
+        .or(order)
+        .unify()
+        .or(faults)
+        .unify()
+        .boxed()
+}
+
+async fn chat(core: Arc<Core>, id: Option<String>, body: ChatRequest) -> warp::reply::Response {
+    let faults = core.state().faults.clone();
+    if faults.refuse {
+        return status_reply(StatusCode::SERVICE_UNAVAILABLE, "not taking requests")
+            .into_response();
+    }
+    if faults.hang {
+        std::future::pending::<()>().await;
+    }
+    if !core.holds(&body.model) {
+        return status_reply(StatusCode::NOT_FOUND, "model is not loaded").into_response();
+    }
+    let Some(id) = id else {
+        return bad_request("x-request-id is missing").into_response();
+    };
+    let job = Job {
+        id: id.clone(),
+        model: body.model.clone(),
+        prompt: body.prompt(),
+        tokens: body.max_tokens,
+        priority: body.priority,
+    };
+    let feed = generate::start(&core, job);
+    let id = if faults.wrong_id { format!("{id}-other") } else { id };
+    if body.stream {
+        return sse_reply(&faults, id, body.model, feed, 0);
+    }
+    whole(&feed, &id, &body.model).await
+}
+
+/// Collects the whole answer; a cut one drops the connection.
+async fn whole(feed: &Arc<Feed>, id: &str, model: &str) -> warp::reply::Response {
+    let _reader = Reader::new(Arc::clone(feed));
+    let mut text = String::new();
+    let mut count = 0;
+    loop {
+        match feed.next(count).await {
+            Piece::Token(_, token) => {
+                text.push_str(&token);
+                count += 1;
+            }
+            Piece::End(End::Cut, _) => {
+                return status_reply(StatusCode::BAD_GATEWAY, "generation was cut off")
+                    .into_response();
+            }
+            Piece::End(End::Whole, usage) => {
+                let body = json!({
+                    "id": id,
+                    "object": "chat.completion",
+                    "model": model,
+                    "choices": [{
+                        "index": 0,
+                        "message": { "role": "assistant", "content": text },
+                        "finish_reason": "length",
+                    }],
+                    "usage": {
+                        "prompt_tokens": usage.prompt,
+                        "completion_tokens": count,
+                        "total_tokens": usage.prompt + count,
+                        "prompt_tokens_details": { "cached_tokens": usage.cached },
+                    },
+                });
+                return json_reply(StatusCode::OK, &body).into_response();
+            }
+        }
+    }
+}
+
+fn resume(core: &Arc<Core>, id: &str, last: Option<u32>) -> warp::reply::Response {
+    let (feed, faults) = {
+        let state = core.state();
+        (state.streams.get(id).cloned(), state.faults.clone())
+    };
+    match feed {
+        Some(feed) => {
+            let from = last.map_or(0, |it| it as usize + 1);
+            sse_reply(&faults, id.to_owned(), String::new(), feed, from)
+        }
+        None => status_reply(StatusCode::NOT_FOUND, "no such stream").into_response(),
+    }
+}
+
+/// Streams the feed from token `from` on, then the end marks.
+fn sse_reply(
+    faults: &Faults,
+    id: String,
+    model: String,
+    feed: Arc<Feed>,
+    from: usize,
+) -> warp::reply::Response {
+    let events = events(faults.clone(), id, model, Reader::new(feed), from);
+    let mut reply = sse::reply(events).into_response();
+    reply.headers_mut().remove("transfer-encoding");
+    reply
+}
+
+/// State of one stream of events.
+struct Cursor {
+    faults: Faults,
+    id: String,
+    model: String,
+    reader: Reader,
+    index: usize,
+    repeated: bool,
+    stage: Stage,
+}
+
+enum Stage {
+    Tokens,
+    Done,
+    Over,
+}
+
+fn events(
+    faults: Faults,
+    id: String,
+    model: String,
+    reader: Reader,
+    from: usize,
+) -> impl Stream<Item = Result<sse::Event, std::io::Error>> + Send {
+    let cursor =
+        Cursor { faults, id, model, reader, index: from, repeated: false, stage: Stage::Tokens };
+    stream::unfold(cursor, |mut it| async move {
+        match it.stage {
+            Stage::Tokens => {
+                let event = it.next().await;
+                Some((event, it))
+            }
+            Stage::Done => {
+                it.stage = Stage::Over;
+                Some((Ok(sse::Event::default().data("[DONE]")), it))
+            }
+            Stage::Over => None,
+        }
+    })
+}
+
+impl Cursor {
+    async fn next(&mut self) -> Result<sse::Event, std::io::Error> {
+        if self.faults.skip_token && self.index == 1 {
+            self.index += 1;
+        }
+        match self.reader.feed.next(self.index).await {
+            Piece::Token(i, token) => {
+                self.advance();
+                let chunk = json!({
+                    "id": self.id,
+                    "object": "chat.completion.chunk",
+                    "model": self.model,
+                    "choices": [{ "index": 0, "delta": { "content": token }, "finish_reason": null }],
+                });
+                Ok(sse::Event::default().id(i.to_string()).data(chunk.to_string()))
+            }
+            Piece::End(End::Whole, usage) => {
+                self.stage = Stage::Done;
+                let chunk = json!({
+                    "id": self.id,
+                    "object": "chat.completion.chunk",
+                    "model": self.model,
+                    "choices": [{ "index": 0, "delta": {}, "finish_reason": "length" }],
+                    "usage": {
+                        "prompt_tokens": usage.prompt,
+                        "completion_tokens": self.index,
+                        "prompt_tokens_details": { "cached_tokens": usage.cached },
+                    },
+                });
+                Ok(sse::Event::default().id(self.index.to_string()).data(chunk.to_string()))
+            }
+            Piece::End(End::Cut, _) => {
+                self.stage = Stage::Over;
+                Err(std::io::Error::other("generation was cut off"))
+            }
+        }
+    }
+
+    fn advance(&mut self) {
+        let again = self.faults.repeat_token && self.index == 1 && !self.repeated;
+        if again {
+            self.repeated = true;
+        } else {
+            self.index += 1;
+        }
+    }
+}
--- /dev/null
+++ b/standins/src/list/mod.rs
@@ -0,0 +1,7 @@
+//! Instance list: who is live and who is leaving, told with a lag.
+
+mod entry;
+mod list;
+
+pub use entry::{Entry, Role, Standing};
+pub use list::{Faults, InstanceList};
--- /dev/null
+++ b/standins/src/service/mod.rs
@@ -0,0 +1,5 @@
+//! Plain service: stock reads and reservations counted per key.
+
+mod service;
+
+pub use service::{Faults, Reservation, ServiceStandin};
--- /dev/null
+++ b/tests/it/main.rs
@@ -0,0 +1,13 @@
+//! Tests of whole routers and of every concept.
+
+mod answers;
+mod control;
+mod decide;
+mod events;
+mod fault;
+mod membership;
+mod once;
+mod path;
+mod settings;
+mod state;
+mod timeline;
