Split choice, hint and crash board into files of their own

Cause: placement, hints and crash reports change for different reasons. Change: one file each; behaviour as before.

--- a/src/controllers/mod.rs
+++ b/src/controllers/mod.rs
@@ -1,5 +1,6 @@
 //! Controllers: they keep the view up to date, all on the control thread.
 
+mod engine_side;
 mod list_watch;
 mod load_watch;
 mod publisher;
--- a/src/controllers/publisher.rs
+++ b/src/controllers/publisher.rs
@@ -7,7 +7,8 @@
 
 use xtra::prelude::*;
 
-use crate::decide::{Engine, hash_bytes};
+use crate::controllers::engine_side::engine;
+use crate::decide::hash_bytes;
 use crate::events::{Code, EventLog, Fields};
 use crate::fleet::{BackendServer, Pool, Router, View, ViewCell};
 use crate::state::{InForce, Ticket};
@@ -143,18 +144,6 @@
     }
 }
 
-/// The placement side of a backend server.
-fn engine(it: &Instance, report: Option<&LoadReport>, sent: Arc<AtomicU64>) -> Engine {
-    Engine {
-        id: hash_bytes(it.name.as_bytes()),
-        incarnation: report.map_or(0, |it| it.incarnation),
-        weight: 1.0,
-        leaving: it.standing == Standing::Leaving,
-        reported: report.map_or(0, |it| it.tokens),
-        sent,
-    }
-}
-
 impl Handler<Folded> for Publisher {
     type Return = ();
 
--- a/src/daemon/daemon.rs
+++ b/src/daemon/daemon.rs
@@ -74,6 +74,7 @@
             view: Arc::new(ViewCell::default()),
             events,
             meter: Arc::default(),
+            crashes: Arc::default(),
             counters: Counters::new().change_context(DaemonError::SetUp)?,
             clock,
             http,
--- a/src/filters/chat.rs
+++ b/src/filters/chat.rs
@@ -11,6 +11,7 @@
 use crate::events::{Code, Fields};
 use crate::filters::answer::{json, mark};
 use crate::filters::forward::{Chosen, Job, Plan, forward, send_failure};
+use crate::filters::hint::{read_hint, write_hint};
 use crate::filters::stream::stream_answer;
 use crate::filters::{Call, HINT_HEADER, Reason, Refusal, Shared, Target};
 
@@ -110,15 +111,3 @@
     shared.counters.prompt_tokens.inc_by(prompt);
     shared.counters.cached_tokens.inc_by(cached);
 }
-
-/// Writes a chat hint: engine and incarnation.
-fn write_hint(engine: u64, incarnation: u64) -> String {
-    format!("{engine:016x}.{incarnation:x}")
-}
-
-/// Reads a chat hint; a wrong one counts as none.
-fn read_hint(text: &str) -> Option<(u64, u64)> {
-    let (engine, incarnation) = text.split_once('.')?;
-    let engine = u64::from_str_radix(engine, 16).ok()?;
-    Some((engine, u64::from_str_radix(incarnation, 16).ok()?))
-}
--- a/src/filters/forward.rs
+++ b/src/filters/forward.rs
@@ -6,17 +6,15 @@
 use smallvec::SmallVec;
 use warp::reply::Response;
 
-use crate::decide::{Choice, Engine, PlaceQuery, Verdict, place};
+use crate::decide::{Choice, Engine, Verdict};
 use crate::events::{Code, Fields};
 use crate::filters::chat::{ChatJob, send_chat};
+use crate::filters::choose::choose;
 use crate::filters::in_flight::InFlight;
 use crate::filters::service::send_service;
 use crate::filters::{Call, Reason, Refusal, Shared};
 use crate::fleet::{BackendServer, Pool};
-use crate::state::PolicySpec;
 
-/// Name of the routing policy that holds for all requests.
-const DEFAULT_POLICY: &str = "default";
 /// When a caller should try again after there was no room.
 const RETRY: Duration = Duration::from_millis(500);
 
@@ -87,26 +85,6 @@
     pub(crate) idempotent: bool,
 }
 
-fn choose(
-    shared: &Shared,
-    call: &Call,
-    pool: &Pool,
-    plan: &Plan,
-    tried: &[usize],
-) -> Option<Choice> {
-    let bound = call
-        .view
-        .state
-        .policy(DEFAULT_POLICY)
-        .map_or_else(|| PolicySpec::default().bound, |it| it.bound);
-    let query = PlaceQuery { key: plan.key, hint: plan.hint, cost: plan.cost, bound, tried };
-    let choice = place(&pool.engines, &query)?;
-    if choice.spilled {
-        shared.counters.spilled.inc();
-    }
-    Some(choice)
-}
-
 fn take(shared: &Shared, call: &Call, pool: &Pool, plan: &Plan, choice: Choice) -> Chosen {
     let engine = &pool.engines[choice.index];
     let server = &pool.servers[choice.index];
--- a/src/filters/shared.rs
+++ b/src/filters/shared.rs
@@ -9,7 +9,7 @@
 use crate::backend::Meter;
 use crate::clock::SharedClock;
 use crate::events::EventLog;
-use crate::fleet::ViewCell;
+use crate::fleet::{CrashBoard, ViewCell};
 use crate::settings::Settings;
 
 /// What all requests of a router share.
@@ -25,6 +25,8 @@
     pub counters: Counters,
     /// Bytes of control calls.
     pub meter: Arc<Meter>,
+    /// Requests that crashed backend servers.
+    pub crashes: Arc<CrashBoard>,
     /// The clock.
     pub clock: SharedClock,
     /// Client for backend servers.
