Admit requests fairly between organisations; add rates and experiments

Cause: a surge of one organisation filled the engines' queues for all, and tickets could not limit or divide traffic. Change: a gate for each pool with start-time fair queueing, rates kept by home routers without messages, experiments by nested chat hashing. Not yet measured under load.

--- /dev/null
+++ b/src/admission/gate.rs
@@ -0,0 +1,196 @@
+//! One pool's gate.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use tokio::sync::oneshot;
+
+use crate::admission::Pass;
+use crate::decide::{Admit, FairQueue, QueueLimits, Waiting};
+
+/// Weight of the newest second in the average of tokens given out.
+const RATE_WEIGHT: f64 = 0.3;
+/// Length of one step of that average.
+const RATE_STEP: Duration = Duration::from_millis(200);
+
+plain! {
+    /// A request that wants to pass.
+    pub struct Demand<'a> {
+        /// Organisation.
+        pub organisation: &'a str,
+        /// Its weight; above 0.
+        pub weight: f64,
+        /// Tokens.
+        pub cost: u64,
+        /// When the request must have begun.
+        pub until: Instant,
+        /// Requests that this router may have at the pool.
+        pub room: u64,
+    }
+}
+
+/// How many tokens a second the pool lately finished for this router.
+#[derive(Debug)]
+struct Drained {
+    since: Instant,
+    tokens: u64,
+    rate: f64,
+}
+
+impl Drained {
+    fn add(&mut self, tokens: u64, now: Instant) {
+        self.tokens += tokens;
+        let passed = now.saturating_duration_since(self.since);
+        if passed >= RATE_STEP {
+            let rate = self.tokens as f64 / passed.as_secs_f64();
+            let first = self.rate == 0.0;
+            self.rate = if first { rate } else { self.rate + RATE_WEIGHT * (rate - self.rate) };
+            self.since = now;
+            self.tokens = 0;
+        }
+    }
+}
+
+#[derive(Debug)]
+struct State {
+    queue: FairQueue,
+    wake: HashMap<u64, oneshot::Sender<Pass>>,
+    next: u64,
+    /// Requests at the pool.
+    own: u64,
+    /// Newest known room.
+    room: u64,
+    drained: Drained,
+}
+
+/// One pool's gate.
+#[derive(Debug)]
+pub struct Gate {
+    state: Mutex<State>,
+}
+
+/// Takes a request out of the queue when its caller leaves.
+struct Queued<'a> {
+    gate: &'a Gate,
+    id: u64,
+}
+
+impl Drop for Queued<'_> {
+    fn drop(&mut self) {
+        let mut state = self.gate.state.lock().unwrap();
+        if state.wake.remove(&self.id).is_some() {
+            state.queue.remove(self.id);
+        }
+    }
+}
+
+impl Gate {
+    /// A gate that nobody has passed.
+    pub fn new(limits: QueueLimits, now: Instant) -> Gate {
+        let drained = Drained { since: now, tokens: 0, rate: 0.0 };
+        let state = State {
+            queue: FairQueue::new(limits),
+            wake: HashMap::new(),
+            next: 0,
+            own: 0,
+            room: 0,
+            drained,
+        };
+        Gate { state: Mutex::new(state) }
+    }
+
+    /// Requests at the pool.
+    pub fn own(&self) -> u64 {
+        self.state.lock().unwrap().own
+    }
+
+    /// Requests that wait.
+    pub fn waiting(&self) -> usize {
+        self.state.lock().unwrap().queue.len()
+    }
+
+    /// Passes at once, or waits for room until the demand's time.
+    ///
+    /// # Errors
+    /// Tells after what time there may be room.
+    pub async fn enter(
+        self: &Arc<Gate>,
+        demand: &Demand<'_>,
+        now: Instant,
+    ) -> Result<Pass, Duration> {
+        let (id, wait) = match self.try_enter(demand, now)? {
+            Ok(pass) => return Ok(pass),
+            Err(queued) => queued,
+        };
+        let _queued = Queued { gate: self, id };
+        let left = demand.until.saturating_duration_since(now);
+        match tokio::time::timeout(left, wait).await {
+            Ok(Ok(pass)) => Ok(pass),
+            _ => Err(left),
+        }
+    }
+
+    #[allow(clippy::type_complexity)]
+    fn try_enter(
+        self: &Arc<Gate>,
+        demand: &Demand<'_>,
+        now: Instant,
+    ) -> Result<Result<Pass, (u64, oneshot::Receiver<Pass>)>, Duration> {
+        let mut state = self.state.lock().unwrap();
+        state.room = demand.room;
+        if state.queue.is_empty() && state.own < state.room {
+            state.own += 1;
+            state.queue.pass(demand.organisation, demand.weight, demand.cost);
+            return Ok(Ok(Pass::new(Arc::clone(self), demand.cost)));
+        }
+        let id = state.next;
+        state.next += 1;
+        let item = Waiting { id, cost: demand.cost, since: now, until: demand.until };
+        let rate = state.drained.rate;
+        match state.queue.push(demand.organisation, demand.weight, item, rate) {
+            Admit::Refused(time) => Err(time),
+            Admit::Waits => {
+                let (give, wait) = oneshot::channel();
+                state.wake.insert(id, give);
+                let passes = self.release(&mut state, now);
+                drop(state);
+                drop(passes);
+                Ok(Err((id, wait)))
+            }
+        }
+    }
+
+    /// Gives a pass back and lets the next request in.
+    pub(crate) fn leave(self: &Arc<Gate>, cost: u64) {
+        let now = tokio::time::Instant::now().into_std();
+        let mut state = self.state.lock().unwrap();
+        state.own -= 1;
+        state.drained.add(cost, now);
+        let unused = self.release(&mut state, now);
+        drop(state);
+        drop(unused);
+    }
+
+    /// Lets requests in while there is room. Returns passes whose callers have
+    /// left; they must be dropped without the lock.
+    fn release(self: &Arc<Gate>, state: &mut State, now: Instant) -> Vec<Pass> {
+        let mut unused = Vec::new();
+        for late in state.queue.expire(now) {
+            state.wake.remove(&late.id);
+        }
+        while state.own < state.room {
+            let Some(next) = state.queue.pop(now) else {
+                break;
+            };
+            let Some(give) = state.wake.remove(&next.id) else {
+                continue;
+            };
+            state.own += 1;
+            if let Err(pass) = give.send(Pass::new(Arc::clone(self), next.cost)) {
+                unused.push(pass);
+            }
+        }
+        unused
+    }
+}
--- a/src/controllers/publisher.rs
+++ b/src/controllers/publisher.rs
@@ -84,6 +84,9 @@
                 continue;
             }
             let pool = pools.entry(it.pool.clone()).or_default();
+            if it.standing == Standing::Live {
+                pool.figures.add(self.reports.get(&it.name));
+            }
             let sent = Arc::clone(self.sent.entry(it.name.clone()).or_default());
             pool.engines.push(engine(it, self.reports.get(&it.name), sent));
             pool.servers.push(BackendServer {
--- a/src/daemon/daemon.rs
+++ b/src/daemon/daemon.rs
@@ -13,9 +13,11 @@
 use tokio::sync::{oneshot, watch};
 use tokio::time::timeout;
 
+use crate::admission::Gates;
 use crate::clock::SharedClock;
 use crate::daemon::control_thread::ControlThread;
 use crate::daemon::{Stop, Stopped, serve};
+use crate::decide::QueueLimits;
 use crate::events::{Code, EventLog, Fields};
 use crate::filters::{Counters, Shared, callers};
 use crate::fleet::ViewCell;
@@ -75,6 +77,7 @@
             events,
             meter: Arc::default(),
             crashes: Arc::default(),
+            gates: Gates::new(QueueLimits::from(&settings.admission)),
             counters: Counters::new().change_context(DaemonError::SetUp)?,
             clock,
             http,
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -1,14 +1,20 @@
 //! Decisions without input or output: no clock but an argument, no randomness
 //! but a seeded generator, and nothing else of this library.
 
+mod admission;
+mod arm;
 mod engine;
 mod entry;
 mod hash;
 mod place;
 mod verdict;
 
+pub use admission::{
+    Admit, FairQueue, QueueLimits, RateLimit, RoomInput, Waiting, rate_share, room,
+};
+pub use arm::takes_part;
 pub use engine::Engine;
-pub use entry::{EntryRouter, entry_order};
+pub use entry::{EntryQuery, EntryRouter, entry_order, home_size, is_home};
 pub use hash::{chat_key, combine, hash_bytes, weighted_score};
 pub use place::{Choice, PlaceQuery, place};
 pub use verdict::Verdict;
--- a/src/events/code.rs
+++ b/src/events/code.rs
@@ -53,6 +53,7 @@
     // 4xx: placement and admission
     400 Placed "a request was given to a backend server";
     401 NoRoom "no backend server takes the request at present";
+    420 RateExceeded "an organisation is above its rate";
     // 5xx: requests and answers
     500 RequestDone "a request was answered whole";
     501 RequestRefused "a request was refused";
--- /dev/null
+++ b/src/filters/admit.rs
@@ -0,0 +1,91 @@
+//! Admission of requests: rate limits, then room at the pool.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::admission::{Demand, Pass};
+use crate::decide::{EntryRouter, RoomInput, hash_bytes, rate_share, room};
+use crate::filters::{Call, Reason, Refusal, Shared};
+use crate::fleet::{Router, View};
+use crate::state::OrganisationSpec;
+
+/// Longest time after which a caller is told to come back.
+const MAX_RETRY: Duration = Duration::from_secs(60);
+/// Shortest such time.
+const MIN_RETRY: Duration = Duration::from_millis(50);
+/// What a short request gains over a long one of the same organisation.
+const SHORT_PRIORITY: u8 = 1;
+
+/// The routers of a view as entry answers and limits see them.
+pub(crate) fn entry_routers<'a>(view: &'a View) -> Vec<EntryRouter<'a>> {
+    let router =
+        |it: &'a Router| EntryRouter { id: it.id, domain: &it.domain, leaving: it.leaving };
+    view.routers.iter().map(router).collect()
+}
+
+/// Refuses requests of an organisation beyond this router's part of its rate.
+pub(crate) fn limit_rate(shared: &Shared, call: &mut Call) -> Result<(), Refusal> {
+    let Some(rate) = call.view.state.organisation(&call.organisation).and_then(|it| it.rate) else {
+        return Ok(());
+    };
+    let routers = entry_routers(&call.view);
+    let own = hash_bytes(shared.settings.name.as_bytes());
+    let organisation = hash_bytes(call.organisation.as_bytes());
+    let part = rate * rate_share(&routers, own, organisation, rate);
+    shared.gates.take(&call.organisation, part, shared.clock.now()).map_err(|time| {
+        let message = format!("organisation `{}` is above its rate", call.organisation);
+        refusal(Reason::RateExceeded, message, time)
+    })
+}
+
+/// Waits until there is room at `pool`. Without reports there is no limit.
+pub(crate) async fn enter(
+    shared: &Shared,
+    call: &Call,
+    pool: &str,
+    cost: u64,
+) -> Result<Option<Arc<Pass>>, Refusal> {
+    let figures = call.view.pools.get(pool).map(|it| &it.figures);
+    let Some(figures) = figures.filter(|it| it.slots > 0) else {
+        return Ok(None);
+    };
+    let now = shared.clock.now();
+    let gate = shared.gates.gate(pool, now);
+    let admission = &shared.settings.admission;
+    let routers = call.view.routers.iter().filter(|it| !it.leaving).count() as u64;
+    let input = RoomInput {
+        slots: figures.slots,
+        busy: figures.busy,
+        own: gate.own(),
+        routers: routers.max(1),
+        headroom: admission.headroom,
+    };
+    let unlisted = OrganisationSpec::default();
+    let organisation = call.view.state.organisation(&call.organisation).unwrap_or(&unlisted);
+    let demand = Demand {
+        organisation: &call.organisation,
+        weight: organisation.weight,
+        cost,
+        until: call.deadline.min(now + admission.wait),
+        room: room(&input),
+    };
+    match gate.enter(&demand, now).await {
+        Ok(pass) => Ok(Some(Arc::new(pass))),
+        Err(time) => {
+            let message = format!("pool `{pool}` has no room for this request in time");
+            Err(refusal(Reason::NoRoom, message, time))
+        }
+    }
+}
+
+/// Priority of a request at engines: that of its organisation, short ones first.
+pub(crate) fn priority(shared: &Shared, call: &Call, cost: u64) -> u8 {
+    let organisation = call.view.state.organisation(&call.organisation);
+    let base = organisation.map_or(0, |it| it.priority).min(u8::MAX / 2) * 2;
+    let short = cost <= shared.settings.admission.short_tokens;
+    base + if short { SHORT_PRIORITY } else { 0 }
+}
+
+fn refusal(reason: Reason, message: String, time: Duration) -> Refusal {
+    Refusal::not_run(reason, message).retry_after(time.clamp(MIN_RETRY, MAX_RETRY))
+}
--- a/src/filters/call.rs
+++ b/src/filters/call.rs
@@ -4,8 +4,10 @@
 use std::time::Instant;
 
 use bytes::Bytes;
+use smallvec::SmallVec;
 use warp::http::{HeaderMap, Method};
 
+use crate::filters::Arm;
 use crate::fleet::View;
 use crate::wire::ChatRequest;
 
@@ -56,6 +58,10 @@
     pub view: Arc<View>,
     /// The parsed body of a chat request; set by `resolve`.
     pub request: Option<ChatRequest>,
+    /// Routing policy that an experiment asks for.
+    pub policy: Option<String>,
+    /// Experiments that the request counts towards; set by `experiment`.
+    pub arms: SmallVec<[Arm; 2]>,
     /// Where it goes; set by `resolve`.
     pub target: Target,
 }
--- a/src/filters/chat.rs
+++ b/src/filters/chat.rs
@@ -9,6 +9,7 @@
 
 use crate::decide::{Verdict, combine, hash_bytes};
 use crate::events::{Code, Fields};
+use crate::filters::admit::priority;
 use crate::filters::answer::{json, mark};
 use crate::filters::forward::{Chosen, Job, Plan, forward, send_failure};
 use crate::filters::hint::{read_hint, write_hint};
@@ -30,10 +31,14 @@
         cost: request.cost(),
         idempotent: true,
     };
+    request.rest.insert("priority".to_owned(), priority(shared, &call, plan.cost).into());
     let body = serde_json::to_vec(&request)
         .map_err(|e| Refusal::not_run(Reason::BadRequest, e.to_string()))?;
     let job = ChatJob { body: Bytes::from(body), stream: request.stream };
-    forward(shared, &call, &pool, &plan, Job::Chat(&job)).await
+    let result = forward(shared, &call, &pool, &plan, Job::Chat(&job)).await;
+    let verdict = result.as_ref().map_or_else(|it| it.verdict, |_| Verdict::Ran);
+    shared.counters.count_arms(&call.arms, verdict);
+    result
 }
 
 /// A chat request as engines get it.
@@ -65,9 +70,9 @@
     }
     let hint = write_hint(chosen.engine.id, chosen.engine.incarnation);
     let mut answer = if job.stream {
-        stream_answer(shared, &call.id, reply, chosen.work)
+        stream_answer(shared, call, reply, chosen.work)
     } else {
-        whole(shared, &call.id, reply).await?
+        whole(shared, call, reply).await?
     };
     mark(&mut answer, &call.id, Verdict::Ran);
     if let Ok(hint) = HeaderValue::from_str(&hint) {
@@ -90,24 +95,16 @@
 /// Reads a whole answer and checks that it belongs to the request.
 async fn whole(
     shared: &Shared,
-    request: &str,
+    call: &Call,
     reply: reqwest::Response,
 ) -> Result<Response, Refusal> {
     let body: Value = reply.json().await.map_err(|e| send_failure(&e))?;
-    if body["id"] != request {
+    if body["id"] != call.id.as_str() {
         let message = "the engine answered another request";
         return Err(Refusal::may_have_run(Reason::BackendFailed, message));
     }
-    count_usage(shared, &body["usage"]);
-    let fields = Fields { subject: request, detail: "whole" };
+    shared.counters.count_usage(&call.arms, &body["usage"]);
+    let fields = Fields { subject: &call.id, detail: "whole" };
     shared.events.record(Code::RequestDone, fields);
     Ok(json(&body))
 }
-
-/// Adds an answer's usage to the counters.
-pub(crate) fn count_usage(shared: &Shared, usage: &Value) {
-    let cached = usage["prompt_tokens_details"]["cached_tokens"].as_u64().unwrap_or(0);
-    let prompt = usage["prompt_tokens"].as_u64().unwrap_or(cached);
-    shared.counters.prompt_tokens.inc_by(prompt);
-    shared.counters.cached_tokens.inc_by(cached);
-}
--- a/src/filters/choose.rs
+++ b/src/filters/choose.rs
@@ -20,7 +20,7 @@
     let bound = call
         .view
         .state
-        .policy(DEFAULT_POLICY)
+        .policy(call.policy.as_deref().unwrap_or(DEFAULT_POLICY))
         .map_or_else(|| PolicySpec::default().bound, |it| it.bound);
     let query = PlaceQuery { key: plan.key, hint: plan.hint, cost: plan.cost, bound, tried };
     let choice = place(&pool.engines, &query)?;
--- a/src/filters/entry.rs
+++ b/src/filters/entry.rs
@@ -4,7 +4,8 @@
 
 use warp::reply::Response;
 
-use crate::decide::{EntryRouter, chat_key, entry_order};
+use crate::decide::{EntryQuery, chat_key, entry_order, hash_bytes};
+use crate::filters::admit::entry_routers;
 use crate::filters::answer::json;
 use crate::filters::{Call, Reason, Refusal, Shared};
 use crate::wire::{EntryAddress, EntryAnswer};
@@ -15,15 +16,15 @@
         Refusal::not_run(Reason::BadRequest, format!("the query cannot be read: {e}"))
     })?;
     let value = |name: &str| query.get(name).map_or("", String::as_str);
-    let key = chat_key(value("org"), value("chat"));
-    let routers: Vec<EntryRouter<'_>> = call
-        .view
-        .routers
-        .iter()
-        .map(|it| EntryRouter { id: it.id, domain: &it.domain, leaving: it.leaving })
-        .collect();
+    let organisation = value("org");
     let traffic = &shared.settings.traffic;
-    let order = entry_order(&routers, key, traffic.entry_addresses);
+    let asked = EntryQuery {
+        organisation: hash_bytes(organisation.as_bytes()),
+        chat: chat_key(organisation, value("chat")),
+        rate: call.view.state.organisation(organisation).and_then(|it| it.rate),
+        most: traffic.entry_addresses,
+    };
+    let order = entry_order(&entry_routers(&call.view), &asked);
     if order.is_empty() {
         return Err(Refusal::not_run(Reason::NotReady, "no router is known to be live"));
     }
--- a/src/filters/forward.rs
+++ b/src/filters/forward.rs
@@ -6,8 +6,10 @@
 use smallvec::SmallVec;
 use warp::reply::Response;
 
+use crate::admission::Pass;
 use crate::decide::{Choice, Engine, Verdict};
 use crate::events::{Code, Fields};
+use crate::filters::admit::enter;
 use crate::filters::chat::{ChatJob, send_chat};
 use crate::filters::choose::choose;
 use crate::filters::in_flight::InFlight;
@@ -38,19 +40,20 @@
 pub(crate) async fn forward(
     shared: &Arc<Shared>,
     call: &Call,
-    pool: &str,
+    pool_name: &str,
     plan: &Plan,
     job: Job<'_>,
 ) -> Result<Response, Refusal> {
-    let Some(pool) = call.view.pools.get(pool) else {
-        return Err(no_room(format!("pool `{pool}` has no backend servers")));
+    let Some(pool) = call.view.pools.get(pool_name) else {
+        return Err(no_room(format!("pool `{pool_name}` has no backend servers")));
     };
+    let pass = enter(shared, call, pool_name, plan.cost).await?;
     let mut tried: SmallVec<[usize; 4]> = SmallVec::new();
     loop {
         let Some(choice) = choose(shared, call, pool, plan, &tried) else {
             return Err(no_room("no backend server takes new work".to_owned()));
         };
-        let chosen = take(shared, call, pool, plan, choice);
+        let chosen = take(shared, call, pool, plan, pass.as_ref(), choice);
         let name = chosen.server.name.clone();
         tried.push(choice.index);
         let result = match &job {
@@ -85,10 +88,17 @@
     pub(crate) idempotent: bool,
 }
 
-fn take(shared: &Shared, call: &Call, pool: &Pool, plan: &Plan, choice: Choice) -> Chosen {
+fn take(
+    shared: &Shared,
+    call: &Call,
+    pool: &Pool,
+    plan: &Plan,
+    pass: Option<&Arc<Pass>>,
+    choice: Choice,
+) -> Chosen {
     let engine = &pool.engines[choice.index];
     let server = &pool.servers[choice.index];
-    let work = InFlight::new(&engine.sent, plan.cost, &shared.counters.in_flight);
+    let work = InFlight::new(&engine.sent, plan.cost, &shared.counters.in_flight, pass);
     shared.events.record(Code::Placed, Fields { subject: &call.id, detail: &server.name });
     Chosen { server: server.clone(), engine: engine.clone(), work }
 }
--- a/src/filters/in_flight.rs
+++ b/src/filters/in_flight.rs
@@ -5,20 +5,29 @@
 
 use prometheus::IntGauge;
 
+use crate::admission::Pass;
+
 /// Counts tokens as sent until dropped.
 #[derive(Debug)]
 pub(crate) struct InFlight {
     sent: Arc<AtomicU64>,
     cost: u64,
     requests: IntGauge,
+    /// Given back when the work ends.
+    _pass: Option<Arc<Pass>>,
 }
 
 impl InFlight {
     /// Counts `cost` tokens towards `sent` and one request towards `requests`.
-    pub(crate) fn new(sent: &Arc<AtomicU64>, cost: u64, requests: &IntGauge) -> InFlight {
+    pub(crate) fn new(
+        sent: &Arc<AtomicU64>,
+        cost: u64,
+        requests: &IntGauge,
+        pass: Option<&Arc<Pass>>,
+    ) -> InFlight {
         sent.fetch_add(cost, Ordering::Relaxed);
         requests.inc();
-        InFlight { sent: Arc::clone(sent), cost, requests: requests.clone() }
+        InFlight { sent: Arc::clone(sent), cost, requests: requests.clone(), _pass: pass.cloned() }
     }
 }
 
--- a/src/filters/mod.rs
+++ b/src/filters/mod.rs
@@ -1,5 +1,6 @@
 //! The request path: a chain of filters, then the call to a backend server.
 
+mod admit;
 mod answer;
 mod body;
 mod call;
@@ -7,6 +8,7 @@
 mod chat;
 mod choose;
 mod entry;
+mod experiment;
 mod forward;
 mod hint;
 mod identify;
@@ -22,6 +24,7 @@
 
 pub use call::{Call, Target};
 pub use chain::{Chain, Filter};
+pub use experiment::Arm;
 pub use refusal::{Reason, Refusal};
 pub use router::callers;
 pub use shared::{Counters, Shared};
--- a/src/filters/refusal.rs
+++ b/src/filters/refusal.rs
@@ -29,6 +29,8 @@
         NotReady,
         /// No backend server takes the request.
         NoRoom,
+        /// The organisation is above its rate.
+        RateExceeded,
         /// The backend server failed.
         BackendFailed,
         /// The deadline passed.
@@ -48,6 +50,7 @@
             Reason::Unauthorised => "unauthorised",
             Reason::NotReady => "not_ready",
             Reason::NoRoom => "no_room",
+            Reason::RateExceeded => "rate_exceeded",
             Reason::BackendFailed => "backend_failed",
             Reason::DeadlinePassed => "deadline_passed",
         }
@@ -62,6 +65,7 @@
             Reason::UnknownCall | Reason::UnknownTarget => StatusCode::NOT_FOUND,
             Reason::Unauthorised => StatusCode::UNAUTHORIZED,
             Reason::NotReady | Reason::NoRoom => StatusCode::SERVICE_UNAVAILABLE,
+            Reason::RateExceeded => StatusCode::TOO_MANY_REQUESTS,
             Reason::BackendFailed => StatusCode::BAD_GATEWAY,
             Reason::DeadlinePassed => StatusCode::GATEWAY_TIMEOUT,
         }
@@ -77,6 +81,7 @@
             Reason::Unauthorised => Code::Unauthorised,
             Reason::NotReady => Code::NotReady,
             Reason::NoRoom => Code::NoRoom,
+            Reason::RateExceeded => Code::RateExceeded,
             Reason::BackendFailed => Code::BackendFailed,
             Reason::DeadlinePassed => Code::DeadlinePassed,
         }
--- a/src/filters/resolve.rs
+++ b/src/filters/resolve.rs
@@ -43,8 +43,12 @@
     }
 }
 
-/// Pool and full name of a model or adapter.
-fn model_target(state: &InForce, name: &str) -> Option<Target> {
+/// Pool and full name of a model or adapter, with or without `@version`.
+fn model_target(state: &InForce, asked: &str) -> Option<Target> {
+    let (name, version) = asked.split_once('@').unwrap_or((asked, ""));
+    let with_version = |name: &str, in_force: &str| {
+        with_version(name, if version.is_empty() { in_force } else { version })
+    };
     if let Some(model) = state.model(name) {
         let name = with_version(name, &model.version);
         return Some(Target::Model { pool: model.pool.clone(), name });
--- a/src/filters/router.rs
+++ b/src/filters/router.rs
@@ -5,6 +5,7 @@
 
 use bytes::Buf;
 use futures_util::Stream;
+use smallvec::SmallVec;
 use warp::filters::path::FullPath;
 use warp::http::{HeaderMap, Method};
 use warp::reply::Response;
@@ -12,8 +13,10 @@
 
 use crate::decide::Verdict;
 use crate::events::Fields;
+use crate::filters::admit::limit_rate;
 use crate::filters::chat::chat;
 use crate::filters::entry::entry;
+use crate::filters::experiment::experiment;
 use crate::filters::identify::identify;
 use crate::filters::ready::ready;
 use crate::filters::resolve::{parse_chat, resolve_model, resolve_service};
@@ -25,7 +28,9 @@
     filters: &[
         Filter { name: "ready", apply: ready },
         Filter { name: "identify", apply: identify },
+        Filter { name: "limit", apply: limit_rate },
         Filter { name: "parse", apply: parse_chat },
+        Filter { name: "experiment", apply: experiment },
         Filter { name: "resolve", apply: resolve_model },
     ],
 };
@@ -35,6 +40,7 @@
     filters: &[
         Filter { name: "ready", apply: ready },
         Filter { name: "identify", apply: identify },
+        Filter { name: "limit", apply: limit_rate },
         Filter { name: "resolve", apply: resolve_service },
     ],
 };
@@ -99,6 +105,8 @@
         deadline: shared.clock.now() + shared.settings.traffic.deadline,
         view: shared.view.load(),
         request: None,
+        policy: None,
+        arms: SmallVec::new(),
         target: Target::Unknown,
     }
 }
--- a/src/filters/shared.rs
+++ b/src/filters/shared.rs
@@ -5,10 +5,14 @@
 use prometheus::core::Collector;
 use prometheus::proto::Metric;
 use prometheus::{Encoder, IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder};
+use serde_json::Value;
 
+use crate::admission::Gates;
 use crate::backend::Meter;
 use crate::clock::SharedClock;
+use crate::decide::Verdict;
 use crate::events::EventLog;
+use crate::filters::Arm;
 use crate::fleet::{CrashBoard, ViewCell};
 use crate::settings::Settings;
 
@@ -27,6 +31,8 @@
     pub meter: Arc<Meter>,
     /// Requests that crashed backend servers.
     pub crashes: Arc<CrashBoard>,
+    /// Gates in front of the pools.
+    pub gates: Gates,
     /// The clock.
     pub clock: SharedClock,
     /// Client for backend servers.
@@ -47,6 +53,10 @@
     pub cached_tokens: IntCounter,
     /// Requests that the first of the rank could not take.
     pub spilled: IntCounter,
+    /// Requests of experiments by arm and outcome.
+    pub arm_requests: IntCounterVec,
+    /// Prompt tokens of experiments by arm, cached or not.
+    pub arm_tokens: IntCounterVec,
 }
 
 impl Counters {
@@ -72,6 +82,14 @@
                 "spilled_requests_total",
                 "Requests that the first of the rank could not take",
             ))?,
+            arm_requests: IntCounterVec::new(
+                opts("experiment_requests_total", "Requests by experiment, arm and verdict"),
+                &["experiment", "arm", "verdict"],
+            )?,
+            arm_tokens: IntCounterVec::new(
+                opts("experiment_prompt_tokens_total", "Prompt tokens by experiment and arm"),
+                &["experiment", "arm", "cached"],
+            )?,
         };
         let all = &counters.registry;
         all.register(Box::new(counters.requests.clone()))?;
@@ -79,9 +97,35 @@
         all.register(Box::new(counters.prompt_tokens.clone()))?;
         all.register(Box::new(counters.cached_tokens.clone()))?;
         all.register(Box::new(counters.spilled.clone()))?;
+        all.register(Box::new(counters.arm_requests.clone()))?;
+        all.register(Box::new(counters.arm_tokens.clone()))?;
         Ok(counters)
     }
 
+    /// Counts one request of experiments.
+    pub fn count_arms(&self, arms: &[Arm], verdict: Verdict) {
+        for it in arms {
+            let labels = [it.experiment.as_str(), it.name, verdict.as_str()];
+            self.arm_requests.with_label_values(&labels).inc();
+        }
+    }
+
+    /// Counts the prompt tokens that an engine tells in `usage`.
+    pub fn count_usage(&self, arms: &[Arm], usage: &Value) {
+        let cached = usage["prompt_tokens_details"]["cached_tokens"].as_u64().unwrap_or(0);
+        let prompt = usage["prompt_tokens"].as_u64().unwrap_or(cached);
+        self.prompt_tokens.inc_by(prompt);
+        self.cached_tokens.inc_by(cached);
+        for it in arms {
+            let count = |label: &str, tokens: u64| {
+                let labels = [it.experiment.as_str(), it.name, label];
+                self.arm_tokens.with_label_values(&labels).inc_by(tokens);
+            };
+            count("yes", cached);
+            count("no", prompt.saturating_sub(cached));
+        }
+    }
+
     /// Requests by kind and verdict.
     pub fn verdicts(&self) -> Vec<(String, String, u64)> {
         let families = self.requests.collect();
--- a/src/filters/stream.rs
+++ b/src/filters/stream.rs
@@ -8,15 +8,15 @@
 use eventsource_stream::{Event, EventStreamError, Eventsource};
 use futures_util::{Stream, StreamExt, stream};
 use serde_json::Value;
+use smallvec::SmallVec;
 use sync_wrapper::SyncStream;
 use warp::Reply;
 use warp::http::HeaderValue;
 use warp::reply::Response;
 
 use crate::events::{Code, Fields};
-use crate::filters::chat::count_usage;
 use crate::filters::in_flight::InFlight;
-use crate::filters::{Reason, Refusal, Shared, sse};
+use crate::filters::{Arm, Call, Reason, Refusal, Shared, sse};
 
 /// Data of the last event of a whole stream.
 const END_MARK: &str = "[DONE]";
@@ -27,6 +27,7 @@
 struct Relay {
     shared: Arc<Shared>,
     request: String,
+    arms: SmallVec<[Arm; 2]>,
     incoming: Incoming,
     /// Index of the token that must come next.
     next: u64,
@@ -38,13 +39,14 @@
 /// Passes the engine's stream on.
 pub(crate) fn stream_answer(
     shared: &Arc<Shared>,
-    request: &str,
+    call: &Call,
     reply: reqwest::Response,
     work: InFlight,
 ) -> Response {
     let relay = Relay {
         shared: Arc::clone(shared),
-        request: request.to_owned(),
+        request: call.id.clone(),
+        arms: call.arms.clone(),
         incoming: Box::pin(reply.bytes_stream().eventsource()),
         next: 0,
         over: false,
@@ -96,7 +98,7 @@
         }
         self.next += 1;
         if let Some(usage) = data.get("usage") {
-            count_usage(&self.shared, usage);
+            self.shared.counters.count_usage(&self.arms, usage);
         }
         Ok(())
     }
--- a/src/fleet/pool.rs
+++ b/src/fleet/pool.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use crate::admission::PoolFigures;
 use crate::decide::Engine;
 
 plain! {
@@ -23,4 +24,6 @@
     pub engines: Vec<Engine>,
     /// What the connection needs.
     pub servers: Vec<BackendServer>,
+    /// Sums over the engines' reports, leaving ones left out.
+    pub figures: PoolFigures,
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,6 +7,7 @@
 #[macro_use]
 mod macros;
 
+pub mod admission;
 pub mod backend;
 pub mod cli;
 pub mod clock;
--- a/src/settings/check.rs
+++ b/src/settings/check.rs
@@ -113,6 +113,13 @@
     expect(tries > 0, "traffic.tries", "it is 0".to_owned(), "at least 1 is needed");
     let addresses = s.traffic.entry_addresses;
     expect(addresses > 0, "traffic.entry_addresses", "it is 0".to_owned(), "at least 1 is needed");
+    let headroom = s.admission.headroom;
+    expect(
+        headroom >= 1.0 && headroom.is_finite(),
+        "admission.headroom",
+        format!("it is {headroom}"),
+        "at least 1 is needed",
+    );
     for (place, time) in times(s) {
         expect(time > Duration::ZERO, place, "it is 0".to_owned(), "a time above 0 is needed");
     }
@@ -120,13 +127,15 @@
 }
 
 /// All times that must be above 0.
-fn times(s: &Settings) -> [(&'static str, Duration); 9] {
+fn times(s: &Settings) -> [(&'static str, Duration); 11] {
     [
         ("limits.receive", s.limits.receive),
         ("traffic.connect", s.traffic.connect),
         ("traffic.deadline", s.traffic.deadline),
         ("traffic.entry_ttl", s.traffic.entry_ttl),
         ("traffic.drain", s.traffic.drain),
+        ("admission.wait", s.admission.wait),
+        ("admission.aging", s.admission.aging),
         ("state.list_every", s.upkeep.list_every),
         ("state.load_every", s.upkeep.load_every),
         ("state.log_wait", s.upkeep.log_wait),
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -1,5 +1,6 @@
 //! Settings of a daemon: JSON with comments, checked whole before start.
 
+mod admission;
 mod check;
 mod control;
 mod limits;
@@ -7,6 +8,7 @@
 mod settings;
 mod traffic;
 
+pub use admission::Admission;
 pub use check::{parse, read};
 pub use control::Control;
 pub use limits::Limits;
--- a/src/settings/settings.rs
+++ b/src/settings/settings.rs
@@ -4,7 +4,7 @@
 
 use serde::Deserialize;
 
-use crate::settings::{Control, Limits, Traffic};
+use crate::settings::{Admission, Control, Limits, Traffic};
 
 /// The commented settings file that `filberttiller init` prints.
 pub const DEFAULT_TEXT: &str = include_str!("default.jsonc");
@@ -37,6 +37,9 @@
         /// How requests are carried.
         #[serde(default)]
         pub traffic: Traffic,
+        /// Who may send work when there is not enough room.
+        #[serde(default)]
+        pub admission: Admission,
         /// How state is kept up to date.
         #[serde(default, rename = "state")]
         pub upkeep: Control,
--- a/src/state/fold.rs
+++ b/src/state/fold.rs
@@ -3,8 +3,8 @@
 use std::collections::BTreeMap;
 
 use crate::state::{
-    AdapterSpec, Kind, ModelSpec, OrganisationSpec, PolicySpec, Rejection, ServiceSpec, Spec,
-    Ticket,
+    AdapterSpec, ExperimentSpec, Kind, ModelSpec, OrganisationSpec, PolicySpec, Rejection,
+    ServiceSpec, Spec, Ticket,
 };
 
 plain! {
@@ -122,6 +122,17 @@
         }
     }
 
+    /// The experiments, by name.
+    pub fn experiments(&self) -> impl Iterator<Item = (&str, &ExperimentSpec)> {
+        let first = (Kind::Experiment, String::new());
+        let found =
+            self.objects.range(first..).take_while(|((kind, _), _)| *kind == Kind::Experiment);
+        found.filter_map(|((_, name), it)| match &it.spec {
+            Some(Spec::Experiment(spec)) => Some((name.as_str(), spec)),
+            _ => None,
+        })
+    }
+
     /// The organisation called `name`.
     pub fn organisation(&self, name: &str) -> Option<&OrganisationSpec> {
         match self.spec(Kind::Organisation, name)? {
--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -1,5 +1,6 @@
 //! Tests of whole routers and of every concept.
 
+mod admission;
 mod answers;
 mod control;
 mod decide;
