Let short requests pass full gates; estimate waits over whole seconds

Cause: passes come back in bursts, so that the rate over 200 ms fell to a tenth between bursts and calls were refused that would have been in time. Change: steps of 1 s; short requests have room of their own beyond the gate's.

--- a/src/admission/gate.rs
+++ b/src/admission/gate.rs
@@ -9,10 +9,10 @@
 use crate::admission::Pass;
 use crate::decide::{Admit, FairQueue, QueueLimits, Waiting};
 
-/// Weight of the newest second in the average of tokens given out.
+/// Weight of the newest step in the average of tokens given out.
 const RATE_WEIGHT: f64 = 0.3;
 /// Length of one step of that average.
-const RATE_STEP: Duration = Duration::from_millis(200);
+const RATE_STEP: Duration = Duration::from_secs(1);
 
 plain! {
     /// A request that wants to pass.
@@ -27,6 +27,8 @@
         pub until: Instant,
         /// Requests that this router may have at the pool.
         pub room: u64,
+        /// The same while only short requests are added; at least `room`.
+        pub short_room: u64,
     }
 }
 
@@ -61,6 +63,8 @@
     own: u64,
     /// Newest known room.
     room: u64,
+    /// Newest known room for short requests.
+    short_room: u64,
     drained: Drained,
 }
 
@@ -95,6 +99,7 @@
             next: 0,
             own: 0,
             room: 0,
+            short_room: 0,
             drained,
         };
         Gate { state: Mutex::new(state) }
@@ -139,7 +144,10 @@
     ) -> Result<Result<Pass, (u64, oneshot::Receiver<Pass>)>, Duration> {
         let mut state = self.state.lock().unwrap();
         state.room = demand.room;
-        if state.queue.is_empty() && state.own < state.room {
+        state.short_room = demand.short_room;
+        let short = state.queue.is_short(demand.cost);
+        let room = if short { state.short_room } else { state.room };
+        if state.queue.is_empty() && state.own < room {
             state.own += 1;
             state.queue.pass(demand.organisation, demand.weight, demand.cost);
             return Ok(Ok(Pass::new(Arc::clone(self), demand.cost)));
@@ -179,8 +187,10 @@
         for late in state.queue.expire(now) {
             state.wake.remove(&late.id);
         }
-        while state.own < state.room {
-            let Some(next) = state.queue.pop(now) else {
+        while state.own < state.short_room {
+            let any = state.own < state.room;
+            let next = if any { state.queue.pop(now) } else { state.queue.pop_short() };
+            let Some(next) = next else {
                 break;
             };
             let Some(give) = state.wake.remove(&next.id) else {
--- a/src/decide/admission/fair_queue.rs
+++ b/src/decide/admission/fair_queue.rs
@@ -104,7 +104,7 @@
     /// full or will not come to it in time. `rate` is the tokens a second that
     /// the queue gave out lately.
     pub fn push(&mut self, organisation: &str, weight: f64, item: Waiting, rate: f64) -> Admit {
-        let short = item.cost <= self.limits.short_tokens;
+        let short = self.is_short(item.cost);
         let wait = self.expected_wait(organisation, weight, &item, rate);
         let flow = self.flows.get(organisation);
         let full = self.len >= self.limits.total
@@ -134,12 +134,33 @@
 
     /// Takes the request that goes next.
     pub fn pop(&mut self, now: Instant) -> Option<Waiting> {
+        let aging = self.limits.aging;
+        self.take(|it| it.len() > 0, |it| it.pop(now, aging))
+    }
+
+    /// Takes the short request that goes next.
+    pub fn pop_short(&mut self) -> Option<Waiting> {
+        self.take(|it| !it.short.is_empty(), |it| it.short.pop_front())
+    }
+
+    /// Whether a request of `cost` tokens counts as short.
+    pub fn is_short(&self, cost: u64) -> bool {
+        cost <= self.limits.short_tokens
+    }
+
+    /// Takes a request from the organisation with the lowest start tag among
+    /// those that `has` one.
+    fn take(
+        &mut self,
+        has: impl Fn(&Flow) -> bool,
+        pop: impl FnOnce(&mut Flow) -> Option<Waiting>,
+    ) -> Option<Waiting> {
         let start = |it: &Flow| it.finish.max(self.time);
-        let waiting = self.flows.iter().filter(|(_, it)| it.len() > 0);
+        let waiting = self.flows.iter().filter(|(_, it)| has(it));
         let next = waiting.min_by(|(_, a), (_, b)| start(a).total_cmp(&start(b)));
         let name = next.map(|(name, _)| name.clone())?;
         let flow = self.flows.get_mut(&name)?;
-        let item = flow.pop(now, self.limits.aging)?;
+        let item = pop(flow)?;
         self.time = flow.finish.max(self.time);
         flow.finish = self.time + item.cost as f64 / flow.weight;
         self.len -= 1;
@@ -195,7 +216,7 @@
         let cost = |queue: &VecDeque<Waiting>| queue.iter().map(|it| it.cost).sum::<u64>();
         let ahead = self.flows.get(organisation).map_or(0, |it| {
             let short = cost(&it.short);
-            if item.cost <= self.limits.short_tokens { short } else { short + cost(&it.long) }
+            if self.is_short(item.cost) { short } else { short + cost(&it.long) }
         });
         let through_share = ahead as f64 * (weight + others) / weight;
         let tokens = through_share.min(self.tokens as f64);
--- a/src/filters/admit.rs
+++ b/src/filters/admit.rs
@@ -53,12 +53,14 @@
     let gate = shared.gates.gate(pool, now);
     let admission = &shared.settings.admission;
     let routers = call.view.routers.iter().filter(|it| !it.leaving).count() as u64;
-    let input = RoomInput {
-        slots: figures.slots,
-        busy: figures.busy,
-        own: gate.own(),
-        routers: routers.max(1),
-        headroom: admission.headroom,
+    let room_at = |headroom| {
+        room(&RoomInput {
+            slots: figures.slots,
+            busy: figures.busy,
+            own: gate.own(),
+            routers: routers.max(1),
+            headroom,
+        })
     };
     let unlisted = OrganisationSpec::default();
     let organisation = call.view.state.organisation(&call.organisation).unwrap_or(&unlisted);
@@ -67,7 +69,8 @@
         weight: organisation.weight,
         cost,
         until: call.deadline.min(now + admission.wait),
-        room: room(&input),
+        room: room_at(admission.headroom),
+        short_room: room_at(admission.short_headroom),
     };
     match gate.enter(&demand, now).await {
         Ok(pass) => Ok(Some(Arc::new(pass))),
--- a/src/settings/admission.rs
+++ b/src/settings/admission.rs
@@ -13,6 +13,8 @@
     pub struct Admission {
         /// Requests given to engines as a multiple of their slots.
         pub headroom: f64,
+        /// The same while only short requests are added.
+        pub short_headroom: f64,
         /// Requests of at most so many tokens go before longer ones.
         pub short_tokens: u64,
         /// Requests that wait in one pool's queue at most.
@@ -32,6 +34,7 @@
     fn default() -> Admission {
         Admission {
             headroom: 1.5,
+            short_headroom: 3.0,
             short_tokens: 256,
             queue: 1_024,
             organisation_queue: 256,
--- a/src/settings/check.rs
+++ b/src/settings/check.rs
@@ -120,6 +120,13 @@
         format!("it is {headroom}"),
         "at least 1 is needed",
     );
+    let short = s.admission.short_headroom;
+    expect(
+        short >= headroom && short.is_finite(),
+        "admission.short_headroom",
+        format!("it is {short}"),
+        "at least `headroom` is needed",
+    );
     for (place, time) in times(s) {
         expect(time > Duration::ZERO, place, "it is 0".to_owned(), "a time above 0 is needed");
     }
--- a/tests/it/admission.rs
+++ b/tests/it/admission.rs
@@ -244,7 +244,7 @@
 }
 
 fn demand(until: Instant, room: u64) -> Demand<'static> {
-    Demand { organisation: "one", weight: 1.0, cost: 10, until, room }
+    Demand { organisation: "one", weight: 1.0, cost: 500, until, room, short_room: room + 1 }
 }
 
 #[tokio::test(start_paused = true)]
@@ -262,6 +262,21 @@
     assert_eq!((gate.own(), gate.waiting()), (0, 0));
 }
 
+#[tokio::test(start_paused = true)]
+async fn enter_lets_short_pass() {
+    let now = tokio::time::Instant::now().into_std();
+    let gate = Arc::new(Gate::new(limits(), now));
+    let far = now + Duration::from_secs(60);
+    let _long = gate.enter(&demand(far, 1), now).await.unwrap();
+    let waiter = Arc::clone(&gate);
+    let second = tokio::spawn(async move { waiter.enter(&demand(far, 1), now).await.is_ok() });
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let short = Demand { cost: 10, ..demand(far, 1) };
+    let _passed = gate.enter(&short, now).await.unwrap();
+    assert_eq!((gate.own(), gate.waiting()), (2, 1));
+    second.abort();
+}
+
 #[tokio::test(start_paused = true)]
 async fn enter_gives_up_in_time() {
     let now = tokio::time::Instant::now().into_std();
