Measure placement by replay of traces

Cause: the present placement had no figure for reuse or skew. Change: `filberttiller measure` replays seeded or given traces through the real decisions, with a lagged view for each of several routers, in virtual time; round robin, least loaded and plain rendezvous are baselines, the present placement is the policy `v1`, and a router that knows the truth is the reference. `Sent` counts what a router gave to an engine since the last report.

--- a/src/cli/args.rs
+++ b/src/cli/args.rs
@@ -41,6 +41,23 @@
         #[bpaf(positional("FILE"), some("at least one settings file is needed"))]
         files: Vec<PathBuf>,
     },
+    /// Replays traces under routing policies: cache reuse, skew and control bytes.
+    #[bpaf(command)]
+    Measure {
+        /// Seed of the traces.
+        #[bpaf(argument("N"), fallback(1), display_fallback)]
+        seed: u64,
+        /// Policy to measure; may stand several times; all when absent.
+        #[bpaf(argument("NAME"))]
+        policy: Vec<String>,
+        /// Prints JSON lines.
+        json: bool,
+        /// Prints the traces in place of measuring.
+        write: bool,
+        /// Trace to replay in place of the seeded ones.
+        #[bpaf(positional("TRACE"))]
+        file: Option<PathBuf>,
+    },
     /// Runs a whole fleet with stand-ins in one process, for less than 20 s.
     #[bpaf(command)]
     Demo {
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -8,6 +8,7 @@
 mod demo;
 mod in_force;
 mod init;
+mod measure;
 mod run;
 mod standins;
 mod ticket;
--- a/src/cli/run.rs
+++ b/src/cli/run.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use crate::cli::args::{Args, TicketArgs, args};
-use crate::cli::{CliError, check, demo, in_force, init, standins, ticket};
+use crate::cli::{CliError, check, demo, in_force, init, measure, standins, ticket};
 
 /// Runs the command that the arguments name.
 ///
@@ -19,6 +19,9 @@
             block_on(ticket::publish(&settings_arg, &file))
         }
         Args::Demo { seed, chats } => block_on(demo::run(seed, chats)),
+        Args::Measure { seed, policy: policies, json, write, file } => {
+            measure::run(&measure::Wanted { seed, policies, json, write, file })
+        }
         Args::Standins { seconds, files } => {
             block_on(standins::run(&files, Duration::from_secs(seconds)))
         }
--- a/src/controllers/engine_side.rs
+++ b/src/controllers/engine_side.rs
@@ -1,13 +1,12 @@
 //! The placement side of a backend server.
 
 use std::sync::Arc;
-use std::sync::atomic::AtomicU64;
 
-use crate::decide::{Engine, hash_bytes};
+use crate::decide::{Engine, Sent, hash_bytes};
 use crate::wire::{Instance, LoadReport, Standing};
 
 /// What placement knows of the backend server `it`.
-pub(crate) fn engine(it: &Instance, report: Option<&LoadReport>, sent: Arc<AtomicU64>) -> Engine {
+pub(crate) fn engine(it: &Instance, report: Option<&LoadReport>, sent: Arc<Sent>) -> Engine {
     Engine {
         id: hash_bytes(it.name.as_bytes()),
         incarnation: report.map_or(0, |it| it.incarnation),
--- a/src/controllers/publisher.rs
+++ b/src/controllers/publisher.rs
@@ -3,12 +3,11 @@
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::AtomicU64;
 
 use xtra::prelude::*;
 
 use crate::controllers::engine_side::engine;
-use crate::decide::hash_bytes;
+use crate::decide::{Sent, hash_bytes};
 use crate::events::{Code, EventLog, Fields};
 use crate::fleet::{BackendServer, Pool, Router, View, ViewCell};
 use crate::state::{InForce, Ticket};
@@ -54,7 +53,7 @@
     state: InForce,
     instances: BTreeMap<String, Instance>,
     reports: HashMap<String, LoadReport>,
-    sent: HashMap<String, Arc<AtomicU64>>,
+    sent: HashMap<String, Arc<Sent>>,
     ready: bool,
     leaving: bool,
 }
@@ -182,6 +181,9 @@
     type Return = ();
 
     async fn handle(&mut self, message: Reported, _: &mut Context<Self>) {
+        if let Some(sent) = self.sent.get(&message.name) {
+            sent.mark();
+        }
         self.reports.insert(message.name, message.report);
         self.publish();
     }
--- a/src/decide/engine.rs
+++ b/src/decide/engine.rs
@@ -1,7 +1,8 @@
 //! An engine as placement sees it.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+
+use crate::decide::Sent;
 
 /// One candidate.
 #[derive(Debug, Clone)]
@@ -16,14 +17,15 @@
     pub leaving: bool,
     /// Tokens that it last reported to have.
     pub reported: u64,
-    /// Tokens that this router has in flight there.
-    pub sent: Arc<AtomicU64>,
+    /// What this router has given to it.
+    pub sent: Arc<Sent>,
 }
 
 impl Engine {
-    /// Estimated load in tokens, relative to the weight.
+    /// Load in tokens, relative to the weight, as the larger of what is reported
+    /// and what this router has in flight.
     pub fn load(&self) -> f64 {
-        let tokens = self.reported.max(self.sent.load(Ordering::Relaxed));
+        let tokens = self.reported.max(self.sent.in_flight());
         tokens as f64 / self.weight
     }
 }
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -1,14 +1,20 @@
 //! Decisions without input or output: no clock but an argument, no randomness
 //! but a seeded generator, and nothing else of this library.
 
+mod baseline;
+mod chat_table;
 mod engine;
 mod entry;
 mod hash;
 mod place;
+mod sent;
 mod verdict;
 
+pub use baseline::{least_loaded, place_v1, rendezvous, round_robin};
+pub use chat_table::{ChatPlace, ChatTable};
 pub use engine::Engine;
 pub use entry::{EntryRouter, entry_order};
 pub use hash::{chat_key, combine, hash_bytes, weighted_score};
 pub use place::{Choice, PlaceQuery, place};
+pub use sent::Sent;
 pub use verdict::Verdict;
--- a/src/decide/place.rs
+++ b/src/decide/place.rs
@@ -9,8 +9,10 @@
         pub key: u64,
         /// Engine and incarnation that the caller says holds its prefix.
         pub hint: Option<(u64, u64)>,
-        /// Tokens that the request adds.
+        /// Tokens that the request adds where nothing is cached.
         pub cost: u64,
+        /// Tokens that it adds at the hinted engine; at most `cost`.
+        pub warm: u64,
         /// Largest load as a multiple of the mean; above 1.
         pub bound: f64,
         /// Candidates already tried, by index.
--- a/src/filters/choose.rs
+++ b/src/filters/choose.rs
@@ -22,7 +22,14 @@
         .state
         .policy(DEFAULT_POLICY)
         .map_or_else(|| PolicySpec::default().bound, |it| it.bound);
-    let query = PlaceQuery { key: plan.key, hint: plan.hint, cost: plan.cost, bound, tried };
+    let query = PlaceQuery {
+        key: plan.key,
+        hint: plan.hint,
+        cost: plan.cost,
+        warm: plan.cost,
+        bound,
+        tried,
+    };
     let choice = place(&pool.engines, &query)?;
     if choice.spilled {
         shared.counters.spilled.inc();
--- a/src/filters/in_flight.rs
+++ b/src/filters/in_flight.rs
@@ -1,22 +1,23 @@
 //! Work that this router has given to a backend server.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
 
 use prometheus::IntGauge;
 
+use crate::decide::Sent;
+
 /// Counts tokens as sent until dropped.
 #[derive(Debug)]
 pub(crate) struct InFlight {
-    sent: Arc<AtomicU64>,
+    sent: Arc<Sent>,
     cost: u64,
     requests: IntGauge,
 }
 
 impl InFlight {
     /// Counts `cost` tokens towards `sent` and one request towards `requests`.
-    pub(crate) fn new(sent: &Arc<AtomicU64>, cost: u64, requests: &IntGauge) -> InFlight {
-        sent.fetch_add(cost, Ordering::Relaxed);
+    pub(crate) fn new(sent: &Arc<Sent>, cost: u64, requests: &IntGauge) -> InFlight {
+        sent.add(cost);
         requests.inc();
         InFlight { sent: Arc::clone(sent), cost, requests: requests.clone() }
     }
@@ -24,7 +25,7 @@
 
 impl Drop for InFlight {
     fn drop(&mut self) {
-        self.sent.fetch_sub(self.cost, Ordering::Relaxed);
+        self.sent.remove(self.cost);
         self.requests.dec();
     }
 }
--- /dev/null
+++ b/src/measure/report.rs
@@ -0,0 +1,148 @@
+//! The table and JSON of a measurement.
+
+use std::fmt::Write;
+
+use crate::measure::{Figures, POLICIES, Policy, Trace, replay};
+
+wire! {
+    /// Outcome of one policy on one trace.
+    pub struct Row {
+        /// Trace.
+        pub trace: String,
+        /// Policy.
+        pub policy: String,
+        /// Cache reuse, in percent of the tokens that returned.
+        pub reuse: f64,
+        /// The same for the all-knowing router.
+        pub ideal: f64,
+        /// Median of busiest over mean, at samples where the bound can be met.
+        pub skew_p50: f64,
+        /// 99 in 100 of it.
+        pub skew_p99: f64,
+        /// The largest of it.
+        pub skew_max: f64,
+        /// Samples where the bound can be met.
+        pub samples: u64,
+        /// Of these, samples above the bound.
+        pub above: u64,
+        /// The largest skew of all samples with as many requests as engines.
+        pub raw_max: f64,
+        /// Requests passed over to a later one of the rank.
+        pub spilled: u64,
+        /// Requests refused.
+        pub refused: u64,
+        /// Requests given to an engine that was leaving.
+        pub late: u64,
+        /// Jain's index of the organisations' slowdown.
+        pub fairness: f64,
+        /// Mean time of a request over its time alone on an idle engine.
+        pub slowdown: f64,
+        /// Control bytes per router per second.
+        pub bytes: f64,
+        /// Whether reuse is within the stated gap.
+        pub reuse_met: bool,
+        /// Whether no sample is above the stated bound.
+        pub bound_met: bool,
+    }
+}
+
+/// Replays `trace` under the policies called `names`, all if empty.
+pub fn measure(trace: &Trace, names: &[String]) -> Vec<Row> {
+    let reference = replay(trace, &POLICIES[0]);
+    let wanted = |it: &&Policy| names.is_empty() || names.iter().any(|name| name == it.name);
+    let rows = POLICIES.iter().filter(wanted).map(|it| {
+        let figures = if it.all_knowing { reference.clone() } else { replay(trace, it) };
+        row(trace, it.name, &figures, &reference)
+    });
+    rows.collect()
+}
+
+fn row(trace: &Trace, policy: &str, figures: &Figures, reference: &Figures) -> Row {
+    let head = &trace.head;
+    let met = reference.can_meet(head.bound);
+    let mut skews: Vec<f64> = met.iter().map(|&i| figures.samples[i].skew()).collect();
+    skews.sort_by(f64::total_cmp);
+    let above = skews.iter().filter(|&&it| it > head.bound).count() as u64;
+    let busy = figures.samples.iter().filter(|it| it.busy);
+    Row {
+        trace: head.trace.clone(),
+        policy: policy.to_owned(),
+        reuse: figures.reuse(),
+        ideal: reference.reuse(),
+        skew_p50: quantile(&skews, 0.5),
+        skew_p99: quantile(&skews, 0.99),
+        skew_max: quantile(&skews, 1.0),
+        samples: skews.len() as u64,
+        above,
+        raw_max: busy.map(|it| it.skew()).fold(0.0, f64::max),
+        spilled: figures.spilled,
+        refused: figures.refused,
+        late: figures.late,
+        fairness: figures.fairness(),
+        slowdown: figures.slowdown(),
+        bytes: figures.byte_rate(),
+        reuse_met: figures.reuse() >= reference.reuse() - head.reuse_gap,
+        bound_met: above == 0,
+    }
+}
+
+/// The value below which `share` of the sorted `values` lie.
+fn quantile(values: &[f64], share: f64) -> f64 {
+    let last = values.len().saturating_sub(1);
+    values.get((last as f64 * share).round() as usize).copied().unwrap_or(0.0)
+}
+
+/// The rows of one trace as a table.
+pub fn table(rows: &[Row]) -> String {
+    let mut text = String::new();
+    let _ = writeln!(
+        text,
+        "{:<13} {:>6} {:>6} {:>5} {:>5} {:>6} {:>9} {:>7} {:>7} {:>7} {:>5} {:>6} {:>6} {:>7}  outcome",
+        "policy",
+        "reuse",
+        "ideal",
+        "p50",
+        "p99",
+        "max",
+        "above",
+        "rawmax",
+        "spilled",
+        "refused",
+        "late",
+        "fair",
+        "slow",
+        "bytes/s",
+    );
+    for it in rows {
+        let above = format!("{}/{}", it.above, it.samples);
+        let _ = writeln!(
+            text,
+            "{:<13} {:>6.1} {:>6.1} {:>5.2} {:>5.2} {:>6.2} {:>9} {:>7.2} {:>7} {:>7} {:>5} {:>6.3} {:>6.2} {:>7.0}  {}",
+            it.policy,
+            it.reuse,
+            it.ideal,
+            it.skew_p50,
+            it.skew_p99,
+            it.skew_max,
+            above,
+            it.raw_max,
+            it.spilled,
+            it.refused,
+            it.late,
+            it.fairness,
+            it.slowdown,
+            it.bytes,
+            outcome(it),
+        );
+    }
+    text
+}
+
+fn outcome(row: &Row) -> &'static str {
+    match (row.reuse_met, row.bound_met) {
+        (true, true) => "both met",
+        (true, false) => "bound not met",
+        (false, true) => "reuse not met",
+        (false, false) => "neither met",
+    }
+}
--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -5,6 +5,7 @@
 mod decide;
 mod events;
 mod fault;
+mod measure;
 mod membership;
 mod once;
 mod path;
