--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -1,6 +1,8 @@
 //! Decisions without input or output: no clock but an argument, no randomness
 //! but a seeded generator, and nothing else of this library.
 
+mod admission;
+mod arm;
 mod baseline;
 mod chat_table;
 mod engine;
@@ -10,10 +12,14 @@
 mod sent;
 mod verdict;
 
+pub use admission::{
+    Admit, FairQueue, QueueLimits, RateLimit, RoomInput, Waiting, rate_share, room,
+};
+pub use arm::takes_part;
 pub use baseline::{least_loaded, place_v1, rendezvous, round_robin};
 pub use chat_table::{ChatPlace, ChatTable};
 pub use engine::Engine;
-pub use entry::{EntryRouter, entry_order};
+pub use entry::{EntryQuery, EntryRouter, entry_order, home_size, is_home};
 pub use hash::{chat_key, combine, hash_bytes, weighted_score};
 pub use place::{Choice, PlaceQuery, place};
 pub use sent::Sent;
--- a/src/filters/in_flight.rs
+++ b/src/filters/in_flight.rs
@@ -4,6 +4,7 @@
 
 use prometheus::IntGauge;
 
+use crate::admission::Pass;
 use crate::decide::Sent;
 
 /// Counts tokens as sent until dropped.
@@ -12,14 +13,21 @@
     sent: Arc<Sent>,
     cost: u64,
     requests: IntGauge,
+    /// Given back when the work ends.
+    _pass: Option<Arc<Pass>>,
 }
 
 impl InFlight {
     /// Counts `cost` tokens towards `sent` and one request towards `requests`.
-    pub(crate) fn new(sent: &Arc<Sent>, cost: u64, requests: &IntGauge) -> InFlight {
+    pub(crate) fn new(
+        sent: &Arc<Sent>,
+        cost: u64,
+        requests: &IntGauge,
+        pass: Option<&Arc<Pass>>,
+    ) -> InFlight {
         sent.add(cost);
         requests.inc();
-        InFlight { sent: Arc::clone(sent), cost, requests: requests.clone() }
+        InFlight { sent: Arc::clone(sent), cost, requests: requests.clone(), _pass: pass.cloned() }
     }
 }
 
