Bound what the fold remembers; tell earlier acceptance apart

A gap in the stream was folded over.

Change: the highest 4,096 numbers are remembered; lower ones are refused by a floor that the fold itself moves, so every router refuses alike. Objects are found by borrowed names. Outcomes say when the same ticket was accepted before and what replaced it. Publishing repeats an append whose reply was lost. A record that is not the next one is not folded.

--- a/src/backend/log_client.rs
+++ b/src/backend/log_client.rs
@@ -17,12 +17,18 @@
 pub struct LogClient {
     http: ControlHttp,
     addr: SocketAddr,
+    timeout: Duration,
 }
 
 impl LogClient {
     /// A client of the log at `addr`.
     pub fn new(http: ControlHttp, addr: SocketAddr) -> LogClient {
-        LogClient { http, addr }
+        LogClient { http, addr, timeout: CALL_TIMEOUT }
+    }
+
+    /// The same client with another time for a call.
+    pub fn with_timeout(self, timeout: Duration) -> LogClient {
+        LogClient { timeout, ..self }
     }
 
     /// Reads `stream` from offset `from` on, waiting up to `wait` for news.
@@ -40,7 +46,7 @@
             self.addr,
             wait.as_millis()
         );
-        self.http.json(self.http.get(&url), wait + CALL_TIMEOUT).await
+        self.http.json(self.http.get(&url), wait + self.timeout).await
     }
 
     /// Appends `body` to `stream` and returns its offset.
@@ -50,7 +56,28 @@
     pub async fn append(&self, stream: &str, body: &Value) -> Result<u64, PlatformError> {
         let url = format!("http://{}/streams/{stream}/records", self.addr);
         let request = self.http.request(Method::POST, &url).json(body);
-        let appended: Appended = self.http.json(request, CALL_TIMEOUT).await?;
+        let appended: Appended = self.http.json(request, self.timeout).await?;
         Ok(appended.offset)
     }
+
+    /// Appends `body` up to `tries` times, until a reply comes; only for records
+    /// that may stand in the stream twice.
+    ///
+    /// # Errors
+    /// The last failure; after [`PlatformError::NoAnswer`] the record may be there.
+    pub async fn append_surely(
+        &self,
+        stream: &str,
+        body: &Value,
+        tries: usize,
+    ) -> Result<u64, PlatformError> {
+        let mut left = tries;
+        loop {
+            left = left.saturating_sub(1);
+            match self.append(stream, body).await {
+                Err(PlatformError::NoAnswer { .. }) if left > 0 => {}
+                result => return result,
+            }
+        }
+    }
 }
--- a/src/backend/router_client.rs
+++ b/src/backend/router_client.rs
@@ -7,7 +7,7 @@
 
 use crate::backend::{ControlHttp, PlatformError};
 use crate::events::Event;
-use crate::wire::WireInForce;
+use crate::wire::{WireInForce, WireOutcome};
 
 /// Header that carries the shared token.
 pub const TOKEN_HEADER: &str = "filberttiller-token";
@@ -35,6 +35,18 @@
         self.get(addr, "/v1/in-force").await
     }
 
+    /// Reads what became of the record at `offset`; `None` while that is not known.
+    ///
+    /// # Errors
+    /// Fails when the router does not answer well.
+    pub async fn outcome(
+        &self,
+        addr: SocketAddr,
+        offset: u64,
+    ) -> Result<Option<WireOutcome>, PlatformError> {
+        self.get(addr, &format!("/v1/outcome?offset={offset}")).await
+    }
+
     /// Reads the events from sequence number `from` on.
     ///
     /// # Errors
--- a/src/cli/ticket.rs
+++ b/src/cli/ticket.rs
@@ -12,7 +12,7 @@
 use crate::cli::client::Client;
 use crate::controllers::TICKET_STREAM;
 use crate::state::Ticket;
-use crate::wire::{WireOutcome, WireTicket, parse_ticket};
+use crate::wire::{WireEarlier, WireOutcome, WireTicket, parse_ticket};
 
 /// How long publishing waits for all routers.
 const SPREAD_TIMEOUT: Duration = Duration::from_secs(10);
@@ -40,14 +40,15 @@
     let (wire, ticket) = read(file)?;
     let client = Client::new(settings)?;
     let body = serde_json::to_value(&wire).unwrap_or(Value::Null);
-    let offset = append(&client, &body).await?;
+    let appended = client.log.append_surely(TICKET_STREAM, &body, APPEND_TRIES).await;
+    let offset = appended.map_err(not_appended)?;
     println!("ticket {} is at offset {offset}", ticket.number);
     let until = Instant::now() + SPREAD_TIMEOUT;
     let mut rejected = None;
     let mut silent = Vec::new();
     for (name, addr) in client.routers().await {
         match outcome(&client, addr, offset, until).await {
-            Ok(WireOutcome { rejection: None, .. }) => println!("{name}: in force"),
+            Ok(it @ WireOutcome { rejection: None, .. }) => println!("{name}: {}", accepted(&it)),
             Ok(WireOutcome { rejection: Some(why), .. }) => {
                 println!("{name}: rejected: {why}");
                 rejected = Some(why);
@@ -68,20 +69,28 @@
     Ok(())
 }
 
-/// Appends the record; again when the reply is lost, which the fold allows.
-async fn append(client: &Client, body: &Value) -> Result<u64, CliError> {
-    let mut fault = String::new();
-    for _ in 0..APPEND_TRIES {
-        match client.log.append(TICKET_STREAM, body).await {
-            Ok(offset) => return Ok(offset),
-            Err(e @ PlatformError::NoAnswer { .. }) => fault = e.to_string(),
-            Err(e) => {
-                fault = e.to_string();
-                break;
-            }
+/// Tells whether a ticket that was not taken may be there all the same.
+fn not_appended(error: PlatformError) -> CliError {
+    let advice = match error {
+        PlatformError::NoAnswer { .. } => {
+            "the log may have taken the ticket; publishing the same one again is harmless"
+        }
+        _ => "the log did not take the ticket",
+    };
+    CliError::Failed(format!("{advice}: {error}"))
+}
+
+/// Says of an accepted ticket whether it is the one that holds.
+fn accepted(it: &WireOutcome) -> String {
+    match &it.earlier {
+        None => "in force".to_owned(),
+        Some(WireEarlier { offset, replaced: None }) => {
+            format!("in force since it was accepted earlier, at offset {offset}")
+        }
+        Some(WireEarlier { offset, replaced: Some(by) }) => {
+            format!("accepted earlier, at offset {offset}, and replaced since: {by}")
         }
     }
-    Err(CliError::Failed(format!("the log did not take the ticket: {fault}")))
 }
 
 /// What the router at `addr` says about the record at `offset`.
@@ -92,11 +101,9 @@
     until: Instant,
 ) -> Result<WireOutcome, String> {
     loop {
-        let fault = match client.routers.in_force(addr).await {
-            Ok(state) => match state.outcomes.into_iter().find(|it| it.offset == offset) {
-                Some(outcome) => return Ok(outcome),
-                None => "it has not read that far".to_owned(),
-            },
+        let fault = match client.routers.outcome(addr, offset).await {
+            Ok(Some(outcome)) => return Ok(outcome),
+            Ok(None) => "it has not read that far".to_owned(),
             Err(e) => e.to_string(),
         };
         if Instant::now() >= until {
--- a/src/daemon/control_api.rs
+++ b/src/daemon/control_api.rs
@@ -11,7 +11,7 @@
 use crate::backend::TOKEN_HEADER;
 use crate::events::{Code, Fields};
 use crate::filters::{Reason, Refusal, Shared};
-use crate::wire::WireInForce;
+use crate::wire::{WireInForce, WireOutcome};
 
 #[derive(Debug, Deserialize)]
 struct EventQuery {
@@ -19,6 +19,11 @@
     from: u64,
 }
 
+#[derive(Debug, Deserialize)]
+struct OutcomeQuery {
+    offset: u64,
+}
+
 /// All calls of the control side.
 pub(crate) fn control_calls(
     shared: &Arc<Shared>,
@@ -59,6 +64,18 @@
         },
     );
     let it = Arc::clone(shared);
+    let outcome = warp::path!("v1" / "outcome")
+        .and(warp::query())
+        .and(warp::header::headers_cloned())
+        .map(move |query: OutcomeQuery, headers: HeaderMap| {
+            guarded(&it, &headers, |it| {
+                let state = &it.view.peek().state;
+                let found = state.outcomes.get(&query.offset);
+                let told = found.map(|it| WireOutcome::from((query.offset, it)));
+                warp::reply::json(&told).into_response()
+            })
+        });
+    let it = Arc::clone(shared);
     let events = warp::path!("v1" / "events")
         .and(warp::query())
         .and(warp::header::headers_cloned())
@@ -67,7 +84,7 @@
                 warp::reply::json(&it.events.since(query.from)).into_response()
             })
         });
-    warp::get().and(in_force.or(events).unify())
+    warp::get().and(in_force.or(outcome).unify().or(events).unify())
 }
 
 /// Answers with `serve` if the caller shows the token, else 401.
--- a/src/state/fold.rs
+++ b/src/state/fold.rs
@@ -2,20 +2,13 @@
 
 use std::collections::BTreeMap;
 
+use crate::decide::{combine, hash_bytes};
 use crate::state::{
-    AdapterSpec, Kind, ModelSpec, OrganisationSpec, PolicySpec, Rejection, ServiceSpec, Spec,
-    Ticket,
+    AdapterSpec, Held, Kind, ModelSpec, Objects, OrganisationSpec, PolicySpec, Rejection,
+    ServiceSpec, Spec, Ticket,
 };
 
 plain! {
-    /// One object in force.
-    pub struct Held {
-        /// Number of the ticket that it obeys. Invariant: never falls.
-        pub number: u64,
-        /// Its state; `None` once removed.
-        pub spec: Option<Spec>,
-    }
-
     /// What became of one record of the stream.
     pub struct Outcome {
         /// Ticket number; 0 when the record could not be read.
@@ -24,6 +17,25 @@
         pub digest: u64,
         /// Why it is not in force; `None` when accepted.
         pub rejection: Option<Rejection>,
+        /// Set when the same ticket had been accepted before.
+        pub earlier: Option<Earlier>,
+    }
+
+    /// A ticket that was accepted before, and what holds now.
+    pub struct Earlier {
+        /// Offset at which it was accepted.
+        pub offset: u64,
+        /// An object of it that by now obeys a higher number.
+        pub replaced: Option<Rejection>,
+    }
+
+    /// An accepted ticket.
+    #[derive(Copy)]
+    pub struct Accepted {
+        /// Offset at which it was accepted.
+        pub offset: u64,
+        /// Digest of its content.
+        pub digest: u64,
     }
 
     /// The state in force: a pure function of the records before `next`.
@@ -31,10 +43,17 @@
     pub struct InForce {
         /// Offset of the first record not yet folded. Invariant: never falls.
         pub next: u64,
-        /// Objects by kind and name.
-        pub objects: BTreeMap<(Kind, String), Held>,
-        /// Accepted tickets: offset and digest by number.
-        pub accepted: BTreeMap<u64, (u64, u64)>,
+        /// Digest over all records folded; equal for equal histories.
+        pub chain: u64,
+        /// Digest of the record before `next`; 0 when there is none.
+        pub tip: u64,
+        /// All objects.
+        pub objects: Objects,
+        /// Accepted tickets by number. Invariant: all above `floor`, at most
+        /// [`ACCEPTED_KEPT`].
+        pub accepted: BTreeMap<u64, Accepted>,
+        /// Highest number that is no longer remembered. Invariant: never falls.
+        pub floor: u64,
         /// Recent outcomes by offset, oldest dropped first.
         pub outcomes: Verdicts,
     }
@@ -43,54 +62,84 @@
 /// Outcomes by offset.
 pub type Verdicts = BTreeMap<u64, Outcome>;
 
+/// Accepted tickets that are remembered, the highest numbers.
+pub const ACCEPTED_KEPT: usize = 4_096;
 /// Outcomes kept for reading back.
-const OUTCOMES_KEPT: usize = 4_096;
+const OUTCOMES_KEPT: usize = 1_024;
 
 impl InForce {
-    /// Folds the record at `offset`; records already folded change nothing.
+    /// Folds the record at `offset`; records already folded change nothing, and
+    /// one that is not the next is left for later.
     ///
     /// A ticket is accepted when its number is above the number in force of
-    /// every object that it touches and no other ticket has the number. The same
-    /// number with the same content is the same ticket again.
-    pub fn fold(&mut self, offset: u64, record: Result<Ticket, String>) {
-        if offset < self.next {
-            return;
+    /// every object that it touches, above `floor`, and no other ticket has it.
+    /// The same number with the same content is the same ticket again.
+    pub fn fold(&mut self, offset: u64, record: Result<Ticket, String>) -> bool {
+        if offset != self.next {
+            return false;
         }
         self.next = offset + 1;
+        self.tip = record_digest(&record);
+        self.chain = combine(self.chain, self.tip);
         let outcome = match record {
-            Err(fault) => {
-                let rejection = Some(Rejection::Invalid { fault });
-                Outcome { number: 0, digest: 0, rejection }
-            }
+            Err(fault) => Outcome {
+                number: 0,
+                digest: 0,
+                rejection: Some(Rejection::Invalid { fault }),
+                earlier: None,
+            },
             Ok(ticket) => self.decide(offset, &ticket),
         };
         self.outcomes.insert(offset, outcome);
         while self.outcomes.len() > OUTCOMES_KEPT {
             self.outcomes.pop_first();
         }
+        true
     }
 
     fn decide(&mut self, offset: u64, ticket: &Ticket) -> Outcome {
         let rejection = self.rejection(ticket);
-        if rejection.is_none() && !self.accepted.contains_key(&ticket.number) {
-            self.accepted.insert(ticket.number, (offset, ticket.digest));
-            for it in &ticket.objects {
-                let held = Held { number: ticket.number, spec: it.spec.clone() };
-                self.objects.insert((it.kind, it.name.clone()), held);
+        let known = self.accepted.get(&ticket.number).copied();
+        if rejection.is_none() && known.is_none() {
+            self.accept(offset, ticket);
+        }
+        let earlier = known.filter(|_| rejection.is_none()).map(|it| Earlier {
+            offset: it.offset,
+            replaced: self.outdated(ticket, |held| held > ticket.number),
+        });
+        Outcome { number: ticket.number, digest: ticket.digest, rejection, earlier }
+    }
+
+    fn accept(&mut self, offset: u64, ticket: &Ticket) {
+        self.accepted.insert(ticket.number, Accepted { offset, digest: ticket.digest });
+        for it in &ticket.objects {
+            let held = Held { number: ticket.number, spec: it.spec.clone() };
+            self.objects.insert(it.kind, &it.name, held);
+        }
+        while self.accepted.len() > ACCEPTED_KEPT {
+            if let Some((number, _)) = self.accepted.pop_first() {
+                self.floor = number;
             }
         }
-        Outcome { number: ticket.number, digest: ticket.digest, rejection }
     }
 
     /// Why `ticket` cannot come into force, if it cannot.
     pub fn rejection(&self, ticket: &Ticket) -> Option<Rejection> {
-        if let Some(&(offset, digest)) = self.accepted.get(&ticket.number) {
-            let same = digest == ticket.digest;
-            return (!same).then_some(Rejection::NumberUsed { offset });
+        if let Some(it) = self.accepted.get(&ticket.number) {
+            let same = it.digest == ticket.digest;
+            return (!same).then_some(Rejection::NumberUsed { offset: it.offset });
         }
+        if let Some(it) = self.outdated(ticket, |held| held >= ticket.number) {
+            return Some(it);
+        }
+        (ticket.number <= self.floor).then_some(Rejection::Forgotten { floor: self.floor })
+    }
+
+    /// The first object of `ticket` whose number in force is `too_high`.
+    fn outdated(&self, ticket: &Ticket, too_high: impl Fn(u64) -> bool) -> Option<Rejection> {
         ticket.objects.iter().find_map(|it| {
-            let held = self.objects.get(&(it.kind, it.name.clone()))?;
-            (held.number >= ticket.number).then(|| Rejection::Outdated {
+            let held = self.objects.get(it.kind, &it.name)?;
+            too_high(held.number).then(|| Rejection::Outdated {
                 kind: it.kind,
                 name: it.name.clone(),
                 number: held.number,
@@ -139,6 +188,14 @@
     }
 
     fn spec(&self, kind: Kind, name: &str) -> Option<&Spec> {
-        self.objects.get(&(kind, name.to_owned()))?.spec.as_ref()
+        self.objects.get(kind, name)?.spec.as_ref()
+    }
+}
+
+/// Digest of one record, readable or not.
+fn record_digest(record: &Result<Ticket, String>) -> u64 {
+    match record {
+        Ok(ticket) => ticket.digest,
+        Err(fault) => hash_bytes(fault.as_bytes()),
     }
 }
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -2,13 +2,15 @@
 
 mod fold;
 mod object;
+mod objects;
 mod rejection;
 mod spec;
 mod ticket;
 mod ticket_error;
 
-pub use fold::{Held, InForce, Outcome, Verdicts};
+pub use fold::{ACCEPTED_KEPT, Accepted, Earlier, InForce, Outcome, Verdicts};
 pub use object::{Kind, Object, Spec};
+pub use objects::{Held, Objects};
 pub use rejection::Rejection;
 pub use spec::{AdapterSpec, ExperimentSpec, ModelSpec, OrganisationSpec, PolicySpec, ServiceSpec};
 pub use ticket::Ticket;
--- /dev/null
+++ b/src/state/objects.rs
@@ -0,0 +1,50 @@
+//! All objects in force, found by kind and name without a copy of the name.
+
+use std::collections::BTreeMap;
+
+use crate::state::{Kind, Spec};
+
+plain! {
+    /// One object in force.
+    pub struct Held {
+        /// Number of the ticket that it obeys. Invariant: never falls.
+        pub number: u64,
+        /// Its state; `None` once removed.
+        pub spec: Option<Spec>,
+    }
+
+    /// Objects by kind, then name.
+    #[derive(Default)]
+    pub struct Objects {
+        kinds: BTreeMap<Kind, BTreeMap<String, Held>>,
+    }
+}
+
+impl Objects {
+    /// The object of `kind` called `name`, also once removed.
+    pub fn get(&self, kind: Kind, name: &str) -> Option<&Held> {
+        self.kinds.get(&kind)?.get(name)
+    }
+
+    /// Adds an object, or replaces the one of the same kind and name.
+    pub fn insert(&mut self, kind: Kind, name: &str, held: Held) {
+        self.kinds.entry(kind).or_default().insert(name.to_owned(), held);
+    }
+
+    /// All objects of `kind` in the order of their names.
+    pub fn of_kind(&self, kind: Kind) -> impl Iterator<Item = (&str, &Held)> {
+        self.kinds.get(&kind).into_iter().flatten().map(|(name, it)| (name.as_str(), it))
+    }
+
+    /// All objects in the order of kinds and names.
+    pub fn iter(&self) -> impl Iterator<Item = (Kind, &str, &Held)> {
+        self.kinds
+            .iter()
+            .flat_map(|(kind, names)| names.iter().map(|(name, it)| (*kind, name.as_str(), it)))
+    }
+
+    /// Whether there is none.
+    pub fn is_empty(&self) -> bool {
+        self.kinds.is_empty()
+    }
+}
--- a/src/state/rejection.rs
+++ b/src/state/rejection.rs
@@ -18,6 +18,11 @@
             /// Offset of the ticket that has the number.
             offset: u64,
         },
+        /// The number is so low that it is no longer known whether it was used.
+        Forgotten {
+            /// Highest number that is no longer remembered.
+            floor: u64,
+        },
         /// An object already obeys a ticket with this or a higher number.
         Outdated {
             /// Kind of the object.
@@ -37,6 +42,9 @@
             Rejection::NumberUsed { offset } => {
                 write!(f, "the number belongs to another ticket, at offset {offset}")
             }
+            Rejection::Forgotten { floor } => {
+                write!(f, "numbers up to {floor} are no longer remembered; use a higher one")
+            }
             Rejection::Outdated { kind, name, number } => {
                 write!(f, "{kind} `{name}` already obeys ticket {number}")
             }
--- a/src/wire/in_force.rs
+++ b/src/wire/in_force.rs
@@ -2,7 +2,7 @@
 
 use serde_json::Value;
 
-use crate::state::{Held, InForce, Kind, Outcome, Rejection};
+use crate::state::{Accepted, Earlier, Held, InForce, Kind, Outcome, Rejection};
 use crate::wire::ticket::spec;
 
 wire! {
@@ -28,12 +28,32 @@
         pub digest: u64,
         /// Why it is not in force; null when accepted.
         pub rejection: Option<Rejection>,
+        /// Set when the same ticket had been accepted before.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        pub earlier: Option<WireEarlier>,
+    }
+
+    /// A ticket that was accepted before.
+    pub struct WireEarlier {
+        /// Offset at which it was accepted.
+        pub offset: u64,
+        /// An object of it that by then obeyed a higher number.
+        pub replaced: Option<Rejection>,
     }
 
     /// The whole state.
     pub struct WireInForce {
         /// Offset of the first record not yet folded.
         pub next: u64,
+        /// Digest over all records folded.
+        #[serde(default)]
+        pub chain: u64,
+        /// Digest of the record before `next`.
+        #[serde(default)]
+        pub tip: u64,
+        /// Highest number that is no longer remembered.
+        #[serde(default)]
+        pub floor: u64,
         /// Objects by kind and name.
         pub objects: Vec<WireHeld>,
         /// Accepted tickets: number, offset and digest.
@@ -43,25 +63,45 @@
     }
 }
 
+impl From<(u64, &Outcome)> for WireOutcome {
+    fn from((offset, it): (u64, &Outcome)) -> WireOutcome {
+        let earlier = it
+            .earlier
+            .as_ref()
+            .map(|it| WireEarlier { offset: it.offset, replaced: it.replaced.clone() });
+        WireOutcome {
+            offset,
+            number: it.number,
+            digest: it.digest,
+            rejection: it.rejection.clone(),
+            earlier,
+        }
+    }
+}
+
+impl From<WireOutcome> for Outcome {
+    fn from(it: WireOutcome) -> Outcome {
+        let earlier = it.earlier.map(|it| Earlier { offset: it.offset, replaced: it.replaced });
+        Outcome { number: it.number, digest: it.digest, rejection: it.rejection, earlier }
+    }
+}
+
 impl From<&InForce> for WireInForce {
     fn from(state: &InForce) -> WireInForce {
-        let objects = state.objects.iter().map(|((kind, name), it)| WireHeld {
-            kind: *kind,
-            name: name.clone(),
+        let objects = state.objects.iter().map(|(kind, name, it)| WireHeld {
+            kind,
+            name: name.to_owned(),
             number: it.number,
             spec: it.spec.as_ref().map(Value::from),
         });
-        let outcomes = state.outcomes.iter().map(|(offset, it)| WireOutcome {
-            offset: *offset,
-            number: it.number,
-            digest: it.digest,
-            rejection: it.rejection.clone(),
-        });
         WireInForce {
             next: state.next,
+            chain: state.chain,
+            tip: state.tip,
+            floor: state.floor,
             objects: objects.collect(),
-            accepted: state.accepted.iter().map(|(n, (o, d))| (*n, *o, *d)).collect(),
-            outcomes: outcomes.collect(),
+            accepted: state.accepted.iter().map(|(n, it)| (*n, it.offset, it.digest)).collect(),
+            outcomes: state.outcomes.iter().map(|(at, it)| WireOutcome::from((*at, it))).collect(),
         }
     }
 }
@@ -70,24 +110,24 @@
     type Error = String;
 
     fn try_from(wire: WireInForce) -> Result<InForce, String> {
-        let mut state = InForce { next: wire.next, ..InForce::default() };
+        let mut state = InForce {
+            next: wire.next,
+            chain: wire.chain,
+            tip: wire.tip,
+            floor: wire.floor,
+            ..InForce::default()
+        };
         for it in wire.objects {
             let spec =
                 it.spec.map(|value| spec(it.kind, value)).transpose().map_err(
                     |(path, fault)| format!("{} `{}`: {path}: {fault}", it.kind, it.name),
                 )?;
-            state.objects.insert((it.kind, it.name), Held { number: it.number, spec });
+            state.objects.insert(it.kind, &it.name, Held { number: it.number, spec });
         }
-        state.accepted = wire.accepted.into_iter().map(|(n, o, d)| (n, (o, d))).collect();
-        state.outcomes = wire
-            .outcomes
-            .into_iter()
-            .map(|it| {
-                let outcome =
-                    Outcome { number: it.number, digest: it.digest, rejection: it.rejection };
-                (it.offset, outcome)
-            })
-            .collect();
+        let accepted = wire.accepted.into_iter();
+        state.accepted =
+            accepted.map(|(n, offset, digest)| (n, Accepted { offset, digest })).collect();
+        state.outcomes = wire.outcomes.into_iter().map(|it| (it.offset, it.into())).collect();
         Ok(state)
     }
 }
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -12,7 +12,7 @@
 pub use api_error::{ApiError, ApiErrorBody};
 pub use chat::{ChatMessage, ChatRequest};
 pub use entry::{EntryAddress, EntryAnswer};
-pub use in_force::{WireHeld, WireInForce, WireOutcome};
+pub use in_force::{WireEarlier, WireHeld, WireInForce, WireOutcome};
 pub use instance::{Instance, Role, Standing};
 pub use load::{LoadReport, Loaded};
 pub use log::{Appended, Page, Record};
