--- a/src/state/fold.rs
+++ b/src/state/fold.rs
@@ -4,8 +4,8 @@
 
 use crate::decide::{combine, hash_bytes};
 use crate::state::{
-    AdapterSpec, Held, Kind, ModelSpec, Objects, OrganisationSpec, PolicySpec, Rejection,
-    ServiceSpec, Spec, Ticket,
+    AdapterSpec, ExperimentSpec, Held, Kind, ModelSpec, Objects, OrganisationSpec, PolicySpec,
+    Rejection, ServiceSpec, Spec, Ticket,
 };
 
 plain! {
@@ -171,6 +171,14 @@
         }
     }
 
+    /// The experiments, by name.
+    pub fn experiments(&self) -> impl Iterator<Item = (&str, &ExperimentSpec)> {
+        self.objects.of_kind(Kind::Experiment).filter_map(|(name, it)| match &it.spec {
+            Some(Spec::Experiment(spec)) => Some((name, spec)),
+            _ => None,
+        })
+    }
+
     /// The organisation called `name`.
     pub fn organisation(&self, name: &str) -> Option<&OrganisationSpec> {
         match self.spec(Kind::Organisation, name)? {
