--- a/src/backend/control_http.rs
+++ b/src/backend/control_http.rs
@@ -7,13 +7,21 @@
 use reqwest::header::HeaderMap;
 use reqwest::{Method, RequestBuilder};
 use serde::de::DeserializeOwned;
+use tokio::time::sleep;
 
 use crate::backend::{Meter, PlatformError};
+use crate::fleet::{Budget, Purpose};
 
+/// Shortest pause while waiting for the account.
+const MIN_PAUSE: Duration = Duration::from_millis(2);
 /// Longest part of an error body that is kept, in characters.
 const MAX_ERROR_BODY: usize = 200;
-/// Bytes of a request or status line besides method and path.
-const LINE_BYTES: usize = 13;
+/// Bytes of a request line besides method and path, and the empty line.
+const REQUEST_BYTES: usize = 14;
+/// Bytes of a status line with its reason, and the empty line.
+const STATUS_BYTES: usize = 19;
+/// Bytes of the headers that the client adds: `accept`, `host` besides its value.
+const ADDED_BYTES: usize = 13 + 8;
 /// Bytes around a header's name and value.
 const HEADER_BYTES: usize = 4;
 
@@ -22,12 +30,40 @@
 pub struct ControlHttp {
     http: reqwest::Client,
     meter: Arc<Meter>,
+    account: Option<(Arc<Budget>, Purpose)>,
 }
 
 impl ControlHttp {
     /// A client that counts into `meter`.
     pub fn new(http: reqwest::Client, meter: Arc<Meter>) -> ControlHttp {
-        ControlHttp { http, meter }
+        ControlHttp { http, meter, account: None }
+    }
+
+    /// The same client with an account of `budget` that pays for its calls.
+    pub fn paid(&self, budget: &Arc<Budget>, purpose: Purpose) -> ControlHttp {
+        ControlHttp { account: Some((Arc::clone(budget), purpose)), ..self.clone() }
+    }
+
+    /// Waits until the account has `bytes` to spend.
+    pub async fn afford(&self, bytes: f64) {
+        let Some((budget, purpose)) = &self.account else {
+            return;
+        };
+        loop {
+            let delay = budget.delay(*purpose, bytes);
+            if delay.is_zero() {
+                return;
+            }
+            sleep(delay.max(MIN_PAUSE)).await;
+        }
+    }
+
+    fn count(&self, sent: usize, received: usize) {
+        self.meter.add_sent(sent);
+        self.meter.add_received(received);
+        if let Some((budget, purpose)) = &self.account {
+            budget.spend(*purpose, sent + received);
+        }
     }
 
     /// Begins a request.
@@ -51,13 +87,17 @@
     ) -> Result<Bytes, PlatformError> {
         let request = request.timeout(timeout).build()?;
         let body = request.body().and_then(|it| it.as_bytes()).map_or(0, <[u8]>::len);
-        let line = request.method().as_str().len() + request.url().path().len() + LINE_BYTES;
-        self.meter.add_sent(line + head_bytes(request.headers()) + body);
+        let url = request.url();
+        let target = url.path().len() + url.query().map_or(0, |it| it.len() + 1);
+        let line = request.method().as_str().len() + target + REQUEST_BYTES;
+        let host = url.authority().len();
+        let head = line + host + ADDED_BYTES + head_bytes(request.headers());
+        self.count(head + length_bytes(body) + body, 0);
         let reply = self.http.execute(request).await?;
-        self.meter.add_received(LINE_BYTES + head_bytes(reply.headers()));
+        self.count(0, STATUS_BYTES + head_bytes(reply.headers()));
         let status = reply.status();
         let body = reply.bytes().await?;
-        self.meter.add_received(body.len());
+        self.count(0, body.len());
         if status.is_success() {
             return Ok(body);
         }
@@ -79,6 +119,11 @@
     }
 }
 
-fn head_bytes(headers: &HeaderMap) -> usize {
+pub(crate) fn head_bytes(headers: &HeaderMap) -> usize {
     headers.iter().map(|(name, value)| name.as_str().len() + value.len() + HEADER_BYTES).sum()
 }
+
+/// Bytes of the header that tells the length of a body.
+fn length_bytes(body: usize) -> usize {
+    if body == 0 { 0 } else { "content-length: \r\n".len() + body.to_string().len() }
+}
--- a/src/backend/engine_client.rs
+++ b/src/backend/engine_client.rs
@@ -21,6 +21,11 @@
         EngineClient { http }
     }
 
+    /// Waits until the account is not in debt.
+    pub async fn afford(&self) {
+        self.http.afford(0.0).await;
+    }
+
     /// Reads the load report of the engine at `addr`.
     ///
     /// # Errors
--- a/src/backend/list_client.rs
+++ b/src/backend/list_client.rs
@@ -22,6 +22,11 @@
         ListClient { http, addr }
     }
 
+    /// Waits until the account is not in debt.
+    pub async fn afford(&self) {
+        self.http.afford(0.0).await;
+    }
+
     /// Reads the whole list.
     ///
     /// # Errors
--- a/src/backend/log_client.rs
+++ b/src/backend/log_client.rs
@@ -31,6 +31,11 @@
         LogClient { timeout, ..self }
     }
 
+    /// Waits until the account is not in debt.
+    pub async fn afford(&self) {
+        self.http.afford(0.0).await;
+    }
+
     /// Reads `stream` from offset `from` on, waiting up to `wait` for news.
     ///
     /// # Errors
--- a/src/backend/mod.rs
+++ b/src/backend/mod.rs
@@ -9,6 +9,7 @@
 mod router_client;
 
 pub use control_http::ControlHttp;
+pub(crate) use control_http::head_bytes;
 pub use engine_client::EngineClient;
 pub use list_client::ListClient;
 pub use log_client::LogClient;
--- a/src/backend/router_client.rs
+++ b/src/backend/router_client.rs
@@ -3,14 +3,19 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use reqwest::Method;
 use serde::de::DeserializeOwned;
 
 use crate::backend::{ControlHttp, PlatformError};
 use crate::events::Event;
-use crate::wire::{WireInForce, WireOutcome};
+use crate::wire::{Gossip, WireInForce, WireOutcome};
 
 /// Header that carries the shared token.
 pub const TOKEN_HEADER: &str = "filberttiller-token";
+/// Path of exchanges between routers.
+const GOSSIP_PATH: &str = "/v1/gossip";
+/// Time for an exchange.
+const GOSSIP_TIMEOUT: Duration = Duration::from_secs(1);
 /// Time for a call.
 const CALL_TIMEOUT: Duration = Duration::from_secs(3);
 
@@ -55,6 +60,28 @@
         self.get(addr, &format!("/v1/events?from={from}")).await
     }
 
+    /// Waits until the account has `bytes` to spend.
+    pub async fn afford(&self, bytes: f64) {
+        self.http.afford(bytes).await;
+    }
+
+    /// Exchanges gossip with the router at `addr`.
+    ///
+    /// # Errors
+    /// Fails when the router does not answer well.
+    pub async fn gossip(
+        &self,
+        addr: SocketAddr,
+        message: &Gossip,
+    ) -> Result<Gossip, PlatformError> {
+        let form = |fault: String| PlatformError::Form { fault };
+        let body = rmp_serde::to_vec_named(message).map_err(|e| form(e.to_string()))?;
+        let request = self.http.request(Method::POST, &format!("http://{addr}{GOSSIP_PATH}"));
+        let request = request.header(TOKEN_HEADER, &self.token).body(body);
+        let reply = self.http.call(request, GOSSIP_TIMEOUT).await?;
+        rmp_serde::from_slice(&reply).map_err(|e| form(e.to_string()))
+    }
+
     async fn get<T: DeserializeOwned>(
         &self,
         addr: SocketAddr,
--- a/src/controllers/list_watch.rs
+++ b/src/controllers/list_watch.rs
@@ -19,6 +19,7 @@
 ) {
     let mut reachable = true;
     loop {
+        list.afford().await;
         match list.read().await {
             Ok(instances) => {
                 if !std::mem::replace(&mut reachable, true) {
--- a/src/controllers/load_watch.rs
+++ b/src/controllers/load_watch.rs
@@ -1,28 +1,34 @@
 //! Asks engines for their load.
 
-use futures_util::future::join_all;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep, sleep_until};
 use xtra::Address;
 
 use crate::backend::EngineClient;
-use crate::controllers::{Publisher, Reported, Targets};
+use crate::controllers::Publisher;
+use crate::controllers::messages::{Reported, Targets};
 use crate::settings::Control;
 
-/// Asks every engine in turn until the publisher is gone.
+/// Asks the engines that are this router's to ask, one after the other as the
+/// budget allows, until the publisher is gone.
 pub async fn watch_loads(engines: EngineClient, publisher: Address<Publisher>, upkeep: Control) {
     loop {
+        let next = Instant::now() + upkeep.load_every;
         let Ok(targets) = publisher.send(Targets).await else {
             return;
         };
-        let asked = targets.into_iter().map(|(name, addr)| {
-            let engines = engines.clone();
-            async move { engines.load(addr).await.ok().map(|report| Reported { name, report }) }
-        });
-        for it in join_all(asked).await.into_iter().flatten() {
-            if publisher.send(it).await.is_err() {
+        if targets.is_empty() {
+            sleep(upkeep.load_every).await;
+            continue;
+        }
+        for (name, addr) in targets {
+            engines.afford().await;
+            let Ok(report) = engines.load(addr).await else {
+                continue;
+            };
+            if publisher.send(Reported { name, report }).await.is_err() {
                 return;
             }
         }
-        sleep(upkeep.load_every).await;
+        sleep_until(next).await;
     }
 }
--- a/src/controllers/mod.rs
+++ b/src/controllers/mod.rs
@@ -1,12 +1,21 @@
 //! Controllers: they keep the view up to date, all on the control thread.
 
 mod engine_side;
+mod gossip;
 mod list_watch;
 mod load_watch;
+mod messages;
 mod publisher;
+mod round;
 mod ticket_tail;
+mod view_parts;
 
+pub use gossip::exchange_gossip;
 pub use list_watch::watch_list;
 pub use load_watch::watch_loads;
-pub use publisher::{Folded, Leave, Listed, Publisher, Reported, Targets};
-pub use ticket_tail::{TICKET_STREAM, tail_tickets};
+pub use messages::{
+    Answered, Exchange, Flush, Folded, Leave, Listed, NextRound, Reported, Restored, Round,
+    TailPlan, TailQuery, Targets, TicketRecord,
+};
+pub use publisher::{Parts, Publisher};
+pub use ticket_tail::{SNAPSHOT_STREAM, TICKET_STREAM, Tail};
--- a/src/controllers/publisher.rs
+++ b/src/controllers/publisher.rs
@@ -4,111 +4,167 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
+use std::time::{Instant, UNIX_EPOCH};
 
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use tokio::sync::Notify;
 use xtra::prelude::*;
 
-use crate::controllers::engine_side::engine;
-use crate::decide::hash_bytes;
+use crate::clock::SharedClock;
+use crate::controllers::messages::{
+    Flush, Folded, Leave, Listed, Reported, Restored, TailPlan, TailQuery, Targets,
+};
+use crate::controllers::round::Pull;
+use crate::controllers::view_parts::{pools, routers};
+use crate::decide::{combine, hash_bytes};
 use crate::events::{Code, EventLog, Fields};
-use crate::fleet::{BackendServer, Pool, Router, View, ViewCell};
-use crate::state::{InForce, Ticket};
-use crate::wire::{Instance, LoadReport, Role, Standing};
+use crate::fleet::{
+    Budget, Crash, CrashBoard, LoadTable, Mark, MarkBoard, Members, Roster, View, ViewCell,
+};
+use crate::settings::{Control, Seed};
+use crate::state::{History, InForce, Ticket};
+use crate::wire::{MemberStatus, Role, Standing, WireMember};
 
-/// Records of the ticket stream, in order.
-#[derive(Debug)]
-pub struct Folded {
-    /// Offset and ticket, or why the record is none.
-    pub records: Vec<(u64, Result<Ticket, String>)>,
-}
-
-/// A new version of the instance list.
-#[derive(Debug)]
-pub struct Listed {
-    /// All instances.
-    pub instances: Vec<Instance>,
-}
+/// Routers that follow the log.
+const TAILERS: usize = 3;
+/// What the choice of these routers is hashed with.
+const TAIL_KEY: &[u8] = b"ticket log";
+/// Time beyond a read of the log after which a router follows it by itself.
+const SILENCE: std::time::Duration = std::time::Duration::from_secs(15);
+/// Pause before changed loads are published together.
+const COALESCE: std::time::Duration = std::time::Duration::from_millis(20);
+/// Urgent exchanges that follow on news.
+const FAN_OUT: u32 = 3;
 
-/// A load report of an engine.
+/// What the publisher is made of.
 #[derive(Debug)]
-pub struct Reported {
-    /// Name of the engine.
-    pub name: String,
-    /// What it reports.
-    pub report: LoadReport,
+pub struct Parts {
+    /// This router as peers see it.
+    pub own: WireMember,
+    /// Where the view goes.
+    pub cell: Arc<ViewCell>,
+    /// Recent events.
+    pub events: Arc<EventLog>,
+    /// The clock.
+    pub clock: SharedClock,
+    /// Leaving backend servers.
+    pub marks: Arc<MarkBoard>,
+    /// Requests that crashed backend servers.
+    pub crashes: Arc<CrashBoard>,
+    /// Budget of control calls.
+    pub budget: Arc<Budget>,
+    /// Settings.
+    pub upkeep: Control,
+    /// Other routers known beforehand.
+    pub seeds: Vec<Seed>,
 }
 
-/// This router takes no new callers from now on.
-#[derive(Debug)]
-pub struct Leave;
-
-/// Asks which engines to ask for their load.
-#[derive(Debug)]
-pub struct Targets;
-
 /// Owner of everything that the view is made of.
 #[derive(Debug, xtra::Actor)]
 pub struct Publisher {
-    name: String,
-    cell: Arc<ViewCell>,
-    events: Arc<EventLog>,
-    state: InForce,
-    instances: BTreeMap<String, Instance>,
-    reports: HashMap<String, LoadReport>,
+    pub(super) parts: Parts,
+    pub(super) state: Arc<InForce>,
+    pub(super) history: History,
+    pub(super) members: Members,
+    pub(super) roster: Roster,
+    pub(super) loads: LoadTable,
+    /// First offset that each peer has not folded, as it last told.
+    pub(super) peers: HashMap<String, u64>,
+    /// When anybody last heard from the log, as far as known here.
+    pub(super) log_seen: Option<Instant>,
+    /// Urgent exchanges still to make.
+    pub(super) pushes: u32,
+    pub(super) pull: Option<Pull>,
+    /// Whole state cut into parts, with its offset and when it was last asked for.
+    pub(super) bulk: Option<(u64, Vec<String>, Instant)>,
+    /// Crashes to pass on, and how often still.
+    pub(super) crashes: Vec<(Crash, u32)>,
+    pub(super) crash_cursor: usize,
+    /// Wakes the task that makes exchanges.
+    pub(super) news: Arc<Notify>,
+    pub(super) rng: ChaCha8Rng,
     sent: HashMap<String, Arc<AtomicU64>>,
     ready: bool,
-    leaving: bool,
+    flushing: bool,
 }
 
 impl Publisher {
-    /// A publisher for the router called `name`.
-    pub fn new(name: &str, cell: Arc<ViewCell>, events: Arc<EventLog>) -> Publisher {
+    /// A publisher without any state.
+    pub fn new(parts: Parts, news: Arc<Notify>) -> Publisher {
+        let seed = combine(hash_bytes(parts.own.name.as_bytes()), parts.own.incarnation);
         Publisher {
-            name: name.to_owned(),
-            cell,
-            events,
-            state: InForce::default(),
-            instances: BTreeMap::new(),
-            reports: HashMap::new(),
+            members: Members::new(parts.own.clone()),
+            parts,
+            state: Arc::default(),
+            history: History::default(),
+            roster: Roster::default(),
+            loads: LoadTable::default(),
+            peers: HashMap::new(),
+            log_seen: None,
+            pushes: 0,
+            pull: None,
+            bulk: None,
+            crashes: Vec::new(),
+            crash_cursor: 0,
+            news,
+            rng: ChaCha8Rng::seed_from_u64(seed),
             sent: HashMap::new(),
             ready: false,
-            leaving: false,
+            flushing: false,
         }
     }
 
-    fn publish(&mut self) {
-        let mut pools: HashMap<String, Pool> = HashMap::new();
-        let mut routers = Vec::new();
-        for it in self.instances.values() {
-            if it.role == Role::Entry {
-                routers.push(self.router(it));
-                continue;
-            }
-            let pool = pools.entry(it.pool.clone()).or_default();
-            if it.standing == Standing::Live {
-                pool.figures.add(self.reports.get(&it.name));
-            }
-            let sent = Arc::clone(self.sent.entry(it.name.clone()).or_default());
-            pool.engines.push(engine(it, self.reports.get(&it.name), sent));
-            pool.servers.push(BackendServer {
-                name: it.name.clone(),
-                address: it.address,
-                domain: it.domain.clone(),
-            });
+    pub(super) fn now(&self) -> Instant {
+        self.parts.clock.now()
+    }
+
+    pub(super) fn record(&self, code: Code, subject: &str, detail: &str) {
+        self.parts.events.record(code, Fields { subject, detail });
+    }
+
+    /// Something changed that peers should know at once.
+    pub(super) fn spread(&mut self) {
+        self.pushes = FAN_OUT;
+        self.news.notify_one();
+    }
+
+    /// Publishes the view as it is now.
+    pub(super) fn publish(&mut self) {
+        if !self.ready && !self.state.objects.is_empty() {
+            self.ready = true;
+            let detail = format!("offset {}", self.state.next);
+            self.record(Code::Ready, &self.parts.own.name, &detail);
         }
-        let state = Arc::new(self.state.clone());
-        self.cell.store(View { ready: self.ready, state, pools, routers });
+        let now = self.now();
+        let marks = Arc::clone(&self.parts.marks);
+        let marked = |name: &str, incarnation| marks.holds(name, incarnation, now);
+        let pools = pools(&self.roster, &self.loads, marked, &mut self.sent);
+        let routers = routers(&self.roster, &self.members);
+        let state = Arc::clone(&self.state);
+        self.parts.cell.store(View { ready: self.ready, state, pools, routers });
     }
 
-    fn router(&self, it: &Instance) -> Router {
-        let own = it.name == self.name;
-        Router {
-            name: it.name.clone(),
-            id: hash_bytes(it.name.as_bytes()),
-            address: it.address,
-            control: it.control,
-            domain: it.domain.clone(),
-            leaving: it.standing == Standing::Leaving || (own && self.leaving),
+    /// Folds the next record; true when it was the next.
+    pub(super) fn fold(&mut self, offset: u64, text: &str, record: Result<Ticket, String>) -> bool {
+        if !Arc::make_mut(&mut self.state).fold(offset, record) {
+            return false;
         }
+        self.history.push(offset, text.to_owned());
+        self.note(offset);
+        true
+    }
+
+    /// Takes a whole state that is further than this one; true when it was.
+    pub(super) fn adopt(&mut self, state: InForce, code: Code, detail: &str) -> bool {
+        if state.next <= self.state.next {
+            return false;
+        }
+        let detail = format!("offset {}{detail}", state.next);
+        self.state = Arc::new(state);
+        self.history = History::default();
+        self.record(code, &self.parts.own.name, &detail);
+        true
     }
 
     fn note(&self, offset: u64) {
@@ -117,33 +173,69 @@
         };
         let subject = it.number.to_string();
         match &it.rejection {
-            None => {
-                let detail = format!("offset {offset}");
-                self.events
-                    .record(Code::TicketAccepted, Fields { subject: &subject, detail: &detail });
-            }
+            None => self.record(Code::TicketAccepted, &subject, &format!("offset {offset}")),
             Some(why) => {
-                let detail = format!("offset {offset}: {why}");
-                self.events
-                    .record(Code::TicketRejected, Fields { subject: &subject, detail: &detail });
+                self.record(Code::TicketRejected, &subject, &format!("offset {offset}: {why}"));
             }
         }
     }
 
-    fn note_list_changes(&self, new: &BTreeMap<String, Instance>) {
-        let record = |code, subject: &str| self.events.record(code, Fields { subject, detail: "" });
-        for (name, it) in new {
-            match self.instances.get(name) {
-                None => record(Code::InstanceJoined, name),
-                Some(old) if old.standing != it.standing && it.standing == Standing::Leaving => {
-                    record(Code::InstanceLeaving, name);
-                }
-                Some(_) => {}
+    /// Records what became of the line called `name`, and marks a leaving server.
+    pub(super) fn note_line(&self, name: &str, before: Option<Standing>) {
+        let now = self.roster.get(name);
+        match (before, now.map(|it| it.standing)) {
+            (None, Some(_)) => self.record(Code::InstanceJoined, name, ""),
+            (Some(_), None) => self.record(Code::InstanceGone, name, ""),
+            (Some(Standing::Live), Some(Standing::Leaving)) => {
+                self.record(Code::InstanceLeaving, name, "");
+            }
+            _ => {}
+        }
+        let leaving = now.filter(|it| it.standing == Standing::Leaving && it.role != Role::Entry);
+        if leaving.is_some() {
+            self.mark(name);
+        }
+    }
+
+    fn mark(&self, name: &str) {
+        let report = self.loads.get(hash_bytes(name.as_bytes()));
+        let mark = Mark {
+            name: name.to_owned(),
+            incarnation: report.map_or(0, |it| it.incarnation),
+            left: self.parts.upkeep.mark_hold,
+        };
+        if self.parts.marks.insert(&mark, self.now()) {
+            self.record(Code::MarkedLeaving, name, "the instance list");
+        }
+    }
+
+    /// Control addresses of all other routers by name, the dead ones apart.
+    pub(super) fn contacts(&self) -> (BTreeMap<String, SocketAddr>, BTreeMap<String, SocketAddr>) {
+        let mut live: BTreeMap<_, _> =
+            self.members.others().map(|it| (it.name.clone(), it.control)).collect();
+        let mut dead = BTreeMap::new();
+        let listed = self.roster.instances().filter(|it| it.role == Role::Entry);
+        for (name, control) in listed.filter_map(|it| Some((&it.name, it.control?))) {
+            let gone = self.members.get(name).is_some_and(|it| it.status == MemberStatus::Dead);
+            if *name == self.parts.own.name || live.contains_key(name) {
+                continue;
             }
+            if gone { &mut dead } else { &mut live }.insert(name.clone(), control);
         }
-        for name in self.instances.keys().filter(|it| !new.contains_key(*it)) {
-            record(Code::InstanceGone, name);
+        if live.is_empty() {
+            let seeds = self.parts.seeds.iter().map(|it| (it.name.clone(), it.control));
+            live.extend(seeds.filter(|it| it.0 != self.parts.own.name));
         }
+        (live, dead)
+    }
+
+    /// Rank of this router for `key` among all live routers, from 0.
+    fn own_rank(&self, key: u64) -> usize {
+        let score = |name: &str| combine(key, hash_bytes(name.as_bytes()));
+        let own = score(&self.parts.own.name);
+        let view = self.parts.cell.peek();
+        let others = view.routers.iter().filter(|it| !it.leaving && it.name != self.parts.own.name);
+        others.filter(|it| combine(key, it.id) > own).count()
     }
 }
 
@@ -151,19 +243,26 @@
     type Return = ();
 
     async fn handle(&mut self, message: Folded, _: &mut Context<Self>) {
-        for (offset, record) in message.records {
-            if offset < self.state.next {
-                continue;
-            }
-            self.state.fold(offset, record);
-            self.note(offset);
+        self.log_seen = Some(self.now());
+        let mut changed = false;
+        for it in message.records {
+            changed |= self.fold(it.offset, &it.text, it.ticket);
         }
-        if !self.ready && !self.state.objects.is_empty() {
-            self.ready = true;
-            let detail = format!("offset {}", self.state.next);
-            self.events.record(Code::Ready, Fields { subject: &self.name, detail: &detail });
+        if changed {
+            self.publish();
+            self.spread();
+        }
+    }
+}
+
+impl Handler<Restored> for Publisher {
+    type Return = ();
+
+    async fn handle(&mut self, message: Restored, _: &mut Context<Self>) {
+        if self.adopt(message.state, Code::StateFromSnapshot, "") {
+            self.publish();
+            self.spread();
         }
-        self.publish();
     }
 }
 
@@ -171,21 +270,55 @@
     type Return = ();
 
     async fn handle(&mut self, message: Listed, _: &mut Context<Self>) {
-        let new: BTreeMap<_, _> =
-            message.instances.into_iter().map(|it| (it.name.clone(), it)).collect();
-        self.note_list_changes(&new);
-        self.instances = new;
-        self.reports.retain(|name, _| self.instances.contains_key(name));
-        self.sent.retain(|name, _| self.instances.contains_key(name));
+        let before: HashMap<String, Standing> =
+            self.roster.instances().map(|it| (it.name.clone(), it.standing)).collect();
+        let changed = self.roster.read(message.instances);
+        for name in &changed {
+            self.note_line(name, before.get(name).copied());
+        }
+        if changed.is_empty() {
+            return;
+        }
+        let known: Vec<u64> =
+            self.roster.instances().map(|it| hash_bytes(it.name.as_bytes())).collect();
+        self.loads.retain(|id| known.contains(&id));
+        let roster = &self.roster;
+        self.sent.retain(|name, _| roster.get(name).is_some());
         self.publish();
+        self.spread();
     }
 }
 
 impl Handler<Reported> for Publisher {
     type Return = ();
 
-    async fn handle(&mut self, message: Reported, _: &mut Context<Self>) {
-        self.reports.insert(message.name, message.report);
+    async fn handle(&mut self, message: Reported, ctx: &mut Context<Self>) {
+        let wall = self.parts.clock.wall().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let id = hash_bytes(message.name.as_bytes());
+        self.loads.asked(id, message.report, wall.as_millis() as u64);
+        self.publish_soon(ctx);
+    }
+}
+
+impl Publisher {
+    /// Publishes within [`COALESCE`], together with what else changes by then.
+    pub(super) fn publish_soon(&mut self, ctx: &mut Context<Self>) {
+        if std::mem::replace(&mut self.flushing, true) {
+            return;
+        }
+        let own = ctx.mailbox().address();
+        tokio::spawn(async move {
+            tokio::time::sleep(COALESCE).await;
+            let _ = own.send(Flush).await;
+        });
+    }
+}
+
+impl Handler<Flush> for Publisher {
+    type Return = ();
+
+    async fn handle(&mut self, _: Flush, _: &mut Context<Self>) {
+        self.flushing = false;
         self.publish();
     }
 }
@@ -194,8 +327,25 @@
     type Return = ();
 
     async fn handle(&mut self, _: Leave, _: &mut Context<Self>) {
-        self.leaving = true;
+        self.members.leave();
         self.publish();
+        self.spread();
+    }
+}
+
+impl Handler<TailQuery> for Publisher {
+    type Return = TailPlan;
+
+    async fn handle(&mut self, _: TailQuery, _: &mut Context<Self>) -> TailPlan {
+        let rank = self.own_rank(hash_bytes(TAIL_KEY));
+        let silence = self.parts.upkeep.log_wait + SILENCE;
+        let now = self.now();
+        let quiet = self.log_seen.is_none_or(|it| now.saturating_duration_since(it) > silence);
+        TailPlan {
+            follow: rank < TAILERS || quiet,
+            writer: rank == 0,
+            state: Arc::clone(&self.state),
+        }
     }
 }
 
@@ -203,7 +353,8 @@
     type Return = Vec<(String, SocketAddr)>;
 
     async fn handle(&mut self, _: Targets, _: &mut Context<Self>) -> Self::Return {
-        let engines = self.instances.values().filter(|it| it.role == Role::Engine);
-        engines.map(|it| (it.name.clone(), it.address)).collect()
+        let engines = self.roster.instances().filter(|it| it.role == Role::Engine);
+        let own = engines.filter(|it| self.own_rank(hash_bytes(it.name.as_bytes())) == 0);
+        own.map(|it| (it.name.clone(), it.address)).collect()
     }
 }
--- /dev/null
+++ b/src/controllers/round.rs
@@ -0,0 +1,390 @@
+//! Exchanges between routers: what is sent, and what is made of what comes.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use rand::Rng;
+use xtra::prelude::*;
+
+use crate::controllers::Publisher;
+use crate::controllers::messages::{Answered, Exchange, NextRound, Round};
+use crate::controllers::ticket_tail::read_text;
+use crate::events::Code;
+use crate::fleet::{Crash, Mark, Purpose};
+use crate::state::InForce;
+use crate::wire::{Bulk, GOSSIP_VERSION, Gossip, MemberStatus, Part, Want, WireInForce, WireMark};
+
+/// Bytes of records that go along unasked; more is announced and fetched.
+const INLINE_BYTES: usize = 800;
+/// Bytes of records in a reply to a peer that asks.
+const PULL_BYTES: usize = 2_048;
+/// Bytes of one part of the whole state.
+const PART_BYTES: usize = 2_048;
+/// Bytes of list lines in one message.
+const LINE_BYTES: usize = 500;
+/// Leaving marks in one message.
+const MARKS: usize = 16;
+/// Rows about routers in one message.
+const MEMBERS: usize = 3;
+/// Crash reports in one message.
+const CRASHES: usize = 8;
+/// Load rows in one message.
+const LOADS: usize = 8;
+/// Times that a crash report is passed on.
+const CRASH_SENDS: u32 = 6;
+/// How long a whole state is kept for the peer that fetches it.
+const BULK_TIME: Duration = Duration::from_secs(10);
+/// One in this many exchanges tries a router that is held for dead.
+const DEAD_TRIES: u32 = 10;
+
+/// What this router fetches from a peer.
+#[derive(Debug)]
+pub(super) struct Pull {
+    peer: String,
+    addr: SocketAddr,
+    /// Whether an exchange is under way.
+    busy: bool,
+    /// Offset and parts of the whole state so far.
+    whole: Option<(u64, Vec<String>)>,
+}
+
+impl Publisher {
+    /// A message to `peer`: the urgent first, loads only out of debt.
+    fn compose(&mut self, peer: &str) -> Gossip {
+        let now = self.now();
+        let log_age = self.log_seen.map(|it| now.saturating_duration_since(it).as_millis() as u64);
+        let marks = self.parts.marks.fresh(MARKS, now).into_iter().map(WireMark::from).collect();
+        let rich = self.parts.budget.balance(Purpose::Gossip) > 0.0;
+        let loads = if rich { self.loads.fresh(LOADS) } else { Vec::new() };
+        Gossip {
+            version: GOSSIP_VERSION,
+            from: self.members.own().clone(),
+            next: self.state.next,
+            chain: self.state.chain,
+            log_age,
+            marks,
+            records: self.inline(peer),
+            want: None,
+            part: None,
+            members: self.members.rows(peer, MEMBERS),
+            crashes: self.crash_rows(),
+            lines: self.roster.fresh(LINE_BYTES),
+            loads,
+        }
+    }
+
+    /// The records that `peer` lacks, if they are few.
+    fn inline(&self, peer: &str) -> Vec<(u64, String)> {
+        let Some(from) = self.peers.get(peer).filter(|it| **it < self.state.next) else {
+            return Vec::new();
+        };
+        let records = self.history.since(*from, INLINE_BYTES).unwrap_or_default();
+        let bytes: usize = records.iter().map(|it| it.1.len()).sum();
+        let whole = records.last().is_some_and(|it| it.0 + 1 == self.state.next);
+        if whole && bytes <= INLINE_BYTES { records } else { Vec::new() }
+    }
+
+    fn crash_rows(&mut self) -> Vec<(u64, u64, u64)> {
+        let new = self.parts.crashes.since(self.crash_cursor);
+        self.crash_cursor += new.len();
+        self.crashes.extend(new.into_iter().map(|it| (it, CRASH_SENDS)));
+        self.crashes.sort_by_key(|it| std::cmp::Reverse(it.1));
+        let rows = self.crashes.iter_mut().take(CRASHES).map(|(it, sends)| {
+            *sends -= 1;
+            (it.fingerprint, it.server, it.incarnation)
+        });
+        let rows = rows.collect();
+        self.crashes.retain(|it| it.1 > 0);
+        rows
+    }
+
+    /// Takes in what a peer tells.
+    fn absorb(&mut self, message: Gossip) {
+        let now = self.now();
+        let peer = message.from.name.clone();
+        let before = self.members.own().incarnation;
+        let mut changed = self.members.learn(message.from.clone(), now);
+        for it in message.members {
+            changed |= self.members.learn(it, now);
+        }
+        if self.members.own().incarnation != before {
+            self.record(Code::SuspicionRefuted, &self.parts.own.name, &format!("told by {peer}"));
+        }
+        let mut news = changed;
+        for it in message.marks {
+            let mark = Mark::from(it);
+            if self.parts.marks.insert(&mark, now) {
+                self.record(Code::MarkedLeaving, &mark.name, &format!("told by {peer}"));
+                news = true;
+            }
+        }
+        for it in message.lines {
+            let name = it.name.clone();
+            let standing = self.roster.get(&name).map(|it| it.standing);
+            if self.roster.learn(it) {
+                self.note_line(&name, standing);
+                news = true;
+            }
+        }
+        for (fingerprint, server, incarnation) in message.crashes {
+            self.parts.crashes.insert(Crash { fingerprint, server, incarnation });
+        }
+        for it in &message.loads {
+            changed |= self.loads.learn(it);
+        }
+        for (offset, text) in message.records {
+            let ticket = read_text(&text);
+            news |= self.fold(offset, &text, ticket);
+        }
+        if let Some(age) = message.log_age {
+            let seen = now.checked_sub(Duration::from_millis(age));
+            self.log_seen = self.log_seen.max(seen);
+        }
+        self.compare(&peer, message.next, message.chain);
+        self.peers.insert(peer.clone(), message.next);
+        if message.next > self.state.next && self.pull.is_none() {
+            let addr = message.from.control;
+            self.pull = Some(Pull { peer, addr, busy: false, whole: None });
+            self.news.notify_one();
+        }
+        if news {
+            self.spread();
+        }
+        if news || changed {
+            self.publish();
+        }
+    }
+
+    /// Says so when `peer` folded other records up to the same offset.
+    fn compare(&self, peer: &str, next: u64, chain: u64) {
+        let first = self.peers.get(peer) != Some(&next);
+        if first && next == self.state.next && chain != self.state.chain {
+            self.record(Code::StateDiffers, peer, &format!("offset {next}"));
+        }
+    }
+
+    /// Fills `reply` with what the peer wants.
+    fn serve(&mut self, want: Want, reply: &mut Gossip) {
+        reply.records.clear();
+        if want.next >= self.state.next {
+            return;
+        }
+        if want.whole == 0
+            && let Some(records) = self.history.since(want.next, PULL_BYTES)
+        {
+            reply.records = records;
+            return;
+        }
+        reply.part = self.part(want);
+    }
+
+    /// A part of the whole state; it is cut anew when nobody fetches the old one.
+    fn part(&mut self, want: Want) -> Option<Part> {
+        let now = self.now();
+        let stale = self.bulk.as_ref().is_none_or(|(whole, _, used)| {
+            *whole <= want.next || now.saturating_duration_since(*used) > BULK_TIME
+        });
+        if stale {
+            let mut state = WireInForce::from(self.state.as_ref());
+            state.outcomes.clear();
+            let bulk = Bulk { state, lines: self.roster.rows() };
+            let text = serde_json::to_string(&bulk).ok()?;
+            self.bulk = Some((self.state.next, cut(&text, PART_BYTES), now));
+        }
+        let (whole, parts, used) = self.bulk.as_mut()?;
+        *used = now;
+        let part = if want.whole == *whole { want.part } else { 0 };
+        let text = parts.get(part)?.clone();
+        Some(Part { whole: *whole, part, parts: parts.len(), text })
+    }
+
+    /// Adds a part of the whole state, and takes it when it is complete.
+    fn gather(&mut self, peer: &str, part: Part) {
+        let Some(pull) = &mut self.pull else {
+            return;
+        };
+        let (whole, texts) = pull.whole.get_or_insert_default();
+        if *whole != part.whole {
+            *whole = part.whole;
+            texts.clear();
+        }
+        if texts.len() != part.part {
+            return;
+        }
+        texts.push(part.text);
+        if texts.len() < part.parts {
+            return;
+        }
+        let text = texts.concat();
+        pull.whole = None;
+        let Ok(bulk) = serde_json::from_str::<Bulk>(&text) else {
+            return;
+        };
+        for it in bulk.lines {
+            self.roster.learn(it);
+        }
+        if let Ok(state) = InForce::try_from(bulk.state)
+            && self.adopt(state, Code::StateFromPeer, &format!(" of {peer}"))
+        {
+            self.spread();
+        }
+        self.publish();
+    }
+
+    /// The exchange that fetches what this router lacks.
+    fn pull_round(&mut self) -> Option<Round> {
+        let pull = self.pull.as_mut().filter(|it| !it.busy)?;
+        pull.busy = true;
+        let (whole, part) = pull.whole.as_ref().map_or((0, 0), |it| (it.0, it.1.len()));
+        let (peer, addr) = (pull.peer.clone(), pull.addr);
+        let mut message = self.compose(&peer);
+        message.want = Some(Want { next: self.state.next, whole, part });
+        Some(Round { peer, addr, message, pull: true })
+    }
+
+    /// A random peer; on urgent news one that is known to lag behind, if any.
+    fn pick(&mut self, urgent: bool) -> Option<(String, SocketAddr)> {
+        let (live, dead) = self.contacts();
+        let next = self.state.next;
+        let lags = |name: &String| self.peers.get(name).is_none_or(|it| *it < next);
+        let mut found: Vec<_> = live.iter().collect();
+        if urgent && found.iter().any(|it| lags(it.0)) {
+            found.retain(|it| lags(it.0));
+        }
+        if !dead.is_empty() && (found.is_empty() || self.rng.random_ratio(1, DEAD_TRIES)) {
+            found = dead.iter().collect();
+        }
+        if found.is_empty() {
+            return None;
+        }
+        let (name, addr) = found[self.rng.random_range(0..found.len())];
+        Some((name.clone(), *addr))
+    }
+
+    /// Regular upkeep of marks and membership.
+    fn expire(&mut self, now: Instant) {
+        let dead = self.members.expire(now);
+        for name in &dead {
+            self.record(Code::RouterDead, name, "");
+            self.peers.remove(name);
+        }
+        if self.parts.marks.expire(now) || !dead.is_empty() {
+            self.publish();
+        }
+    }
+}
+
+impl Handler<NextRound> for Publisher {
+    type Return = Option<Round>;
+
+    async fn handle(&mut self, message: NextRound, _: &mut Context<Self>) -> Option<Round> {
+        if message.due {
+            self.expire(self.now());
+        }
+        if let Some(round) = self.pull_round() {
+            return Some(round);
+        }
+        let urgent = self.pushes > 0;
+        if !urgent && !message.due {
+            return None;
+        }
+        self.pushes = self.pushes.saturating_sub(1);
+        let (peer, addr) = self.pick(urgent)?;
+        // A push is taken for received until the reply says otherwise, so that
+        // the next one goes elsewhere.
+        let message = self.compose(&peer);
+        self.peers.insert(peer.clone(), self.state.next);
+        Some(Round { peer, addr, message, pull: false })
+    }
+}
+
+impl Handler<Answered> for Publisher {
+    type Return = ();
+
+    async fn handle(&mut self, message: Answered, _: &mut Context<Self>) {
+        let Answered { peer, pull, reply } = message;
+        let mut served = false;
+        match reply {
+            Ok(mut reply) if reply.version == GOSSIP_VERSION => {
+                self.members.succeeded(&peer);
+                served = reply.part.is_some() || !reply.records.is_empty();
+                let part = reply.part.take();
+                self.absorb(reply);
+                if let Some(part) = part {
+                    self.gather(&peer, part);
+                }
+            }
+            Ok(reply) => {
+                self.record(Code::PeerRefused, &peer, &format!("version {}", reply.version));
+            }
+            Err(e) => {
+                self.peers.remove(&peer);
+                if self.members.failed(&peer, self.now()) {
+                    self.record(Code::RouterSuspected, &peer, &e.to_string());
+                    self.spread();
+                }
+            }
+        }
+        if pull {
+            let behind = self.peers.get(&peer).is_some_and(|it| *it > self.state.next);
+            match &mut self.pull {
+                Some(it) if behind && served => it.busy = false,
+                _ => self.pull = None,
+            }
+            self.news.notify_one();
+        }
+    }
+}
+
+impl Handler<Exchange> for Publisher {
+    type Return = Gossip;
+
+    async fn handle(&mut self, message: Exchange, _: &mut Context<Self>) -> Gossip {
+        let message = message.message;
+        let peer = message.from.name.clone();
+        let want = message.want;
+        if message.version == GOSSIP_VERSION {
+            self.absorb(message);
+        } else {
+            self.record(Code::PeerRefused, &peer, &format!("version {}", message.version));
+        }
+        let mut reply = self.compose(&peer);
+        if let Some(want) = want {
+            self.serve(want, &mut reply);
+        }
+        if self.members.get(&peer).is_some_and(|it| it.status == MemberStatus::Dead) {
+            self.members.succeeded(&peer);
+        }
+        reply
+    }
+}
+
+/// Cuts `text` into pieces of about `bytes`, between characters.
+fn cut(text: &str, bytes: usize) -> Vec<String> {
+    let mut rest = text;
+    let mut pieces = Vec::new();
+    while !rest.is_empty() {
+        let mut at = bytes.min(rest.len());
+        while !rest.is_char_boundary(at) {
+            at += 1;
+        }
+        let (piece, tail) = rest.split_at(at);
+        pieces.push(piece.to_owned());
+        rest = tail;
+    }
+    pieces
+}
+
+impl From<Mark> for WireMark {
+    fn from(it: Mark) -> WireMark {
+        let left_ms = it.left.as_millis() as u64;
+        WireMark { name: it.name, incarnation: it.incarnation, left_ms }
+    }
+}
+
+impl From<WireMark> for Mark {
+    fn from(it: WireMark) -> Mark {
+        let left = Duration::from_millis(it.left_ms);
+        Mark { name: it.name, incarnation: it.incarnation, left }
+    }
+}
--- /dev/null
+++ b/src/controllers/view_parts.rs
@@ -0,0 +1,70 @@
+//! Builds the parts of the view.
+
+use std::collections::{BTreeSet, HashMap};
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+
+use crate::controllers::engine_side::engine;
+use crate::decide::hash_bytes;
+use crate::fleet::{BackendServer, LoadTable, Members, Pool, Roster, Router};
+use crate::wire::{MemberStatus, Role, Standing, WireMember};
+
+/// Backend servers by pool; those `marked` as leaving are so, whatever the list says.
+pub(super) fn pools(
+    roster: &Roster,
+    loads: &LoadTable,
+    marked: impl Fn(&str, u64) -> bool,
+    sent: &mut HashMap<String, Arc<AtomicU64>>,
+) -> HashMap<String, Pool> {
+    let mut pools: HashMap<String, Pool> = HashMap::new();
+    for it in roster.instances().filter(|it| it.role != Role::Entry) {
+        let report = loads.get(hash_bytes(it.name.as_bytes()));
+        let mut it = it.clone();
+        if marked(&it.name, report.map_or(0, |it| it.incarnation)) {
+            it.standing = Standing::Leaving;
+        }
+        let pool = pools.entry(it.pool.clone()).or_default();
+        let sent = Arc::clone(sent.entry(it.name.clone()).or_default());
+        if it.standing == Standing::Live {
+            pool.figures.add(report);
+        }
+        pool.engines.push(engine(&it, report, sent));
+        pool.servers.push(BackendServer { name: it.name, address: it.address, domain: it.domain });
+    }
+    pools
+}
+
+/// All routers: those listed, those that only gossip knows, and this one. A
+/// listed router that gossip holds for dead takes no callers.
+pub(super) fn routers(roster: &Roster, members: &Members) -> Vec<Router> {
+    let mut routers = Vec::new();
+    let mut names = BTreeSet::new();
+    for it in roster.instances().filter(|it| it.role == Role::Entry) {
+        let own = Some(members.own()).filter(|own| own.name == it.name);
+        let status = own.or_else(|| members.get(&it.name)).map(|it| it.status);
+        let out = matches!(status, Some(MemberStatus::Leaving | MemberStatus::Dead));
+        names.insert(it.name.as_str());
+        routers.push(Router {
+            name: it.name.clone(),
+            id: hash_bytes(it.name.as_bytes()),
+            address: it.address,
+            control: it.control,
+            domain: it.domain.clone(),
+            leaving: out || it.standing == Standing::Leaving,
+        });
+    }
+    let known = members.others().chain([members.own()]);
+    routers.extend(known.filter(|it| !names.contains(it.name.as_str())).map(router));
+    routers
+}
+
+fn router(it: &WireMember) -> Router {
+    Router {
+        name: it.name.clone(),
+        id: hash_bytes(it.name.as_bytes()),
+        address: it.address,
+        control: Some(it.control),
+        domain: it.domain.clone(),
+        leaving: it.status == MemberStatus::Leaving,
+    }
+}
--- a/src/daemon/control_api.rs
+++ b/src/daemon/control_api.rs
@@ -7,8 +7,11 @@
 use warp::http::{HeaderMap, StatusCode};
 use warp::reply::Response;
 use warp::{Filter, Reply};
+use xtra::Address;
 
 use crate::backend::TOKEN_HEADER;
+use crate::controllers::Publisher;
+use crate::daemon::gossip_api::gossip_calls;
 use crate::events::{Code, Fields};
 use crate::filters::{Reason, Refusal, Shared};
 use crate::wire::{WireInForce, WireOutcome};
@@ -27,9 +30,11 @@
 /// All calls of the control side.
 pub(crate) fn control_calls(
     shared: &Arc<Shared>,
+    publisher: &Address<Publisher>,
 ) -> impl Filter<Extract = (Response,), Error = Infallible> + Clone + Send + Sync + 'static + use<>
 {
-    open_calls(shared).or(guarded_calls(shared)).unify().recover(unknown).unify()
+    let calls = open_calls(shared).or(guarded_calls(shared)).unify();
+    calls.or(gossip_calls(shared, publisher)).unify().recover(unknown).unify()
 }
 
 /// Calls that need no token.
@@ -93,15 +98,23 @@
     headers: &HeaderMap,
     serve: impl FnOnce(&Shared) -> Response,
 ) -> Response {
+    match refuse_stranger(shared, headers) {
+        Some(refusal) => refusal,
+        None => serve(shared),
+    }
+}
+
+/// The answer 401 for a caller that does not show the token.
+pub(crate) fn refuse_stranger(shared: &Shared, headers: &HeaderMap) -> Option<Response> {
     let shown = headers.get(TOKEN_HEADER).map_or(&[][..], |it| it.as_bytes());
     let right = blake3::hash(shown) == blake3::hash(shared.settings.token.as_bytes());
     if right {
-        return serve(shared);
+        return None;
     }
     let fields = Fields { subject: "", detail: "control call" };
     shared.events.record(Code::Unauthorised, fields);
     let message = format!("header `{TOKEN_HEADER}` is missing or wrong");
-    Refusal::not_run(Reason::Unauthorised, message).reply("").into_response()
+    Some(Refusal::not_run(Reason::Unauthorised, message).reply("").into_response())
 }
 
 async fn unknown(_: warp::Rejection) -> Result<Response, Infallible> {
--- a/src/daemon/control_thread.rs
+++ b/src/daemon/control_thread.rs
@@ -3,20 +3,23 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::thread::{self, JoinHandle};
+use std::time::UNIX_EPOCH;
 
 use error_stack::{Report, ResultExt};
 use tokio::net::TcpListener;
 use tokio::runtime::Builder;
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 use tokio::time::sleep;
 use xtra::{Address, Mailbox};
 
-use crate::backend::{ControlHttp, EngineClient, ListClient, LogClient};
-use crate::controllers::{Leave, Publisher, tail_tickets, watch_list, watch_loads};
+use crate::backend::{ControlHttp, EngineClient, ListClient, LogClient, RouterClient};
+use crate::controllers::{Leave, Parts, Publisher, Tail, exchange_gossip, watch_list, watch_loads};
 use crate::daemon::control_api::control_calls;
 use crate::daemon::daemon::{grace, listen};
 use crate::daemon::{DaemonError, Stop, serve};
 use crate::filters::Shared;
+use crate::fleet::Purpose;
+use crate::wire::{MemberStatus, WireMember};
 
 /// A started control thread.
 #[derive(Debug)]
@@ -33,6 +36,7 @@
     /// Starts the thread of an instance.
     pub(crate) fn start(
         shared: &Arc<Shared>,
+        callers: SocketAddr,
         stop: watch::Receiver<Stop>,
     ) -> Result<ControlThread, Report<DaemonError>> {
         let listener = listen(shared.settings.control)?;
@@ -43,7 +47,8 @@
             .change_context(DaemonError::SetUp)?;
         let (tell, drained) = watch::channel(Stop::Run);
         let shared = Arc::clone(shared);
-        let body = move || runtime.block_on(run(&shared, listener, stop, tell));
+        let own = own_member(&shared, callers, address);
+        let body = move || runtime.block_on(run(&shared, own, listener, stop, tell));
         let thread = thread::Builder::new()
             .name("control".to_owned())
             .spawn(body)
@@ -55,17 +60,19 @@
 /// Runs all controllers until the instance is cut.
 async fn run(
     shared: &Arc<Shared>,
+    own: WireMember,
     listener: std::net::TcpListener,
     mut stop: watch::Receiver<Stop>,
     tell: watch::Sender<Stop>,
 ) {
-    let publisher = start_controllers(shared);
+    let publisher = start_controllers(shared, own);
     if let Ok(listener) = TcpListener::from_std(listener) {
         let shared = Arc::clone(shared);
         let cut = stop.clone();
+        let publisher = publisher.clone();
         tokio::spawn(async move {
             let limits = shared.settings.limits.clone();
-            serve(listener, control_calls(&shared), &limits, only_cut(cut)).await;
+            serve(listener, control_calls(&shared, &publisher), &limits, only_cut(cut)).await;
         });
     }
     loop {
@@ -104,19 +111,48 @@
     told
 }
 
+/// This router as peers see it; the time of its start is its incarnation.
+fn own_member(shared: &Shared, callers: SocketAddr, control: SocketAddr) -> WireMember {
+    let wall = shared.clock.wall().duration_since(UNIX_EPOCH).unwrap_or_default();
+    WireMember {
+        name: shared.settings.name.clone(),
+        incarnation: wall.as_micros() as u64,
+        status: MemberStatus::Alive,
+        address: callers,
+        control,
+        domain: shared.settings.domain.clone(),
+    }
+}
+
 /// Starts the publisher and all that feed it.
-fn start_controllers(shared: &Arc<Shared>) -> Address<Publisher> {
+fn start_controllers(shared: &Arc<Shared>, own: WireMember) -> Address<Publisher> {
     let settings = &shared.settings;
     let upkeep = &settings.upkeep;
     let events = &shared.events;
     let http = ControlHttp::new(shared.http.clone(), Arc::clone(&shared.meter));
-    let actor = Publisher::new(&settings.name, Arc::clone(&shared.view), Arc::clone(events));
+    let paid = |purpose| http.paid(&shared.budget, purpose);
+    let news = Arc::new(Notify::new());
+    let parts = Parts {
+        own,
+        cell: Arc::clone(&shared.view),
+        events: Arc::clone(events),
+        clock: Arc::clone(&shared.clock),
+        marks: Arc::clone(&shared.marks),
+        crashes: Arc::clone(&shared.crashes),
+        budget: Arc::clone(&shared.budget),
+        upkeep: upkeep.clone(),
+        seeds: settings.seeds.clone(),
+    };
+    let actor = Publisher::new(parts, Arc::clone(&news));
     let publisher = xtra::spawn_tokio(actor, Mailbox::unbounded());
-    let log = LogClient::new(http.clone(), settings.log);
-    tokio::spawn(tail_tickets(log, publisher.clone(), Arc::clone(events), upkeep.clone()));
-    let list = ListClient::new(http.clone(), settings.list);
+    let log = LogClient::new(paid(Purpose::Log), settings.log);
+    let tail = Tail::new(log, publisher.clone(), Arc::clone(events), upkeep.clone());
+    tokio::spawn(tail.run());
+    let list = ListClient::new(paid(Purpose::List), settings.list);
     tokio::spawn(watch_list(list, publisher.clone(), Arc::clone(events), upkeep.clone()));
-    let engines = EngineClient::new(http);
+    let engines = EngineClient::new(paid(Purpose::Load));
     tokio::spawn(watch_loads(engines, publisher.clone(), upkeep.clone()));
+    let routers = RouterClient::new(paid(Purpose::Gossip), &settings.token);
+    tokio::spawn(exchange_gossip(routers, publisher.clone(), news, upkeep.gossip_every));
     publisher
 }
--- a/src/daemon/daemon.rs
+++ b/src/daemon/daemon.rs
@@ -20,7 +20,7 @@
 use crate::decide::QueueLimits;
 use crate::events::{Code, EventLog, Fields};
 use crate::filters::{Counters, Shared, callers};
-use crate::fleet::ViewCell;
+use crate::fleet::{Budget, ViewCell};
 use crate::settings::Settings;
 
 /// An instance that cannot start.
@@ -76,6 +76,8 @@
             view: Arc::new(ViewCell::default()),
             events,
             meter: Arc::default(),
+            marks: Arc::default(),
+            budget: Arc::new(Budget::new(settings.upkeep.budget.as_u64(), Arc::clone(&clock))),
             crashes: Arc::default(),
             gates: Gates::new(QueueLimits::from(&settings.admission)),
             counters: Counters::new().change_context(DaemonError::SetUp)?,
@@ -92,7 +94,7 @@
         let listener = listen(shared.settings.listen)?;
         let address = listener.local_addr().change_context(DaemonError::SetUp)?;
         let (stop, stopped) = watch::channel(Stop::Run);
-        let control = ControlThread::start(&shared, stopped.clone())?;
+        let control = ControlThread::start(&shared, address, stopped.clone())?;
         let (give, done) = oneshot::channel();
         let it = Arc::clone(&shared);
         let drained = control.drained;
--- a/src/events/code.rs
+++ b/src/events/code.rs
@@ -44,12 +44,24 @@
     201 TicketRejected "a ticket did not come into force";
     202 LogUnreachable "the log service does not answer";
     203 LogReachable "the log service answers again";
+    204 LogRewound "the log lacks records that are in force";
+    205 NoState "neither the log nor a peer has a state to start from";
+    206 StateDiffers "a peer folded other records up to the same offset";
+    207 HistoryGap "the log no longer keeps the records that come next";
+    208 StateFromSnapshot "the state was taken from a snapshot in the log";
+    209 StateFromPeer "the state was taken from a peer";
+    210 SnapshotWritten "a snapshot was written to the log";
     // 3xx: membership
     300 ListUnreachable "the instance list does not answer";
     301 ListReachable "the instance list answers again";
     302 InstanceJoined "an instance joined";
     303 InstanceLeaving "an instance is leaving";
     304 InstanceGone "an instance is gone";
+    305 RouterSuspected "a router does not answer";
+    306 RouterDead "a router did not object to the suspicion in time";
+    307 SuspicionRefuted "this router objected to a suspicion of itself";
+    308 MarkedLeaving "a backend server is marked as leaving";
+    309 PeerRefused "an exchange with a peer of another version was refused";
     // 4xx: placement and admission
     400 Placed "a request was given to a backend server";
     401 NoRoom "no backend server takes the request at present";
--- a/src/filters/shared.rs
+++ b/src/filters/shared.rs
@@ -13,7 +13,7 @@
 use crate::decide::Verdict;
 use crate::events::EventLog;
 use crate::filters::Arm;
-use crate::fleet::{CrashBoard, ViewCell};
+use crate::fleet::{Budget, CrashBoard, MarkBoard, ViewCell};
 use crate::settings::Settings;
 
 /// What all requests of a router share.
@@ -29,6 +29,10 @@
     pub counters: Counters,
     /// Bytes of control calls.
     pub meter: Arc<Meter>,
+    /// Backend servers that are leaving.
+    pub marks: Arc<MarkBoard>,
+    /// Budget of control calls.
+    pub budget: Arc<Budget>,
     /// Requests that crashed backend servers.
     pub crashes: Arc<CrashBoard>,
     /// Gates in front of the pools.
--- /dev/null
+++ b/src/fleet/mark_board.rs
@@ -0,0 +1,91 @@
+//! Leaving marks of backend servers, from any source.
+
+use std::collections::BTreeMap;
+use std::sync::Mutex;
+use std::time::{Duration, Instant};
+
+/// Times that a mark is passed on.
+const SENDS: u32 = 6;
+/// Marks kept at most.
+const CAPACITY: usize = 4_096;
+
+plain! {
+    /// A backend server that takes no new work.
+    pub struct Mark {
+        /// Its name.
+        pub name: String,
+        /// Incarnation that leaves; 0 when not known.
+        pub incarnation: u64,
+        /// How long the mark still holds.
+        pub left: Duration,
+    }
+}
+
+#[derive(Debug)]
+struct Kept {
+    incarnation: u64,
+    until: Instant,
+    sends: u32,
+}
+
+/// All leaving marks that hold. A mark outlives list versions that still show
+/// the backend server as live, and ends with its time or a new incarnation.
+#[derive(Debug, Default)]
+pub struct MarkBoard {
+    marks: Mutex<BTreeMap<String, Kept>>,
+}
+
+impl MarkBoard {
+    /// Adds a mark seen here or told by a peer; true when it is news. The same
+    /// mark again only holds longer, which is passed on too.
+    pub fn insert(&self, mark: &Mark, now: Instant) -> bool {
+        let mut marks = self.marks.lock().unwrap();
+        if marks.len() >= CAPACITY && !marks.contains_key(&mark.name) {
+            return false;
+        }
+        let until = now + mark.left;
+        let fresh = marks.get(&mark.name).is_none_or(|it| it.incarnation < mark.incarnation);
+        if fresh {
+            let kept = Kept { incarnation: mark.incarnation, until, sends: SENDS };
+            marks.insert(mark.name.clone(), kept);
+        } else if let Some(it) = marks.get_mut(&mark.name) {
+            it.until = it.until.max(until);
+        }
+        fresh
+    }
+
+    /// Whether the incarnation of the backend server called `name` is leaving; a
+    /// later incarnation than the marked one has joined again.
+    pub fn holds(&self, name: &str, incarnation: u64, now: Instant) -> bool {
+        let marks = self.marks.lock().unwrap();
+        marks.get(name).is_some_and(|it| {
+            let same = it.incarnation == 0 || incarnation == 0 || incarnation <= it.incarnation;
+            same && it.until > now
+        })
+    }
+
+    /// Forgets marks whose time is over; true when there were any.
+    pub fn expire(&self, now: Instant) -> bool {
+        let mut marks = self.marks.lock().unwrap();
+        let before = marks.len();
+        marks.retain(|_, it| it.until > now);
+        marks.len() != before
+    }
+
+    /// Marks to pass on, the freshest first, at most `most`.
+    pub fn fresh(&self, most: usize, now: Instant) -> Vec<Mark> {
+        let mut marks = self.marks.lock().unwrap();
+        let mut fresh: Vec<(&String, &mut Kept)> =
+            marks.iter_mut().filter(|(_, it)| it.sends > 0 && it.until > now).collect();
+        fresh.sort_by_key(|(_, it)| std::cmp::Reverse(it.sends));
+        fresh
+            .into_iter()
+            .take(most)
+            .map(|(name, it)| {
+                it.sends -= 1;
+                let left = it.until.saturating_duration_since(now);
+                Mark { name: name.clone(), incarnation: it.incarnation, left }
+            })
+            .collect()
+    }
+}
--- a/src/settings/check.rs
+++ b/src/settings/check.rs
@@ -10,6 +10,8 @@
 
 /// Fewest characters of the shared token.
 const MIN_TOKEN: usize = 16;
+/// Fewest control bytes a second.
+const MIN_BUDGET: u64 = 1_024;
 /// Most threads that carry requests.
 const MAX_THREADS: usize = 256;
 
@@ -62,7 +64,9 @@
 fn allowed_at(path: &str) -> &'static str {
     match path {
         "listen" | "control" | "log" | "list" => "an IP number with a port, as in `10.0.0.1:8080`",
-        "limits.body" | "limits.head" => "a size with a unit, as in `1MiB` or `16KiB`",
+        "limits.body" | "limits.head" | "state.budget" => {
+            "a size with a unit, as in `1MiB` or `16KiB`"
+        }
         _ if path.contains("control") => "an IP number with a port, as in `10.0.0.1:8080`",
         "." => "see `filberttiller init` for all keys",
         _ => "see `filberttiller init` for the form of each key; times have a unit, as in `500ms`",
@@ -120,6 +124,9 @@
         format!("it is {headroom}"),
         "at least 1 is needed",
     );
+    let budget = s.upkeep.budget.as_u64();
+    let enough = "at least 1KiB is needed";
+    expect(budget >= MIN_BUDGET, "state.budget", format!("it is {budget} bytes"), enough);
     for (place, time) in times(s) {
         expect(time > Duration::ZERO, place, "it is 0".to_owned(), "a time above 0 is needed");
     }
@@ -127,7 +134,7 @@
 }
 
 /// All times that must be above 0.
-fn times(s: &Settings) -> [(&'static str, Duration); 11] {
+fn times(s: &Settings) -> [(&'static str, Duration); 14] {
     [
         ("limits.receive", s.limits.receive),
         ("traffic.connect", s.traffic.connect),
@@ -136,6 +143,9 @@
         ("traffic.drain", s.traffic.drain),
         ("admission.wait", s.admission.wait),
         ("admission.aging", s.admission.aging),
+        ("state.gossip_every", s.upkeep.gossip_every),
+        ("state.mark_hold", s.upkeep.mark_hold),
+        ("state.snapshot_every", s.upkeep.snapshot_every),
         ("state.list_every", s.upkeep.list_every),
         ("state.load_every", s.upkeep.load_every),
         ("state.log_wait", s.upkeep.log_wait),
--- a/src/settings/control.rs
+++ b/src/settings/control.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use bytesize::ByteSize;
 use serde::Deserialize;
 
 plain! {
@@ -9,6 +10,18 @@
     #[derive(Deserialize)]
     #[serde(default, deny_unknown_fields)]
     pub struct Control {
+        /// Control bytes a second, both ways, heads included.
+        pub budget: ByteSize,
+        /// Pause between two exchanges with other routers while nothing changes.
+        #[serde(with = "humantime_serde")]
+        pub gossip_every: Duration,
+        /// How long a leaving mark holds against list versions that show the
+        /// backend server as live.
+        #[serde(with = "humantime_serde")]
+        pub mark_hold: Duration,
+        /// Pause between two snapshots in the log; well below its retention.
+        #[serde(with = "humantime_serde")]
+        pub snapshot_every: Duration,
         /// Pause between two looks at the instance list.
         #[serde(with = "humantime_serde")]
         pub list_every: Duration,
@@ -27,6 +40,10 @@
 impl Default for Control {
     fn default() -> Control {
         Control {
+            budget: ByteSize::kib(4),
+            gossip_every: Duration::from_secs(1),
+            mark_hold: Duration::from_secs(30),
+            snapshot_every: Duration::from_secs(600),
             list_every: Duration::from_secs(1),
             load_every: Duration::from_millis(500),
             log_wait: Duration::from_secs(10),
--- a/src/state/fold.rs
+++ b/src/state/fold.rs
@@ -201,7 +201,7 @@
 }
 
 /// Digest of one record, readable or not.
-fn record_digest(record: &Result<Ticket, String>) -> u64 {
+pub(crate) fn record_digest(record: &Result<Ticket, String>) -> u64 {
     match record {
         Ok(ticket) => ticket.digest,
         Err(fault) => hash_bytes(fault.as_bytes()),
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -1,6 +1,7 @@
 //! Tickets and the state that they put in force.
 
 mod fold;
+mod history;
 mod object;
 mod objects;
 mod rejection;
@@ -8,7 +9,9 @@
 mod ticket;
 mod ticket_error;
 
+pub(crate) use fold::record_digest;
 pub use fold::{ACCEPTED_KEPT, Accepted, Earlier, InForce, Outcome, Verdicts};
+pub use history::History;
 pub use object::{Kind, Object, Spec};
 pub use objects::{Held, Objects};
 pub use rejection::Rejection;
--- /dev/null
+++ b/src/wire/gossip.rs
@@ -0,0 +1,174 @@
+//! Messages between routers: one form for requests and replies.
+//!
+//! They travel as named maps, so that fields of a newer peer pass.
+
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+use crate::wire::{Instance, LoadReport, WireInForce};
+
+/// Version of the messages; a peer of another one is told so and left alone.
+pub const GOSSIP_VERSION: u16 = 1;
+
+key! {
+    /// What is thought of a router, by rank: of two rows with one incarnation,
+    /// the later one here holds.
+    #[derive(Serialize, Deserialize)]
+    #[serde(rename_all = "lowercase")]
+    pub enum MemberStatus {
+        /// It answers.
+        Alive,
+        /// It did not answer somebody.
+        Suspect,
+        /// It takes no new callers.
+        Leaving,
+        /// It did not object to the suspicion in time.
+        Dead,
+    }
+}
+
+wire! {
+    /// A router as others see it.
+    pub struct WireMember {
+        /// Its name.
+        #[serde(rename = "n")]
+        pub name: String,
+        /// Grows with each start and each objection to a suspicion.
+        #[serde(rename = "i")]
+        pub incarnation: u64,
+        /// What is thought of it.
+        #[serde(rename = "s")]
+        pub status: MemberStatus,
+        /// Address for callers.
+        #[serde(rename = "a")]
+        pub address: SocketAddr,
+        /// Address for control calls.
+        #[serde(rename = "c")]
+        pub control: SocketAddr,
+        /// Its failure domain.
+        #[serde(rename = "d")]
+        pub domain: String,
+    }
+
+    /// A backend server that takes no new work.
+    pub struct WireMark {
+        /// Its name.
+        #[serde(rename = "n")]
+        pub name: String,
+        /// Incarnation that leaves; 0 when not known.
+        #[serde(rename = "i")]
+        pub incarnation: u64,
+        /// How long the mark still holds, in milliseconds.
+        #[serde(rename = "t")]
+        pub left_ms: u64,
+    }
+
+    /// A line of the instance list, with the version that this fleet counts.
+    pub struct WireLine {
+        /// Counts the changes of this line.
+        #[serde(rename = "v")]
+        pub version: u64,
+        /// Its name.
+        #[serde(rename = "n")]
+        pub name: String,
+        /// The line; absent once the instance is gone.
+        #[serde(rename = "l", default, skip_serializing_if = "Option::is_none")]
+        pub line: Option<Instance>,
+    }
+
+    /// Load of an engine in short.
+    pub struct WireLoad(
+        /// Hash of its name.
+        pub u64,
+        /// Counts its reports.
+        pub u64,
+        /// Incarnation.
+        pub u64,
+        /// Tokens, running, queued, slots.
+        pub [u64; 4],
+    );
+
+    /// Asks for what the sender lacks.
+    #[derive(Copy)]
+    pub struct Want {
+        /// Offset of its first missing record.
+        pub next: u64,
+        /// The whole state up to this offset is being fetched; 0 for none.
+        #[serde(default)]
+        pub whole: u64,
+        /// Part of it that is asked for.
+        #[serde(default)]
+        pub part: usize,
+    }
+
+    /// A part of the whole state as JSON text.
+    pub struct Part {
+        /// Offset up to which the state goes.
+        pub whole: u64,
+        /// Number of this part, from 0.
+        pub part: usize,
+        /// Number of parts.
+        pub parts: usize,
+        /// The text.
+        pub text: String,
+    }
+
+    /// What a newcomer needs.
+    pub struct Bulk {
+        /// The state in force.
+        pub state: WireInForce,
+        /// The instance list.
+        pub lines: Vec<WireLine>,
+    }
+
+    /// One message.
+    pub struct Gossip {
+        /// Version of the form.
+        #[serde(rename = "v")]
+        pub version: u16,
+        /// The sender.
+        #[serde(rename = "f")]
+        pub from: WireMember,
+        /// Offset of the first record that it has not folded.
+        #[serde(rename = "o")]
+        pub next: u64,
+        /// Digest over all records that it has folded.
+        #[serde(rename = "h")]
+        pub chain: u64,
+        /// Time since anybody known to it heard from the log, in milliseconds.
+        #[serde(rename = "la", default, skip_serializing_if = "Option::is_none")]
+        pub log_age: Option<u64>,
+        /// Leaving marks.
+        #[serde(rename = "k", default, skip_serializing_if = "Vec::is_empty")]
+        pub marks: Vec<WireMark>,
+        /// Records of the ticket stream by offset.
+        #[serde(rename = "r", default, skip_serializing_if = "Vec::is_empty")]
+        pub records: Vec<(u64, String)>,
+        /// Asks for more.
+        #[serde(rename = "w", default, skip_serializing_if = "Option::is_none")]
+        pub want: Option<Want>,
+        /// A part of the whole state.
+        #[serde(rename = "p", default, skip_serializing_if = "Option::is_none")]
+        pub part: Option<Part>,
+        /// Routers.
+        #[serde(rename = "m", default, skip_serializing_if = "Vec::is_empty")]
+        pub members: Vec<WireMember>,
+        /// Crashes: fingerprint, server, incarnation.
+        #[serde(rename = "x", default, skip_serializing_if = "Vec::is_empty")]
+        pub crashes: Vec<(u64, u64, u64)>,
+        /// Lines of the instance list.
+        #[serde(rename = "l", default, skip_serializing_if = "Vec::is_empty")]
+        pub lines: Vec<WireLine>,
+        /// Loads of engines.
+        #[serde(rename = "e", default, skip_serializing_if = "Vec::is_empty")]
+        pub loads: Vec<WireLoad>,
+    }
+}
+
+impl From<&WireLoad> for LoadReport {
+    fn from(it: &WireLoad) -> LoadReport {
+        let [tokens, running, queued, slots] = it.3;
+        LoadReport { incarnation: it.2, tokens, running, queued, slots, ..LoadReport::default() }
+    }
+}
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -3,6 +3,7 @@
 mod api_error;
 mod chat;
 mod entry;
+mod gossip;
 mod in_force;
 mod instance;
 mod load;
@@ -12,6 +13,10 @@
 pub use api_error::{ApiError, ApiErrorBody};
 pub use chat::{ChatMessage, ChatRequest};
 pub use entry::{EntryAddress, EntryAnswer};
+pub use gossip::{
+    Bulk, GOSSIP_VERSION, Gossip, MemberStatus, Part, Want, WireLine, WireLoad, WireMark,
+    WireMember,
+};
 pub use in_force::{WireEarlier, WireHeld, WireInForce, WireOutcome};
 pub use instance::{Instance, Role, Standing};
 pub use load::{LoadReport, Loaded};
