--- a/src/decide/sent.rs
+++ b/src/decide/sent.rs
@@ -11,6 +11,8 @@
     placed: AtomicU64,
     /// `placed` when the last report came. Invariant: at most `placed`.
     marked: AtomicU64,
+    /// Sequence number of the report that was marked last.
+    report: AtomicU64,
 }
 
 impl Sent {
@@ -35,6 +37,13 @@
         self.marked.store(self.placed.load(Relaxed), Relaxed);
     }
 
+    /// Notes that the report with sequence number `seq` is the newest; once each.
+    pub fn mark_report(&self, seq: u64) {
+        if self.report.swap(seq, Relaxed) != seq {
+            self.mark();
+        }
+    }
+
     /// Tokens given since the last report came.
     pub fn fresh(&self) -> u64 {
         self.placed.load(Relaxed).saturating_sub(self.marked.load(Relaxed))
