Authenticate chat hints; decide on operation keys

Hints were plain text that any caller could write. They now carry a code under a key ring of the fleet, bound to organisation and chat. The pure decisions on once-only calls come with it; nothing uses them yet.

--- a/src/daemon/daemon.rs
+++ b/src/daemon/daemon.rs
@@ -19,6 +19,7 @@
 use crate::events::{Code, EventLog, Fields};
 use crate::filters::{Counters, Shared, callers};
 use crate::fleet::ViewCell;
+use crate::keys::KeyRing;
 use crate::settings::Settings;
 
 /// An instance that cannot start.
@@ -76,6 +77,7 @@
             meter: Arc::default(),
             crashes: Arc::default(),
             counters: Counters::new().change_context(DaemonError::SetUp)?,
+            keys: KeyRing::new(&settings.keys, &settings.token),
             clock,
             http,
             settings,
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -4,6 +4,7 @@
 mod engine;
 mod entry;
 mod hash;
+pub mod once;
 mod place;
 mod verdict;
 
--- /dev/null
+++ b/src/decide/once/mod.rs
@@ -0,0 +1,17 @@
+//! At most once without a consensus group: who may run an operation key, and
+//! what a repeat is answered.
+//!
+//! Every key has one owner, an incarnation of one router: the one that issued
+//! the key, or the one whose claim comes first in the log. Only the owner runs
+//! a call under the key, and its ledger lets it run once. docs/ONCE.md argues
+//! why that is enough.
+
+mod claims;
+mod ledger;
+mod op;
+mod route;
+
+pub use claims::{Claim, ClaimIndex, Held};
+pub use ledger::{Admit, Ended, Ledger, LedgerLimits};
+pub use op::{Op, Owner, Scope};
+pub use route::{Holder, Route, route};
--- a/src/events/code.rs
+++ b/src/events/code.rs
@@ -66,4 +66,16 @@
     509 Unauthorised "a call came without the right token";
     510 UnknownCall "a call names an unknown path or method";
     511 TooLarge "a request is larger than allowed";
+    // 6xx: once-only calls, keys and crashing requests
+    600 OnceRun "the owner of an operation key ran its call";
+    601 OnceRepeated "a repeat of a once-only call got the first answer";
+    602 OnceForwarded "a once-only call was sent on to the owner of its key";
+    603 KeyRefused "an operation key is forged or of another organisation";
+    604 KeyReused "an operation key came again with another call";
+    605 KeyExpired "an operation key is too old";
+    606 InProgress "a once-only call came again while it was running";
+    607 OutcomeUnknown "a once-only call may have run and its outcome is not known";
+    608 ClaimsUnavailable "an operation key could not be claimed in the log";
+    609 ClaimsGap "claims were lost from the log before they were read";
+    610 HintRefused "a chat hint is broken, forged or of another chat";
 }
--- a/src/filters/chat.rs
+++ b/src/filters/chat.rs
@@ -11,9 +11,10 @@
 use crate::events::{Code, Fields};
 use crate::filters::answer::{json, mark};
 use crate::filters::forward::{Chosen, Job, Plan, forward, send_failure};
-use crate::filters::hint::{read_hint, write_hint};
+use crate::filters::hint::read_hint;
 use crate::filters::stream::stream_answer;
 use crate::filters::{Call, HINT_HEADER, Reason, Refusal, Shared, Target};
+use crate::keys::write_hint;
 
 /// Answers `POST /v1/chat/completions`.
 pub(crate) async fn chat(shared: &Arc<Shared>, mut call: Call) -> Result<Response, Refusal> {
@@ -26,7 +27,7 @@
     request.model = name;
     let plan = Plan {
         key: combine(call.chat, hash_bytes(request.model.as_bytes())),
-        hint: call.header(HINT_HEADER).and_then(read_hint),
+        hint: read_hint(shared, &call),
         cost: request.cost(),
         idempotent: true,
     };
@@ -63,7 +64,7 @@
     if reply.status() != StatusCode::OK {
         return Err(engine_refusal(reply.status()));
     }
-    let hint = write_hint(chosen.engine.id, chosen.engine.incarnation);
+    let hint = write_hint(&shared.keys, call.chat, chosen.engine.id, chosen.engine.incarnation);
     let mut answer = if job.stream {
         stream_answer(shared, &call.id, reply, chosen.work)
     } else {
--- a/src/filters/hint.rs
+++ b/src/filters/hint.rs
@@ -1,13 +1,17 @@
-//! The chat hint: which engine holds a chat's prefix.
+//! The chat hint that a request brings back.
 
-/// Writes a chat hint: engine and incarnation.
-pub(crate) fn write_hint(engine: u64, incarnation: u64) -> String {
-    format!("{engine:016x}.{incarnation:x}")
-}
+use crate::events::{Code, Fields};
+use crate::filters::{Call, HINT_HEADER, Shared};
+use crate::keys;
 
-/// Reads a chat hint; a wrong one counts as none.
-pub(crate) fn read_hint(text: &str) -> Option<(u64, u64)> {
-    let (engine, incarnation) = text.split_once('.')?;
-    let engine = u64::from_str_radix(engine, 16).ok()?;
-    Some((engine, u64::from_str_radix(incarnation, 16).ok()?))
+/// Engine and incarnation that the hint names; a broken or forged one, or one of
+/// another chat, counts as none.
+pub(crate) fn read_hint(shared: &Shared, call: &Call) -> Option<(u64, u64)> {
+    let text = call.header(HINT_HEADER)?;
+    let hint = keys::read_hint(&shared.keys, call.chat, text);
+    if hint.is_none() {
+        let fields = Fields { subject: &call.id, detail: &call.organisation };
+        shared.events.record(Code::HintRefused, fields);
+    }
+    hint
 }
--- a/src/filters/shared.rs
+++ b/src/filters/shared.rs
@@ -10,6 +10,7 @@
 use crate::clock::SharedClock;
 use crate::events::EventLog;
 use crate::fleet::{CrashBoard, ViewCell};
+use crate::keys::KeyRing;
 use crate::settings::Settings;
 
 /// What all requests of a router share.
@@ -27,6 +28,8 @@
     pub meter: Arc<Meter>,
     /// Requests that crashed backend servers.
     pub crashes: Arc<CrashBoard>,
+    /// Keys of the fleet.
+    pub keys: KeyRing,
     /// The clock.
     pub clock: SharedClock,
     /// Client for backend servers.
--- /dev/null
+++ b/src/keys/issued.rs
@@ -0,0 +1,97 @@
+//! Operation keys that a router issues.
+
+use std::fmt;
+
+use base64::Engine as _;
+use base64::engine::general_purpose::URL_SAFE_NO_PAD;
+
+use crate::keys::{KeyRing, Purpose};
+
+/// How every issued key begins.
+pub const ISSUED_PREFIX: &str = "fk1.";
+/// Bytes of router, incarnation and issue time.
+const PAYLOAD_BYTES: usize = 24;
+/// Bytes of the authentication code.
+const CODE_BYTES: usize = 16;
+
+key! {
+    /// What an issued key says.
+    pub struct IssuedKey {
+        /// Hash of the issuing router's name.
+        pub router: u64,
+        /// Incarnation of that router.
+        pub incarnation: u64,
+        /// When it was issued, in milliseconds of the issuer's monotonic clock.
+        pub issued_ms: u64,
+    }
+
+    /// Why an issued key is refused.
+    pub enum KeyError {
+        /// It has not the form of an issued key.
+        Form,
+        /// No router of the fleet issued it to this organisation.
+        Code,
+    }
+}
+
+impl fmt::Display for KeyError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            KeyError::Form => "the operation key begins as an issued one but has another form",
+            KeyError::Code => "the operation key was not issued to this organisation",
+        })
+    }
+}
+
+impl std::error::Error for KeyError {}
+
+/// Writes a key for one organisation; callers may append `.` and text of their own.
+pub fn write_key(ring: &KeyRing, organisation: &str, key: &IssuedKey) -> String {
+    let payload = payload(key);
+    let parts: [&[u8]; 2] = [organisation.as_bytes(), &payload];
+    let code = ring.sign::<CODE_BYTES>(Purpose::OperationKey, &parts);
+    let bytes = [&payload[..], &code[..]].concat();
+    format!("{ISSUED_PREFIX}{}", URL_SAFE_NO_PAD.encode(bytes))
+}
+
+/// Reads an issued key with or without text of the caller after it; `None` when
+/// `text` does not begin as one.
+///
+/// # Errors
+/// A key of another form, forged, or issued to another organisation.
+pub fn read_key(
+    ring: &KeyRing,
+    organisation: &str,
+    text: &str,
+) -> Option<Result<IssuedKey, KeyError>> {
+    let rest = text.strip_prefix(ISSUED_PREFIX)?;
+    let signed = rest.split('.').next().unwrap_or(rest);
+    Some(read_signed(ring, organisation, signed))
+}
+
+fn read_signed(ring: &KeyRing, organisation: &str, signed: &str) -> Result<IssuedKey, KeyError> {
+    let mut bytes = [0; PAYLOAD_BYTES + CODE_BYTES];
+    let length = URL_SAFE_NO_PAD.decode_slice(signed, &mut bytes).map_err(|_| KeyError::Form)?;
+    if length != bytes.len() {
+        return Err(KeyError::Form);
+    }
+    let (payload, shown) = bytes.split_at(PAYLOAD_BYTES);
+    let parts: [&[u8]; 2] = [organisation.as_bytes(), payload];
+    if !ring.verify(Purpose::OperationKey, &parts, shown) {
+        return Err(KeyError::Code);
+    }
+    let field = |i: usize| {
+        let mut field = [0; 8];
+        field.copy_from_slice(&payload[8 * i..8 * (i + 1)]);
+        u64::from_be_bytes(field)
+    };
+    Ok(IssuedKey { router: field(0), incarnation: field(1), issued_ms: field(2) })
+}
+
+fn payload(key: &IssuedKey) -> [u8; PAYLOAD_BYTES] {
+    let mut bytes = [0; PAYLOAD_BYTES];
+    bytes[..8].copy_from_slice(&key.router.to_be_bytes());
+    bytes[8..16].copy_from_slice(&key.incarnation.to_be_bytes());
+    bytes[16..].copy_from_slice(&key.issued_ms.to_be_bytes());
+    bytes
+}
--- /dev/null
+++ b/src/keys/mod.rs
@@ -0,0 +1,10 @@
+//! Authenticated values that travel through callers: chat hints and issued
+//! operation keys.
+
+mod hint;
+mod issued;
+mod ring;
+
+pub use hint::{read_hint, write_hint};
+pub use issued::{ISSUED_PREFIX, IssuedKey, KeyError, read_key, write_key};
+pub use ring::{KeyRing, Purpose};
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod events;
 pub mod filters;
 pub mod fleet;
+pub mod keys;
 pub mod settings;
 pub mod state;
 pub mod wire;
--- a/src/settings/check.rs
+++ b/src/settings/check.rs
@@ -113,6 +113,7 @@
     expect(tries > 0, "traffic.tries", "it is 0".to_owned(), "at least 1 is needed");
     let addresses = s.traffic.entry_addresses;
     expect(addresses > 0, "traffic.entry_addresses", "it is 0".to_owned(), "at least 1 is needed");
+    once_problems(s, &mut expect);
     for (place, time) in times(s) {
         expect(time > Duration::ZERO, place, "it is 0".to_owned(), "a time above 0 is needed");
     }
@@ -133,3 +134,23 @@
         ("state.retry_every", s.upkeep.retry_every),
     ]
 }
+
+/// What is wrong with the sections `once` and `keys`.
+fn once_problems(s: &Settings, expect: &mut impl FnMut(bool, &str, String, &str)) {
+    let kept = s.once.retention >= s.once.key_age * 2;
+    let found = format!("it is {:?}", s.once.retention);
+    expect(kept, "once.retention", found, "at least twice `once.key_age` is needed");
+    for (place, time) in [("once.key_age", s.once.key_age), ("once.claim_wait", s.once.claim_wait)]
+    {
+        expect(time > Duration::ZERO, place, "it is 0".to_owned(), "a time above 0 is needed");
+    }
+    let counts = [("once.appends", s.once.appends as usize), ("once.keys", s.once.keys)];
+    for (place, count) in counts {
+        expect(count > 0, place, "it is 0".to_owned(), "at least 1 is needed");
+    }
+    for (i, it) in s.keys.iter().enumerate() {
+        let found = format!("it has {} characters", it.secret.len());
+        let good = it.secret.len() >= MIN_TOKEN;
+        expect(good, &format!("keys[{i}].secret"), found, "at least 16 are needed");
+    }
+}
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -2,14 +2,18 @@
 
 mod check;
 mod control;
+mod keys;
 mod limits;
+mod once;
 mod problem;
 mod settings;
 mod traffic;
 
 pub use check::{parse, read};
 pub use control::Control;
+pub use keys::FleetKey;
 pub use limits::Limits;
+pub use once::Once;
 pub use problem::{Problem, SettingsError};
 pub use settings::{DEFAULT_TEXT, Seed, Settings};
 pub use traffic::Traffic;
--- a/src/settings/settings.rs
+++ b/src/settings/settings.rs
@@ -4,7 +4,7 @@
 
 use serde::Deserialize;
 
-use crate::settings::{Control, Limits, Traffic};
+use crate::settings::{Control, FleetKey, Limits, Once, Traffic};
 
 /// The commented settings file that `filberttiller init` prints.
 pub const DEFAULT_TEXT: &str = include_str!("default.jsonc");
@@ -40,6 +40,12 @@
         /// How state is kept up to date.
         #[serde(default, rename = "state")]
         pub upkeep: Control,
+        /// Calls that may not be repeated.
+        #[serde(default)]
+        pub once: Once,
+        /// Secret keys: the first signs, all verify.
+        #[serde(default)]
+        pub keys: Vec<FleetKey>,
     }
 
     /// A router known beforehand.
