--- a/src/decide/once/ledger.rs
+++ b/src/decide/once/ledger.rs
@@ -127,7 +127,7 @@
         let Some(entry) = self.entries.get_mut(&scope) else {
             return;
         };
-        if entry.progress != Progress::Running {
+        if !matches!(entry.progress, Progress::Running) {
             return;
         }
         match ended {
