--- a/src/daemon/control_api.rs
+++ b/src/daemon/control_api.rs
@@ -9,6 +9,7 @@
 use warp::{Filter, Reply};
 
 use crate::backend::TOKEN_HEADER;
+use crate::daemon::once_api::once_calls;
 use crate::events::{Code, Fields};
 use crate::filters::{Reason, Refusal, Shared};
 use crate::wire::WireInForce;
@@ -24,7 +25,13 @@
     shared: &Arc<Shared>,
 ) -> impl Filter<Extract = (Response,), Error = Infallible> + Clone + Send + Sync + 'static + use<>
 {
-    open_calls(shared).or(guarded_calls(shared)).unify().recover(unknown).unify()
+    open_calls(shared)
+        .or(guarded_calls(shared))
+        .unify()
+        .or(once_calls(shared))
+        .unify()
+        .recover(unknown)
+        .unify()
 }
 
 /// Calls that need no token.
@@ -71,7 +78,7 @@
 }
 
 /// Answers with `serve` if the caller shows the token, else 401.
-fn guarded(
+pub(crate) fn guarded(
     shared: &Shared,
     headers: &HeaderMap,
     serve: impl FnOnce(&Shared) -> Response,
--- a/src/daemon/control_thread.rs
+++ b/src/daemon/control_thread.rs
@@ -15,6 +15,7 @@
 use crate::controllers::{Leave, Publisher, tail_tickets, watch_list, watch_loads};
 use crate::daemon::control_api::control_calls;
 use crate::daemon::daemon::{grace, listen};
+use crate::daemon::once_api::start_claims;
 use crate::daemon::{DaemonError, Stop, serve};
 use crate::filters::Shared;
 
@@ -114,6 +115,7 @@
     let publisher = xtra::spawn_tokio(actor, Mailbox::unbounded());
     let log = LogClient::new(http.clone(), settings.log);
     tokio::spawn(tail_tickets(log, publisher.clone(), Arc::clone(events), upkeep.clone()));
+    start_claims(shared, LogClient::new(http.clone(), settings.log));
     let list = ListClient::new(http.clone(), settings.list);
     tokio::spawn(watch_list(list, publisher.clone(), Arc::clone(events), upkeep.clone()));
     let engines = EngineClient::new(http);
--- a/src/daemon/daemon.rs
+++ b/src/daemon/daemon.rs
@@ -18,10 +18,12 @@
 use crate::daemon::control_thread::ControlThread;
 use crate::daemon::{Stop, Stopped, serve};
 use crate::decide::QueueLimits;
+use crate::decide::hash_bytes;
 use crate::events::{Code, EventLog, Fields};
 use crate::filters::{Counters, Shared, callers};
 use crate::fleet::ViewCell;
 use crate::keys::KeyRing;
+use crate::once::OnceDesk;
 use crate::settings::Settings;
 
 /// An instance that cannot start.
@@ -73,6 +75,7 @@
             .no_proxy()
             .build()
             .change_context(DaemonError::SetUp)?;
+        let router = hash_bytes(settings.name.as_bytes());
         let shared = Arc::new(Shared {
             view: Arc::new(ViewCell::default()),
             events,
@@ -81,6 +84,7 @@
             gates: Gates::new(QueueLimits::from(&settings.admission)),
             counters: Counters::new().change_context(DaemonError::SetUp)?,
             keys: KeyRing::new(&settings.keys, &settings.token),
+            once: Arc::new(OnceDesk::new(router, &settings.once, &clock)),
             clock,
             http,
             settings,
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -3,6 +3,7 @@
 mod control_api;
 mod control_thread;
 mod daemon;
+mod once_api;
 mod server;
 mod stop;
 
--- /dev/null
+++ b/src/daemon/once_api.rs
@@ -0,0 +1,48 @@
+//! Operation keys on the control side: the claims, and what peers ask.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use warp::http::HeaderMap;
+use warp::reply::Response;
+use warp::{Filter, Reply};
+
+use crate::backend::LogClient;
+use crate::daemon::control_api::guarded;
+use crate::filters::{Reason, Refusal, Shared};
+use crate::once::{append_claims, tail_claims};
+use crate::wire::{KeyAnswer, KeyQuery};
+
+/// Largest body of a query, in bytes.
+const MAX_QUERY: u64 = 1_024;
+
+/// Starts to read and append claims.
+pub(crate) fn start_claims(shared: &Arc<Shared>, log: LogClient) {
+    let desk = Arc::clone(&shared.once);
+    let events = Arc::clone(&shared.events);
+    tokio::spawn(tail_claims(log.clone(), desk, events, shared.settings.upkeep.clone()));
+    tokio::spawn(append_claims(log, Arc::clone(&shared.once), Arc::clone(&shared.view)));
+}
+
+/// Calls of peers about operation keys.
+pub(crate) fn once_calls(
+    shared: &Arc<Shared>,
+) -> impl Filter<Extract = (Response,), Error = warp::Rejection> + Clone + Send + Sync + 'static + use<>
+{
+    let it = Arc::clone(shared);
+    warp::post()
+        .and(warp::path!("v1" / "once" / "known"))
+        .and(warp::header::headers_cloned())
+        .and(warp::body::content_length_limit(MAX_QUERY))
+        .and(warp::body::bytes())
+        .map(move |headers: HeaderMap, body: Bytes| guarded(&it, &headers, |it| known(it, &body)))
+}
+
+fn known(shared: &Shared, body: &[u8]) -> Response {
+    let Ok(query) = rmp_serde::from_slice::<KeyQuery>(body) else {
+        let refusal = Refusal::not_run(Reason::BadRequest, "the query cannot be read");
+        return refusal.reply("").into_response();
+    };
+    let answer = KeyAnswer { known: shared.once.knows(&query.into()) };
+    rmp_serde::to_vec(&answer).unwrap_or_default().into_response()
+}
--- a/src/filters/call.rs
+++ b/src/filters/call.rs
@@ -29,6 +29,10 @@
             pool: String,
             /// Whether the call may not be repeated.
             once: bool,
+            /// Name of the service.
+            name: String,
+            /// Whether the service refuses repeats of a key by itself.
+            checks_keys: bool,
         },
     }
 }
--- a/src/filters/mod.rs
+++ b/src/filters/mod.rs
@@ -13,6 +13,9 @@
 mod hint;
 mod identify;
 mod in_flight;
+mod new_key;
+mod once;
+mod once_forward;
 mod ready;
 mod refusal;
 mod resolve;
@@ -43,3 +46,7 @@
 pub const DEADLINE_HEADER: &str = "filberttiller-deadline-ms";
 /// Header that carries the key of a call that may not be repeated.
 pub const KEY_HEADER: &str = "idempotency-key";
+/// Header that marks a call which another router sent on.
+pub const FORWARDED_HEADER: &str = "filberttiller-forwarded";
+/// Header that names the incarnation which answered a once-only call.
+pub const OWNER_HEADER: &str = "filberttiller-owner";
--- /dev/null
+++ b/src/filters/new_key.rs
@@ -0,0 +1,18 @@
+//! Issues operation keys.
+
+use warp::reply::Response;
+
+use crate::filters::answer::json;
+use crate::filters::identify::identify;
+use crate::filters::{Call, Refusal, Shared};
+use crate::keys::write_key;
+use crate::wire::NewKey;
+
+/// Answers `POST /v1/keys`: a key that only this incarnation runs calls under.
+pub(crate) fn new_key(shared: &Shared, call: &mut Call) -> Result<Response, Refusal> {
+    identify(shared, call)?;
+    let key = write_key(&shared.keys, &call.organisation, &shared.once.issue());
+    let good_ms = shared.once.good_ms();
+    let router = shared.settings.name.clone();
+    Ok(json(&NewKey { key, good_ms, router }))
+}
--- /dev/null
+++ b/src/filters/once.rs
@@ -0,0 +1,266 @@
+//! Calls that may not be repeated, under an operation key.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::time::timeout;
+use warp::Reply;
+use warp::http::HeaderValue;
+use warp::reply::Response;
+
+use crate::decide::once::{Admit, Ended, Holder, Op, Owner, Route, Scope, route};
+use crate::decide::{Verdict, combine, hash_bytes};
+use crate::events::{Code, Fields};
+use crate::filters::answer::mark;
+use crate::filters::forward::{Job, Plan, forward};
+use crate::filters::once_forward::{never_seen, send_to_owner};
+use crate::filters::{Call, FORWARDED_HEADER, KEY_HEADER, OWNER_HEADER, Reason, Refusal, Shared};
+use crate::keys::read_key;
+use crate::once::{KeptAnswer, Settled};
+
+/// Longest operation key, in bytes.
+const MAX_KEY: usize = 256;
+/// When a caller should look again for the end of a run.
+const RETRY: Duration = Duration::from_millis(250);
+
+/// Runs a call at most once under its operation key, here or at the key's owner.
+pub(crate) async fn run_once(
+    shared: &Arc<Shared>,
+    call: Call,
+    service: &str,
+    pool: String,
+    plan: Plan,
+) -> Result<Response, Refusal> {
+    let key = operation_key(&call)?.to_owned();
+    let op = Op { scope: Scope::new(&call.organisation, service, &key), body: body_hash(&call) };
+    let forwarded = call.headers.contains_key(FORWARDED_HEADER);
+    let me = shared.once.me();
+    let (mut holder, mut since) = holder(shared, &call, &key, &op)?;
+    loop {
+        match route(me, holder, forwarded) {
+            Route::Own => {
+                let id = call.id.clone();
+                let result = own(shared, call, pool, plan, &op, since).await;
+                return signed(shared, &id, result, forwarded);
+            }
+            Route::Forward(owner) => {
+                return send_to_owner(shared, &call, service, &key, owner).await;
+            }
+            Route::OwnerGone => return Err(unknown("the router that owned the key is gone")),
+            Route::Claim => match shared.once.claim(&op, call.deadline).await {
+                Settled::Held(held) => (holder, since) = (Holder::Known(held.owner), held.at_ms),
+                other => return Err(unclaimed(shared, &call, &op, other).await),
+            },
+        }
+    }
+}
+
+/// Corrects a refusal that came before the operation key was looked at: an
+/// earlier send of the call may have run.
+pub(crate) fn unresolved(call: &Call, mut refusal: Refusal) -> Refusal {
+    let early = matches!(refusal.reason, Reason::NotReady | Reason::UnknownTarget);
+    if early && call.headers.contains_key(KEY_HEADER) {
+        refusal.verdict = Verdict::MayHaveRun;
+    }
+    refusal
+}
+
+/// The operation key of a call.
+fn operation_key(call: &Call) -> Result<&str, Refusal> {
+    match call.header(KEY_HEADER) {
+        Some(key) if !key.is_empty() && key.len() <= MAX_KEY => Ok(key),
+        _ => {
+            let message = format!("header `{KEY_HEADER}` needs 1 to {MAX_KEY} visible characters");
+            Err(Refusal::not_run(Reason::BadRequest, message))
+        }
+    }
+}
+
+/// Hash of what the service would get.
+fn body_hash(call: &Call) -> u64 {
+    let parts = [call.method.as_str().as_bytes(), call.path.as_bytes(), call.query.as_bytes()];
+    parts.iter().fold(hash_bytes(&call.body), |hash, it| combine(hash, hash_bytes(it)))
+}
+
+/// Who holds the key and since when, in milliseconds of the holder's clock.
+fn holder(shared: &Shared, call: &Call, key: &str, op: &Op) -> Result<(Holder, u64), Refusal> {
+    match read_key(&shared.keys, &call.organisation, key) {
+        Some(Ok(it)) => {
+            let owner = Owner { router: it.router, incarnation: it.incarnation };
+            Ok((Holder::Known(owner), it.issued_ms))
+        }
+        Some(Err(e)) => Err(Refusal::not_run(Reason::KeyRefused, e.to_string())),
+        None => Ok(match shared.once.held(&op.scope) {
+            Some(held) => (Holder::Known(held.owner), held.at_ms),
+            None => (Holder::Unclaimed, 0),
+        }),
+    }
+}
+
+/// Answers as the owner of the key.
+async fn own(
+    shared: &Arc<Shared>,
+    call: Call,
+    pool: String,
+    plan: Plan,
+    op: &Op,
+    since: u64,
+) -> Result<Response, Refusal> {
+    let id = call.id.clone();
+    let deadline = call.deadline;
+    let mut changes = shared.once.changes();
+    let mut admit = shared.once.admit(op, since);
+    if admit == Admit::Run {
+        shared.events.record(Code::OnceRun, Fields { subject: &id, detail: &call.path });
+        return match tokio::spawn(run(Arc::clone(shared), call, pool, plan, op.scope)).await {
+            Ok(result) => result.map(|it| reply(&it, &id)),
+            Err(_) => Err(unknown("the run ended without an outcome")),
+        };
+    }
+    while admit == Admit::Wait {
+        let left = deadline.saturating_duration_since(shared.clock.now());
+        if left.is_zero() {
+            break;
+        }
+        let _ = timeout(left, changes.changed()).await;
+        match shared.once.peek(op) {
+            Some(it) => admit = it,
+            None => {
+                let message = "the call did not run; send it again";
+                return Err(Refusal::not_run(Reason::BackendFailed, message).retry_after(RETRY));
+            }
+        }
+    }
+    repeat(shared, &id, admit)
+}
+
+/// Answers a call that is not to run.
+fn repeat(shared: &Shared, id: &str, admit: Admit<Arc<KeptAnswer>>) -> Result<Response, Refusal> {
+    Err(match admit {
+        Admit::Answer(answer) => {
+            shared.events.record(Code::OnceRepeated, Fields { subject: id, detail: "" });
+            return Ok(reply(&answer, id));
+        }
+        Admit::Run | Admit::Wait => {
+            let message = "the same call is running; come back for its answer";
+            Refusal::may_have_run(Reason::InProgress, message).retry_after(RETRY)
+        }
+        Admit::Ran => {
+            let message = "the call ran; its answer is no longer kept";
+            Refusal { verdict: Verdict::Ran, ..unknown(message) }
+        }
+        Admit::Lost => unknown("the service may have run the call; its answer was lost"),
+        Admit::OtherBody => {
+            let message = "the operation key stands for another call; this one did not run";
+            Refusal::not_run(Reason::KeyReused, message)
+        }
+        Admit::Expired => {
+            let message = "the operation key is too old; nothing ran under it and nothing will";
+            Refusal::not_run(Reason::KeyExpired, message)
+        }
+        Admit::Forgotten => {
+            let message = "the operation key is too old; whether it ran is forgotten";
+            Refusal::may_have_run(Reason::KeyExpired, message)
+        }
+        Admit::Full => {
+            let message = "too many operation keys are in use";
+            Refusal::not_run(Reason::NoRoom, message).retry_after(RETRY)
+        }
+    })
+}
+
+/// Notes a lost run unless the run ended otherwise before.
+struct LostUnlessEnded {
+    shared: Arc<Shared>,
+    scope: Scope,
+}
+
+impl Drop for LostUnlessEnded {
+    fn drop(&mut self) {
+        self.shared.once.finish(self.scope, Ended::Lost);
+    }
+}
+
+/// Runs the call and notes its end. It goes on when the caller is gone, so that
+/// a repeat finds the outcome.
+async fn run(
+    shared: Arc<Shared>,
+    call: Call,
+    pool: String,
+    plan: Plan,
+    scope: Scope,
+) -> Result<Arc<KeptAnswer>, Refusal> {
+    let guard = LostUnlessEnded { shared, scope };
+    let shared = &guard.shared;
+    let late = shared.clock.now() >= call.deadline;
+    let result = match late {
+        true => Err(Refusal::not_run(Reason::DeadlinePassed, "the deadline passed before the run")),
+        false => forward(shared, &call, &pool, &plan, Job::Service).await,
+    };
+    match result {
+        Ok(answer) => {
+            let Some(answer) = KeptAnswer::read(answer).await else {
+                return Err(unknown("the answer of the service could not be read"));
+            };
+            let fits = answer.size() <= shared.settings.once.answer.as_u64() as usize;
+            let kept = fits.then(|| (Arc::clone(&answer), answer.size()));
+            shared.once.finish(scope, Ended::Answered(kept));
+            Ok(answer)
+        }
+        Err(refusal) => {
+            let ended = match refusal.verdict {
+                Verdict::NotRun => Ended::NotRun,
+                Verdict::MayHaveRun | Verdict::Ran => Ended::Lost,
+            };
+            shared.once.finish(scope, ended);
+            Err(refusal)
+        }
+    }
+}
+
+fn reply(answer: &KeptAnswer, request: &str) -> Response {
+    let mut reply = answer.reply();
+    mark(&mut reply, request, Verdict::Ran);
+    reply
+}
+
+/// Adds the incarnation that answered, to errors too if a router waits for it:
+/// without it, the router may not believe them.
+fn signed(
+    shared: &Shared,
+    id: &str,
+    result: Result<Response, Refusal>,
+    forwarded: bool,
+) -> Result<Response, Refusal> {
+    let mut reply = match result {
+        Ok(reply) => reply,
+        Err(refusal) if forwarded => {
+            let fields = Fields { subject: id, detail: &refusal.message };
+            shared.events.record(refusal.reason.code(), fields);
+            refusal.reply(id).into_response()
+        }
+        Err(refusal) => return Err(refusal),
+    };
+    let incarnation = HeaderValue::from(shared.once.me().incarnation);
+    reply.headers_mut().insert(OWNER_HEADER, incarnation);
+    Ok(reply)
+}
+
+/// Why a key could not be claimed. It is `not_run` only if no router that is
+/// known has seen the key.
+async fn unclaimed(shared: &Arc<Shared>, call: &Call, op: &Op, settled: Settled) -> Refusal {
+    let message = match settled {
+        Settled::Full => "too many operation keys are in use",
+        Settled::Gap => "claims were lost from the log; keys cannot be claimed for a while",
+        Settled::Unavailable | Settled::Held(_) => "the log does not settle claims at present",
+    };
+    let unseen = settled != Settled::Gap && never_seen(shared, call, op).await;
+    let verdict = if unseen { Verdict::NotRun } else { Verdict::MayHaveRun };
+    let refusal = Refusal::may_have_run(Reason::ClaimsUnavailable, message);
+    Refusal { verdict, ..refusal }.retry_after(RETRY)
+}
+
+/// The refusal of a call whose outcome is not known.
+pub(crate) fn unknown(message: &str) -> Refusal {
+    Refusal::may_have_run(Reason::OutcomeUnknown, message)
+}
--- /dev/null
+++ b/src/filters/once_forward.rs
@@ -0,0 +1,124 @@
+//! Calls to other routers about operation keys.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures_util::future::join_all;
+use reqwest::RequestBuilder;
+use warp::Reply;
+use warp::reply::Response;
+
+use crate::backend::TOKEN_HEADER;
+use crate::decide::once::{Op, Owner};
+use crate::events::{Code, Fields};
+use crate::filters::once::unknown;
+use crate::filters::{
+    Call, DEADLINE_HEADER, FORWARDED_HEADER, KEY_HEADER, ORGANISATION_HEADER, OWNER_HEADER,
+    REQUEST_HEADER, Refusal, Shared, VERDICT_HEADER,
+};
+use crate::wire::{KeyAnswer, KeyQuery};
+
+/// Time for a peer to say whether it knows a key.
+const QUERY_TIMEOUT: Duration = Duration::from_millis(500);
+/// Headers of the caller that the owner gets to see.
+const SENT: [&str; 3] = ["content-type", "accept", ORGANISATION_HEADER];
+/// Headers of the owner's answer that the caller gets to see.
+const PASSED: [&str; 4] = ["content-type", "retry-after", VERDICT_HEADER, OWNER_HEADER];
+
+/// Sends a call on to the router that owns its key. Without an answer of that
+/// very incarnation, the call may have run.
+pub(crate) async fn send_to_owner(
+    shared: &Shared,
+    call: &Call,
+    service: &str,
+    key: &str,
+    owner: Owner,
+) -> Result<Response, Refusal> {
+    let Some(router) = call.view.routers.iter().find(|it| it.id == owner.router) else {
+        return Err(unknown("the router that owns the key is not in the list"));
+    };
+    let fields = Fields { subject: &call.id, detail: &router.name };
+    shared.events.record(Code::OnceForwarded, fields);
+    let request = request_to(shared, call, service, key, router.address);
+    let Ok(reply) = request.send().await else {
+        return Err(unknown("the router that owns the key does not answer"));
+    };
+    let names = reply.headers().get(OWNER_HEADER).and_then(|it| it.to_str().ok());
+    if names.and_then(|it| it.parse().ok()) != Some(owner.incarnation) {
+        return Err(unknown("the router that owned the key was restarted"));
+    }
+    let status = reply.status();
+    let headers = reply.headers().clone();
+    let Ok(body) = reply.bytes().await else {
+        return Err(unknown("the router that owns the key broke its answer off"));
+    };
+    let mut answer = warp::http::Response::new(body).into_response();
+    *answer.status_mut() = status;
+    for name in PASSED {
+        if let Some(value) = headers.get(name) {
+            answer.headers_mut().insert(name, value.clone());
+        }
+    }
+    if let Ok(id) = warp::http::HeaderValue::from_str(&call.id) {
+        answer.headers_mut().insert(REQUEST_HEADER, id);
+    }
+    Ok(answer)
+}
+
+/// The call as the owner gets it.
+fn request_to(
+    shared: &Shared,
+    call: &Call,
+    service: &str,
+    key: &str,
+    addr: SocketAddr,
+) -> RequestBuilder {
+    let query = if call.query.is_empty() { String::new() } else { format!("?{}", call.query) };
+    let url = format!("http://{addr}/v1/services/{service}{}{query}", call.path);
+    let left = call.deadline.saturating_duration_since(shared.clock.now());
+    let mut request = shared
+        .http
+        .request(call.method.clone(), url)
+        .timeout(left)
+        .header(FORWARDED_HEADER, &shared.settings.name)
+        .header(KEY_HEADER, key)
+        .header(DEADLINE_HEADER, left.as_millis().to_string());
+    for name in SENT {
+        if let Some(value) = call.headers.get(name) {
+            request = request.header(name, value);
+        }
+    }
+    request.body(call.body.clone())
+}
+
+/// Whether every router in the view says that it has never seen the key.
+pub(crate) async fn never_seen(shared: &Arc<Shared>, call: &Call, op: &Op) -> bool {
+    if shared.once.knows(op) {
+        return false;
+    }
+    let own = shared.once.me().router;
+    let peers = call.view.routers.iter().filter(|it| it.id != own);
+    let asked = peers.map(|it| async {
+        match it.control {
+            Some(addr) => knows(shared, addr, op).await == Some(false),
+            None => false,
+        }
+    });
+    join_all(asked).await.into_iter().all(|unseen| unseen)
+}
+
+/// Whether the router with control address `addr` knows the key; `None` when it
+/// does not say.
+async fn knows(shared: &Shared, addr: SocketAddr, op: &Op) -> Option<bool> {
+    let body = rmp_serde::to_vec(&KeyQuery::from(*op)).ok()?;
+    let request = shared
+        .http
+        .post(format!("http://{addr}/v1/once/known"))
+        .header(TOKEN_HEADER, &shared.settings.token)
+        .timeout(QUERY_TIMEOUT)
+        .body(body);
+    let reply = request.send().await.ok()?.error_for_status().ok()?;
+    let answer: KeyAnswer = rmp_serde::from_slice(&reply.bytes().await.ok()?).ok()?;
+    Some(answer.known)
+}
--- a/src/filters/refusal.rs
+++ b/src/filters/refusal.rs
@@ -35,6 +35,18 @@
         BackendFailed,
         /// The deadline passed.
         DeadlinePassed,
+        /// The operation key is forged or of another organisation.
+        KeyRefused,
+        /// The operation key stands for another call.
+        KeyReused,
+        /// The operation key is too old.
+        KeyExpired,
+        /// The same call runs at present.
+        InProgress,
+        /// The call may have run, and its outcome is not known.
+        OutcomeUnknown,
+        /// The operation key cannot be claimed at present.
+        ClaimsUnavailable,
     }
 }
 
@@ -53,6 +65,12 @@
             Reason::RateExceeded => "rate_exceeded",
             Reason::BackendFailed => "backend_failed",
             Reason::DeadlinePassed => "deadline_passed",
+            Reason::KeyRefused => "key_refused",
+            Reason::KeyReused => "key_reused",
+            Reason::KeyExpired => "key_expired",
+            Reason::InProgress => "in_progress",
+            Reason::OutcomeUnknown => "outcome_unknown",
+            Reason::ClaimsUnavailable => "claims_unavailable",
         }
     }
 
@@ -68,6 +86,12 @@
             Reason::RateExceeded => StatusCode::TOO_MANY_REQUESTS,
             Reason::BackendFailed => StatusCode::BAD_GATEWAY,
             Reason::DeadlinePassed => StatusCode::GATEWAY_TIMEOUT,
+            Reason::KeyRefused => StatusCode::FORBIDDEN,
+            Reason::KeyReused => StatusCode::UNPROCESSABLE_ENTITY,
+            Reason::KeyExpired => StatusCode::GONE,
+            Reason::InProgress => StatusCode::CONFLICT,
+            Reason::OutcomeUnknown => StatusCode::BAD_GATEWAY,
+            Reason::ClaimsUnavailable => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
 
@@ -84,6 +108,12 @@
             Reason::RateExceeded => Code::RateExceeded,
             Reason::BackendFailed => Code::BackendFailed,
             Reason::DeadlinePassed => Code::DeadlinePassed,
+            Reason::KeyRefused => Code::KeyRefused,
+            Reason::KeyReused => Code::KeyReused,
+            Reason::KeyExpired => Code::KeyExpired,
+            Reason::InProgress => Code::InProgress,
+            Reason::OutcomeUnknown => Code::OutcomeUnknown,
+            Reason::ClaimsUnavailable => Code::ClaimsUnavailable,
         }
     }
 }
--- a/src/filters/resolve.rs
+++ b/src/filters/resolve.rs
@@ -74,7 +74,9 @@
     };
     let path = format!("/{path}");
     let once = service.once.iter().any(|it| path.starts_with(it.as_str()));
-    call.target = Target::Service { pool: service.pool.clone(), once };
+    let pool = service.pool.clone();
+    let checks_keys = service.checks_keys;
+    call.target = Target::Service { pool, once, name: name.to_owned(), checks_keys };
     call.path = path;
     Ok(())
 }
--- a/src/filters/router.rs
+++ b/src/filters/router.rs
@@ -18,10 +18,12 @@
 use crate::filters::entry::entry;
 use crate::filters::experiment::experiment;
 use crate::filters::identify::identify;
+use crate::filters::new_key::new_key;
+use crate::filters::once::unresolved;
 use crate::filters::ready::ready;
 use crate::filters::resolve::{parse_chat, resolve_model, resolve_service};
 use crate::filters::service::service;
-use crate::filters::{Call, Chain, Filter, Reason, Refusal, Shared, Target, body};
+use crate::filters::{Call, Chain, Filter, Reason, Refusal, Shared, Target, VERDICT_HEADER, body};
 
 /// Filters of chat requests.
 const CHAT: Chain = Chain {
@@ -51,6 +53,7 @@
     Entry,
     Chat,
     Service,
+    NewKey,
     Unknown,
 }
 
@@ -60,6 +63,7 @@
             Kind::Entry => "entry",
             Kind::Chat => "chat",
             Kind::Service => "service",
+            Kind::NewKey => "new_key",
             Kind::Unknown => "unknown",
         }
     }
@@ -119,7 +123,7 @@
     let id = call.id.clone();
     let kind = kind(&call);
     let result = serve(shared, kind, call, body).await;
-    let verdict = result.as_ref().map_or_else(|it| it.verdict, |_| Verdict::Ran);
+    let verdict = result.as_ref().map_or_else(|it| it.verdict, told);
     shared.counters.requests.with_label_values(&[kind.as_str(), verdict.as_str()]).inc();
     match result {
         Ok(reply) => reply,
@@ -132,10 +136,18 @@
     }
 }
 
+/// The verdict that an answer tells; another router may have written it.
+fn told(reply: &Response) -> Verdict {
+    let text = reply.headers().get(VERDICT_HEADER).map_or(&[][..], |it| it.as_bytes());
+    let all = [Verdict::NotRun, Verdict::MayHaveRun];
+    all.into_iter().find(|it| it.as_str().as_bytes() == text).unwrap_or(Verdict::Ran)
+}
+
 fn kind(call: &Call) -> Kind {
     match (&call.method, call.path.as_str()) {
         (&Method::GET, "/v1/entry") => Kind::Entry,
         (&Method::POST, "/v1/chat/completions") => Kind::Chat,
+        (&Method::POST, "/v1/keys") => Kind::NewKey,
         (_, path) if path.starts_with("/v1/services/") => Kind::Service,
         _ => Kind::Unknown,
     }
@@ -160,9 +172,10 @@
         }
         Kind::Service => {
             call.body = body::read(body, &shared.settings.limits).await?;
-            SERVICE.apply(shared, &mut call)?;
+            SERVICE.apply(shared, &mut call).map_err(|it| unresolved(&call, it))?;
             service(shared, call).await
         }
+        Kind::NewKey => new_key(shared, &mut call),
         Kind::Unknown => {
             let message = format!("there is no call {} {}", call.method, call.path);
             Err(Refusal::not_run(Reason::UnknownCall, message))
--- a/src/filters/service.rs
+++ b/src/filters/service.rs
@@ -9,6 +9,7 @@
 use crate::decide::Verdict;
 use crate::filters::answer::mark;
 use crate::filters::forward::{Chosen, Job, Plan, forward, send_failure};
+use crate::filters::once::run_once;
 use crate::filters::{Call, KEY_HEADER, Reason, Refusal, Shared, Target};
 
 /// Headers that go on to the service, besides the operation key.
@@ -16,11 +17,14 @@
 
 /// Answers calls below `/v1/services/`.
 pub(crate) async fn service(shared: &Arc<Shared>, call: Call) -> Result<Response, Refusal> {
-    let Target::Service { pool, once } = call.target.clone() else {
+    let Target::Service { pool, once, name, checks_keys } = call.target.clone() else {
         return Err(Refusal::not_run(Reason::UnknownTarget, "the request names no service"));
     };
     let reads = call.method == Method::GET || call.method == Method::HEAD;
     let plan = Plan { key: call.chat, hint: None, cost: 1, idempotent: reads && !once };
+    if once && !checks_keys && call.headers.contains_key(KEY_HEADER) {
+        return run_once(shared, call, &name, pool, plan).await;
+    }
     forward(shared, &call, &pool, &plan, Job::Service).await
 }
 
--- a/src/filters/shared.rs
+++ b/src/filters/shared.rs
@@ -15,6 +15,7 @@
 use crate::filters::Arm;
 use crate::fleet::{CrashBoard, ViewCell};
 use crate::keys::KeyRing;
+use crate::once::OnceDesk;
 use crate::settings::Settings;
 
 /// What all requests of a router share.
@@ -34,6 +35,8 @@
     pub crashes: Arc<CrashBoard>,
     /// Keys of the fleet.
     pub keys: KeyRing,
+    /// Operation keys.
+    pub once: Arc<OnceDesk>,
     /// Gates in front of the pools.
     pub gates: Gates,
     /// The clock.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod filters;
 pub mod fleet;
 pub mod keys;
+pub mod once;
 pub mod settings;
 pub mod state;
 pub mod wire;
--- /dev/null
+++ b/src/once/appender.rs
@@ -0,0 +1,71 @@
+//! Appends claims to the log, many at a time.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde_json::Value;
+use tokio::sync::Semaphore;
+use tokio::time::sleep;
+
+use crate::backend::{LogClient, PlatformError};
+use crate::decide::once::Claim;
+use crate::fleet::ViewCell;
+use crate::once::{CLAIM_STREAM, OnceDesk};
+use crate::wire::WireClaims;
+
+/// Claims in one record at most.
+const MAX_CLAIMS: usize = 500;
+/// Appends without a reply at most; a lost reply must not hold up later claims.
+const MAX_APPENDS: usize = 8;
+/// Status of an append above the log's rate.
+const BUSY: u16 = 429;
+/// Pause after such an append.
+const BUSY_PAUSE: Duration = Duration::from_millis(250);
+
+/// Appends what waits, for as long as the process lives. The claims count when
+/// they are read back, whatever became of the reply.
+pub(crate) async fn append_claims(log: LogClient, desk: Arc<OnceDesk>, view: Arc<ViewCell>) {
+    let room = Arc::new(Semaphore::new(MAX_APPENDS));
+    loop {
+        desk.waiting.notified().await;
+        loop {
+            sleep(pause(&desk, view.peek().routers.len())).await;
+            let Ok(permit) = Arc::clone(&room).acquire_owned().await else {
+                return;
+            };
+            let claims = desk.take_pending(MAX_CLAIMS);
+            if claims.is_empty() {
+                break;
+            }
+            let log = log.clone();
+            let desk = Arc::clone(&desk);
+            tokio::spawn(async move {
+                append(&log, &desk, claims).await;
+                drop(permit);
+            });
+        }
+    }
+}
+
+async fn append(log: &LogClient, desk: &OnceDesk, claims: Vec<(u64, Claim)>) {
+    let wire = WireClaims::new(desk.me(), claims.iter().map(|it| &it.1));
+    let body: Value = serde_json::to_value(wire).unwrap_or_default();
+    match log.append(CLAIM_STREAM, &body).await {
+        Err(PlatformError::Status { status: BUSY, .. }) => {
+            sleep(BUSY_PAUSE).await;
+            desk.put_back(claims);
+            desk.waiting.notify_one();
+        }
+        Err(PlatformError::Status { .. }) => desk.fail(&claims),
+        // A lost reply: the tail reads the claims back if they are there.
+        Ok(_) | Err(_) => {}
+    }
+}
+
+/// Pause before an append, so that `routers` routers together keep to the
+/// appends of the whole fleet.
+fn pause(desk: &OnceDesk, routers: usize) -> Duration {
+    let settings = desk.settings();
+    let share = Duration::from_secs(1) * routers.max(1) as u32 / settings.appends;
+    settings.batch.max(share)
+}
--- /dev/null
+++ b/src/once/desk.rs
@@ -0,0 +1,269 @@
+//! What this router knows about operation keys.
+
+use std::collections::{HashMap, HashSet};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::{Duration, Instant};
+
+use tokio::sync::{Notify, watch};
+
+use crate::clock::SharedClock;
+use crate::decide::once::{Admit, Claim, ClaimIndex, Ended, Held, Ledger, LedgerLimits, Op};
+use crate::decide::once::{Owner, Scope};
+use crate::keys::IssuedKey;
+use crate::once::KeptAnswer;
+use crate::settings::Once;
+
+/// An answer that many repeats share.
+type Answer = Arc<KeptAnswer>;
+
+#[derive(Debug)]
+struct State {
+    ledger: Ledger<Answer>,
+    index: ClaimIndex,
+    /// Claims to append.
+    pending: Vec<(u64, Claim)>,
+    /// When this router made each of its claims that it has not read back.
+    /// Invariant: not later than the append could reach the log.
+    made: HashMap<Scope, u64>,
+    /// Claims that the log refused.
+    failed: HashSet<Scope>,
+    /// Whether the last read of the claim stream went well.
+    current: bool,
+    /// Until when a claim may be missing from the index.
+    gap_until: u64,
+}
+
+/// What became of a wait for a claim.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Settled {
+    /// The log has decided.
+    Held(Held),
+    /// The log does not answer, or not in time.
+    Unavailable,
+    /// Claims were lost before they were read.
+    Gap,
+    /// Too many keys are remembered already.
+    Full,
+}
+
+/// What this router knows about operation keys; shared by traffic and control.
+#[derive(Debug)]
+pub struct OnceDesk {
+    me: Owner,
+    settings: Once,
+    clock: SharedClock,
+    start: Instant,
+    state: Mutex<State>,
+    /// Bumped when a run ends or the index changes.
+    changed: watch::Sender<u64>,
+    /// Told when there are claims to append.
+    pub(crate) waiting: Notify,
+}
+
+impl OnceDesk {
+    /// A desk for the router with hash `router`.
+    pub fn new(router: u64, settings: &Once, clock: &SharedClock) -> OnceDesk {
+        let limits =
+            LedgerLimits { keys: settings.keys, bytes: settings.answers.as_u64() as usize };
+        let state = State {
+            ledger: Ledger::new(limits),
+            index: ClaimIndex::default(),
+            pending: Vec::new(),
+            made: HashMap::new(),
+            failed: HashSet::new(),
+            current: false,
+            gap_until: 0,
+        };
+        OnceDesk {
+            me: Owner { router, incarnation: rand::random() },
+            settings: settings.clone(),
+            clock: Arc::clone(clock),
+            start: clock.now(),
+            state: Mutex::new(state),
+            changed: watch::channel(0).0,
+            waiting: Notify::new(),
+        }
+    }
+
+    /// This incarnation of this router.
+    pub fn me(&self) -> Owner {
+        self.me
+    }
+
+    /// The settings.
+    pub(crate) fn settings(&self) -> &Once {
+        &self.settings
+    }
+
+    /// Milliseconds since this router started, on its monotonic clock.
+    pub fn now_ms(&self) -> u64 {
+        self.clock.now().saturating_duration_since(self.start).as_millis() as u64
+    }
+
+    /// A key that this router issues now.
+    pub fn issue(&self) -> IssuedKey {
+        let Owner { router, incarnation } = self.me;
+        IssuedKey { router, incarnation, issued_ms: self.now_ms() }
+    }
+
+    /// Decides on a call whose key is owned here since `since_ms`.
+    pub(crate) fn admit(&self, op: &Op, since_ms: u64) -> Admit<Answer> {
+        let now = self.now_ms();
+        let good = self.good_ms();
+        self.state().ledger.admit_aged(op, now.saturating_sub(since_ms), good, now)
+    }
+
+    /// What is known about a call whose key is owned here.
+    pub(crate) fn peek(&self, op: &Op) -> Option<Admit<Answer>> {
+        self.state().ledger.peek(op)
+    }
+
+    /// Notes how a run ended, and wakes whoever waits for it.
+    pub(crate) fn finish(&self, scope: Scope, ended: Ended<Answer>) {
+        self.state().ledger.finish(scope, ended);
+        self.changed.send_modify(|it| *it += 1);
+    }
+
+    /// Follows changes of ledger and index.
+    pub(crate) fn changes(&self) -> watch::Receiver<u64> {
+        self.changed.subscribe()
+    }
+
+    /// Who holds a key, as far as the claims read tell.
+    pub fn held(&self, scope: &Scope) -> Option<Held> {
+        self.state().index.held(scope)
+    }
+
+    /// Whether this router has seen any call or claim under a key.
+    pub fn knows(&self, op: &Op) -> bool {
+        let state = self.state();
+        state.index.held(&op.scope).is_some() || state.ledger.peek(op).is_some()
+    }
+
+    /// Claims a key and waits until the log has decided who holds it, at most
+    /// until `deadline`.
+    pub(crate) async fn claim(&self, op: &Op, deadline: Instant) -> Settled {
+        let mut changes = self.changes();
+        if let Err(refused) = self.enqueue(op) {
+            return refused;
+        }
+        self.waiting.notify_one();
+        let until = deadline.min(self.clock.now() + self.settings.claim_wait);
+        loop {
+            if let Some(held) = self.held(&op.scope) {
+                return Settled::Held(held);
+            }
+            let left = until.saturating_duration_since(self.clock.now());
+            if left.is_zero() || self.has_failed(&op.scope) {
+                return Settled::Unavailable;
+            }
+            let _ = tokio::time::timeout(left, changes.changed()).await;
+        }
+    }
+
+    fn enqueue(&self, op: &Op) -> Result<(), Settled> {
+        let now = self.now_ms();
+        let mut state = self.state();
+        if now < state.gap_until {
+            return Err(Settled::Gap);
+        }
+        if !state.current {
+            return Err(Settled::Unavailable);
+        }
+        if state.index.len() >= self.settings.keys {
+            return Err(Settled::Full);
+        }
+        let claim = Claim { owner: self.me, op: *op };
+        let age = state.made.get(&op.scope).map(|at| now.saturating_sub(*at));
+        if age.is_none_or(|it| it > self.good_ms()) {
+            state.made.insert(op.scope, now);
+        }
+        if age.is_none_or(|it| it > millis(self.settings.claim_wait))
+            || state.failed.contains(&op.scope)
+        {
+            state.failed.remove(&op.scope);
+            state.pending.push((now, claim));
+        }
+        Ok(())
+    }
+
+    /// Whether the log refused the claim, or the stream cannot be read.
+    fn has_failed(&self, scope: &Scope) -> bool {
+        let state = self.state();
+        !state.current || state.failed.contains(scope)
+    }
+
+    /// Takes the claims to append; what nobody waits for any more is left out.
+    pub(crate) fn take_pending(&self, most: usize) -> Vec<(u64, Claim)> {
+        let oldest = self.now_ms().saturating_sub(millis(self.settings.claim_wait));
+        let mut state = self.state();
+        let count = state.pending.len().min(most);
+        let mut taken: Vec<_> = state.pending.drain(..count).collect();
+        taken.retain(|(at, _)| *at >= oldest);
+        taken
+    }
+
+    /// Notes claims that the log refused.
+    pub(crate) fn fail(&self, claims: &[(u64, Claim)]) {
+        self.state().failed.extend(claims.iter().map(|it| it.1.op.scope));
+        self.changed.send_modify(|it| *it += 1);
+    }
+
+    /// Puts claims back whose append was put off.
+    pub(crate) fn put_back(&self, claims: Vec<(u64, Claim)>) {
+        let mut state = self.state();
+        let later = std::mem::replace(&mut state.pending, claims);
+        state.pending.extend(later);
+    }
+
+    /// Applies claims read from the log, in order.
+    pub(crate) fn read_claims(&self, claims: &[Claim]) {
+        let now = self.now_ms();
+        let memory = 2 * self.good_ms();
+        let mut state = self.state();
+        for it in claims {
+            let own = (it.owner == self.me).then(|| state.made.get(&it.op.scope).copied());
+            let at = own.flatten().unwrap_or(now);
+            state.index.apply(it, at);
+            if it.owner == self.me {
+                state.made.remove(&it.op.scope);
+            }
+        }
+        if let Some(until) = now.checked_sub(memory) {
+            state.index.expire(until);
+            state.made.retain(|_, at| *at > until);
+            let State { failed, made, .. } = &mut *state;
+            failed.retain(|it| made.contains_key(it));
+        }
+        drop(state);
+        self.changed.send_modify(|it| *it += 1);
+    }
+
+    /// Notes whether the claim stream can be read.
+    pub(crate) fn set_current(&self, current: bool) {
+        let before = std::mem::replace(&mut self.state().current, current);
+        if before != current {
+            self.changed.send_modify(|it| *it += 1);
+        }
+    }
+
+    /// Notes that claims were lost: any key may be claimed unknown to this
+    /// router until the lost claims are too old to matter.
+    pub(crate) fn note_gap(&self) {
+        let until = self.now_ms() + 2 * self.good_ms();
+        self.state().gap_until = until;
+    }
+
+    /// How long a key is good.
+    pub(crate) fn good_ms(&self) -> u64 {
+        millis(self.settings.key_age)
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap()
+    }
+}
+
+fn millis(time: Duration) -> u64 {
+    time.as_millis() as u64
+}
--- /dev/null
+++ b/src/once/tail.rs
@@ -0,0 +1,63 @@
+//! Follows the claims in the log.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::time::sleep;
+
+use crate::backend::LogClient;
+use crate::events::{Code, EventLog, Fields};
+use crate::once::OnceDesk;
+use crate::settings::Control;
+use crate::wire::{Page, WireClaims};
+
+/// Stream of the claims.
+pub const CLAIM_STREAM: &str = "filberttiller-claims";
+
+/// Reads the stream for as long as the process lives.
+pub(crate) async fn tail_claims(
+    log: LogClient,
+    desk: Arc<OnceDesk>,
+    events: Arc<EventLog>,
+    upkeep: Control,
+) {
+    let mut next = 0;
+    let mut begun = false;
+    let mut wait = Duration::ZERO;
+    loop {
+        match log.read(CLAIM_STREAM, next, wait).await {
+            Ok(page) => {
+                if begun && (page.first > next || page.next < next) {
+                    let detail = format!("expected {next}, kept {} to {}", page.first, page.next);
+                    desk.note_gap();
+                    events.record(Code::ClaimsGap, Fields { subject: "", detail: &detail });
+                    next = page.first.max(next.min(page.next));
+                    continue;
+                }
+                begun = true;
+                next = page.records.last().map_or(page.next.max(next), |it| it.offset + 1);
+                apply(&desk, &page);
+                // Only at the end of the stream is the index complete.
+                if next >= page.next {
+                    desk.set_current(true);
+                    wait = upkeep.log_wait;
+                }
+            }
+            Err(_) => {
+                desk.set_current(false);
+                wait = Duration::ZERO;
+                sleep(upkeep.retry_every).await;
+            }
+        }
+    }
+}
+
+/// Applies one page; records of another form claim nothing.
+fn apply(desk: &OnceDesk, page: &Page) {
+    for record in &page.records {
+        let Ok(wire) = serde_json::from_value::<WireClaims>(record.body.clone()) else {
+            continue;
+        };
+        desk.read_claims(&wire.claims());
+    }
+}
--- a/tests/it/once.rs
+++ b/tests/it/once.rs
@@ -1,11 +1,21 @@
 //! Keys of the fleet and calls that may not be repeated.
 
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use filberttiller::daemon::Daemon;
+use filberttiller::demo::{Fleet, FleetOptions};
+use filberttiller::filters::{DEADLINE_HEADER, KEY_HEADER, ORGANISATION_HEADER, VERDICT_HEADER};
 use filberttiller::keys::{
     IssuedKey, KeyError, KeyRing, read_hint, read_key, write_hint, write_key,
 };
 use filberttiller::settings::FleetKey;
+use filberttiller::wire::NewKey;
 use proptest::prelude::{ProptestConfig, any, prop_assert, proptest};
 use rstest::rstest;
+use serde_json::{Value, json};
+use standins::log::Faults as LogFaults;
+use standins::service::Faults as ServiceFaults;
 
 /// Where a failing case would be noted; the seeds are fixed in place of it.
 fn fixed() -> ProptestConfig {
@@ -78,3 +88,296 @@
         prop_assert!(changed == hint || read_hint(&ring, 9, &changed).is_none());
     }
 }
+
+/// What a caller was told.
+#[derive(Debug, Clone, PartialEq)]
+struct Told {
+    status: u16,
+    verdict: String,
+    /// Reason of an error, else empty.
+    reason: String,
+    retry: bool,
+    body: Value,
+}
+
+impl Told {
+    fn is(&self, verdict: &str, reason: &str) -> bool {
+        self.verdict == verdict && self.reason == reason
+    }
+}
+
+/// One reservation.
+#[derive(Debug, Clone, Copy)]
+struct Order<'a> {
+    key: Option<&'a str>,
+    quantity: u32,
+    deadline_ms: u64,
+}
+
+fn order(key: &str) -> Order<'_> {
+    Order { key: Some(key), quantity: 1, deadline_ms: 20_000 }
+}
+
+async fn reserve(fleet: &Fleet, router: SocketAddr, order: Order<'_>) -> Told {
+    let mut request = fleet
+        .http
+        .post(format!("http://{router}/v1/services/stockroom/reservations"))
+        .header(ORGANISATION_HEADER, "dalisay")
+        .header(DEADLINE_HEADER, order.deadline_ms)
+        .json(&json!({ "item": "reed-8", "quantity": order.quantity }));
+    if let Some(key) = order.key {
+        request = request.header(KEY_HEADER, key);
+    }
+    let Ok(reply) = request.send().await else {
+        return Told {
+            status: 0,
+            verdict: "may_have_run".to_owned(),
+            reason: "no_answer".to_owned(),
+            retry: false,
+            body: Value::Null,
+        };
+    };
+    let status = reply.status().as_u16();
+    let header = |name: &str| reply.headers().get(name).map(|it| it.to_str().unwrap().to_owned());
+    let (verdict, retry) = (header(VERDICT_HEADER).unwrap(), header("retry-after").is_some());
+    let body: Value = reply.json().await.unwrap();
+    let reason = body["error"]["reason"].as_str().unwrap_or_default().to_owned();
+    Told { status, verdict, reason, retry, body }
+}
+
+fn once_options() -> FleetOptions {
+    let mut options =
+        FleetOptions { routers: 3, engines: 1, canaries: 0, ..FleetOptions::default() };
+    options.settings.upkeep.list_every = Duration::from_millis(50);
+    options
+}
+
+async fn once_fleet(options: FleetOptions) -> Fleet {
+    let fleet = Fleet::start(options).await.unwrap();
+    fleet.publish_first().await.unwrap();
+    fleet
+}
+
+fn addrs(fleet: &Fleet) -> Vec<SocketAddr> {
+    fleet.routers.iter().map(|it| it.address()).collect()
+}
+
+/// A key of the caller, or one that the router at `addr` issues.
+async fn key(fleet: &Fleet, addr: SocketAddr, issued: bool) -> String {
+    if !issued {
+        return "order-17".to_owned();
+    }
+    let request = fleet.http.post(format!("http://{addr}/v1/keys"));
+    let reply = request.header(ORGANISATION_HEADER, "dalisay").send().await.unwrap();
+    format!("{}.order-17", reply.json::<NewKey>().await.unwrap().key)
+}
+
+fn set_service(fleet: &Fleet, faults: ServiceFaults) {
+    fleet.services[0].set_faults(faults);
+}
+
+#[rstest]
+#[tokio::test]
+async fn repeat_gets_first_answer(#[values(false, true)] issued: bool) {
+    let fleet = once_fleet(once_options()).await;
+    let key = key(&fleet, addrs(&fleet)[0], issued).await;
+    let first = reserve(&fleet, addrs(&fleet)[1], order(&key)).await;
+    assert!(first.is("ran", ""), "{first:?}");
+    for addr in addrs(&fleet) {
+        assert_eq!(reserve(&fleet, addr, order(&key)).await, first);
+    }
+    assert_eq!(fleet.services[0].runs(&key), 1);
+}
+
+#[rstest]
+#[tokio::test]
+async fn lost_reply_never_runs_again(
+    #[values(false, true)] issued: bool,
+    #[values(false, true)] cut: bool,
+) {
+    let fleet = once_fleet(once_options()).await;
+    let key = key(&fleet, addrs(&fleet)[0], issued).await;
+    let (lost_replies, cut_replies) = if cut { (0, 1) } else { (1, 0) };
+    set_service(&fleet, ServiceFaults { lost_replies, cut_replies, ..ServiceFaults::default() });
+    let first = reserve(&fleet, addrs(&fleet)[0], Order { deadline_ms: 500, ..order(&key) }).await;
+    assert_eq!(first.verdict, "may_have_run", "{first:?}");
+    for addr in addrs(&fleet) {
+        let told = reserve(&fleet, addr, order(&key)).await;
+        assert!(told.is("may_have_run", "outcome_unknown"), "{told:?}");
+    }
+    assert_eq!(fleet.services[0].runs(&key), 1);
+}
+
+#[rstest]
+#[tokio::test]
+async fn resend_while_running_waits(#[values(false, true)] issued: bool) {
+    let fleet = once_fleet(once_options()).await;
+    let key = key(&fleet, addrs(&fleet)[0], issued).await;
+    set_service(&fleet, ServiceFaults { delay_ms: 1_500, ..ServiceFaults::default() });
+    let all = addrs(&fleet);
+    let (first, second, short) = tokio::join!(
+        reserve(&fleet, all[0], order(&key)),
+        reserve(&fleet, all[1], order(&key)),
+        async {
+            fleet
+                .wait_until(|it| {
+                    let ran = |r: &Daemon| r.shared().events.since(0).iter().any(|e| e.code == 600);
+                    it.routers.iter().any(ran)
+                })
+                .await;
+            reserve(&fleet, all[2], Order { deadline_ms: 100, ..order(&key) }).await
+        },
+    );
+    assert!(first.is("ran", ""), "{first:?}");
+    assert_eq!(second, first);
+    assert_eq!(short.verdict, "may_have_run", "{short:?}");
+    assert_eq!(fleet.services[0].runs(&key), 1);
+}
+
+#[rstest]
+#[tokio::test]
+async fn key_with_other_body_refused(#[values(false, true)] issued: bool) {
+    let fleet = once_fleet(once_options()).await;
+    let key = key(&fleet, addrs(&fleet)[0], issued).await;
+    assert!(reserve(&fleet, addrs(&fleet)[0], order(&key)).await.is("ran", ""));
+    for addr in addrs(&fleet) {
+        let told = reserve(&fleet, addr, Order { quantity: 2, ..order(&key) }).await;
+        assert!(told.is("not_run", "key_reused"), "{told:?}");
+        assert_eq!(told.status, 422);
+    }
+    assert_eq!(fleet.services[0].runs(&key), 1);
+}
+
+#[tokio::test]
+async fn log_outage_served() {
+    let fleet = once_fleet(once_options()).await;
+    let all = addrs(&fleet);
+    let before = reserve(&fleet, all[0], order("before")).await;
+    fleet.log.set_faults(LogFaults { out: true, ..LogFaults::default() });
+    let issued = key(&fleet, all[0], true).await;
+    assert!(reserve(&fleet, all[1], order(&issued)).await.is("ran", ""));
+    for addr in &all {
+        assert_eq!(reserve(&fleet, *addr, order("before")).await, before);
+        let told = reserve(&fleet, *addr, order("during")).await;
+        assert!(told.is("not_run", "claims_unavailable") && told.retry, "{told:?}");
+    }
+    assert_eq!(fleet.services[0].runs("during"), 0);
+    fleet.log.set_faults(LogFaults::default());
+    let after = reserve(&fleet, all[0], order("during")).await;
+    assert!(after.verdict == "ran" || after.reason == "claims_unavailable", "{after:?}");
+}
+
+#[tokio::test]
+async fn lost_append_reply_resolved() {
+    let fleet = once_fleet(once_options()).await;
+    fleet.log.set_faults(LogFaults { lost_replies: 2, ..LogFaults::default() });
+    for (i, addr) in addrs(&fleet).into_iter().enumerate() {
+        let key = format!("order-{i}");
+        let told = reserve(&fleet, addr, order(&key)).await;
+        assert!(told.is("ran", ""), "{told:?}");
+        assert_eq!(fleet.services[0].runs(&key), 1);
+    }
+}
+
+#[rstest]
+#[tokio::test]
+async fn owner_gone_may_have_run(
+    #[values(false, true)] issued: bool,
+    #[values(false, true)] restarted: bool,
+) {
+    let mut fleet = once_fleet(once_options()).await;
+    let owner = addrs(&fleet)[2];
+    let key = key(&fleet, owner, issued).await;
+    assert!(reserve(&fleet, owner, order(&key)).await.is("ran", ""));
+    drop(fleet.routers.pop());
+    if restarted {
+        fleet.add_router().unwrap();
+        fleet.wait_until(|it| it.routers[2].shared().view.peek().ready).await;
+    }
+    for addr in addrs(&fleet) {
+        let told = reserve(&fleet, addr, order(&key)).await;
+        assert_eq!(told.verdict, "may_have_run", "{told:?}");
+    }
+    assert_eq!(fleet.services[0].runs(&key), 1);
+}
+
+#[rstest]
+#[tokio::test]
+async fn all_restarted_never_run_again(#[values(false, true)] issued: bool) {
+    let mut fleet = once_fleet(once_options()).await;
+    let key = key(&fleet, addrs(&fleet)[0], issued).await;
+    assert!(reserve(&fleet, addrs(&fleet)[0], order(&key)).await.is("ran", ""));
+    fleet.routers.clear();
+    for _ in 0..3 {
+        fleet.add_router().unwrap();
+    }
+    for addr in addrs(&fleet) {
+        let told = reserve(&fleet, addr, order(&key)).await;
+        assert_eq!(told.verdict, "may_have_run", "{told:?}");
+    }
+    assert_eq!(fleet.services[0].runs(&key), 1);
+}
+
+#[rstest]
+#[case::forged("fk1.AAAA", "dalisay")]
+#[case::of_other_organisation("", "pierscionkowo")]
+#[tokio::test]
+async fn wrong_key_refused(#[case] text: &str, #[case] organisation: &str) {
+    let fleet = once_fleet(once_options()).await;
+    let addr = addrs(&fleet)[0];
+    let request = fleet.http.post(format!("http://{addr}/v1/keys"));
+    let reply = request.header(ORGANISATION_HEADER, organisation).send().await.unwrap();
+    let issued = reply.json::<NewKey>().await.unwrap().key;
+    let key = if text.is_empty() { issued } else { text.to_owned() };
+    let told = reserve(&fleet, addr, order(&key)).await;
+    assert!(told.is("not_run", "key_refused"), "{told:?}");
+    assert_eq!((told.status, fleet.services[0].runs(&key)), (403, 0));
+}
+
+#[tokio::test]
+async fn forgotten_key_may_have_run() {
+    let mut options = once_options();
+    options.settings.once.key_age = Duration::from_millis(20);
+    let fleet = once_fleet(options).await;
+    let addr = addrs(&fleet)[0];
+    let key = key(&fleet, addr, true).await;
+    tokio::time::sleep(Duration::from_millis(60)).await;
+    let told = reserve(&fleet, addr, order(&key)).await;
+    assert!(told.is("may_have_run", "key_expired"), "{told:?}");
+    assert_eq!(fleet.services[0].runs(&key), 0);
+}
+
+#[tokio::test]
+async fn service_that_checks_is_asked() {
+    let fleet = once_fleet(FleetOptions { checks_keys: true, ..once_options() }).await;
+    fleet.log.set_faults(LogFaults { out: true, ..LogFaults::default() });
+    let first = reserve(&fleet, addrs(&fleet)[0], order("order-17")).await;
+    assert!(first.is("ran", ""), "{first:?}");
+    for addr in addrs(&fleet) {
+        assert_eq!(reserve(&fleet, addr, order("order-17")).await, first);
+    }
+    assert_eq!(fleet.services[0].runs("order-17"), 1);
+}
+
+#[tokio::test]
+async fn call_without_key_sent_once() {
+    let fleet = once_fleet(once_options()).await;
+    set_service(&fleet, ServiceFaults { cut_replies: 1, ..ServiceFaults::default() });
+    let keyless = Order { key: None, ..order("") };
+    let told = reserve(&fleet, addrs(&fleet)[0], keyless).await;
+    assert_eq!(told.verdict, "may_have_run", "{told:?}");
+    assert_eq!(fleet.services[0].runs(""), 1);
+}
+
+#[tokio::test]
+async fn owner_not_listed_may_have_run() {
+    let fleet = once_fleet(once_options()).await;
+    let all = addrs(&fleet);
+    let key = key(&fleet, all[2], true).await;
+    assert!(reserve(&fleet, all[2], order(&key)).await.is("ran", ""));
+    fleet.list.remove("entry-2");
+    fleet.wait_until(|it| it.routers[0].shared().view.peek().routers.len() == 2).await;
+    let told = reserve(&fleet, all[0], order(&key)).await;
+    assert!(told.is("may_have_run", "outcome_unknown"), "{told:?}");
+    assert_eq!(fleet.services[0].runs(&key), 1);
+}
