--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -4,6 +4,7 @@
 mod control_thread;
 mod daemon;
 mod gossip_api;
+mod once_api;
 mod server;
 mod stop;
 
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -8,6 +8,7 @@
 mod engine;
 mod entry;
 mod hash;
+pub mod once;
 mod place;
 mod sent;
 mod verdict;
--- a/src/filters/shared.rs
+++ b/src/filters/shared.rs
@@ -14,6 +14,8 @@
 use crate::events::EventLog;
 use crate::filters::Arm;
 use crate::fleet::{Budget, CrashBoard, MarkBoard, ViewCell};
+use crate::keys::KeyRing;
+use crate::once::OnceDesk;
 use crate::settings::Settings;
 
 /// What all requests of a router share.
@@ -35,6 +37,10 @@
     pub budget: Arc<Budget>,
     /// Requests that crashed backend servers.
     pub crashes: Arc<CrashBoard>,
+    /// Keys of the fleet.
+    pub keys: KeyRing,
+    /// Operation keys.
+    pub once: Arc<OnceDesk>,
     /// Gates in front of the pools.
     pub gates: Gates,
     /// The clock.
