Tell true verdicts at every failure point and pass on whole answers only

Cause: a retried request whose first try may have run was told not_run when the second could not connect; a streamed answer was told ran in its head; the client followed redirects, so it could send a call twice; an answer without length passed as whole; a caller that left was never noted.

Change: a failure point decides the verdict and the verdicts of all tries are combined; calls that may not be repeated use a new connection each; answers are checked for length, form and id and passed on byte for byte; streams are resumed at the same engine or by the caller at any router, with ids that only their organisation can use; every request ends in one final event; retries need a budget; failing and slow backend servers rest.

--- a/src/daemon/daemon.rs
+++ b/src/daemon/daemon.rs
@@ -17,7 +17,7 @@
 use crate::daemon::control_thread::ControlThread;
 use crate::daemon::{Stop, Stopped, serve};
 use crate::events::{Code, EventLog, Fields};
-use crate::filters::{Counters, Shared, callers};
+use crate::filters::{Counters, Shared, Upstream, callers, client};
 use crate::fleet::ViewCell;
 use crate::settings::Settings;
 
@@ -64,17 +64,13 @@
         logger: Logger,
     ) -> Result<Daemon, Report<DaemonError>> {
         let events = Arc::new(EventLog::new(&settings.name, Arc::clone(&clock), logger));
-        let http = reqwest::Client::builder()
-            .connect_timeout(settings.traffic.connect)
-            .retry(reqwest::retry::never())
-            .no_proxy()
-            .build()
-            .change_context(DaemonError::SetUp)?;
+        let http = client(&settings.traffic).build().change_context(DaemonError::SetUp)?;
         let shared = Arc::new(Shared {
             view: Arc::new(ViewCell::default()),
             events,
             meter: Arc::default(),
             crashes: Arc::default(),
+            upstream: Upstream::new(&settings.traffic).change_context(DaemonError::SetUp)?,
             counters: Counters::new().change_context(DaemonError::SetUp)?,
             clock,
             http,
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -3,12 +3,18 @@
 
 mod engine;
 mod entry;
+mod failure_point;
 mod hash;
+mod outlier;
 mod place;
+mod retry_budget;
 mod verdict;
 
 pub use engine::Engine;
 pub use entry::{EntryRouter, entry_order};
+pub use failure_point::FailurePoint;
 pub use hash::{chat_key, combine, hash_bytes, weighted_score};
+pub use outlier::{Outliers, ServerResult};
 pub use place::{Choice, PlaceQuery, place};
+pub use retry_budget::RetryBudget;
 pub use verdict::Verdict;
--- a/src/decide/verdict.rs
+++ b/src/decide/verdict.rs
@@ -23,6 +23,12 @@
             Verdict::Ran => "ran",
         }
     }
+
+    /// The verdict over two failed tries of one request: only when neither ran
+    /// did the request not run.
+    pub fn and(self, other: Verdict) -> Verdict {
+        if self == other { self } else { Verdict::MayHaveRun }
+    }
 }
 
 impl fmt::Display for Verdict {
--- a/src/events/code.rs
+++ b/src/events/code.rs
@@ -66,4 +66,9 @@
     509 Unauthorised "a call came without the right token";
     510 UnknownCall "a call names an unknown path or method";
     511 TooLarge "a request is larger than allowed";
+    512 CallerLeft "a caller left before the end of its answer";
+    513 StreamResumed "a broken stream goes on from its last event";
+    514 RetryWithheld "a request was not tried again, as too many were";
+    515 ServerSetAside "a backend server fails or is slow and gets no requests for a while";
+    516 ServerProbed "a backend server that was set aside gets one request";
 }
--- a/src/filters/chat.rs
+++ b/src/filters/chat.rs
@@ -3,17 +3,20 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use serde_json::Value;
+use warp::Reply;
 use warp::http::{HeaderValue, StatusCode};
 use warp::reply::Response;
 
-use crate::decide::{Verdict, combine, hash_bytes};
-use crate::events::{Code, Fields};
-use crate::filters::answer::{json, mark};
-use crate::filters::forward::{Chosen, Job, Plan, forward, send_failure};
+use crate::decide::{FailurePoint, Verdict, combine, hash_bytes};
+use crate::filters::answer::mark;
+use crate::filters::cancel::Cancel;
+use crate::filters::failure::Failure;
+use crate::filters::forward::{Chosen, Job, Plan, forward, time_left};
 use crate::filters::hint::{read_hint, write_hint};
-use crate::filters::stream::stream_answer;
-use crate::filters::{Call, HINT_HEADER, Reason, Refusal, Shared, Target};
+use crate::filters::reply::read_whole;
+use crate::filters::stream::{Source, stream_answer};
+use crate::filters::{Call, DEADLINE_HEADER, HINT_HEADER, Reason, Refusal, Shared, Target};
+use crate::wire::{ChatAnswer, Usage};
 
 /// Answers `POST /v1/chat/completions`.
 pub(crate) async fn chat(shared: &Arc<Shared>, mut call: Call) -> Result<Response, Refusal> {
@@ -42,48 +45,71 @@
     stream: bool,
 }
 
+impl ChatJob {
+    /// Whether the answer comes token by token.
+    pub(crate) fn is_streamed(&self) -> bool {
+        self.stream
+    }
+}
+
 /// Sends the request to the chosen engine and answers with what comes back.
 pub(crate) async fn send_chat(
     shared: &Arc<Shared>,
     call: &Call,
     job: &ChatJob,
     chosen: Chosen,
-) -> Result<Response, Refusal> {
-    let url = format!("http://{}/v1/chat/completions", chosen.server.address);
-    let left = call.deadline.saturating_duration_since(shared.clock.now());
+) -> Result<Response, Failure> {
+    let left = time_left(shared, call)?;
+    let address = chosen.server.address;
+    let mut cancel = Cancel::new(&shared.http, address, &call.id);
     let sent = shared
         .http
-        .post(url)
+        .post(format!("http://{address}/v1/chat/completions"))
         .timeout(left)
         .header("content-type", "application/json")
         .header("x-request-id", &call.id)
+        .header(DEADLINE_HEADER, left.as_millis() as u64)
         .body(job.body.clone())
         .send();
-    let reply = sent.await.map_err(|e| send_failure(&e))?;
-    if reply.status() != StatusCode::OK {
-        return Err(engine_refusal(reply.status()));
-    }
+    let reply = match sent.await {
+        Ok(it) if it.status() == StatusCode::OK => it,
+        Ok(it) => {
+            cancel.disarm();
+            return Err(engine_failure(it.status()));
+        }
+        Err(e) => {
+            let failure = Failure::of_send(&e);
+            if !failure.point.reached_server() {
+                cancel.disarm();
+            }
+            return Err(failure);
+        }
+    };
     let hint = write_hint(chosen.engine.id, chosen.engine.incarnation);
     let mut answer = if job.stream {
-        stream_answer(shared, &call.id, reply, chosen.work)
+        let source = Source { address, deadline: call.deadline, next: 0 };
+        stream_answer(shared, &call.id, reply, source, Some(chosen.work), cancel)
     } else {
-        whole(shared, &call.id, reply).await?
+        let answer = whole(shared, &call.id, reply).await?;
+        cancel.disarm();
+        answer
     };
-    mark(&mut answer, &call.id, Verdict::Ran);
     if let Ok(hint) = HeaderValue::from_str(&hint) {
         answer.headers_mut().insert(HINT_HEADER, hint);
     }
     Ok(answer)
 }
 
-/// What an engine's refusal means.
-fn engine_refusal(status: StatusCode) -> Refusal {
+/// What an engine's error status means: engines answer 404, 429 and 503 only
+/// before they begin.
+fn engine_failure(status: StatusCode) -> Failure {
     let message = format!("the engine answered {status}");
     match status {
         StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS | StatusCode::NOT_FOUND => {
-            Refusal::not_run(Reason::BackendFailed, message)
+            Failure::new(FailurePoint::Refused, message)
         }
-        _ => Refusal::may_have_run(Reason::BackendFailed, message),
+        _ if status.is_client_error() => Failure::new(FailurePoint::Rejected, message),
+        _ => Failure::new(FailurePoint::Failed, message),
     }
 }
 
@@ -92,22 +118,29 @@
     shared: &Shared,
     request: &str,
     reply: reqwest::Response,
-) -> Result<Response, Refusal> {
-    let body: Value = reply.json().await.map_err(|e| send_failure(&e))?;
-    if body["id"] != request {
+) -> Result<Response, Failure> {
+    let body = read_whole(reply, shared.settings.limits.answer.as_u64()).await?;
+    let answer: ChatAnswer = serde_json::from_slice(&body).map_err(|e| {
+        Failure::new(FailurePoint::Mismatch, format!("the answer cannot be read: {e}"))
+    })?;
+    if answer.id != request {
         let message = "the engine answered another request";
-        return Err(Refusal::may_have_run(Reason::BackendFailed, message));
+        return Err(Failure::new(FailurePoint::Mismatch, message));
     }
-    count_usage(shared, &body["usage"]);
-    let fields = Fields { subject: request, detail: "whole" };
-    shared.events.record(Code::RequestDone, fields);
-    Ok(json(&body))
+    if answer.choices.is_empty() {
+        let message = "the answer has no choices";
+        return Err(Failure::new(FailurePoint::Mismatch, message));
+    }
+    count_usage(shared, &answer.usage);
+    let mut answer = warp::http::Response::new(body).into_response();
+    answer.headers_mut().insert("content-type", HeaderValue::from_static("application/json"));
+    mark(&mut answer, request, Verdict::Ran);
+    Ok(answer)
 }
 
 /// Adds an answer's usage to the counters.
-pub(crate) fn count_usage(shared: &Shared, usage: &Value) {
-    let cached = usage["prompt_tokens_details"]["cached_tokens"].as_u64().unwrap_or(0);
-    let prompt = usage["prompt_tokens"].as_u64().unwrap_or(cached);
-    shared.counters.prompt_tokens.inc_by(prompt);
+pub(crate) fn count_usage(shared: &Shared, usage: &Usage) {
+    let cached = usage.prompt_tokens_details.cached_tokens;
+    shared.counters.prompt_tokens.inc_by(usage.prompt_tokens.max(cached));
     shared.counters.cached_tokens.inc_by(cached);
 }
--- a/src/filters/mod.rs
+++ b/src/filters/mod.rs
@@ -3,28 +3,37 @@
 mod answer;
 mod body;
 mod call;
+mod cancel;
 mod chain;
 mod chat;
 mod choose;
+mod ending;
 mod entry;
+mod failure;
 mod forward;
 mod hint;
 mod identify;
 mod in_flight;
 mod ready;
 mod refusal;
+mod reply;
+mod request_id;
 mod resolve;
+mod resume;
 mod router;
 mod service;
 mod shared;
 mod sse;
 mod stream;
+mod upstream;
 
 pub use call::{Call, Target};
 pub use chain::{Chain, Filter};
 pub use refusal::{Reason, Refusal};
 pub use router::callers;
 pub use shared::{Counters, Shared};
+pub use upstream::Upstream;
+pub(crate) use upstream::client;
 
 /// Header that names the organisation.
 pub const ORGANISATION_HEADER: &str = "filberttiller-organisation";
--- /dev/null
+++ b/src/filters/resume.rs
@@ -0,0 +1,62 @@
+//! Lets a caller fetch the rest of a stream, at any router.
+
+use std::sync::Arc;
+
+use warp::http::HeaderValue;
+use warp::reply::Response;
+
+use crate::filters::cancel::Cancel;
+use crate::filters::hint::read_hint;
+use crate::filters::request_id::belongs;
+use crate::filters::stream::{LAST_EVENT, Source, ask_stream, stream_answer};
+use crate::filters::{Call, HINT_HEADER, Reason, Refusal, Shared};
+use crate::fleet::{BackendServer, View};
+
+/// Answers `GET /v1/streams/{request}`: the events after `last-event-id`, from
+/// the engine that the chat hint names.
+pub(crate) async fn resume(shared: &Arc<Shared>, call: &Call) -> Result<Response, Refusal> {
+    let request = call.path.strip_prefix("/v1/streams/").unwrap_or_default();
+    if !belongs(&shared.settings.token, call.organisation.as_bytes(), request) {
+        let message = "this organisation has no such stream";
+        return Err(Refusal::not_run(Reason::UnknownTarget, message));
+    }
+    let Some(hint) = call.header(HINT_HEADER) else {
+        let message = format!("header `{HINT_HEADER}` of the first answer is missing");
+        return Err(Refusal::not_run(Reason::BadRequest, message));
+    };
+    let Some(server) = read_hint(hint).and_then(|it| find(&call.view, it)) else {
+        let message = "the engine of this stream is gone or was started anew";
+        return Err(Refusal::may_have_run(Reason::BackendFailed, message));
+    };
+    let source = Source { address: server.address, deadline: call.deadline, next: next(call)? };
+    let reply = ask_stream(shared, request, &source)
+        .await
+        .map_err(|e| Refusal::may_have_run(Reason::BackendFailed, e))?;
+    let cancel = Cancel::new(&shared.http, server.address, request);
+    let mut answer = stream_answer(shared, request, reply, source, None, cancel);
+    if let Ok(hint) = HeaderValue::from_str(hint) {
+        answer.headers_mut().insert(HINT_HEADER, hint);
+    }
+    Ok(answer)
+}
+
+/// Index of the first event that the caller lacks.
+fn next(call: &Call) -> Result<u64, Refusal> {
+    let Some(last) = call.headers.get(LAST_EVENT) else {
+        return Ok(0);
+    };
+    let last = last.to_str().ok().and_then(|it| it.parse::<u32>().ok());
+    last.map(|it| u64::from(it) + 1).ok_or_else(|| {
+        let message = format!("header `{LAST_EVENT}` must be the number of an event");
+        Refusal::not_run(Reason::BadRequest, message)
+    })
+}
+
+/// The engine with this id and incarnation, in whatever pool.
+fn find(view: &View, (id, incarnation): (u64, u64)) -> Option<&BackendServer> {
+    view.pools.values().find_map(|pool| {
+        let mut both = pool.engines.iter().zip(&pool.servers);
+        let (_, server) = both.find(|(it, _)| it.id == id && it.incarnation == incarnation)?;
+        Some(server)
+    })
+}
--- a/src/filters/router.rs
+++ b/src/filters/router.rs
@@ -10,15 +10,18 @@
 use warp::reply::Response;
 use warp::{Filter as _, Reply};
 
-use crate::decide::Verdict;
-use crate::events::Fields;
 use crate::filters::chat::chat;
+use crate::filters::ending::{Ending, Streamed};
 use crate::filters::entry::entry;
 use crate::filters::identify::identify;
 use crate::filters::ready::ready;
+use crate::filters::request_id::new_id;
 use crate::filters::resolve::{parse_chat, resolve_model, resolve_service};
+use crate::filters::resume::resume;
 use crate::filters::service::service;
-use crate::filters::{Call, Chain, Filter, Reason, Refusal, Shared, Target, body};
+use crate::filters::{
+    Call, Chain, Filter, ORGANISATION_HEADER, Reason, Refusal, Shared, Target, body,
+};
 
 /// Filters of chat requests.
 const CHAT: Chain = Chain {
@@ -39,12 +42,21 @@
     ],
 };
 
+/// Filters of calls that fetch the rest of a stream.
+const STREAM: Chain = Chain {
+    filters: &[
+        Filter { name: "ready", apply: ready },
+        Filter { name: "identify", apply: identify },
+    ],
+};
+
 /// Kinds of calls, as counted.
 #[derive(Debug, Clone, Copy)]
 enum Kind {
     Entry,
     Chat,
     Service,
+    Stream,
     Unknown,
 }
 
@@ -54,6 +66,7 @@
             Kind::Entry => "entry",
             Kind::Chat => "chat",
             Kind::Service => "service",
+            Kind::Stream => "stream",
             Kind::Unknown => "unknown",
         }
     }
@@ -87,8 +100,9 @@
     query: String,
     headers: HeaderMap,
 ) -> Call {
+    let organisation = headers.get(ORGANISATION_HEADER).map_or(&[][..], |it| it.as_bytes());
     Call {
-        id: format!("{:032x}", rand::random::<u128>()),
+        id: new_id(&shared.settings.token, organisation),
         method,
         path: path.as_str().to_owned(),
         query,
@@ -110,15 +124,18 @@
 {
     let id = call.id.clone();
     let kind = kind(&call);
-    let result = serve(shared, kind, call, body).await;
-    let verdict = result.as_ref().map_or_else(|it| it.verdict, |_| Verdict::Ran);
-    shared.counters.requests.with_label_values(&[kind.as_str(), verdict.as_str()]).inc();
-    match result {
-        Ok(reply) => reply,
+    let mut ending = Ending::new(shared, &id, kind.as_str());
+    match serve(shared, kind, call, body).await {
+        Ok(reply) if reply.extensions().get::<Streamed>().is_some() => {
+            ending.hand_over();
+            reply
+        }
+        Ok(reply) => {
+            ending.done(kind.as_str());
+            reply
+        }
         Err(refusal) => {
-            let detail = format!("{}: {}", refusal.verdict, refusal.message);
-            let fields = Fields { subject: &id, detail: &detail };
-            shared.events.record(refusal.reason.code(), fields);
+            ending.refused(&refusal);
             refusal.reply(&id).into_response()
         }
     }
@@ -128,6 +145,7 @@
     match (&call.method, call.path.as_str()) {
         (&Method::GET, "/v1/entry") => Kind::Entry,
         (&Method::POST, "/v1/chat/completions") => Kind::Chat,
+        (&Method::GET, path) if path.starts_with("/v1/streams/") => Kind::Stream,
         (_, path) if path.starts_with("/v1/services/") => Kind::Service,
         _ => Kind::Unknown,
     }
@@ -155,6 +173,10 @@
             SERVICE.apply(shared, &mut call)?;
             service(shared, call).await
         }
+        Kind::Stream => {
+            STREAM.apply(shared, &mut call)?;
+            resume(shared, &call).await
+        }
         Kind::Unknown => {
             let message = format!("there is no call {} {}", call.method, call.path);
             Err(Refusal::not_run(Reason::UnknownCall, message))
--- a/src/filters/service.rs
+++ b/src/filters/service.rs
@@ -3,16 +3,31 @@
 use std::sync::Arc;
 
 use warp::Reply;
-use warp::http::{HeaderMap, HeaderName, Method};
+use warp::http::header::{
+    ACCEPT, CACHE_CONTROL, CONTENT_LANGUAGE, CONTENT_TYPE, ETAG, IF_MATCH, IF_NONE_MATCH,
+    LAST_MODIFIED, LOCATION,
+};
+use warp::http::{HeaderMap, HeaderName, HeaderValue, Method};
 use warp::reply::Response;
 
-use crate::decide::Verdict;
+use crate::decide::{FailurePoint, Verdict};
 use crate::filters::answer::mark;
-use crate::filters::forward::{Chosen, Job, Plan, forward, send_failure};
-use crate::filters::{Call, KEY_HEADER, Reason, Refusal, Shared, Target};
+use crate::filters::failure::Failure;
+use crate::filters::forward::{Chosen, Job, Plan, forward, time_left};
+use crate::filters::reply::read_whole;
+use crate::filters::{
+    Call, DEADLINE_HEADER, KEY_HEADER, Reason, Refusal, Shared, Target, VERDICT_HEADER,
+};
 
-/// Headers that go on to the service, besides the operation key.
-const PASSED: [HeaderName; 2] = [warp::http::header::CONTENT_TYPE, warp::http::header::ACCEPT];
+/// Header that names the request towards backend servers.
+const REQUEST_ID: &str = "x-request-id";
+/// Headers that go on to the service; all others stay here, connection headers
+/// among them.
+const PASSED: [HeaderName; 5] =
+    [CONTENT_TYPE, ACCEPT, IF_MATCH, IF_NONE_MATCH, HeaderName::from_static(KEY_HEADER)];
+/// Headers of the service's answer that go on to the caller.
+const RETURNED: [HeaderName; 6] =
+    [CONTENT_TYPE, CONTENT_LANGUAGE, CACHE_CONTROL, ETAG, LAST_MODIFIED, LOCATION];
 
 /// Answers calls below `/v1/services/`.
 pub(crate) async fn service(shared: &Arc<Shared>, call: Call) -> Result<Response, Refusal> {
@@ -20,8 +35,9 @@
         return Err(Refusal::not_run(Reason::UnknownTarget, "the request names no service"));
     };
     let reads = call.method == Method::GET || call.method == Method::HEAD;
-    let plan = Plan { key: call.chat, hint: None, cost: 1, idempotent: reads && !once };
-    forward(shared, &call, &pool, &plan, Job::Service).await
+    let idempotent = reads && !once;
+    let plan = Plan { key: call.chat, hint: None, cost: 1, idempotent };
+    forward(shared, &call, &pool, &plan, Job::Service { idempotent }).await
 }
 
 /// Sends the call to the chosen instance and answers with what comes back.
@@ -29,40 +45,55 @@
     shared: &Arc<Shared>,
     call: &Call,
     chosen: Chosen,
-) -> Result<Response, Refusal> {
+    idempotent: bool,
+) -> Result<Response, Failure> {
     let mut url = format!("http://{}{}", chosen.server.address, call.path);
     if !call.query.is_empty() {
         url = format!("{url}?{}", call.query);
     }
-    let left = call.deadline.saturating_duration_since(shared.clock.now());
-    let sent = shared
-        .http
+    let left = time_left(shared, call)?;
+    let http = if idempotent { &shared.http } else { &shared.upstream.fresh };
+    let sent = http
         .request(call.method.clone(), url)
         .timeout(left)
-        .header("x-request-id", &call.id)
-        .headers(passed_headers(&call.headers))
+        .headers(chosen_headers(&call.headers, &PASSED))
+        .header(REQUEST_ID, &call.id)
+        .header(DEADLINE_HEADER, left.as_millis() as u64)
         .body(call.body.clone())
         .send();
-    let reply = sent.await.map_err(|e| send_failure(&e))?;
+    let reply = sent.await.map_err(|e| Failure::of_send(&e))?;
+    check_head(call, &reply)?;
     let status = reply.status();
-    let kind = reply.headers().get("content-type").cloned();
-    if status.is_server_error() {
-        let message = format!("the service answered {status}");
-        return Err(Refusal::may_have_run(Reason::BackendFailed, message));
-    }
-    let body = reply.bytes().await.map_err(|e| send_failure(&e))?;
+    let headers = chosen_headers(reply.headers(), &RETURNED);
+    let bodiless = call.method == Method::HEAD || status.as_u16() == 204 || status.as_u16() == 304;
+    let body = match bodiless {
+        true => bytes::Bytes::new(),
+        false => read_whole(reply, shared.settings.limits.answer.as_u64()).await?,
+    };
     let mut answer = warp::http::Response::new(body).into_response();
     *answer.status_mut() = status;
-    if let Some(kind) = kind {
-        answer.headers_mut().insert("content-type", kind);
-    }
+    *answer.headers_mut() = headers;
     mark(&mut answer, &call.id, Verdict::Ran);
     Ok(answer)
 }
 
-/// The headers that a service gets to see.
-fn passed_headers(headers: &HeaderMap) -> HeaderMap {
-    let key = HeaderName::from_static(KEY_HEADER);
-    let names = PASSED.iter().chain(std::iter::once(&key));
-    names.filter_map(|it| Some((it.clone(), headers.get(it)?.clone()))).collect()
+/// Whether the answer belongs to the call and is no failure of the service.
+fn check_head(call: &Call, reply: &reqwest::Response) -> Result<(), Failure> {
+    let value = |name: &str| reply.headers().get(name).map(HeaderValue::as_bytes);
+    if value(REQUEST_ID).is_some_and(|it| it != call.id.as_bytes()) {
+        let message = "the service answered another request";
+        return Err(Failure::new(FailurePoint::Mismatch, message));
+    }
+    let status = reply.status();
+    if !status.is_server_error() {
+        return Ok(());
+    }
+    let refused = value(VERDICT_HEADER) == Some(Verdict::NotRun.as_str().as_bytes());
+    let point = if refused { FailurePoint::Refused } else { FailurePoint::Failed };
+    Err(Failure::new(point, format!("the service answered {status}")))
+}
+
+/// The headers out of `names`.
+fn chosen_headers(headers: &HeaderMap, names: &[HeaderName]) -> HeaderMap {
+    names.iter().filter_map(|it| Some((it.clone(), headers.get(it)?.clone()))).collect()
 }
--- a/src/filters/shared.rs
+++ b/src/filters/shared.rs
@@ -9,6 +9,7 @@
 use crate::backend::Meter;
 use crate::clock::SharedClock;
 use crate::events::EventLog;
+use crate::filters::Upstream;
 use crate::fleet::{CrashBoard, ViewCell};
 use crate::settings::Settings;
 
@@ -31,6 +32,8 @@
     pub clock: SharedClock,
     /// Client for backend servers.
     pub http: reqwest::Client,
+    /// What is known about the backend servers.
+    pub upstream: Upstream,
 }
 
 /// Counters of the request path.
--- a/src/filters/stream.rs
+++ b/src/filters/stream.rs
@@ -1,53 +1,96 @@
 //! Streamed answers: passed on in order, or visibly ended.
 
 use std::convert::Infallible;
+use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Instant;
 
 use bytes::Bytes;
-use eventsource_stream::{Event, EventStreamError, Eventsource};
+use eventsource_stream::{Event, Eventsource};
 use futures_util::{Stream, StreamExt, stream};
-use serde_json::Value;
 use sync_wrapper::SyncStream;
+use tokio::time::timeout;
 use warp::Reply;
-use warp::http::HeaderValue;
+use warp::http::{HeaderValue, StatusCode};
 use warp::reply::Response;
 
+use crate::backend::error_text;
+use crate::decide::Verdict;
 use crate::events::{Code, Fields};
+use crate::filters::answer::mark;
+use crate::filters::cancel::Cancel;
 use crate::filters::chat::count_usage;
+use crate::filters::ending::{Ending, Streamed};
 use crate::filters::in_flight::InFlight;
 use crate::filters::{Reason, Refusal, Shared, sse};
+use crate::wire::ChatChunk;
 
 /// Data of the last event of a whole stream.
 const END_MARK: &str = "[DONE]";
+/// Resumptions without a new event in between, at most.
+const MAX_RESUMES: u32 = 3;
+/// Header that tells an engine which event came last.
+pub(crate) const LAST_EVENT: &str = "last-event-id";
 
-type Incoming = Pin<Box<dyn Stream<Item = Result<Event, EventStreamError<reqwest::Error>>> + Send>>;
+type Incoming = Pin<Box<dyn Stream<Item = Result<Event, String>> + Send>>;
+
+/// Where a stream comes from.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Source {
+    /// Address of the engine.
+    pub(crate) address: SocketAddr,
+    /// When the whole answer must be there.
+    pub(crate) deadline: Instant,
+    /// Index of the token that must come next.
+    pub(crate) next: u64,
+}
 
 /// One stream on its way to the caller.
 struct Relay {
     shared: Arc<Shared>,
     request: String,
     incoming: Incoming,
-    /// Index of the token that must come next.
-    next: u64,
+    source: Source,
+    /// Whether an event came since the head of the stream.
+    flowing: bool,
+    resumes: u32,
     over: bool,
+    ending: Ending,
+    cancel: Cancel,
     /// Counted as sent until the stream is gone.
-    _work: InFlight,
+    _work: Option<InFlight>,
 }
 
-/// Passes the engine's stream on.
+/// Why a stream cannot go on.
+enum Fault {
+    /// The connection failed; the engine may still have the rest.
+    Broken(String),
+    /// What came is wrong, or the time is over.
+    Final(String),
+}
+
+/// Passes the engine's stream on. The head tells `may_have_run`, as the end is
+/// not known yet; the end mark or the error event tells the rest.
 pub(crate) fn stream_answer(
     shared: &Arc<Shared>,
     request: &str,
     reply: reqwest::Response,
-    work: InFlight,
+    source: Source,
+    work: Option<InFlight>,
+    cancel: Cancel,
 ) -> Response {
     let relay = Relay {
         shared: Arc::clone(shared),
         request: request.to_owned(),
-        incoming: Box::pin(reply.bytes_stream().eventsource()),
-        next: 0,
+        incoming: events(reply, shared.settings.limits.answer.as_u64() as usize),
+        source,
+        flowing: false,
+        resumes: 0,
         over: false,
+        ending: Ending::new(shared, request, "chat"),
+        cancel,
         _work: work,
     };
     let frames = stream::unfold(relay, |mut it| async move {
@@ -61,52 +104,150 @@
     let headers = reply.headers_mut();
     headers.insert("content-type", HeaderValue::from_static("text/event-stream"));
     headers.insert("cache-control", HeaderValue::from_static("no-cache"));
+    reply.extensions_mut().insert(Streamed);
+    mark(&mut reply, request, Verdict::MayHaveRun);
     reply
 }
 
+/// The events of an answer; one event may have at most `most` bytes.
+fn events(reply: reqwest::Response, most: usize) -> Incoming {
+    let held = Arc::new(AtomicUsize::new(0));
+    let counted = Arc::clone(&held);
+    let pieces = reply.bytes_stream().map(move |piece| {
+        let piece = piece.map_err(|e| error_text(&e))?;
+        if counted.fetch_add(piece.len(), Ordering::Relaxed) + piece.len() > most {
+            return Err(format!("an event is longer than {most} bytes"));
+        }
+        Ok(piece)
+    });
+    Box::pin(pieces.eventsource().map(move |event| {
+        held.store(0, Ordering::Relaxed);
+        event.map_err(|e| e.to_string())
+    }))
+}
+
 impl Relay {
-    /// The next frame for the caller; any irregularity ends the stream with an error.
+    /// The next frame for the caller; what cannot be resumed ends the stream
+    /// with an error.
     async fn frame(&mut self) -> Bytes {
-        let event = match self.incoming.next().await {
-            Some(Ok(event)) => event,
-            Some(Err(e)) => return self.cut(&e.to_string()),
-            None => return self.cut("the engine ended the stream before its end mark"),
-        };
-        if event.data == END_MARK {
-            self.over = true;
-            let subject = &self.request;
-            self.shared.events.record(Code::RequestDone, Fields { subject, detail: "stream" });
-            return sse::frame("", "", END_MARK);
-        }
-        match self.check(&event) {
-            Ok(()) => sse::frame(&event.id, "", &event.data),
-            Err(fault) => self.cut(fault),
+        loop {
+            let fault = match self.event().await {
+                Ok(event) if event.data == END_MARK => return self.end(),
+                Ok(event) => match self.check(&event) {
+                    Ok(()) => return sse::frame(&event.id, "", &event.data),
+                    Err(fault) => Fault::Final(fault.to_owned()),
+                },
+                Err(fault) => fault,
+            };
+            match fault {
+                Fault::Final(fault) => return self.cut(&fault),
+                Fault::Broken(fault) => match self.resume().await {
+                    Ok(()) => {}
+                    Err(why) => return self.cut(&format!("{fault}; {why}")),
+                },
+            }
         }
     }
 
+    /// Waits for the next event within the deadline and, once events flow, the
+    /// idle time.
+    async fn event(&mut self) -> Result<Event, Fault> {
+        let left = self.source.deadline.saturating_duration_since(self.shared.clock.now());
+        let idle = self.shared.settings.traffic.idle;
+        let wait = if self.flowing { left.min(idle) } else { left };
+        let event = match timeout(wait, self.incoming.next()).await {
+            Ok(Some(Ok(event))) => event,
+            Ok(Some(Err(e))) => return Err(Fault::Broken(e)),
+            Ok(None) => {
+                let message = "the engine ended the stream before its end mark";
+                return Err(Fault::Broken(message.to_owned()));
+            }
+            Err(_) if wait == left => {
+                return Err(Fault::Final("the deadline passed".to_owned()));
+            }
+            Err(_) => return Err(Fault::Final(format!("the engine was silent for {idle:?}"))),
+        };
+        self.flowing = true;
+        Ok(event)
+    }
+
     /// Whether the event belongs to this request and comes in order.
     fn check(&mut self, event: &Event) -> Result<(), &'static str> {
-        let data: Value =
+        let chunk: ChatChunk<'_> =
             serde_json::from_str(&event.data).map_err(|_| "the engine sent a broken event")?;
-        if data["id"] != self.request.as_str() {
+        if chunk.id != self.request.as_str() {
             return Err("the engine streamed another request");
         }
-        if event.id.parse() != Ok(self.next) {
+        if event.id.parse() != Ok(self.source.next) {
             return Err("the engine left out or repeated part of the stream");
         }
-        self.next += 1;
-        if let Some(usage) = data.get("usage") {
-            count_usage(&self.shared, usage);
+        self.source.next += 1;
+        self.resumes = 0;
+        if let Some(usage) = chunk.usage {
+            count_usage(&self.shared, &usage);
+        }
+        Ok(())
+    }
+
+    /// Asks the same engine for the rest of the stream.
+    async fn resume(&mut self) -> Result<(), String> {
+        if self.resumes >= MAX_RESUMES {
+            return Err("resuming it did not help".to_owned());
         }
+        self.resumes += 1;
+        let reply = ask_stream(&self.shared, &self.request, &self.source).await?;
+        self.incoming = events(reply, self.shared.settings.limits.answer.as_u64() as usize);
+        self.flowing = false;
+        let detail = format!("from event {}", self.source.next);
+        let fields = Fields { subject: &self.request, detail: &detail };
+        self.shared.events.record(Code::StreamResumed, fields);
         Ok(())
     }
 
+    fn end(&mut self) -> Bytes {
+        self.over = true;
+        self.cancel.disarm();
+        self.ending.done("stream");
+        sse::frame("", "", END_MARK)
+    }
+
     fn cut(&mut self, fault: &str) -> Bytes {
         self.over = true;
-        let fields = Fields { subject: &self.request, detail: fault };
-        self.shared.events.record(Code::StreamCut, fields);
+        self.ending.cut(fault);
         let refusal = Refusal::may_have_run(Reason::BackendFailed, fault);
         let body = serde_json::to_string(&refusal.body(&self.request)).unwrap_or_default();
         sse::frame("", "error", &body)
     }
 }
+
+impl Drop for Relay {
+    fn drop(&mut self) {
+        if !self.over {
+            // The caller left and may come back for the rest; the engine stops
+            // by itself when nobody reads for its resume window.
+            self.cancel.disarm();
+        }
+    }
+}
+
+/// Asks an engine for the stream of `request` from `source.next` on.
+pub(crate) async fn ask_stream(
+    shared: &Shared,
+    request: &str,
+    source: &Source,
+) -> Result<reqwest::Response, String> {
+    let left = source.deadline.saturating_duration_since(shared.clock.now());
+    if left.is_zero() {
+        return Err("the deadline passed".to_owned());
+    }
+    let url = format!("http://{}/v1/streams/{request}", source.address);
+    let mut ask = shared.http.get(url).timeout(left);
+    if let Some(last) = source.next.checked_sub(1) {
+        ask = ask.header(LAST_EVENT, last);
+    }
+    let reply = ask.send().await.map_err(|e| error_text(&e))?;
+    match reply.status() {
+        StatusCode::OK => Ok(reply),
+        status => Err(format!("the engine answered {status} when asked for the rest")),
+    }
+}
--- a/src/settings/check.rs
+++ b/src/settings/check.rs
@@ -62,7 +62,9 @@
 fn allowed_at(path: &str) -> &'static str {
     match path {
         "listen" | "control" | "log" | "list" => "an IP number with a port, as in `10.0.0.1:8080`",
-        "limits.body" | "limits.head" => "a size with a unit, as in `1MiB` or `16KiB`",
+        "limits.body" | "limits.head" | "limits.answer" => {
+            "a size with a unit, as in `1MiB` or `16KiB`"
+        }
         _ if path.contains("control") => "an IP number with a port, as in `10.0.0.1:8080`",
         "." => "see `filberttiller init` for all keys",
         _ => "see `filberttiller init` for the form of each key; times have a unit, as in `500ms`",
@@ -100,6 +102,8 @@
     }
     let size = s.limits.body.as_u64();
     expect(size > 0, "limits.body", "it is 0".to_owned(), "a size above 0 is needed");
+    let answer = s.limits.answer.as_u64();
+    expect(answer > 0, "limits.answer", "it is 0".to_owned(), "a size above 0 is needed");
     let head = s.limits.head.as_u64();
     expect(head >= 8_192, "limits.head", format!("it is {head} bytes"), "at least 8KiB is needed");
     let threads = s.traffic.threads;
@@ -120,11 +124,12 @@
 }
 
 /// All times that must be above 0.
-fn times(s: &Settings) -> [(&'static str, Duration); 9] {
+fn times(s: &Settings) -> [(&'static str, Duration); 10] {
     [
         ("limits.receive", s.limits.receive),
         ("traffic.connect", s.traffic.connect),
         ("traffic.deadline", s.traffic.deadline),
+        ("traffic.idle", s.traffic.idle),
         ("traffic.entry_ttl", s.traffic.entry_ttl),
         ("traffic.drain", s.traffic.drain),
         ("state.list_every", s.upkeep.list_every),
--- a/src/settings/limits.rs
+++ b/src/settings/limits.rs
@@ -17,6 +17,8 @@
         /// Time for a caller to send a whole request.
         #[serde(with = "humantime_serde")]
         pub receive: Duration,
+        /// Largest whole answer, or event of a stream, of a backend server.
+        pub answer: ByteSize,
         /// Most messages in one conversation.
         pub messages: usize,
     }
@@ -28,6 +30,7 @@
             body: ByteSize::mib(1),
             head: ByteSize::kib(16),
             receive: Duration::from_secs(10),
+            answer: ByteSize::mib(16),
             messages: 4_096,
         }
     }
--- a/src/settings/traffic.rs
+++ b/src/settings/traffic.rs
@@ -17,6 +17,9 @@
         /// Time for a whole request when the caller sets none.
         #[serde(with = "humantime_serde")]
         pub deadline: Duration,
+        /// Longest silence of an engine within a stream.
+        #[serde(with = "humantime_serde")]
+        pub idle: Duration,
         /// Tries of one request at most.
         pub tries: usize,
         /// How long callers keep an answer about addresses.
@@ -36,6 +39,7 @@
             threads: 2,
             connect: Duration::from_secs(1),
             deadline: Duration::from_secs(60),
+            idle: Duration::from_secs(20),
             tries: 3,
             entry_ttl: Duration::from_secs(10),
             entry_addresses: 3,
--- a/src/wire/chat.rs
+++ b/src/wire/chat.rs
@@ -1,5 +1,9 @@
 //! Chat requests in the form that model clients already speak.
 
+use std::borrow::Cow;
+
+use serde::Deserialize;
+use serde::de::IgnoredAny;
 use serde_json::{Map, Value};
 
 /// Tokens of an answer when the caller sets no limit.
@@ -43,3 +47,47 @@
         words as u64 + u64::from(self.max_tokens.unwrap_or(DEFAULT_TOKENS))
     }
 }
+
+plain! {
+    /// What routers read of a whole answer; all else passes untouched.
+    #[derive(Deserialize)]
+    pub struct ChatAnswer<'a> {
+        /// Id of the request.
+        #[serde(borrow)]
+        pub id: Cow<'a, str>,
+        /// The answers.
+        pub choices: Vec<IgnoredAny>,
+        /// What it took.
+        #[serde(default)]
+        pub usage: Usage,
+    }
+
+    /// What routers read of one event of a stream.
+    #[derive(Deserialize)]
+    pub struct ChatChunk<'a> {
+        /// Id of the request.
+        #[serde(borrow)]
+        pub id: Cow<'a, str>,
+        /// What it took; in the last event only.
+        #[serde(default)]
+        pub usage: Option<Usage>,
+    }
+
+    /// Tokens of one request.
+    #[derive(Default, Deserialize)]
+    #[serde(default)]
+    pub struct Usage {
+        /// Tokens of the prompt.
+        pub prompt_tokens: u64,
+        /// More about them.
+        pub prompt_tokens_details: PromptDetails,
+    }
+
+    /// More about the tokens of a prompt.
+    #[derive(Default, Deserialize)]
+    #[serde(default)]
+    pub struct PromptDetails {
+        /// Tokens found in the cache.
+        pub cached_tokens: u64,
+    }
+}
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -10,7 +10,7 @@
 mod ticket;
 
 pub use api_error::{ApiError, ApiErrorBody};
-pub use chat::{ChatMessage, ChatRequest};
+pub use chat::{ChatAnswer, ChatChunk, ChatMessage, ChatRequest, PromptDetails, Usage};
 pub use entry::{EntryAddress, EntryAnswer};
 pub use in_force::{WireHeld, WireInForce, WireOutcome};
 pub use instance::{Instance, Role, Standing};
--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -4,6 +4,7 @@
 mod control;
 mod decide;
 mod events;
+mod fake;
 mod fault;
 mod membership;
 mod once;
