--- a/src/daemon/daemon.rs
+++ b/src/daemon/daemon.rs
@@ -13,9 +13,11 @@
 use tokio::sync::{oneshot, watch};
 use tokio::time::timeout;
 
+use crate::admission::Gates;
 use crate::clock::SharedClock;
 use crate::daemon::control_thread::ControlThread;
 use crate::daemon::{Stop, Stopped, serve};
+use crate::decide::QueueLimits;
 use crate::events::{Code, EventLog, Fields};
 use crate::filters::{Counters, Shared, Upstream, callers, client};
 use crate::fleet::ViewCell;
@@ -71,6 +73,7 @@
             meter: Arc::default(),
             crashes: Arc::default(),
             upstream: Upstream::new(&settings.traffic).change_context(DaemonError::SetUp)?,
+            gates: Gates::new(QueueLimits::from(&settings.admission)),
             counters: Counters::new().change_context(DaemonError::SetUp)?,
             clock,
             http,
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -1,6 +1,8 @@
 //! Decisions without input or output: no clock but an argument, no randomness
 //! but a seeded generator, and nothing else of this library.
 
+mod admission;
+mod arm;
 mod engine;
 mod entry;
 mod failure_point;
@@ -10,8 +12,12 @@
 mod retry_budget;
 mod verdict;
 
+pub use admission::{
+    Admit, FairQueue, QueueLimits, RateLimit, RoomInput, Waiting, rate_share, room,
+};
+pub use arm::takes_part;
 pub use engine::Engine;
-pub use entry::{EntryRouter, entry_order};
+pub use entry::{EntryQuery, EntryRouter, entry_order, home_size, is_home};
 pub use failure_point::FailurePoint;
 pub use hash::{chat_key, combine, hash_bytes, weighted_score};
 pub use outlier::{Outliers, ServerResult};
--- a/src/filters/chat.rs
+++ b/src/filters/chat.rs
@@ -8,6 +8,7 @@
 use warp::reply::Response;
 
 use crate::decide::{FailurePoint, Verdict, combine, hash_bytes};
+use crate::filters::admit::priority;
 use crate::filters::answer::mark;
 use crate::filters::cancel::Cancel;
 use crate::filters::failure::Failure;
@@ -16,7 +17,7 @@
 use crate::filters::reply::read_whole;
 use crate::filters::stream::{Source, stream_answer};
 use crate::filters::{Call, DEADLINE_HEADER, HINT_HEADER, Reason, Refusal, Shared, Target};
-use crate::wire::{ChatAnswer, Usage};
+use crate::wire::ChatAnswer;
 
 /// Answers `POST /v1/chat/completions`.
 pub(crate) async fn chat(shared: &Arc<Shared>, mut call: Call) -> Result<Response, Refusal> {
@@ -33,10 +34,16 @@
         cost: request.cost(),
         idempotent: true,
     };
+    request.rest.insert("priority".to_owned(), priority(shared, &call, plan.cost).into());
     let body = serde_json::to_vec(&request)
         .map_err(|e| Refusal::not_run(Reason::BadRequest, e.to_string()))?;
     let job = ChatJob { body: Bytes::from(body), stream: request.stream };
-    forward(shared, &call, &pool, &plan, Job::Chat(&job)).await
+    let result = forward(shared, &call, &pool, &plan, Job::Chat(&job)).await;
+    if !job.stream || result.is_err() {
+        let verdict = result.as_ref().map_or_else(|it| it.verdict, |_| Verdict::Ran);
+        shared.counters.count_arms(&call.arms, verdict);
+    }
+    result
 }
 
 /// A chat request as engines get it.
@@ -87,10 +94,16 @@
     };
     let hint = write_hint(chosen.engine.id, chosen.engine.incarnation);
     let mut answer = if job.stream {
-        let source = Source { address, deadline: call.deadline, next: 0 };
-        stream_answer(shared, &call.id, reply, source, Some(chosen.work), cancel)
+        let source = Source {
+            request: call.id.clone(),
+            arms: call.arms.clone(),
+            address,
+            deadline: call.deadline,
+            next: 0,
+        };
+        stream_answer(shared, reply, source, Some(chosen.work), cancel)
     } else {
-        let answer = whole(shared, &call.id, reply).await?;
+        let answer = whole(shared, call, reply).await?;
         cancel.disarm();
         answer
     };
@@ -116,14 +129,14 @@
 /// Reads a whole answer and checks that it belongs to the request.
 async fn whole(
     shared: &Shared,
-    request: &str,
+    call: &Call,
     reply: reqwest::Response,
 ) -> Result<Response, Failure> {
     let body = read_whole(reply, shared.settings.limits.answer.as_u64()).await?;
     let answer: ChatAnswer = serde_json::from_slice(&body).map_err(|e| {
         Failure::new(FailurePoint::Mismatch, format!("the answer cannot be read: {e}"))
     })?;
-    if answer.id != request {
+    if answer.id != call.id {
         let message = "the engine answered another request";
         return Err(Failure::new(FailurePoint::Mismatch, message));
     }
@@ -131,16 +144,9 @@
         let message = "the answer has no choices";
         return Err(Failure::new(FailurePoint::Mismatch, message));
     }
-    count_usage(shared, &answer.usage);
+    shared.counters.count_usage(&call.arms, &answer.usage);
     let mut answer = warp::http::Response::new(body).into_response();
     answer.headers_mut().insert("content-type", HeaderValue::from_static("application/json"));
-    mark(&mut answer, request, Verdict::Ran);
+    mark(&mut answer, &call.id, Verdict::Ran);
     Ok(answer)
 }
-
-/// Adds an answer's usage to the counters.
-pub(crate) fn count_usage(shared: &Shared, usage: &Usage) {
-    let cached = usage.prompt_tokens_details.cached_tokens;
-    shared.counters.prompt_tokens.inc_by(usage.prompt_tokens.max(cached));
-    shared.counters.cached_tokens.inc_by(cached);
-}
--- a/src/filters/forward.rs
+++ b/src/filters/forward.rs
@@ -6,8 +6,10 @@
 use smallvec::SmallVec;
 use warp::reply::Response;
 
+use crate::admission::Pass;
 use crate::decide::{Choice, Engine, FailurePoint, Outliers, ServerResult, Verdict};
 use crate::events::{Code, Fields};
+use crate::filters::admit::enter;
 use crate::filters::chat::{ChatJob, send_chat};
 use crate::filters::choose::choose;
 use crate::filters::failure::Failure;
@@ -72,6 +74,8 @@
 /// Tries of one request so far.
 struct Tries {
     record: Arc<PoolRecord>,
+    /// Held until the work ends.
+    pass: Option<Arc<Pass>>,
     /// Ids of the backend servers tried.
     servers: SmallVec<[u64; 4]>,
     /// The last failure, with the verdict over all tries.
@@ -87,9 +91,13 @@
     plan: &Plan,
     job: Job<'_>,
 ) -> Result<Response, Refusal> {
+    if !call.view.pools.contains_key(pool) {
+        return Err(no_room(format!("pool `{pool}` has no backend servers")));
+    }
+    let pass = enter(shared, call, pool, plan.cost).await?;
     let record = shared.upstream.pool(pool, shared.clock.now());
     record.budget().earn();
-    let mut tries = Tries { record, servers: SmallVec::new(), last: None };
+    let mut tries = Tries { record, pass, servers: SmallVec::new(), last: None };
     loop {
         let chosen = match tries.next(shared, call, pool, plan) {
             Ok(it) => it,
@@ -142,7 +150,7 @@
         let Some(choice) = choice else {
             return Err(no_room("no backend server takes new work".to_owned()));
         };
-        let chosen = take(shared, call, pool, plan, choice);
+        let chosen = self.take(shared, call, pool, plan, choice);
         self.servers.push(chosen.engine.id);
         if self.record.outliers().begin(chosen.engine.id, now) {
             let fields = Fields { subject: &call.id, detail: &chosen.server.name };
@@ -151,6 +159,23 @@
         Ok(chosen)
     }
 
+    /// Counts the work towards the chosen backend server.
+    fn take(
+        &self,
+        shared: &Shared,
+        call: &Call,
+        pool: &Pool,
+        plan: &Plan,
+        choice: Choice,
+    ) -> Chosen {
+        let engine = &pool.engines[choice.index];
+        let server = &pool.servers[choice.index];
+        let requests = &shared.counters.in_flight;
+        let work = InFlight::new(&engine.sent, plan.cost, requests, self.pass.as_ref());
+        shared.events.record(Code::Placed, Fields { subject: &call.id, detail: &server.name });
+        Chosen { server: server.clone(), engine: engine.clone(), work }
+    }
+
     /// Notes how the try at `server` went.
     fn note(&self, shared: &Shared, pool: &str, server: u64, result: ServerResult) {
         let now = shared.clock.now();
@@ -223,14 +248,6 @@
     all.filter(|(_, it)| holds(it)).map(|(i, _)| i).collect()
 }
 
-fn take(shared: &Shared, call: &Call, pool: &Pool, plan: &Plan, choice: Choice) -> Chosen {
-    let engine = &pool.engines[choice.index];
-    let server = &pool.servers[choice.index];
-    let work = InFlight::new(&engine.sent, plan.cost, &shared.counters.in_flight);
-    shared.events.record(Code::Placed, Fields { subject: &call.id, detail: &server.name });
-    Chosen { server: server.clone(), engine: engine.clone(), work }
-}
-
 fn no_room(message: String) -> Refusal {
     Refusal::not_run(Reason::NoRoom, message).retry_after(RETRY)
 }
--- a/src/filters/mod.rs
+++ b/src/filters/mod.rs
@@ -1,5 +1,6 @@
 //! The request path: a chain of filters, then the call to a backend server.
 
+mod admit;
 mod answer;
 mod body;
 mod call;
@@ -9,6 +10,7 @@
 mod choose;
 mod ending;
 mod entry;
+mod experiment;
 mod failure;
 mod forward;
 mod hint;
@@ -29,6 +31,7 @@
 
 pub use call::{Call, Target};
 pub use chain::{Chain, Filter};
+pub use experiment::Arm;
 pub use refusal::{Reason, Refusal};
 pub use router::callers;
 pub use shared::{Counters, Shared};
--- a/src/filters/resume.rs
+++ b/src/filters/resume.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use smallvec::SmallVec;
 use warp::http::HeaderValue;
 use warp::reply::Response;
 
@@ -28,12 +29,18 @@
         let message = "the engine of this stream is gone or was started anew";
         return Err(Refusal::may_have_run(Reason::BackendFailed, message));
     };
-    let source = Source { address: server.address, deadline: call.deadline, next: next(call)? };
-    let reply = ask_stream(shared, request, &source)
+    let source = Source {
+        request: request.to_owned(),
+        arms: SmallVec::new(),
+        address: server.address,
+        deadline: call.deadline,
+        next: next(call)?,
+    };
+    let reply = ask_stream(shared, &source)
         .await
         .map_err(|e| Refusal::may_have_run(Reason::BackendFailed, e))?;
     let cancel = Cancel::new(&shared.http, server.address, request);
-    let mut answer = stream_answer(shared, request, reply, source, None, cancel);
+    let mut answer = stream_answer(shared, reply, source, None, cancel);
     if let Ok(hint) = HeaderValue::from_str(hint) {
         answer.headers_mut().insert(HINT_HEADER, hint);
     }
--- a/src/filters/router.rs
+++ b/src/filters/router.rs
@@ -5,14 +5,17 @@
 
 use bytes::Buf;
 use futures_util::Stream;
+use smallvec::SmallVec;
 use warp::filters::path::FullPath;
 use warp::http::{HeaderMap, Method};
 use warp::reply::Response;
 use warp::{Filter as _, Reply};
 
+use crate::filters::admit::limit_rate;
 use crate::filters::chat::chat;
 use crate::filters::ending::{Ending, Streamed};
 use crate::filters::entry::entry;
+use crate::filters::experiment::experiment;
 use crate::filters::identify::identify;
 use crate::filters::ready::ready;
 use crate::filters::request_id::new_id;
@@ -28,7 +31,9 @@
     filters: &[
         Filter { name: "ready", apply: ready },
         Filter { name: "identify", apply: identify },
+        Filter { name: "limit", apply: limit_rate },
         Filter { name: "parse", apply: parse_chat },
+        Filter { name: "experiment", apply: experiment },
         Filter { name: "resolve", apply: resolve_model },
     ],
 };
@@ -38,6 +43,7 @@
     filters: &[
         Filter { name: "ready", apply: ready },
         Filter { name: "identify", apply: identify },
+        Filter { name: "limit", apply: limit_rate },
         Filter { name: "resolve", apply: resolve_service },
     ],
 };
@@ -113,6 +119,8 @@
         deadline: shared.clock.now() + shared.settings.traffic.deadline,
         view: shared.view.load(),
         request: None,
+        policy: None,
+        arms: SmallVec::new(),
         target: Target::Unknown,
     }
 }
--- a/src/filters/stream.rs
+++ b/src/filters/stream.rs
@@ -10,6 +10,7 @@
 use bytes::Bytes;
 use eventsource_stream::{Event, Eventsource};
 use futures_util::{Stream, StreamExt, stream};
+use smallvec::SmallVec;
 use sync_wrapper::SyncStream;
 use tokio::time::timeout;
 use warp::Reply;
@@ -21,10 +22,9 @@
 use crate::events::{Code, Fields};
 use crate::filters::answer::mark;
 use crate::filters::cancel::Cancel;
-use crate::filters::chat::count_usage;
 use crate::filters::ending::{Ending, Streamed};
 use crate::filters::in_flight::InFlight;
-use crate::filters::{Reason, Refusal, Shared, sse};
+use crate::filters::{Arm, Reason, Refusal, Shared, sse};
 use crate::wire::ChatChunk;
 
 /// Data of the last event of a whole stream.
@@ -37,8 +37,12 @@
 type Incoming = Pin<Box<dyn Stream<Item = Result<Event, String>> + Send>>;
 
 /// Where a stream comes from.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug)]
 pub(crate) struct Source {
+    /// Id of the request.
+    pub(crate) request: String,
+    /// Experiments that it counts towards.
+    pub(crate) arms: SmallVec<[Arm; 2]>,
     /// Address of the engine.
     pub(crate) address: SocketAddr,
     /// When the whole answer must be there.
@@ -50,7 +54,6 @@
 /// One stream on its way to the caller.
 struct Relay {
     shared: Arc<Shared>,
-    request: String,
     incoming: Incoming,
     source: Source,
     /// Whether an event came since the head of the stream.
@@ -75,21 +78,20 @@
 /// not known yet; the end mark or the error event tells the rest.
 pub(crate) fn stream_answer(
     shared: &Arc<Shared>,
-    request: &str,
     reply: reqwest::Response,
     source: Source,
     work: Option<InFlight>,
     cancel: Cancel,
 ) -> Response {
+    let request = source.request.clone();
     let relay = Relay {
         shared: Arc::clone(shared),
-        request: request.to_owned(),
+        ending: Ending::new(shared, &source.request, "chat"),
         incoming: events(reply, shared.settings.limits.answer.as_u64() as usize),
         source,
         flowing: false,
         resumes: 0,
         over: false,
-        ending: Ending::new(shared, request, "chat"),
         cancel,
         _work: work,
     };
@@ -105,7 +107,7 @@
     headers.insert("content-type", HeaderValue::from_static("text/event-stream"));
     headers.insert("cache-control", HeaderValue::from_static("no-cache"));
     reply.extensions_mut().insert(Streamed);
-    mark(&mut reply, request, Verdict::MayHaveRun);
+    mark(&mut reply, &request, Verdict::MayHaveRun);
     reply
 }
 
@@ -175,7 +177,7 @@
     fn check(&mut self, event: &Event) -> Result<(), &'static str> {
         let chunk: ChatChunk<'_> =
             serde_json::from_str(&event.data).map_err(|_| "the engine sent a broken event")?;
-        if chunk.id != self.request.as_str() {
+        if chunk.id != self.source.request.as_str() {
             return Err("the engine streamed another request");
         }
         if event.id.parse() != Ok(self.source.next) {
@@ -184,7 +186,7 @@
         self.source.next += 1;
         self.resumes = 0;
         if let Some(usage) = chunk.usage {
-            count_usage(&self.shared, &usage);
+            self.shared.counters.count_usage(&self.source.arms, &usage);
         }
         Ok(())
     }
@@ -195,11 +197,11 @@
             return Err("resuming it did not help".to_owned());
         }
         self.resumes += 1;
-        let reply = ask_stream(&self.shared, &self.request, &self.source).await?;
+        let reply = ask_stream(&self.shared, &self.source).await?;
         self.incoming = events(reply, self.shared.settings.limits.answer.as_u64() as usize);
         self.flowing = false;
         let detail = format!("from event {}", self.source.next);
-        let fields = Fields { subject: &self.request, detail: &detail };
+        let fields = Fields { subject: &self.source.request, detail: &detail };
         self.shared.events.record(Code::StreamResumed, fields);
         Ok(())
     }
@@ -208,14 +210,16 @@
         self.over = true;
         self.cancel.disarm();
         self.ending.done("stream");
+        self.shared.counters.count_arms(&self.source.arms, Verdict::Ran);
         sse::frame("", "", END_MARK)
     }
 
     fn cut(&mut self, fault: &str) -> Bytes {
         self.over = true;
         self.ending.cut(fault);
+        self.shared.counters.count_arms(&self.source.arms, Verdict::MayHaveRun);
         let refusal = Refusal::may_have_run(Reason::BackendFailed, fault);
-        let body = serde_json::to_string(&refusal.body(&self.request)).unwrap_or_default();
+        let body = serde_json::to_string(&refusal.body(&self.source.request)).unwrap_or_default();
         sse::frame("", "error", &body)
     }
 }
@@ -223,6 +227,7 @@
 impl Drop for Relay {
     fn drop(&mut self) {
         if !self.over {
+            self.shared.counters.count_arms(&self.source.arms, Verdict::MayHaveRun);
             // The caller left and may come back for the rest; the engine stops
             // by itself when nobody reads for its resume window.
             self.cancel.disarm();
@@ -230,17 +235,16 @@
     }
 }
 
-/// Asks an engine for the stream of `request` from `source.next` on.
+/// Asks an engine for the stream of a request from `source.next` on.
 pub(crate) async fn ask_stream(
     shared: &Shared,
-    request: &str,
     source: &Source,
 ) -> Result<reqwest::Response, String> {
     let left = source.deadline.saturating_duration_since(shared.clock.now());
     if left.is_zero() {
         return Err("the deadline passed".to_owned());
     }
-    let url = format!("http://{}/v1/streams/{request}", source.address);
+    let url = format!("http://{}/v1/streams/{}", source.address, source.request);
     let mut ask = shared.http.get(url).timeout(left);
     if let Some(last) = source.next.checked_sub(1) {
         ask = ask.header(LAST_EVENT, last);
