Resume, bound and check streams; withhold retries; refuse ambiguous input

Cause: a path with dot segments or encoded letters reached a once-only call as a repeatable one; identity headers could stand twice; an answer in the form of an array passed for an object; a caller that took nothing held a stream for ever; connections were not limited.

Change: paths are decoded once and refused when they can be read in two ways; identity headers stand once; writes and connections are limited; rests keep the load bound of the policy; a failed resumption is tried again.

--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -3,8 +3,10 @@
 mod control_api;
 mod control_thread;
 mod daemon;
+mod open_connections;
 mod server;
 mod stop;
+mod write_limit;
 
 pub use daemon::{Daemon, DaemonError};
 pub use server::serve;
--- a/src/daemon/server.rs
+++ b/src/daemon/server.rs
@@ -2,8 +2,6 @@
 
 use std::convert::Infallible;
 use std::error::Error;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use hyper::body::{Body, Incoming};
@@ -12,12 +10,14 @@
 use hyper::{Request, Response};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use hyper_util::service::TowerToHyperService;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 use tokio::time::sleep;
 use warp::{Filter, Reply};
 
+use crate::daemon::open_connections::OpenConnections;
+use crate::daemon::write_limit::WriteLimit;
 use crate::daemon::{Stop, Stopped};
 use crate::settings::Limits;
 
@@ -40,18 +40,21 @@
     http.timer(TokioTimer::new())
         .header_read_timeout(limits.receive)
         .max_buf_size(limits.head.as_u64() as usize);
-    let open = Arc::new(AtomicUsize::new(0));
+    let open = OpenConnections::new(limits);
     let mut connections = JoinSet::new();
     while *stop.borrow() == Stop::Run {
         tokio::select! {
             accepted = listener.accept() => match accepted {
-                Ok((stream, _)) => {
+                Ok((stream, peer)) => {
+                    let Some(counted) = open.enter(peer.ip()) else {
+                        continue;
+                    };
+                    let _ = stream.set_nodelay(true);
+                    let stream = WriteLimit::new(stream, limits.send);
                     let carried = carry(stream, http.clone(), service.clone(), stop.clone());
-                    let open = Arc::clone(&open);
-                    open.fetch_add(1, Ordering::Relaxed);
                     connections.spawn(async move {
                         carried.await;
-                        open.fetch_sub(1, Ordering::Relaxed);
+                        drop(counted);
                     });
                 }
                 Err(_) => sleep(ACCEPT_PAUSE).await,
@@ -65,12 +68,12 @@
         () = async { while connections.join_next().await.is_some() {} } => {}
         () = told_to_cut(stop) => {}
     }
-    Stopped { cut: open.load(Ordering::Relaxed) }
+    Stopped { cut: open.count() }
 }
 
 /// Serves one connection; a drain ends it after the request in flight.
 async fn carry<S, B>(
-    stream: TcpStream,
+    stream: WriteLimit,
     http: http1::Builder,
     service: S,
     mut stop: watch::Receiver<Stop>,
@@ -80,7 +83,6 @@
     B: Body + 'static,
     B::Error: Into<Box<dyn Error + Send + Sync>>,
 {
-    let _ = stream.set_nodelay(true);
     let mut conn = std::pin::pin!(http.serve_connection(TokioIo::new(stream), service));
     tokio::select! {
         _ = conn.as_mut() => return,
--- /dev/null
+++ b/src/daemon/write_limit.rs
@@ -0,0 +1,84 @@
+//! A connection that fails when its peer takes nothing for too long.
+
+use std::io;
+use std::pin::Pin;
+use std::task::{Context, Poll, ready};
+use std::time::Duration;
+
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::time::{Sleep, sleep};
+
+/// A connection with a limit on the time of one write.
+#[derive(Debug)]
+pub(crate) struct WriteLimit {
+    stream: TcpStream,
+    limit: Duration,
+    /// Runs while a write waits for the peer.
+    waiting: Option<Pin<Box<Sleep>>>,
+}
+
+impl WriteLimit {
+    /// Limits each write to `stream`.
+    pub(crate) fn new(stream: TcpStream, limit: Duration) -> WriteLimit {
+        WriteLimit { stream, limit, waiting: None }
+    }
+
+    /// Passes on what the write said, or fails when it waits for too long.
+    fn watch<T>(
+        &mut self,
+        context: &mut Context<'_>,
+        written: Poll<io::Result<T>>,
+    ) -> Poll<io::Result<T>> {
+        if written.is_ready() {
+            self.waiting = None;
+            return written;
+        }
+        let limit = self.limit;
+        let waiting = self.waiting.get_or_insert_with(|| Box::pin(sleep(limit)));
+        ready!(waiting.as_mut().poll(context));
+        Poll::Ready(Err(io::ErrorKind::TimedOut.into()))
+    }
+}
+
+impl AsyncRead for WriteLimit {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_read(context, buf)
+    }
+}
+
+impl AsyncWrite for WriteLimit {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let written = Pin::new(&mut self.stream).poll_write(context, buf);
+        self.watch(context, written)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let written = Pin::new(&mut self.stream).poll_write_vectored(context, bufs);
+        self.watch(context, written)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+}
--- a/src/decide/outlier.rs
+++ b/src/decide/outlier.rs
@@ -17,6 +17,8 @@
 const SLOW_FLOOR: Duration = Duration::from_millis(20);
 /// Weight of the newest time in the moving mean.
 const NEWEST_WEIGHT: f64 = 0.1;
+/// What a product may lack of a whole number because of rounding.
+const ROUNDING: f64 = 1e-9;
 /// Servers without which a median says nothing.
 const MIN_SERVERS: usize = 3;
 
@@ -60,7 +62,7 @@
     /// all work within `bound` times the mean.
     pub fn most(count: usize, bound: f64) -> usize {
         let share = 1.0 - 1.0 / bound.max(1.0);
-        (count as f64 * share).floor() as usize
+        (count as f64 * share + ROUNDING).floor() as usize
     }
 
     /// Whether `server` gets no request now; `probing` tells whether this
--- a/src/filters/chat.rs
+++ b/src/filters/chat.rs
@@ -133,7 +133,7 @@
     reply: reqwest::Response,
 ) -> Result<Response, Failure> {
     let body = read_whole(reply, shared.settings.limits.answer.as_u64()).await?;
-    let answer: ChatAnswer = serde_json::from_slice(&body).map_err(|e| {
+    let answer = ChatAnswer::parse(&body).map_err(|e| {
         Failure::new(FailurePoint::Mismatch, format!("the answer cannot be read: {e}"))
     })?;
     if answer.id != call.id {
--- a/src/filters/choose.rs
+++ b/src/filters/choose.rs
@@ -17,11 +17,7 @@
     plan: &Plan,
     tried: &[usize],
 ) -> Option<Choice> {
-    let bound = call
-        .view
-        .state
-        .policy(call.policy.as_deref().unwrap_or(DEFAULT_POLICY))
-        .map_or_else(|| PolicySpec::default().bound, |it| it.bound);
+    let bound = load_bound(call);
     let query = PlaceQuery { key: plan.key, hint: plan.hint, cost: plan.cost, bound, tried };
     let choice = place(&pool.engines, &query)?;
     if choice.spilled {
@@ -29,3 +25,11 @@
     }
     Some(choice)
 }
+
+/// Largest load of an engine as a multiple of the mean, by the policy of `call`.
+pub(crate) fn load_bound(call: &Call) -> f64 {
+    call.view
+        .state
+        .policy(call.policy.as_deref().unwrap_or(DEFAULT_POLICY))
+        .map_or_else(|| PolicySpec::default().bound, |it| it.bound)
+}
--- a/src/filters/forward.rs
+++ b/src/filters/forward.rs
@@ -11,7 +11,7 @@
 use crate::events::{Code, Fields};
 use crate::filters::admit::enter;
 use crate::filters::chat::{ChatJob, send_chat};
-use crate::filters::choose::choose;
+use crate::filters::choose::{choose, load_bound};
 use crate::filters::failure::Failure;
 use crate::filters::in_flight::InFlight;
 use crate::filters::service::send_service;
@@ -21,8 +21,8 @@
 
 /// When a caller should try again after a failure.
 const RETRY: Duration = Duration::from_millis(500);
-/// Multiple of the mean load that the servers left in use must stay within.
-const REST_BOUND: f64 = 1.25;
+/// Multiple of the mean load that the service instances left in use must stay within.
+const SERVICE_BOUND: f64 = 2.0;
 /// Tokens of the request that times of chats are scaled to.
 const NOMINAL_COST: f64 = 100.0;
 /// A timeout of a shorter try says nothing about the backend server.
@@ -110,7 +110,11 @@
             Job::Service { idempotent } => send_service(shared, call, chosen, *idempotent).await,
         };
         let took = shared.clock.now().saturating_duration_since(begun);
-        tries.note(shared, pool, server, outcome(&result, took, &job, plan));
+        let bound = match &job {
+            Job::Chat(_) => load_bound(call),
+            Job::Service { .. } => SERVICE_BOUND,
+        };
+        tries.note(shared, pool, server, bound, outcome(&result, took, &job, plan));
         let failure = match result {
             Ok(answer) => return Ok(answer),
             Err(it) => it,
@@ -177,11 +181,11 @@
     }
 
     /// Notes how the try at `server` went.
-    fn note(&self, shared: &Shared, pool: &str, server: u64, result: ServerResult) {
+    fn note(&self, shared: &Shared, pool: &str, server: u64, bound: f64, result: ServerResult) {
         let now = shared.clock.now();
         let view = shared.view.peek();
         let count = view.pools.get(pool).map_or(0, |it| it.servers.len());
-        let most = Outliers::most(count, REST_BOUND);
+        let most = Outliers::most(count, bound);
         if self.record.outliers().end(server, result, now, most) {
             let servers = view.pools.get(pool).into_iter().flat_map(|it| {
                 it.engines.iter().zip(&it.servers).filter(|(it, _)| it.id == server)
--- a/src/filters/identify.rs
+++ b/src/filters/identify.rs
@@ -4,14 +4,24 @@
 
 use crate::decide::{chat_key, hash_bytes};
 use crate::filters::{
-    CHAT_HEADER, Call, DEADLINE_HEADER, ORGANISATION_HEADER, Reason, Refusal, Shared,
+    CHAT_HEADER, Call, DEADLINE_HEADER, HINT_HEADER, KEY_HEADER, ORGANISATION_HEADER, Reason,
+    Refusal, Shared,
 };
 
 /// Longest name of an organisation or chat, in bytes.
 const MAX_NAME: usize = 256;
+/// Headers that may stand only once.
+const SINGLE: [&str; 5] =
+    [ORGANISATION_HEADER, CHAT_HEADER, HINT_HEADER, DEADLINE_HEADER, KEY_HEADER];
 
 /// Reads organisation, chat and deadline from the headers.
 pub(crate) fn identify(shared: &Shared, call: &mut Call) -> Result<(), Refusal> {
+    for header in SINGLE {
+        if call.headers.get_all(header).iter().count() > 1 {
+            let message = format!("header `{header}` stands twice");
+            return Err(Refusal::not_run(Reason::BadRequest, message));
+        }
+    }
     let organisation = name(call, ORGANISATION_HEADER)?;
     let Some(organisation) = organisation else {
         let message = format!("header `{ORGANISATION_HEADER}` is missing");
--- a/src/filters/mod.rs
+++ b/src/filters/mod.rs
@@ -24,6 +24,7 @@
 mod resume;
 mod router;
 mod service;
+mod service_path;
 mod shared;
 mod sse;
 mod stream;
--- a/src/filters/resolve.rs
+++ b/src/filters/resolve.rs
@@ -1,6 +1,6 @@
 //! Finds the pool that a request goes to.
 
-use crate::filters::{Call, Reason, Refusal, Shared, Target};
+use crate::filters::{Call, Reason, Refusal, Shared, Target, service_path};
 use crate::state::InForce;
 use crate::wire::ChatRequest;
 
@@ -73,7 +73,9 @@
         return Err(Refusal::not_run(Reason::UnknownTarget, message));
     };
     let path = format!("/{path}");
-    let once = service.once.iter().any(|it| path.starts_with(it.as_str()));
+    let plain = service_path::decode(&path)
+        .map_err(|message| Refusal::not_run(Reason::BadRequest, message))?;
+    let once = service.once.iter().any(|it| plain.starts_with(it.as_str()));
     call.target = Target::Service { pool: service.pool.clone(), once };
     call.path = path;
     Ok(())
--- a/src/filters/stream.rs
+++ b/src/filters/stream.rs
@@ -5,14 +5,14 @@
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use eventsource_stream::{Event, Eventsource};
 use futures_util::{Stream, StreamExt, stream};
 use smallvec::SmallVec;
 use sync_wrapper::SyncStream;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 use warp::Reply;
 use warp::http::{HeaderValue, StatusCode};
 use warp::reply::Response;
@@ -31,6 +31,8 @@
 const END_MARK: &str = "[DONE]";
 /// Resumptions without a new event in between, at most.
 const MAX_RESUMES: u32 = 3;
+/// Pause after an engine did not let a stream be resumed.
+const RESUME_PAUSE: Duration = Duration::from_millis(20);
 /// Header that tells an engine which event came last.
 pub(crate) const LAST_EVENT: &str = "last-event-id";
 
@@ -175,8 +177,8 @@
 
     /// Whether the event belongs to this request and comes in order.
     fn check(&mut self, event: &Event) -> Result<(), &'static str> {
-        let chunk: ChatChunk<'_> =
-            serde_json::from_str(&event.data).map_err(|_| "the engine sent a broken event")?;
+        let chunk = ChatChunk::parse(event.data.as_bytes())
+            .map_err(|_| "the engine sent a broken event")?;
         if chunk.id != self.source.request.as_str() {
             return Err("the engine streamed another request");
         }
@@ -193,11 +195,17 @@
 
     /// Asks the same engine for the rest of the stream.
     async fn resume(&mut self) -> Result<(), String> {
-        if self.resumes >= MAX_RESUMES {
-            return Err("resuming it did not help".to_owned());
-        }
-        self.resumes += 1;
-        let reply = ask_stream(&self.shared, &self.source).await?;
+        let reply = loop {
+            if self.resumes >= MAX_RESUMES {
+                return Err("resuming it did not help".to_owned());
+            }
+            self.resumes += 1;
+            match ask_stream(&self.shared, &self.source).await {
+                Ok(reply) => break reply,
+                Err(why) if self.resumes >= MAX_RESUMES => return Err(why),
+                Err(_) => sleep(RESUME_PAUSE).await,
+            }
+        };
         self.incoming = events(reply, self.shared.settings.limits.answer.as_u64() as usize);
         self.flowing = false;
         let detail = format!("from event {}", self.source.next);
--- a/src/settings/limits.rs
+++ b/src/settings/limits.rs
@@ -19,6 +19,13 @@
         pub receive: Duration,
         /// Largest whole answer, or event of a stream, of a backend server.
         pub answer: ByteSize,
+        /// Longest time that a caller may take nothing of its answer.
+        #[serde(with = "humantime_serde")]
+        pub send: Duration,
+        /// Most open connections of callers.
+        pub connections: usize,
+        /// Most open connections from one address.
+        pub address_connections: usize,
         /// Most messages in one conversation.
         pub messages: usize,
     }
@@ -31,6 +38,9 @@
             head: ByteSize::kib(16),
             receive: Duration::from_secs(10),
             answer: ByteSize::mib(16),
+            send: Duration::from_secs(30),
+            connections: 16_384,
+            address_connections: 8_192,
             messages: 4_096,
         }
     }
--- a/src/wire/chat.rs
+++ b/src/wire/chat.rs
@@ -91,3 +91,31 @@
         pub cached_tokens: u64,
     }
 }
+
+impl<'a> ChatAnswer<'a> {
+    /// Reads a whole answer.
+    ///
+    /// # Errors
+    /// Anything but an object with an id and choices.
+    pub fn parse(bytes: &'a [u8]) -> Result<ChatAnswer<'a>, serde_json::Error> {
+        parse_object(bytes)
+    }
+}
+
+impl<'a> ChatChunk<'a> {
+    /// Reads the data of one event.
+    ///
+    /// # Errors
+    /// Anything but an object with an id.
+    pub fn parse(bytes: &'a [u8]) -> Result<ChatChunk<'a>, serde_json::Error> {
+        parse_object(bytes)
+    }
+}
+
+/// Reads an object; a derived decoder would take an array for one too.
+fn parse_object<'a, T: Deserialize<'a>>(bytes: &'a [u8]) -> Result<T, serde_json::Error> {
+    if bytes.trim_ascii_start().first() != Some(&b'{') {
+        return Err(serde::de::Error::custom("it is not an object"));
+    }
+    serde_json::from_slice(bytes)
+}
--- a/standins/src/engine/faults.rs
+++ b/standins/src/engine/faults.rs
@@ -18,6 +18,8 @@
     pub restart_ms: u64,
     /// Ends each stream after this many tokens without its end mark.
     pub cut_after: Option<u32>,
+    /// Cuts the connection of each stream after this many tokens; the engine goes on.
+    pub drop_after: Option<u32>,
     /// Answers with the id of another request.
     pub wrong_id: bool,
     /// Repeats the second token of every stream.
--- a/standins/src/engine/http.rs
+++ b/standins/src/engine/http.rs
@@ -2,11 +2,13 @@
 
 use std::convert::Infallible;
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use futures_util::{Stream, stream};
 use serde::{Deserialize, Serialize};
 use serde_json::json;
+use tokio::time::sleep;
 use warp::filters::BoxedFilter;
 use warp::http::{Response, StatusCode};
 use warp::{Filter, Reply, sse};
@@ -18,6 +20,9 @@
 use crate::engine::{Faults, OrderRequest};
 use crate::server::{bad_request, json_reply, not_found, status_reply};
 
+/// Time for what was sent to leave before a connection is cut.
+const FLUSH_TIME: Duration = Duration::from_millis(5);
+
 #[derive(Debug, Deserialize)]
 struct EventQuery {
     #[serde(default)]
@@ -241,6 +246,8 @@
     model: String,
     reader: Reader,
     index: usize,
+    /// Tokens sent over this connection.
+    sent: u32,
     repeated: bool,
     stage: Stage,
 }
@@ -258,8 +265,16 @@
     reader: Reader,
     from: usize,
 ) -> impl Stream<Item = Result<sse::Event, std::io::Error>> + Send {
-    let cursor =
-        Cursor { faults, id, model, reader, index: from, repeated: false, stage: Stage::Tokens };
+    let cursor = Cursor {
+        faults,
+        id,
+        model,
+        reader,
+        index: from,
+        sent: 0,
+        repeated: false,
+        stage: Stage::Tokens,
+    };
     stream::unfold(cursor, |mut it| async move {
         match it.stage {
             Stage::Tokens => {
@@ -280,8 +295,14 @@
         if self.faults.skip_token && self.index == 1 {
             self.index += 1;
         }
+        if self.faults.drop_after.is_some_and(|it| self.sent >= it) {
+            self.stage = Stage::Over;
+            sleep(FLUSH_TIME).await;
+            return Err(std::io::Error::other("the connection was cut"));
+        }
         match self.reader.feed.next(self.index).await {
             Piece::Token(i, token) => {
+                self.sent += 1;
                 self.advance();
                 let chunk = json!({
                     "id": self.id,
--- a/tests/it/answers.rs
+++ b/tests/it/answers.rs
@@ -9,6 +9,7 @@
 use filberttiller::filters::{
     CHAT_HEADER, DEADLINE_HEADER, ORGANISATION_HEADER, REQUEST_HEADER, VERDICT_HEADER,
 };
+use reqwest::header::{HeaderMap, HeaderName, HeaderValue};
 use reqwest::{Method, RequestBuilder, Response};
 use rstest::rstest;
 use serde_json::{Value, json};
@@ -26,6 +27,12 @@
     FleetOptions { routers: 1, engines: 0, canaries: 0, services: 0, ..FleetOptions::default() }
 }
 
+/// Replaces the chat of a request.
+fn chat_header(chat: usize) -> HeaderMap {
+    let name = HeaderName::from_static(CHAT_HEADER);
+    HeaderMap::from_iter([(name, HeaderValue::from_str(&format!("c{chat}")).unwrap())])
+}
+
 async fn start(options: FleetOptions) -> Fleet {
     let fleet = Fleet::start(options).await.unwrap();
     fleet.publish_first().await.unwrap();
@@ -253,7 +260,7 @@
     fake.join(&fleet, Role::Engine, ENGINES).await;
     join(&fleet, closed_port().await, Role::Engine, ENGINES).await;
     for chat in 0..8 {
-        let request = ask(&fleet, false).header(CHAT_HEADER, format!("c{chat}"));
+        let request = ask(&fleet, false).headers(chat_header(chat));
         let before = fake.count();
         let (_, verdict) = outcome(request).await;
         let reached = fake.count() > before;
@@ -318,7 +325,7 @@
     other.join(&fleet, Role::Service, SERVICE).await;
     let mut reached = 1;
     while fake.count() < 2 {
-        let request = call(&fleet, method.clone(), path).header(CHAT_HEADER, reached.to_string());
+        let request = call(&fleet, method.clone(), path).headers(chat_header(reached));
         let (status, verdict) = outcome(request).await;
         reached += 1;
         if fake.count() == 2 {
--- a/tests/it/fault.rs
+++ b/tests/it/fault.rs
@@ -1,1 +1,487 @@
-//! Tests of fault.
+//! Streams, retries and whole answers under faults.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
+
+use eventsource_stream::{Event, Eventsource};
+use filberttiller::demo::{Ask, Caller, Fleet, FleetOptions, prompt};
+use filberttiller::filters::{
+    CHAT_HEADER, DEADLINE_HEADER, HINT_HEADER, KEY_HEADER, ORGANISATION_HEADER, REQUEST_HEADER,
+    VERDICT_HEADER,
+};
+use futures_util::StreamExt;
+use futures_util::stream;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use reqwest::header::{HeaderMap, HeaderName, HeaderValue};
+use reqwest::{RequestBuilder, Response};
+use rstest::rstest;
+use serde_json::{Value, json};
+use standins::engine::{Faults, answer};
+use standins::list::Role;
+use standins::service;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
+use tokio::time::sleep;
+
+use crate::fake::{self, Act, Fake, chunk, join, stream_head};
+
+fn small() -> FleetOptions {
+    FleetOptions { routers: 2, engines: 2, canaries: 0, ..FleetOptions::default() }
+}
+
+/// Replaces the chat of a request.
+fn chat_header(chat: usize) -> HeaderMap {
+    let name = HeaderName::from_static(CHAT_HEADER);
+    HeaderMap::from_iter([(name, HeaderValue::from_str(&format!("c{chat}")).unwrap())])
+}
+
+async fn start(options: FleetOptions) -> Fleet {
+    let fleet = Fleet::start(options).await.unwrap();
+    fleet.publish_first().await.unwrap();
+    fleet
+}
+
+fn question(text: &str) -> Vec<Value> {
+    vec![json!({ "role": "user", "content": text })]
+}
+
+fn ask(fleet: &Fleet, router: usize, tokens: u32, stream: bool) -> RequestBuilder {
+    let url = format!("http://{}/v1/chat/completions", fleet.routers[router].address());
+    let body = json!({
+        "model": "assistant", "stream": stream, "max_tokens": tokens, "messages": question("reeds"),
+    });
+    fleet.http.post(url).header(ORGANISATION_HEADER, "dalisay").header(CHAT_HEADER, "c").json(&body)
+}
+
+fn header(reply: &Response, name: &str) -> String {
+    reply.headers().get(name).map_or("", |it| it.to_str().unwrap()).to_owned()
+}
+
+fn has_event(fleet: &Fleet, code: u16, subject: &str) -> bool {
+    let events = fleet.routers.iter().flat_map(|it| it.shared().events.since(0));
+    events.into_iter().any(|it| it.code == code && it.subject == subject)
+}
+
+/// Text of one event of a chat stream.
+fn text(event: &Event) -> String {
+    let data: Value = serde_json::from_str(&event.data).unwrap();
+    data["choices"][0]["delta"]["content"].as_str().unwrap_or_default().to_owned()
+}
+
+#[tokio::test]
+async fn broken_stream_resumed_by_router() {
+    let fleet = start(small()).await;
+    for it in &fleet.engines {
+        it.set_faults(Faults { drop_after: Some(3), ..Faults::default() });
+    }
+    let mut caller = Caller::new(&fleet.http, "dalisay", "c");
+    let messages = question("reeds");
+    let ask = Ask { messages: &messages, tokens: 20, stream: true };
+    caller.ask(fleet.routers[0].address(), &ask).await.unwrap();
+    let events = fleet.routers[0].shared().events.since(0);
+    assert!(events.iter().any(|it| it.code == 513));
+    assert_eq!(fleet.engines.iter().map(|it| it.total_runs()).sum::<u64>(), 1);
+}
+
+#[tokio::test]
+async fn stream_resumed_by_caller_elsewhere() {
+    let fleet = start(small()).await;
+    let reply = ask(&fleet, 0, 200, true).send().await.unwrap();
+    let (id, hint) = (header(&reply, REQUEST_HEADER), header(&reply, HINT_HEADER));
+    let mut events = reply.bytes_stream().eventsource();
+    let mut got = String::new();
+    let mut last = String::new();
+    for _ in 0..5 {
+        let event = events.next().await.unwrap().unwrap();
+        got.push_str(&text(&event));
+        last = event.id;
+    }
+    drop(events);
+    let url = format!("http://{}/v1/streams/{id}", fleet.routers[1].address());
+    let resume = |organisation: &str, last: &str| {
+        let request = fleet.http.get(&url).header(ORGANISATION_HEADER, organisation.to_owned());
+        request.header(HINT_HEADER, &hint).header("last-event-id", last)
+    };
+    let other = resume("pierscionkowo", &last).send().await.unwrap();
+    assert_eq!(
+        (other.status().as_u16(), header(&other, VERDICT_HEADER).as_str()),
+        (404, "not_run")
+    );
+    let broken = resume("dalisay", "-1").send().await.unwrap();
+    assert_eq!(broken.status().as_u16(), 400);
+    let rest = resume("dalisay", &last).send().await.unwrap();
+    assert_eq!(header(&rest, REQUEST_HEADER), id);
+    let mut rest = rest.bytes_stream().eventsource();
+    loop {
+        let event = rest.next().await.unwrap().unwrap();
+        if event.data == "[DONE]" {
+            break;
+        }
+        got.push_str(&text(&event));
+    }
+    assert_eq!(got, answer(&prompt(&question("reeds")), 200));
+}
+
+/// An id that was changed by one character is no longer anybody's.
+#[tokio::test]
+async fn forged_stream_id_refused() {
+    let fleet = start(small()).await;
+    let reply = ask(&fleet, 0, 4, true).send().await.unwrap();
+    let (id, hint) = (header(&reply, REQUEST_HEADER), header(&reply, HINT_HEADER));
+    let changed = |i: usize| {
+        let mut bytes = id.clone().into_bytes();
+        bytes[i] = if bytes[i] == b'0' { b'1' } else { b'0' };
+        String::from_utf8(bytes).unwrap()
+    };
+    for forged in [changed(0), changed(31), id[..16].to_owned(), String::new()] {
+        let url = format!("http://{}/v1/streams/{forged}", fleet.routers[0].address());
+        let request = fleet.http.get(url).header(ORGANISATION_HEADER, "dalisay");
+        let reply = request.header(HINT_HEADER, &hint).send().await.unwrap();
+        assert_eq!(reply.status().as_u16(), 404, "{forged}");
+    }
+}
+
+/// The engine stops: a stream because nobody reads it any more, a whole answer
+/// because the router cancels it.
+#[rstest]
+#[case::stream(true, Duration::from_millis(50))]
+#[case::whole(false, Duration::from_secs(3_600))]
+#[tokio::test]
+async fn engine_stops_when_caller_leaves(#[case] stream: bool, #[case] window: Duration) {
+    let mut options = small();
+    options.engine.resume_window = window;
+    let fleet = start(options).await;
+    let sent = tokio::spawn(ask(&fleet, 0, u32::MAX, stream).send());
+    let running = |it: &Fleet| it.engines.iter().map(|it| it.load().running).sum::<usize>();
+    fleet.wait_until(|it| running(it) == 1).await;
+    if stream {
+        drop(sent.await.unwrap());
+    } else {
+        sent.abort();
+    }
+    fleet.wait_until(|it| running(it) == 0).await;
+}
+
+/// Bytes of one event of the flood.
+const EVENT_BYTES: usize = 16 * 1_024;
+
+/// An engine that streams `count` large events as fast as they are taken; the
+/// counter tells how many were.
+async fn flood(count: u32) -> (std::net::SocketAddr, Arc<AtomicU32>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    let taken = Arc::new(AtomicU32::new(0));
+    let counter = Arc::clone(&taken);
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let counter = Arc::clone(&counter);
+            tokio::spawn(async move {
+                let mut head = vec![0; 4_096];
+                let length = stream.read(&mut head).await.unwrap();
+                let head = String::from_utf8_lossy(&head[..length]).into_owned();
+                if head.starts_with("GET /load") {
+                    let _ = stream.write_all(fake::answer("200 OK", "", "{}").as_bytes()).await;
+                    return;
+                }
+                let id = head.lines().find_map(|it| it.strip_prefix("x-request-id: ")).unwrap();
+                let _ = stream.write_all(stream_head().as_bytes()).await;
+                for i in 0..count {
+                    let filler = "x".repeat(EVENT_BYTES);
+                    let data = json!({ "id": id, "filler": filler });
+                    let event = chunk(&format!("id: {i}\ndata: {data}\n\n"));
+                    if stream.write_all(event.as_bytes()).await.is_err() {
+                        return;
+                    }
+                    counter.fetch_add(1, Ordering::SeqCst);
+                }
+                let end = chunk("data: [DONE]\n\n") + "0\r\n\r\n";
+                let _ = stream.write_all(end.as_bytes()).await;
+            });
+        }
+    });
+    (addr, taken)
+}
+
+/// Waits until the flood stands still.
+async fn stalled(taken: &AtomicU32) -> u32 {
+    loop {
+        let before = taken.load(Ordering::SeqCst);
+        sleep(Duration::from_millis(200)).await;
+        if before > 0 && taken.load(Ordering::SeqCst) == before {
+            return before;
+        }
+    }
+}
+
+#[tokio::test]
+async fn slow_reader_bounded_and_whole() {
+    const EVENTS: u32 = 4_096;
+    let fleet = start(FleetOptions { routers: 1, engines: 0, ..small() }).await;
+    let (addr, taken) = flood(EVENTS).await;
+    join(&fleet, addr, Role::Engine, "assistant-llm").await;
+    let reply = ask(&fleet, 0, 1, true).send().await.unwrap();
+    assert!(stalled(&taken).await < EVENTS);
+    let mut events = reply.bytes_stream().eventsource();
+    for i in 0..EVENTS {
+        let event = events.next().await.unwrap().unwrap();
+        assert_eq!(event.id, i.to_string());
+        assert!(event.data.len() > EVENT_BYTES);
+    }
+    assert_eq!(events.next().await.unwrap().unwrap().data, "[DONE]");
+}
+
+#[tokio::test]
+async fn stalled_reader_cut_off() {
+    let mut options = FleetOptions { routers: 1, engines: 0, ..small() };
+    options.settings.limits.send = Duration::from_millis(100);
+    let fleet = start(options).await;
+    let (addr, _taken) = flood(u32::MAX).await;
+    join(&fleet, addr, Role::Engine, "assistant-llm").await;
+    let reply = ask(&fleet, 0, 1, true).send().await.unwrap();
+    let id = header(&reply, REQUEST_HEADER);
+    fleet.wait_until(|it| has_event(it, 512, &id)).await;
+    drop(reply);
+}
+
+/// A pool that fails every request gets little more than the callers send.
+#[tokio::test]
+async fn brown_out_not_multiplied() {
+    const REQUESTS: usize = 300;
+    let fleet = start(FleetOptions { routers: 1, engines: 0, services: 0, ..small() }).await;
+    let mut fakes = Vec::new();
+    for _ in 0..4 {
+        let fake = Fake::start(|_| Act::Answer(fake::answer("500 X", "", ""))).await;
+        fake.join(&fleet, Role::Service, "stockroom-app").await;
+        fakes.push(fake);
+    }
+    let begun = Instant::now();
+    let url = format!("http://{}/v1/services/stockroom/stock/x", fleet.routers[0].address());
+    for _ in 0..REQUESTS {
+        let request = fleet.http.get(&url).header(ORGANISATION_HEADER, "dalisay");
+        assert_eq!(request.send().await.unwrap().status().as_u16(), 502);
+    }
+    let reached: usize = fakes.iter().map(Fake::count).sum();
+    // One in ten, 20 saved up, one a second.
+    let allowed = REQUESTS / 10 + 20 + begun.elapsed().as_secs() as usize + 1;
+    println!("{REQUESTS} requests, {reached} reached a backend server");
+    assert!(reached <= REQUESTS + allowed, "{reached}");
+}
+
+/// A retry goes neither to the server that failed nor to a leaving one.
+#[tokio::test]
+async fn retry_goes_elsewhere() {
+    let fleet = start(FleetOptions { engines: 3, ..small() }).await;
+    let refusing = Faults { refuse: true, ..Faults::default() };
+    fleet.engines[0].set_faults(refusing.clone());
+    fleet.engines[1].set_faults(refusing);
+    for chat in 0..12 {
+        let request = ask(&fleet, 0, 2, false).headers(chat_header(chat));
+        assert_eq!(request.send().await.unwrap().status().as_u16(), 200);
+    }
+    let events = fleet.routers[0].shared().events.since(0);
+    let mut placed: HashMap<&str, Vec<&str>> = HashMap::new();
+    for it in events.iter().filter(|it| it.code == 400) {
+        placed.entry(&it.subject).or_default().push(&it.detail);
+    }
+    assert!(placed.values().any(|it| it.len() > 1));
+    for servers in placed.values_mut() {
+        let count = servers.len();
+        servers.sort_unstable();
+        servers.dedup();
+        assert_eq!(servers.len(), count);
+    }
+}
+
+/// What a storm brought to light.
+#[derive(Debug, Default)]
+struct Storm {
+    asked: AtomicUsize,
+    whole: AtomicUsize,
+    refused: AtomicUsize,
+    wrong: AtomicUsize,
+    false_not_run: AtomicUsize,
+    false_ran: AtomicUsize,
+}
+
+impl Storm {
+    /// Notes an error answer, whose request ran `runs` times.
+    fn refusal(&self, verdict: &str, runs: u32) {
+        self.refused.fetch_add(1, Ordering::Relaxed);
+        if verdict == "not_run" && runs > 0 {
+            self.false_not_run.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+
+    fn answer(&self, right: bool, runs: u32) {
+        self.whole.fetch_add(1, Ordering::Relaxed);
+        if !right {
+            self.wrong.fetch_add(1, Ordering::Relaxed);
+        }
+        if runs == 0 {
+            self.false_ran.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+
+    async fn chat(&self, fleet: &Fleet, rng: &mut ChaCha8Rng, name: &str) {
+        self.asked.fetch_add(1, Ordering::Relaxed);
+        let (stream, tokens) = (rng.random_bool(0.5), rng.random_range(1..12));
+        let router = &fleet.routers[rng.random_range(0..fleet.routers.len())];
+        let messages = question(name);
+        let body = json!({
+            "model": "assistant", "stream": stream, "max_tokens": tokens, "messages": messages,
+        });
+        let request = fleet
+            .http
+            .post(format!("http://{}/v1/chat/completions", router.address()))
+            .header(ORGANISATION_HEADER, "dalisay")
+            .header(CHAT_HEADER, name)
+            .header(DEADLINE_HEADER, rng.random_range(20..1_500))
+            .json(&body);
+        let reply = request.send().await.unwrap();
+        let (id, verdict) = (header(&reply, REQUEST_HEADER), header(&reply, VERDICT_HEADER));
+        let good = reply.status().is_success();
+        let body = reply.text().await.unwrap();
+        let runs = fleet.engines.iter().map(|it| it.runs(&id)).sum();
+        let expected = answer(&prompt(&messages), tokens);
+        if !good {
+            return self.refusal(&verdict, runs);
+        }
+        if !stream {
+            let body: Value = serde_json::from_str(&body).unwrap();
+            return self.answer(body["choices"][0]["message"]["content"] == expected, runs);
+        }
+        let (got, end) = read_stream(&body);
+        match end {
+            End::Whole => self.answer(got == expected, runs),
+            End::Error(verdict) => {
+                if !expected.starts_with(&got) {
+                    self.wrong.fetch_add(1, Ordering::Relaxed);
+                }
+                self.refusal(&verdict, runs);
+            }
+            End::None => panic!("the stream has neither end mark nor error: {body}"),
+        }
+    }
+
+    async fn reserve(&self, fleet: &Fleet, rng: &mut ChaCha8Rng, name: &str) {
+        self.asked.fetch_add(1, Ordering::Relaxed);
+        let router = &fleet.routers[rng.random_range(0..fleet.routers.len())];
+        let reply = fleet
+            .http
+            .post(format!("http://{}/v1/services/stockroom/reservations", router.address()))
+            .header(ORGANISATION_HEADER, "dalisay")
+            .header(KEY_HEADER, name)
+            .header(DEADLINE_HEADER, rng.random_range(20..400))
+            .json(&json!({ "item": name, "quantity": 1 }))
+            .send()
+            .await
+            .unwrap();
+        let verdict = header(&reply, VERDICT_HEADER);
+        let good = reply.status().is_success();
+        let body: Value = reply.json().await.unwrap();
+        let runs = fleet.services.iter().map(|it| it.runs(name)).sum();
+        assert!(runs <= 1, "{name} ran {runs} times");
+        if good { self.answer(body["item"] == name, runs) } else { self.refusal(&verdict, runs) }
+    }
+}
+
+enum End {
+    Whole,
+    Error(String),
+    None,
+}
+
+/// Text and end of a whole stream.
+fn read_stream(body: &str) -> (String, End) {
+    let mut got = String::new();
+    for event in body.split("\n\n") {
+        let data = event.lines().find_map(|it| it.strip_prefix("data: ")).unwrap_or("null");
+        if data == "[DONE]" {
+            return (got, End::Whole);
+        }
+        let data: Value = serde_json::from_str(data).unwrap();
+        if event.starts_with("event: error") {
+            return (got, End::Error(data["error"]["verdict"].as_str().unwrap().to_owned()));
+        }
+        got.push_str(data["choices"][0]["delta"]["content"].as_str().unwrap_or_default());
+    }
+    (got, End::None)
+}
+
+/// Faults of one engine, drawn anew every while.
+fn engine_faults(rng: &mut ChaCha8Rng) -> Faults {
+    let some = |rng: &mut ChaCha8Rng| rng.random_bool(0.12);
+    Faults {
+        slow: if some(rng) { 20 } else { 0 },
+        refuse: some(rng),
+        hang: rng.random_bool(0.05),
+        crash_on: some(rng).then(|| "7".to_owned()),
+        restart_ms: 30,
+        cut_after: some(rng).then(|| rng.random_range(0..6)),
+        drop_after: some(rng).then(|| rng.random_range(1..4)),
+        wrong_id: some(rng),
+        repeat_token: some(rng),
+        skip_token: some(rng),
+    }
+}
+
+fn service_faults(rng: &mut ChaCha8Rng) -> service::Faults {
+    service::Faults {
+        delay_ms: if rng.random_bool(0.2) { 30 } else { 0 },
+        lost_replies: rng.random_range(0..3),
+        cut_replies: rng.random_range(0..2),
+        refuse: rng.random_bool(0.2),
+    }
+}
+
+/// Sets new faults for ever.
+async fn vary(fleet: &Fleet, seed: u64) {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    loop {
+        for it in &fleet.engines {
+            it.set_faults(engine_faults(&mut rng));
+            if rng.random_bool(0.03) {
+                it.crash(Duration::from_millis(40));
+            }
+        }
+        for it in &fleet.services {
+            it.set_faults(service_faults(&mut rng));
+        }
+        sleep(Duration::from_millis(25)).await;
+    }
+}
+
+#[rstest]
+#[case(1)]
+#[case(2)]
+#[tokio::test]
+async fn storm_of_all_faults(#[case] seed: u64) {
+    const REQUESTS: usize = 600;
+    let options = FleetOptions { routers: 3, engines: 6, services: 2, ..small() };
+    let fleet = start(options).await;
+    let storm = Storm::default();
+    let calls = stream::iter(0..REQUESTS).for_each_concurrent(24, async |i| {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed << 32 | i as u64);
+        if i % 3 == 0 {
+            storm.reserve(&fleet, &mut rng, &format!("order-{i}")).await;
+        } else {
+            storm.chat(&fleet, &mut rng, &format!("chat {i}")).await;
+        }
+    });
+    tokio::select! {
+        () = calls => {}
+        () = vary(&fleet, seed) => {}
+    }
+    println!("{storm:?}");
+    let count = |it: &AtomicUsize| it.load(Ordering::Relaxed);
+    assert_eq!(count(&storm.asked), REQUESTS);
+    assert_eq!(count(&storm.whole) + count(&storm.refused), REQUESTS);
+    assert!(count(&storm.whole) > REQUESTS / 10);
+    assert_eq!(
+        (count(&storm.wrong), count(&storm.false_not_run), count(&storm.false_ran)),
+        (0, 0, 0)
+    );
+}
--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -2,13 +2,16 @@
 
 mod admission;
 mod answers;
+mod attack;
 mod control;
 mod decide;
+mod decoders;
 mod events;
 mod fake;
 mod fault;
 mod membership;
 mod once;
+mod outlier;
 mod path;
 mod settings;
 mod state;
--- /dev/null
+++ b/tests/it/outlier.rs
@@ -0,0 +1,147 @@
+//! Setting backend servers aside, and the retry budget.
+
+use std::time::{Duration, Instant};
+
+use filberttiller::decide::{FailurePoint, Outliers, RetryBudget, ServerResult, Verdict};
+use proptest::prelude::*;
+use rstest::rstest;
+
+use crate::decoders::fixed;
+
+const SECOND: Duration = Duration::from_secs(1);
+
+/// Fails `server` until it is set aside, or 20 times.
+fn fail(outliers: &mut Outliers, server: u64, now: Instant, most: usize) -> bool {
+    (0..20).any(|_| outliers.end(server, ServerResult::Bad, now, most))
+}
+
+#[rstest]
+#[case(1, 1.25, 0)]
+#[case(4, 1.25, 0)]
+#[case(5, 1.25, 1)]
+#[case(12, 1.25, 2)]
+#[case(790, 1.25, 158)]
+#[case(3, 2.0, 1)]
+#[case(10, 1.0, 0)]
+fn most_keeps_bound(#[case] count: usize, #[case] bound: f64, #[case] most: usize) {
+    assert_eq!(Outliers::most(count, bound), most);
+}
+
+#[test]
+fn failing_server_rests_and_returns() {
+    let mut outliers = Outliers::default();
+    let now = Instant::now();
+    assert!(!outliers.avoids(1, now, true));
+    assert!(fail(&mut outliers, 1, now, 1));
+    assert!(outliers.avoids(1, now, true));
+    let later = now + SECOND;
+    assert!(outliers.avoids(1, later, false));
+    assert!(!outliers.avoids(1, later, true));
+    assert!(outliers.begin(1, later));
+    assert!(outliers.avoids(1, later, true), "one probe at a time");
+    outliers.end(1, ServerResult::Good(None), later, 1);
+    assert!(!outliers.avoids(1, later, false));
+}
+
+#[test]
+fn failed_probe_rests_longer() {
+    let mut outliers = Outliers::default();
+    let mut now = Instant::now();
+    assert!(fail(&mut outliers, 1, now, 1));
+    for seconds in [1, 2, 4, 8, 16, 30, 30] {
+        let end = now + SECOND * seconds;
+        assert!(outliers.avoids(1, end - Duration::from_millis(1), true), "{seconds}");
+        assert!(!outliers.avoids(1, end, true), "{seconds}");
+        outliers.begin(1, end);
+        outliers.end(1, ServerResult::Bad, end, 1);
+        now = end;
+    }
+}
+
+#[test]
+fn slow_server_set_aside() {
+    let mut outliers = Outliers::default();
+    let now = Instant::now();
+    let time = |server: u64| Duration::from_millis(if server == 3 { 400 } else { 20 });
+    let mut set_aside = Vec::new();
+    for _ in 0..30 {
+        for server in 0..4 {
+            if outliers.end(server, ServerResult::Good(Some(time(server))), now, 1) {
+                set_aside.push(server);
+            }
+        }
+    }
+    assert_eq!(set_aside, [3]);
+}
+
+proptest! {
+    #![proptest_config(fixed())]
+
+    /// Whatever the results, never more than `most` rest.
+    #[test]
+    fn resting_never_above_most(
+        results in prop::collection::vec((0u64..12, 0u8..4, 0u64..3_000), 0..600),
+        most in 0usize..4,
+    ) {
+        let mut outliers = Outliers::default();
+        let mut now = Instant::now();
+        for (server, result, millis) in results {
+            now += Duration::from_millis(millis);
+            outliers.begin(server, now);
+            let result = match result {
+                0 => ServerResult::Good(Some(Duration::from_millis(millis))),
+                1 => ServerResult::Unknown,
+                _ => ServerResult::Bad,
+            };
+            outliers.end(server, result, now, most);
+            prop_assert!(outliers.resting() <= most);
+        }
+    }
+
+    /// Retries stay within a tenth of the requests, one a second and 20.
+    #[test]
+    fn budget_bounds_retries(steps in prop::collection::vec((0u64..200, 0usize..4), 0..500)) {
+        let begin = Instant::now();
+        let mut now = begin;
+        let mut budget = RetryBudget::new(now);
+        let (mut requests, mut retries) = (0u64, 0u64);
+        for (millis, wanted) in steps {
+            now += Duration::from_millis(millis);
+            budget.earn();
+            requests += 1;
+            retries += (0..wanted).filter(|_| budget.spend(now)).count() as u64;
+            let seconds = (now - begin).as_secs() + 1;
+            prop_assert!(retries <= requests / 10 + seconds + 20);
+        }
+    }
+}
+
+#[test]
+fn budget_refills_without_requests() {
+    let now = Instant::now();
+    let mut budget = RetryBudget::new(now);
+    while budget.spend(now) {}
+    assert!(!budget.spend(now + Duration::from_millis(900)));
+    assert!(budget.spend(now + SECOND * 2));
+}
+
+#[rstest]
+#[case(Verdict::NotRun, Verdict::NotRun, Verdict::NotRun)]
+#[case(Verdict::NotRun, Verdict::MayHaveRun, Verdict::MayHaveRun)]
+#[case(Verdict::MayHaveRun, Verdict::NotRun, Verdict::MayHaveRun)]
+fn and_never_forgets(#[case] first: Verdict, #[case] second: Verdict, #[case] both: Verdict) {
+    assert_eq!(first.and(second), both);
+}
+
+#[test]
+fn not_run_only_before_sending() {
+    let points = [
+        FailurePoint::Exchange,
+        FailurePoint::Failed,
+        FailurePoint::Rejected,
+        FailurePoint::Body,
+        FailurePoint::Mismatch,
+        FailurePoint::Timeout,
+    ];
+    assert!(points.iter().all(|it| it.verdict() == Verdict::MayHaveRun && it.reached_server()));
+}
