--- /dev/null
+++ b/benches/proxy.rs
@@ -0,0 +1,279 @@
+//! Figures of load of one router on loopback: added latency, requests a second
+//! and memory for each open stream. Ends by itself within two minutes.
+//!
+//! `cargo bench --bench proxy -- load` needs nothing else. For the memory, the
+//! backend server runs in a process of its own, as each open stream takes four
+//! file descriptors: `cargo bench --bench proxy -- backend` in one shell and
+//! `cargo bench --bench proxy -- memory` in another.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+
+use filberttiller::demo::{Fleet, FleetOptions};
+use hdrhistogram::Histogram;
+use standins::list::{Entry, Role, Standing};
+use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::runtime::{Builder, Runtime};
+use tokio::task::JoinSet;
+use tokio::time::{MissedTickBehavior, interval, sleep};
+
+/// Time of one measurement.
+const RUN: Duration = Duration::from_secs(4);
+/// Connections that ask for as much as they get.
+const CONNECTIONS: usize = 64;
+/// Threads of the callers, and of the backend server.
+const THREADS: usize = 3;
+/// How late a timer of the callers may be.
+const TIMER_SLACK: Duration = Duration::from_millis(2);
+/// Where the backend server of the memory measurement answers.
+const BACKEND: &str = "127.0.0.1:9700";
+/// How long it does.
+const BACKEND_TIME: Duration = Duration::from_secs(90);
+/// Open streams of the memory measurement.
+const STREAMS: [usize; 2] = [1_000, 5_000];
+/// A short call of a service.
+const CALL: &str = "GET /v1/services/stockroom/stock/x HTTP/1.1\r\nhost: a\r\n\
+    filberttiller-organisation: dalisay\r\n\r\n";
+/// Body of a streamed chat request.
+const CHAT: &str =
+    r#"{"model":"assistant","stream":true,"messages":[{"role":"user","content":"x"}]}"#;
+
+fn main() {
+    let callers = runtime(THREADS);
+    let backend = runtime(THREADS);
+    let asked: Vec<String> = std::env::args().skip(1).collect();
+    let asks = |name: &str| asked.iter().any(|it| it == name);
+    if asks("backend") {
+        return callers.block_on(async {
+            let listener = TcpListener::bind(BACKEND).await.unwrap();
+            backend.spawn(answer(listener.into_std().unwrap()));
+            sleep(BACKEND_TIME).await;
+        });
+    }
+    if asks("memory") {
+        for streams in STREAMS {
+            callers.block_on(memory(streams));
+        }
+        return;
+    }
+    for threads in [1, 4] {
+        callers.block_on(load(&callers, &backend, threads));
+    }
+}
+
+fn runtime(threads: usize) -> Runtime {
+    Builder::new_multi_thread().worker_threads(threads).enable_all().build().unwrap()
+}
+
+/// One router with this many threads before one backend server.
+async fn fleet(threads: usize, backend: SocketAddr, role: Role, pool: &str) -> Fleet {
+    let mut options = FleetOptions {
+        routers: 1,
+        engines: 0,
+        canaries: 0,
+        services: 0,
+        ..FleetOptions::default()
+    };
+    options.settings.traffic.threads = threads;
+    let fleet = Fleet::start(options).await.unwrap();
+    fleet.publish_first().await.unwrap();
+    fleet.list.put(Entry {
+        name: "backend".to_owned(),
+        address: backend,
+        control: None,
+        domain: "luzon-a".to_owned(),
+        role,
+        pool: pool.to_owned(),
+        standing: Standing::Live,
+    });
+    fleet.wait_until(|it| it.routers[0].shared().view.peek().pools.contains_key(pool)).await;
+    fleet
+}
+
+/// Throughput, then latency at half of it, direct and over the router.
+async fn load(callers: &Runtime, backend: &Runtime, threads: usize) {
+    let direct = start_backend(backend).await;
+    let fleet = fleet(threads, direct, Role::Service, "stockroom-app").await;
+    let router = fleet.routers[0].address();
+    let most = flood(callers, router).await;
+    println!("router with {threads} threads: {most:.0} short calls a second");
+    let rate = most / 2.0;
+    let (plain, routed) = (paced(callers, direct, rate).await, paced(callers, router, rate).await);
+    for quantile in [0.5, 0.99] {
+        let micros = |it: &Histogram<u64>| it.value_at_quantile(quantile);
+        let (plain, routed) = (micros(&plain), micros(&routed));
+        let added = routed as i64 - plain as i64;
+        println!(
+            "  at {rate:.0}/s, p{}: direct {plain} us, router {routed} us, added {added} us",
+            quantile * 100.0
+        );
+    }
+}
+
+/// A backend server on a free port.
+async fn start_backend(backend: &Runtime) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    backend.spawn(answer(listener.into_std().unwrap()));
+    addr
+}
+
+/// Answers every request alike, or streams for a chat and stays silent then.
+async fn answer(listener: std::net::TcpListener) {
+    let listener = TcpListener::from_std(listener).unwrap();
+    while let Ok((stream, _)) = listener.accept().await {
+        let _ = stream.set_nodelay(true);
+        tokio::spawn(serve(BufReader::with_capacity(1_024, stream)));
+    }
+}
+
+async fn serve(mut stream: BufReader<TcpStream>) {
+    while let Some(head) = read_head(&mut stream).await {
+        let length = field(&head, "content-length").and_then(|it| it.parse().ok()).unwrap_or(0);
+        stream.read_exact(&mut vec![0; length]).await.unwrap();
+        let reply = if head.starts_with("POST") {
+            let id = field(&head, "x-request-id").unwrap_or("none");
+            let event = format!("id: 0\ndata: {{\"id\":\"{id}\"}}\n\n");
+            format!(
+                "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n{:x}\r\n{event}\r\n",
+                event.len()
+            )
+        } else {
+            "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}".to_owned()
+        };
+        if stream.write_all(reply.as_bytes()).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// The head of a message, with lower-case names.
+async fn read_head(stream: &mut BufReader<TcpStream>) -> Option<String> {
+    let mut head = String::new();
+    loop {
+        let begin = head.len();
+        stream.read_line(&mut head).await.ok().filter(|it| *it > 0)?;
+        if &head[begin..] == "\r\n" {
+            return Some(head);
+        }
+    }
+}
+
+fn field<'a>(head: &'a str, name: &str) -> Option<&'a str> {
+    head.lines().find_map(|it| it.strip_prefix(name)?.strip_prefix(": "))
+}
+
+async fn connect(addr: SocketAddr) -> BufReader<TcpStream> {
+    let stream = TcpStream::connect(addr).await.unwrap();
+    stream.set_nodelay(true).unwrap();
+    BufReader::with_capacity(1_024, stream)
+}
+
+/// One short call over a kept connection.
+async fn call(stream: &mut BufReader<TcpStream>) {
+    stream.write_all(CALL.as_bytes()).await.unwrap();
+    let head = read_head(stream).await.unwrap();
+    assert!(head.starts_with("HTTP/1.1 200"), "{head}");
+    let length: usize = field(&head, "content-length").unwrap().parse().unwrap();
+    stream.read_exact(&mut vec![0; length]).await.unwrap();
+}
+
+/// Calls a second when every connection asks as soon as it may.
+async fn flood(callers: &Runtime, addr: SocketAddr) -> f64 {
+    let count = Arc::new(AtomicU64::new(0));
+    let begin = Instant::now();
+    let mut tasks = JoinSet::new();
+    for _ in 0..CONNECTIONS {
+        let count = Arc::clone(&count);
+        let body = async move {
+            let mut stream = connect(addr).await;
+            while begin.elapsed() < RUN {
+                call(&mut stream).await;
+                count.fetch_add(1, Ordering::Relaxed);
+            }
+        };
+        tasks.spawn_on(body, callers.handle());
+    }
+    tasks.join_all().await;
+    count.load(Ordering::Relaxed) as f64 / begin.elapsed().as_secs_f64()
+}
+
+/// Times in microseconds at `rate` calls a second; each is counted from the
+/// moment at which it was due.
+async fn paced(callers: &Runtime, addr: SocketAddr, rate: f64) -> Histogram<u64> {
+    let period = Duration::from_secs_f64(CONNECTIONS as f64 / rate);
+    let mut tasks = JoinSet::new();
+    for i in 0..CONNECTIONS {
+        let body = async move {
+            let mut times = Histogram::<u64>::new(3).unwrap();
+            let mut stream = connect(addr).await;
+            sleep(period.mul_f64(i as f64 / CONNECTIONS as f64)).await;
+            let begin = Instant::now();
+            let mut tick = interval(period);
+            tick.set_missed_tick_behavior(MissedTickBehavior::Burst);
+            while begin.elapsed() < RUN {
+                let due = tick.tick().await.into_std();
+                let late = due.elapsed();
+                // The timer is up to `TIMER_SLACK` late, which is not the router's time.
+                let waited = if late > TIMER_SLACK { late } else { Duration::ZERO };
+                let start = Instant::now();
+                call(&mut stream).await;
+                times.record((waited + start.elapsed()).as_micros() as u64).unwrap();
+            }
+            times
+        };
+        tasks.spawn_on(body, callers.handle());
+    }
+    let mut all = Histogram::<u64>::new(3).unwrap();
+    for it in tasks.join_all().await {
+        all.add(it).unwrap();
+    }
+    all
+}
+
+/// Memory of open streams: that of streams over the router, less that of some
+/// straight to the backend server.
+async fn memory(streams: usize) {
+    let direct: SocketAddr = BACKEND.parse().unwrap();
+    let fleet = fleet(4, direct, Role::Engine, "assistant-llm").await;
+    let router = fleet.routers[0].address();
+    let begin = resident();
+    let _plain = open(direct, STREAMS[0]).await;
+    let plain = (resident() - begin) as f64 / STREAMS[0] as f64;
+    let begin = resident();
+    let _routed = open(router, streams).await;
+    let routed = (resident() - begin) as f64 / streams as f64;
+    println!("{streams} open streams: {:.1} KiB each in the router", (routed - plain) / 1_024.0);
+}
+
+async fn open(addr: SocketAddr, count: usize) -> Vec<BufReader<TcpStream>> {
+    let mut all = Vec::with_capacity(count);
+    for i in 0..count {
+        let mut stream = connect(addr).await;
+        let request = format!(
+            "POST /v1/chat/completions HTTP/1.1\r\nhost: a\r\nfilberttiller-organisation: dalisay\r\n\
+             filberttiller-chat: c{i}\r\ncontent-length: {}\r\n\r\n{CHAT}",
+            CHAT.len()
+        );
+        stream.write_all(request.as_bytes()).await.unwrap();
+        let head = read_head(&mut stream).await.unwrap();
+        assert!(head.starts_with("HTTP/1.1 200"), "{head}");
+        let mut line = String::new();
+        while !line.contains("data: ") {
+            line.clear();
+            stream.read_line(&mut line).await.unwrap();
+        }
+        all.push(stream);
+    }
+    all
+}
+
+/// Resident memory of this process in bytes.
+fn resident() -> i64 {
+    let status = std::fs::read_to_string("/proc/self/status").unwrap();
+    let line = status.lines().find_map(|it| it.strip_prefix("VmRSS:")).unwrap();
+    line.trim().trim_end_matches(" kB").parse::<i64>().unwrap() * 1_024
+}
