--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -12,7 +12,7 @@
 mod ticket;
 
 pub use api_error::{ApiError, ApiErrorBody};
-pub use chat::{ChatMessage, ChatRequest};
+pub use chat::{ChatAnswer, ChatChunk, ChatMessage, ChatRequest, PromptDetails, Usage};
 pub use entry::{EntryAddress, EntryAnswer};
 pub use gossip::{
     Bulk, GOSSIP_VERSION, Gossip, MemberStatus, Part, Want, WireLine, WireLoad, WireMark,
