Place by prefix first, then by the room that engines have left

Cause: the first version charged a returning chat the cold cost at its home, took the larger of report and own work as the load, and never saw when an engine refused connections, so that it spilled a third of all requests, three dead engines in a row refused a request, and all routers filled one engine. Change: a chat stays at its home while that is below the mean or, with its warm cost, within the slack; the more of it is cached, the more slack it may use; it also stays when the other engine would carry more. Chats without a home go by weighted rendezvous, weighted by the room that the estimated load leaves. The load is the report and what this router sent since. An engine that refuses a connection is closed until its next report, unless most are. Weights follow the slots. Routers remember where chats went (`routing.chats`) and believe the caller's hint before that.

--- a/src/controllers/engine_side.rs
+++ b/src/controllers/engine_side.rs
@@ -10,7 +10,7 @@
     Engine {
         id: hash_bytes(it.name.as_bytes()),
         incarnation: report.map_or(0, |it| it.incarnation),
-        weight: 1.0,
+        weight: report.map_or(1.0, |it| it.slots.max(1) as f64),
         leaving: it.standing == Standing::Leaving,
         reported: report.map_or(0, |it| it.tokens),
         sent,
--- a/src/daemon/daemon.rs
+++ b/src/daemon/daemon.rs
@@ -17,7 +17,7 @@
 use crate::clock::SharedClock;
 use crate::daemon::control_thread::ControlThread;
 use crate::daemon::{Stop, Stopped, serve};
-use crate::decide::QueueLimits;
+use crate::decide::{ChatTable, QueueLimits};
 use crate::events::{Code, EventLog, Fields};
 use crate::filters::{Counters, Shared, callers};
 use crate::fleet::ViewCell;
@@ -77,6 +77,7 @@
             events,
             meter: Arc::default(),
             crashes: Arc::default(),
+            chats: ChatTable::new(settings.routing.chats),
             gates: Gates::new(QueueLimits::from(&settings.admission)),
             counters: Counters::new().change_context(DaemonError::SetUp)?,
             clock,
--- a/src/decide/place.rs
+++ b/src/decide/place.rs
@@ -1,13 +1,25 @@
 //! Where a request goes.
 
-use crate::decide::{Engine, weighted_score};
+use crate::decide::{Engine, combine};
+
+/// Part of the slack above the mean that a chat may use at its home engine
+/// when [`USUAL_HELD`] of its tokens are cached there.
+const HOME_SLACK: f64 = 0.8;
+/// Further part of the slack for each further share of tokens that is cached.
+const HELD_SLACK: f64 = 2.0;
+/// Usual share of a returning request's tokens that are cached.
+const USUAL_HELD: f64 = 0.6;
+/// Part of the slack up to which chats without a home are placed.
+const FRESH_SLACK: f64 = 0.4;
+/// Smallest room of an engine, as a share of the mean, in the rank.
+const MIN_ROOM: f64 = 1e-6;
 
 plain! {
     /// What placement needs to know about a request.
     pub struct PlaceQuery<'a> {
         /// Key of the chat and its model.
         pub key: u64,
-        /// Engine and incarnation that the caller says holds its prefix.
+        /// Engine and incarnation that hold its prefix.
         pub hint: Option<(u64, u64)>,
         /// Tokens that the request adds where nothing is cached.
         pub cost: u64,
@@ -25,44 +37,108 @@
     pub struct Choice {
         /// Index of the engine.
         pub index: usize,
-        /// Whether the first of the rank was passed over.
+        /// Whether the engine that holds the prefix was passed over.
         pub spilled: bool,
     }
 }
 
-/// Chooses an engine: the hinted one or else the highest in the rank whose load
-/// stays within the bound, else the least loaded.
+/// Engines with the mean of their estimated loads.
+struct Field<'a> {
+    engines: &'a [Engine],
+    tried: &'a [usize],
+    /// Mean load by weight.
+    mean: f64,
+    /// Whether engines that refused a connection count as open all the same.
+    trust: bool,
+}
+
+impl Field<'_> {
+    fn new<'a>(engines: &'a [Engine], tried: &'a [usize]) -> Field<'a> {
+        let (mut tokens, mut weight, mut down) = (0.0, 0.0, 0.0);
+        for it in engines.iter().filter(|it| !it.leaving) {
+            tokens += it.tokens();
+            weight += it.weight;
+            down += if it.sent.is_down() { it.weight } else { 0.0 };
+        }
+        let mean = if weight > 0.0 { tokens / weight } else { 0.0 };
+        Field { engines, tried, mean, trust: down * 2.0 > weight }
+    }
+
+    /// Whether the engine at `index` may be chosen.
+    fn is_open(&self, index: usize) -> bool {
+        let it = &self.engines[index];
+        !it.leaving && (self.trust || !it.sent.is_down()) && !self.tried.contains(&index)
+    }
+
+    /// Index of the open engine with `id` in the incarnation `incarnation`.
+    fn home(&self, (id, incarnation): (u64, u64)) -> Option<usize> {
+        let found = |it: &Engine| it.id == id && it.incarnation == incarnation;
+        self.engines.iter().position(found).filter(|&at| self.is_open(at))
+    }
+
+    /// Load of the engine at `index` after `cost` more tokens.
+    fn after(&self, index: usize, cost: u64) -> f64 {
+        let it = &self.engines[index];
+        (it.tokens() + cost as f64) / it.weight
+    }
+
+    /// Whether a chat may stay at its home: this is so while the engine is not
+    /// above the mean, and further up for what would be lost elsewhere.
+    fn may_stay(&self, home: usize, query: &PlaceQuery<'_>) -> bool {
+        let held = 1.0 - query.warm as f64 / query.cost.max(1) as f64;
+        let part = HOME_SLACK + HELD_SLACK * (held - USUAL_HELD);
+        let limit = self.mean * (1.0 + part * (query.bound - 1.0));
+        self.after(home, 0) <= self.mean || self.after(home, query.warm) <= limit
+    }
+
+    /// The open engine that wins the rank of `key`, weighted by the room that
+    /// each has left.
+    fn ranked(&self, query: &PlaceQuery<'_>) -> Option<usize> {
+        let top = self.mean * (1.0 + FRESH_SLACK * (query.bound - 1.0));
+        let scale = 1.0 / self.mean.max(1.0);
+        let mut best: Option<usize> = None;
+        let mut most = 0.0;
+        for (i, it) in self.engines.iter().enumerate() {
+            let unit = unit(combine(query.key, it.id));
+            let room = ((top - it.tokens() / it.weight) * scale).max(MIN_ROOM);
+            let weight = it.weight * room;
+            // The score is at most weight / (1 - unit), which spares most logarithms.
+            if weight <= most * (1.0 - unit) || !self.is_open(i) {
+                continue;
+            }
+            let score = -weight / unit.ln();
+            if score > most {
+                (best, most) = (Some(i), score);
+            }
+        }
+        best
+    }
+}
+
+/// A hash as a number between 0 and 1, both excluded.
+fn unit(hash: u64) -> f64 {
+    ((hash >> 11) as f64 + 0.5) / (1u64 << 53) as f64
+}
+
+/// Chooses an engine: the one that holds the prefix unless its load is too far
+/// above the mean and another would carry less, else by weighted rendezvous
+/// (Schindelhauer and Schomaker 2005) among all, each weighted by the room that
+/// its estimated load leaves.
 ///
-/// Bounded loads as in Mirrokni, Thorup and Zadimoghaddam, "Consistent Hashing
-/// with Bounded Loads" (2016). Returns `None` when no engine takes work.
+/// The weights change with the reports, so that routers with one stale report
+/// spread over all engines with room in place of herding on the emptiest.
+/// Returns `None` when no engine takes work.
 pub fn place(engines: &[Engine], query: &PlaceQuery<'_>) -> Option<Choice> {
-    let open = |i: &usize| !engines[*i].leaving && !query.tried.contains(i);
-    let count = engines.iter().filter(|it| !it.leaving).count();
-    if count == 0 {
-        return None;
+    let field = Field::new(engines, query.tried);
+    let home = query.hint.and_then(|it| field.home(it));
+    if let Some(index) = home.filter(|&it| field.may_stay(it, query)) {
+        return Some(Choice { index, spilled: false });
     }
-    let loads = engines.iter().filter(|it| !it.leaving).map(Engine::load);
-    let mean = (loads.sum::<f64>() + query.cost as f64) / count as f64;
-    let limit = (mean * query.bound).max(query.cost as f64);
-    let fits = |it: &Engine| it.load() + query.cost as f64 / it.weight <= limit;
-    let mut first: Option<(f64, usize)> = None;
-    let mut best: Option<(f64, usize)> = None;
-    let mut least: Option<(f64, usize)> = None;
-    for i in (0..engines.len()).filter(open) {
-        let it = &engines[i];
-        let hinted = query.hint == Some((it.id, it.incarnation));
-        let score =
-            if hinted { f64::INFINITY } else { weighted_score(query.key, it.id, it.weight) };
-        if first.is_none_or(|(top, _)| score > top) {
-            first = Some((score, i));
-        }
-        if fits(it) && best.is_none_or(|(top, _)| score > top) {
-            best = Some((score, i));
-        }
-        if least.is_none_or(|(low, _)| it.load() < low) {
-            least = Some((it.load(), i));
+    let other = field.ranked(query)?;
+    match home {
+        Some(index) if field.after(index, query.warm) <= field.after(other, query.cost) => {
+            Some(Choice { index, spilled: false })
         }
+        _ => Some(Choice { index: other, spilled: home.is_some_and(|it| it != other) }),
     }
-    let (_, index) = best.or(least)?;
-    Some(Choice { index, spilled: first.is_some_and(|(_, top)| top != index) })
 }
--- a/src/decide/sent.rs
+++ b/src/decide/sent.rs
@@ -1,6 +1,6 @@
 //! What this router has given to one engine.
 
-use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::Relaxed};
 
 /// Tokens given to one engine; shared by traffic and control.
 #[derive(Debug, Default)]
@@ -11,6 +11,10 @@
     placed: AtomicU64,
     /// `placed` when the last report came. Invariant: at most `placed`.
     marked: AtomicU64,
+    /// `placed` when the report before came. Invariant: at most `marked`.
+    before: AtomicU64,
+    /// Whether it refused a connection since the last report.
+    down: AtomicBool,
 }
 
 impl Sent {
@@ -30,8 +34,20 @@
         self.in_flight.load(Relaxed)
     }
 
+    /// Notes that it refused a connection.
+    pub fn fail(&self) {
+        self.down.store(true, Relaxed);
+    }
+
+    /// Whether it refused a connection since the last report.
+    pub fn is_down(&self) -> bool {
+        self.down.load(Relaxed)
+    }
+
     /// Notes that a load report came.
     pub fn mark(&self) {
+        self.down.store(false, Relaxed);
+        self.before.store(self.marked.load(Relaxed), Relaxed);
         self.marked.store(self.placed.load(Relaxed), Relaxed);
     }
 
@@ -39,4 +55,9 @@
     pub fn fresh(&self) -> u64 {
         self.placed.load(Relaxed).saturating_sub(self.marked.load(Relaxed))
     }
+
+    /// Tokens given between the last two reports.
+    pub fn last_period(&self) -> u64 {
+        self.marked.load(Relaxed).saturating_sub(self.before.load(Relaxed))
+    }
 }
--- a/src/filters/choose.rs
+++ b/src/filters/choose.rs
@@ -1,8 +1,8 @@
 //! Chooses the backend server for a request.
 
-use crate::decide::{Choice, PlaceQuery, place};
+use crate::decide::{ChatPlace, Choice, PlaceQuery, place};
 use crate::filters::forward::Plan;
-use crate::filters::{Call, Shared};
+use crate::filters::{Call, Shared, Target};
 use crate::fleet::Pool;
 use crate::state::PolicySpec;
 
@@ -22,17 +22,45 @@
         .state
         .policy(call.policy.as_deref().unwrap_or(DEFAULT_POLICY))
         .map_or_else(|| PolicySpec::default().bound, |it| it.bound);
+    let known = known_place(shared, call, plan);
+    let held = known.map_or(0, |it| u64::from(it.tokens).min(plan.cost));
     let query = PlaceQuery {
         key: plan.key,
-        hint: plan.hint,
+        hint: known.map(|it| (it.engine, it.incarnation)),
         cost: plan.cost,
-        warm: plan.cost,
+        warm: plan.cost - held,
         bound,
         tried,
     };
     let choice = place(&pool.engines, &query)?;
+    if is_chat(call) {
+        let it = &pool.engines[choice.index];
+        let tokens = u32::try_from(plan.cost).unwrap_or(u32::MAX);
+        let place = ChatPlace { engine: it.id, incarnation: it.incarnation, tokens };
+        shared.chats.set(plan.key, place);
+    }
     if choice.spilled {
         shared.counters.spilled.inc();
     }
     Some(choice)
 }
+
+/// Where the chat's prefix lies: what the caller brings goes before what this
+/// router remembers, which tells the length.
+fn known_place(shared: &Shared, call: &Call, plan: &Plan) -> Option<ChatPlace> {
+    if !is_chat(call) {
+        return None;
+    }
+    let remembered = shared.chats.get(plan.key);
+    let Some((engine, incarnation)) = plan.hint else {
+        return remembered;
+    };
+    let same = remembered.filter(|it| (it.engine, it.incarnation) == (engine, incarnation));
+    let guess = u32::try_from(plan.cost / 2).unwrap_or(u32::MAX);
+    Some(same.unwrap_or(ChatPlace { engine, incarnation, tokens: guess }))
+}
+
+/// Whether the call has a prefix that an engine may keep.
+fn is_chat(call: &Call) -> bool {
+    matches!(call.target, Target::Model { .. })
+}
--- a/src/filters/forward.rs
+++ b/src/filters/forward.rs
@@ -55,6 +55,7 @@
         };
         let chosen = take(shared, call, pool, plan, pass.as_ref(), choice);
         let name = chosen.server.name.clone();
+        let sent = Arc::clone(&chosen.engine.sent);
         tried.push(choice.index);
         let result = match &job {
             Job::Chat(chat) => send_chat(shared, call, chat, chosen).await,
@@ -64,6 +65,10 @@
             Ok(answer) => return Ok(answer),
             Err(it) => it,
         };
+        let is_chat = matches!(job, Job::Chat(_));
+        if is_chat && refusal.verdict == Verdict::NotRun {
+            sent.fail();
+        }
         let detail = format!("{name}: {}", refusal.message);
         shared.events.record(Code::BackendFailed, Fields { subject: &call.id, detail: &detail });
         let repeatable = refusal.verdict == Verdict::NotRun || plan.idempotent;
--- a/src/filters/shared.rs
+++ b/src/filters/shared.rs
@@ -10,6 +10,7 @@
 use crate::admission::Gates;
 use crate::backend::Meter;
 use crate::clock::SharedClock;
+use crate::decide::ChatTable;
 use crate::decide::Verdict;
 use crate::events::EventLog;
 use crate::filters::Arm;
@@ -31,6 +32,8 @@
     pub meter: Arc<Meter>,
     /// Requests that crashed backend servers.
     pub crashes: Arc<CrashBoard>,
+    /// Where chats were placed.
+    pub chats: ChatTable,
     /// Gates in front of the pools.
     pub gates: Gates,
     /// The clock.
--- a/src/settings/check.rs
+++ b/src/settings/check.rs
@@ -10,6 +10,8 @@
 
 /// Fewest characters of the shared token.
 const MIN_TOKEN: usize = 16;
+/// Most chats whose place is remembered.
+const MAX_CHATS: usize = 1_000_000;
 /// Most threads that carry requests.
 const MAX_THREADS: usize = 256;
 
@@ -120,6 +122,13 @@
         format!("it is {headroom}"),
         "at least 1 is needed",
     );
+    let chats = s.routing.chats;
+    expect(
+        (1..=MAX_CHATS).contains(&chats),
+        "routing.chats",
+        format!("it is {chats}"),
+        "1 to 1000000 are allowed",
+    );
     for (place, time) in times(s) {
         expect(time > Duration::ZERO, place, "it is 0".to_owned(), "a time above 0 is needed");
     }
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -5,6 +5,7 @@
 mod control;
 mod limits;
 mod problem;
+mod routing;
 mod settings;
 mod traffic;
 
@@ -13,5 +14,6 @@
 pub use control::Control;
 pub use limits::Limits;
 pub use problem::{Problem, SettingsError};
+pub use routing::Routing;
 pub use settings::{DEFAULT_TEXT, Seed, Settings};
 pub use traffic::Traffic;
--- a/src/settings/settings.rs
+++ b/src/settings/settings.rs
@@ -4,7 +4,7 @@
 
 use serde::Deserialize;
 
-use crate::settings::{Admission, Control, Limits, Traffic};
+use crate::settings::{Admission, Control, Limits, Routing, Traffic};
 
 /// The commented settings file that `filberttiller init` prints.
 pub const DEFAULT_TEXT: &str = include_str!("default.jsonc");
@@ -40,6 +40,9 @@
         /// Who may send work when there is not enough room.
         #[serde(default)]
         pub admission: Admission,
+        /// How requests are placed.
+        #[serde(default)]
+        pub routing: Routing,
         /// How state is kept up to date.
         #[serde(default, rename = "state")]
         pub upkeep: Control,
