--- a/src/decide/engine.rs
+++ b/src/decide/engine.rs
@@ -21,17 +21,11 @@
     pub sent: Arc<Sent>,
 }
 
-/// Share of what was sent between the last two reports that the last one cannot
-/// hold yet.
-const LATE_SHARE: f64 = 0.5;
-
 impl Engine {
     /// Estimated load in tokens: the last report and what this router has sent
     /// since it was made.
-    pub fn tokens(&self) -> f64 {
-        let late = LATE_SHARE * self.sent.last_period() as f64;
-        let own = self.sent.fresh() as f64 + late;
-        self.reported as f64 + own.min(self.sent.in_flight() as f64)
+    pub fn tokens(&self) -> u64 {
+        self.reported + self.sent.unreported()
     }
 
     /// Load in tokens, relative to the weight, as the larger of what is reported
--- a/src/decide/place.rs
+++ b/src/decide/place.rs
@@ -48,26 +48,34 @@
     tried: &'a [usize],
     /// Mean load by weight.
     mean: f64,
-    /// Whether engines that refused a connection count as open all the same.
-    trust: bool,
 }
 
 impl Field<'_> {
     fn new<'a>(engines: &'a [Engine], tried: &'a [usize]) -> Field<'a> {
-        let (mut tokens, mut weight, mut down) = (0.0, 0.0, 0.0);
+        let (mut tokens, mut weight) = (0, 0.0);
         for it in engines.iter().filter(|it| !it.leaving) {
             tokens += it.tokens();
             weight += it.weight;
-            down += if it.sent.is_down() { it.weight } else { 0.0 };
         }
-        let mean = if weight > 0.0 { tokens / weight } else { 0.0 };
-        Field { engines, tried, mean, trust: down * 2.0 > weight }
+        let mean = if weight > 0.0 { tokens as f64 / weight } else { 0.0 };
+        Field { engines, tried, mean }
     }
 
     /// Whether the engine at `index` may be chosen.
     fn is_open(&self, index: usize) -> bool {
         let it = &self.engines[index];
-        !it.leaving && (self.trust || !it.sent.is_down()) && !self.tried.contains(&index)
+        let closed = it.leaving || self.tried.contains(&index);
+        !closed && (!it.sent.is_down() || self.most_are_down())
+    }
+
+    /// Whether so many engines refused connections that the rest could not carry
+    /// the load, or the fault is this router's.
+    fn most_are_down(&self) -> bool {
+        let weight = |down: bool| -> f64 {
+            let listed = self.engines.iter().filter(|it| !it.leaving);
+            listed.filter(|it| it.sent.is_down() == down).map(|it| it.weight).sum()
+        };
+        weight(true) > weight(false)
     }
 
     /// Index of the open engine with `id` in the incarnation `incarnation`.
@@ -79,7 +87,7 @@
     /// Load of the engine at `index` after `cost` more tokens.
     fn after(&self, index: usize, cost: u64) -> f64 {
         let it = &self.engines[index];
-        (it.tokens() + cost as f64) / it.weight
+        (it.tokens() + cost) as f64 / it.weight
     }
 
     /// Whether a chat may stay at its home: this is so while the engine is not
@@ -95,19 +103,19 @@
     /// each has left.
     fn ranked(&self, query: &PlaceQuery<'_>) -> Option<usize> {
         let top = self.mean * (1.0 + FRESH_SLACK * (query.bound - 1.0));
-        let scale = 1.0 / self.mean.max(1.0);
-        let mut best: Option<usize> = None;
+        let least = (self.mean * MIN_ROOM).max(MIN_ROOM);
+        let weight = |it: &Engine, tokens: u64| (top * it.weight - tokens as f64).max(least);
+        let mut best = None;
         let mut most = 0.0;
         for (i, it) in self.engines.iter().enumerate() {
             let unit = unit(combine(query.key, it.id));
-            let room = ((top - it.tokens() / it.weight) * scale).max(MIN_ROOM);
-            let weight = it.weight * room;
             // The score is at most weight / (1 - unit), which spares most logarithms.
-            if weight <= most * (1.0 - unit) || !self.is_open(i) {
+            let bar = most * (1.0 - unit);
+            if weight(it, it.reported) <= bar || weight(it, it.tokens()) <= bar {
                 continue;
             }
-            let score = -weight / unit.ln();
-            if score > most {
+            let score = -weight(it, it.tokens()) / unit.ln();
+            if score > most && self.is_open(i) {
                 (best, most) = (Some(i), score);
             }
         }
--- a/src/decide/sent.rs
+++ b/src/decide/sent.rs
@@ -2,17 +2,19 @@
 
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::Relaxed};
 
+/// What was sent between two reports counts in part after the later one, which
+/// cannot hold all of it yet: one in so many tokens.
+const LATE_PART: u64 = 2;
+
 /// Tokens given to one engine; shared by traffic and control.
 #[derive(Debug, Default)]
 pub struct Sent {
     /// Not yet done.
     in_flight: AtomicU64,
-    /// Since the start of this router. Invariant: never falls.
-    placed: AtomicU64,
-    /// `placed` when the last report came. Invariant: at most `placed`.
-    marked: AtomicU64,
-    /// `placed` when the report before came. Invariant: at most `marked`.
-    before: AtomicU64,
+    /// What the last report cannot hold.
+    recent: AtomicU64,
+    /// Given since the last report.
+    fresh: AtomicU64,
     /// Whether it refused a connection since the last report.
     down: AtomicBool,
 }
@@ -21,7 +23,8 @@
     /// Counts a request of `tokens`.
     pub fn add(&self, tokens: u64) {
         self.in_flight.fetch_add(tokens, Relaxed);
-        self.placed.fetch_add(tokens, Relaxed);
+        self.recent.fetch_add(tokens, Relaxed);
+        self.fresh.fetch_add(tokens, Relaxed);
     }
 
     /// Counts a request of `tokens` as done.
@@ -34,30 +37,25 @@
         self.in_flight.load(Relaxed)
     }
 
-    /// Notes that it refused a connection.
-    pub fn fail(&self) {
-        self.down.store(true, Relaxed);
-    }
-
-    /// Whether it refused a connection since the last report.
-    pub fn is_down(&self) -> bool {
-        self.down.load(Relaxed)
+    /// Tokens not yet done that the last report cannot hold.
+    pub fn unreported(&self) -> u64 {
+        self.recent.load(Relaxed).min(self.in_flight())
     }
 
     /// Notes that a load report came.
     pub fn mark(&self) {
+        let fresh = self.fresh.swap(0, Relaxed);
+        self.recent.store(fresh / LATE_PART, Relaxed);
         self.down.store(false, Relaxed);
-        self.before.store(self.marked.load(Relaxed), Relaxed);
-        self.marked.store(self.placed.load(Relaxed), Relaxed);
     }
 
-    /// Tokens given since the last report came.
-    pub fn fresh(&self) -> u64 {
-        self.placed.load(Relaxed).saturating_sub(self.marked.load(Relaxed))
+    /// Notes that it refused a connection.
+    pub fn fail(&self) {
+        self.down.store(true, Relaxed);
     }
 
-    /// Tokens given between the last two reports.
-    pub fn last_period(&self) -> u64 {
-        self.marked.load(Relaxed).saturating_sub(self.before.load(Relaxed))
+    /// Whether it refused a connection since the last report.
+    pub fn is_down(&self) -> bool {
+        self.down.load(Relaxed)
     }
 }
