--- a/src/daemon/control_api.rs
+++ b/src/daemon/control_api.rs
@@ -7,11 +7,15 @@
 use warp::http::{HeaderMap, StatusCode};
 use warp::reply::Response;
 use warp::{Filter, Reply};
+use xtra::Address;
 
 use crate::backend::TOKEN_HEADER;
+use crate::controllers::Publisher;
+use crate::daemon::gossip_api::gossip_calls;
+use crate::daemon::once_api::once_calls;
 use crate::events::{Code, Fields};
 use crate::filters::{Reason, Refusal, Shared};
-use crate::wire::WireInForce;
+use crate::wire::{WireInForce, WireOutcome};
 
 #[derive(Debug, Deserialize)]
 struct EventQuery {
@@ -19,12 +23,20 @@
     from: u64,
 }
 
+#[derive(Debug, Deserialize)]
+struct OutcomeQuery {
+    offset: u64,
+}
+
 /// All calls of the control side.
 pub(crate) fn control_calls(
     shared: &Arc<Shared>,
+    publisher: &Address<Publisher>,
 ) -> impl Filter<Extract = (Response,), Error = Infallible> + Clone + Send + Sync + 'static + use<>
 {
-    open_calls(shared).or(guarded_calls(shared)).unify().recover(unknown).unify()
+    let calls = open_calls(shared).or(guarded_calls(shared)).unify();
+    let peers = gossip_calls(shared, publisher).or(once_calls(shared)).unify();
+    calls.or(peers).unify().recover(unknown).unify()
 }
 
 /// Calls that need no token.
@@ -59,6 +71,18 @@
         },
     );
     let it = Arc::clone(shared);
+    let outcome = warp::path!("v1" / "outcome")
+        .and(warp::query())
+        .and(warp::header::headers_cloned())
+        .map(move |query: OutcomeQuery, headers: HeaderMap| {
+            guarded(&it, &headers, |it| {
+                let state = &it.view.peek().state;
+                let found = state.outcomes.get(&query.offset);
+                let told = found.map(|it| WireOutcome::from((query.offset, it)));
+                warp::reply::json(&told).into_response()
+            })
+        });
+    let it = Arc::clone(shared);
     let events = warp::path!("v1" / "events")
         .and(warp::query())
         .and(warp::header::headers_cloned())
@@ -67,24 +91,32 @@
                 warp::reply::json(&it.events.since(query.from)).into_response()
             })
         });
-    warp::get().and(in_force.or(events).unify())
+    warp::get().and(in_force.or(outcome).unify().or(events).unify())
 }
 
 /// Answers with `serve` if the caller shows the token, else 401.
-fn guarded(
+pub(crate) fn guarded(
     shared: &Shared,
     headers: &HeaderMap,
     serve: impl FnOnce(&Shared) -> Response,
 ) -> Response {
+    match refuse_stranger(shared, headers) {
+        Some(refusal) => refusal,
+        None => serve(shared),
+    }
+}
+
+/// The answer 401 for a caller that does not show the token.
+pub(crate) fn refuse_stranger(shared: &Shared, headers: &HeaderMap) -> Option<Response> {
     let shown = headers.get(TOKEN_HEADER).map_or(&[][..], |it| it.as_bytes());
     let right = blake3::hash(shown) == blake3::hash(shared.settings.token.as_bytes());
     if right {
-        return serve(shared);
+        return None;
     }
     let fields = Fields { subject: "", detail: "control call" };
     shared.events.record(Code::Unauthorised, fields);
     let message = format!("header `{TOKEN_HEADER}` is missing or wrong");
-    Refusal::not_run(Reason::Unauthorised, message).reply("").into_response()
+    Some(Refusal::not_run(Reason::Unauthorised, message).reply("").into_response())
 }
 
 async fn unknown(_: warp::Rejection) -> Result<Response, Infallible> {
--- a/src/decide/sent.rs
+++ b/src/decide/sent.rs
@@ -17,6 +17,8 @@
     fresh: AtomicU64,
     /// Whether it refused a connection since the last report.
     down: AtomicBool,
+    /// Sequence number of the report that was marked last.
+    report: AtomicU64,
 }
 
 impl Sent {
@@ -58,4 +60,11 @@
     pub fn is_down(&self) -> bool {
         self.down.load(Relaxed)
     }
+
+    /// Notes that the report with sequence number `seq` is the newest; once each.
+    pub fn mark_report(&self, seq: u64) {
+        if self.report.swap(seq, Relaxed) != seq {
+            self.mark();
+        }
+    }
 }
--- a/src/events/code.rs
+++ b/src/events/code.rs
@@ -44,12 +44,24 @@
     201 TicketRejected "a ticket did not come into force";
     202 LogUnreachable "the log service does not answer";
     203 LogReachable "the log service answers again";
+    204 LogRewound "the log lacks records that are in force";
+    205 NoState "neither the log nor a peer has a state to start from";
+    206 StateDiffers "a peer folded other records up to the same offset";
+    207 HistoryGap "the log no longer keeps the records that come next";
+    208 StateFromSnapshot "the state was taken from a snapshot in the log";
+    209 StateFromPeer "the state was taken from a peer";
+    210 SnapshotWritten "a snapshot was written to the log";
     // 3xx: membership
     300 ListUnreachable "the instance list does not answer";
     301 ListReachable "the instance list answers again";
     302 InstanceJoined "an instance joined";
     303 InstanceLeaving "an instance is leaving";
     304 InstanceGone "an instance is gone";
+    305 RouterSuspected "a router does not answer";
+    306 RouterDead "a router did not object to the suspicion in time";
+    307 SuspicionRefuted "this router objected to a suspicion of itself";
+    308 MarkedLeaving "a backend server is marked as leaving";
+    309 PeerRefused "an exchange with a peer of another version was refused";
     // 4xx: placement and admission
     400 Placed "a request was given to a backend server";
     401 NoRoom "no backend server takes the request at present";
@@ -67,4 +79,16 @@
     509 Unauthorised "a call came without the right token";
     510 UnknownCall "a call names an unknown path or method";
     511 TooLarge "a request is larger than allowed";
+    // 6xx: once-only calls, keys and crashing requests
+    600 OnceRun "the owner of an operation key ran its call";
+    601 OnceRepeated "a repeat of a once-only call got the first answer";
+    602 OnceForwarded "a once-only call was sent on to the owner of its key";
+    603 KeyRefused "an operation key is forged or of another organisation";
+    604 KeyReused "an operation key came again with another call";
+    605 KeyExpired "an operation key is too old";
+    606 InProgress "a once-only call came again while it was running";
+    607 OutcomeUnknown "a once-only call may have run and its outcome is not known";
+    608 ClaimsUnavailable "an operation key could not be claimed in the log";
+    609 ClaimsGap "claims were lost from the log before they were read";
+    610 HintRefused "a chat hint is broken, forged or of another chat";
 }
--- a/src/filters/shared.rs
+++ b/src/filters/shared.rs
@@ -14,7 +14,9 @@
 use crate::decide::Verdict;
 use crate::events::EventLog;
 use crate::filters::Arm;
-use crate::fleet::{CrashBoard, ViewCell};
+use crate::fleet::{Budget, CrashBoard, MarkBoard, ViewCell};
+use crate::keys::KeyRing;
+use crate::once::OnceDesk;
 use crate::settings::Settings;
 
 /// What all requests of a router share.
@@ -30,10 +32,18 @@
     pub counters: Counters,
     /// Bytes of control calls.
     pub meter: Arc<Meter>,
+    /// Backend servers that are leaving.
+    pub marks: Arc<MarkBoard>,
+    /// Budget of control calls.
+    pub budget: Arc<Budget>,
     /// Requests that crashed backend servers.
     pub crashes: Arc<CrashBoard>,
     /// Where chats were placed.
     pub chats: ChatTable,
+    /// Keys of the fleet.
+    pub keys: KeyRing,
+    /// Operation keys.
+    pub once: Arc<OnceDesk>,
     /// Gates in front of the pools.
     pub gates: Gates,
     /// The clock.
