--- a/src/filters/forward.rs
+++ b/src/filters/forward.rs
@@ -104,6 +104,7 @@
             Err(none) => return Err(tries.last.unwrap_or(none)),
         };
         let name = chosen.server.name.clone();
+        let sent = Arc::clone(&chosen.engine.sent);
         let (server, begun) = (chosen.engine.id, shared.clock.now());
         let result = match &job {
             Job::Chat(chat) => send_chat(shared, call, chat, chosen).await,
@@ -122,6 +123,9 @@
         let detail = format!("{name}: {}", failure.message);
         shared.events.record(Code::BackendFailed, Fields { subject: &call.id, detail: &detail });
         let refusal = tries.fail(&failure);
+        if matches!(job, Job::Chat(_)) && refusal.verdict == Verdict::NotRun {
+            sent.fail();
+        }
         if !tries.may_repeat(shared, call, plan, &failure) {
             return Err(refusal);
         }
--- a/src/filters/shared.rs
+++ b/src/filters/shared.rs
@@ -9,6 +9,7 @@
 use crate::admission::Gates;
 use crate::backend::Meter;
 use crate::clock::SharedClock;
+use crate::decide::ChatTable;
 use crate::decide::Verdict;
 use crate::events::EventLog;
 use crate::filters::{Arm, Upstream};
@@ -37,6 +38,8 @@
     pub budget: Arc<Budget>,
     /// Requests that crashed backend servers.
     pub crashes: Arc<CrashBoard>,
+    /// Where chats were placed.
+    pub chats: ChatTable,
     /// Keys of the fleet.
     pub keys: KeyRing,
     /// Operation keys.
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -7,6 +7,7 @@
 mod limits;
 mod once;
 mod problem;
+mod routing;
 mod settings;
 mod traffic;
 
@@ -17,5 +18,6 @@
 pub use limits::Limits;
 pub use once::Once;
 pub use problem::{Problem, SettingsError};
+pub use routing::Routing;
 pub use settings::{DEFAULT_TEXT, Seed, Settings};
 pub use traffic::Traffic;
