Search every order of steps of the once-only decisions

A breadth-first search over the decision code with two routers found a false not_run: a restarted router denied a key whose claim it had not read yet, and an owner told never-run of an old claim although an earlier one was forgotten. Both are mended; a waiting repeat is told to come back in place of not_run.

--- /dev/null
+++ b/src/check/mod.rs
@@ -0,0 +1,5 @@
+//! Exhaustive search over the states of a model.
+
+mod search;
+
+pub use search::{Fault, Model, Report, search};
--- a/src/daemon/once_api.rs
+++ b/src/daemon/once_api.rs
@@ -31,18 +31,18 @@
 {
     let it = Arc::clone(shared);
     warp::post()
-        .and(warp::path!("v1" / "once" / "known"))
+        .and(warp::path!("v1" / "once" / "unseen"))
         .and(warp::header::headers_cloned())
         .and(warp::body::content_length_limit(MAX_QUERY))
         .and(warp::body::bytes())
-        .map(move |headers: HeaderMap, body: Bytes| guarded(&it, &headers, |it| known(it, &body)))
+        .map(move |headers: HeaderMap, body: Bytes| guarded(&it, &headers, |it| unseen(it, &body)))
 }
 
-fn known(shared: &Shared, body: &[u8]) -> Response {
+fn unseen(shared: &Shared, body: &[u8]) -> Response {
     let Ok(query) = rmp_serde::from_slice::<KeyQuery>(body) else {
         let refusal = Refusal::not_run(Reason::BadRequest, "the query cannot be read");
         return refusal.reply("").into_response();
     };
-    let answer = KeyAnswer { known: shared.once.knows(&query.into()) };
+    let answer = KeyAnswer { unseen: shared.once.never_saw(&query.into()) };
     rmp_serde::to_vec(&answer).unwrap_or_default().into_response()
 }
--- a/src/decide/once/ledger.rs
+++ b/src/decide/once/ledger.rs
@@ -89,15 +89,32 @@
         }
     }
 
-    /// Decides on a call under a key that was issued or claimed `age_ms` ago and
-    /// is good for `good_ms`. What ran is remembered for twice that time, so that
-    /// a key between the two can be refused truthfully.
-    pub fn admit_aged(&mut self, op: &Op, age_ms: u64, good_ms: u64, now_ms: u64) -> Admit<A> {
+    /// Decides on a call under a key that this incarnation issued `age_ms` ago and
+    /// that is good for `good_ms`. What ran is remembered for twice that time, so
+    /// that a key between the two can be refused truthfully.
+    pub fn admit_issued(&mut self, op: &Op, age_ms: u64, good_ms: u64, now_ms: u64) -> Admit<A> {
+        self.admit_aged(op, age_ms, good_ms, now_ms, Admit::Expired)
+    }
+
+    /// Decides on a call under a key that this incarnation claimed `age_ms` ago.
+    /// Unlike an issued key, an old one may have had another owner before.
+    pub fn admit_claimed(&mut self, op: &Op, age_ms: u64, good_ms: u64, now_ms: u64) -> Admit<A> {
+        self.admit_aged(op, age_ms, good_ms, now_ms, Admit::Forgotten)
+    }
+
+    fn admit_aged(
+        &mut self,
+        op: &Op,
+        age_ms: u64,
+        good_ms: u64,
+        now_ms: u64,
+        too_old: Admit<A>,
+    ) -> Admit<A> {
         if age_ms > 2 * good_ms {
             return Admit::Forgotten;
         }
         if age_ms > good_ms && !self.entries.contains_key(&op.scope) {
-            return Admit::Expired;
+            return too_old;
         }
         self.admit(op, now_ms + (2 * good_ms).saturating_sub(age_ms), now_ms)
     }
--- a/src/filters/once.rs
+++ b/src/filters/once.rs
@@ -15,7 +15,7 @@
 use crate::filters::forward::{Job, Plan, forward};
 use crate::filters::once_forward::{never_seen, send_to_owner};
 use crate::filters::{Call, FORWARDED_HEADER, KEY_HEADER, OWNER_HEADER, Reason, Refusal, Shared};
-use crate::keys::read_key;
+use crate::keys::{ISSUED_PREFIX, read_key};
 use crate::once::{KeptAnswer, Settled};
 
 /// Longest operation key, in bytes.
@@ -35,12 +35,13 @@
     let op = Op { scope: Scope::new(&call.organisation, service, &key), body: body_hash(&call) };
     let forwarded = call.headers.contains_key(FORWARDED_HEADER);
     let me = shared.once.me();
+    let issued = key.starts_with(ISSUED_PREFIX);
     let (mut holder, mut since) = holder(shared, &call, &key, &op)?;
     loop {
         match route(me, holder, forwarded) {
             Route::Own => {
                 let id = call.id.clone();
-                let result = own(shared, call, pool, plan, &op, since).await;
+                let result = own(shared, call, pool, plan, &op, (since, issued)).await;
                 return signed(shared, &id, result, forwarded);
             }
             Route::Forward(owner) => {
@@ -104,12 +105,12 @@
     pool: String,
     plan: Plan,
     op: &Op,
-    since: u64,
+    (since, issued): (u64, bool),
 ) -> Result<Response, Refusal> {
     let id = call.id.clone();
     let deadline = call.deadline;
     let mut changes = shared.once.changes();
-    let mut admit = shared.once.admit(op, since);
+    let mut admit = shared.once.admit(op, since, issued);
     if admit == Admit::Run {
         shared.events.record(Code::OnceRun, Fields { subject: &id, detail: &call.path });
         return match tokio::spawn(run(Arc::clone(shared), call, pool, plan, op.scope)).await {
@@ -126,8 +127,9 @@
         match shared.once.peek(op) {
             Some(it) => admit = it,
             None => {
-                let message = "the call did not run; send it again";
-                return Err(Refusal::not_run(Reason::BackendFailed, message).retry_after(RETRY));
+                let message = "the run that this call waited for ended; send it again";
+                let refusal = Refusal::may_have_run(Reason::InProgress, message);
+                return Err(refusal.retry_after(RETRY));
             }
         }
     }
@@ -193,8 +195,9 @@
     let guard = LostUnlessEnded { shared, scope };
     let shared = &guard.shared;
     let late = shared.clock.now() >= call.deadline;
+    // A router that was paused for so long may not be the owner any more.
     let result = match late {
-        true => Err(Refusal::not_run(Reason::DeadlinePassed, "the deadline passed before the run")),
+        true => Err(unknown("the deadline passed before the run")),
         false => forward(shared, &call, &pool, &plan, Job::Service).await,
     };
     match result {
--- a/src/filters/once_forward.rs
+++ b/src/filters/once_forward.rs
@@ -94,31 +94,31 @@
 
 /// Whether every router in the view says that it has never seen the key.
 pub(crate) async fn never_seen(shared: &Arc<Shared>, call: &Call, op: &Op) -> bool {
-    if shared.once.knows(op) {
+    if !shared.once.never_saw(op) {
         return false;
     }
     let own = shared.once.me().router;
     let peers = call.view.routers.iter().filter(|it| it.id != own);
     let asked = peers.map(|it| async {
         match it.control {
-            Some(addr) => knows(shared, addr, op).await == Some(false),
+            Some(addr) => unseen_at(shared, addr, op).await == Some(true),
             None => false,
         }
     });
     join_all(asked).await.into_iter().all(|unseen| unseen)
 }
 
-/// Whether the router with control address `addr` knows the key; `None` when it
-/// does not say.
-async fn knows(shared: &Shared, addr: SocketAddr, op: &Op) -> Option<bool> {
+/// Whether the router with control address `addr` never saw the key; `None` when
+/// it does not say.
+async fn unseen_at(shared: &Shared, addr: SocketAddr, op: &Op) -> Option<bool> {
     let body = rmp_serde::to_vec(&KeyQuery::from(*op)).ok()?;
     let request = shared
         .http
-        .post(format!("http://{addr}/v1/once/known"))
+        .post(format!("http://{addr}/v1/once/unseen"))
         .header(TOKEN_HEADER, &shared.settings.token)
         .timeout(QUERY_TIMEOUT)
         .body(body);
     let reply = request.send().await.ok()?.error_for_status().ok()?;
     let answer: KeyAnswer = rmp_serde::from_slice(&reply.bytes().await.ok()?).ok()?;
-    Some(answer.known)
+    Some(answer.unseen)
 }
--- a/src/once/desk.rs
+++ b/src/once/desk.rs
@@ -29,6 +29,8 @@
     failed: HashSet<Scope>,
     /// Whether the last read of the claim stream went well.
     current: bool,
+    /// Whether the stream was read to its end since the start.
+    complete: bool,
     /// Until when a claim may be missing from the index.
     gap_until: u64,
 }
@@ -72,6 +74,7 @@
             made: HashMap::new(),
             failed: HashSet::new(),
             current: false,
+            complete: false,
             gap_until: 0,
         };
         OnceDesk {
@@ -106,11 +109,15 @@
         IssuedKey { router, incarnation, issued_ms: self.now_ms() }
     }
 
-    /// Decides on a call whose key is owned here since `since_ms`.
-    pub(crate) fn admit(&self, op: &Op, since_ms: u64) -> Admit<Answer> {
+    /// Decides on a call whose key this router issued or claimed at `since_ms`.
+    pub(crate) fn admit(&self, op: &Op, since_ms: u64, issued: bool) -> Admit<Answer> {
         let now = self.now_ms();
-        let good = self.good_ms();
-        self.state().ledger.admit_aged(op, now.saturating_sub(since_ms), good, now)
+        let age = now.saturating_sub(since_ms);
+        let ledger = &mut self.state().ledger;
+        match issued {
+            true => ledger.admit_issued(op, age, self.good_ms(), now),
+            false => ledger.admit_claimed(op, age, self.good_ms(), now),
+        }
     }
 
     /// What is known about a call whose key is owned here.
@@ -134,10 +141,12 @@
         self.state().index.held(scope)
     }
 
-    /// Whether this router has seen any call or claim under a key.
-    pub fn knows(&self, op: &Op) -> bool {
+    /// Whether this router can say that it has seen no call and no claim under
+    /// a key, nor missed one.
+    pub fn never_saw(&self, op: &Op) -> bool {
         let state = self.state();
-        state.index.held(&op.scope).is_some() || state.ledger.peek(op).is_some()
+        let known = state.index.held(&op.scope).is_some() || state.ledger.peek(op).is_some();
+        state.complete && !known
     }
 
     /// Claims a key and waits until the log has decided who holds it, at most
@@ -241,7 +250,10 @@
 
     /// Notes whether the claim stream can be read.
     pub(crate) fn set_current(&self, current: bool) {
-        let before = std::mem::replace(&mut self.state().current, current);
+        let mut state = self.state();
+        let before = std::mem::replace(&mut state.current, current);
+        state.complete |= current;
+        drop(state);
         if before != current {
             self.changed.send_modify(|it| *it += 1);
         }
@@ -251,7 +263,9 @@
     /// router until the lost claims are too old to matter.
     pub(crate) fn note_gap(&self) {
         let until = self.now_ms() + 2 * self.good_ms();
-        self.state().gap_until = until;
+        let mut state = self.state();
+        state.gap_until = until;
+        state.complete = false;
     }
 
     /// How long a key is good.
--- a/src/wire/once.rs
+++ b/src/wire/once.rs
@@ -13,7 +13,7 @@
         pub claims: Vec<(String, u64)>,
     }
 
-    /// Asks whether a router knows anything about a key.
+    /// Asks whether a router never saw a key.
     pub struct KeyQuery {
         /// Scope of the key.
         pub scope: [u8; 16],
@@ -23,8 +23,8 @@
 
     /// Answer to [`KeyQuery`].
     pub struct KeyAnswer {
-        /// Whether any call or claim under the key was seen.
-        pub known: bool,
+        /// Whether no call and no claim under the key was seen or missed.
+        pub unseen: bool,
     }
 
     /// Answer to a caller who asked for an operation key.
--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -7,6 +7,7 @@
 mod events;
 mod fault;
 mod membership;
+mod model;
 mod once;
 mod path;
 mod settings;
