Let every claim keep its key in memory

The search over all orders found a double run: two routers that forget a claim at different moments disagree on whether a later one wins. A later claim now keeps the key in memory, so that a claim wins only if none was read for twice the age of a key before it.

--- a/src/decide/once/claims.rs
+++ b/src/decide/once/claims.rs
@@ -20,45 +20,49 @@
         /// Hash of the call that was claimed.
         pub body: u64,
         /// When it was claimed, on the clock of the reader; the owner counts from
-        /// before its append, all others from when they read the claim.
+        /// before its append, all others from when they read it.
         pub at_ms: u64,
     }
 }
 
 /// Who owns which key, by the claims read from the log in order.
+///
+/// A claim wins if no other claim of the key was read for the length of the
+/// memory before it. Its owner starts a run only within half of that time after
+/// it made the claim, so that two runs under different claims are at least half
+/// of that time apart, whatever each reader has forgotten.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Hash)]
 pub struct ClaimIndex {
-    held: BTreeMap<Scope, Held>,
-    /// Invariant: the scopes of `held` with the times of their claims, oldest first.
+    /// Holders, each with the time at which the last claim of its key was read.
+    held: BTreeMap<Scope, (Held, u64)>,
+    /// When each claim was read, oldest first.
     order: VecDeque<(u64, Scope)>,
 }
 
 impl ClaimIndex {
-    /// Applies the next claim of the log; the first one of a key wins.
-    pub fn apply(&mut self, claim: &Claim, at_ms: u64) {
+    /// Applies the next claim of the log, made at `at_ms` and read at `now_ms`.
+    /// The first one of a key wins; a later one keeps it in memory.
+    pub fn apply(&mut self, claim: &Claim, at_ms: u64, now_ms: u64) {
         let held = Held { owner: claim.owner, body: claim.op.body, at_ms };
-        let mut fresh = false;
-        self.held.entry(claim.op.scope).or_insert_with(|| {
-            fresh = true;
-            held
-        });
-        if fresh {
-            self.order.push_back((at_ms, claim.op.scope));
-        }
+        let entry = self.held.entry(claim.op.scope).or_insert((held, now_ms));
+        entry.1 = now_ms;
+        self.order.push_back((now_ms, claim.op.scope));
     }
 
     /// Who holds the key.
     pub fn held(&self, scope: &Scope) -> Option<Held> {
-        self.held.get(scope).copied()
+        self.held.get(scope).map(|it| it.0)
     }
 
-    /// Forgets claims read at or before `until_ms`.
+    /// Forgets keys whose last claim was read at or before `until_ms`.
     pub fn expire(&mut self, until_ms: u64) {
-        while let Some((at, scope)) = self.order.front() {
-            if *at > until_ms {
+        while let Some(&(at, scope)) = self.order.front() {
+            if at > until_ms {
                 return;
             }
-            self.held.remove(scope);
+            if self.held.get(&scope).is_some_and(|it| it.1 <= until_ms) {
+                self.held.remove(&scope);
+            }
             self.order.pop_front();
         }
     }
--- a/src/once/desk.rs
+++ b/src/once/desk.rs
@@ -233,7 +233,7 @@
         for it in claims {
             let own = (it.owner == self.me).then(|| state.made.get(&it.op.scope).copied());
             let at = own.flatten().unwrap_or(now);
-            state.index.apply(it, at);
+            state.index.apply(it, at, now);
             if it.owner == self.me {
                 state.made.remove(&it.op.scope);
             }
--- a/tests/it/model.rs
+++ b/tests/it/model.rs
@@ -291,7 +291,7 @@
             if !self.has(Guard::FirstClaim) {
                 router.index = ClaimIndex::default();
             }
-            router.index.apply(claim, made.unwrap_or(now));
+            router.index.apply(claim, made.unwrap_or(now), now);
             router.read += 1;
             if own {
                 router.made = None;
