Set stalled and failing backend servers aside within the load bound

Cause: a server without any result was never noticed, and every request went through all servers of its pool under a lock.

Change: tries are counted until they end, also when their caller leaves; a server that is quiet far longer than the others rests; the list of resting servers is short and the only one looked at.

--- a/src/decide/outlier.rs
+++ b/src/decide/outlier.rs
@@ -19,6 +19,12 @@
 const NEWEST_WEIGHT: f64 = 0.1;
 /// What a product may lack of a whole number because of rounding.
 const ROUNDING: f64 = 1e-9;
+/// Tries that a server must leave without any result to count as stalled.
+const STALLED_TRIES: u32 = 3;
+/// Shortest time without a good result after which a server counts as stalled.
+const STALL_TIME: Duration = Duration::from_secs(2);
+/// A server that is quiet this many times longer than the pool's median is stalled.
+const STALL_FACTOR: u32 = 8;
 /// Servers without which a median says nothing.
 const MIN_SERVERS: usize = 3;
 
@@ -46,6 +52,10 @@
     rests: u32,
     /// A probe is on its way since then.
     probe: Option<Instant>,
+    /// Tries that have no result yet.
+    outstanding: u32,
+    /// Since when tries are outstanding without a good result; absent when none are.
+    quiet: Option<Instant>,
 }
 
 /// Results of the backend servers of one pool, by hash of the name.
@@ -55,6 +65,8 @@
 #[derive(Debug, Clone, Default)]
 pub struct Outliers {
     servers: HashMap<u64, Server>,
+    /// Invariant: exactly the servers whose `until` is set.
+    aside: Vec<u64>,
 }
 
 impl Outliers {
@@ -78,11 +90,16 @@
         now < until || probed || !probing
     }
 
+    /// The servers that get no request now, as `avoids` tells.
+    pub fn avoided(&self, now: Instant, probing: bool) -> impl Iterator<Item = u64> {
+        self.aside.iter().copied().filter(move |it| self.avoids(*it, now, probing))
+    }
+
     /// Notes that a request goes to `server`; true when it is a probe.
     pub fn begin(&mut self, server: u64, now: Instant) -> bool {
-        let Some(it) = self.servers.get_mut(&server) else {
-            return false;
-        };
+        let it = self.servers.entry(server).or_default();
+        it.outstanding += 1;
+        it.quiet.get_or_insert(now);
         let probe = it.until.is_some_and(|until| now >= until);
         if probe {
             it.probe = Some(now);
@@ -94,6 +111,12 @@
     pub fn end(&mut self, server: u64, result: ServerResult, now: Instant, most: usize) -> bool {
         let it = self.servers.entry(server).or_default();
         it.probe = None;
+        it.outstanding = it.outstanding.saturating_sub(1);
+        if it.outstanding == 0 {
+            it.quiet = None;
+        } else if matches!(result, ServerResult::Good(_)) {
+            it.quiet = Some(now);
+        }
         match result {
             ServerResult::Unknown => return false,
             ServerResult::Good(time) => {
@@ -101,6 +124,7 @@
                 if it.until.is_some_and(|until| now >= until) {
                     it.until = None;
                     it.answers = 0;
+                    self.aside.retain(|id| *id != server);
                 }
                 if let Some(time) = time {
                     it.add(time);
@@ -113,14 +137,35 @@
         wanted && self.set_aside(server, now, most)
     }
 
+    /// Sets `server` aside if it stalls: several tries, and no result for far
+    /// longer than the others need. True when it was set aside.
+    pub fn check_stall(&mut self, server: u64, now: Instant, most: usize) -> bool {
+        let quiet = |it: &Server| it.quiet.map_or(Duration::ZERO, |at| now - at.min(now));
+        let Some(it) = self.servers.get(&server) else {
+            return false;
+        };
+        let own = quiet(it);
+        if it.outstanding < STALLED_TRIES || own < STALL_TIME || it.until.is_some() {
+            return false;
+        }
+        let mut all: Vec<Duration> = self.servers.values().map(quiet).collect();
+        if all.len() < MIN_SERVERS {
+            return false;
+        }
+        all.sort_unstable();
+        let median = all[(all.len() - 1) / 2];
+        own > median * STALL_FACTOR && self.set_aside(server, now, most)
+    }
+
     /// Servers set aside at present.
     pub fn resting(&self) -> usize {
-        self.servers.values().filter(|it| it.until.is_some()).count()
+        self.aside.len()
     }
 
-    /// Forgets servers that are not in `known`.
+    /// Forgets servers that are not `known`.
     pub fn retain(&mut self, known: impl Fn(u64) -> bool) {
         self.servers.retain(|id, _| known(*id));
+        self.aside.retain(|id| known(*id));
     }
 
     fn set_aside(&mut self, server: u64, now: Instant, most: usize) -> bool {
@@ -134,6 +179,9 @@
         }
         let rest = FIRST_REST * 2u32.saturating_pow(it.rests.min(8));
         it.rests = if it.until.is_some() { it.rests + 1 } else { 1 };
+        if it.until.is_none() {
+            self.aside.push(server);
+        }
         it.until = Some(now + rest.min(LONGEST_REST));
         it.failures = 0;
         it.answers = 0;
--- a/src/filters/mod.rs
+++ b/src/filters/mod.rs
@@ -28,6 +28,7 @@
 mod shared;
 mod sse;
 mod stream;
+mod tries;
 mod upstream;
 
 pub use call::{Call, Target};
--- /dev/null
+++ b/src/filters/tries.rs
@@ -0,0 +1,210 @@
+//! The tries of one request.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use smallvec::SmallVec;
+
+use crate::admission::Pass;
+use crate::decide::{Choice, Outliers, ServerResult, Verdict};
+use crate::events::{Code, Fields};
+use crate::filters::choose::choose;
+use crate::filters::failure::Failure;
+use crate::filters::forward::{Chosen, Plan};
+use crate::filters::in_flight::InFlight;
+use crate::filters::upstream::PoolRecord;
+use crate::filters::{Call, Reason, Refusal, Shared};
+use crate::fleet::Pool;
+
+/// When a caller should try again after a failure.
+const RETRY: Duration = Duration::from_millis(500);
+
+/// Tries of one request so far.
+pub(crate) struct Tries {
+    record: Arc<PoolRecord>,
+    /// Held until the work ends.
+    pass: Option<Arc<Pass>>,
+    /// Multiple of the mean load that the servers in use must stay within.
+    bound: f64,
+    /// Ids of the backend servers tried.
+    servers: SmallVec<[u64; 4]>,
+    /// The last failure, with the verdict over all tries.
+    last: Option<Refusal>,
+}
+
+/// One try on its way; without a result when dropped.
+pub(crate) struct Attempt {
+    record: Arc<PoolRecord>,
+    server: u64,
+    /// Servers that may be set aside at most.
+    most: usize,
+    begun: Instant,
+    open: bool,
+}
+
+impl Attempt {
+    /// Time since it began.
+    pub(crate) fn took(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.begun)
+    }
+
+    /// Notes how it went; true when the server was set aside by it.
+    pub(crate) fn end(mut self, result: ServerResult, now: Instant) -> bool {
+        self.open = false;
+        self.record.outliers().end(self.server, result, now, self.most)
+    }
+}
+
+impl Drop for Attempt {
+    fn drop(&mut self) {
+        if self.open {
+            let mut outliers = self.record.outliers();
+            outliers.end(self.server, ServerResult::Unknown, self.begun, self.most);
+        }
+    }
+}
+
+impl Tries {
+    /// None yet, for a request that earns its part of the retry budget.
+    pub(crate) fn new(record: Arc<PoolRecord>, pass: Option<Arc<Pass>>, bound: f64) -> Tries {
+        record.budget().earn();
+        Tries { record, pass, bound, servers: SmallVec::new(), last: None }
+    }
+
+    /// Takes the next backend server from the newest view.
+    pub(crate) fn next(
+        &mut self,
+        shared: &Shared,
+        call: &Call,
+        pool_name: &str,
+        plan: &Plan,
+    ) -> Result<(Chosen, Attempt), Refusal> {
+        let view = shared.view.load();
+        let none = |message: &str| self.last.clone().unwrap_or_else(|| no_room(message));
+        let Some(pool) = view.pools.get(pool_name) else {
+            return Err(none("the pool has no backend servers"));
+        };
+        let now = shared.clock.now();
+        let most = Outliers::most(pool.servers.len(), self.bound);
+        let Some(choice) = self.choose(shared, call, pool, plan, now, most) else {
+            return Err(none("no backend server takes new work"));
+        };
+        let chosen = self.take(shared, call, pool, plan, choice);
+        let server = chosen.engine.id;
+        self.servers.push(server);
+        if self.record.outliers().begin(server, now) {
+            let fields = Fields { subject: &call.id, detail: &chosen.server.name };
+            shared.events.record(Code::ServerProbed, fields);
+        }
+        let record = Arc::clone(&self.record);
+        Ok((chosen, Attempt { record, server, most, begun: now, open: true }))
+    }
+
+    /// Chooses a server that was not tried; one that turns out to stall is set
+    /// aside and another is chosen.
+    fn choose(
+        &self,
+        shared: &Shared,
+        call: &Call,
+        pool: &Pool,
+        plan: &Plan,
+        now: Instant,
+        most: usize,
+    ) -> Option<Choice> {
+        let choice = self.choose_once(shared, call, pool, plan, now)?;
+        let server = pool.engines[choice.index].id;
+        if !self.record.outliers().check_stall(server, now, most) {
+            return Some(choice);
+        }
+        let fields = Fields { subject: &pool.servers[choice.index].name, detail: "it stalls" };
+        shared.events.record(Code::ServerSetAside, fields);
+        self.choose_once(shared, call, pool, plan, now)
+    }
+
+    /// Chooses among the servers in use, or else among all.
+    fn choose_once(
+        &self,
+        shared: &Shared,
+        call: &Call,
+        pool: &Pool,
+        plan: &Plan,
+        now: Instant,
+    ) -> Option<Choice> {
+        let avoided: SmallVec<[u64; 4]> =
+            self.record.outliers().avoided(now, plan.idempotent).collect();
+        let used = indexes(pool, &self.servers);
+        if avoided.is_empty() {
+            return choose(shared, call, pool, plan, &used);
+        }
+        let mut both = indexes(pool, &avoided);
+        both.extend(used.iter().copied());
+        choose(shared, call, pool, plan, &both).or_else(|| choose(shared, call, pool, plan, &used))
+    }
+
+    /// Counts the work towards the chosen backend server.
+    fn take(
+        &self,
+        shared: &Shared,
+        call: &Call,
+        pool: &Pool,
+        plan: &Plan,
+        choice: Choice,
+    ) -> Chosen {
+        let engine = &pool.engines[choice.index];
+        let server = &pool.servers[choice.index];
+        let requests = &shared.counters.in_flight;
+        let work = InFlight::new(&engine.sent, plan.cost, requests, self.pass.as_ref());
+        shared.events.record(Code::Placed, Fields { subject: &call.id, detail: &server.name });
+        Chosen { server: server.clone(), engine: engine.clone(), work }
+    }
+
+    /// Adds a failure; the verdict of the result holds for all tries together.
+    pub(crate) fn fail(&mut self, failure: &Failure) -> Refusal {
+        let mut refusal = failure.refusal();
+        if let Some(last) = &self.last {
+            refusal.verdict = refusal.verdict.and(last.verdict);
+        }
+        let refusal = match refusal.reason {
+            Reason::DeadlinePassed => refusal,
+            _ => refusal.retry_after(RETRY),
+        };
+        self.last = Some(refusal.clone());
+        refusal
+    }
+
+    /// Whether the request may be sent once more after `failure`.
+    pub(crate) fn may_repeat(
+        &self,
+        shared: &Shared,
+        call: &Call,
+        plan: &Plan,
+        failure: &Failure,
+    ) -> bool {
+        let now = shared.clock.now();
+        let safe = failure.point.verdict() == Verdict::NotRun || plan.idempotent;
+        let useful = safe && failure.point.may_pass();
+        if !useful || now >= call.deadline || self.servers.len() >= shared.settings.traffic.tries {
+            return false;
+        }
+        if !failure.point.reached_server() || self.record.budget().spend(now) {
+            return true;
+        }
+        let fields = Fields { subject: &call.id, detail: &failure.message };
+        shared.events.record(Code::RetryWithheld, fields);
+        false
+    }
+}
+
+/// Indexes of the servers of `pool` with these ids.
+fn indexes(pool: &Pool, ids: &[u64]) -> SmallVec<[usize; 8]> {
+    if ids.is_empty() {
+        return SmallVec::new();
+    }
+    let all = pool.engines.iter().enumerate();
+    all.filter(|(_, it)| ids.contains(&it.id)).map(|(i, _)| i).collect()
+}
+
+/// A refusal because nothing takes the request.
+pub(crate) fn no_room(message: impl Into<String>) -> Refusal {
+    Refusal::not_run(Reason::NoRoom, message).retry_after(RETRY)
+}
--- a/tests/it/fault.rs
+++ b/tests/it/fault.rs
@@ -295,6 +295,39 @@
     }
 }
 
+/// A service instance that fails every call gets no more of them, but for probes.
+#[tokio::test]
+async fn failing_server_set_aside() {
+    let fleet = start(FleetOptions { routers: 1, engines: 0, services: 0, ..small() }).await;
+    let failing = Fake::start(|_| Act::Answer(fake::answer("500 X", "", ""))).await;
+    failing.join(&fleet, Role::Service, "stockroom-app").await;
+    let mut good = Vec::new();
+    for _ in 0..2 {
+        let fake = Fake::start(|_| Act::Answer(fake::answer("200 OK", "", "fine"))).await;
+        fake.join(&fleet, Role::Service, "stockroom-app").await;
+        good.push(fake);
+    }
+    let url = format!("http://{}/v1/services/stockroom/stock/x", fleet.routers[0].address());
+    let read = async |chat: usize| {
+        let request = fleet.http.get(&url).header(ORGANISATION_HEADER, "dalisay");
+        request.headers(chat_header(chat)).send().await.unwrap().status().as_u16()
+    };
+    let count = |code: u16| {
+        let events = fleet.routers[0].shared().events.since(0);
+        events.iter().filter(|it| it.code == code).count()
+    };
+    let mut chat = 0;
+    while count(515) == 0 {
+        assert_eq!(read(chat).await, 200);
+        chat += 1;
+    }
+    let before = failing.count();
+    for chat in chat..chat + 30 {
+        assert_eq!(read(chat).await, 200);
+    }
+    assert_eq!(failing.count(), before + count(516));
+}
+
 /// What a storm brought to light.
 #[derive(Debug, Default)]
 struct Storm {
--- a/tests/it/outlier.rs
+++ b/tests/it/outlier.rs
@@ -145,3 +145,36 @@
     ];
     assert!(points.iter().all(|it| it.verdict() == Verdict::MayHaveRun && it.reached_server()));
 }
+
+#[rstest]
+#[case::all_quiet(4, false)]
+#[case::one_quiet(1, true)]
+fn stalled_server_set_aside(#[case] quiet: u64, #[case] wanted: bool) {
+    let mut outliers = Outliers::default();
+    let now = Instant::now();
+    for server in 0..4 {
+        for _ in 0..3 {
+            outliers.begin(server, now);
+        }
+    }
+    let later = now + SECOND * 3;
+    for server in quiet..4 {
+        outliers.end(server, ServerResult::Good(None), later, 1);
+    }
+    assert!(!outliers.check_stall(0, now + SECOND, 1));
+    assert_eq!(outliers.check_stall(0, later, 1), wanted);
+    assert_eq!(outliers.avoids(0, later, true), wanted);
+}
+
+/// Tries without result, whose callers left, do not add up.
+#[test]
+fn dropped_tries_are_no_stall() {
+    let mut outliers = Outliers::default();
+    let now = Instant::now();
+    for server in [0, 0, 0, 0, 1, 2] {
+        outliers.begin(server, now);
+        outliers.end(server, ServerResult::Unknown, now, 1);
+    }
+    outliers.begin(0, now);
+    assert!(!outliers.check_stall(0, now + SECOND * 60, 1));
+}
