--- a/src/daemon/daemon.rs
+++ b/src/daemon/daemon.rs
@@ -20,7 +20,7 @@
 use crate::decide::QueueLimits;
 use crate::decide::hash_bytes;
 use crate::events::{Code, EventLog, Fields};
-use crate::filters::{Counters, Shared, callers};
+use crate::filters::{Counters, Shared, Upstream, callers, client};
 use crate::fleet::ViewCell;
 use crate::keys::KeyRing;
 use crate::once::OnceDesk;
@@ -69,18 +69,14 @@
         logger: Logger,
     ) -> Result<Daemon, Report<DaemonError>> {
         let events = Arc::new(EventLog::new(&settings.name, Arc::clone(&clock), logger));
-        let http = reqwest::Client::builder()
-            .connect_timeout(settings.traffic.connect)
-            .retry(reqwest::retry::never())
-            .no_proxy()
-            .build()
-            .change_context(DaemonError::SetUp)?;
+        let http = client(&settings.traffic).build().change_context(DaemonError::SetUp)?;
         let router = hash_bytes(settings.name.as_bytes());
         let shared = Arc::new(Shared {
             view: Arc::new(ViewCell::default()),
             events,
             meter: Arc::default(),
             crashes: Arc::default(),
+            upstream: Upstream::new(&settings.traffic).change_context(DaemonError::SetUp)?,
             gates: Gates::new(QueueLimits::from(&settings.admission)),
             counters: Counters::new().change_context(DaemonError::SetUp)?,
             keys: KeyRing::new(&settings.keys, &settings.token),
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -4,8 +4,10 @@
 mod control_thread;
 mod daemon;
 mod once_api;
+mod open_connections;
 mod server;
 mod stop;
+mod write_limit;
 
 pub use daemon::{Daemon, DaemonError};
 pub use server::serve;
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -5,9 +5,12 @@
 mod arm;
 mod engine;
 mod entry;
+mod failure_point;
 mod hash;
 pub mod once;
+mod outlier;
 mod place;
+mod retry_budget;
 mod verdict;
 
 pub use admission::{
@@ -16,6 +19,9 @@
 pub use arm::takes_part;
 pub use engine::Engine;
 pub use entry::{EntryQuery, EntryRouter, entry_order, home_size, is_home};
+pub use failure_point::FailurePoint;
 pub use hash::{chat_key, combine, hash_bytes, weighted_score};
+pub use outlier::{Outliers, ServerResult};
 pub use place::{Choice, PlaceQuery, place};
+pub use retry_budget::RetryBudget;
 pub use verdict::Verdict;
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -11,7 +11,7 @@
 mod ticket;
 
 pub use api_error::{ApiError, ApiErrorBody};
-pub use chat::{ChatMessage, ChatRequest};
+pub use chat::{ChatAnswer, ChatChunk, ChatMessage, ChatRequest, PromptDetails, Usage};
 pub use entry::{EntryAddress, EntryAnswer};
 pub use in_force::{WireHeld, WireInForce, WireOutcome};
 pub use instance::{Instance, Role, Standing};
--- a/tests/it/model.rs
+++ b/tests/it/model.rs
@@ -129,6 +129,7 @@
     Restart(usize),
     Pause(usize),
     Wake(usize),
+    Expire(usize),
     Tick,
 }
 
@@ -335,16 +336,12 @@
         }
     }
 
-    fn tick(&self, state: &mut State) {
-        state.now += 1;
-        self.expire(state);
-    }
-
-    fn expire(&self, state: &mut State) {
-        let Some(until) = state.now.checked_sub(2 * GOOD) else { return };
-        for it in state.routers.iter_mut().filter(|it| it.up && !it.paused) {
-            it.index.expire(until);
-        }
+    /// The claims of a router after it forgot what is too old, if that is any.
+    fn expired(state: &State, r: usize) -> Option<ClaimIndex> {
+        let until = state.now.checked_sub(2 * GOOD)?;
+        let mut index = state.routers[r].index.clone();
+        index.expire(until);
+        (index != state.routers[r].index).then_some(index)
     }
 
     /// Applies an action that is possible.
@@ -393,11 +390,13 @@
                 state.pauses += 1;
                 state.routers[r].paused = true;
             }
-            Action::Wake(r) => {
-                state.routers[r].paused = false;
-                self.expire(state);
+            Action::Wake(r) => state.routers[r].paused = false,
+            Action::Expire(r) => {
+                if let Some(index) = Bounds::expired(state, r) {
+                    state.routers[r].index = index;
+                }
             }
-            Action::Tick => self.tick(state),
+            Action::Tick => state.now += 1,
         }
     }
 
@@ -465,6 +464,9 @@
             if works(r) && state.pauses < self.pauses {
                 actions.push(Action::Pause(r));
             }
+            if works(r) && Bounds::expired(state, r).is_some() {
+                actions.push(Action::Expire(r));
+            }
             if router.paused {
                 actions.push(Action::Wake(r));
             }
@@ -558,8 +560,10 @@
     without: None,
 };
 
-/// Time that passes while a router is paused, until claims are forgotten.
-const AGEING: Bounds = Bounds { crashes: 0, losses: 0, refusals: 0, ticks: 2, quits: false, ..ALL };
+/// Time that passes between any two steps, until claims are forgotten. A router that
+/// takes no step is as good as paused.
+const AGEING: Bounds =
+    Bounds { crashes: 0, pauses: 0, losses: 0, refusals: 0, ticks: 2, quits: false, ..ALL };
 
 #[rstest]
 #[case::own_key(ALL)]
