--- a/tests/it/once.rs
+++ b/tests/it/once.rs
@@ -4,11 +4,11 @@
 use std::time::Duration;
 
 use filberttiller::daemon::Daemon;
-use filberttiller::demo::{Fleet, FleetOptions};
+use filberttiller::demo::{Ask, Caller, Fleet, FleetOptions};
 use filberttiller::events::Code;
 use filberttiller::filters::{DEADLINE_HEADER, KEY_HEADER, ORGANISATION_HEADER, VERDICT_HEADER};
 use filberttiller::keys::{
-    IssuedKey, KeyError, KeyRing, read_hint, read_key, write_hint, write_key,
+    ChatHint, IssuedKey, KeyError, KeyRing, read_hint, read_key, write_hint, write_key,
 };
 use filberttiller::settings::FleetKey;
 use filberttiller::wire::NewKey;
@@ -32,6 +32,7 @@
     KeyRing::new(&secrets.iter().map(key).collect::<Vec<_>>(), "the-token-of-the-fleet")
 }
 
+const HINT: ChatHint = ChatHint { chat: 9, engine: 1, incarnation: 2 };
 const KEY: IssuedKey = IssuedKey { router: 3, incarnation: 4, issued_ms: 5 };
 
 #[rstest]
@@ -41,20 +42,20 @@
 #[case::old_removed(&["new-secret-of-fleet"], false)]
 #[case::none_set(&[], false)]
 fn ring_rotates(#[case] secrets: &[&str], #[case] good: bool) {
-    let hint = write_hint(&ring(&["old-secret-of-fleet"]), 9, 1, 2);
+    let hint = write_hint(&ring(&["old-secret-of-fleet"]), "dalisay", &HINT);
     let key = write_key(&ring(&["old-secret-of-fleet"]), "dalisay", &KEY);
     let ring = ring(secrets);
-    assert_eq!(read_hint(&ring, 9, &hint), good.then_some((1, 2)));
+    assert_eq!(read_hint(&ring, "dalisay", &hint), good.then_some(HINT));
     let expected = if good { Ok(KEY) } else { Err(KeyError::Code) };
     assert_eq!(read_key(&ring, "dalisay", &key), Some(expected));
 }
 
 #[test]
-fn hint_of_other_chat_refused() {
+fn hint_of_other_organisation_refused() {
     let ring = ring(&[]);
-    let hint = write_hint(&ring, 9, 1, 2);
-    assert_eq!(read_hint(&ring, 9, &hint), Some((1, 2)));
-    assert_eq!(read_hint(&ring, 10, &hint), None);
+    let hint = write_hint(&ring, "dalisay", &HINT);
+    assert_eq!(read_hint(&ring, "dalisay", &hint), Some(HINT));
+    assert_eq!(read_hint(&ring, "pierscionkowo", &hint), None);
 }
 
 #[test]
@@ -71,22 +72,22 @@
     #![proptest_config(fixed())]
 
     #[test]
-    fn decoders_take_anything(text in any::<String>(), chat in any::<u64>()) {
+    fn decoders_take_anything(text in any::<String>()) {
         let ring = ring(&[]);
-        prop_assert!(read_hint(&ring, chat, &text).is_none());
+        prop_assert!(read_hint(&ring, "dalisay", &text).is_none());
         let key = format!("fk1.{text}");
         prop_assert!(matches!(read_key(&ring, "dalisay", &key), Some(Err(_))));
         let _ = read_key(&ring, "dalisay", &text);
     }
 
     #[test]
-    fn changed_byte_refused(at in 0usize..32, byte in any::<u8>()) {
+    fn changed_byte_refused(at in 0usize..43, byte in any::<u8>()) {
         let ring = ring(&[]);
-        let hint = write_hint(&ring, 9, 1, 2);
+        let hint = write_hint(&ring, "dalisay", &HINT);
         let mut bytes = hint.clone().into_bytes();
         bytes[at] = byte;
         let changed = String::from_utf8_lossy(&bytes).into_owned();
-        prop_assert!(changed == hint || read_hint(&ring, 9, &changed).is_none());
+        prop_assert!(changed == hint || read_hint(&ring, "dalisay", &changed).is_none());
     }
 }
 
@@ -388,3 +389,26 @@
     assert!(told.is("may_have_run", "outcome_unknown"), "{told:?}");
     assert_eq!(fleet.services[0].runs(&key), 1);
 }
+
+#[rstest]
+#[case::own("dalisay", "chat-1", true)]
+#[case::other_chat("dalisay", "chat-2", false)]
+#[case::other_organisation("pierscionkowo", "chat-1", false)]
+#[tokio::test]
+async fn hint_good_for_own_chat(
+    #[case] organisation: &str,
+    #[case] chat: &str,
+    #[case] good: bool,
+) {
+    let fleet = once_fleet(once_options()).await;
+    let router = addrs(&fleet)[0];
+    let messages = [json!({ "role": "user", "content": "which reeds" })];
+    let ask = Ask { messages: &messages, tokens: 2, stream: false };
+    let mut first = Caller::new(&fleet.http, "dalisay", "chat-1");
+    first.ask(router, &ask).await.unwrap();
+    let mut second = Caller::new(&fleet.http, organisation, chat);
+    second.hint = first.hint;
+    second.ask(router, &ask).await.unwrap();
+    let refused = fleet.routers[0].shared().events.since(0).iter().any(|it| it.code == 610);
+    assert_eq!(refused, !good);
+}
