--- a/src/backend/control_http.rs
+++ b/src/backend/control_http.rs
@@ -58,6 +58,12 @@
         }
     }
 
+    /// Whether the account has `bytes` to spend now.
+    pub fn affords(&self, bytes: f64) -> bool {
+        let account = self.account.as_ref();
+        account.is_none_or(|(budget, purpose)| budget.balance(*purpose) >= bytes)
+    }
+
     fn count(&self, sent: usize, received: usize) {
         self.meter.add_sent(sent);
         self.meter.add_received(received);
--- a/src/backend/router_client.rs
+++ b/src/backend/router_client.rs
@@ -65,6 +65,11 @@
         self.http.afford(bytes).await;
     }
 
+    /// Whether the account has `bytes` to spend now.
+    pub fn affords(&self, bytes: f64) -> bool {
+        self.http.affords(bytes)
+    }
+
     /// Exchanges gossip with the router at `addr`.
     ///
     /// # Errors
--- a/src/controllers/gossip.rs
+++ b/src/controllers/gossip.rs
@@ -16,7 +16,9 @@
 /// Exchanges at the same time.
 const MAX_OPEN: usize = 4;
 /// Debt in bytes up to which urgent news still goes out.
-const URGENT_DEBT: f64 = -1_000.0;
+const URGENT_DEBT: f64 = -4_096.0;
+/// Bytes that regular exchanges leave for urgent ones.
+const SPARE: f64 = 800.0;
 
 /// Makes exchanges until the publisher is gone.
 pub async fn exchange_gossip(
@@ -32,12 +34,12 @@
             () = news.notified() => {}
             () = sleep_until(tick) => {}
         }
-        let mut due = Instant::now() >= tick;
-        if due {
+        let mut due = Instant::now() >= tick && routers.affords(SPARE);
+        if Instant::now() >= tick {
             tick = Instant::now() + every.mul_f64(rand::rng().random_range(0.8..1.2));
         }
         loop {
-            routers.afford(if due { 0.0 } else { URGENT_DEBT }).await;
+            routers.afford(URGENT_DEBT).await;
             let Ok(round) = publisher.send(NextRound { due }).await else {
                 return;
             };
--- a/src/controllers/publisher.rs
+++ b/src/controllers/publisher.rs
@@ -1,5 +1,6 @@
 //! The actor that owns the state and publishes the view.
 
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -34,7 +35,9 @@
 const SILENCE: std::time::Duration = std::time::Duration::from_secs(15);
 /// Pause before changed loads are published together.
 const COALESCE: std::time::Duration = std::time::Duration::from_millis(20);
-/// Urgent exchanges that follow on news.
+/// Routers to which each passes new records on.
+const BRANCHES: usize = 3;
+/// Urgent exchanges that follow on other news.
 const FAN_OUT: u32 = 3;
 
 /// What the publisher is made of.
@@ -73,8 +76,12 @@
     pub(super) peers: HashMap<String, u64>,
     /// When anybody last heard from the log, as far as known here.
     pub(super) log_seen: Option<Instant>,
-    /// Urgent exchanges still to make.
+    /// Urgent exchanges with any peer still to make.
     pub(super) pushes: u32,
+    /// Peers to which new records are still to be passed on.
+    pub(super) branches: Vec<String>,
+    /// Offset of the first of the records folded last.
+    pub(super) fresh_from: u64,
     pub(super) pull: Option<Pull>,
     /// Whole state cut into parts, with its offset and when it was last asked for.
     pub(super) bulk: Option<(u64, Vec<String>, Instant)>,
@@ -103,6 +110,8 @@
             peers: HashMap::new(),
             log_seen: None,
             pushes: 0,
+            branches: Vec::new(),
+            fresh_from: 0,
             pull: None,
             bulk: None,
             crashes: Vec::new(),
@@ -129,6 +138,36 @@
         self.news.notify_one();
     }
 
+    /// Passes on the records from offset `from` on, down the tree of routers.
+    pub(super) fn spread_records(&mut self, from: u64) {
+        self.fresh_from = from;
+        self.branches = self.children_of(&self.parts.own.name);
+        self.news.notify_one();
+    }
+
+    /// Routers to which the one called `name` passes the newest records on.
+    ///
+    /// All live routers stand in one order: those that follow the log first, then
+    /// the others in an order that changes with the offset, so that all take their
+    /// turn at the inner places. The order is that of a forest with a root for each
+    /// follower. Where lists differ, the regular exchanges bring what is missed.
+    pub(super) fn children_of(&self, name: &str) -> Vec<String> {
+        let view = self.parts.cell.peek();
+        let tail = hash_bytes(TAIL_KEY);
+        let live = view.routers.iter().filter(|it| !it.leaving || it.name == self.parts.own.name);
+        let mut order: Vec<_> = live.map(|it| (Reverse(combine(tail, it.id)), it)).collect();
+        order.sort_by_key(|it| it.0);
+        let roots = TAILERS.min(order.len());
+        let turn = hash_bytes(&self.state.next.to_le_bytes());
+        order[roots..].sort_by_key(|it| combine(turn, it.1.id));
+        let Some(place) = order.iter().position(|it| it.1.name == name) else {
+            return Vec::new();
+        };
+        let first = TAILERS + place * BRANCHES;
+        let children = order.iter().skip(first).take(BRANCHES).map(|it| it.1.name.clone());
+        children.filter(|it| *it != self.parts.own.name).collect()
+    }
+
     /// Publishes the view as it is now.
     pub(super) fn publish(&mut self) {
         if !self.ready && !self.state.objects.is_empty() {
@@ -181,7 +220,7 @@
     }
 
     /// Records what became of the line called `name`, and marks a leaving server.
-    pub(super) fn note_line(&self, name: &str, before: Option<Standing>) {
+    pub(super) fn note_line(&mut self, name: &str, before: Option<Standing>) {
         let now = self.roster.get(name);
         match (before, now.map(|it| it.standing)) {
             (None, Some(_)) => self.record(Code::InstanceJoined, name, ""),
@@ -191,13 +230,13 @@
             }
             _ => {}
         }
-        let leaving = now.filter(|it| it.standing == Standing::Leaving && it.role != Role::Entry);
-        if leaving.is_some() {
+        let leaving = now.is_some_and(|it| it.standing == Standing::Leaving);
+        if leaving && now.is_some_and(|it| it.role != Role::Entry) {
             self.mark(name);
         }
     }
 
-    fn mark(&self, name: &str) {
+    fn mark(&mut self, name: &str) {
         let report = self.loads.get(hash_bytes(name.as_bytes()));
         let mark = Mark {
             name: name.to_owned(),
@@ -206,6 +245,7 @@
         };
         if self.parts.marks.insert(&mark, self.now()) {
             self.record(Code::MarkedLeaving, name, "the instance list");
+            self.spread();
         }
     }
 
@@ -244,13 +284,13 @@
 
     async fn handle(&mut self, message: Folded, _: &mut Context<Self>) {
         self.log_seen = Some(self.now());
-        let mut changed = false;
+        let from = self.state.next;
         for it in message.records {
-            changed |= self.fold(it.offset, &it.text, it.ticket);
+            self.fold(it.offset, &it.text, it.ticket);
         }
-        if changed {
+        if self.state.next > from {
             self.publish();
-            self.spread();
+            self.spread_records(from);
         }
     }
 }
@@ -261,7 +301,6 @@
     async fn handle(&mut self, message: Restored, _: &mut Context<Self>) {
         if self.adopt(message.state, Code::StateFromSnapshot, "") {
             self.publish();
-            self.spread();
         }
     }
 }
@@ -285,7 +324,6 @@
         let roster = &self.roster;
         self.sent.retain(|name, _| roster.get(name).is_some());
         self.publish();
-        self.spread();
     }
 }
 
--- a/src/controllers/round.rs
+++ b/src/controllers/round.rs
@@ -12,7 +12,9 @@
 use crate::events::Code;
 use crate::fleet::{Crash, Mark, Purpose};
 use crate::state::InForce;
-use crate::wire::{Bulk, GOSSIP_VERSION, Gossip, MemberStatus, Part, Want, WireInForce, WireMark};
+use crate::wire::{
+    Bulk, GOSSIP_VERSION, Gossip, MemberStatus, Part, Want, WireInForce, WireMark, WireMember,
+};
 
 /// Bytes of records that go along unasked; more is announced and fetched.
 const INLINE_BYTES: usize = 800;
@@ -49,13 +51,11 @@
 }
 
 impl Publisher {
-    /// A message to `peer`: the urgent first, loads only out of debt.
+    /// A message to `peer` with the urgent only.
     fn compose(&mut self, peer: &str) -> Gossip {
         let now = self.now();
         let log_age = self.log_seen.map(|it| now.saturating_duration_since(it).as_millis() as u64);
         let marks = self.parts.marks.fresh(MARKS, now).into_iter().map(WireMark::from).collect();
-        let rich = self.parts.budget.balance(Purpose::Gossip) > 0.0;
-        let loads = if rich { self.loads.fresh(LOADS) } else { Vec::new() };
         Gossip {
             version: GOSSIP_VERSION,
             from: self.members.own().clone(),
@@ -68,17 +68,26 @@
             part: None,
             members: self.members.rows(peer, MEMBERS),
             crashes: self.crash_rows(),
-            lines: self.roster.fresh(LINE_BYTES),
-            loads,
+            lines: Vec::new(),
+            loads: Vec::new(),
+        }
+    }
+
+    /// Adds what can wait, while there is something left of the budget.
+    fn fill(&mut self, message: &mut Gossip) {
+        if self.parts.budget.balance(Purpose::Gossip) > 0.0 {
+            message.lines = self.roster.fresh(LINE_BYTES);
+            message.loads = self.loads.fresh(LOADS);
         }
     }
 
     /// The records that `peer` lacks, if they are few.
     fn inline(&self, peer: &str) -> Vec<(u64, String)> {
-        let Some(from) = self.peers.get(peer).filter(|it| **it < self.state.next) else {
+        let from = self.peers.get(peer).map_or(self.fresh_from, |it| self.fresh_from.max(*it));
+        if from >= self.state.next {
             return Vec::new();
-        };
-        let records = self.history.since(*from, INLINE_BYTES).unwrap_or_default();
+        }
+        let records = self.history.since(from, INLINE_BYTES).unwrap_or_default();
         let bytes: usize = records.iter().map(|it| it.1.len()).sum();
         let whole = records.last().is_some_and(|it| it.0 + 1 == self.state.next);
         if whole && bytes <= INLINE_BYTES { records } else { Vec::new() }
@@ -110,7 +119,7 @@
         if self.members.own().incarnation != before {
             self.record(Code::SuspicionRefuted, &self.parts.own.name, &format!("told by {peer}"));
         }
-        let mut news = changed;
+        let mut news = false;
         for it in message.marks {
             let mark = Mark::from(it);
             if self.parts.marks.insert(&mark, now) {
@@ -123,7 +132,7 @@
             let standing = self.roster.get(&name).map(|it| it.standing);
             if self.roster.learn(it) {
                 self.note_line(&name, standing);
-                news = true;
+                changed = true;
             }
         }
         for (fingerprint, server, incarnation) in message.crashes {
@@ -132,9 +141,10 @@
         for it in &message.loads {
             changed |= self.loads.learn(it);
         }
+        let from = self.state.next;
         for (offset, text) in message.records {
             let ticket = read_text(&text);
-            news |= self.fold(offset, &text, ticket);
+            self.fold(offset, &text, ticket);
         }
         if let Some(age) = message.log_age {
             let seen = now.checked_sub(Duration::from_millis(age));
@@ -150,9 +160,13 @@
         if news {
             self.spread();
         }
-        if news || changed {
+        let folded = self.state.next > from;
+        if news || changed || folded {
             self.publish();
         }
+        if folded {
+            self.spread_records(from);
+        }
     }
 
     /// Says so when `peer` folded other records up to the same offset.
@@ -242,15 +256,23 @@
         Some(Round { peer, addr, message, pull: true })
     }
 
-    /// A random peer; on urgent news one that is known to lag behind, if any.
-    fn pick(&mut self, urgent: bool) -> Option<(String, SocketAddr)> {
+    /// The exchange that passes new records on.
+    fn branch_round(&mut self) -> Option<Round> {
+        while let Some(peer) = self.branches.pop() {
+            let known = self.peers.get(&peer).is_some_and(|it| *it >= self.state.next);
+            let addr = self.contacts().0.get(&peer).copied();
+            if let Some(addr) = addr.filter(|_| !known) {
+                let message = self.compose(&peer);
+                return Some(Round { peer, addr, message, pull: false });
+            }
+        }
+        None
+    }
+
+    /// A random peer.
+    fn pick(&mut self) -> Option<(String, SocketAddr)> {
         let (live, dead) = self.contacts();
-        let next = self.state.next;
-        let lags = |name: &String| self.peers.get(name).is_none_or(|it| *it < next);
         let mut found: Vec<_> = live.iter().collect();
-        if urgent && found.iter().any(|it| lags(it.0)) {
-            found.retain(|it| lags(it.0));
-        }
         if !dead.is_empty() && (found.is_empty() || self.rng.random_ratio(1, DEAD_TRIES)) {
             found = dead.iter().collect();
         }
@@ -261,6 +283,23 @@
         Some((name.clone(), *addr))
     }
 
+    /// Takes a listed router that never answered for a member, so that it can be
+    /// suspected; its incarnation 0 is below any that it may tell.
+    fn meet(&mut self, name: &str) {
+        let Some(it) = self.roster.get(name).filter(|_| self.members.get(name).is_none()) else {
+            return;
+        };
+        let row = WireMember {
+            name: it.name.clone(),
+            incarnation: 0,
+            status: MemberStatus::Alive,
+            address: it.address,
+            control: it.control.unwrap_or(it.address),
+            domain: it.domain.clone(),
+        };
+        self.members.learn(row, self.now());
+    }
+
     /// Regular upkeep of marks and membership.
     fn expire(&mut self, now: Instant) {
         let dead = self.members.expire(now);
@@ -284,17 +323,19 @@
         if let Some(round) = self.pull_round() {
             return Some(round);
         }
-        let urgent = self.pushes > 0;
-        if !urgent && !message.due {
+        if let Some(round) = self.branch_round() {
+            return Some(round);
+        }
+        if self.pushes == 0 && !message.due {
             return None;
         }
         self.pushes = self.pushes.saturating_sub(1);
-        let (peer, addr) = self.pick(urgent)?;
-        // A push is taken for received until the reply says otherwise, so that
-        // the next one goes elsewhere.
-        let message = self.compose(&peer);
-        self.peers.insert(peer.clone(), self.state.next);
-        Some(Round { peer, addr, message, pull: false })
+        let (peer, addr) = self.pick()?;
+        let mut round = Round { message: self.compose(&peer), peer, addr, pull: false };
+        if message.due {
+            self.fill(&mut round.message);
+        }
+        Some(round)
     }
 }
 
@@ -319,6 +360,13 @@
             }
             Err(e) => {
                 self.peers.remove(&peer);
+                // Its branches get the newest records from here.
+                if self.state.next > 0 && !pull {
+                    let orphans = self.children_of(&peer);
+                    self.branches.extend(orphans);
+                    self.news.notify_one();
+                }
+                self.meet(&peer);
                 if self.members.failed(&peer, self.now()) {
                     self.record(Code::RouterSuspected, &peer, &e.to_string());
                     self.spread();
@@ -343,6 +391,7 @@
         let message = message.message;
         let peer = message.from.name.clone();
         let want = message.want;
+        let regular = message.records.is_empty() && want.is_none();
         if message.version == GOSSIP_VERSION {
             self.absorb(message);
         } else {
@@ -351,6 +400,8 @@
         let mut reply = self.compose(&peer);
         if let Some(want) = want {
             self.serve(want, &mut reply);
+        } else if regular {
+            self.fill(&mut reply);
         }
         if self.members.get(&peer).is_some_and(|it| it.status == MemberStatus::Dead) {
             self.members.succeeded(&peer);
--- a/src/daemon/daemon.rs
+++ b/src/daemon/daemon.rs
@@ -23,6 +23,9 @@
 use crate::fleet::{Budget, ViewCell};
 use crate::settings::Settings;
 
+/// Part of the time that answers are kept in which all routers have heard of a leaving one.
+const SPREAD_PART: u32 = 5;
+
 /// An instance that cannot start.
 #[derive(Debug)]
 pub enum DaemonError {
@@ -199,7 +202,9 @@
     }
 }
 
-/// How long callers may still use an address after it left the answers.
+/// How long callers may still use an address after this instance began to leave:
+/// as long as they keep an answer, and a while for other routers to hear of it.
 pub(crate) fn grace(settings: &Settings) -> Duration {
-    settings.traffic.entry_ttl.min(settings.traffic.drain / 2)
+    let ttl = settings.traffic.entry_ttl;
+    (ttl + ttl / SPREAD_PART).min(settings.traffic.drain / 2)
 }
--- a/src/fleet/budget.rs
+++ b/src/fleet/budget.rs
@@ -20,8 +20,8 @@
 }
 
 /// Share of each purpose in percent, in the order of [`Purpose`].
-const SHARES: [u64; 4] = [40, 10, 15, 35];
-/// Time over which an account saves up.
+const SHARES: [f64; 4] = [40.0, 10.0, 15.0, 35.0];
+/// Time over which an account, and the reserve, save up.
 const SAVED: Duration = Duration::from_secs(1);
 
 #[derive(Debug, Clone, Copy)]
@@ -31,6 +31,14 @@
     /// Bytes that may be spent; below 0 after a call that was larger.
     /// Invariant: at most `rate` times [`SAVED`].
     balance: f64,
+}
+
+#[derive(Debug)]
+struct Accounts {
+    all: [Account; 4],
+    /// What full accounts could not keep, for exchanges and the log.
+    /// Invariant: at most the whole rate times [`SAVED`].
+    reserve: f64,
     at: Instant,
 }
 
@@ -38,22 +46,24 @@
 ///
 /// A call is made while its account is not in debt and pays when its size is
 /// known, so that over any time the bytes are at most rate times time, plus what
-/// was saved, plus one call.
+/// was saved, plus one call for each account.
 #[derive(Debug)]
 pub struct Budget {
     clock: SharedClock,
-    accounts: Mutex<[Account; 4]>,
+    rate: f64,
+    accounts: Mutex<Accounts>,
 }
 
 impl Budget {
     /// Full accounts that together spend `rate` bytes a second.
     pub fn new(rate: u64, clock: SharedClock) -> Budget {
-        let at = clock.now();
-        let accounts = SHARES.map(|share| {
-            let rate = (rate * share) as f64 / 100.0;
-            Account { rate, balance: rate * SAVED.as_secs_f64(), at }
+        let rate = rate as f64;
+        let all = SHARES.map(|share| {
+            let rate = rate * share / 100.0;
+            Account { rate, balance: rate * SAVED.as_secs_f64() }
         });
-        Budget { clock, accounts: Mutex::new(accounts) }
+        let accounts = Accounts { all, reserve: 0.0, at: clock.now() };
+        Budget { clock, rate, accounts: Mutex::new(accounts) }
     }
 
     /// Bytes that `purpose` may spend now; below 0 in debt.
@@ -66,24 +76,47 @@
         self.change(purpose, bytes);
     }
 
-    /// How long until `purpose` has `bytes` to spend.
+    /// How long until `purpose` has `bytes` to spend, from its own share at the latest.
     pub fn delay(&self, purpose: Purpose, bytes: f64) -> Duration {
         let missing = bytes - self.balance(purpose);
-        let rate = self.accounts.lock().unwrap()[purpose as usize].rate;
         if missing <= 0.0 {
             return Duration::ZERO;
         }
+        let rate = self.accounts.lock().unwrap().all[purpose as usize].rate;
         Duration::from_secs_f64((missing / rate).min(3_600.0))
     }
 
     fn change(&self, purpose: Purpose, bytes: usize) -> f64 {
         let now = self.clock.now();
         let mut accounts = self.accounts.lock().unwrap();
-        let it = &mut accounts[purpose as usize];
-        let time = now.saturating_duration_since(it.at).as_secs_f64();
-        it.at = it.at.max(now);
-        let most = it.rate * SAVED.as_secs_f64();
-        it.balance = (it.balance + it.rate * time).min(most) - bytes as f64;
-        it.balance
+        accounts.earn(now, self.rate);
+        accounts.all[purpose as usize].balance -= bytes as f64;
+        if matches!(purpose, Purpose::Gossip | Purpose::Log) {
+            accounts.draw(purpose);
+        }
+        accounts.all[purpose as usize].balance
+    }
+}
+
+impl Accounts {
+    /// Pays in for the time since the last call; the reserve takes what is over.
+    fn earn(&mut self, now: Instant, rate: f64) {
+        let time = now.saturating_duration_since(self.at).as_secs_f64();
+        self.at = self.at.max(now);
+        for it in &mut self.all {
+            let most = it.rate * SAVED.as_secs_f64();
+            let balance = it.balance + it.rate * time;
+            self.reserve += (balance - most).max(0.0);
+            it.balance = balance.min(most);
+        }
+        self.reserve = self.reserve.min(rate * SAVED.as_secs_f64());
+    }
+
+    /// Covers a debt of `purpose` from the reserve.
+    fn draw(&mut self, purpose: Purpose) {
+        let it = &mut self.all[purpose as usize];
+        let debt = (-it.balance).clamp(0.0, self.reserve);
+        it.balance += debt;
+        self.reserve -= debt;
     }
 }
