Refuse records that go on from another history

Change: records travel with the digest of all before them and are folded only onto the same history. The demo's control bytes are taken over the fleet's whole time.

--- a/src/cli/demo.rs
+++ b/src/cli/demo.rs
@@ -1,6 +1,6 @@
 //! `filberttiller demo`.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use error_stack::Report as ErrorReport;
 use tokio::time::timeout;
@@ -28,12 +28,11 @@
 async fn play(seed: u64, chats: usize) -> Result<bool, ErrorReport<DemoError>> {
     println!("starting stand-ins and four routers");
     let fleet = Fleet::start(FleetOptions::default()).await?;
-    let begin = Instant::now();
     let spread = fleet.publish_first().await?;
     println!("first ticket in force on all routers after {} ms", spread.as_millis());
     println!("sending {chats} chats that return, and reservations (seed {seed})");
     let outcome = run_traffic(&fleet, seed, chats).await;
-    let report = Report::new(&fleet, outcome, begin.elapsed());
+    let report = Report::new(&fleet, outcome);
     let spread = fleet.move_model().await?;
     println!("second ticket in force after {} ms; sending more chats", spread.as_millis());
     let moved = run_traffic(&fleet, seed + 1, MOVED_CHATS).await;
--- a/src/cli/spread.rs
+++ b/src/cli/spread.rs
@@ -1,13 +1,16 @@
 //! `filberttiller spread`: measures how fast tickets spread and what control costs.
 
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use error_stack::Report;
 use serde_json::{Value, json};
 use standins::log::Faults;
-use tokio::time::sleep;
+use tokio::time::{interval, sleep};
 
+use crate::backend::Meter;
 use crate::cli::CliError;
+use crate::controllers::TICKET_STREAM;
 use crate::demo::{DemoError, Fleet, FleetOptions};
 
 /// Time for the fleet to settle before anything is measured.
@@ -18,6 +21,8 @@
 const TICKET_EVERY: Duration = Duration::from_secs(2);
 /// Tickets of the steady run.
 const TICKETS: u64 = 10;
+/// Seconds between two prints of the worst spending.
+const WORST_EVERY: usize = 30;
 /// Tickets appended at once.
 const STORM: u64 = 100;
 
@@ -32,6 +37,8 @@
     let begin = Instant::now();
     let mut fleet = Fleet::start(options).await?;
     println!("routers {routers}, engines {engines}");
+    let meters = fleet.routers.iter().map(|it| Arc::clone(&it.shared().meter)).collect();
+    let sampler = tokio::spawn(sample(meters));
     show("all know all", begin.elapsed());
     fleet.publish_first().await?;
     bytes(&fleet, "joining, B/router/s", begin.elapsed(), 0);
@@ -79,9 +86,30 @@
     };
     fleet.wait_until(ready).await;
     show("a new router is ready", begin.elapsed());
+    sampler.abort();
     Ok(())
 }
 
+/// Prints every [`WORST_EVERY`] what the busiest router spent at most so far, in
+/// one second and in ten.
+async fn sample(meters: Vec<Arc<Meter>>) {
+    let mut seen: Vec<Vec<u64>> = Vec::new();
+    let mut tick = interval(Duration::from_secs(1));
+    loop {
+        tick.tick().await;
+        seen.push(meters.iter().map(|it| it.total()).collect());
+        if seen.len().is_multiple_of(WORST_EVERY) {
+            let worst = |span: usize| {
+                let pairs = seen.iter().zip(seen.iter().skip(span));
+                let rates = pairs.flat_map(|(a, b)| a.iter().zip(b).map(|(a, b)| b - a));
+                rates.max().unwrap_or(0) / span as u64
+            };
+            let text = format!("worst second {}, worst 10 s {}", worst(1), worst(10));
+            println!("  after {} s: {text} B/s", seen.len());
+        }
+    }
+}
+
 fn ticket(number: u64) -> Value {
     json!({ "version": 1, "number": number, "author": "spread", "objects": [
         { "kind": "organisation", "name": format!("org-{}", number % 20), "spec": { "weight": 1.0 } },
@@ -89,7 +117,7 @@
 }
 
 async fn append(fleet: &Fleet, number: u64) -> Result<(), Report<DemoError>> {
-    let url = format!("http://{}/streams/tickets/records", fleet.log.addr());
+    let url = format!("http://{}/streams/{TICKET_STREAM}/records", fleet.log.addr());
     let sent = fleet.http.post(url).json(&ticket(number)).send().await;
     let sent = sent.and_then(reqwest::Response::error_for_status);
     sent.map(drop).map_err(|e| Report::new(DemoError::new(e.to_string())))
--- a/src/controllers/publisher.rs
+++ b/src/controllers/publisher.rs
@@ -186,10 +186,11 @@
 
     /// Folds the next record; true when it was the next.
     pub(super) fn fold(&mut self, offset: u64, text: &str, record: Result<Ticket, String>) -> bool {
-        if !Arc::make_mut(&mut self.state).fold(offset, record) {
+        let chain = self.state.chain;
+        if offset != self.state.next || !Arc::make_mut(&mut self.state).fold(offset, record) {
             return false;
         }
-        self.history.push(offset, text.to_owned());
+        self.history.push(offset, chain, text.to_owned());
         self.note(offset);
         true
     }
--- a/src/controllers/round.rs
+++ b/src/controllers/round.rs
@@ -56,6 +56,7 @@
         let now = self.now();
         let log_age = self.log_seen.map(|it| now.saturating_duration_since(it).as_millis() as u64);
         let marks = self.parts.marks.fresh(MARKS, now).into_iter().map(WireMark::from).collect();
+        let records = self.inline(peer);
         Gossip {
             version: GOSSIP_VERSION,
             from: self.members.own().clone(),
@@ -63,7 +64,8 @@
             chain: self.state.chain,
             log_age,
             marks,
-            records: self.inline(peer),
+            base: self.base(&records),
+            records,
             want: None,
             part: None,
             members: self.members.rows(peer, MEMBERS),
@@ -93,6 +95,11 @@
         if whole && bytes <= INLINE_BYTES { records } else { Vec::new() }
     }
 
+    /// Digest over all records before the first of `records`.
+    fn base(&self, records: &[(u64, String)]) -> Option<u64> {
+        self.history.chain_before(records.first()?.0)
+    }
+
     fn crash_rows(&mut self) -> Vec<(u64, u64, u64)> {
         let new = self.parts.crashes.since(self.crash_cursor);
         self.crash_cursor += new.len();
@@ -142,10 +149,7 @@
             changed |= self.loads.learn(it);
         }
         let from = self.state.next;
-        for (offset, text) in message.records {
-            let ticket = read_text(&text);
-            self.fold(offset, &text, ticket);
-        }
+        self.take_records(&peer, message.base, message.records);
         if let Some(age) = message.log_age {
             let seen = now.checked_sub(Duration::from_millis(age));
             self.log_seen = self.log_seen.max(seen);
@@ -169,6 +173,19 @@
         }
     }
 
+    /// Folds records told by `peer`, unless they go on from another history.
+    fn take_records(&mut self, peer: &str, base: Option<u64>, records: Vec<(u64, String)>) {
+        let first = records.first().map(|it| it.0);
+        if first == Some(self.state.next) && base.is_some_and(|it| it != self.state.chain) {
+            self.record(Code::StateDiffers, peer, &format!("before offset {}", self.state.next));
+            return;
+        }
+        for (offset, text) in records {
+            let ticket = read_text(&text);
+            self.fold(offset, &text, ticket);
+        }
+    }
+
     /// Says so when `peer` folded other records up to the same offset.
     fn compare(&self, peer: &str, next: u64, chain: u64) {
         let first = self.peers.get(peer) != Some(&next);
@@ -180,6 +197,7 @@
     /// Fills `reply` with what the peer wants.
     fn serve(&mut self, want: Want, reply: &mut Gossip) {
         reply.records.clear();
+        reply.base = None;
         if want.next >= self.state.next {
             return;
         }
--- a/src/controllers/ticket_tail.rs
+++ b/src/controllers/ticket_tail.rs
@@ -21,6 +21,8 @@
 pub const SNAPSHOT_STREAM: &str = "snapshots";
 /// Pause between two looks whether this router should follow the log.
 const PLAN_EVERY: Duration = Duration::from_millis(500);
+/// Part of the pause between snapshots after which a failed one is tried again.
+const SNAPSHOT_RETRY_PART: u32 = 10;
 /// Newest snapshots that are tried, one after the other.
 const SNAPSHOT_TRIES: u64 = 4;
 /// An offset beyond every stream.
@@ -37,7 +39,8 @@
     reachable: bool,
     /// Last event about the log's content, so that it is told once.
     told: Option<Code>,
-    written: Option<Instant>,
+    /// When the next snapshot is due.
+    snapshot_at: Instant,
 }
 
 impl Tail {
@@ -56,7 +59,7 @@
             verified: false,
             reachable: true,
             told: None,
-            written: None,
+            snapshot_at: Instant::now(),
         }
     }
 
@@ -88,7 +91,7 @@
             return Ok(false);
         }
         if plan.writer {
-            self.write_snapshot(state).await?;
+            self.write_snapshot(state).await;
         }
         let page = self.log.read(TICKET_STREAM, state.next, self.upkeep.log_wait).await?;
         self.reached();
@@ -147,20 +150,23 @@
         Ok(false)
     }
 
-    /// Writes a snapshot when the last one of this router is old.
-    async fn write_snapshot(&mut self, state: &InForce) -> Result<(), PlatformError> {
-        let due = self.written.is_none_or(|it| it.elapsed() >= self.upkeep.snapshot_every);
-        if !due || state.next == 0 {
-            return Ok(());
+    /// Writes a snapshot when one is due; a failure is tried again before long and
+    /// does not keep tickets waiting.
+    async fn write_snapshot(&mut self, state: &InForce) {
+        if Instant::now() < self.snapshot_at || state.next == 0 {
+            return;
         }
         let mut wire = WireInForce::from(state);
         wire.outcomes.clear();
         let body = serde_json::to_value(wire).unwrap_or(Value::Null);
-        self.log.append(SNAPSHOT_STREAM, &body).await?;
-        self.written = Some(Instant::now());
+        let every = self.upkeep.snapshot_every;
+        if self.log.append(SNAPSHOT_STREAM, &body).await.is_err() {
+            self.snapshot_at = Instant::now() + every / SNAPSHOT_RETRY_PART;
+            return;
+        }
+        self.snapshot_at = Instant::now() + every;
         let detail = format!("offset {}", state.next);
         self.events.record(Code::SnapshotWritten, Fields { subject: "", detail: &detail });
-        Ok(())
     }
 
     fn tell(&mut self, code: Code, detail: &str) {
--- a/src/demo/fleet.rs
+++ b/src/demo/fleet.rs
@@ -64,6 +64,8 @@
     pub routers: Vec<Daemon>,
     /// Client for callers.
     pub http: reqwest::Client,
+    /// When it was started.
+    pub began: Instant,
     options: FleetOptions,
 }
 
@@ -91,6 +93,7 @@
             log,
             list,
             http,
+            began: Instant::now(),
             options,
         };
         for _ in 0..fleet.options.routers {
--- a/src/demo/report.rs
+++ b/src/demo/report.rs
@@ -2,7 +2,6 @@
 
 use std::collections::BTreeMap;
 use std::fmt;
-use std::time::Duration;
 
 use crate::daemon::Daemon;
 use crate::demo::{Fleet, Outcome};
@@ -19,8 +18,8 @@
 }
 
 impl Report {
-    /// Collects the figures after `time` of running.
-    pub fn new(fleet: &Fleet, outcome: Outcome, time: Duration) -> Report {
+    /// Collects the figures; control bytes are those since the start of the fleet.
+    pub fn new(fleet: &Fleet, outcome: Outcome) -> Report {
         let sum = |figure: fn(&Daemon) -> u64| fleet.routers.iter().map(figure).sum::<u64>();
         let mut verdicts = BTreeMap::new();
         for router in &fleet.routers {
@@ -34,7 +33,9 @@
             prompt_tokens: sum(|it| it.shared().counters.prompt_tokens.get()),
             cached_tokens: sum(|it| it.shared().counters.cached_tokens.get()),
             spilled: sum(|it| it.shared().counters.spilled.get()),
-            control_rate: control as f64 / fleet.routers.len() as f64 / time.as_secs_f64(),
+            control_rate: control as f64
+                / fleet.routers.len() as f64
+                / fleet.began.elapsed().as_secs_f64(),
             outcome,
         }
     }
--- a/src/wire/gossip.rs
+++ b/src/wire/gossip.rs
@@ -145,6 +145,9 @@
         /// Records of the ticket stream by offset.
         #[serde(rename = "r", default, skip_serializing_if = "Vec::is_empty")]
         pub records: Vec<(u64, String)>,
+        /// Digest over all records before the first of `records`.
+        #[serde(rename = "b", default, skip_serializing_if = "Option::is_none")]
+        pub base: Option<u64>,
         /// Asks for more.
         #[serde(rename = "w", default, skip_serializing_if = "Option::is_none")]
         pub want: Option<Want>,
