--- a/src/controllers/gossip.rs
+++ b/src/controllers/gossip.rs
@@ -12,13 +12,12 @@
 use crate::backend::RouterClient;
 use crate::controllers::Publisher;
 use crate::controllers::messages::{Answered, NextRound};
+use crate::controllers::round::SPARE;
 
 /// Exchanges at the same time.
 const MAX_OPEN: usize = 4;
 /// Debt in bytes up to which urgent news still goes out.
 const URGENT_DEBT: f64 = -4_096.0;
-/// Bytes that regular exchanges leave for urgent ones.
-const SPARE: f64 = 800.0;
 
 /// Makes exchanges until the publisher is gone.
 pub async fn exchange_gossip(
--- a/src/controllers/publisher.rs
+++ b/src/controllers/publisher.rs
@@ -4,7 +4,6 @@
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::AtomicU64;
 use std::time::{Instant, UNIX_EPOCH};
 
 use rand::SeedableRng;
@@ -18,7 +17,7 @@
 };
 use crate::controllers::round::Pull;
 use crate::controllers::view_parts::{pools, routers};
-use crate::decide::{combine, hash_bytes};
+use crate::decide::{Sent, combine, hash_bytes};
 use crate::events::{Code, EventLog, Fields};
 use crate::fleet::{
     Budget, Crash, CrashBoard, LoadTable, Mark, MarkBoard, Members, Roster, View, ViewCell,
@@ -78,6 +77,8 @@
     pub(super) log_seen: Option<Instant>,
     /// Urgent exchanges with any peer still to make.
     pub(super) pushes: u32,
+    /// Whether a regular exchange is to be made as soon as there is budget.
+    pub(super) eager: bool,
     /// Peers to which new records are still to be passed on.
     pub(super) branches: Vec<String>,
     /// Offset of the first of the records folded last.
@@ -91,7 +92,7 @@
     /// Wakes the task that makes exchanges.
     pub(super) news: Arc<Notify>,
     pub(super) rng: ChaCha8Rng,
-    sent: HashMap<String, Arc<AtomicU64>>,
+    sent: HashMap<String, Arc<Sent>>,
     ready: bool,
     flushing: bool,
 }
@@ -110,6 +111,7 @@
             peers: HashMap::new(),
             log_seen: None,
             pushes: 0,
+            eager: false,
             branches: Vec::new(),
             fresh_from: 0,
             pull: None,
@@ -138,6 +140,12 @@
         self.news.notify_one();
     }
 
+    /// Something changed that peers should know soon.
+    pub(super) fn hurry(&mut self) {
+        self.eager = true;
+        self.news.notify_one();
+    }
+
     /// Passes on the records from offset `from` on, down the tree of routers.
     pub(super) fn spread_records(&mut self, from: u64) {
         self.fresh_from = from;
@@ -325,6 +333,7 @@
         let roster = &self.roster;
         self.sent.retain(|name, _| roster.get(name).is_some());
         self.publish();
+        self.hurry();
     }
 }
 
--- a/src/controllers/round.rs
+++ b/src/controllers/round.rs
@@ -32,6 +32,8 @@
 const CRASHES: usize = 8;
 /// Load rows in one message.
 const LOADS: usize = 8;
+/// Bytes that regular exchanges leave for urgent ones.
+pub(super) const SPARE: f64 = 800.0;
 /// Times that a crash report is passed on.
 const CRASH_SENDS: u32 = 6;
 /// How long a whole state is kept for the peer that fetches it.
@@ -126,6 +128,7 @@
         if self.members.own().incarnation != before {
             self.record(Code::SuspicionRefuted, &self.parts.own.name, &format!("told by {peer}"));
         }
+        let joined = changed;
         let mut news = false;
         for it in message.marks {
             let mark = Mark::from(it);
@@ -164,6 +167,9 @@
         if news {
             self.spread();
         }
+        if joined {
+            self.hurry();
+        }
         let folded = self.state.next > from;
         if news || changed || folded {
             self.publish();
@@ -344,13 +350,16 @@
         if let Some(round) = self.branch_round() {
             return Some(round);
         }
-        if self.pushes == 0 && !message.due {
+        let spare = self.parts.budget.balance(Purpose::Gossip) >= SPARE;
+        let due = message.due || (self.eager && spare);
+        if self.pushes == 0 && !due {
             return None;
         }
+        self.eager &= !due;
         self.pushes = self.pushes.saturating_sub(1);
         let (peer, addr) = self.pick()?;
         let mut round = Round { message: self.compose(&peer), peer, addr, pull: false };
-        if message.due {
+        if due {
             self.fill(&mut round.message);
         }
         Some(round)
--- a/src/controllers/view_parts.rs
+++ b/src/controllers/view_parts.rs
@@ -2,10 +2,9 @@
 
 use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
-use std::sync::atomic::AtomicU64;
 
 use crate::controllers::engine_side::engine;
-use crate::decide::hash_bytes;
+use crate::decide::{Sent, hash_bytes};
 use crate::fleet::{BackendServer, LoadTable, Members, Pool, Roster, Router};
 use crate::wire::{MemberStatus, Role, Standing, WireMember};
 
@@ -14,17 +13,19 @@
     roster: &Roster,
     loads: &LoadTable,
     marked: impl Fn(&str, u64) -> bool,
-    sent: &mut HashMap<String, Arc<AtomicU64>>,
+    sent: &mut HashMap<String, Arc<Sent>>,
 ) -> HashMap<String, Pool> {
     let mut pools: HashMap<String, Pool> = HashMap::new();
     for it in roster.instances().filter(|it| it.role != Role::Entry) {
-        let report = loads.get(hash_bytes(it.name.as_bytes()));
+        let id = hash_bytes(it.name.as_bytes());
+        let report = loads.get(id);
         let mut it = it.clone();
         if marked(&it.name, report.map_or(0, |it| it.incarnation)) {
             it.standing = Standing::Leaving;
         }
         let pool = pools.entry(it.pool.clone()).or_default();
         let sent = Arc::clone(sent.entry(it.name.clone()).or_default());
+        sent.mark_report(loads.seq(id));
         if it.standing == Standing::Live {
             pool.figures.add(report);
         }
--- a/src/daemon/control_api.rs
+++ b/src/daemon/control_api.rs
@@ -12,6 +12,7 @@
 use crate::backend::TOKEN_HEADER;
 use crate::controllers::Publisher;
 use crate::daemon::gossip_api::gossip_calls;
+use crate::daemon::once_api::once_calls;
 use crate::events::{Code, Fields};
 use crate::filters::{Reason, Refusal, Shared};
 use crate::wire::{WireInForce, WireOutcome};
@@ -34,7 +35,8 @@
 ) -> impl Filter<Extract = (Response,), Error = Infallible> + Clone + Send + Sync + 'static + use<>
 {
     let calls = open_calls(shared).or(guarded_calls(shared)).unify();
-    calls.or(gossip_calls(shared, publisher)).unify().recover(unknown).unify()
+    let peers = gossip_calls(shared, publisher).or(once_calls(shared)).unify();
+    calls.or(peers).unify().recover(unknown).unify()
 }
 
 /// Calls that need no token.
@@ -93,7 +95,7 @@
 }
 
 /// Answers with `serve` if the caller shows the token, else 401.
-fn guarded(
+pub(crate) fn guarded(
     shared: &Shared,
     headers: &HeaderMap,
     serve: impl FnOnce(&Shared) -> Response,
--- a/src/daemon/control_thread.rs
+++ b/src/daemon/control_thread.rs
@@ -16,6 +16,7 @@
 use crate::controllers::{Leave, Parts, Publisher, Tail, exchange_gossip, watch_list, watch_loads};
 use crate::daemon::control_api::control_calls;
 use crate::daemon::daemon::{grace, listen};
+use crate::daemon::once_api::start_claims;
 use crate::daemon::{DaemonError, Stop, serve};
 use crate::filters::Shared;
 use crate::fleet::Purpose;
@@ -148,6 +149,7 @@
     let log = LogClient::new(paid(Purpose::Log), settings.log);
     let tail = Tail::new(log, publisher.clone(), Arc::clone(events), upkeep.clone());
     tokio::spawn(tail.run());
+    start_claims(shared, LogClient::new(http.clone(), settings.log));
     let list = ListClient::new(paid(Purpose::List), settings.list);
     tokio::spawn(watch_list(list, publisher.clone(), Arc::clone(events), upkeep.clone()));
     let engines = EngineClient::new(paid(Purpose::Load));
--- a/src/daemon/daemon.rs
+++ b/src/daemon/daemon.rs
@@ -18,9 +18,12 @@
 use crate::daemon::control_thread::ControlThread;
 use crate::daemon::{Stop, Stopped, serve};
 use crate::decide::QueueLimits;
+use crate::decide::hash_bytes;
 use crate::events::{Code, EventLog, Fields};
 use crate::filters::{Counters, Shared, callers};
 use crate::fleet::{Budget, ViewCell};
+use crate::keys::KeyRing;
+use crate::once::OnceDesk;
 use crate::settings::Settings;
 
 /// Part of the time that answers are kept in which all routers have heard of a leaving one.
@@ -75,6 +78,7 @@
             .no_proxy()
             .build()
             .change_context(DaemonError::SetUp)?;
+        let router = hash_bytes(settings.name.as_bytes());
         let shared = Arc::new(Shared {
             view: Arc::new(ViewCell::default()),
             events,
@@ -84,6 +88,8 @@
             crashes: Arc::default(),
             gates: Gates::new(QueueLimits::from(&settings.admission)),
             counters: Counters::new().change_context(DaemonError::SetUp)?,
+            keys: KeyRing::new(&settings.keys, &settings.token),
+            once: Arc::new(OnceDesk::new(router, &settings.once, &clock)),
             clock,
             http,
             settings,
--- a/src/filters/in_flight.rs
+++ b/src/filters/in_flight.rs
@@ -1,16 +1,16 @@
 //! Work that this router has given to a backend server.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
 
 use prometheus::IntGauge;
 
 use crate::admission::Pass;
+use crate::decide::Sent;
 
 /// Counts tokens as sent until dropped.
 #[derive(Debug)]
 pub(crate) struct InFlight {
-    sent: Arc<AtomicU64>,
+    sent: Arc<Sent>,
     cost: u64,
     requests: IntGauge,
     /// Given back when the work ends.
@@ -20,12 +20,12 @@
 impl InFlight {
     /// Counts `cost` tokens towards `sent` and one request towards `requests`.
     pub(crate) fn new(
-        sent: &Arc<AtomicU64>,
+        sent: &Arc<Sent>,
         cost: u64,
         requests: &IntGauge,
         pass: Option<&Arc<Pass>>,
     ) -> InFlight {
-        sent.fetch_add(cost, Ordering::Relaxed);
+        sent.add(cost);
         requests.inc();
         InFlight { sent: Arc::clone(sent), cost, requests: requests.clone(), _pass: pass.cloned() }
     }
@@ -33,7 +33,7 @@
 
 impl Drop for InFlight {
     fn drop(&mut self) {
-        self.sent.fetch_sub(self.cost, Ordering::Relaxed);
+        self.sent.remove(self.cost);
         self.requests.dec();
     }
 }
--- a/src/fleet/load_table.rs
+++ b/src/fleet/load_table.rs
@@ -60,6 +60,11 @@
         self.loads.get(&id).map(|it| &it.report)
     }
 
+    /// Sequence number of the newest report of an engine; 0 without report.
+    pub fn seq(&self, id: u64) -> u64 {
+        self.loads.get(&id).map_or(0, |it| it.seq)
+    }
+
     /// Forgets engines that are not `known`.
     pub fn retain(&mut self, known: impl Fn(u64) -> bool) {
         self.loads.retain(|id, _| known(*id));
--- a/tests/it/control.rs
+++ b/tests/it/control.rs
@@ -9,7 +9,7 @@
 use filberttiller::daemon::Daemon;
 use filberttiller::demo::{Fleet, FleetOptions};
 use filberttiller::events::Code;
-use filberttiller::fleet::{Budget, Purpose};
+use filberttiller::fleet::{Budget, Mark, Purpose};
 use filberttiller::wire::{GOSSIP_VERSION, Gossip, MemberStatus, WireMember};
 use proptest::prelude::*;
 use rstest::rstest;
@@ -259,6 +259,42 @@
     assert_eq!(fleet.routers[0].shared().view.peek().state.next, 0);
 }
 
+/// Ten tickets and sixty leaving marks at once, while four routers still join.
+#[tokio::test]
+async fn budget_held_in_storm() {
+    const RATE: u64 = 4_096;
+    /// Savings of two seconds, debt for urgent news, and what peers may send on top.
+    const SLACK: u64 = 2 * RATE + 4_096 + 8_192;
+    let mut options = options(4);
+    options.settings.upkeep.budget = bytesize::ByteSize::b(RATE);
+    options.settings.upkeep.gossip_every = Duration::from_secs(1);
+    let fleet = Fleet::start(options).await.unwrap();
+    let shared = fleet.routers[3].shared();
+    for i in 0..60 {
+        let left = Duration::from_secs(600);
+        let mark = Mark { name: format!("assistant-llm-{i}"), incarnation: 0, left };
+        shared.marks.insert(&mark, shared.clock.now());
+    }
+    for number in 1..=10 {
+        append(&fleet, &ticket(number, &format!("pool-{number}"))).await;
+    }
+    let holds = |it: &Daemon, i: usize| {
+        let shared = it.shared();
+        shared.marks.holds(&format!("assistant-llm-{i}"), 0, shared.clock.now())
+    };
+    let done = |it: &Fleet| {
+        let all =
+            |r: &Daemon| (0..60).all(|i| holds(r, i)) && pool(r).as_deref() == Some("pool-10");
+        it.routers.iter().all(all)
+    };
+    fleet.wait_until(done).await;
+    for it in &fleet.routers {
+        let most = SLACK + RATE * (fleet.began.elapsed().as_millis() as u64 + 1_000) / 1_000;
+        let total = it.shared().meter.total();
+        assert!(total <= most, "{total} bytes, {most} allowed");
+    }
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { failure_persistence: None,
         rng_seed: prop::test_runner::RngSeed::Fixed(5), ..ProptestConfig::default() })]
