--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -5,8 +5,10 @@
 mod daemon;
 mod gossip_api;
 mod once_api;
+mod open_connections;
 mod server;
 mod stop;
+mod write_limit;
 
 pub use daemon::{Daemon, DaemonError};
 pub use server::serve;
--- a/src/filters/chat.rs
+++ b/src/filters/chat.rs
@@ -3,19 +3,22 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use serde_json::Value;
+use warp::Reply;
 use warp::http::{HeaderValue, StatusCode};
 use warp::reply::Response;
 
-use crate::decide::{Verdict, combine, hash_bytes};
-use crate::events::{Code, Fields};
+use crate::decide::{FailurePoint, Verdict, combine, hash_bytes};
 use crate::filters::admit::priority;
-use crate::filters::answer::{json, mark};
-use crate::filters::forward::{Chosen, Job, Plan, forward, send_failure};
+use crate::filters::answer::mark;
+use crate::filters::cancel::Cancel;
+use crate::filters::failure::Failure;
+use crate::filters::forward::{Chosen, Job, Plan, forward, time_left};
 use crate::filters::hint::read_hint;
-use crate::filters::stream::stream_answer;
-use crate::filters::{Call, HINT_HEADER, Reason, Refusal, Shared, Target};
+use crate::filters::reply::read_whole;
+use crate::filters::stream::{Source, stream_answer};
+use crate::filters::{Call, DEADLINE_HEADER, HINT_HEADER, Reason, Refusal, Shared, Target};
 use crate::keys::write_hint;
+use crate::wire::ChatAnswer;
 
 /// Answers `POST /v1/chat/completions`.
 pub(crate) async fn chat(shared: &Arc<Shared>, mut call: Call) -> Result<Response, Refusal> {
@@ -37,8 +40,10 @@
         .map_err(|e| Refusal::not_run(Reason::BadRequest, e.to_string()))?;
     let job = ChatJob { body: Bytes::from(body), stream: request.stream };
     let result = forward(shared, &call, &pool, &plan, Job::Chat(&job)).await;
-    let verdict = result.as_ref().map_or_else(|it| it.verdict, |_| Verdict::Ran);
-    shared.counters.count_arms(&call.arms, verdict);
+    if !job.stream || result.is_err() {
+        let verdict = result.as_ref().map_or_else(|it| it.verdict, |_| Verdict::Ran);
+        shared.counters.count_arms(&call.arms, verdict);
+    }
     result
 }
 
@@ -48,48 +53,77 @@
     stream: bool,
 }
 
+impl ChatJob {
+    /// Whether the answer comes token by token.
+    pub(crate) fn is_streamed(&self) -> bool {
+        self.stream
+    }
+}
+
 /// Sends the request to the chosen engine and answers with what comes back.
 pub(crate) async fn send_chat(
     shared: &Arc<Shared>,
     call: &Call,
     job: &ChatJob,
     chosen: Chosen,
-) -> Result<Response, Refusal> {
-    let url = format!("http://{}/v1/chat/completions", chosen.server.address);
-    let left = call.deadline.saturating_duration_since(shared.clock.now());
+) -> Result<Response, Failure> {
+    let left = time_left(shared, call)?;
+    let address = chosen.server.address;
+    let mut cancel = Cancel::new(&shared.http, address, &call.id);
     let sent = shared
         .http
-        .post(url)
+        .post(format!("http://{address}/v1/chat/completions"))
         .timeout(left)
         .header("content-type", "application/json")
         .header("x-request-id", &call.id)
+        .header(DEADLINE_HEADER, left.as_millis() as u64)
         .body(job.body.clone())
         .send();
-    let reply = sent.await.map_err(|e| send_failure(&e))?;
-    if reply.status() != StatusCode::OK {
-        return Err(engine_refusal(reply.status()));
-    }
+    let reply = match sent.await {
+        Ok(it) if it.status() == StatusCode::OK => it,
+        Ok(it) => {
+            cancel.disarm();
+            return Err(engine_failure(it.status()));
+        }
+        Err(e) => {
+            let failure = Failure::of_send(&e);
+            if !failure.point.reached_server() {
+                cancel.disarm();
+            }
+            return Err(failure);
+        }
+    };
     let hint = write_hint(&shared.keys, call.chat, chosen.engine.id, chosen.engine.incarnation);
     let mut answer = if job.stream {
-        stream_answer(shared, call, reply, chosen.work)
+        let source = Source {
+            request: call.id.clone(),
+            arms: call.arms.clone(),
+            address,
+            deadline: call.deadline,
+            next: 0,
+        };
+        stream_answer(shared, reply, source, Some(chosen.work), cancel)
     } else {
-        whole(shared, call, reply).await?
+        let answer = whole(shared, call, reply).await?;
+        cancel.disarm();
+        answer
     };
-    mark(&mut answer, &call.id, Verdict::Ran);
     if let Ok(hint) = HeaderValue::from_str(&hint) {
         answer.headers_mut().insert(HINT_HEADER, hint);
     }
     Ok(answer)
 }
 
-/// What an engine's refusal means.
-fn engine_refusal(status: StatusCode) -> Refusal {
+/// What an engine's error status means: engines answer 404, 429 and 503 only
+/// before they begin.
+fn engine_failure(status: StatusCode) -> Failure {
     let message = format!("the engine answered {status}");
     match status {
         StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS | StatusCode::NOT_FOUND => {
-            Refusal::not_run(Reason::BackendFailed, message)
+            Failure::new(FailurePoint::Refused, message)
         }
-        _ => Refusal::may_have_run(Reason::BackendFailed, message),
+        _ if status.is_client_error() => Failure::new(FailurePoint::Rejected, message),
+        _ => Failure::new(FailurePoint::Failed, message),
     }
 }
 
@@ -98,14 +132,22 @@
     shared: &Shared,
     call: &Call,
     reply: reqwest::Response,
-) -> Result<Response, Refusal> {
-    let body: Value = reply.json().await.map_err(|e| send_failure(&e))?;
-    if body["id"] != call.id.as_str() {
+) -> Result<Response, Failure> {
+    let body = read_whole(reply, shared.settings.limits.answer.as_u64()).await?;
+    let answer = ChatAnswer::parse(&body).map_err(|e| {
+        Failure::new(FailurePoint::Mismatch, format!("the answer cannot be read: {e}"))
+    })?;
+    if answer.id != call.id {
         let message = "the engine answered another request";
-        return Err(Refusal::may_have_run(Reason::BackendFailed, message));
+        return Err(Failure::new(FailurePoint::Mismatch, message));
     }
-    shared.counters.count_usage(&call.arms, &body["usage"]);
-    let fields = Fields { subject: &call.id, detail: "whole" };
-    shared.events.record(Code::RequestDone, fields);
-    Ok(json(&body))
+    if answer.choices.is_empty() {
+        let message = "the answer has no choices";
+        return Err(Failure::new(FailurePoint::Mismatch, message));
+    }
+    shared.counters.count_usage(&call.arms, &answer.usage);
+    let mut answer = warp::http::Response::new(body).into_response();
+    answer.headers_mut().insert("content-type", HeaderValue::from_static("application/json"));
+    mark(&mut answer, &call.id, Verdict::Ran);
+    Ok(answer)
 }
--- a/src/filters/once.rs
+++ b/src/filters/once.rs
@@ -195,7 +195,7 @@
     let late = shared.clock.now() >= call.deadline;
     let result = match late {
         true => Err(Refusal::not_run(Reason::DeadlinePassed, "the deadline passed before the run")),
-        false => forward(shared, &call, &pool, &plan, Job::Service).await,
+        false => forward(shared, &call, &pool, &plan, Job::Service { idempotent: false }).await,
     };
     match result {
         Ok(answer) => {
