--- a/src/filters/chat.rs
+++ b/src/filters/chat.rs
@@ -13,10 +13,11 @@
 use crate::filters::cancel::Cancel;
 use crate::filters::failure::Failure;
 use crate::filters::forward::{Chosen, Job, Plan, forward, time_left};
-use crate::filters::hint::{read_hint, write_hint};
+use crate::filters::hint::read_hint;
 use crate::filters::reply::read_whole;
 use crate::filters::stream::{Source, stream_answer};
 use crate::filters::{Call, DEADLINE_HEADER, HINT_HEADER, Reason, Refusal, Shared, Target};
+use crate::keys::write_hint;
 use crate::wire::ChatAnswer;
 
 /// Answers `POST /v1/chat/completions`.
@@ -30,7 +31,7 @@
     request.model = name;
     let plan = Plan {
         key: combine(call.chat, hash_bytes(request.model.as_bytes())),
-        hint: call.header(HINT_HEADER).and_then(read_hint),
+        hint: read_hint(shared, &call),
         cost: request.cost(),
         idempotent: true,
     };
@@ -92,7 +93,7 @@
             return Err(failure);
         }
     };
-    let hint = write_hint(chosen.engine.id, chosen.engine.incarnation);
+    let hint = write_hint(&shared.keys, call.chat, chosen.engine.id, chosen.engine.incarnation);
     let mut answer = if job.stream {
         let source = Source {
             request: call.id.clone(),
--- a/src/filters/choose.rs
+++ b/src/filters/choose.rs
@@ -18,7 +18,14 @@
     tried: &[usize],
 ) -> Option<Choice> {
     let bound = load_bound(call);
-    let query = PlaceQuery { key: plan.key, hint: plan.hint, cost: plan.cost, bound, tried };
+    let query = PlaceQuery {
+        key: plan.key,
+        hint: plan.hint,
+        cost: plan.cost,
+        warm: plan.cost,
+        bound,
+        tried,
+    };
     let choice = place(&pool.engines, &query)?;
     if choice.spilled {
         shared.counters.spilled.inc();
--- a/src/filters/ending.rs
+++ b/src/filters/ending.rs
@@ -27,8 +27,8 @@
     }
 
     /// The request was answered whole.
-    pub(crate) fn done(&mut self, detail: &str) {
-        self.end(Code::RequestDone, Verdict::Ran, detail);
+    pub(crate) fn done(&mut self, detail: &str, verdict: Verdict) {
+        self.end(Code::RequestDone, verdict, detail);
     }
 
     /// The request got an error in place of an answer.
--- a/src/filters/resolve.rs
+++ b/src/filters/resolve.rs
@@ -76,7 +76,9 @@
     let plain = service_path::decode(&path)
         .map_err(|message| Refusal::not_run(Reason::BadRequest, message))?;
     let once = service.once.iter().any(|it| plain.starts_with(it.as_str()));
-    call.target = Target::Service { pool: service.pool.clone(), once };
+    let pool = service.pool.clone();
+    let checks_keys = service.checks_keys;
+    call.target = Target::Service { pool, once, name: name.to_owned(), checks_keys };
     call.path = path;
     Ok(())
 }
--- a/src/filters/router.rs
+++ b/src/filters/router.rs
@@ -11,19 +11,22 @@
 use warp::reply::Response;
 use warp::{Filter as _, Reply};
 
+use crate::decide::Verdict;
 use crate::filters::admit::limit_rate;
 use crate::filters::chat::chat;
 use crate::filters::ending::{Ending, Streamed};
 use crate::filters::entry::entry;
 use crate::filters::experiment::experiment;
 use crate::filters::identify::identify;
+use crate::filters::new_key::new_key;
+use crate::filters::once::unresolved;
 use crate::filters::ready::ready;
 use crate::filters::request_id::new_id;
 use crate::filters::resolve::{parse_chat, resolve_model, resolve_service};
 use crate::filters::resume::resume;
 use crate::filters::service::service;
 use crate::filters::{
-    Call, Chain, Filter, ORGANISATION_HEADER, Reason, Refusal, Shared, Target, body,
+    Call, Chain, Filter, ORGANISATION_HEADER, Reason, Refusal, Shared, Target, VERDICT_HEADER, body,
 };
 
 /// Filters of chat requests.
@@ -63,6 +66,7 @@
     Chat,
     Service,
     Stream,
+    NewKey,
     Unknown,
 }
 
@@ -73,6 +77,7 @@
             Kind::Chat => "chat",
             Kind::Service => "service",
             Kind::Stream => "stream",
+            Kind::NewKey => "new_key",
             Kind::Unknown => "unknown",
         }
     }
@@ -139,7 +144,7 @@
             reply
         }
         Ok(reply) => {
-            ending.done(kind.as_str());
+            ending.done(kind.as_str(), told(&reply));
             reply
         }
         Err(refusal) => {
@@ -149,11 +154,19 @@
     }
 }
 
+/// The verdict that an answer tells; another router may have written it.
+fn told(reply: &Response) -> Verdict {
+    let text = reply.headers().get(VERDICT_HEADER).map_or(&[][..], |it| it.as_bytes());
+    let all = [Verdict::NotRun, Verdict::MayHaveRun];
+    all.into_iter().find(|it| it.as_str().as_bytes() == text).unwrap_or(Verdict::Ran)
+}
+
 fn kind(call: &Call) -> Kind {
     match (&call.method, call.path.as_str()) {
         (&Method::GET, "/v1/entry") => Kind::Entry,
         (&Method::POST, "/v1/chat/completions") => Kind::Chat,
         (&Method::GET, path) if path.starts_with("/v1/streams/") => Kind::Stream,
+        (&Method::POST, "/v1/keys") => Kind::NewKey,
         (_, path) if path.starts_with("/v1/services/") => Kind::Service,
         _ => Kind::Unknown,
     }
@@ -178,13 +191,14 @@
         }
         Kind::Service => {
             call.body = body::read(body, &shared.settings.limits).await?;
-            SERVICE.apply(shared, &mut call)?;
+            SERVICE.apply(shared, &mut call).map_err(|it| unresolved(&call, it))?;
             service(shared, call).await
         }
         Kind::Stream => {
             STREAM.apply(shared, &mut call)?;
             resume(shared, &call).await
         }
+        Kind::NewKey => new_key(shared, &mut call),
         Kind::Unknown => {
             let message = format!("there is no call {} {}", call.method, call.path);
             Err(Refusal::not_run(Reason::UnknownCall, message))
--- a/src/filters/service.rs
+++ b/src/filters/service.rs
@@ -14,6 +14,7 @@
 use crate::filters::answer::mark;
 use crate::filters::failure::Failure;
 use crate::filters::forward::{Chosen, Job, Plan, forward, time_left};
+use crate::filters::once::run_once;
 use crate::filters::reply::read_whole;
 use crate::filters::{
     Call, DEADLINE_HEADER, KEY_HEADER, Reason, Refusal, Shared, Target, VERDICT_HEADER,
@@ -31,13 +32,15 @@
 
 /// Answers calls below `/v1/services/`.
 pub(crate) async fn service(shared: &Arc<Shared>, call: Call) -> Result<Response, Refusal> {
-    let Target::Service { pool, once } = call.target.clone() else {
+    let Target::Service { pool, once, name, checks_keys } = call.target.clone() else {
         return Err(Refusal::not_run(Reason::UnknownTarget, "the request names no service"));
     };
     let reads = call.method == Method::GET || call.method == Method::HEAD;
-    let idempotent = reads && !once;
-    let plan = Plan { key: call.chat, hint: None, cost: 1, idempotent };
-    forward(shared, &call, &pool, &plan, Job::Service { idempotent }).await
+    let plan = Plan { key: call.chat, hint: None, cost: 1, idempotent: reads && !once };
+    if once && !checks_keys && call.headers.contains_key(KEY_HEADER) {
+        return run_once(shared, call, &name, pool, plan).await;
+    }
+    forward(shared, &call, &pool, &plan, Job::Service).await
 }
 
 /// Sends the call to the chosen instance and answers with what comes back.
--- a/src/filters/stream.rs
+++ b/src/filters/stream.rs
@@ -217,7 +217,7 @@
     fn end(&mut self) -> Bytes {
         self.over = true;
         self.cancel.disarm();
-        self.ending.done("stream");
+        self.ending.done("stream", Verdict::Ran);
         self.shared.counters.count_arms(&self.source.arms, Verdict::Ran);
         sse::frame("", "", END_MARK)
     }
--- a/tests/it/attack.rs
+++ b/tests/it/attack.rs
@@ -147,7 +147,7 @@
 #[tokio::test]
 async fn encoded_path_stays_once() {
     let (fleet, _fake) = guarded().await;
-    for _ in 0..2 {
+    for round in 0..2 {
         let failing = Fake::start(|_| Act::Close(String::new())).await;
         failing.join(&fleet, Role::Service, "stockroom-app").await;
         let mut chat = 0;
@@ -155,7 +155,7 @@
             chat += 1;
             let line = "GET /v1/services/stockroom/%72eservations HTTP/1.1\r\nhost: a\r\n";
             let headers = format!(
-                "{WHO}filberttiller-chat: {chat}\r\nidempotency-key: {chat}\r\nconnection: close\r\n"
+                "{WHO}filberttiller-chat: {chat}\r\nidempotency-key: {round}-{chat}\r\nconnection: close\r\n"
             );
             let reply = raw(fleet.routers[0].address(), &format!("{line}{headers}\r\n")).await;
             let wanted = if failing.count() == 0 { "200" } else { "502" };
