--- a/src/filters/forward.rs
+++ b/src/filters/forward.rs
@@ -36,10 +36,7 @@
     /// A chat request.
     Chat(&'a ChatJob),
     /// The call as it came.
-    Service {
-        /// Whether it may run twice.
-        idempotent: bool,
-    },
+    Service,
 }
 
 impl Job<'_> {
@@ -49,7 +46,7 @@
         match self {
             Job::Chat(it) if it.is_streamed() => None,
             Job::Chat(_) => Some(took.mul_f64(NOMINAL_COST / plan.cost.max(1) as f64)),
-            Job::Service { .. } => Some(took),
+            Job::Service => Some(took),
         }
     }
 }
@@ -83,7 +80,7 @@
     let record = shared.upstream.pool(pool, shared.clock.now());
     let bound = match &job {
         Job::Chat(_) => load_bound(call),
-        Job::Service { .. } => SERVICE_BOUND,
+        Job::Service => SERVICE_BOUND,
     };
     let mut tries = Tries::new(record, pass, bound);
     loop {
@@ -92,7 +89,7 @@
         let sent = Arc::clone(&chosen.engine.sent);
         let result = match &job {
             Job::Chat(chat) => send_chat(shared, call, chat, chosen).await,
-            Job::Service { idempotent } => send_service(shared, call, chosen, *idempotent).await,
+            Job::Service => send_service(shared, call, chosen, plan.idempotent).await,
         };
         let now = shared.clock.now();
         let outcome = outcome(&result, attempt.took(now), &job, plan);
--- a/src/filters/service.rs
+++ b/src/filters/service.rs
@@ -41,7 +41,7 @@
     if once && !checks_keys && call.headers.contains_key(KEY_HEADER) {
         return run_once(shared, call, &name, pool, plan).await;
     }
-    forward(shared, &call, &pool, &plan, Job::Service { idempotent }).await
+    forward(shared, &call, &pool, &plan, Job::Service).await
 }
 
 /// Sends the call to the chosen instance and answers with what comes back.
