Let a chat leave its home only for a clear gain

Change: the other engine must end up lower by a twentieth of the mean, and a larger cached share gives more slack at home (3 in place of 2).

--- a/src/decide/place.rs
+++ b/src/decide/place.rs
@@ -6,7 +6,10 @@
 /// when [`USUAL_HELD`] of its tokens are cached there.
 const HOME_SLACK: f64 = 0.8;
 /// Further part of the slack for each further share of tokens that is cached.
-const HELD_SLACK: f64 = 2.0;
+const HELD_SLACK: f64 = 3.0;
+/// Part of the mean by which another engine must end up lower for a chat to
+/// leave its home.
+const MOVE_GAIN: f64 = 0.05;
 /// Usual share of a returning request's tokens that are cached.
 const USUAL_HELD: f64 = 0.6;
 /// Part of the slack up to which chats without a home are placed.
@@ -143,8 +146,9 @@
         return Some(Choice { index, spilled: false });
     }
     let other = field.ranked(query)?;
+    let gain = MOVE_GAIN * field.mean;
     match home {
-        Some(index) if field.after(index, query.warm) <= field.after(other, query.cost) => {
+        Some(index) if field.after(index, query.warm) <= field.after(other, query.cost) + gain => {
             Some(Choice { index, spilled: false })
         }
         _ => Some(Choice { index: other, spilled: home.is_some_and(|it| it != other) }),
