--- a/src/filters/choose.rs
+++ b/src/filters/choose.rs
@@ -17,11 +17,7 @@
     plan: &Plan,
     tried: &[usize],
 ) -> Option<Choice> {
-    let bound = call
-        .view
-        .state
-        .policy(call.policy.as_deref().unwrap_or(DEFAULT_POLICY))
-        .map_or_else(|| PolicySpec::default().bound, |it| it.bound);
+    let bound = load_bound(call);
     let known = known_place(shared, call, plan);
     let held = known.map_or(0, |it| u64::from(it.tokens).min(plan.cost));
     let query = PlaceQuery {
@@ -45,6 +41,14 @@
     Some(choice)
 }
 
+/// Largest load of an engine as a multiple of the mean, by the policy of `call`.
+pub(crate) fn load_bound(call: &Call) -> f64 {
+    call.view
+        .state
+        .policy(call.policy.as_deref().unwrap_or(DEFAULT_POLICY))
+        .map_or_else(|| PolicySpec::default().bound, |it| it.bound)
+}
+
 /// Where the chat's prefix lies: what the caller brings goes before what this
 /// router remembers, which tells the length.
 fn known_place(shared: &Shared, call: &Call, plan: &Plan) -> Option<ChatPlace> {
--- a/src/filters/forward.rs
+++ b/src/filters/forward.rs
@@ -3,22 +3,26 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use smallvec::SmallVec;
 use warp::reply::Response;
 
-use crate::admission::Pass;
-use crate::decide::{Choice, Engine, Verdict};
+use crate::decide::{Engine, FailurePoint, ServerResult, Verdict};
 use crate::events::{Code, Fields};
 use crate::filters::admit::enter;
 use crate::filters::chat::{ChatJob, send_chat};
-use crate::filters::choose::choose;
+use crate::filters::choose::load_bound;
+use crate::filters::failure::Failure;
 use crate::filters::in_flight::InFlight;
 use crate::filters::service::send_service;
-use crate::filters::{Call, Reason, Refusal, Shared};
-use crate::fleet::{BackendServer, Pool};
+use crate::filters::tries::{Tries, no_room};
+use crate::filters::{Call, Refusal, Shared};
+use crate::fleet::BackendServer;
 
-/// When a caller should try again after there was no room.
-const RETRY: Duration = Duration::from_millis(500);
+/// Multiple of the mean load that the service instances left in use must stay within.
+const SERVICE_BOUND: f64 = 2.0;
+/// Tokens of the request that times of chats are scaled to.
+const NOMINAL_COST: f64 = 100.0;
+/// A timeout of a shorter try says nothing about the backend server.
+const MIN_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// A backend server that was chosen, with the work counted towards it.
 pub(crate) struct Chosen {
@@ -32,92 +36,111 @@
     /// A chat request.
     Chat(&'a ChatJob),
     /// The call as it came.
-    Service,
+    Service {
+        /// Whether it may run twice.
+        idempotent: bool,
+    },
+}
+
+impl Job<'_> {
+    /// Time that tells how fast the server is: that of a whole answer, for a
+    /// chat relative to its length.
+    fn speed(&self, took: Duration, plan: &Plan) -> Option<Duration> {
+        match self {
+            Job::Chat(it) if it.is_streamed() => None,
+            Job::Chat(_) => Some(took.mul_f64(NOMINAL_COST / plan.cost.max(1) as f64)),
+            Job::Service { .. } => Some(took),
+        }
+    }
+}
+
+/// How a request is placed and repeated.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Plan {
+    /// Key for the rank.
+    pub(crate) key: u64,
+    /// Engine and incarnation of the chat hint.
+    pub(crate) hint: Option<(u64, u64)>,
+    /// Tokens that it adds.
+    pub(crate) cost: u64,
+    /// Whether it may run twice.
+    pub(crate) idempotent: bool,
 }
 
 /// Tries backend servers of `pool` until one answers, a failure may not be
-/// repeated, or the tries are used up.
+/// repeated, or the tries or the retry budget are used up.
 pub(crate) async fn forward(
     shared: &Arc<Shared>,
     call: &Call,
-    pool_name: &str,
+    pool: &str,
     plan: &Plan,
     job: Job<'_>,
 ) -> Result<Response, Refusal> {
-    let Some(pool) = call.view.pools.get(pool_name) else {
-        return Err(no_room(format!("pool `{pool_name}` has no backend servers")));
+    if !call.view.pools.contains_key(pool) {
+        return Err(no_room(format!("pool `{pool}` has no backend servers")));
+    }
+    let pass = enter(shared, call, pool, plan.cost).await?;
+    let record = shared.upstream.pool(pool, shared.clock.now());
+    let bound = match &job {
+        Job::Chat(_) => load_bound(call),
+        Job::Service { .. } => SERVICE_BOUND,
     };
-    let pass = enter(shared, call, pool_name, plan.cost).await?;
-    let mut tried: SmallVec<[usize; 4]> = SmallVec::new();
+    let mut tries = Tries::new(record, pass, bound);
     loop {
-        let Some(choice) = choose(shared, call, pool, plan, &tried) else {
-            return Err(no_room("no backend server takes new work".to_owned()));
-        };
-        let chosen = take(shared, call, pool, plan, pass.as_ref(), choice);
+        let (chosen, attempt) = tries.next(shared, call, pool, plan)?;
         let name = chosen.server.name.clone();
         let sent = Arc::clone(&chosen.engine.sent);
-        tried.push(choice.index);
         let result = match &job {
             Job::Chat(chat) => send_chat(shared, call, chat, chosen).await,
-            Job::Service => send_service(shared, call, chosen).await,
+            Job::Service { idempotent } => send_service(shared, call, chosen, *idempotent).await,
         };
-        let refusal = match result {
+        let now = shared.clock.now();
+        let outcome = outcome(&result, attempt.took(now), &job, plan);
+        if attempt.end(outcome, now) {
+            let fields = Fields { subject: &name, detail: pool };
+            shared.events.record(Code::ServerSetAside, fields);
+        }
+        let failure = match result {
             Ok(answer) => return Ok(answer),
             Err(it) => it,
         };
-        let is_chat = matches!(job, Job::Chat(_));
-        if is_chat && refusal.verdict == Verdict::NotRun {
+        let detail = format!("{name}: {}", failure.message);
+        shared.events.record(Code::BackendFailed, Fields { subject: &call.id, detail: &detail });
+        let refusal = tries.fail(&failure);
+        if matches!(job, Job::Chat(_)) && refusal.verdict == Verdict::NotRun {
             sent.fail();
         }
-        let detail = format!("{name}: {}", refusal.message);
-        shared.events.record(Code::BackendFailed, Fields { subject: &call.id, detail: &detail });
-        let repeatable = refusal.verdict == Verdict::NotRun || plan.idempotent;
-        let late = shared.clock.now() >= call.deadline;
-        if !repeatable || late || tried.len() >= shared.settings.traffic.tries {
+        if !tries.may_repeat(shared, call, plan, &failure) {
             return Err(refusal);
         }
         shared.events.record(Code::RequestRetried, Fields { subject: &call.id, detail: &name });
     }
 }
 
-/// How a request is placed and repeated.
-#[derive(Debug, Clone, Copy)]
-pub(crate) struct Plan {
-    /// Key for the rank.
-    pub(crate) key: u64,
-    /// Engine and incarnation of the chat hint.
-    pub(crate) hint: Option<(u64, u64)>,
-    /// Tokens that it adds.
-    pub(crate) cost: u64,
-    /// Whether it may run twice.
-    pub(crate) idempotent: bool,
-}
-
-fn take(
-    shared: &Shared,
-    call: &Call,
-    pool: &Pool,
+/// What a try that took `took` says about the backend server.
+fn outcome(
+    result: &Result<Response, Failure>,
+    took: Duration,
+    job: &Job<'_>,
     plan: &Plan,
-    pass: Option<&Arc<Pass>>,
-    choice: Choice,
-) -> Chosen {
-    let engine = &pool.engines[choice.index];
-    let server = &pool.servers[choice.index];
-    let work = InFlight::new(&engine.sent, plan.cost, &shared.counters.in_flight, pass);
-    shared.events.record(Code::Placed, Fields { subject: &call.id, detail: &server.name });
-    Chosen { server: server.clone(), engine: engine.clone(), work }
-}
-
-fn no_room(message: String) -> Refusal {
-    Refusal::not_run(Reason::NoRoom, message).retry_after(RETRY)
+) -> ServerResult {
+    let failure = match result {
+        Ok(_) => return ServerResult::Good(job.speed(took, plan)),
+        Err(it) => it,
+    };
+    match failure.point {
+        FailurePoint::Unsent | FailurePoint::Rejected => ServerResult::Unknown,
+        FailurePoint::Timeout if took < MIN_TIMEOUT => ServerResult::Unknown,
+        _ => ServerResult::Bad,
+    }
 }
 
-/// Whether a call that failed before any answer may have run.
-pub(crate) fn send_failure(error: &reqwest::Error) -> Refusal {
-    let message = crate::backend::error_text(error);
-    if error.is_connect() {
-        return Refusal::not_run(Reason::BackendFailed, message);
+/// Time left until the deadline of `call`, unless it passed already.
+pub(crate) fn time_left(shared: &Shared, call: &Call) -> Result<Duration, Failure> {
+    let left = call.deadline.saturating_duration_since(shared.clock.now());
+    if left.is_zero() {
+        let message = "the deadline passed before the request was sent";
+        return Err(Failure::new(FailurePoint::Unsent, message));
     }
-    let reason = if error.is_timeout() { Reason::DeadlinePassed } else { Reason::BackendFailed };
-    Refusal::may_have_run(reason, message)
+    Ok(left)
 }
--- a/src/settings/check.rs
+++ b/src/settings/check.rs
@@ -66,7 +66,7 @@
 fn allowed_at(path: &str) -> &'static str {
     match path {
         "listen" | "control" | "log" | "list" => "an IP number with a port, as in `10.0.0.1:8080`",
-        "limits.body" | "limits.head" | "state.budget" => {
+        "limits.body" | "limits.head" | "limits.answer" | "state.budget" => {
             "a size with a unit, as in `1MiB` or `16KiB`"
         }
         _ if path.contains("control") => "an IP number with a port, as in `10.0.0.1:8080`",
@@ -106,8 +106,12 @@
     }
     let size = s.limits.body.as_u64();
     expect(size > 0, "limits.body", "it is 0".to_owned(), "a size above 0 is needed");
+    let answer = s.limits.answer.as_u64();
+    expect(answer > 0, "limits.answer", "it is 0".to_owned(), "a size above 0 is needed");
     let head = s.limits.head.as_u64();
     expect(head >= 8_192, "limits.head", format!("it is {head} bytes"), "at least 8KiB is needed");
+    let most = s.limits.connections.min(s.limits.address_connections);
+    expect(most > 0, "limits.connections", "it is 0".to_owned(), "at least 1 is needed");
     let threads = s.traffic.threads;
     expect(
         (1..=MAX_THREADS).contains(&threads),
@@ -151,11 +155,13 @@
 }
 
 /// All times that must be above 0.
-fn times(s: &Settings) -> [(&'static str, Duration); 14] {
+fn times(s: &Settings) -> [(&'static str, Duration); 16] {
     [
         ("limits.receive", s.limits.receive),
+        ("limits.send", s.limits.send),
         ("traffic.connect", s.traffic.connect),
         ("traffic.deadline", s.traffic.deadline),
+        ("traffic.idle", s.traffic.idle),
         ("traffic.entry_ttl", s.traffic.entry_ttl),
         ("traffic.drain", s.traffic.drain),
         ("admission.wait", s.admission.wait),
