--- a/src/filters/router.rs
+++ b/src/filters/router.rs
@@ -11,7 +11,6 @@
 use warp::reply::Response;
 use warp::{Filter as _, Reply};
 
-use crate::decide::Verdict;
 use crate::filters::admit::limit_rate;
 use crate::filters::chat::chat;
 use crate::filters::ending::{Ending, Streamed};
@@ -26,7 +25,7 @@
 use crate::filters::resume::resume;
 use crate::filters::service::service;
 use crate::filters::{
-    Call, Chain, Filter, ORGANISATION_HEADER, Reason, Refusal, Shared, Target, VERDICT_HEADER, body,
+    Call, Chain, Filter, ORGANISATION_HEADER, Reason, Refusal, Shared, Target, body,
 };
 
 /// Filters of chat requests.
@@ -144,7 +143,7 @@
             reply
         }
         Ok(reply) => {
-            ending.passed_on(told(&reply), kind.as_str());
+            ending.told(&reply, kind.as_str());
             reply
         }
         Err(refusal) => {
@@ -154,19 +153,12 @@
     }
 }
 
-/// The verdict that an answer tells; another router may have written it.
-fn told(reply: &Response) -> Verdict {
-    let text = reply.headers().get(VERDICT_HEADER).map_or(&[][..], |it| it.as_bytes());
-    let all = [Verdict::NotRun, Verdict::MayHaveRun];
-    all.into_iter().find(|it| it.as_str().as_bytes() == text).unwrap_or(Verdict::Ran)
-}
-
 fn kind(call: &Call) -> Kind {
     match (&call.method, call.path.as_str()) {
         (&Method::GET, "/v1/entry") => Kind::Entry,
         (&Method::POST, "/v1/chat/completions") => Kind::Chat,
-        (&Method::POST, "/v1/keys") => Kind::NewKey,
         (&Method::GET, path) if path.starts_with("/v1/streams/") => Kind::Stream,
+        (&Method::POST, "/v1/keys") => Kind::NewKey,
         (_, path) if path.starts_with("/v1/services/") => Kind::Service,
         _ => Kind::Unknown,
     }
