--- a/src/daemon/daemon.rs
+++ b/src/daemon/daemon.rs
@@ -21,7 +21,7 @@
 use crate::decide::hash_bytes;
 use crate::events::{Code, EventLog, Fields};
 use crate::filters::{Counters, Shared, Upstream, callers, client};
-use crate::fleet::ViewCell;
+use crate::fleet::{Budget, ViewCell};
 use crate::keys::KeyRing;
 use crate::once::OnceDesk;
 use crate::settings::Settings;
@@ -75,6 +75,8 @@
             view: Arc::new(ViewCell::default()),
             events,
             meter: Arc::default(),
+            marks: Arc::default(),
+            budget: Arc::new(Budget::new(settings.upkeep.budget.as_u64(), Arc::clone(&clock))),
             crashes: Arc::default(),
             upstream: Upstream::new(&settings.traffic).change_context(DaemonError::SetUp)?,
             gates: Gates::new(QueueLimits::from(&settings.admission)),
@@ -94,7 +96,7 @@
         let listener = listen(shared.settings.listen)?;
         let address = listener.local_addr().change_context(DaemonError::SetUp)?;
         let (stop, stopped) = watch::channel(Stop::Run);
-        let control = ControlThread::start(&shared, stopped.clone())?;
+        let control = ControlThread::start(&shared, address, stopped.clone())?;
         let (give, done) = oneshot::channel();
         let it = Arc::clone(&shared);
         let drained = control.drained;
--- a/src/filters/shared.rs
+++ b/src/filters/shared.rs
@@ -12,7 +12,7 @@
 use crate::decide::Verdict;
 use crate::events::EventLog;
 use crate::filters::{Arm, Upstream};
-use crate::fleet::{CrashBoard, ViewCell};
+use crate::fleet::{Budget, CrashBoard, MarkBoard, ViewCell};
 use crate::keys::KeyRing;
 use crate::once::OnceDesk;
 use crate::settings::Settings;
@@ -31,6 +31,10 @@
     pub counters: Counters,
     /// Bytes of control calls.
     pub meter: Arc<Meter>,
+    /// Backend servers that are leaving.
+    pub marks: Arc<MarkBoard>,
+    /// Budget of control calls.
+    pub budget: Arc<Budget>,
     /// Requests that crashed backend servers.
     pub crashes: Arc<CrashBoard>,
     /// Keys of the fleet.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod filters;
 pub mod fleet;
 pub mod keys;
+pub mod measure;
 pub mod once;
 pub mod settings;
 pub mod state;
--- a/tests/it/fault.rs
+++ b/tests/it/fault.rs
@@ -103,7 +103,7 @@
     let url = format!("http://{}/v1/streams/{id}", fleet.routers[1].address());
     let resume = |organisation: &str, last: &str| {
         let request = fleet.http.get(&url).header(ORGANISATION_HEADER, organisation.to_owned());
-        request.header(HINT_HEADER, &hint).header("last-event-id", last)
+        request.header(CHAT_HEADER, "c").header(HINT_HEADER, &hint).header("last-event-id", last)
     };
     let other = resume("pierscionkowo", &last).send().await.unwrap();
     assert_eq!(
--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -9,6 +9,7 @@
 mod events;
 mod fake;
 mod fault;
+mod measure;
 mod membership;
 mod model;
 mod once;
