Measure slopes and work out capacity from them

Cause: the target size decides the design, but no figure said which part misses it.

Change: `filberttiller capacity` prints each role's state, messages, time, memory and bytes at a given size from recorded slopes; `--measure` takes them anew. A probe is one function; a line is fitted through four sizes.

--- /dev/null
+++ b/src/capacity/probe.rs
@@ -0,0 +1,141 @@
+//! The measurements; each gives one sample at one size.
+
+use std::future::Future;
+use std::pin::Pin;
+
+use crate::capacity::{Slope, least_squares, network, samples};
+
+/// Repeats of each measurement of time; the least counts.
+const REPEATS: usize = 7;
+
+wire! {
+    /// What one measurement gave; parts that it does not measure are 0.
+    #[derive(Copy, Default)]
+    pub struct Sample {
+        /// Heap held, in bytes.
+        pub bytes: f64,
+        /// Time, in microseconds.
+        pub micros: f64,
+        /// Bytes on the wire, both ways, heads included.
+        pub wire: f64,
+    }
+}
+
+/// A sample that is being taken.
+pub(crate) type Taking = Pin<Box<dyn Future<Output = Sample>>>;
+
+/// One measurement over several sizes.
+#[derive(Debug, Clone, Copy)]
+pub struct Probe {
+    /// Name in the table of slopes.
+    pub name: &'static str,
+    /// What one unit of size is.
+    pub unit: &'static str,
+    /// Sizes measured; 3 or more.
+    pub sizes: &'static [usize],
+    /// Takes a sample at one size.
+    pub take: fn(usize) -> Taking,
+}
+
+/// All measurements.
+pub const PROBES: &[Probe] = &[
+    Probe {
+        name: "fold_tickets",
+        unit: "ticket",
+        sizes: &[8_000, 16_000, 24_000, 32_000],
+        take: samples::fold_tickets,
+    },
+    Probe {
+        name: "state_objects",
+        unit: "object",
+        sizes: &[500, 1_000, 2_000, 4_000],
+        take: samples::state_objects,
+    },
+    Probe {
+        name: "snapshot_objects",
+        unit: "object",
+        sizes: &[500, 1_000, 2_000, 4_000],
+        take: samples::snapshot_objects,
+    },
+    Probe {
+        name: "publish_engines",
+        unit: "engine",
+        sizes: &[100, 200, 400, 800],
+        take: samples::publish_engines,
+    },
+    Probe {
+        name: "publish_routers",
+        unit: "router",
+        sizes: &[100, 200, 400, 800],
+        take: samples::publish_routers,
+    },
+    Probe {
+        name: "publish_objects",
+        unit: "object",
+        sizes: &[500, 1_000, 2_000, 4_000],
+        take: samples::publish_objects,
+    },
+    Probe {
+        name: "place_engines",
+        unit: "engine",
+        sizes: &[100, 200, 400, 800],
+        take: samples::place_engines,
+    },
+    Probe {
+        name: "entry_routers",
+        unit: "router",
+        sizes: &[100, 200, 400, 800],
+        take: samples::entry_routers,
+    },
+    Probe {
+        name: "ring_events",
+        unit: "event",
+        sizes: &[1_000, 2_000, 4_000, 8_000],
+        take: samples::ring_events,
+    },
+    Probe {
+        name: "poll_engines",
+        unit: "engine",
+        sizes: &[4, 8, 16, 32],
+        take: network::poll_engines,
+    },
+    Probe {
+        name: "list_instances",
+        unit: "instance",
+        sizes: &[100, 200, 400, 800],
+        take: network::list_instances,
+    },
+    Probe {
+        name: "log_tickets",
+        unit: "ticket",
+        sizes: &[100, 200, 400, 800],
+        take: network::log_tickets,
+    },
+];
+
+/// Measures `probe` at all its sizes and fits a line to each part.
+pub async fn measure(probe: &Probe) -> Slope {
+    let mut points = Vec::new();
+    for &size in probe.sizes {
+        let mut best = (probe.take)(size).await;
+        for _ in 1..REPEATS {
+            let it = (probe.take)(size).await;
+            best.micros = best.micros.min(it.micros);
+            best.bytes = best.bytes.min(it.bytes);
+            best.wire = best.wire.min(it.wire);
+        }
+        points.push((size as f64, best));
+    }
+    let line = |part: fn(&Sample) -> f64| {
+        let line: Vec<_> = points.iter().map(|(size, it)| (*size, part(it))).collect();
+        least_squares(&line).filter(|it| it.base != 0.0 || it.slope != 0.0)
+    };
+    Slope {
+        name: probe.name.to_owned(),
+        unit: probe.unit.to_owned(),
+        sizes: probe.sizes.to_vec(),
+        bytes: line(|it| it.bytes),
+        micros: line(|it| it.micros),
+        wire: line(|it| it.wire),
+    }
+}
--- /dev/null
+++ b/src/capacity/sizes.rs
@@ -0,0 +1,54 @@
+//! The size of a fleet.
+
+plain! {
+    /// The size that the table is worked out for.
+    pub struct Sizes {
+        /// Routers.
+        pub routers: f64,
+        /// Backend servers that report their load.
+        pub workers: f64,
+        /// Requests a second over the fleet, at the peak.
+        pub requests: f64,
+        /// Tokens a second over the fleet, at the peak.
+        pub tokens: f64,
+        /// Chats that may return.
+        pub chats: f64,
+        /// Organisations.
+        pub organisations: f64,
+        /// Models.
+        pub models: f64,
+        /// Tickets a day.
+        pub tickets: f64,
+        /// Days that the log keeps tickets.
+        pub days: f64,
+    }
+}
+
+impl Default for Sizes {
+    /// The target size of docs/DESIGN.md.
+    fn default() -> Sizes {
+        Sizes {
+            routers: 400.0,
+            workers: 790.0,
+            requests: 4_600.0,
+            tokens: 1_300_000.0,
+            chats: 4_900_000.0,
+            organisations: 2_300.0,
+            models: 24.0,
+            tickets: 1_700.0,
+            days: 30.0,
+        }
+    }
+}
+
+impl Sizes {
+    /// Objects in force.
+    pub fn objects(&self) -> f64 {
+        self.organisations + self.models
+    }
+
+    /// Instances on the list.
+    pub fn instances(&self) -> f64 {
+        self.routers + self.workers
+    }
+}
--- /dev/null
+++ b/src/capacity/table.rs
@@ -0,0 +1,266 @@
+//! Figures at a given size, from the slopes.
+
+use std::fmt;
+
+use crate::capacity::role::Role;
+use crate::capacity::{Sizes, Slopes};
+use crate::settings::Control;
+
+/// Most processor time for control, in percent of a core.
+const CONTROL_PERCENT: f64 = 4.0;
+/// Most memory for control, in MB.
+const CONTROL_MB: f64 = 64.0;
+/// Most control and probe bytes a second.
+const CONTROL_BYTES: f64 = 4_096.0;
+/// Appends a second that the platform's log takes.
+const LOG_APPENDS: f64 = 300.0;
+/// Events of one request that is answered at the first try.
+const EVENTS_A_REQUEST: f64 = 2.0;
+/// Events that a router keeps.
+const EVENTS_KEPT: f64 = 8_192.0;
+/// Seconds of a day.
+const DAY_S: f64 = 86_400.0;
+
+plain! {
+    /// Largest value allowed.
+    #[derive(Copy)]
+    pub struct Target {
+        /// The value, in the unit of its figure.
+        pub most: f64,
+    }
+
+    /// One figure of one role.
+    pub struct Figure {
+        /// Role.
+        pub role: Role,
+        /// What it is.
+        pub what: &'static str,
+        /// Value.
+        pub value: f64,
+        /// Unit.
+        pub unit: &'static str,
+        /// Largest value allowed, where there is one.
+        pub target: Option<Target>,
+        /// Slopes that it follows from.
+        pub slopes: &'static str,
+        /// Mechanism that carries it.
+        pub carrier: &'static str,
+    }
+}
+
+impl Figure {
+    /// Whether the value is within its target; `None` without target.
+    pub fn holds(&self) -> Option<bool> {
+        self.target.map(|it| self.value <= it.most)
+    }
+}
+
+impl fmt::Display for Figure {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let target = self.target.map_or_else(String::new, |it| short(it.most));
+        let holds = match self.holds() {
+            Some(true) => "yes",
+            Some(false) => "**no**",
+            None => "",
+        };
+        write!(
+            f,
+            "| {} | {} | {} {} | {target} | {holds} | {} | {} |",
+            self.role,
+            self.what,
+            short(self.value),
+            self.unit,
+            self.slopes,
+            self.carrier
+        )
+    }
+}
+
+/// Head of a table of figures.
+pub(crate) fn head() -> String {
+    let names = "| Role | What | Value | At most | Holds | Slopes | Carried by |";
+    format!("{names}\n{}|", "| --- ".repeat(7))
+}
+
+/// A number with three digits that count.
+pub(crate) fn short(value: f64) -> String {
+    match value.abs() {
+        it if it >= 100.0 => format!("{value:.0}"),
+        it if it >= 10.0 => format!("{value:.1}"),
+        it if it >= 1.0 => format!("{value:.2}"),
+        0.0 => "0".to_owned(),
+        _ => format!("{value:.4}"),
+    }
+}
+
+/// All figures at `sizes`, for routers that keep state as `upkeep` says.
+pub fn figures(slopes: &Slopes, sizes: &Sizes, upkeep: &Control) -> Vec<Figure> {
+    let mut all = control_memory(slopes, sizes);
+    all.extend(control_time(slopes, sizes, upkeep));
+    all.extend(control_bytes(slopes, sizes, upkeep));
+    all.extend(traffic(slopes, sizes));
+    all.extend(log(slopes, sizes, upkeep));
+    all.extend(operator(slopes, sizes));
+    all
+}
+
+fn figure(
+    role: Role,
+    what: &'static str,
+    (value, unit): (f64, &'static str),
+    slopes: &'static str,
+    carrier: &'static str,
+) -> Figure {
+    Figure { role, what, value, unit, target: None, slopes, carrier }
+}
+
+fn at_most(figure: Figure, most: f64) -> Figure {
+    Figure { target: Some(Target { most }), ..figure }
+}
+
+fn control_memory(slopes: &Slopes, sizes: &Sizes) -> Vec<Figure> {
+    let mega = |bytes: f64| bytes / 1e6;
+    let objects = mega(slopes.bytes("state_objects", sizes.objects()));
+    let tickets = mega(slopes.bytes("fold_tickets", sizes.tickets * sizes.days));
+    let engines = mega(slopes.bytes("publish_engines", sizes.workers));
+    let routers = mega(slopes.bytes("publish_routers", sizes.routers));
+    let events = mega(slopes.bytes("ring_events", EVENTS_KEPT));
+    let total = 2.0 * (objects + tickets) + engines + routers + events;
+    let row =
+        |what, value, slopes, carrier| figure(Role::Control, what, (value, "MB"), slopes, carrier);
+    vec![
+        row("state: objects in force", objects, "state_objects", "fold of the ticket stream"),
+        row("state: tickets of the kept days", tickets, "fold_tickets", "fold, accepted numbers"),
+        row("view: backend servers", engines, "publish_engines", "immutable view"),
+        row("view: routers", routers, "publish_routers", "immutable view"),
+        row("events", events, "ring_events", "bounded ring"),
+        at_most(
+            row("memory, sum (state twice: own and published)", total, "all above", "as above"),
+            CONTROL_MB,
+        ),
+    ]
+}
+
+fn control_time(slopes: &Slopes, sizes: &Sizes, upkeep: &Control) -> Vec<Figure> {
+    let reports = sizes.workers / upkeep.load_every.as_secs_f64();
+    let once = slopes.micros("publish_engines", sizes.workers)
+        + slopes.more_micros("publish_routers", sizes.routers)
+        + slopes.more_micros("publish_objects", sizes.objects());
+    let publish = reports * once / 1e4;
+    let poll = reports * slopes.more_micros("poll_engines", 1.0) / 1e4;
+    let fold = sizes.tickets / DAY_S * slopes.more_micros("fold_tickets", 1.0) / 1e4;
+    let list =
+        slopes.micros("list_instances", sizes.instances()) / upkeep.list_every.as_secs_f64() / 1e4;
+    let row = |what, value, slopes, carrier| {
+        figure(Role::Control, what, (value, "% of a core"), slopes, carrier)
+    };
+    vec![
+        figure(
+            Role::Control,
+            "messages: load reports",
+            (reports, "a second"),
+            "exact",
+            "every router asks every backend server",
+        ),
+        row(
+            "time: publishing after each report",
+            publish,
+            "publish_engines, publish_routers, publish_objects",
+            "whole view rebuilt",
+        ),
+        row("time: asking for load", poll, "poll_engines (both ends)", "HTTP"),
+        row("time: instance list", list, "list_instances (both ends)", "HTTP"),
+        row("time: folding tickets", fold, "fold_tickets", "fold"),
+        at_most(
+            row("time, sum", publish + poll + list + fold, "all above", "as above"),
+            CONTROL_PERCENT,
+        ),
+    ]
+}
+
+fn control_bytes(slopes: &Slopes, sizes: &Sizes, upkeep: &Control) -> Vec<Figure> {
+    let poll = slopes.wire("poll_engines", sizes.workers) / upkeep.load_every.as_secs_f64();
+    let list = slopes.wire("list_instances", sizes.instances()) / upkeep.list_every.as_secs_f64();
+    let ticket = slopes.wire_each("log_tickets");
+    let call = slopes.wire_each("poll_engines");
+    let tail = call / upkeep.log_wait.as_secs_f64() + ticket * sizes.tickets / DAY_S;
+    let row =
+        |what, value, slopes, carrier| figure(Role::Bytes, what, (value, "B/s"), slopes, carrier);
+    vec![
+        row("asking for load", poll, "poll_engines", "every router asks every backend server"),
+        row("instance list", list, "list_instances", "whole list at each look"),
+        row(
+            "ticket stream",
+            tail,
+            "log_tickets, poll_engines (one call)",
+            "waiting reads, one ticket at a time",
+        ),
+        at_most(row("sum", poll + list + tail, "all above", "as above"), CONTROL_BYTES),
+    ]
+}
+
+fn traffic(slopes: &Slopes, sizes: &Sizes) -> Vec<Figure> {
+    let requests = sizes.requests / sizes.routers;
+    let place = requests * slopes.micros("place_engines", sizes.workers / sizes.models) / 1e4;
+    let entry = requests * slopes.micros("entry_routers", sizes.routers) / 1e4;
+    let events = requests * EVENTS_A_REQUEST;
+    let record = events * slopes.more_micros("ring_events", 1.0) / 1e4;
+    let span = EVENTS_KEPT / events;
+    let row = |what, value, unit, slopes, carrier| {
+        figure(Role::Traffic, what, (value, unit), slopes, carrier)
+    };
+    vec![
+        row("messages: requests", requests, "a second", "exact", "rendezvous of callers"),
+        row(
+            "messages: tokens passed on",
+            sizes.tokens / sizes.routers,
+            "a second",
+            "exact",
+            "streams",
+        ),
+        row("time: placement", place, "% of a core", "place_engines", "rank within one pool"),
+        row("time: answers about addresses", entry, "% of a core", "entry_routers", "rank"),
+        row("time: events", record, "% of a core", "ring_events", "bounded ring"),
+        row("events reach back", span, "s", "exact", "bounded ring"),
+    ]
+}
+
+fn log(slopes: &Slopes, sizes: &Sizes, upkeep: &Control) -> Vec<Figure> {
+    let ticket = slopes.wire_each("log_tickets");
+    let reads =
+        sizes.routers / upkeep.log_wait.as_secs_f64() + sizes.routers * sizes.tickets / DAY_S;
+    let row = |what, value, unit, slopes, carrier| {
+        figure(Role::Log, what, (value, unit), slopes, carrier)
+    };
+    vec![
+        at_most(
+            row("appends", sizes.tickets / DAY_S, "a second", "exact", "operators only"),
+            LOG_APPENDS,
+        ),
+        row("reads", reads, "a second", "exact", "every router waits on the stream"),
+        row(
+            "kept tickets",
+            ticket * sizes.tickets * sizes.days / 1e6,
+            "MB",
+            "log_tickets",
+            "retention of the platform",
+        ),
+    ]
+}
+
+fn operator(slopes: &Slopes, sizes: &Sizes) -> Vec<Figure> {
+    let state = slopes.wire("snapshot_objects", sizes.objects()) / 1e6;
+    let row = |what, value, unit, slopes, carrier| {
+        figure(Role::Operator, what, (value, unit), slopes, carrier)
+    };
+    vec![
+        row("state of one router", state, "MB", "snapshot_objects", "one answer"),
+        row(
+            "reading back from all routers",
+            state * sizes.routers,
+            "MB",
+            "snapshot_objects",
+            "one call a router",
+        ),
+    ]
+}
--- a/src/cli/args.rs
+++ b/src/cli/args.rs
@@ -51,6 +51,33 @@
         #[bpaf(argument("N"), fallback(120), display_fallback)]
         chats: usize,
     },
+    /// Prints what each role takes at a given size, from measured slopes.
+    #[bpaf(command)]
+    Capacity(#[bpaf(external(capacity_args))] CapacityArgs),
+}
+
+/// Sizes to work out the figures for.
+#[derive(Debug, Clone, Bpaf)]
+pub(crate) struct CapacityArgs {
+    /// Measures the slopes anew, for about a minute, in place of the recorded ones.
+    pub(crate) measure: bool,
+    /// Prints the slopes as JSON.
+    pub(crate) json: bool,
+    /// Routers.
+    #[bpaf(argument("N"), fallback(400.0), display_fallback)]
+    pub(crate) routers: f64,
+    /// Backend servers.
+    #[bpaf(argument("N"), fallback(790.0), display_fallback)]
+    pub(crate) workers: f64,
+    /// Requests a second over the fleet.
+    #[bpaf(argument("N"), fallback(4_600.0), display_fallback)]
+    pub(crate) requests: f64,
+    /// Organisations.
+    #[bpaf(argument("N"), fallback(2_300.0), display_fallback)]
+    pub(crate) organisations: f64,
+    /// Tickets a day.
+    #[bpaf(argument("N"), fallback(1_700.0), display_fallback)]
+    pub(crate) tickets: f64,
 }
 
 /// What to do with a ticket.
--- /dev/null
+++ b/src/cli/capacity.rs
@@ -0,0 +1,70 @@
+//! `filberttiller capacity`.
+
+use crate::capacity::{Fit, PROBES, Sizes, Slope, Slopes, figures, head, measure, short};
+use crate::cli::CliError;
+use crate::cli::args::CapacityArgs;
+use crate::settings::Control;
+
+/// Prints what each role takes at the asked size.
+pub(crate) async fn run(args: &CapacityArgs) -> Result<(), CliError> {
+    let slopes = if args.measure { measured().await } else { recorded()? };
+    if args.json {
+        let all: Vec<_> = slopes.iter().collect();
+        let text = serde_json::to_string_pretty(&all);
+        println!("{}", text.map_err(|e| CliError::Failed(e.to_string()))?);
+        return Ok(());
+    }
+    print_slopes(&slopes);
+    let sizes = Sizes {
+        routers: args.routers,
+        workers: args.workers,
+        requests: args.requests,
+        organisations: args.organisations,
+        tickets: args.tickets,
+        ..Sizes::default()
+    };
+    println!("\n{}", head());
+    for it in figures(&slopes, &sizes, &Control::default()) {
+        println!("{it}");
+    }
+    Ok(())
+}
+
+async fn measured() -> Slopes {
+    let mut slopes = Vec::new();
+    for probe in PROBES {
+        eprintln!("measuring {} at {:?} {}s", probe.name, probe.sizes, probe.unit);
+        slopes.push(measure(probe).await);
+    }
+    slopes.into_iter().collect()
+}
+
+fn recorded() -> Result<Slopes, CliError> {
+    Slopes::recorded().map_err(|e| CliError::Failed(format!("the recorded slopes: {e}")))
+}
+
+fn print_slopes(slopes: &Slopes) {
+    println!("| Slope | Sizes | Part | At 0 | For each | Residual |");
+    println!("| --- | --- | --- | --- | --- | --- |");
+    for it in slopes.iter() {
+        print_part(it, "heap, B", it.bytes.as_ref());
+        print_part(it, "time, µs", it.micros.as_ref());
+        print_part(it, "wire, B", it.wire.as_ref());
+    }
+}
+
+fn print_part(slope: &Slope, part: &str, fit: Option<&Fit>) {
+    let Some(fit) = fit else {
+        return;
+    };
+    let sizes: Vec<_> = slope.sizes.iter().map(ToString::to_string).collect();
+    println!(
+        "| {} | {} {}s | {part} | {} | {} | {:.1}% |",
+        slope.name,
+        sizes.join(", "),
+        slope.unit,
+        short(fit.base),
+        short(fit.slope),
+        fit.residual * 100.0
+    );
+}
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -1,6 +1,7 @@
 //! Command lines of both programs.
 
 mod args;
+mod capacity;
 mod check;
 mod cli_error;
 mod client;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,6 +9,7 @@
 
 pub mod admission;
 pub mod backend;
+pub mod capacity;
 pub mod cli;
 pub mod clock;
 pub mod controllers;
--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod answers;
+mod capacity;
 mod control;
 mod decide;
 mod events;
