Merge the time lines of all routers in hybrid logical time

Cause: each router kept its own events by wall clock; a story across routers with skewed clocks could not be read, and recording took one lock and several allocations.

Change: events carry hybrid logical time (Kulkarni et al. 2014), sent between routers and returned to callers; the store has four parts taken by threads in turn, keeps short texts without allocation and formats on read.

--- a/src/backend/control_http.rs
+++ b/src/backend/control_http.rs
@@ -4,11 +4,13 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use reqwest::header::HeaderMap;
+use reqwest::header::{HeaderMap, HeaderValue};
 use reqwest::{Method, RequestBuilder};
 use serde::de::DeserializeOwned;
 
-use crate::backend::{Meter, PlatformError};
+use crate::backend::{Meter, PlatformError, TOKEN_HEADER};
+use crate::events::EventLog;
+use crate::filters::TIME_HEADER;
 
 /// Longest part of an error body that is kept, in characters.
 const MAX_ERROR_BODY: usize = 200;
@@ -22,12 +24,18 @@
 pub struct ControlHttp {
     http: reqwest::Client,
     meter: Arc<Meter>,
+    events: Option<Arc<EventLog>>,
 }
 
 impl ControlHttp {
     /// A client that counts into `meter`.
     pub fn new(http: reqwest::Client, meter: Arc<Meter>) -> ControlHttp {
-        ControlHttp { http, meter }
+        ControlHttp { http, meter, events: None }
+    }
+
+    /// Sends hybrid logical time along with calls to other routers.
+    pub fn with_events(self, events: Arc<EventLog>) -> ControlHttp {
+        ControlHttp { events: Some(events), ..self }
     }
 
     /// Begins a request.
@@ -49,11 +57,22 @@
         request: RequestBuilder,
         timeout: Duration,
     ) -> Result<Bytes, PlatformError> {
-        let request = request.timeout(timeout).build()?;
+        let mut request = request.timeout(timeout).build()?;
+        let peer = request.headers().contains_key(TOKEN_HEADER);
+        let events = self.events.as_ref().filter(|_| peer);
+        if let Some(events) = events
+            && let Ok(time) = HeaderValue::from_str(&events.time().to_string())
+        {
+            request.headers_mut().insert(TIME_HEADER, time);
+        }
         let body = request.body().and_then(|it| it.as_bytes()).map_or(0, <[u8]>::len);
         let line = request.method().as_str().len() + request.url().path().len() + LINE_BYTES;
         self.meter.add_sent(line + head_bytes(request.headers()) + body);
         let reply = self.http.execute(request).await?;
+        let time = reply.headers().get(TIME_HEADER).and_then(|it| it.to_str().ok());
+        if let (Some(events), Some(time)) = (events, time) {
+            events.observe(time);
+        }
         self.meter.add_received(LINE_BYTES + head_bytes(reply.headers()));
         let status = reply.status();
         let body = reply.bytes().await?;
--- a/src/backend/router_client.rs
+++ b/src/backend/router_client.rs
@@ -6,8 +6,8 @@
 use serde::de::DeserializeOwned;
 
 use crate::backend::{ControlHttp, PlatformError};
-use crate::events::Event;
-use crate::wire::WireInForce;
+use crate::events::{Event, EventPage};
+use crate::wire::{WireInForce, WireStatus};
 
 /// Header that carries the shared token.
 pub const TOKEN_HEADER: &str = "filberttiller-token";
@@ -43,6 +43,26 @@
         self.get(addr, &format!("/v1/events?from={from}")).await
     }
 
+    /// Reads the events that are not older than `age`.
+    ///
+    /// # Errors
+    /// Fails when the router does not answer well.
+    pub async fn timeline(
+        &self,
+        addr: SocketAddr,
+        age: Duration,
+    ) -> Result<EventPage, PlatformError> {
+        self.get(addr, &format!("/v1/timeline?last_ms={}", age.as_millis())).await
+    }
+
+    /// Reads the status.
+    ///
+    /// # Errors
+    /// Fails when the router does not answer well.
+    pub async fn status(&self, addr: SocketAddr) -> Result<WireStatus, PlatformError> {
+        self.get(addr, "/v1/status").await
+    }
+
     async fn get<T: DeserializeOwned>(
         &self,
         addr: SocketAddr,
--- a/src/capacity/probe.rs
+++ b/src/capacity/probe.rs
@@ -90,7 +90,7 @@
     Probe {
         name: "ring_events",
         unit: "event",
-        sizes: &[1_000, 2_000, 4_000, 8_000],
+        sizes: &[512, 1_024, 2_048, 4_096],
         take: samples::ring_events,
     },
     Probe {
--- a/src/capacity/table.rs
+++ b/src/capacity/table.rs
@@ -14,10 +14,10 @@
 const CONTROL_BYTES: f64 = 4_096.0;
 /// Appends a second that the platform's log takes.
 const LOG_APPENDS: f64 = 300.0;
-/// Events of one request that is answered at the first try.
-const EVENTS_A_REQUEST: f64 = 2.0;
+/// Events of one request that is answered at the first try, its address included.
+const EVENTS_A_REQUEST: f64 = 4.0;
 /// Events that a router keeps.
-const EVENTS_KEPT: f64 = 8_192.0;
+const EVENTS_KEPT: f64 = 16_384.0;
 /// Seconds of a day.
 const DAY_S: f64 = 86_400.0;
 
--- a/src/cli/args.rs
+++ b/src/cli/args.rs
@@ -1,6 +1,7 @@
 //! Arguments of the operators' program.
 
 use std::path::PathBuf;
+use std::str::FromStr;
 
 use bpaf::Bpaf;
 
@@ -51,11 +52,67 @@
         #[bpaf(argument("N"), fallback(120), display_fallback)]
         chats: usize,
     },
+    /// Shows the events of all routers in causal order.
+    #[bpaf(command)]
+    Timeline(#[bpaf(external(timeline_args))] TimelineArgs),
     /// Prints what each role takes at a given size, from measured slopes.
     #[bpaf(command)]
     Capacity(#[bpaf(external(capacity_args))] CapacityArgs),
 }
 
+/// Which events to show, and how.
+#[derive(Debug, Clone, Bpaf)]
+pub(crate) struct TimelineArgs {
+    #[bpaf(external)]
+    pub(crate) settings_arg: PathBuf,
+    /// Age of the oldest event to show, as in 90s, 15min or 2h.
+    #[bpaf(argument("AGE"), fallback("1day".parse().expect("a good time")), display_fallback)]
+    pub(crate) since: humantime::Duration,
+    /// Only the story of one request.
+    #[bpaf(argument("ID"))]
+    pub(crate) request: Option<String>,
+    /// Only what became of one ticket.
+    #[bpaf(argument("NUMBER"))]
+    pub(crate) ticket: Option<u64>,
+    /// Only the requests of one chat.
+    #[bpaf(argument("ORGANISATION/CHAT"))]
+    pub(crate) chat: Option<String>,
+    /// Only what concerns one backend server.
+    #[bpaf(argument("NAME"))]
+    pub(crate) engine: Option<String>,
+    /// Form: text, jsonl, trace (for trace viewers) or html (one page).
+    #[bpaf(argument("FORM"), fallback(Format::Text), debug_fallback)]
+    pub(crate) format: Format,
+}
+
+key! {
+    /// Forms of a time line.
+    pub(crate) enum Format {
+        /// One line an event, for people.
+        Text,
+        /// One JSON object a line.
+        Jsonl,
+        /// Trace event format.
+        Trace,
+        /// One page.
+        Html,
+    }
+}
+
+impl FromStr for Format {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Format, String> {
+        match text {
+            "text" => Ok(Format::Text),
+            "jsonl" => Ok(Format::Jsonl),
+            "trace" => Ok(Format::Trace),
+            "html" => Ok(Format::Html),
+            _ => Err(format!("`{text}` is no form; text, jsonl, trace and html are")),
+        }
+    }
+}
+
 /// Sizes to work out the figures for.
 #[derive(Debug, Clone, Bpaf)]
 pub(crate) struct CapacityArgs {
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -12,6 +12,7 @@
 mod run;
 mod standins;
 mod ticket;
+mod timeline;
 
 pub use cli_error::CliError;
 pub use daemon::run_daemon;
--- a/src/cli/run.rs
+++ b/src/cli/run.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use crate::cli::args::{Args, TicketArgs, args};
-use crate::cli::{CliError, capacity, check, demo, in_force, init, standins, ticket};
+use crate::cli::{CliError, capacity, check, demo, in_force, init, standins, ticket, timeline};
 
 /// Runs the command that the arguments name.
 ///
@@ -23,6 +23,7 @@
             block_on(standins::run(&files, Duration::from_secs(seconds)))
         }
         Args::Capacity(args) => block_on(capacity::run(&args)),
+        Args::Timeline(args) => block_on(timeline::run(&args)),
         Args::InForce { settings_arg, json } => block_on(in_force::run(&settings_arg, json)),
     }
 }
--- /dev/null
+++ b/src/cli/timeline.rs
@@ -0,0 +1,58 @@
+//! `filberttiller timeline`.
+
+use crate::cli::CliError;
+use crate::cli::args::{Format, TimelineArgs};
+use crate::cli::client::Client;
+use crate::clock::SystemClock;
+use crate::decide::chat_key;
+use crate::timeline::{Selection, html, jsonl, read, text, trace};
+
+/// Shows the events of all routers in causal order.
+pub(crate) async fn run(args: &TimelineArgs) -> Result<(), CliError> {
+    let selection = selection(args)?;
+    let client = Client::new(&args.settings_arg)?;
+    let routers = client.routers().await;
+    let all = read(&client.routers, &routers, args.since.into(), &SystemClock).await;
+    let selected = selection.apply(&all);
+    let format = match args.format {
+        Format::Text => text,
+        Format::Jsonl => jsonl,
+        Format::Trace => trace,
+        Format::Html => html,
+    };
+    print!("{}", format(&selected));
+    if selected.events.is_empty() {
+        return Err(CliError::Failed("no event matches".to_owned()));
+    }
+    let silent = all.processes.values().filter(|it| it.missing.is_some());
+    let names: Vec<_> = silent.map(|it| it.name.as_str()).collect();
+    if names.is_empty() {
+        return Ok(());
+    }
+    Err(CliError::Partial(format!("missing: {}", names.join(", "))))
+}
+
+fn selection(args: &TimelineArgs) -> Result<Selection, CliError> {
+    let chosen = [
+        args.request.clone().map(Selection::Request),
+        args.ticket.map(Selection::Ticket),
+        args.chat.as_deref().map(chat).transpose()?,
+        args.engine.clone().map(Selection::Engine),
+    ];
+    let mut chosen = chosen.into_iter().flatten();
+    let first = chosen.next().unwrap_or(Selection::All);
+    match chosen.next() {
+        None => Ok(first),
+        Some(_) => Err(CliError::Input(
+            "at most one of --request, --ticket, --chat and --engine can be given".to_owned(),
+        )),
+    }
+}
+
+/// A chat given as `ORGANISATION/CHAT`.
+fn chat(text: &str) -> Result<Selection, CliError> {
+    let Some((organisation, chat)) = text.split_once('/') else {
+        return Err(CliError::Input(format!("--chat is `{text}`; `ORGANISATION/CHAT` is needed")));
+    };
+    Ok(Selection::Chat(chat_key(organisation, chat)))
+}
--- a/src/daemon/control_api.rs
+++ b/src/daemon/control_api.rs
@@ -9,8 +9,9 @@
 use warp::{Filter, Reply};
 
 use crate::backend::TOKEN_HEADER;
+use crate::daemon::status_api::status_calls;
 use crate::events::{Code, Fields};
-use crate::filters::{Reason, Refusal, Shared};
+use crate::filters::{Reason, Refusal, Shared, observe, stamp};
 use crate::wire::WireInForce;
 
 #[derive(Debug, Deserialize)]
@@ -24,7 +25,8 @@
     shared: &Arc<Shared>,
 ) -> impl Filter<Extract = (Response,), Error = Infallible> + Clone + Send + Sync + 'static + use<>
 {
-    open_calls(shared).or(guarded_calls(shared)).unify().recover(unknown).unify()
+    let guarded = guarded_calls(shared).or(status_calls(shared)).unify();
+    open_calls(shared).or(guarded).unify().recover(unknown).unify()
 }
 
 /// Calls that need no token.
@@ -71,7 +73,7 @@
 }
 
 /// Answers with `serve` if the caller shows the token, else 401.
-fn guarded(
+pub(crate) fn guarded(
     shared: &Shared,
     headers: &HeaderMap,
     serve: impl FnOnce(&Shared) -> Response,
@@ -79,7 +81,10 @@
     let shown = headers.get(TOKEN_HEADER).map_or(&[][..], |it| it.as_bytes());
     let right = blake3::hash(shown) == blake3::hash(shared.settings.token.as_bytes());
     if right {
-        return serve(shared);
+        observe(shared, headers);
+        let mut reply = serve(shared);
+        stamp(shared, &mut reply);
+        return reply;
     }
     let fields = Fields { subject: "", detail: "control call" };
     shared.events.record(Code::Unauthorised, fields);
--- a/src/daemon/control_thread.rs
+++ b/src/daemon/control_thread.rs
@@ -110,6 +110,7 @@
     let upkeep = &settings.upkeep;
     let events = &shared.events;
     let http = ControlHttp::new(shared.http.clone(), Arc::clone(&shared.meter));
+    let http = http.with_events(Arc::clone(events));
     let actor = Publisher::new(&settings.name, Arc::clone(&shared.view), Arc::clone(events));
     let publisher = xtra::spawn_tokio(actor, Mailbox::unbounded());
     let log = LogClient::new(http.clone(), settings.log);
--- a/src/daemon/daemon.rs
+++ b/src/daemon/daemon.rs
@@ -65,7 +65,8 @@
         clock: SharedClock,
         logger: Logger,
     ) -> Result<Daemon, Report<DaemonError>> {
-        let events = Arc::new(EventLog::new(&settings.name, Arc::clone(&clock), logger));
+        let events = EventLog::new(&settings.name, Arc::clone(&clock), logger);
+        let events = Arc::new(events.with_ring(settings.events.ring));
         let http = reqwest::Client::builder()
             .connect_timeout(settings.traffic.connect)
             .retry(reqwest::retry::never())
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -4,8 +4,10 @@
 mod control_thread;
 mod daemon;
 mod server;
+mod status_api;
 mod stop;
 
 pub use daemon::{Daemon, DaemonError};
 pub use server::serve;
+pub use status_api::status;
 pub use stop::{Stop, Stopped};
--- a/src/events/code.rs
+++ b/src/events/code.rs
@@ -67,4 +67,7 @@
     509 Unauthorised "a call came without the right token";
     510 UnknownCall "a call names an unknown path or method";
     511 TooLarge "a request is larger than allowed";
+    // 9xx: time line
+    900 EntryAnswered "a caller was told which addresses to use";
+    901 RequestReceived "a request arrived";
 }
--- a/src/events/mod.rs
+++ b/src/events/mod.rs
@@ -2,10 +2,13 @@
 
 mod code;
 mod event;
+mod hybrid;
 mod logger;
 mod ring;
+mod shard;
 
 pub use code::Code;
-pub use event::Event;
+pub use event::{Event, EventPage};
+pub use hybrid::{HybridClock, HybridTime};
 pub use logger::{LogFormat, discard_logger, root_logger};
 pub use ring::{EventLog, Fields};
--- a/src/filters/choose.rs
+++ b/src/filters/choose.rs
@@ -7,7 +7,7 @@
 use crate::state::PolicySpec;
 
 /// Name of the routing policy that holds for all requests.
-const DEFAULT_POLICY: &str = "default";
+pub(crate) const DEFAULT_POLICY: &str = "default";
 
 /// Chooses a server of `pool` that is not among `tried`, by index.
 pub(crate) fn choose(
--- a/src/filters/mod.rs
+++ b/src/filters/mod.rs
@@ -21,13 +21,16 @@
 mod shared;
 mod sse;
 mod stream;
+mod trace;
 
 pub use call::{Call, Target};
 pub use chain::{Chain, Filter};
+pub(crate) use choose::DEFAULT_POLICY;
 pub use experiment::Arm;
 pub use refusal::{Reason, Refusal};
 pub use router::callers;
 pub use shared::{Counters, Shared};
+pub(crate) use trace::{observe, stamp};
 
 /// Header that names the organisation.
 pub const ORGANISATION_HEADER: &str = "filberttiller-organisation";
@@ -39,6 +42,8 @@
 pub const REQUEST_HEADER: &str = "filberttiller-request";
 /// Header that carries the verdict in answers.
 pub const VERDICT_HEADER: &str = "filberttiller-verdict";
+/// Header that carries hybrid logical time, both ways.
+pub const TIME_HEADER: &str = "filberttiller-time";
 /// Header that sets the deadline, in milliseconds from now.
 pub const DEADLINE_HEADER: &str = "filberttiller-deadline-ms";
 /// Header that carries the key of a call that may not be repeated.
--- a/src/filters/router.rs
+++ b/src/filters/router.rs
@@ -21,6 +21,7 @@
 use crate::filters::ready::ready;
 use crate::filters::resolve::{parse_chat, resolve_model, resolve_service};
 use crate::filters::service::service;
+use crate::filters::trace::{observe, received, stamp};
 use crate::filters::{Call, Chain, Filter, Reason, Refusal, Shared, Target, body};
 
 /// Filters of chat requests.
@@ -28,6 +29,7 @@
     filters: &[
         Filter { name: "ready", apply: ready },
         Filter { name: "identify", apply: identify },
+        Filter { name: "trace", apply: received },
         Filter { name: "limit", apply: limit_rate },
         Filter { name: "parse", apply: parse_chat },
         Filter { name: "experiment", apply: experiment },
@@ -40,6 +42,7 @@
     filters: &[
         Filter { name: "ready", apply: ready },
         Filter { name: "identify", apply: identify },
+        Filter { name: "trace", apply: received },
         Filter { name: "limit", apply: limit_rate },
         Filter { name: "resolve", apply: resolve_service },
     ],
@@ -79,7 +82,13 @@
         .and(warp::body::stream())
         .then(move |method, path: FullPath, query, headers, body| {
             let shared = Arc::clone(&shared);
-            async move { answer(&shared, head(&shared, method, &path, query, headers), body).await }
+            async move {
+                observe(&shared, &headers);
+                let call = head(&shared, method, &path, query, headers);
+                let mut reply = answer(&shared, call, body).await;
+                stamp(&shared, &mut reply);
+                reply
+            }
         })
         .recover(|_| async { Ok::<_, Infallible>(unreadable()) })
         .unify()
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -21,4 +21,5 @@
 pub mod fleet;
 pub mod settings;
 pub mod state;
+pub mod timeline;
 pub mod wire;
--- a/src/settings/check.rs
+++ b/src/settings/check.rs
@@ -10,6 +10,8 @@
 
 /// Fewest characters of the shared token.
 const MIN_TOKEN: usize = 16;
+/// Most events kept for one group of threads.
+const MAX_RING: usize = 65_536;
 /// Most threads that carry requests.
 const MAX_THREADS: usize = 256;
 
@@ -120,6 +122,13 @@
         format!("it is {headroom}"),
         "at least 1 is needed",
     );
+    let ring = s.events.ring;
+    expect(
+        (1..=MAX_RING).contains(&ring),
+        "events.ring",
+        format!("it is {ring}"),
+        "1 to 65536 are allowed",
+    );
     for (place, time) in times(s) {
         expect(time > Duration::ZERO, place, "it is 0".to_owned(), "a time above 0 is needed");
     }
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -3,6 +3,7 @@
 mod admission;
 mod check;
 mod control;
+mod events;
 mod limits;
 mod problem;
 mod settings;
@@ -11,6 +12,7 @@
 pub use admission::Admission;
 pub use check::{parse, read};
 pub use control::Control;
+pub use events::Events;
 pub use limits::Limits;
 pub use problem::{Problem, SettingsError};
 pub use settings::{DEFAULT_TEXT, Seed, Settings};
--- a/src/settings/settings.rs
+++ b/src/settings/settings.rs
@@ -4,7 +4,7 @@
 
 use serde::Deserialize;
 
-use crate::settings::{Admission, Control, Limits, Traffic};
+use crate::settings::{Admission, Control, Events, Limits, Traffic};
 
 /// The commented settings file that `filberttiller init` prints.
 pub const DEFAULT_TEXT: &str = include_str!("default.jsonc");
@@ -43,6 +43,9 @@
         /// How state is kept up to date.
         #[serde(default, rename = "state")]
         pub upkeep: Control,
+        /// How events are kept.
+        #[serde(default)]
+        pub events: Events,
     }
 
     /// A router known beforehand.
--- /dev/null
+++ b/src/timeline/jsonl.rs
@@ -0,0 +1,12 @@
+//! A time line for programs, one JSON object a line.
+
+use serde_json::json;
+
+use crate::timeline::Timeline;
+
+/// The time line as JSON lines: processes first, then events in causal order.
+pub fn jsonl(timeline: &Timeline) -> String {
+    let processes = timeline.processes.values().map(|it| json!({ "process": it }));
+    let events = timeline.events.iter().map(|it| json!({ "event": it }));
+    processes.chain(events).map(|it| format!("{it}\n")).collect()
+}
--- /dev/null
+++ b/src/timeline/mod.rs
@@ -0,0 +1,21 @@
+//! The time line of events over all processes.
+
+mod explain;
+mod html;
+mod jsonl;
+mod process;
+mod read;
+mod selection;
+mod text;
+mod timeline;
+mod trace;
+
+pub use explain::{Explanation, explain};
+pub use html::html;
+pub use jsonl::jsonl;
+pub use process::{Gap, Process};
+pub use read::read;
+pub use selection::Selection;
+pub use text::text;
+pub use timeline::Timeline;
+pub use trace::trace;
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -7,6 +7,7 @@
 mod instance;
 mod load;
 mod log;
+mod status;
 mod ticket;
 
 pub use api_error::{ApiError, ApiErrorBody};
@@ -16,4 +17,5 @@
 pub use instance::{Instance, Role, Standing};
 pub use load::{LoadReport, Loaded};
 pub use log::{Appended, Page, Record};
+pub use status::{WireCount, WireLoad, WireStatus};
 pub use ticket::{WireObject, WireTicket, parse_ticket};
