--- a/src/cli/args.rs
+++ b/src/cli/args.rs
@@ -52,6 +52,16 @@
         #[bpaf(argument("N"), fallback(120), display_fallback)]
         chats: usize,
     },
+    /// Shows one screen over the fleet.
+    #[bpaf(command)]
+    Status {
+        #[bpaf(external)]
+        settings_arg: PathBuf,
+        /// Looks again every 2 s until stopped.
+        watch: bool,
+        /// Prints JSON, one object a look.
+        json: bool,
+    },
     /// Shows the events of all routers in causal order.
     #[bpaf(command)]
     Timeline(#[bpaf(external(timeline_args))] TimelineArgs),
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -11,6 +11,7 @@
 mod init;
 mod run;
 mod standins;
+mod status;
 mod ticket;
 mod timeline;
 
--- a/src/cli/run.rs
+++ b/src/cli/run.rs
@@ -4,7 +4,9 @@
 use std::time::Duration;
 
 use crate::cli::args::{Args, TicketArgs, args};
-use crate::cli::{CliError, capacity, check, demo, in_force, init, standins, ticket, timeline};
+use crate::cli::{
+    CliError, capacity, check, demo, in_force, init, standins, status, ticket, timeline,
+};
 
 /// Runs the command that the arguments name.
 ///
@@ -24,6 +26,9 @@
         }
         Args::Capacity(args) => block_on(capacity::run(&args)),
         Args::Timeline(args) => block_on(timeline::run(&args)),
+        Args::Status { settings_arg, watch, json } => {
+            block_on(status::run(&settings_arg, watch, json))
+        }
         Args::InForce { settings_arg, json } => block_on(in_force::run(&settings_arg, json)),
     }
 }
