Tell more metrics and say what to do about each

Cause: the metrics said nothing of latency, organisations, state, skew or control bytes, and no page explained them.

--- a/src/daemon/control_api.rs
+++ b/src/daemon/control_api.rs
@@ -12,6 +12,7 @@
 use crate::daemon::status_api::status_calls;
 use crate::events::{Code, Fields};
 use crate::filters::{Reason, Refusal, Shared, observe, stamp};
+use crate::metrics::gauges;
 use crate::wire::WireInForce;
 
 #[derive(Debug, Deserialize)]
@@ -42,7 +43,8 @@
             .into_response(),
     });
     let it = Arc::clone(shared);
-    let metrics = warp::path!("metrics").map(move || it.counters.text().into_response());
+    let metrics =
+        warp::path!("metrics").map(move || (it.counters.text() + &gauges(&it)).into_response());
     warp::get().and(healthy.or(ready).unify().or(metrics).unify())
 }
 
--- a/src/events/mod.rs
+++ b/src/events/mod.rs
@@ -11,4 +11,4 @@
 pub use event::{Event, EventPage};
 pub use hybrid::{HybridClock, HybridTime};
 pub use logger::{LogFormat, discard_logger, root_logger};
-pub use ring::{EventLog, Fields};
+pub use ring::{EventLog, Fields, Totals};
--- a/src/events/ring.rs
+++ b/src/events/ring.rs
@@ -34,6 +34,16 @@
     pub detail: &'a str,
 }
 
+key! {
+    /// Numbers of events since the start.
+    pub struct Totals {
+        /// All that were recorded.
+        pub recorded: u64,
+        /// Those dropped because there was no room.
+        pub dropped: u64,
+    }
+}
+
 /// Recent events of this process.
 #[derive(Debug)]
 pub struct EventLog {
@@ -90,6 +100,12 @@
         shard.push(entry, self.ring);
     }
 
+    /// How many events were recorded and dropped.
+    pub fn totals(&self) -> Totals {
+        let dropped = self.shards.iter().map(|it| it.lock().unwrap().dropped).sum();
+        Totals { recorded: self.next.load(Ordering::Relaxed), dropped }
+    }
+
     /// Time since the start of the process, by its wall clock.
     pub fn age(&self) -> Duration {
         let now = micros(self.clock.wall());
--- a/src/filters/router.rs
+++ b/src/filters/router.rs
@@ -127,9 +127,12 @@
 {
     let id = call.id.clone();
     let kind = kind(&call);
+    let begin = shared.clock.now();
     let result = serve(shared, kind, call, body).await;
     let verdict = result.as_ref().map_or_else(|it| it.verdict, |_| Verdict::Ran);
     shared.counters.requests.with_label_values(&[kind.as_str(), verdict.as_str()]).inc();
+    let time = shared.clock.now().saturating_duration_since(begin);
+    shared.counters.single.answered(kind.as_str(), time);
     match result {
         Ok(reply) => reply,
         Err(refusal) => {
--- a/src/filters/shared.rs
+++ b/src/filters/shared.rs
@@ -14,6 +14,7 @@
 use crate::events::EventLog;
 use crate::filters::Arm;
 use crate::fleet::{CrashBoard, ViewCell};
+use crate::metrics::RequestMetrics;
 use crate::settings::Settings;
 
 /// What all requests of a router share.
@@ -43,6 +44,8 @@
 #[derive(Debug)]
 pub struct Counters {
     registry: Registry,
+    /// Latencies, and requests by organisation.
+    pub single: RequestMetrics,
     /// Requests by outcome.
     pub requests: IntCounterVec,
     /// Requests in flight.
@@ -66,8 +69,10 @@
     /// Fails when two counters have one name.
     pub fn new() -> Result<Counters, prometheus::Error> {
         let opts = |name: &str, help: &str| Opts::new(format!("filberttiller_{name}"), help);
+        let registry = Registry::new();
         let counters = Counters {
-            registry: Registry::new(),
+            single: RequestMetrics::new(&registry)?,
+            registry,
             requests: IntCounterVec::new(
                 opts("requests_total", "Requests by kind and verdict"),
                 &["kind", "verdict"],
--- a/src/filters/trace.rs
+++ b/src/filters/trace.rs
@@ -23,6 +23,7 @@
 
 /// Filter that records that a request arrived, once its chat is known.
 pub(crate) fn received(shared: &Shared, call: &mut Call) -> Result<(), Refusal> {
+    shared.counters.single.received(&call.organisation);
     let detail = format!("chat={:016x} organisation={}", call.chat, call.organisation);
     let fields = Fields { subject: &call.id, detail: &detail };
     shared.events.record(Code::RequestReceived, fields);
--- /dev/null
+++ b/src/metrics/gauges.rs
@@ -0,0 +1,91 @@
+//! Metrics read from the state of a router at each look.
+
+use prometheus::{
+    Encoder, Gauge, GaugeVec, IntCounter, IntGauge, IntGaugeVec, Opts, Registry, TextEncoder,
+};
+
+use crate::decide::Engine;
+use crate::filters::Shared;
+use crate::fleet::View;
+
+/// The state of a router in the text format.
+pub fn gauges(shared: &Shared) -> String {
+    let registry = Registry::new();
+    let mut bytes = Vec::new();
+    let filled = fill(&registry, shared);
+    if filled.is_ok() {
+        let _ = TextEncoder::new().encode(&registry.gather(), &mut bytes);
+    }
+    String::from_utf8(bytes).unwrap_or_default()
+}
+
+fn opts(name: &str, help: &str) -> Opts {
+    Opts::new(format!("filberttiller_{name}"), help)
+}
+
+fn fill(registry: &Registry, shared: &Shared) -> Result<(), prometheus::Error> {
+    let view = shared.view.load();
+    let page = shared.events.totals();
+    gauge(registry, "ready", "1 with a state in force, else 0", i64::from(view.ready))?;
+    let next = i64::try_from(view.state.next).unwrap_or(i64::MAX);
+    gauge(registry, "state_offset", "Offset of the first record not yet folded", next)?;
+    let suspects = shared.crashes.since(0).len();
+    let help = "Crashes of backend servers blamed on requests";
+    gauge(registry, "request_crashes", help, suspects as i64)?;
+    let help = "Bytes of control calls, both ways, heads included";
+    counter(registry, "control_bytes_total", help, shared.meter.total())?;
+    counter(registry, "events_total", "Events recorded", page.recorded)?;
+    let help = "Events dropped from the store because there was no room";
+    counter(registry, "dropped_events_total", help, page.dropped)?;
+    servers(registry, &view)?;
+    skew(registry, &view)?;
+    let it = Gauge::with_opts(opts("uptime_seconds", "Time since the start"))?;
+    it.set(shared.events.age().as_secs_f64());
+    registry.register(Box::new(it))
+}
+
+fn gauge(registry: &Registry, name: &str, help: &str, value: i64) -> Result<(), prometheus::Error> {
+    let it = IntGauge::with_opts(opts(name, help))?;
+    it.set(value);
+    registry.register(Box::new(it))
+}
+
+fn counter(
+    registry: &Registry,
+    name: &str,
+    help: &str,
+    value: u64,
+) -> Result<(), prometheus::Error> {
+    let it = IntCounter::with_opts(opts(name, help))?;
+    it.inc_by(value);
+    registry.register(Box::new(it))
+}
+
+/// Known instances by pool and standing; routers are the pool `entry`.
+fn servers(registry: &Registry, view: &View) -> Result<(), prometheus::Error> {
+    let help = "Known instances by pool and standing; routers are the pool `entry`";
+    let it = IntGaugeVec::new(opts("instances", help), &["pool", "standing"])?;
+    let count = |pool: &str, leaving: bool| {
+        let standing = if leaving { "leaving" } else { "live" };
+        it.with_label_values(&[pool, standing]).inc();
+    };
+    view.routers.iter().for_each(|it| count("entry", it.leaving));
+    for (pool, servers) in &view.pools {
+        servers.engines.iter().for_each(|it| count(pool, it.leaving));
+    }
+    registry.register(Box::new(it))
+}
+
+/// Load of the busiest backend server of each pool over the mean.
+fn skew(registry: &Registry, view: &View) -> Result<(), prometheus::Error> {
+    let help = "Estimated load of the busiest backend server over the mean of its pool";
+    let it = GaugeVec::new(opts("load_skew_ratio", help), &["pool"])?;
+    for (pool, servers) in &view.pools {
+        let loads: Vec<f64> =
+            servers.engines.iter().filter(|it| !it.leaving).map(Engine::load).collect();
+        let mean = loads.iter().sum::<f64>() / loads.len().max(1) as f64;
+        let most = loads.iter().copied().fold(0.0, f64::max);
+        it.with_label_values(&[pool]).set(if mean > 0.0 { most / mean } else { 1.0 });
+    }
+    registry.register(Box::new(it))
+}
--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -8,6 +8,7 @@
 mod events;
 mod fault;
 mod membership;
+mod metrics;
 mod once;
 mod path;
 mod settings;
