--- a/tests/it/events.rs
+++ b/tests/it/events.rs
@@ -175,3 +175,14 @@
     let times: BTreeMap<_, _> = page.events.iter().map(|it| (it.time, it.seq)).collect();
     assert_eq!(times.len(), 1_000, "two events have one time");
 }
+
+#[test]
+fn operating_page_names_known_events() {
+    let page = include_str!("../../docs/OPERATING.md");
+    let known: BTreeSet<u16> = Code::ALL.iter().map(|it| it.number()).collect();
+    let words = page.split(|it: char| !it.is_ascii_alphanumeric() && it != '.');
+    let named: BTreeSet<u16> =
+        words.filter(|it| it.len() == 3).filter_map(|it| it.parse().ok()).collect();
+    assert!(named.len() > 10);
+    assert!(named.is_subset(&known), "{:?}", named.difference(&known));
+}
