Send checked load to a running fleet

Cause: nothing could put a running fleet under load from outside and tell whether every answer was right.

Change: `filberttiller load`: a seeded Poisson schedule that does not wait for answers, returning chats, streams and reservations of several organisations, at most 600 s and 5,000 requests a second, loopback only unless told otherwise. Latencies run from the time a request was due, so that a late start counts. Table, JSON and a page with plots.

Conclusion: the answers of the engine stand-ins are checked word by word; other engines' answers would all be called wrong.

--- a/src/cli/args.rs
+++ b/src/cli/args.rs
@@ -65,11 +65,49 @@
     /// Shows the events of all routers in causal order.
     #[bpaf(command)]
     Timeline(#[bpaf(external(timeline_args))] TimelineArgs),
+    /// Sends checked load to a running fleet of stand-in engines, then reports and ends.
+    #[bpaf(command)]
+    Load(#[bpaf(external(load_args))] LoadArgs),
     /// Prints what each role takes at a given size, from measured slopes.
     #[bpaf(command)]
     Capacity(#[bpaf(external(capacity_args))] CapacityArgs),
 }
 
+/// What load to send.
+#[derive(Debug, Clone, Bpaf)]
+pub(crate) struct LoadArgs {
+    #[bpaf(external)]
+    pub(crate) settings_arg: PathBuf,
+    /// Requests a second, sent whether or not earlier ones are answered.
+    #[bpaf(argument("N"), fallback(50.0), display_fallback)]
+    pub(crate) rate: f64,
+    /// How long, in seconds; at most 600.
+    #[bpaf(argument("N"), fallback(10), display_fallback)]
+    pub(crate) seconds: u64,
+    /// Seed of the schedule.
+    #[bpaf(argument("N"), fallback(1), display_fallback)]
+    pub(crate) seed: u64,
+    /// Organisations; the first ones send the most.
+    #[bpaf(argument("N"), fallback(5), display_fallback)]
+    pub(crate) organisations: usize,
+    /// Share of chat requests that continue a chat.
+    #[bpaf(argument("SHARE"), fallback(0.8), display_fallback)]
+    pub(crate) returning: f64,
+    /// Share of chat requests whose answers are streamed.
+    #[bpaf(argument("SHARE"), fallback(0.5), display_fallback)]
+    pub(crate) streams: f64,
+    /// Share of requests that are reservations, which may not be repeated.
+    #[bpaf(argument("SHARE"), fallback(0.1), display_fallback)]
+    pub(crate) once: f64,
+    /// Allows addresses other than loopback.
+    pub(crate) remote: bool,
+    /// Prints JSON.
+    pub(crate) json: bool,
+    /// Also writes a page with plots.
+    #[bpaf(argument("FILE"))]
+    pub(crate) html: Option<PathBuf>,
+}
+
 /// Which events to show, and how.
 #[derive(Debug, Clone, Bpaf)]
 pub(crate) struct TimelineArgs {
--- a/src/cli/client.rs
+++ b/src/cli/client.rs
@@ -13,6 +13,7 @@
 pub(crate) struct Client {
     pub(crate) log: LogClient,
     pub(crate) routers: RouterClient,
+    own: SocketAddr,
     list: ListClient,
     seeds: Vec<(String, SocketAddr)>,
 }
@@ -29,6 +30,7 @@
         let mut seeds = vec![(settings.name.clone(), settings.control)];
         seeds.extend(settings.seeds.iter().map(|it| (it.name.clone(), it.control)));
         Ok(Client {
+            own: settings.listen,
             log: LogClient::new(http.clone(), settings.log),
             list: ListClient::new(http.clone(), settings.list),
             routers: RouterClient::new(http, &settings.token),
@@ -47,4 +49,13 @@
         let found: Vec<_> = entries.filter_map(|it| Some((it.name, it.control?))).collect();
         if found.is_empty() { self.seeds.clone() } else { found }
     }
+
+    /// Addresses for callers of all routers: from the instance list, or the one
+    /// of the settings while the list is down.
+    pub(crate) async fn entries(&self) -> Vec<SocketAddr> {
+        let listed = self.list.read().await.unwrap_or_default();
+        let entries = listed.into_iter().filter(|it| it.role == Role::Entry);
+        let found: Vec<_> = entries.map(|it| it.address).collect();
+        if found.is_empty() { vec![self.own] } else { found }
+    }
 }
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -9,6 +9,7 @@
 mod demo;
 mod in_force;
 mod init;
+mod load;
 mod run;
 mod standins;
 mod status;
--- a/src/cli/run.rs
+++ b/src/cli/run.rs
@@ -5,7 +5,7 @@
 
 use crate::cli::args::{Args, TicketArgs, args};
 use crate::cli::{
-    CliError, capacity, check, demo, in_force, init, standins, status, ticket, timeline,
+    CliError, capacity, check, demo, in_force, init, load, standins, status, ticket, timeline,
 };
 
 /// Runs the command that the arguments name.
@@ -25,6 +25,7 @@
             block_on(standins::run(&files, Duration::from_secs(seconds)))
         }
         Args::Capacity(args) => block_on(capacity::run(&args)),
+        Args::Load(args) => block_on(load::run(&args)),
         Args::Timeline(args) => block_on(timeline::run(&args)),
         Args::Status { settings_arg, watch, json } => {
             block_on(status::run(&settings_arg, watch, json))
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod events;
 pub mod filters;
 pub mod fleet;
+pub mod load;
 pub mod metrics;
 pub mod settings;
 pub mod state;
--- /dev/null
+++ b/src/load/report.rs
@@ -0,0 +1,134 @@
+//! The report of a run.
+
+use std::collections::BTreeMap;
+use std::fmt;
+
+use hdrhistogram::Histogram;
+
+use crate::load::{Fate, Kind, LoadOptions, Tally};
+
+/// Points of the curve of quantiles, as fractions.
+const QUANTILES: [f64; 9] = [0.0, 0.25, 0.5, 0.75, 0.9, 0.95, 0.99, 0.999, 1.0];
+
+plain! {
+    /// Latencies of one kind, in milliseconds.
+    #[derive(serde::Serialize)]
+    pub struct Quantiles {
+        /// Kind of requests.
+        pub kind: &'static str,
+        /// How many were answered well.
+        pub count: u64,
+        /// Fraction and latency.
+        pub points: Vec<(f64, f64)>,
+    }
+
+    /// One second of the run.
+    #[derive(serde::Serialize)]
+    pub struct Second {
+        /// Second from the start.
+        pub at: u64,
+        /// Requests due in it, by fate.
+        pub fates: BTreeMap<Fate, u64>,
+        /// Median latency in milliseconds.
+        pub p50: f64,
+        /// Latency of 95 in 100, in milliseconds.
+        pub p95: f64,
+    }
+
+    /// Everything about a run.
+    #[derive(serde::Serialize)]
+    pub struct LoadReport {
+        /// Seed of the schedule.
+        pub seed: u64,
+        /// Requests a second that were asked for.
+        pub rate: f64,
+        /// Seconds of the schedule.
+        pub time_s: f64,
+        /// Requests by fate.
+        pub fates: BTreeMap<Fate, u64>,
+        /// Requests by kind and fate.
+        pub kinds: BTreeMap<&'static str, BTreeMap<Fate, u64>>,
+        /// Latencies from the time a request was due to the end of its answer.
+        pub latencies: Vec<Quantiles>,
+        /// The run second by second.
+        pub seconds: Vec<Second>,
+        /// The first faults.
+        pub faults: Vec<String>,
+    }
+}
+
+impl LoadReport {
+    /// The report of a run.
+    pub fn new(options: &LoadOptions, tally: &Tally) -> LoadReport {
+        let mut fates = BTreeMap::new();
+        let mut kinds: BTreeMap<&str, BTreeMap<Fate, u64>> = BTreeMap::new();
+        for ((kind, fate), count) in &tally.fates {
+            *fates.entry(*fate).or_default() += count;
+            kinds.entry(kind.as_str()).or_default().insert(*fate, *count);
+        }
+        let known = Kind::ALL.iter().filter_map(|it| Some((it, tally.latencies.get(it)?)));
+        let seconds = tally.seconds.iter().map(|(at, it)| Second {
+            at: *at,
+            fates: it.fates.clone(),
+            p50: millis(&it.latency, 0.5),
+            p95: millis(&it.latency, 0.95),
+        });
+        LoadReport {
+            seed: options.seed,
+            rate: options.rate,
+            time_s: options.time.as_secs_f64(),
+            fates,
+            kinds,
+            latencies: known.map(|(kind, it)| quantiles(*kind, it)).collect(),
+            seconds: seconds.collect(),
+            faults: tally.faults.clone(),
+        }
+    }
+
+    /// Whether no answer was wrong.
+    pub fn is_good(&self) -> bool {
+        !self.fates.contains_key(&Fate::Wrong) && self.fates.contains_key(&Fate::Good)
+    }
+}
+
+fn quantiles(kind: Kind, it: &Histogram<u64>) -> Quantiles {
+    let points = QUANTILES.iter().map(|at| (*at, millis(it, *at))).collect();
+    Quantiles { kind: kind.as_str(), count: it.len(), points }
+}
+
+fn millis(it: &Histogram<u64>, quantile: f64) -> f64 {
+    it.value_at_quantile(quantile) as f64 / 1e3
+}
+
+impl fmt::Display for LoadReport {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let all = [
+            (Fate::Good, "GOOD"),
+            (Fate::NotRun, "NOT RUN"),
+            (Fate::MayHaveRun, "MAY HAVE RUN"),
+            (Fate::Wrong, "WRONG"),
+            (Fate::NoAnswer, "NO ANSWER"),
+            (Fate::NotSent, "NOT SENT"),
+        ];
+        write!(f, "{:<8}", "KIND")?;
+        all.iter().try_for_each(|it| write!(f, "{:>14}", it.1))?;
+        writeln!(f)?;
+        for (kind, fates) in &self.kinds {
+            write!(f, "{kind:<8}")?;
+            for (fate, _) in &all {
+                write!(f, "{:>14}", fates.get(fate).copied().unwrap_or(0))?;
+            }
+            writeln!(f)?;
+        }
+        writeln!(f, "\nlatency in ms, from the time a request was due to the end of its answer")?;
+        write!(f, "{:<8}", "KIND")?;
+        QUANTILES.iter().try_for_each(|it| write!(f, "{:>10}", format!("{}%", it * 100.0)))?;
+        writeln!(f)?;
+        for it in &self.latencies {
+            write!(f, "{:<8}", it.kind)?;
+            it.points.iter().try_for_each(|(_, ms)| write!(f, "{ms:>10.1}"))?;
+            writeln!(f)?;
+        }
+        self.faults.iter().try_for_each(|it| writeln!(f, "  {it}"))
+    }
+}
--- /dev/null
+++ b/tests/it/load.rs
@@ -0,0 +1,116 @@
+//! The load generator.
+
+use std::time::Duration;
+
+use filberttiller::demo::{Fleet, FleetOptions};
+use filberttiller::load::{Fate, Kind, LoadOptions, LoadReport, Schedule, Step, Tally, html, run};
+use rstest::rstest;
+use serde_json::Value;
+
+fn options() -> LoadOptions {
+    LoadOptions { routers: vec!["127.0.0.1:1".parse().unwrap()], ..LoadOptions::default() }
+}
+
+#[test]
+fn schedule_same_for_same_seed() {
+    let steps = |seed| -> Vec<Step> { Schedule::new(&LoadOptions { seed, ..options() }).collect() };
+    assert_eq!(steps(7), steps(7));
+    assert_ne!(steps(7), steps(8));
+}
+
+#[test]
+fn schedule_keeps_rate_order_and_end() {
+    let options = LoadOptions { rate: 200.0, time: Duration::from_secs(60), ..options() };
+    let steps: Vec<_> = Schedule::new(&options).collect();
+    assert!(steps.is_sorted_by_key(|it| it.at));
+    assert!(steps.iter().all(|it| it.at < options.time));
+    // A Poisson count of mean 12,000 is within six standard deviations.
+    assert!(steps.len().abs_diff(12_000) < 660, "{}", steps.len());
+    for kind in Kind::ALL {
+        assert!(steps.iter().any(|it| it.kind == kind));
+    }
+    for organisation in 0..options.organisations {
+        assert!(steps.iter().any(|it| it.organisation == organisation));
+    }
+}
+
+#[rstest]
+#[case::no_router(LoadOptions { routers: Vec::new(), ..options() }, "no router")]
+#[case::no_rate(LoadOptions { rate: 0.0, ..options() }, "rate")]
+#[case::endless(LoadOptions { time: Duration::from_secs(601), ..options() }, "time")]
+#[case::share(LoadOptions { once: 1.5, ..options() }, "shares")]
+#[case::not_loopback(
+    LoadOptions { routers: vec!["192.0.2.1:80".parse().unwrap()], ..options() },
+    "not on loopback"
+)]
+fn check_names_fault(#[case] options: LoadOptions, #[case] part: &str) {
+    let fault = options.check().unwrap_err().to_string();
+    assert!(fault.contains(part), "{fault}");
+}
+
+#[rstest]
+#[case::not_run(r#"503: {"error":{"verdict":"not_run"}}"#, Fate::NotRun)]
+#[case::may(r#"502: {"error":{"verdict":"may_have_run"}}"#, Fate::MayHaveRun)]
+#[case::wrong("wrong: not the one", Fate::Wrong)]
+#[case::silent("connection refused", Fate::NoAnswer)]
+fn fate_of_fault(#[case] fault: &str, #[case] fate: Fate) {
+    assert_eq!(Fate::of(fault), fate);
+}
+
+#[test]
+fn tally_counts_late_start() {
+    let mut tally = Tally::default();
+    let at = Duration::from_secs(3);
+    tally.add(Kind::Whole, at, Duration::from_millis(1_500), Fate::Good, "");
+    tally.add(Kind::Whole, at, Duration::ZERO, Fate::Wrong, "other answer");
+    let report = LoadReport::new(&options(), &tally);
+    assert!(!report.is_good());
+    let median = report.latencies[0].points.iter().find(|it| it.0 == 0.5).unwrap().1;
+    assert!((median - 1_500.0).abs() < 15.0, "{median}");
+    assert_eq!((report.seconds[0].at, report.latencies[0].count), (3, 1));
+    assert!(report.to_string().contains("other answer"));
+}
+
+async fn fleet() -> Fleet {
+    let options = FleetOptions { routers: 2, engines: 3, canaries: 1, ..FleetOptions::default() };
+    let fleet = Fleet::start(options).await.unwrap();
+    fleet.publish_first().await.unwrap();
+    fleet
+}
+
+fn load(fleet: &Fleet) -> LoadOptions {
+    let routers = fleet.routers.iter().map(|it| it.address()).collect();
+    let time = Duration::from_secs(2);
+    LoadOptions { routers, rate: 40.0, time, ..LoadOptions::default() }
+}
+
+#[tokio::test]
+async fn run_checks_every_answer() {
+    let fleet = fleet().await;
+    let options = load(&fleet);
+    let tally = run(&options).await.unwrap();
+    let sent = Schedule::new(&options).count() as u64;
+    assert_eq!(tally.count(Fate::Good), sent);
+    let report = LoadReport::new(&options, &tally);
+    assert!(report.is_good());
+    let page = html(&report);
+    let data = page.split("type=\"application/json\">").nth(1).unwrap();
+    let data: Value = serde_json::from_str(data.split("</script>").next().unwrap()).unwrap();
+    assert_eq!(data["fates"]["good"], sent);
+    assert_eq!(fleet.services[0].most_runs().0, 1);
+}
+
+#[tokio::test]
+async fn run_sees_wrong_and_refused() {
+    let fleet = fleet().await;
+    let cut = standins::engine::Faults { cut_after: Some(2), ..Default::default() };
+    fleet.engines.iter().for_each(|it| it.set_faults(cut.clone()));
+    fleet.services.iter().for_each(|it| {
+        it.set_faults(standins::service::Faults { refuse: true, ..Default::default() });
+    });
+    let options = load(&fleet);
+    let tally = run(&options).await.unwrap();
+    let report = LoadReport::new(&options, &tally);
+    assert!(!report.kinds["stream"].contains_key(&Fate::Good), "{report}");
+    assert!(!report.kinds["once"].contains_key(&Fate::Good), "{report}");
+}
--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -7,6 +7,7 @@
 mod decide;
 mod events;
 mod fault;
+mod load;
 mod membership;
 mod metrics;
 mod once;
