--- a/src/daemon/daemon.rs
+++ b/src/daemon/daemon.rs
@@ -17,10 +17,9 @@
 use crate::clock::SharedClock;
 use crate::daemon::control_thread::ControlThread;
 use crate::daemon::{Stop, Stopped, serve};
-use crate::decide::QueueLimits;
-use crate::decide::hash_bytes;
+use crate::decide::{ChatTable, QueueLimits, hash_bytes};
 use crate::events::{Code, EventLog, Fields};
-use crate::filters::{Counters, Shared, callers};
+use crate::filters::{Counters, Shared, Upstream, callers, client};
 use crate::fleet::{Budget, ViewCell};
 use crate::keys::KeyRing;
 use crate::once::OnceDesk;
@@ -70,12 +69,7 @@
     ) -> Result<Daemon, Report<DaemonError>> {
         let events = EventLog::new(&settings.name, Arc::clone(&clock), logger);
         let events = Arc::new(events.with_ring(settings.events.ring));
-        let http = reqwest::Client::builder()
-            .connect_timeout(settings.traffic.connect)
-            .retry(reqwest::retry::never())
-            .no_proxy()
-            .build()
-            .change_context(DaemonError::SetUp)?;
+        let http = client(&settings.traffic).build().change_context(DaemonError::SetUp)?;
         let router = hash_bytes(settings.name.as_bytes());
         let shared = Arc::new(Shared {
             view: Arc::new(ViewCell::default()),
@@ -84,6 +78,8 @@
             marks: Arc::default(),
             budget: Arc::new(Budget::new(settings.upkeep.budget.as_u64(), Arc::clone(&clock))),
             crashes: Arc::default(),
+            upstream: Upstream::new(&settings.traffic).change_context(DaemonError::SetUp)?,
+            chats: ChatTable::new(settings.routing.chats),
             gates: Gates::new(QueueLimits::from(&settings.admission)),
             counters: Counters::new().change_context(DaemonError::SetUp)?,
             keys: KeyRing::new(&settings.keys, &settings.token),
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -5,9 +5,11 @@
 mod daemon;
 mod gossip_api;
 mod once_api;
+mod open_connections;
 mod server;
 mod status_api;
 mod stop;
+mod write_limit;
 
 pub use daemon::{Daemon, DaemonError};
 pub use server::serve;
--- a/src/filters/shared.rs
+++ b/src/filters/shared.rs
@@ -5,19 +5,20 @@
 use prometheus::core::Collector;
 use prometheus::proto::Metric;
 use prometheus::{Encoder, IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder};
-use serde_json::Value;
 
 use crate::admission::Gates;
 use crate::backend::Meter;
 use crate::clock::SharedClock;
+use crate::decide::ChatTable;
 use crate::decide::Verdict;
 use crate::events::EventLog;
-use crate::filters::Arm;
+use crate::filters::{Arm, Upstream};
 use crate::fleet::{Budget, CrashBoard, MarkBoard, ViewCell};
 use crate::keys::KeyRing;
 use crate::metrics::RequestMetrics;
 use crate::once::OnceDesk;
 use crate::settings::Settings;
+use crate::wire::Usage;
 
 /// What all requests of a router share.
 #[derive(Debug)]
@@ -38,6 +39,8 @@
     pub budget: Arc<Budget>,
     /// Requests that crashed backend servers.
     pub crashes: Arc<CrashBoard>,
+    /// Where chats were placed.
+    pub chats: ChatTable,
     /// Keys of the fleet.
     pub keys: KeyRing,
     /// Operation keys.
@@ -48,6 +51,8 @@
     pub clock: SharedClock,
     /// Client for backend servers.
     pub http: reqwest::Client,
+    /// What is known about the backend servers.
+    pub upstream: Upstream,
 }
 
 /// Counters of the request path.
@@ -126,9 +131,9 @@
     }
 
     /// Counts the prompt tokens that an engine tells in `usage`.
-    pub fn count_usage(&self, arms: &[Arm], usage: &Value) {
-        let cached = usage["prompt_tokens_details"]["cached_tokens"].as_u64().unwrap_or(0);
-        let prompt = usage["prompt_tokens"].as_u64().unwrap_or(cached);
+    pub fn count_usage(&self, arms: &[Arm], usage: &Usage) {
+        let cached = usage.prompt_tokens_details.cached_tokens;
+        let prompt = usage.prompt_tokens.max(cached);
         self.prompt_tokens.inc_by(prompt);
         self.cached_tokens.inc_by(cached);
         for it in arms {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod admission;
 pub mod backend;
 pub mod capacity;
+pub mod check;
 pub mod cli;
 pub mod clock;
 pub mod controllers;
--- a/src/settings/check.rs
+++ b/src/settings/check.rs
@@ -12,6 +12,8 @@
 const MIN_TOKEN: usize = 16;
 /// Most events kept for one group of threads.
 const MAX_RING: usize = 65_536;
+/// Most chats whose place is remembered.
+const MAX_CHATS: usize = 1_000_000;
 /// Fewest control bytes a second.
 const MIN_BUDGET: u64 = 1_024;
 /// Most threads that carry requests.
@@ -66,7 +68,7 @@
 fn allowed_at(path: &str) -> &'static str {
     match path {
         "listen" | "control" | "log" | "list" => "an IP number with a port, as in `10.0.0.1:8080`",
-        "limits.body" | "limits.head" | "state.budget" => {
+        "limits.body" | "limits.head" | "limits.answer" | "state.budget" => {
             "a size with a unit, as in `1MiB` or `16KiB`"
         }
         _ if path.contains("control") => "an IP number with a port, as in `10.0.0.1:8080`",
@@ -106,8 +108,12 @@
     }
     let size = s.limits.body.as_u64();
     expect(size > 0, "limits.body", "it is 0".to_owned(), "a size above 0 is needed");
+    let answer = s.limits.answer.as_u64();
+    expect(answer > 0, "limits.answer", "it is 0".to_owned(), "a size above 0 is needed");
     let head = s.limits.head.as_u64();
     expect(head >= 8_192, "limits.head", format!("it is {head} bytes"), "at least 8KiB is needed");
+    let most = s.limits.connections.min(s.limits.address_connections);
+    expect(most > 0, "limits.connections", "it is 0".to_owned(), "at least 1 is needed");
     let threads = s.traffic.threads;
     expect(
         (1..=MAX_THREADS).contains(&threads),
@@ -134,6 +140,13 @@
         format!("it is {ring}"),
         "1 to 65536 are allowed",
     );
+    let chats = s.routing.chats;
+    expect(
+        (1..=MAX_CHATS).contains(&chats),
+        "routing.chats",
+        format!("it is {chats}"),
+        "1 to 1000000 are allowed",
+    );
     let short = s.admission.short_headroom;
     expect(
         short >= headroom && short.is_finite(),
@@ -151,11 +164,13 @@
 }
 
 /// All times that must be above 0.
-fn times(s: &Settings) -> [(&'static str, Duration); 14] {
+fn times(s: &Settings) -> [(&'static str, Duration); 16] {
     [
         ("limits.receive", s.limits.receive),
+        ("limits.send", s.limits.send),
         ("traffic.connect", s.traffic.connect),
         ("traffic.deadline", s.traffic.deadline),
+        ("traffic.idle", s.traffic.idle),
         ("traffic.entry_ttl", s.traffic.entry_ttl),
         ("traffic.drain", s.traffic.drain),
         ("admission.wait", s.admission.wait),
--- a/src/settings/limits.rs
+++ b/src/settings/limits.rs
@@ -17,6 +17,15 @@
         /// Time for a caller to send a whole request.
         #[serde(with = "humantime_serde")]
         pub receive: Duration,
+        /// Largest whole answer, or event of a stream, of a backend server.
+        pub answer: ByteSize,
+        /// Longest time that a caller may take nothing of its answer.
+        #[serde(with = "humantime_serde")]
+        pub send: Duration,
+        /// Most open connections of callers.
+        pub connections: usize,
+        /// Most open connections from one address.
+        pub address_connections: usize,
         /// Most messages in one conversation.
         pub messages: usize,
     }
@@ -28,6 +37,10 @@
             body: ByteSize::mib(1),
             head: ByteSize::kib(16),
             receive: Duration::from_secs(10),
+            answer: ByteSize::mib(16),
+            send: Duration::from_secs(30),
+            connections: 16_384,
+            address_connections: 8_192,
             messages: 4_096,
         }
     }
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -8,6 +8,7 @@
 mod limits;
 mod once;
 mod problem;
+mod routing;
 mod settings;
 mod traffic;
 
@@ -19,5 +20,6 @@
 pub use limits::Limits;
 pub use once::Once;
 pub use problem::{Problem, SettingsError};
+pub use routing::Routing;
 pub use settings::{DEFAULT_TEXT, Seed, Settings};
 pub use traffic::Traffic;
