--- a/src/backend/control_http.rs
+++ b/src/backend/control_http.rs
@@ -4,12 +4,14 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use reqwest::header::HeaderMap;
+use reqwest::header::{HeaderMap, HeaderValue};
 use reqwest::{Method, RequestBuilder};
 use serde::de::DeserializeOwned;
 use tokio::time::sleep;
 
-use crate::backend::{Meter, PlatformError};
+use crate::backend::{Meter, PlatformError, TOKEN_HEADER};
+use crate::events::EventLog;
+use crate::filters::TIME_HEADER;
 use crate::fleet::{Budget, Purpose};
 
 /// Shortest pause while waiting for the account.
@@ -30,13 +32,19 @@
 pub struct ControlHttp {
     http: reqwest::Client,
     meter: Arc<Meter>,
+    events: Option<Arc<EventLog>>,
     account: Option<(Arc<Budget>, Purpose)>,
 }
 
 impl ControlHttp {
     /// A client that counts into `meter`.
     pub fn new(http: reqwest::Client, meter: Arc<Meter>) -> ControlHttp {
-        ControlHttp { http, meter, account: None }
+        ControlHttp { http, meter, events: None, account: None }
+    }
+
+    /// Sends hybrid logical time along with calls to other routers.
+    pub fn with_events(self, events: Arc<EventLog>) -> ControlHttp {
+        ControlHttp { events: Some(events), ..self }
     }
 
     /// The same client with an account of `budget` that pays for its calls.
@@ -91,7 +99,14 @@
         request: RequestBuilder,
         timeout: Duration,
     ) -> Result<Bytes, PlatformError> {
-        let request = request.timeout(timeout).build()?;
+        let mut request = request.timeout(timeout).build()?;
+        let peer = request.headers().contains_key(TOKEN_HEADER);
+        let events = self.events.as_ref().filter(|_| peer);
+        if let Some(events) = events
+            && let Ok(time) = HeaderValue::from_str(&events.time().to_string())
+        {
+            request.headers_mut().insert(TIME_HEADER, time);
+        }
         let body = request.body().and_then(|it| it.as_bytes()).map_or(0, <[u8]>::len);
         let url = request.url();
         let target = url.path().len() + url.query().map_or(0, |it| it.len() + 1);
@@ -100,6 +115,10 @@
         let head = line + host + ADDED_BYTES + head_bytes(request.headers());
         self.count(head + length_bytes(body) + body, 0);
         let reply = self.http.execute(request).await?;
+        let time = reply.headers().get(TIME_HEADER).and_then(|it| it.to_str().ok());
+        if let (Some(events), Some(time)) = (events, time) {
+            events.observe(time);
+        }
         self.count(0, STATUS_BYTES + head_bytes(reply.headers()));
         let status = reply.status();
         let body = reply.bytes().await?;
--- a/src/backend/router_client.rs
+++ b/src/backend/router_client.rs
@@ -7,8 +7,8 @@
 use serde::de::DeserializeOwned;
 
 use crate::backend::{ControlHttp, PlatformError};
-use crate::events::Event;
-use crate::wire::{Gossip, WireInForce, WireOutcome};
+use crate::events::{Event, EventPage};
+use crate::wire::{Gossip, WireInForce, WireOutcome, WireStatus};
 
 /// Header that carries the shared token.
 pub const TOKEN_HEADER: &str = "filberttiller-token";
@@ -60,6 +60,26 @@
         self.get(addr, &format!("/v1/events?from={from}")).await
     }
 
+    /// Reads the events that are not older than `age`.
+    ///
+    /// # Errors
+    /// Fails when the router does not answer well.
+    pub async fn timeline(
+        &self,
+        addr: SocketAddr,
+        age: Duration,
+    ) -> Result<EventPage, PlatformError> {
+        self.get(addr, &format!("/v1/timeline?last_ms={}", age.as_millis())).await
+    }
+
+    /// Reads the status.
+    ///
+    /// # Errors
+    /// Fails when the router does not answer well.
+    pub async fn status(&self, addr: SocketAddr) -> Result<WireStatus, PlatformError> {
+        self.get(addr, "/v1/status").await
+    }
+
     /// Waits until the account has `bytes` to spend.
     pub async fn afford(&self, bytes: f64) {
         self.http.afford(bytes).await;
--- a/src/cli/args.rs
+++ b/src/cli/args.rs
@@ -1,6 +1,7 @@
 //! Arguments of the operators' program.
 
 use std::path::PathBuf;
+use std::str::FromStr;
 
 use bpaf::Bpaf;
 
@@ -78,6 +79,137 @@
         #[bpaf(argument("N"), fallback(120), display_fallback)]
         chats: usize,
     },
+    /// Shows one screen over the fleet.
+    #[bpaf(command)]
+    Status {
+        #[bpaf(external)]
+        settings_arg: PathBuf,
+        /// Looks again every 2 s until stopped.
+        watch: bool,
+        /// Prints JSON, one object a look.
+        json: bool,
+    },
+    /// Shows the events of all routers in causal order.
+    #[bpaf(command)]
+    Timeline(#[bpaf(external(timeline_args))] TimelineArgs),
+    /// Sends checked load to a running fleet of stand-in engines, then reports and ends.
+    #[bpaf(command)]
+    Load(#[bpaf(external(load_args))] LoadArgs),
+    /// Prints what each role takes at a given size, from measured slopes.
+    #[bpaf(command)]
+    Capacity(#[bpaf(external(capacity_args))] CapacityArgs),
+}
+
+/// What load to send.
+#[derive(Debug, Clone, Bpaf)]
+pub(crate) struct LoadArgs {
+    #[bpaf(external)]
+    pub(crate) settings_arg: PathBuf,
+    /// Requests a second, sent whether or not earlier ones are answered.
+    #[bpaf(argument("N"), fallback(50.0), display_fallback)]
+    pub(crate) rate: f64,
+    /// How long, in seconds; at most 600.
+    #[bpaf(argument("N"), fallback(10), display_fallback)]
+    pub(crate) seconds: u64,
+    /// Seed of the schedule.
+    #[bpaf(argument("N"), fallback(1), display_fallback)]
+    pub(crate) seed: u64,
+    /// Organisations; the first ones send the most.
+    #[bpaf(argument("N"), fallback(5), display_fallback)]
+    pub(crate) organisations: usize,
+    /// Share of chat requests that continue a chat.
+    #[bpaf(argument("SHARE"), fallback(0.8), display_fallback)]
+    pub(crate) returning: f64,
+    /// Share of chat requests whose answers are streamed.
+    #[bpaf(argument("SHARE"), fallback(0.5), display_fallback)]
+    pub(crate) streams: f64,
+    /// Share of requests that are reservations, which may not be repeated.
+    #[bpaf(argument("SHARE"), fallback(0.1), display_fallback)]
+    pub(crate) once: f64,
+    /// Allows addresses other than loopback.
+    pub(crate) remote: bool,
+    /// Prints JSON.
+    pub(crate) json: bool,
+    /// Also writes a page with plots.
+    #[bpaf(argument("FILE"))]
+    pub(crate) html: Option<PathBuf>,
+}
+
+/// Which events to show, and how.
+#[derive(Debug, Clone, Bpaf)]
+pub(crate) struct TimelineArgs {
+    #[bpaf(external)]
+    pub(crate) settings_arg: PathBuf,
+    /// Age of the oldest event to show, as in 90s, 15min or 2h.
+    #[bpaf(argument("AGE"), fallback("1day".parse().expect("a good time")), display_fallback)]
+    pub(crate) since: humantime::Duration,
+    /// Only the story of one request.
+    #[bpaf(argument("ID"))]
+    pub(crate) request: Option<String>,
+    /// Only what became of one ticket.
+    #[bpaf(argument("NUMBER"))]
+    pub(crate) ticket: Option<u64>,
+    /// Only the requests of one chat.
+    #[bpaf(argument("ORGANISATION/CHAT"))]
+    pub(crate) chat: Option<String>,
+    /// Only what concerns one backend server.
+    #[bpaf(argument("NAME"))]
+    pub(crate) engine: Option<String>,
+    /// Form: text, jsonl, trace (for trace viewers) or html (one page).
+    #[bpaf(argument("FORM"), fallback(Format::Text), debug_fallback)]
+    pub(crate) format: Format,
+}
+
+key! {
+    /// Forms of a time line.
+    pub(crate) enum Format {
+        /// One line an event, for people.
+        Text,
+        /// One JSON object a line.
+        Jsonl,
+        /// Trace event format.
+        Trace,
+        /// One page.
+        Html,
+    }
+}
+
+impl FromStr for Format {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Format, String> {
+        match text {
+            "text" => Ok(Format::Text),
+            "jsonl" => Ok(Format::Jsonl),
+            "trace" => Ok(Format::Trace),
+            "html" => Ok(Format::Html),
+            _ => Err(format!("`{text}` is no form; text, jsonl, trace and html are")),
+        }
+    }
+}
+
+/// Sizes to work out the figures for.
+#[derive(Debug, Clone, Bpaf)]
+pub(crate) struct CapacityArgs {
+    /// Measures the slopes anew, for about a minute, in place of the recorded ones.
+    pub(crate) measure: bool,
+    /// Prints the slopes as JSON.
+    pub(crate) json: bool,
+    /// Routers.
+    #[bpaf(argument("N"), fallback(400.0), display_fallback)]
+    pub(crate) routers: f64,
+    /// Backend servers.
+    #[bpaf(argument("N"), fallback(790.0), display_fallback)]
+    pub(crate) workers: f64,
+    /// Requests a second over the fleet.
+    #[bpaf(argument("N"), fallback(4_600.0), display_fallback)]
+    pub(crate) requests: f64,
+    /// Organisations.
+    #[bpaf(argument("N"), fallback(2_300.0), display_fallback)]
+    pub(crate) organisations: f64,
+    /// Tickets a day.
+    #[bpaf(argument("N"), fallback(1_700.0), display_fallback)]
+    pub(crate) tickets: f64,
 }
 
 /// What to do with a ticket.
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -1,6 +1,7 @@
 //! Command lines of both programs.
 
 mod args;
+mod capacity;
 mod check;
 mod cli_error;
 mod client;
@@ -8,11 +9,14 @@
 mod demo;
 mod in_force;
 mod init;
+mod load;
 mod measure;
 mod run;
 mod spread;
 mod standins;
+mod status;
 mod ticket;
+mod timeline;
 
 pub use cli_error::CliError;
 pub use daemon::run_daemon;
--- a/src/cli/run.rs
+++ b/src/cli/run.rs
@@ -4,7 +4,10 @@
 use std::time::Duration;
 
 use crate::cli::args::{Args, TicketArgs, args};
-use crate::cli::{CliError, check, demo, in_force, init, measure, spread, standins, ticket};
+use crate::cli::{
+    CliError, capacity, check, demo, in_force, init, load, measure, spread, standins, status,
+    ticket, timeline,
+};
 
 /// Runs the command that the arguments name.
 ///
@@ -26,6 +29,12 @@
             block_on(standins::run(&files, Duration::from_secs(seconds)))
         }
         Args::Spread { routers, engines } => block_on(spread::run(routers, engines)),
+        Args::Capacity(args) => block_on(capacity::run(&args)),
+        Args::Load(args) => block_on(load::run(&args)),
+        Args::Timeline(args) => block_on(timeline::run(&args)),
+        Args::Status { settings_arg, watch, json } => {
+            block_on(status::run(&settings_arg, watch, json))
+        }
         Args::InForce { settings_arg, json } => block_on(in_force::run(&settings_arg, json)),
     }
 }
--- a/src/daemon/control_api.rs
+++ b/src/daemon/control_api.rs
@@ -13,8 +13,10 @@
 use crate::controllers::Publisher;
 use crate::daemon::gossip_api::gossip_calls;
 use crate::daemon::once_api::once_calls;
+use crate::daemon::status_api::status_calls;
 use crate::events::{Code, Fields};
-use crate::filters::{Reason, Refusal, Shared};
+use crate::filters::{Reason, Refusal, Shared, observe, stamp};
+use crate::metrics::gauges;
 use crate::wire::{WireInForce, WireOutcome};
 
 #[derive(Debug, Deserialize)]
@@ -35,8 +37,14 @@
 ) -> impl Filter<Extract = (Response,), Error = Infallible> + Clone + Send + Sync + 'static + use<>
 {
     let calls = open_calls(shared).or(guarded_calls(shared)).unify();
+    let calls = calls.or(status_calls(shared)).unify();
     let peers = gossip_calls(shared, publisher).or(once_calls(shared)).unify();
-    calls.or(peers).unify().recover(unknown).unify()
+    let it = Arc::clone(shared);
+    let stamped = move |mut reply: Response| {
+        stamp(&it, &mut reply);
+        reply
+    };
+    calls.or(peers).unify().recover(unknown).unify().map(stamped)
 }
 
 /// Calls that need no token.
@@ -52,7 +60,8 @@
             .into_response(),
     });
     let it = Arc::clone(shared);
-    let metrics = warp::path!("metrics").map(move || it.counters.text().into_response());
+    let metrics =
+        warp::path!("metrics").map(move || (it.counters.text() + &gauges(&it)).into_response());
     warp::get().and(healthy.or(ready).unify().or(metrics).unify())
 }
 
@@ -111,6 +120,7 @@
     let shown = headers.get(TOKEN_HEADER).map_or(&[][..], |it| it.as_bytes());
     let right = blake3::hash(shown) == blake3::hash(shared.settings.token.as_bytes());
     if right {
+        observe(shared, headers);
         return None;
     }
     let fields = Fields { subject: "", detail: "control call" };
--- a/src/daemon/control_thread.rs
+++ b/src/daemon/control_thread.rs
@@ -131,6 +131,7 @@
     let upkeep = &settings.upkeep;
     let events = &shared.events;
     let http = ControlHttp::new(shared.http.clone(), Arc::clone(&shared.meter));
+    let http = http.with_events(Arc::clone(events));
     let paid = |purpose| http.paid(&shared.budget, purpose);
     let news = Arc::new(Notify::new());
     let parts = Parts {
--- a/src/daemon/daemon.rs
+++ b/src/daemon/daemon.rs
@@ -70,7 +70,8 @@
         clock: SharedClock,
         logger: Logger,
     ) -> Result<Daemon, Report<DaemonError>> {
-        let events = Arc::new(EventLog::new(&settings.name, Arc::clone(&clock), logger));
+        let events = EventLog::new(&settings.name, Arc::clone(&clock), logger);
+        let events = Arc::new(events.with_ring(settings.events.ring));
         let http = client(&settings.traffic).build().change_context(DaemonError::SetUp)?;
         let router = hash_bytes(settings.name.as_bytes());
         let shared = Arc::new(Shared {
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -7,9 +7,11 @@
 mod once_api;
 mod open_connections;
 mod server;
+mod status_api;
 mod stop;
 mod write_limit;
 
 pub use daemon::{Daemon, DaemonError};
 pub use server::serve;
+pub use status_api::status;
 pub use stop::{Stop, Stopped};
--- a/src/events/code.rs
+++ b/src/events/code.rs
@@ -96,4 +96,7 @@
     608 ClaimsUnavailable "an operation key could not be claimed in the log";
     609 ClaimsGap "claims were lost from the log before they were read";
     610 HintRefused "a chat hint is broken, forged or of another chat";
+    // 9xx: time line
+    900 EntryAnswered "a caller was told which addresses to use";
+    901 RequestReceived "a request arrived";
 }
--- a/src/filters/mod.rs
+++ b/src/filters/mod.rs
@@ -31,15 +31,18 @@
 mod shared;
 mod sse;
 mod stream;
+mod trace;
 mod tries;
 mod upstream;
 
 pub use call::{Call, Target};
 pub use chain::{Chain, Filter};
+pub(crate) use choose::DEFAULT_POLICY;
 pub use experiment::Arm;
 pub use refusal::{Reason, Refusal};
 pub use router::callers;
 pub use shared::{Counters, Shared};
+pub(crate) use trace::{observe, stamp};
 pub use upstream::Upstream;
 pub(crate) use upstream::client;
 
@@ -53,6 +56,8 @@
 pub const REQUEST_HEADER: &str = "filberttiller-request";
 /// Header that carries the verdict in answers.
 pub const VERDICT_HEADER: &str = "filberttiller-verdict";
+/// Header that carries hybrid logical time, both ways.
+pub const TIME_HEADER: &str = "filberttiller-time";
 /// Header that sets the deadline, in milliseconds from now.
 pub const DEADLINE_HEADER: &str = "filberttiller-deadline-ms";
 /// Header that carries the key of a call that may not be repeated.
--- a/src/filters/router.rs
+++ b/src/filters/router.rs
@@ -25,6 +25,7 @@
 use crate::filters::resolve::{parse_chat, resolve_model, resolve_service};
 use crate::filters::resume::resume;
 use crate::filters::service::service;
+use crate::filters::trace::{observe, received, stamp};
 use crate::filters::{
     Call, Chain, Filter, ORGANISATION_HEADER, Reason, Refusal, Shared, Target, VERDICT_HEADER, body,
 };
@@ -34,6 +35,7 @@
     filters: &[
         Filter { name: "ready", apply: ready },
         Filter { name: "identify", apply: identify },
+        Filter { name: "trace", apply: received },
         Filter { name: "limit", apply: limit_rate },
         Filter { name: "parse", apply: parse_chat },
         Filter { name: "experiment", apply: experiment },
@@ -46,6 +48,7 @@
     filters: &[
         Filter { name: "ready", apply: ready },
         Filter { name: "identify", apply: identify },
+        Filter { name: "trace", apply: received },
         Filter { name: "limit", apply: limit_rate },
         Filter { name: "resolve", apply: resolve_service },
     ],
@@ -97,7 +100,13 @@
         .and(warp::body::stream())
         .then(move |method, path: FullPath, query, headers, body| {
             let shared = Arc::clone(&shared);
-            async move { answer(&shared, head(&shared, method, &path, query, headers), body).await }
+            async move {
+                observe(&shared, &headers);
+                let call = head(&shared, method, &path, query, headers);
+                let mut reply = answer(&shared, call, body).await;
+                stamp(&shared, &mut reply);
+                reply
+            }
         })
         .recover(|_| async { Ok::<_, Infallible>(unreadable()) })
         .unify()
@@ -138,7 +147,11 @@
     let id = call.id.clone();
     let kind = kind(&call);
     let mut ending = Ending::new(shared, &id, kind.as_str());
-    match serve(shared, kind, call, body).await {
+    let begin = shared.clock.now();
+    let result = serve(shared, kind, call, body).await;
+    let time = shared.clock.now().saturating_duration_since(begin);
+    shared.counters.single.answered(kind.as_str(), time);
+    match result {
         Ok(reply) if reply.extensions().get::<Streamed>().is_some() => {
             ending.hand_over();
             reply
--- a/src/filters/shared.rs
+++ b/src/filters/shared.rs
@@ -15,6 +15,7 @@
 use crate::filters::{Arm, Upstream};
 use crate::fleet::{Budget, CrashBoard, MarkBoard, ViewCell};
 use crate::keys::KeyRing;
+use crate::metrics::RequestMetrics;
 use crate::once::OnceDesk;
 use crate::settings::Settings;
 use crate::wire::Usage;
@@ -58,6 +59,8 @@
 #[derive(Debug)]
 pub struct Counters {
     registry: Registry,
+    /// Latencies, and requests by organisation.
+    pub single: RequestMetrics,
     /// Requests by outcome.
     pub requests: IntCounterVec,
     /// Requests in flight.
@@ -81,8 +84,10 @@
     /// Fails when two counters have one name.
     pub fn new() -> Result<Counters, prometheus::Error> {
         let opts = |name: &str, help: &str| Opts::new(format!("filberttiller_{name}"), help);
+        let registry = Registry::new();
         let counters = Counters {
-            registry: Registry::new(),
+            single: RequestMetrics::new(&registry)?,
+            registry,
             requests: IntCounterVec::new(
                 opts("requests_total", "Requests by kind and verdict"),
                 &["kind", "verdict"],
--- a/src/settings/check.rs
+++ b/src/settings/check.rs
@@ -10,6 +10,8 @@
 
 /// Fewest characters of the shared token.
 const MIN_TOKEN: usize = 16;
+/// Most events kept for one group of threads.
+const MAX_RING: usize = 65_536;
 /// Most chats whose place is remembered.
 const MAX_CHATS: usize = 1_000_000;
 /// Fewest control bytes a second.
@@ -131,6 +133,13 @@
         format!("it is {headroom}"),
         "at least 1 is needed",
     );
+    let ring = s.events.ring;
+    expect(
+        (1..=MAX_RING).contains(&ring),
+        "events.ring",
+        format!("it is {ring}"),
+        "1 to 65536 are allowed",
+    );
     let chats = s.routing.chats;
     expect(
         (1..=MAX_CHATS).contains(&chats),
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -3,6 +3,7 @@
 mod admission;
 mod check;
 mod control;
+mod events;
 mod keys;
 mod limits;
 mod once;
@@ -14,6 +15,7 @@
 pub use admission::Admission;
 pub use check::{parse, read};
 pub use control::Control;
+pub use events::Events;
 pub use keys::FleetKey;
 pub use limits::Limits;
 pub use once::Once;
--- a/src/settings/settings.rs
+++ b/src/settings/settings.rs
@@ -4,7 +4,7 @@
 
 use serde::Deserialize;
 
-use crate::settings::{Admission, Control, FleetKey, Limits, Once, Routing, Traffic};
+use crate::settings::{Admission, Control, Events, FleetKey, Limits, Once, Routing, Traffic};
 
 /// The commented settings file that `filberttiller init` prints.
 pub const DEFAULT_TEXT: &str = include_str!("default.jsonc");
@@ -46,6 +46,9 @@
         /// How state is kept up to date.
         #[serde(default, rename = "state")]
         pub upkeep: Control,
+        /// How events are kept.
+        #[serde(default)]
+        pub events: Events,
         /// Calls that may not be repeated.
         #[serde(default)]
         pub once: Once,
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -9,6 +9,7 @@
 mod load;
 mod log;
 mod once;
+mod status;
 mod ticket;
 
 pub use api_error::{ApiError, ApiErrorBody};
@@ -23,4 +24,5 @@
 pub use load::{LoadReport, Loaded};
 pub use log::{Appended, Page, Record};
 pub use once::{KeyAnswer, KeyQuery, NewKey, WireClaims};
+pub use status::{WireCount, WireEngine, WireStatus};
 pub use ticket::{WireObject, WireTicket, parse_ticket};
--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -3,14 +3,17 @@
 mod admission;
 mod answers;
 mod attack;
+mod capacity;
 mod control;
 mod decide;
 mod decoders;
 mod events;
 mod fake;
 mod fault;
+mod load;
 mod measure;
 mod membership;
+mod metrics;
 mod model;
 mod once;
 mod outlier;
