--- a/tests/it/measure.rs
+++ b/tests/it/measure.rs
@@ -59,3 +59,22 @@
     assert!(figures.done * 10 > figures.asked * 9, "{} of {}", figures.done, figures.asked);
     assert!(figures.cached <= figures.history);
 }
+
+#[rstest]
+fn measure_reuse_is_within_the_stated_gap(#[values(101, 102, 103)] seed: u64) {
+    for row in measure(&generate(&SHAPES[1], seed), &["v2".to_owned()]) {
+        assert!(row.reuse_met, "{row:?}");
+        assert_eq!(row.refused, 0);
+    }
+}
+
+#[rstest]
+fn measure_is_better_than_every_baseline(#[values(101, 102, 103)] seed: u64) {
+    let rows = measure(&generate(&SHAPES[1], seed), &[]);
+    let (ours, others): (Vec<_>, Vec<_>) = rows.iter().partition(|it| it.policy == "v2");
+    for it in others.iter().filter(|it| it.policy != "all-knowing") {
+        assert!(ours[0].reuse > it.reuse, "{it:?}");
+        assert!(ours[0].skew_max < it.skew_max, "{it:?}");
+        assert!(ours[0].above < it.above, "{it:?}");
+    }
+}
