--- a/src/controllers/mod.rs
+++ b/src/controllers/mod.rs
@@ -1,11 +1,13 @@
 //! Controllers: they keep the view up to date, all on the control thread.
 
 mod engine_side;
+mod forest;
 mod gossip;
 mod list_watch;
 mod load_watch;
 mod messages;
 mod publisher;
+mod pull;
 mod round;
 mod ticket_tail;
 mod view_parts;
--- a/src/controllers/publisher.rs
+++ b/src/controllers/publisher.rs
@@ -1,6 +1,5 @@
 //! The actor that owns the state and publishes the view.
 
-use std::cmp::Reverse;
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -15,7 +14,7 @@
 use crate::controllers::messages::{
     Flush, Folded, Leave, Listed, Reported, Restored, TailPlan, TailQuery, Targets,
 };
-use crate::controllers::round::Pull;
+use crate::controllers::pull::Pull;
 use crate::controllers::view_parts::{pools, routers};
 use crate::decide::{Sent, combine, hash_bytes};
 use crate::events::{Code, EventLog, Fields};
@@ -27,15 +26,13 @@
 use crate::wire::{MemberStatus, Role, Standing, WireMember};
 
 /// Routers that follow the log.
-const TAILERS: usize = 3;
+pub(super) const TAILERS: usize = 3;
 /// What the choice of these routers is hashed with.
-const TAIL_KEY: &[u8] = b"ticket log";
+pub(super) const TAIL_KEY: &[u8] = b"ticket log";
 /// Time beyond a read of the log after which a router follows it by itself.
 const SILENCE: std::time::Duration = std::time::Duration::from_secs(15);
 /// Pause before changed loads are published together.
 const COALESCE: std::time::Duration = std::time::Duration::from_millis(20);
-/// Routers to which each passes new records on.
-const BRANCHES: usize = 3;
 /// Urgent exchanges that follow on other news.
 const FAN_OUT: u32 = 3;
 
@@ -146,36 +143,6 @@
         self.news.notify_one();
     }
 
-    /// Passes on the records from offset `from` on, down the tree of routers.
-    pub(super) fn spread_records(&mut self, from: u64) {
-        self.fresh_from = from;
-        self.branches = self.children_of(&self.parts.own.name);
-        self.news.notify_one();
-    }
-
-    /// Routers to which the one called `name` passes the newest records on.
-    ///
-    /// All live routers stand in one order: those that follow the log first, then
-    /// the others in an order that changes with the offset, so that all take their
-    /// turn at the inner places. The order is that of a forest with a root for each
-    /// follower. Where lists differ, the regular exchanges bring what is missed.
-    pub(super) fn children_of(&self, name: &str) -> Vec<String> {
-        let view = self.parts.cell.peek();
-        let tail = hash_bytes(TAIL_KEY);
-        let live = view.routers.iter().filter(|it| !it.leaving || it.name == self.parts.own.name);
-        let mut order: Vec<_> = live.map(|it| (Reverse(combine(tail, it.id)), it)).collect();
-        order.sort_by_key(|it| it.0);
-        let roots = TAILERS.min(order.len());
-        let turn = hash_bytes(&self.state.next.to_le_bytes());
-        order[roots..].sort_by_key(|it| combine(turn, it.1.id));
-        let Some(place) = order.iter().position(|it| it.1.name == name) else {
-            return Vec::new();
-        };
-        let first = TAILERS + place * BRANCHES;
-        let children = order.iter().skip(first).take(BRANCHES).map(|it| it.1.name.clone());
-        children.filter(|it| *it != self.parts.own.name).collect()
-    }
-
     /// Publishes the view as it is now.
     pub(super) fn publish(&mut self) {
         if !self.ready && !self.state.objects.is_empty() {
--- a/src/controllers/round.rs
+++ b/src/controllers/round.rs
@@ -8,20 +8,14 @@
 
 use crate::controllers::Publisher;
 use crate::controllers::messages::{Answered, Exchange, NextRound, Round};
+use crate::controllers::pull::Pull;
 use crate::controllers::ticket_tail::read_text;
 use crate::events::Code;
 use crate::fleet::{Crash, Mark, Purpose};
-use crate::state::InForce;
-use crate::wire::{
-    Bulk, GOSSIP_VERSION, Gossip, MemberStatus, Part, Want, WireInForce, WireMark, WireMember,
-};
+use crate::wire::{GOSSIP_VERSION, Gossip, MemberStatus, WireMark, WireMember};
 
 /// Bytes of records that go along unasked; more is announced and fetched.
 const INLINE_BYTES: usize = 800;
-/// Bytes of records in a reply to a peer that asks.
-const PULL_BYTES: usize = 2_048;
-/// Bytes of one part of the whole state.
-const PART_BYTES: usize = 2_048;
 /// Bytes of list lines in one message.
 const LINE_BYTES: usize = 500;
 /// Leaving marks in one message.
@@ -36,25 +30,12 @@
 pub(super) const SPARE: f64 = 800.0;
 /// Times that a crash report is passed on.
 const CRASH_SENDS: u32 = 6;
-/// How long a whole state is kept for the peer that fetches it.
-const BULK_TIME: Duration = Duration::from_secs(10);
 /// One in this many exchanges tries a router that is held for dead.
 const DEAD_TRIES: u32 = 10;
 
-/// What this router fetches from a peer.
-#[derive(Debug)]
-pub(super) struct Pull {
-    peer: String,
-    addr: SocketAddr,
-    /// Whether an exchange is under way.
-    busy: bool,
-    /// Offset and parts of the whole state so far.
-    whole: Option<(u64, Vec<String>)>,
-}
-
 impl Publisher {
     /// A message to `peer` with the urgent only.
-    fn compose(&mut self, peer: &str) -> Gossip {
+    pub(super) fn compose(&mut self, peer: &str) -> Gossip {
         let now = self.now();
         let log_age = self.log_seen.map(|it| now.saturating_duration_since(it).as_millis() as u64);
         let marks = self.parts.marks.fresh(MARKS, now).into_iter().map(WireMark::from).collect();
@@ -98,7 +79,7 @@
     }
 
     /// Digest over all records before the first of `records`.
-    fn base(&self, records: &[(u64, String)]) -> Option<u64> {
+    pub(super) fn base(&self, records: &[(u64, String)]) -> Option<u64> {
         self.history.chain_before(records.first()?.0)
     }
 
@@ -200,86 +181,6 @@
         }
     }
 
-    /// Fills `reply` with what the peer wants.
-    fn serve(&mut self, want: Want, reply: &mut Gossip) {
-        reply.records.clear();
-        reply.base = None;
-        if want.next >= self.state.next {
-            return;
-        }
-        if want.whole == 0
-            && let Some(records) = self.history.since(want.next, PULL_BYTES)
-        {
-            reply.records = records;
-            return;
-        }
-        reply.part = self.part(want);
-    }
-
-    /// A part of the whole state; it is cut anew when nobody fetches the old one.
-    fn part(&mut self, want: Want) -> Option<Part> {
-        let now = self.now();
-        let stale = self.bulk.as_ref().is_none_or(|(whole, _, used)| {
-            *whole <= want.next || now.saturating_duration_since(*used) > BULK_TIME
-        });
-        if stale {
-            let mut state = WireInForce::from(self.state.as_ref());
-            state.outcomes.clear();
-            let bulk = Bulk { state, lines: self.roster.rows() };
-            let text = serde_json::to_string(&bulk).ok()?;
-            self.bulk = Some((self.state.next, cut(&text, PART_BYTES), now));
-        }
-        let (whole, parts, used) = self.bulk.as_mut()?;
-        *used = now;
-        let part = if want.whole == *whole { want.part } else { 0 };
-        let text = parts.get(part)?.clone();
-        Some(Part { whole: *whole, part, parts: parts.len(), text })
-    }
-
-    /// Adds a part of the whole state, and takes it when it is complete.
-    fn gather(&mut self, peer: &str, part: Part) {
-        let Some(pull) = &mut self.pull else {
-            return;
-        };
-        let (whole, texts) = pull.whole.get_or_insert_default();
-        if *whole != part.whole {
-            *whole = part.whole;
-            texts.clear();
-        }
-        if texts.len() != part.part {
-            return;
-        }
-        texts.push(part.text);
-        if texts.len() < part.parts {
-            return;
-        }
-        let text = texts.concat();
-        pull.whole = None;
-        let Ok(bulk) = serde_json::from_str::<Bulk>(&text) else {
-            return;
-        };
-        for it in bulk.lines {
-            self.roster.learn(it);
-        }
-        if let Ok(state) = InForce::try_from(bulk.state)
-            && self.adopt(state, Code::StateFromPeer, &format!(" of {peer}"))
-        {
-            self.spread();
-        }
-        self.publish();
-    }
-
-    /// The exchange that fetches what this router lacks.
-    fn pull_round(&mut self) -> Option<Round> {
-        let pull = self.pull.as_mut().filter(|it| !it.busy)?;
-        pull.busy = true;
-        let (whole, part) = pull.whole.as_ref().map_or((0, 0), |it| (it.0, it.1.len()));
-        let (peer, addr) = (pull.peer.clone(), pull.addr);
-        let mut message = self.compose(&peer);
-        message.want = Some(Want { next: self.state.next, whole, part });
-        Some(Round { peer, addr, message, pull: true })
-    }
-
     /// The exchange that passes new records on.
     fn branch_round(&mut self) -> Option<Round> {
         while let Some(peer) = self.branches.pop() {
@@ -437,22 +338,6 @@
     }
 }
 
-/// Cuts `text` into pieces of about `bytes`, between characters.
-fn cut(text: &str, bytes: usize) -> Vec<String> {
-    let mut rest = text;
-    let mut pieces = Vec::new();
-    while !rest.is_empty() {
-        let mut at = bytes.min(rest.len());
-        while !rest.is_char_boundary(at) {
-            at += 1;
-        }
-        let (piece, tail) = rest.split_at(at);
-        pieces.push(piece.to_owned());
-        rest = tail;
-    }
-    pieces
-}
-
 impl From<Mark> for WireMark {
     fn from(it: Mark) -> WireMark {
         let left_ms = it.left.as_millis() as u64;
