--- a/src/filters/resume.rs
+++ b/src/filters/resume.rs
@@ -6,12 +6,13 @@
 use warp::http::HeaderValue;
 use warp::reply::Response;
 
+use crate::decide::hash_bytes;
 use crate::filters::cancel::Cancel;
-use crate::filters::hint::read_stream_hint;
 use crate::filters::request_id::belongs;
 use crate::filters::stream::{LAST_EVENT, Source, ask_stream, stream_answer};
-use crate::filters::{Call, HINT_HEADER, Reason, Refusal, Shared};
+use crate::filters::{CHAT_HEADER, Call, HINT_HEADER, Reason, Refusal, Shared};
 use crate::fleet::{BackendServer, View};
+use crate::keys::read_hint;
 
 /// Answers `GET /v1/streams/{request}`: the events after `last-event-id`, from
 /// the engine that the chat hint names.
@@ -25,7 +26,11 @@
         let message = format!("header `{HINT_HEADER}` of the first answer is missing");
         return Err(Refusal::not_run(Reason::BadRequest, message));
     };
-    let Some(server) = read_stream_hint(shared, call).and_then(|it| find(&call.view, it)) else {
+    let next = next(call)?;
+    let named = call.headers.contains_key(CHAT_HEADER);
+    let chat = if named { call.chat } else { hash_bytes(request.as_bytes()) };
+    let place = read_hint(&shared.keys, chat, hint);
+    let Some(server) = place.and_then(|it| find(&call.view, it)) else {
         let message = "the engine of this stream is gone or was started anew";
         return Err(Refusal::may_have_run(Reason::BackendFailed, message));
     };
@@ -34,7 +39,7 @@
         arms: SmallVec::new(),
         address: server.address,
         deadline: call.deadline,
-        next: next(call)?,
+        next,
     };
     let reply = ask_stream(shared, &source)
         .await
