--- a/src/daemon/daemon.rs
+++ b/src/daemon/daemon.rs
@@ -17,8 +17,7 @@
 use crate::clock::SharedClock;
 use crate::daemon::control_thread::ControlThread;
 use crate::daemon::{Stop, Stopped, serve};
-use crate::decide::QueueLimits;
-use crate::decide::hash_bytes;
+use crate::decide::{ChatTable, QueueLimits, hash_bytes};
 use crate::events::{Code, EventLog, Fields};
 use crate::filters::{Counters, Shared, Upstream, callers, client};
 use crate::fleet::{Budget, ViewCell};
@@ -79,6 +78,7 @@
             budget: Arc::new(Budget::new(settings.upkeep.budget.as_u64(), Arc::clone(&clock))),
             crashes: Arc::default(),
             upstream: Upstream::new(&settings.traffic).change_context(DaemonError::SetUp)?,
+            chats: ChatTable::new(settings.routing.chats),
             gates: Gates::new(QueueLimits::from(&settings.admission)),
             counters: Counters::new().change_context(DaemonError::SetUp)?,
             keys: KeyRing::new(&settings.keys, &settings.token),
--- a/src/decide/engine.rs
+++ b/src/decide/engine.rs
@@ -22,6 +22,12 @@
 }
 
 impl Engine {
+    /// Estimated load in tokens: the last report and what this router has sent
+    /// since it was made.
+    pub fn tokens(&self) -> u64 {
+        self.reported + self.sent.unreported()
+    }
+
     /// Load in tokens, relative to the weight, as the larger of what is reported
     /// and what this router has in flight.
     pub fn load(&self) -> f64 {
--- a/src/decide/sent.rs
+++ b/src/decide/sent.rs
@@ -1,16 +1,22 @@
 //! What this router has given to one engine.
 
-use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::Relaxed};
+
+/// What was sent between two reports counts in part after the later one, which
+/// cannot hold all of it yet: one in so many tokens.
+const LATE_PART: u64 = 2;
 
 /// Tokens given to one engine; shared by traffic and control.
 #[derive(Debug, Default)]
 pub struct Sent {
     /// Not yet done.
     in_flight: AtomicU64,
-    /// Since the start of this router. Invariant: never falls.
-    placed: AtomicU64,
-    /// `placed` when the last report came. Invariant: at most `placed`.
-    marked: AtomicU64,
+    /// What the last report cannot hold.
+    recent: AtomicU64,
+    /// Given since the last report.
+    fresh: AtomicU64,
+    /// Whether it refused a connection since the last report.
+    down: AtomicBool,
     /// Sequence number of the report that was marked last.
     report: AtomicU64,
 }
@@ -19,7 +25,8 @@
     /// Counts a request of `tokens`.
     pub fn add(&self, tokens: u64) {
         self.in_flight.fetch_add(tokens, Relaxed);
-        self.placed.fetch_add(tokens, Relaxed);
+        self.recent.fetch_add(tokens, Relaxed);
+        self.fresh.fetch_add(tokens, Relaxed);
     }
 
     /// Counts a request of `tokens` as done.
@@ -32,9 +39,26 @@
         self.in_flight.load(Relaxed)
     }
 
+    /// Tokens not yet done that the last report cannot hold.
+    pub fn unreported(&self) -> u64 {
+        self.recent.load(Relaxed).min(self.in_flight())
+    }
+
     /// Notes that a load report came.
     pub fn mark(&self) {
-        self.marked.store(self.placed.load(Relaxed), Relaxed);
+        let fresh = self.fresh.swap(0, Relaxed);
+        self.recent.store(fresh / LATE_PART, Relaxed);
+        self.down.store(false, Relaxed);
+    }
+
+    /// Notes that it refused a connection.
+    pub fn fail(&self) {
+        self.down.store(true, Relaxed);
+    }
+
+    /// Whether it refused a connection since the last report.
+    pub fn is_down(&self) -> bool {
+        self.down.load(Relaxed)
     }
 
     /// Notes that the report with sequence number `seq` is the newest; once each.
@@ -43,9 +67,4 @@
             self.mark();
         }
     }
-
-    /// Tokens given since the last report came.
-    pub fn fresh(&self) -> u64 {
-        self.placed.load(Relaxed).saturating_sub(self.marked.load(Relaxed))
-    }
 }
--- a/src/filters/ending.rs
+++ b/src/filters/ending.rs
@@ -2,9 +2,11 @@
 
 use std::sync::Arc;
 
+use warp::reply::Response;
+
 use crate::decide::Verdict;
 use crate::events::{Code, Fields};
-use crate::filters::{Refusal, Shared};
+use crate::filters::{Refusal, Shared, VERDICT_HEADER};
 
 /// Sees to it that a request ends in exactly one final event and is counted
 /// once; a request dropped before its end is one whose caller left.
@@ -27,8 +29,18 @@
     }
 
     /// The request was answered whole.
-    pub(crate) fn done(&mut self, detail: &str, verdict: Verdict) {
-        self.end(Code::RequestDone, verdict, detail);
+    pub(crate) fn done(&mut self, detail: &str) {
+        self.end(Code::RequestDone, Verdict::Ran, detail);
+    }
+
+    /// The request got an answer, or an error that another router wrote.
+    pub(crate) fn told(&mut self, reply: &Response, detail: &str) {
+        let text = reply.headers().get(VERDICT_HEADER).map_or(&[][..], |it| it.as_bytes());
+        let is = |it: &Verdict| it.as_str().as_bytes() == text;
+        match [Verdict::NotRun, Verdict::MayHaveRun].into_iter().find(is) {
+            Some(verdict) => self.end(Code::RequestRefused, verdict, detail),
+            None => self.done(detail),
+        }
     }
 
     /// The request got an error in place of an answer.
--- a/src/filters/forward.rs
+++ b/src/filters/forward.rs
@@ -5,7 +5,7 @@
 
 use warp::reply::Response;
 
-use crate::decide::{Engine, FailurePoint, ServerResult};
+use crate::decide::{Engine, FailurePoint, ServerResult, Verdict};
 use crate::events::{Code, Fields};
 use crate::filters::admit::enter;
 use crate::filters::chat::{ChatJob, send_chat};
@@ -86,6 +86,7 @@
     loop {
         let (chosen, attempt) = tries.next(shared, call, pool, plan)?;
         let name = chosen.server.name.clone();
+        let sent = Arc::clone(&chosen.engine.sent);
         let result = match &job {
             Job::Chat(chat) => send_chat(shared, call, chat, chosen).await,
             Job::Service => send_service(shared, call, chosen, plan.idempotent).await,
@@ -103,6 +104,9 @@
         let detail = format!("{name}: {}", failure.message);
         shared.events.record(Code::BackendFailed, Fields { subject: &call.id, detail: &detail });
         let refusal = tries.fail(&failure);
+        if matches!(job, Job::Chat(_)) && refusal.verdict == Verdict::NotRun {
+            sent.fail();
+        }
         if !tries.may_repeat(shared, call, plan, &failure) {
             return Err(refusal);
         }
--- a/src/filters/router.rs
+++ b/src/filters/router.rs
@@ -11,7 +11,6 @@
 use warp::reply::Response;
 use warp::{Filter as _, Reply};
 
-use crate::decide::Verdict;
 use crate::filters::admit::limit_rate;
 use crate::filters::chat::chat;
 use crate::filters::ending::{Ending, Streamed};
@@ -26,7 +25,7 @@
 use crate::filters::resume::resume;
 use crate::filters::service::service;
 use crate::filters::{
-    Call, Chain, Filter, ORGANISATION_HEADER, Reason, Refusal, Shared, Target, VERDICT_HEADER, body,
+    Call, Chain, Filter, ORGANISATION_HEADER, Reason, Refusal, Shared, Target, body,
 };
 
 /// Filters of chat requests.
@@ -65,8 +64,8 @@
     Entry,
     Chat,
     Service,
-    Stream,
     NewKey,
+    Stream,
     Unknown,
 }
 
@@ -76,8 +75,8 @@
             Kind::Entry => "entry",
             Kind::Chat => "chat",
             Kind::Service => "service",
-            Kind::Stream => "stream",
             Kind::NewKey => "new_key",
+            Kind::Stream => "stream",
             Kind::Unknown => "unknown",
         }
     }
@@ -144,7 +143,7 @@
             reply
         }
         Ok(reply) => {
-            ending.done(kind.as_str(), told(&reply));
+            ending.told(&reply, kind.as_str());
             reply
         }
         Err(refusal) => {
@@ -154,13 +153,6 @@
     }
 }
 
-/// The verdict that an answer tells; another router may have written it.
-fn told(reply: &Response) -> Verdict {
-    let text = reply.headers().get(VERDICT_HEADER).map_or(&[][..], |it| it.as_bytes());
-    let all = [Verdict::NotRun, Verdict::MayHaveRun];
-    all.into_iter().find(|it| it.as_str().as_bytes() == text).unwrap_or(Verdict::Ran)
-}
-
 fn kind(call: &Call) -> Kind {
     match (&call.method, call.path.as_str()) {
         (&Method::GET, "/v1/entry") => Kind::Entry,
@@ -194,11 +186,11 @@
             SERVICE.apply(shared, &mut call).map_err(|it| unresolved(&call, it))?;
             service(shared, call).await
         }
+        Kind::NewKey => new_key(shared, &mut call),
         Kind::Stream => {
             STREAM.apply(shared, &mut call)?;
             resume(shared, &call).await
         }
-        Kind::NewKey => new_key(shared, &mut call),
         Kind::Unknown => {
             let message = format!("there is no call {} {}", call.method, call.path);
             Err(Refusal::not_run(Reason::UnknownCall, message))
--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -11,6 +11,7 @@
 mod fault;
 mod measure;
 mod membership;
+mod model;
 mod once;
 mod outlier;
 mod path;
