--- a/tests/it/answers.rs
+++ b/tests/it/answers.rs
@@ -451,3 +451,20 @@
     let (_, text) = streamed(&fleet).await;
     assert!(text.contains("event: error") && text.contains("longer than 1024"), "{text}");
 }
+
+/// The backend server learns how much time is left.
+#[rstest]
+#[case::service(false)]
+#[case::chat(true)]
+#[tokio::test]
+async fn deadline_carried(#[case] chat: bool) {
+    let fleet = bare_fleet().await;
+    let fake = Fake::start(|it| Act::Answer(whole_chat(it.id()))).await;
+    let (role, pool) = if chat { (Role::Engine, ENGINES) } else { (Role::Service, SERVICE) };
+    fake.join(&fleet, role, pool).await;
+    let request = if chat { ask(&fleet, false) } else { reserve(&fleet) };
+    assert_eq!(outcome(request.header(DEADLINE_HEADER, "5000")).await.0, 200);
+    let seen = fake.seen.lock().unwrap()[0].clone();
+    let left: u64 = seen.header(DEADLINE_HEADER).unwrap().parse().unwrap();
+    assert!((1..=5_000).contains(&left));
+}
