--- a/src/daemon/once_api.rs
+++ b/src/daemon/once_api.rs
@@ -10,6 +10,7 @@
 use crate::backend::LogClient;
 use crate::daemon::control_api::guarded;
 use crate::filters::{Reason, Refusal, Shared};
+use crate::fleet::Crash;
 use crate::once::{append_claims, tail_claims};
 use crate::wire::{KeyAnswer, KeyQuery};
 
@@ -30,15 +31,35 @@
 ) -> impl Filter<Extract = (Response,), Error = warp::Rejection> + Clone + Send + Sync + 'static + use<>
 {
     let it = Arc::clone(shared);
-    warp::post()
-        .and(warp::path!("v1" / "once" / "unseen"))
+    let crashes = warp::path!("v1" / "crashes")
         .and(warp::header::headers_cloned())
         .and(warp::body::content_length_limit(MAX_QUERY))
         .and(warp::body::bytes())
-        .map(move |headers: HeaderMap, body: Bytes| guarded(&it, &headers, |it| unseen(it, &body)))
+        .map(move |headers: HeaderMap, body: Bytes| {
+            guarded(&it, &headers, |it| take_crash(it, &body))
+        });
+    let it = Arc::clone(shared);
+    let unseen = warp::path!("v1" / "once" / "unseen")
+        .and(warp::header::headers_cloned())
+        .and(warp::body::content_length_limit(MAX_QUERY))
+        .and(warp::body::bytes())
+        .map(move |headers: HeaderMap, body: Bytes| {
+            guarded(&it, &headers, |it| answer_unseen(it, &body))
+        });
+    warp::post().and(crashes.or(unseen).unify())
+}
+
+/// Takes a peer's report of a crash.
+fn take_crash(shared: &Shared, body: &[u8]) -> Response {
+    let Ok((fingerprint, server, incarnation)) = rmp_serde::from_slice(body) else {
+        let refusal = Refusal::not_run(Reason::BadRequest, "the report cannot be read");
+        return refusal.reply("").into_response();
+    };
+    shared.crashes.insert(Crash { fingerprint, server, incarnation });
+    "ok".into_response()
 }
 
-fn unseen(shared: &Shared, body: &[u8]) -> Response {
+fn answer_unseen(shared: &Shared, body: &[u8]) -> Response {
     let Ok(query) = rmp_serde::from_slice::<KeyQuery>(body) else {
         let refusal = Refusal::not_run(Reason::BadRequest, "the query cannot be read");
         return refusal.reply("").into_response();
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -14,6 +14,7 @@
 mod place;
 mod retry_budget;
 mod sent;
+mod suspect;
 mod verdict;
 
 pub use admission::{
@@ -30,4 +31,5 @@
 pub use place::{Choice, PlaceQuery, place};
 pub use retry_budget::RetryBudget;
 pub use sent::Sent;
+pub use suspect::{Care, care};
 pub use verdict::Verdict;
--- a/src/events/code.rs
+++ b/src/events/code.rs
@@ -96,4 +96,6 @@
     608 ClaimsUnavailable "an operation key could not be claimed in the log";
     609 ClaimsGap "claims were lost from the log before they were read";
     610 HintRefused "a chat hint is broken, forged or of another chat";
+    620 ServerCrashed "a backend server died while it ran a request";
+    621 SuspectRefused "a request that may crash backend servers was refused";
 }
--- a/src/filters/chat.rs
+++ b/src/filters/chat.rs
@@ -16,6 +16,7 @@
 use crate::filters::hint::read_hint;
 use crate::filters::reply::read_whole;
 use crate::filters::stream::{Source, stream_answer};
+use crate::filters::suspect::{Risk, fingerprint};
 use crate::filters::{Call, DEADLINE_HEADER, HINT_HEADER, Reason, Refusal, Shared, Target};
 use crate::keys::write_hint;
 use crate::wire::ChatAnswer;
@@ -29,16 +30,19 @@
         return Err(Refusal::not_run(Reason::UnknownTarget, "the request names no model"));
     };
     request.model = name;
+    let fingerprint = fingerprint(&request);
     let plan = Plan {
         key: combine(call.chat, hash_bytes(request.model.as_bytes())),
         hint: read_hint(shared, &call),
         cost: request.cost(),
         idempotent: true,
+        fingerprint: Some(fingerprint),
+        alone: false,
     };
     request.rest.insert("priority".to_owned(), priority(shared, &call, plan.cost).into());
     let body = serde_json::to_vec(&request)
         .map_err(|e| Refusal::not_run(Reason::BadRequest, e.to_string()))?;
-    let job = ChatJob { body: Bytes::from(body), stream: request.stream };
+    let job = ChatJob { body: Bytes::from(body), stream: request.stream, fingerprint };
     let result = forward(shared, &call, &pool, &plan, Job::Chat(&job)).await;
     if !job.stream || result.is_err() {
         let verdict = result.as_ref().map_or_else(|it| it.verdict, |_| Verdict::Ran);
@@ -51,6 +55,8 @@
 pub(crate) struct ChatJob {
     body: Bytes,
     stream: bool,
+    /// Fingerprint of what is asked.
+    fingerprint: u64,
 }
 
 impl ChatJob {
@@ -101,6 +107,7 @@
             address,
             deadline: call.deadline,
             next: 0,
+            risk: Some(Risk::new(job.fingerprint, &chosen)),
         };
         stream_answer(shared, reply, source, Some(chosen.work), cancel)
     } else {
--- a/src/filters/choose.rs
+++ b/src/filters/choose.rs
@@ -17,7 +17,8 @@
     plan: &Plan,
     tried: &[usize],
 ) -> Option<Choice> {
-    let bound = load_bound(call);
+    // With a bound of 0 only an idle engine fits, else the least loaded is taken.
+    let bound = if plan.alone { 0.0 } else { load_bound(call) };
     let query = PlaceQuery {
         key: plan.key,
         hint: plan.hint,
--- a/src/filters/forward.rs
+++ b/src/filters/forward.rs
@@ -13,6 +13,7 @@
 use crate::filters::failure::Failure;
 use crate::filters::in_flight::InFlight;
 use crate::filters::service::send_service;
+use crate::filters::suspect::{Risk, enter as enter_suspect, looks_dead, note as note_death};
 use crate::filters::tries::{Tries, no_room};
 use crate::filters::{Call, Refusal, Shared};
 use crate::fleet::BackendServer;
@@ -65,6 +66,10 @@
     pub(crate) cost: u64,
     /// Whether it may run twice.
     pub(crate) idempotent: bool,
+    /// Fingerprint of a request that could crash what runs it.
+    pub(crate) fingerprint: Option<u64>,
+    /// Whether it goes where little else is at risk.
+    pub(crate) alone: bool,
 }
 
 /// Tries backend servers of `pool` until one answers, a failure may not be
@@ -87,7 +92,13 @@
     };
     let mut tries = Tries::new(record, pass, bound);
     loop {
+        let running = match plan.fingerprint {
+            Some(it) => enter_suspect(shared, it, &call.id).map_err(|it| tries.refuse(it))?,
+            None => None,
+        };
+        let plan = &Plan { alone: running.is_some(), ..*plan };
         let (chosen, attempt) = tries.next(shared, call, pool, plan)?;
+        let risk = plan.fingerprint.map(|it| Risk::new(it, &chosen));
         let name = chosen.server.name.clone();
         let result = match &job {
             Job::Chat(chat) => send_chat(shared, call, chat, chosen).await,
@@ -105,6 +116,10 @@
         };
         let detail = format!("{name}: {}", failure.message);
         shared.events.record(Code::BackendFailed, Fields { subject: &call.id, detail: &detail });
+        if let Some(risk) = risk.filter(|_| looks_dead(&failure)) {
+            note_death(shared, &risk).await;
+        }
+        drop(running);
         let refusal = tries.fail(&failure);
         if !tries.may_repeat(shared, call, plan, &failure) {
             return Err(refusal);
--- a/src/filters/mod.rs
+++ b/src/filters/mod.rs
@@ -31,6 +31,7 @@
 mod shared;
 mod sse;
 mod stream;
+mod suspect;
 mod tries;
 mod upstream;
 
--- a/src/filters/refusal.rs
+++ b/src/filters/refusal.rs
@@ -47,6 +47,8 @@
         OutcomeUnknown,
         /// The operation key cannot be claimed at present.
         ClaimsUnavailable,
+        /// The request is known to crash backend servers.
+        Suspect,
     }
 }
 
@@ -71,6 +73,7 @@
             Reason::InProgress => "in_progress",
             Reason::OutcomeUnknown => "outcome_unknown",
             Reason::ClaimsUnavailable => "claims_unavailable",
+            Reason::Suspect => "suspect",
         }
     }
 
@@ -91,7 +94,7 @@
             Reason::KeyExpired => StatusCode::GONE,
             Reason::InProgress => StatusCode::CONFLICT,
             Reason::OutcomeUnknown => StatusCode::BAD_GATEWAY,
-            Reason::ClaimsUnavailable => StatusCode::SERVICE_UNAVAILABLE,
+            Reason::ClaimsUnavailable | Reason::Suspect => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
 
@@ -114,6 +117,7 @@
             Reason::InProgress => Code::InProgress,
             Reason::OutcomeUnknown => Code::OutcomeUnknown,
             Reason::ClaimsUnavailable => Code::ClaimsUnavailable,
+            Reason::Suspect => Code::SuspectRefused,
         }
     }
 }
--- a/src/filters/resume.rs
+++ b/src/filters/resume.rs
@@ -40,6 +40,7 @@
         address: server.address,
         deadline: call.deadline,
         next,
+        risk: None,
     };
     let reply = ask_stream(shared, &source)
         .await
--- a/src/filters/service.rs
+++ b/src/filters/service.rs
@@ -37,7 +37,8 @@
     };
     let reads = call.method == Method::GET || call.method == Method::HEAD;
     let idempotent = reads && !once;
-    let plan = Plan { key: call.chat, hint: None, cost: 1, idempotent };
+    let plan =
+        Plan { key: call.chat, hint: None, cost: 1, idempotent, fingerprint: None, alone: false };
     if once && !checks_keys && call.headers.contains_key(KEY_HEADER) {
         return run_once(shared, call, &name, pool, plan).await;
     }
--- a/src/filters/stream.rs
+++ b/src/filters/stream.rs
@@ -24,6 +24,7 @@
 use crate::filters::cancel::Cancel;
 use crate::filters::ending::{Ending, Streamed};
 use crate::filters::in_flight::InFlight;
+use crate::filters::suspect::{Risk, note};
 use crate::filters::{Arm, Reason, Refusal, Shared, sse};
 use crate::wire::ChatChunk;
 
@@ -51,6 +52,8 @@
     pub(crate) deadline: Instant,
     /// Index of the token that must come next.
     pub(crate) next: u64,
+    /// What is at risk while it runs.
+    pub(crate) risk: Option<Risk>,
 }
 
 /// One stream on its way to the caller.
@@ -147,7 +150,12 @@
                 Fault::Final(fault) => return self.cut(&fault),
                 Fault::Broken(fault) => match self.resume().await {
                     Ok(()) => {}
-                    Err(why) => return self.cut(&format!("{fault}; {why}")),
+                    Err(why) => {
+                        if let Some(risk) = self.source.risk {
+                            note(&self.shared, &risk).await;
+                        }
+                        return self.cut(&format!("{fault}; {why}"));
+                    }
                 },
             }
         }
--- /dev/null
+++ b/src/filters/suspect.rs
@@ -0,0 +1,110 @@
+//! Requests that crash the engines that run them.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures_util::future::join_all;
+
+use crate::backend::TOKEN_HEADER;
+use crate::decide::{Care, FailurePoint, Verdict, care, combine, hash_bytes};
+use crate::events::{Code, Fields};
+use crate::filters::failure::Failure;
+use crate::filters::forward::Chosen;
+use crate::filters::{Reason, Refusal, Shared};
+use crate::fleet::{Crash, RunningSuspect};
+use crate::wire::{ChatRequest, LoadReport};
+
+/// Time for an engine to show that it lives, and for peers to take a report.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
+/// When a suspect that runs here may come again.
+const RETRY: Duration = Duration::from_secs(1);
+
+/// What is at risk while a request runs on an engine.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Risk {
+    address: SocketAddr,
+    crash: Crash,
+}
+
+/// Fingerprint of what is asked, whoever asks.
+pub(crate) fn fingerprint(request: &ChatRequest) -> u64 {
+    let messages = serde_json::to_vec(&request.messages).unwrap_or_default();
+    combine(hash_bytes(&messages), hash_bytes(request.model.as_bytes()))
+}
+
+impl Risk {
+    /// The risk of running the request with `fingerprint` on `chosen`.
+    pub(crate) fn new(fingerprint: u64, chosen: &Chosen) -> Risk {
+        let (server, incarnation) = (chosen.engine.id, chosen.engine.incarnation);
+        Risk { address: chosen.server.address, crash: Crash { fingerprint, server, incarnation } }
+    }
+}
+
+/// Lets a request run, alone if it is a suspect, or refuses it.
+pub(crate) fn enter(
+    shared: &Shared,
+    fingerprint: u64,
+    request: &str,
+) -> Result<Option<RunningSuspect>, Refusal> {
+    let settings = &shared.settings.crashes;
+    let deaths = shared.crashes.deaths(fingerprint, shared.clock.now(), settings.release);
+    let refuse = |message: &str, retry| {
+        Err(Refusal::not_run(Reason::Suspect, format!("{message} ({request})")).retry_after(retry))
+    };
+    match care(deaths, settings.limit) {
+        Care::Free => Ok(None),
+        Care::Alone => match shared.crashes.begin(fingerprint) {
+            Some(running) => Ok(Some(running)),
+            None => refuse("the same request is on trial here", RETRY),
+        },
+        Care::Refuse => refuse("this request crashed backend servers", settings.release),
+    }
+}
+
+/// Whether a failed try looks as if the engine died.
+pub(crate) fn looks_dead(failure: &Failure) -> bool {
+    let cut =
+        matches!(failure.point, FailurePoint::Exchange | FailurePoint::Body | FailurePoint::Failed);
+    cut && failure.point.verdict() == Verdict::MayHaveRun
+}
+
+/// Notes the death of the engine if it is one, and tells all routers before the
+/// caller can send the request again.
+pub(crate) async fn note(shared: &Arc<Shared>, risk: &Risk) {
+    if !died(shared, risk).await || !shared.crashes.insert(risk.crash) {
+        return;
+    }
+    let subject = format!("{}", risk.address);
+    let detail = format!("fingerprint {:016x}", risk.crash.fingerprint);
+    shared.events.record(Code::ServerCrashed, Fields { subject: &subject, detail: &detail });
+    let own = shared.once.me().router;
+    let view = shared.view.load();
+    let peers = view.routers.iter().filter(|it| it.id != own).filter_map(|it| it.control);
+    join_all(peers.map(|it| tell(shared, it, &risk.crash))).await;
+}
+
+/// Whether the engine is gone or another incarnation; a timeout proves nothing.
+async fn died(shared: &Shared, risk: &Risk) -> bool {
+    let url = format!("http://{}/load", risk.address);
+    match shared.upstream.fresh.get(url).timeout(PROBE_TIMEOUT).send().await {
+        Err(e) => !e.is_timeout(),
+        Ok(reply) => {
+            let known = risk.crash.incarnation;
+            let report = reply.json::<LoadReport>().await;
+            report.is_ok_and(|it| known != 0 && it.incarnation != known)
+        }
+    }
+}
+
+async fn tell(shared: &Shared, peer: SocketAddr, crash: &Crash) {
+    let row = (crash.fingerprint, crash.server, crash.incarnation);
+    let request = shared
+        .http
+        .post(format!("http://{peer}/v1/crashes"))
+        .header(TOKEN_HEADER, &shared.settings.token)
+        .timeout(PROBE_TIMEOUT)
+        .body(rmp_serde::to_vec(&row).unwrap_or_default());
+    // Gossip brings the report to whoever does not answer.
+    let _ = request.send().await;
+}
--- a/src/filters/tries.rs
+++ b/src/filters/tries.rs
@@ -71,6 +71,13 @@
         Tries { record, pass, bound, servers: SmallVec::new(), last: None }
     }
 
+    /// A refusal before a try; earlier tries may have run.
+    pub(crate) fn refuse(&self, refusal: Refusal) -> Refusal {
+        let verdict =
+            self.last.as_ref().map_or(refusal.verdict, |it| refusal.verdict.and(it.verdict));
+        Refusal { verdict, ..refusal }
+    }
+
     /// Takes the next backend server from the newest view.
     pub(crate) fn next(
         &mut self,
--- a/src/settings/check.rs
+++ b/src/settings/check.rs
@@ -176,7 +176,11 @@
     {
         expect(time > Duration::ZERO, place, "it is 0".to_owned(), "a time above 0 is needed");
     }
-    let counts = [("once.appends", s.once.appends as usize), ("once.keys", s.once.keys)];
+    let counts = [
+        ("once.appends", s.once.appends as usize),
+        ("once.keys", s.once.keys),
+        ("crashes.limit", s.crashes.limit),
+    ];
     for (place, count) in counts {
         expect(count > 0, place, "it is 0".to_owned(), "at least 1 is needed");
     }
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -3,6 +3,7 @@
 mod admission;
 mod check;
 mod control;
+mod crashes;
 mod keys;
 mod limits;
 mod once;
@@ -13,6 +14,7 @@
 pub use admission::Admission;
 pub use check::{parse, read};
 pub use control::Control;
+pub use crashes::Crashes;
 pub use keys::FleetKey;
 pub use limits::Limits;
 pub use once::Once;
--- a/src/settings/settings.rs
+++ b/src/settings/settings.rs
@@ -4,7 +4,7 @@
 
 use serde::Deserialize;
 
-use crate::settings::{Admission, Control, FleetKey, Limits, Once, Traffic};
+use crate::settings::{Admission, Control, Crashes, FleetKey, Limits, Once, Traffic};
 
 /// The commented settings file that `filberttiller init` prints.
 pub const DEFAULT_TEXT: &str = include_str!("default.jsonc");
@@ -46,6 +46,9 @@
         /// Calls that may not be repeated.
         #[serde(default)]
         pub once: Once,
+        /// Requests that crash backend servers.
+        #[serde(default)]
+        pub crashes: Crashes,
         /// Secret keys: the first signs, all verify.
         #[serde(default)]
         pub keys: Vec<FleetKey>,
--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -17,4 +17,5 @@
 mod path;
 mod settings;
 mod state;
+mod suspect;
 mod timeline;
