--- a/src/filters/forward.rs
+++ b/src/filters/forward.rs
@@ -5,7 +5,7 @@
 
 use warp::reply::Response;
 
-use crate::decide::{Engine, FailurePoint, ServerResult};
+use crate::decide::{Engine, FailurePoint, ServerResult, Verdict};
 use crate::events::{Code, Fields};
 use crate::filters::admit::enter;
 use crate::filters::chat::{ChatJob, send_chat};
@@ -98,8 +98,9 @@
         };
         let plan = &Plan { alone: running.is_some(), ..*plan };
         let (chosen, attempt) = tries.next(shared, call, pool, plan)?;
-        let risk = plan.fingerprint.map(|it| Risk::new(it, &chosen));
+        let risk = plan.fingerprint.and_then(|it| Risk::new(shared, it, &chosen));
         let name = chosen.server.name.clone();
+        let sent = Arc::clone(&chosen.engine.sent);
         let result = match &job {
             Job::Chat(chat) => send_chat(shared, call, chat, chosen).await,
             Job::Service { idempotent } => send_service(shared, call, chosen, *idempotent).await,
@@ -121,6 +122,9 @@
         }
         drop(running);
         let refusal = tries.fail(&failure);
+        if matches!(job, Job::Chat(_)) && refusal.verdict == Verdict::NotRun {
+            sent.fail();
+        }
         if !tries.may_repeat(shared, call, plan, &failure) {
             return Err(refusal);
         }
--- a/src/filters/suspect.rs
+++ b/src/filters/suspect.rs
@@ -34,10 +34,15 @@
 }
 
 impl Risk {
-    /// The risk of running the request with `fingerprint` on `chosen`.
-    pub(crate) fn new(fingerprint: u64, chosen: &Chosen) -> Risk {
+    /// The risk of running the request with `fingerprint` on `chosen`; none if
+    /// that one is dead already, so that nobody is blamed for its death later.
+    pub(crate) fn new(shared: &Shared, fingerprint: u64, chosen: &Chosen) -> Option<Risk> {
         let (server, incarnation) = (chosen.engine.id, chosen.engine.incarnation);
-        Risk { address: chosen.server.address, crash: Crash { fingerprint, server, incarnation } }
+        if shared.crashes.is_dead(server, incarnation) {
+            return None;
+        }
+        let crash = Crash { fingerprint, server, incarnation };
+        Some(Risk { address: chosen.server.address, crash })
     }
 }
 
--- a/src/fleet/crash_board.rs
+++ b/src/fleet/crash_board.rs
@@ -30,6 +30,8 @@
     /// Invariant: no crash twice; the index is its sequence number.
     crashes: Vec<Crash>,
     known: HashSet<Crash>,
+    /// Servers and incarnations that died.
+    dead: HashSet<(u64, u64)>,
     /// Crashes by fingerprint.
     deaths: HashMap<u64, Deaths>,
     /// Suspects that run here.
@@ -65,6 +67,7 @@
             return false;
         }
         state.crashes.push(crash);
+        state.dead.insert((crash.server, crash.incarnation));
         state.deaths.entry(crash.fingerprint).or_default().push((crash, None));
         self.any.store(true, Ordering::Release);
         true
@@ -93,6 +96,11 @@
         count
     }
 
+    /// Whether this incarnation of a backend server is known to be dead.
+    pub fn is_dead(&self, server: u64, incarnation: u64) -> bool {
+        self.any.load(Ordering::Acquire) && self.state().dead.contains(&(server, incarnation))
+    }
+
     /// Notes that a suspect runs here; `None` when it does so already.
     pub fn begin(self: &Arc<CrashBoard>, fingerprint: u64) -> Option<RunningSuspect> {
         let fresh = self.state().running.insert(fingerprint);
