--- a/src/filters/choose.rs
+++ b/src/filters/choose.rs
@@ -17,7 +17,8 @@
     plan: &Plan,
     tried: &[usize],
 ) -> Option<Choice> {
-    let bound = load_bound(call);
+    // With a bound of 0 only an idle engine fits, else the least loaded is taken.
+    let bound = if plan.alone { 0.0 } else { load_bound(call) };
     let known = known_place(shared, call, plan);
     let held = known.map_or(0, |it| u64::from(it.tokens).min(plan.cost));
     let query = PlaceQuery {
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -3,6 +3,7 @@
 mod admission;
 mod check;
 mod control;
+mod crashes;
 mod events;
 mod keys;
 mod limits;
@@ -15,6 +16,7 @@
 pub use admission::Admission;
 pub use check::{parse, read};
 pub use control::Control;
+pub use crashes::Crashes;
 pub use events::Events;
 pub use keys::FleetKey;
 pub use limits::Limits;
--- a/src/settings/settings.rs
+++ b/src/settings/settings.rs
@@ -4,7 +4,9 @@
 
 use serde::Deserialize;
 
-use crate::settings::{Admission, Control, Events, FleetKey, Limits, Once, Routing, Traffic};
+use crate::settings::{
+    Admission, Control, Crashes, Events, FleetKey, Limits, Once, Routing, Traffic,
+};
 
 /// The commented settings file that `filberttiller init` prints.
 pub const DEFAULT_TEXT: &str = include_str!("default.jsonc");
@@ -52,6 +54,9 @@
         /// Calls that may not be repeated.
         #[serde(default)]
         pub once: Once,
+        /// Requests that crash backend servers.
+        #[serde(default)]
+        pub crashes: Crashes,
         /// Secret keys: the first signs, all verify.
         #[serde(default)]
         pub keys: Vec<FleetKey>,
