--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -12,6 +12,7 @@
 mod load;
 mod measure;
 mod run;
+mod spread;
 mod standins;
 mod status;
 mod ticket;
--- a/src/cli/run.rs
+++ b/src/cli/run.rs
@@ -5,8 +5,8 @@
 
 use crate::cli::args::{Args, TicketArgs, args};
 use crate::cli::{
-    CliError, capacity, check, demo, in_force, init, load, measure, standins, status, ticket,
-    timeline,
+    CliError, capacity, check, demo, in_force, init, load, measure, spread, standins, status,
+    ticket, timeline,
 };
 
 /// Runs the command that the arguments name.
@@ -34,6 +34,7 @@
         Args::Status { settings_arg, watch, json } => {
             block_on(status::run(&settings_arg, watch, json))
         }
+        Args::Spread { routers, engines } => block_on(spread::run(routers, engines)),
         Args::InForce { settings_arg, json } => block_on(in_force::run(&settings_arg, json)),
     }
 }
