--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -10,6 +10,7 @@
 mod init;
 mod measure;
 mod run;
+mod spread;
 mod standins;
 mod ticket;
 
--- a/src/controllers/gossip.rs
+++ b/src/controllers/gossip.rs
@@ -12,11 +12,12 @@
 use crate::backend::RouterClient;
 use crate::controllers::Publisher;
 use crate::controllers::messages::{Answered, NextRound};
+use crate::controllers::round::SPARE;
 
 /// Exchanges at the same time.
 const MAX_OPEN: usize = 4;
 /// Debt in bytes up to which urgent news still goes out.
-const URGENT_DEBT: f64 = -1_000.0;
+const URGENT_DEBT: f64 = -4_096.0;
 
 /// Makes exchanges until the publisher is gone.
 pub async fn exchange_gossip(
@@ -32,12 +33,12 @@
             () = news.notified() => {}
             () = sleep_until(tick) => {}
         }
-        let mut due = Instant::now() >= tick;
-        if due {
+        let mut due = Instant::now() >= tick && routers.affords(SPARE);
+        if Instant::now() >= tick {
             tick = Instant::now() + every.mul_f64(rand::rng().random_range(0.8..1.2));
         }
         loop {
-            routers.afford(if due { 0.0 } else { URGENT_DEBT }).await;
+            routers.afford(URGENT_DEBT).await;
             let Ok(round) = publisher.send(NextRound { due }).await else {
                 return;
             };
--- a/src/filters/service.rs
+++ b/src/filters/service.rs
@@ -36,7 +36,8 @@
         return Err(Refusal::not_run(Reason::UnknownTarget, "the request names no service"));
     };
     let reads = call.method == Method::GET || call.method == Method::HEAD;
-    let plan = Plan { key: call.chat, hint: None, cost: 1, idempotent: reads && !once };
+    let idempotent = reads && !once;
+    let plan = Plan { key: call.chat, hint: None, cost: 1, idempotent };
     if once && !checks_keys && call.headers.contains_key(KEY_HEADER) {
         return run_once(shared, call, &name, pool, plan).await;
     }
