--- a/src/controllers/round.rs
+++ b/src/controllers/round.rs
@@ -12,7 +12,9 @@
 use crate::events::Code;
 use crate::fleet::{Crash, Mark, Purpose};
 use crate::state::InForce;
-use crate::wire::{Bulk, GOSSIP_VERSION, Gossip, MemberStatus, Part, Want, WireInForce, WireMark};
+use crate::wire::{
+    Bulk, GOSSIP_VERSION, Gossip, MemberStatus, Part, Want, WireInForce, WireMark, WireMember,
+};
 
 /// Bytes of records that go along unasked; more is announced and fetched.
 const INLINE_BYTES: usize = 800;
@@ -30,6 +32,8 @@
 const CRASHES: usize = 8;
 /// Load rows in one message.
 const LOADS: usize = 8;
+/// Bytes that regular exchanges leave for urgent ones.
+pub(super) const SPARE: f64 = 800.0;
 /// Times that a crash report is passed on.
 const CRASH_SENDS: u32 = 6;
 /// How long a whole state is kept for the peer that fetches it.
@@ -49,13 +53,12 @@
 }
 
 impl Publisher {
-    /// A message to `peer`: the urgent first, loads only out of debt.
+    /// A message to `peer` with the urgent only.
     fn compose(&mut self, peer: &str) -> Gossip {
         let now = self.now();
         let log_age = self.log_seen.map(|it| now.saturating_duration_since(it).as_millis() as u64);
         let marks = self.parts.marks.fresh(MARKS, now).into_iter().map(WireMark::from).collect();
-        let rich = self.parts.budget.balance(Purpose::Gossip) > 0.0;
-        let loads = if rich { self.loads.fresh(LOADS) } else { Vec::new() };
+        let records = self.inline(peer);
         Gossip {
             version: GOSSIP_VERSION,
             from: self.members.own().clone(),
@@ -63,27 +66,42 @@
             chain: self.state.chain,
             log_age,
             marks,
-            records: self.inline(peer),
+            base: self.base(&records),
+            records,
             want: None,
             part: None,
             members: self.members.rows(peer, MEMBERS),
             crashes: self.crash_rows(),
-            lines: self.roster.fresh(LINE_BYTES),
-            loads,
+            lines: Vec::new(),
+            loads: Vec::new(),
+        }
+    }
+
+    /// Adds what can wait, while there is something left of the budget.
+    fn fill(&mut self, message: &mut Gossip) {
+        if self.parts.budget.balance(Purpose::Gossip) > 0.0 {
+            message.lines = self.roster.fresh(LINE_BYTES);
+            message.loads = self.loads.fresh(LOADS);
         }
     }
 
     /// The records that `peer` lacks, if they are few.
     fn inline(&self, peer: &str) -> Vec<(u64, String)> {
-        let Some(from) = self.peers.get(peer).filter(|it| **it < self.state.next) else {
+        let from = self.peers.get(peer).map_or(self.fresh_from, |it| self.fresh_from.max(*it));
+        if from >= self.state.next {
             return Vec::new();
-        };
-        let records = self.history.since(*from, INLINE_BYTES).unwrap_or_default();
+        }
+        let records = self.history.since(from, INLINE_BYTES).unwrap_or_default();
         let bytes: usize = records.iter().map(|it| it.1.len()).sum();
         let whole = records.last().is_some_and(|it| it.0 + 1 == self.state.next);
         if whole && bytes <= INLINE_BYTES { records } else { Vec::new() }
     }
 
+    /// Digest over all records before the first of `records`.
+    fn base(&self, records: &[(u64, String)]) -> Option<u64> {
+        self.history.chain_before(records.first()?.0)
+    }
+
     fn crash_rows(&mut self) -> Vec<(u64, u64, u64)> {
         let new = self.parts.crashes.since(self.crash_cursor);
         self.crash_cursor += new.len();
@@ -110,7 +128,8 @@
         if self.members.own().incarnation != before {
             self.record(Code::SuspicionRefuted, &self.parts.own.name, &format!("told by {peer}"));
         }
-        let mut news = changed;
+        let joined = changed;
+        let mut news = false;
         for it in message.marks {
             let mark = Mark::from(it);
             if self.parts.marks.insert(&mark, now) {
@@ -123,7 +142,7 @@
             let standing = self.roster.get(&name).map(|it| it.standing);
             if self.roster.learn(it) {
                 self.note_line(&name, standing);
-                news = true;
+                changed = true;
             }
         }
         for (fingerprint, server, incarnation) in message.crashes {
@@ -132,10 +151,8 @@
         for it in &message.loads {
             changed |= self.loads.learn(it);
         }
-        for (offset, text) in message.records {
-            let ticket = read_text(&text);
-            news |= self.fold(offset, &text, ticket);
-        }
+        let from = self.state.next;
+        self.take_records(&peer, message.base, message.records);
         if let Some(age) = message.log_age {
             let seen = now.checked_sub(Duration::from_millis(age));
             self.log_seen = self.log_seen.max(seen);
@@ -150,9 +167,29 @@
         if news {
             self.spread();
         }
-        if news || changed {
+        if joined {
+            self.hurry();
+        }
+        let folded = self.state.next > from;
+        if news || changed || folded {
             self.publish();
         }
+        if folded {
+            self.spread_records(from);
+        }
+    }
+
+    /// Folds records told by `peer`, unless they go on from another history.
+    fn take_records(&mut self, peer: &str, base: Option<u64>, records: Vec<(u64, String)>) {
+        let first = records.first().map(|it| it.0);
+        if first == Some(self.state.next) && base.is_some_and(|it| it != self.state.chain) {
+            self.record(Code::StateDiffers, peer, &format!("before offset {}", self.state.next));
+            return;
+        }
+        for (offset, text) in records {
+            let ticket = read_text(&text);
+            self.fold(offset, &text, ticket);
+        }
     }
 
     /// Says so when `peer` folded other records up to the same offset.
@@ -166,6 +203,7 @@
     /// Fills `reply` with what the peer wants.
     fn serve(&mut self, want: Want, reply: &mut Gossip) {
         reply.records.clear();
+        reply.base = None;
         if want.next >= self.state.next {
             return;
         }
@@ -242,15 +280,23 @@
         Some(Round { peer, addr, message, pull: true })
     }
 
-    /// A random peer; on urgent news one that is known to lag behind, if any.
-    fn pick(&mut self, urgent: bool) -> Option<(String, SocketAddr)> {
+    /// The exchange that passes new records on.
+    fn branch_round(&mut self) -> Option<Round> {
+        while let Some(peer) = self.branches.pop() {
+            let known = self.peers.get(&peer).is_some_and(|it| *it >= self.state.next);
+            let addr = self.contacts().0.get(&peer).copied();
+            if let Some(addr) = addr.filter(|_| !known) {
+                let message = self.compose(&peer);
+                return Some(Round { peer, addr, message, pull: false });
+            }
+        }
+        None
+    }
+
+    /// A random peer.
+    fn pick(&mut self) -> Option<(String, SocketAddr)> {
         let (live, dead) = self.contacts();
-        let next = self.state.next;
-        let lags = |name: &String| self.peers.get(name).is_none_or(|it| *it < next);
         let mut found: Vec<_> = live.iter().collect();
-        if urgent && found.iter().any(|it| lags(it.0)) {
-            found.retain(|it| lags(it.0));
-        }
         if !dead.is_empty() && (found.is_empty() || self.rng.random_ratio(1, DEAD_TRIES)) {
             found = dead.iter().collect();
         }
@@ -261,6 +307,23 @@
         Some((name.clone(), *addr))
     }
 
+    /// Takes a listed router that never answered for a member, so that it can be
+    /// suspected; its incarnation 0 is below any that it may tell.
+    fn meet(&mut self, name: &str) {
+        let Some(it) = self.roster.get(name).filter(|_| self.members.get(name).is_none()) else {
+            return;
+        };
+        let row = WireMember {
+            name: it.name.clone(),
+            incarnation: 0,
+            status: MemberStatus::Alive,
+            address: it.address,
+            control: it.control.unwrap_or(it.address),
+            domain: it.domain.clone(),
+        };
+        self.members.learn(row, self.now());
+    }
+
     /// Regular upkeep of marks and membership.
     fn expire(&mut self, now: Instant) {
         let dead = self.members.expire(now);
@@ -284,17 +347,22 @@
         if let Some(round) = self.pull_round() {
             return Some(round);
         }
-        let urgent = self.pushes > 0;
-        if !urgent && !message.due {
+        if let Some(round) = self.branch_round() {
+            return Some(round);
+        }
+        let spare = self.parts.budget.balance(Purpose::Gossip) >= SPARE;
+        let due = message.due || (self.eager && spare);
+        if self.pushes == 0 && !due {
             return None;
         }
+        self.eager &= !due;
         self.pushes = self.pushes.saturating_sub(1);
-        let (peer, addr) = self.pick(urgent)?;
-        // A push is taken for received until the reply says otherwise, so that
-        // the next one goes elsewhere.
-        let message = self.compose(&peer);
-        self.peers.insert(peer.clone(), self.state.next);
-        Some(Round { peer, addr, message, pull: false })
+        let (peer, addr) = self.pick()?;
+        let mut round = Round { message: self.compose(&peer), peer, addr, pull: false };
+        if due {
+            self.fill(&mut round.message);
+        }
+        Some(round)
     }
 }
 
@@ -319,6 +387,13 @@
             }
             Err(e) => {
                 self.peers.remove(&peer);
+                // Its branches get the newest records from here.
+                if self.state.next > 0 && !pull {
+                    let orphans = self.children_of(&peer);
+                    self.branches.extend(orphans);
+                    self.news.notify_one();
+                }
+                self.meet(&peer);
                 if self.members.failed(&peer, self.now()) {
                     self.record(Code::RouterSuspected, &peer, &e.to_string());
                     self.spread();
@@ -343,6 +418,7 @@
         let message = message.message;
         let peer = message.from.name.clone();
         let want = message.want;
+        let regular = message.records.is_empty() && want.is_none();
         if message.version == GOSSIP_VERSION {
             self.absorb(message);
         } else {
@@ -351,6 +427,8 @@
         let mut reply = self.compose(&peer);
         if let Some(want) = want {
             self.serve(want, &mut reply);
+        } else if regular {
+            self.fill(&mut reply);
         }
         if self.members.get(&peer).is_some_and(|it| it.status == MemberStatus::Dead) {
             self.members.succeeded(&peer);
--- a/src/filters/once.rs
+++ b/src/filters/once.rs
@@ -198,7 +198,7 @@
     // A router that was paused for so long may not be the owner any more.
     let result = match late {
         true => Err(unknown("the deadline passed before the run")),
-        false => forward(shared, &call, &pool, &plan, Job::Service { idempotent: false }).await,
+        false => forward(shared, &call, &pool, &plan, Job::Service).await,
     };
     match result {
         Ok(answer) => {
