--- a/src/cli/daemon.rs
+++ b/src/cli/daemon.rs
@@ -18,7 +18,7 @@
 pub fn run_daemon() -> Result<(), CliError> {
     let args = daemon_args().run();
     let settings = read(&args.settings)?;
-    let logger = root_logger(args.log_format, &settings.name);
+    let (logger, _written) = root_logger(args.log_format, &settings.name);
     let failed = |text: String| CliError::Failed(text);
     let mut daemon = Daemon::start(settings, Arc::new(SystemClock), logger)
         .map_err(|e| failed(format!("{e:?}")))?;
--- a/src/daemon/control_thread.rs
+++ b/src/daemon/control_thread.rs
@@ -150,7 +150,8 @@
     let log = LogClient::new(paid(Purpose::Log), settings.log);
     let tail = Tail::new(log, publisher.clone(), Arc::clone(events), upkeep.clone());
     tokio::spawn(tail.run());
-    start_claims(shared, LogClient::new(http.clone(), settings.log));
+    let claims = ControlHttp::new(shared.http.clone(), Arc::clone(&shared.claim_meter));
+    start_claims(shared, LogClient::new(claims, settings.log));
     let list = ListClient::new(paid(Purpose::List), settings.list);
     tokio::spawn(watch_list(list, publisher.clone(), Arc::clone(events), upkeep.clone()));
     let engines = EngineClient::new(paid(Purpose::Load));
--- a/src/demo/report.rs
+++ b/src/demo/report.rs
@@ -15,6 +15,7 @@
     cached_tokens: u64,
     spilled: u64,
     control_rate: f64,
+    claim_rate: f64,
 }
 
 impl Report {
@@ -28,14 +29,16 @@
             }
         }
         let control = sum(|it| it.shared().meter.total());
+        let claims = sum(|it| it.shared().claim_meter.total());
+        let seconds = fleet.began.elapsed().as_secs_f64();
+        let rate = |bytes: u64| bytes as f64 / fleet.routers.len() as f64 / seconds;
         Report {
             verdicts,
             prompt_tokens: sum(|it| it.shared().counters.prompt_tokens.get()),
             cached_tokens: sum(|it| it.shared().counters.cached_tokens.get()),
             spilled: sum(|it| it.shared().counters.spilled.get()),
-            control_rate: control as f64
-                / fleet.routers.len() as f64
-                / fleet.began.elapsed().as_secs_f64(),
+            control_rate: rate(control),
+            claim_rate: rate(claims),
             outcome,
         }
     }
@@ -62,7 +65,8 @@
         writeln!(f, "{:<36}{:>10}", "spilled requests", self.spilled)?;
         writeln!(f, "{:<36}{worst:>10.2}", "skew in tokens, worst look")?;
         writeln!(f, "{:<36}{mean:>10.2}", "skew in tokens, mean")?;
-        writeln!(f, "{:<36}{:>10.0}", "control bytes/router/s", self.control_rate)?;
+        writeln!(f, "{:<36}{:>10.0}", "control bytes/router/s, joining", self.control_rate)?;
+        writeln!(f, "{:<36}{:>10.0}", "claim bytes/router/s", self.claim_rate)?;
         for it in outcome.wrong.iter().take(10) {
             writeln!(f, "  {it}")?;
         }
--- a/src/events/logger.rs
+++ b/src/events/logger.rs
@@ -2,7 +2,8 @@
 
 use std::str::FromStr;
 
-use slog::{Discard, Drain, Logger, o};
+use slog::{Discard, Drain, Logger, Never, OwnedKV, SendSyncRefUnwindSafeKV, o};
+use slog_async::{Async, AsyncBuilder, AsyncGuard};
 
 key! {
     /// Form of log lines.
@@ -26,22 +27,31 @@
     }
 }
 
-/// A logger to standard error that never blocks its callers.
-pub fn root_logger(format: LogFormat, instance: &str) -> Logger {
+/// A logger to standard error that never blocks its callers, and a guard whose
+/// drop writes what is still queued.
+pub fn root_logger(format: LogFormat, instance: &str) -> (Logger, AsyncGuard) {
     let values = o!("instance" => instance.to_owned());
     match format {
         LogFormat::Text => {
             let decorator = slog_term::PlainDecorator::new(std::io::stderr());
             let drain = slog_term::FullFormat::new(decorator).build().fuse();
-            Logger::root(slog_async::Async::new(drain).build().fuse(), values)
+            rooted(Async::new(drain), values)
         }
         LogFormat::Json => {
             let drain = slog_json::Json::default(std::io::stderr()).fuse();
-            Logger::root(slog_async::Async::new(drain).build().fuse(), values)
+            rooted(Async::new(drain), values)
         }
     }
 }
 
+fn rooted<T: SendSyncRefUnwindSafeKV + 'static>(
+    queue: AsyncBuilder<impl Drain<Ok = (), Err = Never> + Send + 'static>,
+    values: OwnedKV<T>,
+) -> (Logger, AsyncGuard) {
+    let (drain, guard) = queue.build_with_guard();
+    (Logger::root(drain.fuse(), values), guard)
+}
+
 /// A logger that writes nothing.
 pub fn discard_logger() -> Logger {
     Logger::root(Discard, o!())
--- a/src/filters/shared.rs
+++ b/src/filters/shared.rs
@@ -31,8 +31,10 @@
     pub events: Arc<EventLog>,
     /// Counters.
     pub counters: Counters,
-    /// Bytes of control calls.
+    /// Bytes of control calls, claims left out.
     pub meter: Arc<Meter>,
+    /// Bytes of claims of operation keys; these grow with the calls that need them.
+    pub claim_meter: Arc<Meter>,
     /// Backend servers that are leaving.
     pub marks: Arc<MarkBoard>,
     /// Budget of control calls.
--- a/tests/it/answers.rs
+++ b/tests/it/answers.rs
@@ -1,6 +1,5 @@
 //! Verdicts of every failure point, and answers that are no whole ones.
 
-use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
@@ -15,7 +14,7 @@
 use serde_json::{Value, json};
 use standins::list::Role;
 use tokio::io::AsyncReadExt;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpSocket};
 
 use crate::fake::{Act, Fake, Seen, answer, chunk, join, stream_head};
 
@@ -76,8 +75,11 @@
     reply.headers()[VERDICT_HEADER].to_str().unwrap().to_owned()
 }
 
-async fn closed_port() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").await.unwrap().local_addr().unwrap()
+/// A socket that holds a port on which nobody listens.
+fn closed_port() -> TcpSocket {
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    socket
 }
 
 /// Asks the router's events how often the request ended.
@@ -102,7 +104,8 @@
 #[tokio::test]
 async fn verdict_of_connect(#[case] pool: &str, #[case] role: Role) {
     let fleet = bare_fleet().await;
-    join(&fleet, closed_port().await, role, pool).await;
+    let closed = closed_port();
+    join(&fleet, closed.local_addr().unwrap(), role, pool).await;
     let request = if role == Role::Service { reserve(&fleet) } else { ask(&fleet, false) };
     assert_eq!(outcome(request).await, (502, "not_run".to_owned()));
 }
@@ -258,7 +261,8 @@
     let fleet = bare_fleet().await;
     let fake = Fake::start(|_| Act::Close(String::new())).await;
     fake.join(&fleet, Role::Engine, ENGINES).await;
-    join(&fleet, closed_port().await, Role::Engine, ENGINES).await;
+    let closed = closed_port();
+    join(&fleet, closed.local_addr().unwrap(), Role::Engine, ENGINES).await;
     for chat in 0..8 {
         let request = ask(&fleet, false).headers(chat_header(chat));
         let before = fake.count();
