--- a/src/measure/mod.rs
+++ b/src/measure/mod.rs
@@ -9,6 +9,7 @@
 mod policy;
 mod prefix_cache;
 mod replay;
+mod replay_asks;
 mod report;
 mod router_model;
 mod trace;
--- a/src/measure/replay.rs
+++ b/src/measure/replay.rs
@@ -5,33 +5,22 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use smallvec::SmallVec;
-
-use crate::decide::{ChatPlace, PlaceQuery, Sent, chat_key, combine, hash_bytes};
+use crate::decide::{ChatPlace, Sent, combine, hash_bytes};
 use crate::measure::figures::Sample;
-use crate::measure::policy::Scene;
-use crate::measure::{
-    Ask, EngineModel, Figures, Job, Policy, PrefixCache, RouterModel, Step, Trace,
-};
+use crate::measure::{EngineModel, Figures, Policy, PrefixCache, RouterModel, Step, Trace};
 
 /// Pause between two looks of an engine at its own load.
 const NOTE_EVERY: Duration = Duration::from_millis(100);
-/// Tries of one request at most.
-const TRIES: usize = 3;
 /// Slots of an engine with weight 1.
 const USUAL_SLOTS: f64 = 128.0;
 /// Bytes of one engine's load on its way to a router.
 const LOAD_BYTES: u64 = 24;
 /// Bytes of one change of the list on its way to a router.
 const LIST_BYTES: u64 = 64;
-/// One request in so many goes to another router than its chat's usual one.
-const STRAY: u64 = 10;
-/// One chat in so many has a caller that brings no hint back.
-const HINTLESS: u64 = 4;
 
 key! {
     /// What happens next.
-    enum Event {
+    pub(super) enum Event {
         Line(usize),
         Done { engine: usize, incarnation: u64, ask: usize },
         Listed { router: usize, engine: usize, incarnation: u64, live: bool },
@@ -42,42 +31,33 @@
 }
 
 /// A request on its way.
-struct Flight {
-    router: usize,
-    engine: u64,
-    incarnation: u64,
-    sent: Arc<Sent>,
-    cost: u64,
-    at: Duration,
-}
-
-/// A request that an engine takes.
-struct Start<'a> {
-    index: usize,
-    ask: &'a Ask,
-    chat: u64,
-    router: usize,
-    at: usize,
-    cost: u64,
+pub(super) struct Flight {
+    pub(super) router: usize,
+    pub(super) engine: u64,
+    pub(super) incarnation: u64,
+    pub(super) sent: Arc<Sent>,
+    pub(super) cost: u64,
+    pub(super) at: Duration,
 }
 
-struct Replay<'a> {
-    trace: &'a Trace,
-    policy: &'a Policy,
-    engines: Vec<EngineModel>,
+/// The state of a replay.
+pub(super) struct Replay<'a> {
+    pub(super) trace: &'a Trace,
+    pub(super) policy: &'a Policy,
+    pub(super) engines: Vec<EngineModel>,
     /// Index by hash of the name.
-    index: HashMap<u64, usize>,
-    routers: Vec<RouterModel>,
-    queue: BinaryHeap<Reverse<(Duration, u64, Event)>>,
-    seq: u64,
-    now: Duration,
-    lag: Duration,
-    flights: HashMap<usize, Flight>,
+    pub(super) index: HashMap<u64, usize>,
+    pub(super) routers: Vec<RouterModel>,
+    pub(super) queue: BinaryHeap<Reverse<(Duration, u64, Event)>>,
+    pub(super) seq: u64,
+    pub(super) now: Duration,
+    pub(super) lag: Duration,
+    pub(super) flights: HashMap<usize, Flight>,
     /// Hint of the last answer by chat.
-    hints: HashMap<u64, ChatPlace>,
+    pub(super) hints: HashMap<u64, ChatPlace>,
     /// Tokens of the last prompt and answer by chat.
-    history: HashMap<u64, u64>,
-    figures: Figures,
+    pub(super) history: HashMap<u64, u64>,
+    pub(super) figures: Figures,
 }
 
 /// Replays `trace` under `policy`.
@@ -127,7 +107,7 @@
         }
     }
 
-    fn push(&mut self, at: Duration, event: Event) {
+    pub(super) fn push(&mut self, at: Duration, event: Event) {
         self.seq += 1;
         self.queue.push(Reverse((at, self.seq, event)));
     }
@@ -287,147 +267,4 @@
             busy: requests >= open.len(),
         });
     }
-
-    fn ask(&mut self, index: usize, ask: &Ask) {
-        self.figures.asked += 1;
-        self.send(index, ask);
-    }
-
-    /// Places a request and gives it to an engine, again where that is safe.
-    fn send(&mut self, index: usize, ask: &Ask) {
-        let chat = chat_key(&ask.organisation, &ask.chat);
-        let count = self.routers.len() as u64;
-        let stray = combine(chat, index as u64);
-        let home = if stray.is_multiple_of(STRAY) { stray >> 8 } else { combine(chat, 2) };
-        let router = (home % count) as usize;
-        let mut tried: SmallVec<[usize; TRIES]> = SmallVec::new();
-        while tried.len() < TRIES {
-            let known = self.known_place(router, chat);
-            let Some((at, spilled)) = self.choose(router, chat, ask, known, &mut tried) else {
-                break;
-            };
-            if !self.engines[at].up {
-                let id = self.engines[at].id;
-                if let Some(sent) = self.routers[router].sent.get(&id) {
-                    sent.fail();
-                }
-                continue;
-            }
-            self.figures.spilled += u64::from(spilled);
-            let id = self.engines[at].id;
-            let at_home = known.filter(|it| it.engine == id);
-            let held = at_home.map_or(0, |it| u64::from(it.tokens).min(ask.prompt));
-            let cost = ask.prompt + ask.most - held;
-            self.start(Start { index, ask, chat, router, at, cost });
-            return;
-        }
-        self.figures.refused += 1;
-    }
-
-    /// What the caller or the router knows of the chat's place.
-    fn known_place(&self, router: usize, chat: u64) -> Option<ChatPlace> {
-        let hint = self.hints.get(&chat).filter(|_| !chat.is_multiple_of(HINTLESS));
-        hint.copied().or_else(|| self.routers[router].table.get(chat))
-    }
-
-    /// Index of the chosen engine, and whether the request was passed over to it.
-    fn choose(
-        &mut self,
-        router: usize,
-        chat: u64,
-        ask: &Ask,
-        known: Option<ChatPlace>,
-        tried: &mut SmallVec<[usize; TRIES]>,
-    ) -> Option<(usize, bool)> {
-        let held = known.map_or(0, |it| u64::from(it.tokens).min(ask.prompt));
-        let cost = ask.prompt + ask.most;
-        let query = PlaceQuery {
-            key: chat,
-            hint: known.map(|it| (it.engine, it.incarnation)),
-            cost,
-            warm: cost - held,
-            bound: self.trace.head.bound,
-            tried,
-        };
-        let router = &mut self.routers[router];
-        let scene =
-            &mut Scene { router, truth: &self.engines, now: self.now, query, prompt: ask.prompt };
-        let choice = (self.policy.choose)(scene)?;
-        let at = match self.policy.all_knowing {
-            true => choice.index,
-            false => self.index[&scene.router.engines[choice.index].id],
-        };
-        tried.push(choice.index);
-        Some((at, choice.spilled))
-    }
-
-    fn start(&mut self, start: Start<'_>) {
-        let Start { index, ask, chat, router, at, cost } = start;
-        let it = &mut self.engines[at];
-        self.figures.late += u64::from(it.leaving);
-        let owner = &mut self.routers[router];
-        let sent = Arc::clone(owner.sent.entry(it.id).or_default());
-        sent.add(cost);
-        let tokens = ask.prompt as u32;
-        let place = ChatPlace { engine: it.id, incarnation: it.incarnation, tokens };
-        owner.table.set(chat, place);
-        let (engine, incarnation, now) = (it.id, it.incarnation, self.now);
-        self.flights.insert(index, Flight { router, engine, incarnation, sent, cost, at: now });
-        it.add(Job {
-            ask: index,
-            chat,
-            prompt: ask.prompt,
-            answer: ask.answer,
-            unread: 0,
-            start: now,
-            end: now,
-        });
-        self.pump(at);
-    }
-
-    /// Starts what has room at the engine.
-    fn pump(&mut self, at: usize) {
-        while let Some(job) = self.engines[at].start_next(self.now) {
-            let incarnation = self.engines[at].incarnation;
-            self.push(job.end, Event::Done { engine: at, incarnation, ask: job.ask });
-            let before = self.history.get(&job.chat).copied().unwrap_or(0).min(job.prompt);
-            self.figures.history += before;
-            self.figures.cached += (job.prompt - job.unread).min(before);
-        }
-    }
-
-    fn done(&mut self, at: usize, incarnation: u64, ask: usize) {
-        if self.engines[at].incarnation != incarnation {
-            return;
-        }
-        let Some(job) = self.engines[at].finish(ask) else {
-            return;
-        };
-        let trace = self.trace;
-        if let (Some(flight), Some(Step::Ask(it))) =
-            (self.land(ask), trace.lines.get(ask).map(|it| &it.step))
-        {
-            let tokens = (job.prompt + job.answer) as u32;
-            let place =
-                ChatPlace { engine: flight.engine, incarnation: flight.incarnation, tokens };
-            self.routers[flight.router].table.set(job.chat, place);
-            self.hints.insert(job.chat, place);
-            self.history.insert(job.chat, job.prompt + job.answer);
-            let engine = &self.engines[at];
-            let alone = job.prompt as f64 / engine.read + job.answer as f64 / engine.write;
-            let taken = (self.now - flight.at).as_secs_f64();
-            let service = self.figures.service.entry(it.organisation.clone()).or_default();
-            service.done += 1;
-            service.slowdown += taken / alone;
-            self.figures.done += 1;
-        }
-        self.pump(at);
-    }
-
-    /// Takes a request off the counts of its router.
-    fn land(&mut self, ask: usize) -> Option<Flight> {
-        let flight = self.flights.remove(&ask)?;
-        flight.sent.remove(flight.cost);
-        Some(flight)
-    }
 }
--- /dev/null
+++ b/src/measure/replay_asks.rs
@@ -0,0 +1,172 @@
+//! Requests within a replay: sending, placing, running and ending them.
+
+use std::sync::Arc;
+
+use smallvec::SmallVec;
+
+use crate::decide::{ChatPlace, PlaceQuery, chat_key, combine};
+use crate::measure::policy::Scene;
+use crate::measure::replay::{Event, Flight, Replay};
+use crate::measure::{Ask, Job, Step};
+
+/// Tries of one request at most.
+const TRIES: usize = 3;
+/// One request in so many goes to another router than its chat's usual one.
+const STRAY: u64 = 10;
+/// One chat in so many has a caller that brings no hint back.
+const HINTLESS: u64 = 4;
+
+/// A request that an engine takes.
+struct Start<'a> {
+    index: usize,
+    ask: &'a Ask,
+    chat: u64,
+    router: usize,
+    at: usize,
+    cost: u64,
+}
+
+impl Replay<'_> {
+    pub(super) fn ask(&mut self, index: usize, ask: &Ask) {
+        self.figures.asked += 1;
+        self.send(index, ask);
+    }
+
+    /// Places a request and gives it to an engine, again where that is safe.
+    pub(super) fn send(&mut self, index: usize, ask: &Ask) {
+        let chat = chat_key(&ask.organisation, &ask.chat);
+        let count = self.routers.len() as u64;
+        let stray = combine(chat, index as u64);
+        let home = if stray.is_multiple_of(STRAY) { stray >> 8 } else { combine(chat, 2) };
+        let router = (home % count) as usize;
+        let mut tried: SmallVec<[usize; TRIES]> = SmallVec::new();
+        while tried.len() < TRIES {
+            let known = self.known_place(router, chat);
+            let Some((at, spilled)) = self.choose(router, chat, ask, known, &mut tried) else {
+                break;
+            };
+            if !self.engines[at].up {
+                let id = self.engines[at].id;
+                if let Some(sent) = self.routers[router].sent.get(&id) {
+                    sent.fail();
+                }
+                continue;
+            }
+            self.figures.spilled += u64::from(spilled);
+            let id = self.engines[at].id;
+            let at_home = known.filter(|it| it.engine == id);
+            let held = at_home.map_or(0, |it| u64::from(it.tokens).min(ask.prompt));
+            let cost = ask.prompt + ask.most - held;
+            self.start(Start { index, ask, chat, router, at, cost });
+            return;
+        }
+        self.figures.refused += 1;
+    }
+
+    /// What the caller or the router knows of the chat's place.
+    fn known_place(&self, router: usize, chat: u64) -> Option<ChatPlace> {
+        let hint = self.hints.get(&chat).filter(|_| !chat.is_multiple_of(HINTLESS));
+        hint.copied().or_else(|| self.routers[router].table.get(chat))
+    }
+
+    /// Index of the chosen engine, and whether the request was passed over to it.
+    fn choose(
+        &mut self,
+        router: usize,
+        chat: u64,
+        ask: &Ask,
+        known: Option<ChatPlace>,
+        tried: &mut SmallVec<[usize; TRIES]>,
+    ) -> Option<(usize, bool)> {
+        let held = known.map_or(0, |it| u64::from(it.tokens).min(ask.prompt));
+        let cost = ask.prompt + ask.most;
+        let query = PlaceQuery {
+            key: chat,
+            hint: known.map(|it| (it.engine, it.incarnation)),
+            cost,
+            warm: cost - held,
+            bound: self.trace.head.bound,
+            tried,
+        };
+        let router = &mut self.routers[router];
+        let scene =
+            &mut Scene { router, truth: &self.engines, now: self.now, query, prompt: ask.prompt };
+        let choice = (self.policy.choose)(scene)?;
+        let at = match self.policy.all_knowing {
+            true => choice.index,
+            false => self.index[&scene.router.engines[choice.index].id],
+        };
+        tried.push(choice.index);
+        Some((at, choice.spilled))
+    }
+
+    fn start(&mut self, start: Start<'_>) {
+        let Start { index, ask, chat, router, at, cost } = start;
+        let it = &mut self.engines[at];
+        self.figures.late += u64::from(it.leaving);
+        let owner = &mut self.routers[router];
+        let sent = Arc::clone(owner.sent.entry(it.id).or_default());
+        sent.add(cost);
+        let tokens = ask.prompt as u32;
+        let place = ChatPlace { engine: it.id, incarnation: it.incarnation, tokens };
+        owner.table.set(chat, place);
+        let (engine, incarnation, now) = (it.id, it.incarnation, self.now);
+        self.flights.insert(index, Flight { router, engine, incarnation, sent, cost, at: now });
+        it.add(Job {
+            ask: index,
+            chat,
+            prompt: ask.prompt,
+            answer: ask.answer,
+            unread: 0,
+            start: now,
+            end: now,
+        });
+        self.pump(at);
+    }
+
+    /// Starts what has room at the engine.
+    fn pump(&mut self, at: usize) {
+        while let Some(job) = self.engines[at].start_next(self.now) {
+            let incarnation = self.engines[at].incarnation;
+            self.push(job.end, Event::Done { engine: at, incarnation, ask: job.ask });
+            let before = self.history.get(&job.chat).copied().unwrap_or(0).min(job.prompt);
+            self.figures.history += before;
+            self.figures.cached += (job.prompt - job.unread).min(before);
+        }
+    }
+
+    pub(super) fn done(&mut self, at: usize, incarnation: u64, ask: usize) {
+        if self.engines[at].incarnation != incarnation {
+            return;
+        }
+        let Some(job) = self.engines[at].finish(ask) else {
+            return;
+        };
+        let trace = self.trace;
+        if let (Some(flight), Some(Step::Ask(it))) =
+            (self.land(ask), trace.lines.get(ask).map(|it| &it.step))
+        {
+            let tokens = (job.prompt + job.answer) as u32;
+            let place =
+                ChatPlace { engine: flight.engine, incarnation: flight.incarnation, tokens };
+            self.routers[flight.router].table.set(job.chat, place);
+            self.hints.insert(job.chat, place);
+            self.history.insert(job.chat, job.prompt + job.answer);
+            let engine = &self.engines[at];
+            let alone = job.prompt as f64 / engine.read + job.answer as f64 / engine.write;
+            let taken = (self.now - flight.at).as_secs_f64();
+            let service = self.figures.service.entry(it.organisation.clone()).or_default();
+            service.done += 1;
+            service.slowdown += taken / alone;
+            self.figures.done += 1;
+        }
+        self.pump(at);
+    }
+
+    /// Takes a request off the counts of its router.
+    pub(super) fn land(&mut self, ask: usize) -> Option<Flight> {
+        let flight = self.flights.remove(&ask)?;
+        flight.sent.remove(flight.cost);
+        Some(flight)
+    }
+}
--- a/tests/it/answers.rs
+++ b/tests/it/answers.rs
@@ -8,7 +8,6 @@
 use filberttiller::filters::{
     CHAT_HEADER, DEADLINE_HEADER, ORGANISATION_HEADER, REQUEST_HEADER, VERDICT_HEADER,
 };
-use reqwest::header::{HeaderMap, HeaderName, HeaderValue};
 use reqwest::{Method, RequestBuilder, Response};
 use rstest::rstest;
 use serde_json::{Value, json};
@@ -17,6 +16,7 @@
 use tokio::net::{TcpListener, TcpSocket};
 
 use crate::fake::{Act, Fake, Seen, answer, chunk, join, stream_head};
+use crate::support::{chat_header, start};
 
 const SERVICE: &str = "stockroom-app";
 const ENGINES: &str = "assistant-llm";
@@ -26,18 +26,6 @@
     FleetOptions { routers: 1, engines: 0, canaries: 0, services: 0, ..FleetOptions::default() }
 }
 
-/// Replaces the chat of a request.
-fn chat_header(chat: usize) -> HeaderMap {
-    let name = HeaderName::from_static(CHAT_HEADER);
-    HeaderMap::from_iter([(name, HeaderValue::from_str(&format!("c{chat}")).unwrap())])
-}
-
-async fn start(options: FleetOptions) -> Fleet {
-    let fleet = Fleet::start(options).await.unwrap();
-    fleet.publish_first().await.unwrap();
-    fleet
-}
-
 async fn bare_fleet() -> Fleet {
     start(bare()).await
 }
--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -20,5 +20,7 @@
 mod path;
 mod settings;
 mod state;
+mod storm;
+mod support;
 mod suspect;
 mod timeline;
--- /dev/null
+++ b/tests/it/support.rs
@@ -0,0 +1,35 @@
+//! Fleets and requests that several tests need.
+
+use filberttiller::demo::{Fleet, FleetOptions};
+use filberttiller::filters::CHAT_HEADER;
+use reqwest::Response;
+use reqwest::header::{HeaderMap, HeaderName, HeaderValue};
+use serde_json::{Value, json};
+
+/// Two routers before two engines.
+pub(crate) fn small() -> FleetOptions {
+    FleetOptions { routers: 2, engines: 2, canaries: 0, ..FleetOptions::default() }
+}
+
+/// Replaces the chat of a request.
+pub(crate) fn chat_header(chat: usize) -> HeaderMap {
+    let name = HeaderName::from_static(CHAT_HEADER);
+    HeaderMap::from_iter([(name, HeaderValue::from_str(&format!("c{chat}")).unwrap())])
+}
+
+/// A fleet with the first ticket in force.
+pub(crate) async fn start(options: FleetOptions) -> Fleet {
+    let fleet = Fleet::start(options).await.unwrap();
+    fleet.publish_first().await.unwrap();
+    fleet
+}
+
+/// A conversation of one message.
+pub(crate) fn question(text: &str) -> Vec<Value> {
+    vec![json!({ "role": "user", "content": text })]
+}
+
+/// The value of a header of an answer, empty when it is missing.
+pub(crate) fn header(reply: &Response, name: &str) -> String {
+    reply.headers().get(name).map_or("", |it| it.to_str().unwrap()).to_owned()
+}
