--- /dev/null
+++ b/tests/it/leaving.rs
@@ -0,0 +1,70 @@
+//! Leaving engines and requests that wait for room.
+
+use filberttiller::demo::{Ask, Caller, Fleet, FleetOptions};
+use futures_util::future::join_all;
+use standins::engine::{Faults, Options};
+
+use crate::support::{question, start};
+
+const POOL: &str = "assistant-llm";
+/// Requests at the engines: one and a half for each of two slots.
+const ROOM: usize = 3;
+/// Longer than what counts as short, so that room is what the gate says.
+const TOKENS: u32 = 300;
+/// Requests that wait, so many that an old view would send one to either engine.
+const WAITING: usize = 8;
+
+fn busy(fleet: &Fleet) -> usize {
+    fleet.engines.iter().map(|it| it.load().running + it.load().queued).sum()
+}
+
+fn set_pace(fleet: &Fleet, faults: Faults) {
+    for it in &fleet.engines {
+        it.set_faults(faults.clone());
+    }
+}
+
+/// Whether the router holds the engine of this name for leaving.
+fn holds_leaving(fleet: &Fleet, name: &str) -> bool {
+    let view = fleet.routers[0].shared().view.peek();
+    let pool = &view.pools[POOL];
+    let mut engines = pool.engines.iter().zip(&pool.servers);
+    engines.any(|(it, server)| server.name == name && it.leaving)
+}
+
+#[tokio::test]
+async fn waiting_request_avoids_leaving_engine() {
+    let fleet = start(FleetOptions {
+        routers: 1,
+        engines: 2,
+        canaries: 0,
+        services: 0,
+        engine: Options { slots: 1, ..Options::default() },
+        ..FleetOptions::default()
+    })
+    .await;
+    set_pace(&fleet, Faults { slow: 1_000, ..Faults::default() });
+    let slots = |it: &Fleet| it.routers[0].shared().view.peek().pools[POOL].figures.slots;
+    fleet.wait_until(|it| slots(it) == 2).await;
+    let messages = question("reeds");
+    let router = fleet.routers[0].address();
+    let asked = join_all((0..ROOM + WAITING).map(|i| {
+        let mut caller = Caller::new(&fleet.http, "dalisay", &format!("chat-{i}"));
+        let messages = &messages;
+        async move { caller.ask(router, &Ask { messages, tokens: TOKENS, stream: false }).await }
+    }));
+    let left = async {
+        let waiting = |it: &Fleet| it.routers[0].shared().gates.waiting();
+        fleet.wait_until(|it| waiting(it) == WAITING && busy(it) == ROOM).await;
+        fleet.list.leave(&format!("{POOL}-0"));
+        fleet.wait_until(|it| holds_leaving(it, &format!("{POOL}-0"))).await;
+        assert_eq!(waiting(&fleet), WAITING);
+        let given = fleet.engines[0].total_runs() + fleet.engines[0].load().queued as u64;
+        set_pace(&fleet, Faults::default());
+        given
+    };
+    let (answers, given) = tokio::join!(asked, left);
+    assert!(answers.iter().all(Result::is_ok), "{answers:?}");
+    assert_eq!(fleet.engines[0].total_runs(), given);
+    assert_eq!(fleet.engines[1].total_runs(), (ROOM + WAITING) as u64 - given);
+}
--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -10,6 +10,7 @@
 mod events;
 mod fake;
 mod fault;
+mod leaving;
 mod load;
 mod measure;
 mod membership;
