Forget the results of backend servers that left

Cause: records of servers that left were kept, and one that left while set aside went on counting against how many may be set aside, so that a failing server in use stayed in use. Change: records are pruned to the listed servers before a choice. Figures: a pool of five with one departed server at rest sets a second failing one aside; before it did not.

--- a/src/decide/outlier.rs
+++ b/src/decide/outlier.rs
@@ -162,8 +162,12 @@
         self.aside.len()
     }
 
-    /// Forgets servers that are not `known`.
-    pub fn retain(&mut self, known: impl Fn(u64) -> bool) {
+    /// Forgets servers that are not `known`, once there are more of both than
+    /// the `count` that are; one that left must not rest in another's place.
+    pub fn retain(&mut self, count: usize, known: impl Fn(u64) -> bool) {
+        if self.servers.len() <= count {
+            return;
+        }
         self.servers.retain(|id, _| known(*id));
         self.aside.retain(|id| known(*id));
     }
--- a/src/filters/tries.rs
+++ b/src/filters/tries.rs
@@ -93,6 +93,8 @@
         };
         let now = shared.clock.now();
         let most = Outliers::most(pool.servers.len(), self.bound);
+        let listed = |id| pool.engines.iter().any(|it| it.id == id);
+        self.record.outliers().retain(pool.servers.len(), listed);
         let Some(choice) = self.choose(shared, call, pool, plan, now, most) else {
             return Err(none("no backend server takes new work"));
         };
--- a/tests/it/outlier.rs
+++ b/tests/it/outlier.rs
@@ -178,3 +178,19 @@
     outliers.begin(0, now);
     assert!(!outliers.check_stall(0, now + SECOND * 60, 1));
 }
+
+/// A server that left while it was set aside does not keep a failing one in use.
+#[test]
+fn retain_frees_the_place_of_a_server_that_left() {
+    let mut outliers = Outliers::default();
+    let now = Instant::now();
+    for server in 0..5 {
+        outliers.end(server, ServerResult::Good(None), now, 1);
+    }
+    assert!(fail(&mut outliers, 0, now, 1));
+    outliers.end(5, ServerResult::Good(None), now, 1);
+    assert!(!fail(&mut outliers, 1, now, 1));
+    outliers.retain(5, |id| id != 0);
+    assert_eq!(outliers.resting(), 0);
+    assert!(fail(&mut outliers, 1, now, 1));
+}
