Repeat unchanged load reports in turn

Cause: a report that does not change was passed on three times and never again; a router that missed these never knew the engine's incarnation and slots. One whole run of the tests hung in a wait for incarnations or marks; this is the suspected cause, not a proved one. Change: an exchange with room left carries one unchanged report, each in turn.

--- a/src/controllers/round.rs
+++ b/src/controllers/round.rs
@@ -63,6 +63,9 @@
         if self.parts.budget.balance(Purpose::Gossip) > 0.0 {
             message.lines = self.roster.fresh(LINE_BYTES);
             message.loads = self.loads.fresh(LOADS);
+            if message.loads.len() < LOADS {
+                message.loads.extend(self.loads.repeat());
+            }
         }
     }
 
--- a/src/fleet/load_table.rs
+++ b/src/fleet/load_table.rs
@@ -21,6 +21,8 @@
 #[derive(Debug, Default)]
 pub struct LoadTable {
     loads: HashMap<u64, Load>,
+    /// Engine whose report was repeated last.
+    repeated: u64,
 }
 
 impl LoadTable {
@@ -70,6 +72,15 @@
         self.loads.retain(|id, _| known(*id));
     }
 
+    /// A report to pass on although it did not change, each in its turn: a peer
+    /// may have joined after it was passed on.
+    pub fn repeat(&mut self) -> Option<WireLoad> {
+        let after = |id: &u64| id.wrapping_sub(self.repeated).wrapping_sub(1);
+        let id = self.loads.keys().copied().min_by_key(after)?;
+        self.repeated = id;
+        self.loads.get(&id).map(|it| digest(id, it.seq, &it.report))
+    }
+
     /// Reports to pass on, the largest change of tokens first, at most `most`.
     pub fn fresh(&mut self, most: usize) -> Vec<WireLoad> {
         let mut fresh: Vec<_> = self.loads.iter_mut().filter(|(_, it)| it.sends > 0).collect();
--- a/tests/it/membership.rs
+++ b/tests/it/membership.rs
@@ -183,6 +183,17 @@
     assert_eq!(it.get(1).unwrap().tokens, 900);
 }
 
+#[test]
+fn unchanged_loads_repeated_in_turn() {
+    let mut it = LoadTable::default();
+    for id in [7, 900, 40] {
+        it.asked(id, LoadReport { tokens: id, ..LoadReport::default() }, 1);
+    }
+    while !it.fresh(3).is_empty() {}
+    let told: Vec<u64> = (0..4).filter_map(|_| it.repeat()).map(|row| row.0).collect();
+    assert_eq!(told, [7, 40, 900, 7]);
+}
+
 fn options(routers: usize) -> FleetOptions {
     let mut options = FleetOptions { routers, engines: 2, canaries: 0, ..FleetOptions::default() };
     options.settings.traffic.threads = 1;
