--- /dev/null
+++ b/tests/it/reservation.rs
@@ -0,0 +1,97 @@
+//! Reservations by operation key, and the fleet that takes them.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use filberttiller::demo::{Fleet, FleetOptions};
+use filberttiller::filters::{DEADLINE_HEADER, KEY_HEADER, ORGANISATION_HEADER, VERDICT_HEADER};
+use filberttiller::wire::NewKey;
+use serde_json::{Value, json};
+use standins::service::Faults as ServiceFaults;
+
+/// What a caller was told.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Told {
+    pub status: u16,
+    pub verdict: String,
+    /// Reason of an error, else empty.
+    pub reason: String,
+    pub retry: bool,
+    pub body: Value,
+}
+
+impl Told {
+    pub fn is(&self, verdict: &str, reason: &str) -> bool {
+        self.verdict == verdict && self.reason == reason
+    }
+}
+
+/// One reservation.
+#[derive(Debug, Clone, Copy)]
+pub struct Order<'a> {
+    pub key: Option<&'a str>,
+    pub quantity: u32,
+    pub deadline_ms: u64,
+}
+
+pub fn order(key: &str) -> Order<'_> {
+    Order { key: Some(key), quantity: 1, deadline_ms: 20_000 }
+}
+
+pub async fn reserve(fleet: &Fleet, router: SocketAddr, order: Order<'_>) -> Told {
+    let mut request = fleet
+        .http
+        .post(format!("http://{router}/v1/services/stockroom/reservations"))
+        .header(ORGANISATION_HEADER, "dalisay")
+        .header(DEADLINE_HEADER, order.deadline_ms)
+        .json(&json!({ "item": "reed-8", "quantity": order.quantity }));
+    if let Some(key) = order.key {
+        request = request.header(KEY_HEADER, key);
+    }
+    let Ok(reply) = request.send().await else {
+        return Told {
+            status: 0,
+            verdict: "may_have_run".to_owned(),
+            reason: "no_answer".to_owned(),
+            retry: false,
+            body: Value::Null,
+        };
+    };
+    let status = reply.status().as_u16();
+    let header = |name: &str| reply.headers().get(name).map(|it| it.to_str().unwrap().to_owned());
+    let (verdict, retry) = (header(VERDICT_HEADER).unwrap(), header("retry-after").is_some());
+    let body: Value = reply.json().await.unwrap();
+    let reason = body["error"]["reason"].as_str().unwrap_or_default().to_owned();
+    Told { status, verdict, reason, retry, body }
+}
+
+pub fn once_options() -> FleetOptions {
+    let mut options =
+        FleetOptions { routers: 3, engines: 1, canaries: 0, ..FleetOptions::default() };
+    options.settings.upkeep.list_every = Duration::from_millis(50);
+    options
+}
+
+pub async fn once_fleet(options: FleetOptions) -> Fleet {
+    let fleet = Fleet::start(options).await.unwrap();
+    fleet.publish_first().await.unwrap();
+    fleet
+}
+
+pub fn addrs(fleet: &Fleet) -> Vec<SocketAddr> {
+    fleet.routers.iter().map(|it| it.address()).collect()
+}
+
+/// A key of the caller, or one that the router at `addr` issues.
+pub async fn key(fleet: &Fleet, addr: SocketAddr, issued: bool) -> String {
+    if !issued {
+        return "order-17".to_owned();
+    }
+    let request = fleet.http.post(format!("http://{addr}/v1/keys"));
+    let reply = request.header(ORGANISATION_HEADER, "dalisay").send().await.unwrap();
+    format!("{}.order-17", reply.json::<NewKey>().await.unwrap().key)
+}
+
+pub fn set_service(fleet: &Fleet, faults: ServiceFaults) {
+    fleet.services[0].set_faults(faults);
+}
