Find leaving marks that were lost on the way

Cause: control::budget_held_in_storm hung in 1 of 6 whole runs on a machine three times overloaded. A mark is passed on six times at most; a router that every such message missed (exchanges time out under load) never hears of it. Ruled out: the instance list, the budget (64 KiB a second in that test) and incarnations of engines. Change: each message carries a digest of all marks that hold. While a peer's digest differs, regular messages repeat marks in turn, four to a message. Before: mark_found_by_digest_after_lost_messages could not end, as no message was left to tell the mark. Conclusion: state that is told a bounded number of times needs a digest; loads repeat in turn, marks do so now.

--- a/src/controllers/publisher.rs
+++ b/src/controllers/publisher.rs
@@ -83,6 +83,10 @@
     pub(super) pull: Option<Pull>,
     /// Whole state cut into parts, with its offset and when it was last asked for.
     pub(super) bulk: Option<(u64, Vec<String>, Instant)>,
+    /// Whether the last peer heard from held other leaving marks.
+    pub(super) marks_differ: bool,
+    /// Name of the leaving mark that was repeated last.
+    pub(super) repeated: String,
     /// Crashes to pass on, and how often still.
     pub(super) crashes: Vec<(Crash, u32)>,
     pub(super) crash_cursor: usize,
@@ -113,6 +117,8 @@
             fresh_from: 0,
             pull: None,
             bulk: None,
+            marks_differ: false,
+            repeated: String::new(),
             crashes: Vec::new(),
             crash_cursor: 0,
             news,
--- a/src/controllers/round.rs
+++ b/src/controllers/round.rs
@@ -20,6 +20,8 @@
 const LINE_BYTES: usize = 500;
 /// Leaving marks in one message.
 const MARKS: usize = 16;
+/// Leaving marks repeated in one message to a peer that holds others.
+const REPEATED_MARKS: usize = 4;
 /// Rows about routers in one message.
 const MEMBERS: usize = 3;
 /// Crash reports in one message.
@@ -47,6 +49,7 @@
             chain: self.state.chain,
             log_age,
             marks,
+            board: Some(self.parts.marks.digest(now)),
             base: self.base(&records),
             records,
             want: None,
@@ -66,9 +69,23 @@
             if message.loads.len() < LOADS {
                 message.loads.extend(self.loads.repeat());
             }
+            self.repeat_marks(message);
         }
     }
 
+    /// Repeats marks in turn while a peer holds others: the messages that first
+    /// told them may all have been lost.
+    fn repeat_marks(&mut self, message: &mut Gossip) {
+        if !self.marks_differ || !message.marks.is_empty() {
+            return;
+        }
+        let marks = self.parts.marks.repeat(&self.repeated, REPEATED_MARKS, self.now());
+        if let Some(last) = marks.last() {
+            self.repeated = last.name.clone();
+        }
+        message.marks = marks.into_iter().map(WireMark::from).collect();
+    }
+
     /// The records that `peer` lacks, if they are few.
     fn inline(&self, peer: &str) -> Vec<(u64, String)> {
         let from = self.peers.get(peer).map_or(self.fresh_from, |it| self.fresh_from.max(*it));
@@ -121,6 +138,8 @@
                 news = true;
             }
         }
+        let own = self.parts.marks.digest(now);
+        self.marks_differ = message.board.is_some_and(|it| it != own);
         for it in message.lines {
             let name = it.name.clone();
             let standing = self.roster.get(&name).map(|it| it.standing);
--- a/src/fleet/mark_board.rs
+++ b/src/fleet/mark_board.rs
@@ -4,6 +4,8 @@
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
+use crate::decide::{combine, hash_bytes};
+
 /// Times that a mark is passed on.
 const SENDS: u32 = 6;
 /// Marks kept at most.
@@ -23,11 +25,20 @@
 
 #[derive(Debug)]
 struct Kept {
+    /// Hash of the name and the incarnation.
+    id: u64,
     incarnation: u64,
     until: Instant,
     sends: u32,
 }
 
+impl Kept {
+    fn told(&self, name: &str, now: Instant) -> Mark {
+        let left = self.until.saturating_duration_since(now);
+        Mark { name: name.to_owned(), incarnation: self.incarnation, left }
+    }
+}
+
 /// All leaving marks that hold. A mark outlives list versions that still show
 /// the backend server as live, and ends with its time or a new incarnation.
 #[derive(Debug, Default)]
@@ -46,7 +57,8 @@
         let until = now + mark.left;
         let fresh = marks.get(&mark.name).is_none_or(|it| it.incarnation < mark.incarnation);
         if fresh {
-            let kept = Kept { incarnation: mark.incarnation, until, sends: SENDS };
+            let id = combine(hash_bytes(mark.name.as_bytes()), mark.incarnation);
+            let kept = Kept { id, incarnation: mark.incarnation, until, sends: SENDS };
             marks.insert(mark.name.clone(), kept);
         } else if let Some(it) = marks.get_mut(&mark.name) {
             it.until = it.until.max(until);
@@ -83,9 +95,25 @@
             .take(most)
             .map(|(name, it)| {
                 it.sends -= 1;
-                let left = it.until.saturating_duration_since(now);
-                Mark { name: name.clone(), incarnation: it.incarnation, left }
+                it.told(name, now)
             })
             .collect()
     }
+
+    /// Digest of all marks that hold; boards with the same marks have the same one.
+    pub fn digest(&self, now: Instant) -> u64 {
+        let marks = self.marks.lock().unwrap();
+        let held = marks.values().filter(|it| it.until > now);
+        held.fold(0, |sum, it| sum.wrapping_add(it.id))
+    }
+
+    /// Marks after `last` by name, from the first again after the last one, at most
+    /// `most`, for a peer that holds others.
+    pub fn repeat(&self, last: &str, most: usize, now: Instant) -> Vec<Mark> {
+        let marks = self.marks.lock().unwrap();
+        let (before, after): (Vec<_>, Vec<_>) =
+            marks.iter().filter(|(_, it)| it.until > now).partition(|it| it.0.as_str() <= last);
+        let turn = after.into_iter().chain(before).take(most);
+        turn.map(|(name, it)| it.told(name, now)).collect()
+    }
 }
--- a/src/wire/gossip.rs
+++ b/src/wire/gossip.rs
@@ -142,6 +142,9 @@
         /// Leaving marks.
         #[serde(rename = "k", default, skip_serializing_if = "Vec::is_empty")]
         pub marks: Vec<WireMark>,
+        /// Digest of all leaving marks that the sender holds.
+        #[serde(rename = "kd", default, skip_serializing_if = "Option::is_none")]
+        pub board: Option<u64>,
         /// Records of the ticket stream by offset.
         #[serde(rename = "r", default, skip_serializing_if = "Vec::is_empty")]
         pub records: Vec<(u64, String)>,
--- a/tests/it/control.rs
+++ b/tests/it/control.rs
@@ -200,6 +200,7 @@
         next: 1,
         chain: 0,
         log_age: None,
+        board: None,
         marks: Vec::new(),
         base: Some(base),
         records: vec![(0, ticket(1, "a").to_string())],
--- a/tests/it/membership.rs
+++ b/tests/it/membership.rs
@@ -138,6 +138,28 @@
     assert!(board.expire(now + left));
 }
 
+#[test]
+fn mark_repeated_in_turn_while_boards_differ() {
+    let (from, to) = (MarkBoard::default(), MarkBoard::default());
+    let now = Instant::now();
+    let left = Duration::from_secs(30);
+    for i in 0..5 {
+        from.insert(&Mark { name: format!("e-{i}"), incarnation: i, left }, now);
+    }
+    while !from.fresh(5, now).is_empty() {}
+    let mut last = String::new();
+    let mut told = 0;
+    while from.digest(now) != to.digest(now) {
+        let marks = from.repeat(&last, 2, now);
+        last = marks.last().unwrap().name.clone();
+        told += marks.len();
+        assert!(told <= 6, "marks repeated out of turn");
+        marks.iter().for_each(|it| assert!(to.insert(it, now) || last == "e-0"));
+    }
+    assert!((0..5).all(|i| to.holds(&format!("e-{i}"), i, now)));
+    assert_eq!((from.digest(now + left), from.repeat("", 5, now + left).len()), (0, 0));
+}
+
 fn instance(name: &str, standing: Standing) -> Instance {
     Instance {
         name: name.to_owned(),
@@ -262,6 +284,19 @@
     fleet.wait_until(|it| all_hold_leaving(it, "assistant-llm-1")).await;
 }
 
+/// All messages that would have told the mark are lost.
+#[tokio::test]
+async fn mark_found_by_digest_after_lost_messages() {
+    let fleet = Fleet::start(options(3)).await.unwrap();
+    fleet.list.set_faults(Faults { out: true, ..Faults::default() });
+    let shared = fleet.routers[2].shared();
+    let left = Duration::from_secs(600);
+    let mark = Mark { name: "assistant-llm-1".to_owned(), incarnation: 0, left };
+    shared.marks.insert(&mark, shared.clock.now());
+    while !shared.marks.fresh(1, shared.clock.now()).is_empty() {}
+    fleet.wait_until(|it| all_hold_leaving(it, "assistant-llm-1")).await;
+}
+
 /// Whether every router but `except` offers `name` to callers.
 fn offered(fleet: &Fleet, name: &str) -> Vec<bool> {
     fleet
