--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -3,6 +3,7 @@
 mod admission;
 mod answers;
 mod attack;
+mod bare;
 mod capacity;
 mod control;
 mod decide;
@@ -28,3 +29,4 @@
 mod support;
 mod suspect;
 mod timeline;
+mod verdicts;
--- /dev/null
+++ b/tests/it/model/orders.rs
@@ -0,0 +1,64 @@
+//! The searches: every order is safe, and none of the guards can be left out.
+
+use filberttiller::check::{Report, search};
+use rstest::rstest;
+
+use super::bounds::Bounds;
+use super::state::{Action, Guard};
+
+/// Most states of one search.
+const LIMIT: usize = 4_000_000;
+
+fn report(bounds: Bounds) -> Report<Action> {
+    let report = search(&bounds, LIMIT);
+    let Report { states, steps, depth, .. } = report;
+    println!("{bounds:?}: {states} states, {steps} steps, depth {depth}");
+    report
+}
+
+/// Two resends, a crash, a pause, a lost reply and a refused run.
+const ALL: Bounds = Bounds {
+    issued: false,
+    sends: 2,
+    crashes: 1,
+    pauses: 1,
+    losses: 1,
+    refusals: 1,
+    ticks: 0,
+    quits: true,
+    without: None,
+};
+
+/// Time that passes between any two steps, until claims are forgotten. A router that
+/// takes no step is as good as paused.
+const AGEING: Bounds =
+    Bounds { crashes: 0, pauses: 0, losses: 0, refusals: 0, ticks: 2, quits: false, ..ALL };
+
+#[rstest]
+#[case::own_key(ALL)]
+#[case::issued_key(Bounds { issued: true, sends: 3, ..ALL })]
+#[case::own_key_ageing(AGEING)]
+#[case::issued_key_ageing(Bounds { issued: true, ticks: 2, ..ALL })]
+fn every_order_is_safe(#[case] bounds: Bounds) {
+    let report = report(bounds);
+    assert!(report.fault.is_none(), "{:#?}", report.fault);
+    assert!(report.states > 1_000, "the search is too small to mean anything");
+}
+
+#[rstest]
+#[case::owner_only(Guard::OwnerOnly, ALL)]
+#[case::incarnation(Guard::Incarnation, ALL)]
+#[case::incarnation_issued(Guard::Incarnation, Bounds { issued: true, ..ALL })]
+#[case::first_claim(Guard::FirstClaim, ALL)]
+#[case::read_back(Guard::ReadBack, ALL)]
+#[case::lost_kept(Guard::LostKept, ALL)]
+#[case::gone_maybe(Guard::GoneMaybe, ALL)]
+#[case::peers_asked(Guard::PeersAsked, ALL)]
+#[case::complete(Guard::Complete, ALL)]
+#[case::claim_age(Guard::ClaimAge, AGEING)]
+#[case::deadline(Guard::Deadline, AGEING)]
+fn missing_guard_is_found(#[case] guard: Guard, #[case] bounds: Bounds) {
+    let report = report(Bounds { without: Some(guard), ..bounds });
+    let fault = report.fault.expect("the search found nothing wrong");
+    println!("without {guard:?}: {} after {:?}", fault.what, fault.path);
+}
