Explain every refusal of a demonstration from the time line alone

Cause: cut streams, callers that left and refusals passed on by another router had events without verdict, so explain() found no ending; a call sent on to the owner of its key carried neither time nor request id. Change: every final event but RequestDone begins with its verdict; a router that sends a once-only call on adds its time and request id, takes over the time of the answer, and the owner links both ids in event 901; a refusal of the owner ends in one event with its own number. The error event of a cut stream names 504, which is what the time line has (it named 502). The demonstration reads the time line at its end and fails when a request has no ending or a refusal is explained otherwise than the caller was told.

--- a/src/cli/args.rs
+++ b/src/cli/args.rs
@@ -78,6 +78,9 @@
         /// Number of chats.
         #[bpaf(argument("N"), fallback(120), display_fallback)]
         chats: usize,
+        /// Also writes the time line as one page.
+        #[bpaf(argument("FILE"))]
+        timeline: Option<PathBuf>,
     },
     /// Shows one screen over the fleet.
     #[bpaf(command)]
--- a/src/cli/demo.rs
+++ b/src/cli/demo.rs
@@ -1,21 +1,23 @@
 //! `filberttiller demo`.
 
+use std::path::Path;
 use std::time::Duration;
 
-use error_stack::Report as ErrorReport;
+use error_stack::{Report as ErrorReport, ResultExt};
 use tokio::time::timeout;
 
 use crate::cli::CliError;
-use crate::demo::{DemoError, Fleet, FleetOptions, Report, run_traffic};
+use crate::demo::{DemoError, Fleet, FleetOptions, Outcome, Report, Story, run_traffic};
+use crate::timeline::html;
 
 /// Longest time of the whole demonstration.
 const TIME_LIMIT: Duration = Duration::from_secs(20);
 /// Chats after the model has moved.
 const MOVED_CHATS: usize = 20;
 
-/// Runs the demonstration.
-pub(crate) async fn run(seed: u64, chats: usize) -> Result<(), CliError> {
-    match timeout(TIME_LIMIT, play(seed, chats)).await {
+/// Runs the demonstration and writes its time line to `page`, if there is one.
+pub(crate) async fn run(seed: u64, chats: usize, page: Option<&Path>) -> Result<(), CliError> {
+    match timeout(TIME_LIMIT, play(seed, chats, page)).await {
         Ok(Ok(true)) => Ok(()),
         Ok(Ok(false)) => {
             Err(CliError::Failed("not every request got its own whole answer".to_owned()))
@@ -25,7 +27,11 @@
     }
 }
 
-async fn play(seed: u64, chats: usize) -> Result<bool, ErrorReport<DemoError>> {
+async fn play(
+    seed: u64,
+    chats: usize,
+    page: Option<&Path>,
+) -> Result<bool, ErrorReport<DemoError>> {
     println!("starting stand-ins and four routers");
     let fleet = Fleet::start(FleetOptions::default()).await?;
     let spread = fleet.publish_first().await?;
@@ -39,5 +45,24 @@
     let served: u64 = fleet.canaries.iter().map(|it| it.total_runs()).sum();
     println!("the other pool served {served} of {} requests", moved.asked);
     println!("\n{report}");
-    Ok(report.is_good() && moved.wrong.is_empty() && served == moved.asked as u64)
+    let explained = tell(&fleet, &[report.outcome(), &moved], page).await?;
+    let moved_well = moved.wrong.is_empty() && served == moved.asked as u64;
+    Ok(report.is_good() && moved_well && explained)
+}
+
+/// Tells whether the time line explains every refusal.
+async fn tell(
+    fleet: &Fleet,
+    outcomes: &[&Outcome],
+    page: Option<&Path>,
+) -> Result<bool, ErrorReport<DemoError>> {
+    let story = Story::read(fleet, &fleet.control(), outcomes).await;
+    let (events, requests) = (story.timeline.events.len(), story.requests);
+    println!("time line: {events} events of {requests} requests, {} refused", story.refused);
+    story.timeline.notes().iter().chain(&story.open).for_each(|it| println!("  {it}"));
+    if let Some(file) = page {
+        let written = std::fs::write(file, html(&story.timeline));
+        written.change_context_lazy(|| DemoError::new(file.display().to_string()))?;
+    }
+    Ok(story.open.is_empty())
 }
--- a/src/cli/run.rs
+++ b/src/cli/run.rs
@@ -21,7 +21,9 @@
         Args::Ticket(TicketArgs::PublishTicket { settings_arg, file }) => {
             block_on(ticket::publish(&settings_arg, &file))
         }
-        Args::Demo { seed, chats } => block_on(demo::run(seed, chats)),
+        Args::Demo { seed, chats, timeline } => {
+            block_on(demo::run(seed, chats, timeline.as_deref()))
+        }
         Args::Measure { seed, policy: policies, json, write, file } => {
             measure::run(&measure::Wanted { seed, policies, json, write, file })
         }
--- a/src/demo/fleet.rs
+++ b/src/demo/fleet.rs
@@ -176,6 +176,17 @@
         Ok(begin.elapsed())
     }
 
+    /// Names and control addresses of the routers.
+    pub fn control(&self) -> Vec<(String, SocketAddr)> {
+        let each = |it: &Daemon| (it.shared().settings.name.clone(), it.control());
+        self.routers.iter().map(each).collect()
+    }
+
+    /// Token of the control side.
+    pub fn token(&self) -> &str {
+        &self.options.settings.token
+    }
+
     /// Waits until `done` holds, without a limit of its own.
     pub async fn wait_until(&self, done: impl Fn(&Fleet) -> bool) {
         while !done(self) {
--- a/src/demo/mod.rs
+++ b/src/demo/mod.rs
@@ -5,10 +5,12 @@
 mod fleet;
 mod fleet_options;
 mod report;
+mod story;
 mod traffic;
 
 pub use caller::{Ask, Caller, prompt};
 pub use fleet::{DemoError, Fleet};
 pub use fleet_options::FleetOptions;
 pub use report::Report;
+pub use story::Story;
 pub use traffic::{Outcome, run_traffic};
--- a/src/demo/report.rs
+++ b/src/demo/report.rs
@@ -43,6 +43,11 @@
         }
     }
 
+    /// What the callers saw.
+    pub fn outcome(&self) -> &Outcome {
+        &self.outcome
+    }
+
     /// Whether every request got its own whole answer.
     pub fn is_good(&self) -> bool {
         self.outcome.wrong.is_empty() && self.outcome.asked > 0
--- a/src/filters/ending.rs
+++ b/src/filters/ending.rs
@@ -18,6 +18,10 @@
     open: bool,
 }
 
+/// Marks an answer that is the error of a refusal.
+#[derive(Debug, Clone)]
+pub(crate) struct Refused(pub(crate) Refusal);
+
 /// Marks an answer whose stream carries the ending itself.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Streamed;
@@ -35,6 +39,9 @@
 
     /// The request got an answer, or an error that another router wrote.
     pub(crate) fn told(&mut self, reply: &Response, detail: &str) {
+        if let Some(Refused(refusal)) = reply.extensions().get() {
+            return self.refused(refusal);
+        }
         let text = reply.headers().get(VERDICT_HEADER).map_or(&[][..], |it| it.as_bytes());
         let is = |it: &Verdict| it.as_str().as_bytes() == text;
         match [Verdict::NotRun, Verdict::MayHaveRun].into_iter().find(is) {
@@ -45,8 +52,7 @@
 
     /// The request got an error in place of an answer.
     pub(crate) fn refused(&mut self, refusal: &Refusal) {
-        let detail = format!("{}: {}", refusal.verdict, refusal.message);
-        self.end(refusal.reason.code(), refusal.verdict, &detail);
+        self.end(refusal.reason.code(), refusal.verdict, &refusal.message);
     }
 
     /// The stream was ended by an error.
@@ -65,6 +71,14 @@
         }
         let requests = &self.shared.counters.requests;
         requests.with_label_values(&[self.kind, verdict.as_str()]).inc();
+        let told;
+        let detail = match code {
+            Code::RequestDone => detail,
+            _ => {
+                told = format!("{verdict}: {detail}");
+                &told
+            }
+        };
         self.shared.events.record(code, Fields { subject: &self.request, detail });
     }
 }
--- a/src/filters/mod.rs
+++ b/src/filters/mod.rs
@@ -43,7 +43,7 @@
 pub use refusal::{Reason, Refusal};
 pub use router::callers;
 pub use shared::{Counters, Shared};
-pub(crate) use trace::{observe, stamp};
+pub(crate) use trace::{FIRST, observe, stamp};
 pub use upstream::Upstream;
 pub(crate) use upstream::client;
 
--- a/src/filters/once.rs
+++ b/src/filters/once.rs
@@ -12,6 +12,7 @@
 use crate::decide::{Verdict, combine, hash_bytes};
 use crate::events::{Code, Fields};
 use crate::filters::answer::mark;
+use crate::filters::ending::Refused;
 use crate::filters::forward::{Job, Plan, forward};
 use crate::filters::once_forward::{never_seen, send_to_owner};
 use crate::filters::{Call, FORWARDED_HEADER, KEY_HEADER, OWNER_HEADER, Reason, Refusal, Shared};
@@ -238,9 +239,9 @@
     let mut reply = match result {
         Ok(reply) => reply,
         Err(refusal) if forwarded => {
-            let fields = Fields { subject: id, detail: &refusal.message };
-            shared.events.record(refusal.reason.code(), fields);
-            refusal.reply(id).into_response()
+            let mut reply = refusal.reply(id).into_response();
+            reply.extensions_mut().insert(Refused(refusal));
+            reply
         }
         Err(refusal) => return Err(refusal),
     };
--- a/src/filters/once_forward.rs
+++ b/src/filters/once_forward.rs
@@ -13,6 +13,7 @@
 use crate::decide::once::{Op, Owner};
 use crate::events::{Code, Fields};
 use crate::filters::once::unknown;
+use crate::filters::trace::{observe, timed};
 use crate::filters::{
     Call, DEADLINE_HEADER, FORWARDED_HEADER, KEY_HEADER, ORGANISATION_HEADER, OWNER_HEADER,
     REQUEST_HEADER, Refusal, Shared, VERDICT_HEADER,
@@ -44,6 +45,7 @@
     let Ok(reply) = request.send().await else {
         return Err(unknown("the router that owns the key does not answer"));
     };
+    observe(shared, reply.headers());
     let names = reply.headers().get(OWNER_HEADER).and_then(|it| it.to_str().ok());
     if names.and_then(|it| it.parse().ok()) != Some(owner.incarnation) {
         return Err(unknown("the router that owned the key was restarted"));
@@ -77,11 +79,11 @@
     let query = if call.query.is_empty() { String::new() } else { format!("?{}", call.query) };
     let url = format!("http://{addr}/v1/services/{service}{}{query}", call.path);
     let left = call.deadline.saturating_duration_since(shared.clock.now());
-    let mut request = shared
-        .http
-        .request(call.method.clone(), url)
+    let request = shared.http.request(call.method.clone(), url);
+    let mut request = timed(shared, request)
         .timeout(left)
         .header(FORWARDED_HEADER, &shared.settings.name)
+        .header(REQUEST_HEADER, &call.id)
         .header(KEY_HEADER, key)
         .header(DEADLINE_HEADER, left.as_millis().to_string());
     for name in SENT {
@@ -112,13 +114,13 @@
 /// it does not say.
 async fn unseen_at(shared: &Shared, addr: SocketAddr, op: &Op) -> Option<bool> {
     let body = rmp_serde::to_vec(&KeyQuery::from(*op)).ok()?;
-    let request = shared
-        .http
-        .post(format!("http://{addr}/v1/once/unseen"))
+    let request = shared.http.post(format!("http://{addr}/v1/once/unseen"));
+    let request = timed(shared, request)
         .header(TOKEN_HEADER, &shared.settings.token)
         .timeout(QUERY_TIMEOUT)
         .body(body);
     let reply = request.send().await.ok()?.error_for_status().ok()?;
+    observe(shared, reply.headers());
     let answer: KeyAnswer = rmp_serde::from_slice(&reply.bytes().await.ok()?).ok()?;
     Some(answer.unseen)
 }
--- a/src/filters/stream.rs
+++ b/src/filters/stream.rs
@@ -235,7 +235,9 @@
         self.ending.cut(fault);
         self.shared.counters.count_arms(&self.source.arms, Verdict::MayHaveRun);
         let refusal = Refusal::may_have_run(Reason::BackendFailed, fault);
-        let body = serde_json::to_string(&refusal.body(&self.source.request)).unwrap_or_default();
+        let mut body = refusal.body(&self.source.request);
+        body.error.event = Code::StreamCut.number();
+        let body = serde_json::to_string(&body).unwrap_or_default();
         sse::frame("", "error", &body)
     }
 }
--- a/src/filters/trace.rs
+++ b/src/filters/trace.rs
@@ -1,12 +1,17 @@
 //! Hybrid logical time on messages, and the events that begin a request's story.
 
+use reqwest::RequestBuilder;
 use warp::http::{HeaderMap, HeaderValue};
 use warp::reply::Response;
 
 use crate::events::{Code, Fields};
-use crate::filters::{Call, Refusal, Shared, TIME_HEADER};
+use crate::filters::request_id::belongs;
+use crate::filters::{Call, FORWARDED_HEADER, REQUEST_HEADER, Refusal, Shared, TIME_HEADER};
 use crate::wire::EntryAnswer;
 
+/// Name of the value that links a call sent on to the request that it came from.
+pub(crate) const FIRST: &str = "first";
+
 /// Takes over the time that came with a message.
 pub(crate) fn observe(shared: &Shared, headers: &HeaderMap) {
     if let Some(text) = headers.get(TIME_HEADER).and_then(|it| it.to_str().ok()) {
@@ -21,15 +26,27 @@
     }
 }
 
+/// Adds the own time to a call of another router.
+pub(crate) fn timed(shared: &Shared, call: RequestBuilder) -> RequestBuilder {
+    call.header(TIME_HEADER, shared.events.time().to_string())
+}
+
 /// Filter that records that a request arrived, once its chat is known.
 pub(crate) fn received(shared: &Shared, call: &mut Call) -> Result<(), Refusal> {
     shared.counters.single.received(&call.organisation);
-    let detail = format!("chat={:016x} organisation={}", call.chat, call.organisation);
+    let first = first_id(shared, call).map_or_else(String::new, |it| format!(" {FIRST}={it}"));
+    let detail = format!("chat={:016x}{first} organisation={}", call.chat, call.organisation);
     let fields = Fields { subject: &call.id, detail: &detail };
     shared.events.record(Code::RequestReceived, fields);
     Ok(())
 }
 
+/// Id under which the router that sent the call on received it.
+fn first_id<'a>(shared: &Shared, call: &'a Call) -> Option<&'a str> {
+    let id = call.header(FORWARDED_HEADER).and_then(|_| call.header(REQUEST_HEADER))?;
+    belongs(&shared.settings.token, call.organisation.as_bytes(), id).then_some(id)
+}
+
 /// Records which addresses a caller was told.
 pub(crate) fn entry_answered(shared: &Shared, call: &Call, chat: u64, answer: &EntryAnswer) {
     let routers: Vec<_> = answer.addresses.iter().map(|it| it.router.as_str()).collect();
--- a/src/timeline/mod.rs
+++ b/src/timeline/mod.rs
@@ -10,7 +10,7 @@
 mod timeline;
 mod trace;
 
-pub use explain::{Explanation, explain};
+pub use explain::{Explanation, explain, unexplained};
 pub use html::html;
 pub use jsonl::jsonl;
 pub use process::{Gap, Process};
--- a/src/timeline/selection.rs
+++ b/src/timeline/selection.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeSet;
 
 use crate::events::{Code, Event};
+use crate::filters::FIRST;
 use crate::timeline::Timeline;
 
 /// Events about the platform: they explain refusals of any request.
@@ -45,18 +46,30 @@
     words.find_map(|it| it.strip_prefix(name)?.strip_prefix('='))
 }
 
+/// Id of the request that another router sent on as the one that arrived.
+pub(crate) fn first_id(event: &Event) -> Option<&str> {
+    // The name of the organisation is the caller's own text and comes last.
+    let (told, _) = event.detail.split_once(" organisation=")?;
+    let arrived = is(event, Code::RequestReceived);
+    told.split(' ').find_map(|it| it.strip_prefix(FIRST)?.strip_prefix('=')).filter(|_| arrived)
+}
+
 fn is(event: &Event, code: Code) -> bool {
     event.code == code.number()
 }
 
-/// The events of a request, the answer about addresses that led to it, and what
-/// its routers and backend servers met meanwhile.
+/// The events of a request, at a router that it was sent on to as well, the
+/// answer about addresses that led to it, and what its routers and backend
+/// servers met meanwhile.
 fn request(events: &[Event], id: &str) -> Vec<Event> {
-    let own = |it: &&Event| it.subject == id;
-    let Some(first) = events.iter().position(|it| it.subject == id) else {
+    let links = events.iter().filter_map(|it| Some((first_id(it)?, it.subject.as_str())));
+    let linked = links.filter(|(first, sent)| *first == id || *sent == id);
+    let ids: BTreeSet<&str> = linked.flat_map(|it| [it.0, it.1]).chain([id]).collect();
+    let own = |it: &&Event| ids.contains(it.subject.as_str());
+    let Some(first) = events.iter().position(|it| own(&it)) else {
         return Vec::new();
     };
-    let last = events.iter().rposition(|it| it.subject == id).unwrap_or(first);
+    let last = events.iter().rposition(|it| own(&it)).unwrap_or(first);
     let servers: BTreeSet<&str> = events
         .iter()
         .filter(own)
@@ -72,7 +85,7 @@
     let platform = platform_state(&events[..first], &routers);
     let related = |i: usize, it: &Event| {
         let meanwhile = (first..=last).contains(&i) && routers.contains(it.instance.as_str());
-        it.subject == id
+        own(&it)
             || Some(i) == entry
             || platform.contains(&i)
             || (meanwhile && (is_platform(it) || servers.contains(it.subject.as_str())))
--- a/src/wire/api_error.rs
+++ b/src/wire/api_error.rs
@@ -1,5 +1,13 @@
 //! Errors as callers read them.
 
+impl ApiError {
+    /// The error in the text of a fault that ends with an error answer.
+    pub fn find(fault: &str) -> Option<ApiError> {
+        let body: ApiErrorBody = serde_json::from_str(&fault[fault.find('{')?..]).ok()?;
+        Some(body.error)
+    }
+}
+
 wire! {
     /// Body of every error answer.
     pub struct ApiErrorBody {
--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -25,6 +25,7 @@
 mod settings;
 mod state;
 mod storm;
+mod story;
 mod support;
 mod suspect;
 mod timeline;
