--- a/src/backend/control_http.rs
+++ b/src/backend/control_http.rs
@@ -33,13 +33,14 @@
     http: reqwest::Client,
     meter: Arc<Meter>,
     events: Option<Arc<EventLog>>,
-    account: Option<(Arc<Budget>, Purpose)>,
+    purpose: Purpose,
+    budget: Option<Arc<Budget>>,
 }
 
 impl ControlHttp {
-    /// A client that counts into `meter`.
+    /// A client that counts into `meter`, for exchanges unless `paid` tells otherwise.
     pub fn new(http: reqwest::Client, meter: Arc<Meter>) -> ControlHttp {
-        ControlHttp { http, meter, events: None, account: None }
+        ControlHttp { http, meter, events: None, purpose: Purpose::Gossip, budget: None }
     }
 
     /// Sends hybrid logical time along with calls to other routers.
@@ -49,16 +50,16 @@
 
     /// The same client with an account of `budget` that pays for its calls.
     pub fn paid(&self, budget: &Arc<Budget>, purpose: Purpose) -> ControlHttp {
-        ControlHttp { account: Some((Arc::clone(budget), purpose)), ..self.clone() }
+        ControlHttp { purpose, budget: Some(Arc::clone(budget)), ..self.clone() }
     }
 
     /// Waits until the account has `bytes` to spend.
     pub async fn afford(&self, bytes: f64) {
-        let Some((budget, purpose)) = &self.account else {
+        let Some(budget) = &self.budget else {
             return;
         };
         loop {
-            let delay = budget.delay(*purpose, bytes);
+            let delay = budget.delay(self.purpose, bytes);
             if delay.is_zero() {
                 return;
             }
@@ -68,15 +69,13 @@
 
     /// Whether the account has `bytes` to spend now.
     pub fn affords(&self, bytes: f64) -> bool {
-        let account = self.account.as_ref();
-        account.is_none_or(|(budget, purpose)| budget.balance(*purpose) >= bytes)
+        self.budget.as_ref().is_none_or(|it| it.balance(self.purpose) >= bytes)
     }
 
-    fn count(&self, sent: usize, received: usize) {
-        self.meter.add_sent(sent);
-        self.meter.add_received(received);
-        if let Some((budget, purpose)) = &self.account {
-            budget.spend(*purpose, sent + received);
+    fn count(&self, bytes: usize) {
+        self.meter.add(self.purpose, bytes);
+        if let Some(budget) = &self.budget {
+            budget.spend(self.purpose, bytes);
         }
     }
 
@@ -113,16 +112,16 @@
         let line = request.method().as_str().len() + target + REQUEST_BYTES;
         let host = url.authority().len();
         let head = line + host + ADDED_BYTES + head_bytes(request.headers());
-        self.count(head + length_bytes(body) + body, 0);
+        self.count(head + length_bytes(body) + body);
         let reply = self.http.execute(request).await?;
         let time = reply.headers().get(TIME_HEADER).and_then(|it| it.to_str().ok());
         if let (Some(events), Some(time)) = (events, time) {
             events.observe(time);
         }
-        self.count(0, STATUS_BYTES + head_bytes(reply.headers()));
+        self.count(STATUS_BYTES + head_bytes(reply.headers()));
         let status = reply.status();
         let body = reply.bytes().await?;
-        self.count(0, body.len());
+        self.count(body.len());
         if status.is_success() {
             return Ok(body);
         }
--- a/src/backend/list_client.rs
+++ b/src/backend/list_client.rs
@@ -22,9 +22,9 @@
         ListClient { http, addr }
     }
 
-    /// Waits until the account is not in debt.
-    pub async fn afford(&self) {
-        self.http.afford(0.0).await;
+    /// Waits until the account has `bytes` to spend.
+    pub async fn afford(&self, bytes: f64) {
+        self.http.afford(bytes).await;
     }
 
     /// Reads the whole list.
--- a/src/backend/log_client.rs
+++ b/src/backend/log_client.rs
@@ -31,9 +31,9 @@
         LogClient { timeout, ..self }
     }
 
-    /// Waits until the account is not in debt.
-    pub async fn afford(&self) {
-        self.http.afford(0.0).await;
+    /// Waits until the account has `bytes` to spend.
+    pub async fn afford(&self, bytes: f64) {
+        self.http.afford(bytes).await;
     }
 
     /// Reads `stream` from offset `from` on, waiting up to `wait` for news.
--- a/src/backend/meter.rs
+++ b/src/backend/meter.rs
@@ -2,26 +2,28 @@
 
 use std::sync::atomic::{AtomicU64, Ordering};
 
-/// Bytes of control and probe calls, both ways, heads included.
+use crate::fleet::Purpose;
+
+/// Bytes of control and probe calls by purpose, both ways, heads included.
 #[derive(Debug, Default)]
 pub struct Meter {
-    sent: AtomicU64,
-    received: AtomicU64,
+    /// In the order of [`Purpose`].
+    bytes: [AtomicU64; Purpose::COUNT],
 }
 
 impl Meter {
-    /// Counts bytes sent.
-    pub fn add_sent(&self, bytes: usize) {
-        self.sent.fetch_add(bytes as u64, Ordering::Relaxed);
+    /// Counts bytes sent or received for `purpose`.
+    pub fn add(&self, purpose: Purpose, bytes: usize) {
+        self.bytes[purpose as usize].fetch_add(bytes as u64, Ordering::Relaxed);
     }
 
-    /// Counts bytes received.
-    pub fn add_received(&self, bytes: usize) {
-        self.received.fetch_add(bytes as u64, Ordering::Relaxed);
+    /// Bytes for `purpose` so far.
+    pub fn of(&self, purpose: Purpose) -> u64 {
+        self.bytes[purpose as usize].load(Ordering::Relaxed)
     }
 
     /// All bytes so far.
     pub fn total(&self) -> u64 {
-        self.sent.load(Ordering::Relaxed) + self.received.load(Ordering::Relaxed)
+        Purpose::ALL.iter().map(|it| self.of(*it)).sum()
     }
 }
--- a/src/backend/router_client.rs
+++ b/src/backend/router_client.rs
@@ -8,7 +8,7 @@
 
 use crate::backend::{ControlHttp, PlatformError};
 use crate::events::{Event, EventPage};
-use crate::wire::{Gossip, WireInForce, WireOutcome, WireStatus};
+use crate::wire::{Gossip, WireInForce, WireOutcome, WireStatus, pack_gossip, unpack_gossip};
 
 /// Header that carries the shared token.
 pub const TOKEN_HEADER: &str = "filberttiller-token";
@@ -100,11 +100,11 @@
         message: &Gossip,
     ) -> Result<Gossip, PlatformError> {
         let form = |fault: String| PlatformError::Form { fault };
-        let body = rmp_serde::to_vec_named(message).map_err(|e| form(e.to_string()))?;
+        let body = pack_gossip(message).map_err(|e| form(e.to_string()))?;
         let request = self.http.request(Method::POST, &format!("http://{addr}{GOSSIP_PATH}"));
         let request = request.header(TOKEN_HEADER, &self.token).body(body);
         let reply = self.http.call(request, GOSSIP_TIMEOUT).await?;
-        rmp_serde::from_slice(&reply).map_err(|e| form(e.to_string()))
+        unpack_gossip(&reply).map_err(|e| form(e.to_string()))
     }
 
     async fn get<T: DeserializeOwned>(
--- a/src/capacity/samples.rs
+++ b/src/capacity/samples.rs
@@ -21,7 +21,9 @@
 use crate::fleet::{Budget, ViewCell};
 use crate::settings::Control;
 use crate::state::{InForce, Kind, Object, OrganisationSpec, Spec, Ticket};
-use crate::wire::{Instance, LoadReport, MemberStatus, Role, Standing, WireInForce, WireMember};
+use crate::wire::{
+    Instance, LoadReport, MemberStatus, Role, Standing, WireInForce, WireMember, pack_gossip,
+};
 
 /// Calls of one timed loop.
 const CALLS: u32 = 200;
@@ -223,7 +225,7 @@
             let _ = address.send(Reported { name: format!("engine-{i}"), report }).await;
         }
         let round = address.send(NextRound { due: true }).await.ok().flatten();
-        let bytes = round.and_then(|it| rmp_serde::to_vec_named(&it.message).ok());
+        let bytes = round.and_then(|it| pack_gossip(&it.message).ok());
         stop(address).await;
         Sample { wire: bytes.map_or(0.0, |it| it.len() as f64), ..Sample::default() }
     })
--- a/src/cli/spread.rs
+++ b/src/cli/spread.rs
@@ -11,7 +11,9 @@
 use crate::backend::Meter;
 use crate::cli::CliError;
 use crate::controllers::TICKET_STREAM;
+use crate::daemon::Daemon;
 use crate::demo::{DemoError, Fleet, FleetOptions};
+use crate::fleet::Purpose;
 
 /// Time for the fleet to settle before anything is measured.
 const SETTLE: Duration = Duration::from_secs(15);
@@ -23,6 +25,11 @@
 const TICKETS: u64 = 10;
 /// Seconds between two prints of the worst spending.
 const WORST_EVERY: usize = 30;
+/// Pool of the engines, and the number of failure domains that they are in.
+const POOL: &str = "assistant-llm";
+const DOMAINS: usize = 3;
+/// Time in which leaving marks have to reach all routers.
+const MARK_WINDOW: Duration = Duration::from_secs(3);
 /// Tickets appended at once.
 const STORM: u64 = 100;
 
@@ -76,6 +83,8 @@
     sleep(WINDOW.saturating_sub(begin.elapsed())).await;
     bytes(&fleet, "storm, B/router/s", begin.elapsed(), before);
 
+    leave_domain(&fleet).await;
+
     let begin = Instant::now();
     fleet.add_router()?;
     let next = fleet.routers[0].shared().view.peek().state.next;
@@ -92,23 +101,44 @@
 /// Prints every [`WORST_EVERY`] what the busiest router spent at most so far, in
 /// one second and in ten.
 async fn sample(meters: Vec<Arc<Meter>>) {
-    let mut seen: Vec<Vec<u64>> = Vec::new();
+    let mut seen: Vec<Seen> = Vec::new();
     let mut tick = interval(Duration::from_secs(1));
     loop {
         tick.tick().await;
-        seen.push(meters.iter().map(|it| it.total()).collect());
+        seen.push(meters.iter().map(|it| Purpose::ALL.map(|purpose| it.of(purpose))).collect());
         if seen.len().is_multiple_of(WORST_EVERY) {
-            let worst = |span: usize| {
-                let pairs = seen.iter().zip(seen.iter().skip(span));
-                let rates = pairs.flat_map(|(a, b)| a.iter().zip(b).map(|(a, b)| b - a));
-                rates.max().unwrap_or(0) / span as u64
+            let most = |span: usize| {
+                let all = |it: &[u64; Purpose::COUNT]| it.iter().sum::<u64>();
+                worst(&seen, span, all) / span as u64
             };
-            let text = format!("worst second {}, worst 10 s {}", worst(1), worst(10));
+            let text = format!("worst second {}, worst 10 s {}", most(1), most(10));
             println!("  after {} s: {text} B/s", seen.len());
+            show_purposes(&seen);
         }
     }
 }
 
+/// Bytes so far of each router by purpose, at one moment.
+type Seen = Vec<[u64; Purpose::COUNT]>;
+
+/// What one router spent at most in `span` seconds, as `figure` tells it.
+fn worst(seen: &[Seen], span: usize, figure: impl Fn(&[u64; Purpose::COUNT]) -> u64) -> u64 {
+    let pairs = seen.iter().zip(seen.iter().skip(span));
+    let spent = pairs.flat_map(|(a, b)| a.iter().zip(b).map(|(a, b)| figure(b) - figure(a)));
+    spent.max().unwrap_or(0)
+}
+
+/// Prints the worst second of each purpose, and of the exchanges and engines together.
+fn show_purposes(seen: &[Seen]) {
+    for purpose in Purpose::ALL {
+        let most = worst(seen, 1, |it| it[purpose as usize]);
+        println!("    {purpose:?}: worst second {most} B");
+    }
+    let in_parts =
+        |it: &[u64; Purpose::COUNT]| it[Purpose::Gossip as usize] + it[Purpose::Load as usize];
+    println!("    Gossip and Load together: worst second {} B", worst(seen, 1, in_parts));
+}
+
 fn ticket(number: u64) -> Value {
     json!({ "version": 1, "number": number, "author": "spread", "objects": [
         { "kind": "organisation", "name": format!("org-{}", number % 20), "spec": { "weight": 1.0 } },
@@ -122,6 +152,29 @@
     sent.map(drop).map_err(|e| Report::new(DemoError::new(e.to_string())))
 }
 
+/// Has every third engine, which are those of one failure domain, leave at once.
+async fn leave_domain(fleet: &Fleet) {
+    let names: Vec<String> =
+        (0..fleet.engines.len()).step_by(DOMAINS).map(|i| format!("{POOL}-{i}")).collect();
+    sleep(SETTLE).await;
+    let before = total(fleet);
+    let begin = Instant::now();
+    for it in &names {
+        fleet.list.leave(it);
+    }
+    let holds = |r: &Daemon| {
+        let shared = r.shared();
+        let now = shared.clock.now();
+        names.iter().all(|it| shared.marks.holds(it, 0, now))
+    };
+    fleet.wait_until(|it| it.routers.iter().any(holds)).await;
+    show("a third of the engines leaves, first router", begin.elapsed());
+    fleet.wait_until(|it| it.routers.iter().all(holds)).await;
+    show("the same, last router", begin.elapsed());
+    sleep(MARK_WINDOW.saturating_sub(begin.elapsed())).await;
+    bytes(fleet, "the same over 3 s, B/router/s", begin.elapsed(), before);
+}
+
 async fn in_force(fleet: &Fleet, number: u64) {
     let has = |it: &Fleet| {
         it.routers.iter().all(|r| r.shared().view.peek().state.accepted.contains_key(&number))
--- /dev/null
+++ b/src/controllers/mark_watch.rs
@@ -0,0 +1,19 @@
+//! Has marks that traffic adds published and passed on.
+
+use std::sync::Arc;
+
+use xtra::Address;
+
+use crate::controllers::Publisher;
+use crate::controllers::messages::Marked;
+use crate::fleet::MarkBoard;
+
+/// Watches the board until the publisher is gone.
+pub async fn watch_marks(marks: Arc<MarkBoard>, publisher: Address<Publisher>) {
+    loop {
+        marks.added.notified().await;
+        if publisher.send(Marked).await.is_err() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/src/controllers/marks.rs
@@ -0,0 +1,159 @@
+//! Leaving marks on their way between routers.
+//!
+//! All routers pass marks on along one tree, so that each sends a mark to few and
+//! hears of it about once, whoever saw it first. Many marks at once, as when a
+//! failure domain leaves, go as one bit for each backend server.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use xtra::prelude::*;
+
+use crate::controllers::Publisher;
+use crate::controllers::messages::{Marked, Round};
+use crate::decide::hash_bytes;
+use crate::events::Code;
+use crate::fleet::Mark;
+use crate::wire::{Gossip, Role, WireMark, WireMarkSet};
+
+/// Marks told by name in one message.
+const NAMED: usize = 4;
+/// Marks told by name in one message when their names are not on the list.
+const UNLISTED: usize = 16;
+
+impl Publisher {
+    /// Adds the fresh marks: few by name, many as a set.
+    pub(super) fn add_marks(&self, message: &mut Gossip) {
+        let now = self.now();
+        let names = self.server_names();
+        let listed = |name: &str| names.contains(name);
+        let marks = &self.parts.marks;
+        if marks.fresh_count(now, listed) <= NAMED {
+            let found = marks.fresh(UNLISTED, now, |_| true);
+            message.marks = found.into_iter().map(WireMark::from).collect();
+            return;
+        }
+        message.mark_set = mark_set(&names, &marks.fresh(usize::MAX, now, listed));
+        let others = marks.fresh(UNLISTED, now, |it| !listed(it));
+        message.marks = others.into_iter().map(WireMark::from).collect();
+    }
+
+    /// Takes marks told by `peer`; true when any is news.
+    pub(super) fn take_marks(
+        &mut self,
+        peer: &str,
+        named: Vec<WireMark>,
+        set: Option<WireMarkSet>,
+    ) -> bool {
+        let now = self.now();
+        let mut marks: Vec<Mark> = named.into_iter().map(Mark::from).collect();
+        marks.extend(set.iter().flat_map(|it| self.unpack(it)));
+        let mut news = false;
+        for mark in marks {
+            if self.parts.marks.learn(&mark, now) {
+                self.record(Code::MarkedLeaving, &mark.name, &format!("told by {peer}"));
+                news = true;
+            }
+        }
+        news
+    }
+
+    /// The marks of a set, unless it is about another list of backend servers. One
+    /// that was started later than all marked ones has joined again.
+    fn unpack(&self, set: &WireMarkSet) -> Vec<Mark> {
+        let names = self.server_names();
+        if digest(&names) != set.names {
+            return Vec::new();
+        }
+        let left = Duration::from_millis(set.left_ms);
+        let marked = names.iter().enumerate().filter(|(i, _)| bit(&set.bits, *i));
+        let known = marked.map(|(_, name)| {
+            let report = self.loads.get(hash_bytes(name.as_bytes()));
+            (*name, report.map_or(0, |it| it.incarnation))
+        });
+        let known = known.filter(|it| it.1 <= set.newest || set.newest == 0);
+        let mark = |(name, incarnation): (&str, u64)| {
+            let incarnation = incarnation.min(set.newest);
+            Mark { name: name.to_owned(), incarnation, left }
+        };
+        known.map(mark).collect()
+    }
+
+    /// Names of all backend servers on the list, in order.
+    fn server_names(&self) -> BTreeSet<&str> {
+        let servers = self.roster.instances().filter(|it| it.role != Role::Entry);
+        servers.map(|it| it.name.as_str()).collect()
+    }
+
+    /// Passes marks on down the tree; marks that no router told begin at its root.
+    pub(super) fn spread_marks(&mut self, begin: bool) {
+        let mut targets = self.tree_children(&self.parts.own.name);
+        if begin {
+            targets.extend(self.tree_root());
+        }
+        self.mark_branches = targets;
+        self.news.notify_one();
+    }
+
+    /// The exchange that passes marks on.
+    pub(super) fn mark_round(&mut self) -> Option<Round> {
+        while let Some(peer) = self.mark_branches.pop() {
+            let addr = self.contacts().0.get(&peer).copied();
+            if let Some(addr) = addr {
+                let message = self.compose(&peer, true);
+                if message.has_marks() {
+                    return Some(Round { peer, addr, message, pull: false });
+                }
+            }
+        }
+        None
+    }
+}
+
+impl Handler<Marked> for Publisher {
+    type Return = ();
+
+    async fn handle(&mut self, _: Marked, _: &mut Context<Self>) {
+        self.publish();
+        self.spread_marks(true);
+    }
+}
+
+/// One bit for each of `names`, in their order; `None` without marks.
+fn mark_set(names: &BTreeSet<&str>, marks: &[Mark]) -> Option<WireMarkSet> {
+    let marked: BTreeSet<&str> = marks.iter().map(|it| it.name.as_str()).collect();
+    let mut bits = vec![0_u8; names.len().div_ceil(8)];
+    for (i, _) in names.iter().enumerate().filter(|(_, it)| marked.contains(*it)) {
+        bits[i / 8] |= 1 << (i % 8);
+    }
+    let left = marks.iter().map(|it| it.left).max()?;
+    Some(WireMarkSet {
+        names: digest(names),
+        newest: marks.iter().map(|it| it.incarnation).max()?,
+        left_ms: left.as_millis() as u64,
+        bits,
+    })
+}
+
+fn digest(names: &BTreeSet<&str>) -> u64 {
+    let text: Vec<u8> = names.iter().flat_map(|it| it.bytes().chain([0])).collect();
+    hash_bytes(&text)
+}
+
+fn bit(bits: &[u8], index: usize) -> bool {
+    bits.get(index / 8).is_some_and(|it| it & (1 << (index % 8)) != 0)
+}
+
+impl From<Mark> for WireMark {
+    fn from(it: Mark) -> WireMark {
+        let left_ms = it.left.as_millis() as u64;
+        WireMark { name: it.name, incarnation: it.incarnation, left_ms }
+    }
+}
+
+impl From<WireMark> for Mark {
+    fn from(it: WireMark) -> Mark {
+        let left = Duration::from_millis(it.left_ms);
+        Mark { name: it.name, incarnation: it.incarnation, left }
+    }
+}
--- a/src/controllers/messages.rs
+++ b/src/controllers/messages.rs
@@ -52,6 +52,10 @@
 #[derive(Debug)]
 pub struct Leave;
 
+/// Traffic added leaving marks.
+#[derive(Debug)]
+pub struct Marked;
+
 /// Publishes what has changed.
 #[derive(Debug)]
 pub struct Flush;
@@ -69,8 +73,8 @@
 pub struct TailPlan {
     /// Whether it follows the ticket stream.
     pub follow: bool,
-    /// Whether it writes snapshots.
-    pub writer: bool,
+    /// Its place among the followers, from 0; the first writes snapshots.
+    pub rank: usize,
     /// The state so far.
     pub state: Arc<InForce>,
 }
@@ -106,6 +110,13 @@
     pub reply: Result<Gossip, PlatformError>,
 }
 
+/// Urgent news is to be told again to a peer that turned it away.
+#[derive(Debug)]
+pub struct Retry {
+    /// Name of the peer.
+    pub peer: String,
+}
+
 /// An exchange that a peer began; answered with the reply.
 #[derive(Debug)]
 pub struct Exchange {
--- a/src/controllers/mod.rs
+++ b/src/controllers/mod.rs
@@ -5,18 +5,22 @@
 mod gossip;
 mod list_watch;
 mod load_watch;
+mod mark_watch;
+mod marks;
 mod messages;
 mod publisher;
 mod pull;
+mod retry;
 mod round;
 mod ticket_tail;
 mod view_parts;
 
 pub use gossip::exchange_gossip;
-pub use list_watch::watch_list;
+pub use list_watch::{ListWatch, turn_delay};
 pub use load_watch::watch_loads;
+pub use mark_watch::watch_marks;
 pub use messages::{
-    Answered, Exchange, Flush, Folded, Leave, Listed, NextRound, Reported, Restored, Round,
+    Answered, Exchange, Flush, Folded, Leave, Listed, Marked, NextRound, Reported, Restored, Round,
     TailPlan, TailQuery, Targets, TicketRecord,
 };
 pub use publisher::{Parts, Publisher};
--- a/src/controllers/publisher.rs
+++ b/src/controllers/publisher.rs
@@ -78,6 +78,8 @@
     pub(super) eager: bool,
     /// Peers to which new records are still to be passed on.
     pub(super) branches: Vec<String>,
+    /// Peers to which fresh leaving marks are still to be passed on.
+    pub(super) mark_branches: Vec<String>,
     /// Offset of the first of the records folded last.
     pub(super) fresh_from: u64,
     pub(super) pull: Option<Pull>,
@@ -110,6 +112,7 @@
             pushes: 0,
             eager: false,
             branches: Vec::new(),
+            mark_branches: Vec::new(),
             fresh_from: 0,
             pull: None,
             bulk: None,
@@ -219,9 +222,9 @@
             incarnation: report.map_or(0, |it| it.incarnation),
             left: self.parts.upkeep.mark_hold,
         };
-        if self.parts.marks.insert(&mark, self.now()) {
+        if self.parts.marks.learn(&mark, self.now()) {
             self.record(Code::MarkedLeaving, name, "the instance list");
-            self.spread();
+            self.spread_marks(true);
         }
     }
 
@@ -356,11 +359,7 @@
         let silence = self.parts.upkeep.log_wait + SILENCE;
         let now = self.now();
         let quiet = self.log_seen.is_none_or(|it| now.saturating_duration_since(it) > silence);
-        TailPlan {
-            follow: rank < TAILERS || quiet,
-            writer: rank == 0,
-            state: Arc::clone(&self.state),
-        }
+        TailPlan { follow: rank < TAILERS || quiet, rank, state: Arc::clone(&self.state) }
     }
 }
 
--- a/src/controllers/pull.rs
+++ b/src/controllers/pull.rs
@@ -7,10 +7,12 @@
 use crate::controllers::messages::Round;
 use crate::events::Code;
 use crate::state::InForce;
-use crate::wire::{Bulk, Gossip, Part, Want, WireInForce};
+use crate::wire::{Bulk, Gossip, Part, Want, WireInForce, packed_len};
 
-/// Bytes of records in a reply to a peer that asks.
+/// Bytes of compressed records in a reply to a peer that asks.
 const PULL_BYTES: usize = 2_048;
+/// Bytes of the text of records in one message.
+const TEXT_BYTES: usize = 32_768;
 /// Bytes of one part of the whole state.
 const PART_BYTES: usize = 2_048;
 /// How long a whole state is kept for the peer that fetches it.
@@ -30,20 +32,32 @@
 impl Publisher {
     /// Fills `reply` with what the peer wants.
     pub(super) fn serve(&mut self, want: Want, reply: &mut Gossip) {
-        reply.records.clear();
-        reply.base = None;
         if want.next >= self.state.next {
             return;
         }
         if want.whole == 0
-            && let Some(records) = self.history.since(want.next, PULL_BYTES)
+            && let Some(records) = self.records(want.next, PULL_BYTES)
         {
             reply.records = records;
+            reply.base = self.base(&reply.records);
             return;
         }
         reply.part = self.part(want);
     }
 
+    /// Records from offset `from` on, as many as `room` bytes hold when compressed,
+    /// at least one; `None` when `from` is older than what is kept.
+    pub(super) fn records(&self, from: u64, room: usize) -> Option<Vec<(u64, String)>> {
+        if from >= self.state.next {
+            return Some(Vec::new());
+        }
+        let mut found = self.history.since(from, TEXT_BYTES)?;
+        while found.len() > 1 && packed_len(found.iter().map(|it| it.1.as_str())) > room {
+            found.truncate(found.len() * 3 / 4);
+        }
+        Some(found)
+    }
+
     /// A part of the whole state; it is cut anew when nobody fetches the old one.
     fn part(&mut self, want: Want) -> Option<Part> {
         let now = self.now();
@@ -103,7 +117,7 @@
         pull.busy = true;
         let (whole, part) = pull.whole.as_ref().map_or((0, 0), |it| (it.0, it.1.len()));
         let (peer, addr) = (pull.peer.clone(), pull.addr);
-        let mut message = self.compose(&peer);
+        let mut message = self.compose(&peer, true);
         message.want = Some(Want { next: self.state.next, whole, part });
         Some(Round { peer, addr, message, pull: true })
     }
--- a/src/controllers/round.rs
+++ b/src/controllers/round.rs
@@ -1,25 +1,25 @@
 //! Exchanges between routers: what is sent, and what is made of what comes.
 
 use std::net::SocketAddr;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, UNIX_EPOCH};
 
 use rand::Rng;
 use xtra::prelude::*;
 
+use crate::backend::PlatformError;
 use crate::controllers::Publisher;
 use crate::controllers::messages::{Answered, Exchange, NextRound, Round};
 use crate::controllers::pull::Pull;
 use crate::controllers::ticket_tail::read_text;
+use crate::decide::hash_bytes;
 use crate::events::Code;
-use crate::fleet::{Crash, Mark, Purpose};
-use crate::wire::{GOSSIP_VERSION, Gossip, MemberStatus, WireMark, WireMember};
+use crate::fleet::{Crash, Purpose};
+use crate::wire::{GOSSIP_VERSION, Gossip, MemberStatus, WireMember};
 
-/// Bytes of records that go along unasked; more is announced and fetched.
-const INLINE_BYTES: usize = 800;
+/// Bytes of compressed records that go along unasked; more is announced and fetched.
+const INLINE_BYTES: usize = 1_536;
 /// Bytes of list lines in one message.
 const LINE_BYTES: usize = 500;
-/// Leaving marks in one message.
-const MARKS: usize = 16;
 /// Rows about routers in one message.
 const MEMBERS: usize = 3;
 /// Crash reports in one message.
@@ -28,34 +28,40 @@
 const LOADS: usize = 8;
 /// Bytes that regular exchanges leave for urgent ones.
 pub(super) const SPARE: f64 = 800.0;
+/// Status with which a router turns peers away that its budget cannot pay for.
+const BUSY: u16 = 429;
 /// Times that a crash report is passed on.
 const CRASH_SENDS: u32 = 6;
 /// One in this many exchanges tries a router that is held for dead.
 const DEAD_TRIES: u32 = 10;
 
 impl Publisher {
-    /// A message to `peer` with the urgent only.
-    pub(super) fn compose(&mut self, peer: &str) -> Gossip {
+    /// A message to `peer` with the urgent only, apart from records; leaving marks
+    /// only if `marks` is set.
+    pub(super) fn compose(&mut self, peer: &str, marks: bool) -> Gossip {
         let now = self.now();
         let log_age = self.log_seen.map(|it| now.saturating_duration_since(it).as_millis() as u64);
-        let marks = self.parts.marks.fresh(MARKS, now).into_iter().map(WireMark::from).collect();
-        let records = self.inline(peer);
-        Gossip {
+        let mut message = Gossip {
             version: GOSSIP_VERSION,
             from: self.members.own().clone(),
             next: self.state.next,
             chain: self.state.chain,
             log_age,
-            marks,
-            base: self.base(&records),
-            records,
+            marks: Vec::new(),
+            mark_set: None,
+            base: None,
+            records: Vec::new(),
             want: None,
             part: None,
             members: self.members.rows(peer, MEMBERS),
             crashes: self.crash_rows(),
             lines: Vec::new(),
             loads: Vec::new(),
+        };
+        if marks {
+            self.add_marks(&mut message);
         }
+        message
     }
 
     /// Adds what can wait, while there is something left of the budget.
@@ -69,16 +75,10 @@
         }
     }
 
-    /// The records that `peer` lacks, if they are few.
-    fn inline(&self, peer: &str) -> Vec<(u64, String)> {
-        let from = self.peers.get(peer).map_or(self.fresh_from, |it| self.fresh_from.max(*it));
-        if from >= self.state.next {
-            return Vec::new();
-        }
-        let records = self.history.since(from, INLINE_BYTES).unwrap_or_default();
-        let bytes: usize = records.iter().map(|it| it.1.len()).sum();
-        let whole = records.last().is_some_and(|it| it.0 + 1 == self.state.next);
-        if whole && bytes <= INLINE_BYTES { records } else { Vec::new() }
+    /// Adds the records from offset `from` on, as far as they are few.
+    fn add_records(&self, message: &mut Gossip, from: u64) {
+        message.records = self.records(from, INLINE_BYTES).unwrap_or_default();
+        message.base = self.base(&message.records);
     }
 
     /// Digest over all records before the first of `records`.
@@ -113,14 +113,7 @@
             self.record(Code::SuspicionRefuted, &self.parts.own.name, &format!("told by {peer}"));
         }
         let joined = changed;
-        let mut news = false;
-        for it in message.marks {
-            let mark = Mark::from(it);
-            if self.parts.marks.insert(&mark, now) {
-                self.record(Code::MarkedLeaving, &mark.name, &format!("told by {peer}"));
-                news = true;
-            }
-        }
+        let news = self.take_marks(&peer, message.marks, message.mark_set);
         for it in message.lines {
             let name = it.name.clone();
             let standing = self.roster.get(&name).map(|it| it.standing);
@@ -149,7 +142,7 @@
             self.news.notify_one();
         }
         if news {
-            self.spread();
+            self.spread_marks(false);
         }
         if joined {
             self.hurry();
@@ -190,13 +183,39 @@
             let known = self.peers.get(&peer).is_some_and(|it| *it >= self.state.next);
             let addr = self.contacts().0.get(&peer).copied();
             if let Some(addr) = addr.filter(|_| !known) {
-                let message = self.compose(&peer);
+                let mut message = self.compose(&peer, true);
+                let told = self.peers.get(&peer).copied().unwrap_or(0);
+                self.add_records(&mut message, self.fresh_from.max(told));
                 return Some(Round { peer, addr, message, pull: false });
             }
         }
         None
     }
 
+    /// The peer of a regular exchange.
+    ///
+    /// In each slot of time all routers turn to the one so many places further in
+    /// the order of names, the same number for all: each is chosen by one other,
+    /// so that nobody is asked by many in one second.
+    fn turn(&mut self, slot: u64) -> Option<(String, SocketAddr)> {
+        let (live, dead) = self.contacts();
+        if live.is_empty() || (!dead.is_empty() && self.rng.random_ratio(1, DEAD_TRIES)) {
+            return self.pick();
+        }
+        let own = self.parts.own.name.as_str();
+        let place = live.keys().filter(|it| it.as_str() < own).count() as u64;
+        let count = live.len() as u64;
+        let further = hash_bytes(&slot.to_le_bytes()) % count;
+        let (name, addr) = live.iter().nth(((place + further) % count) as usize)?;
+        Some((name.clone(), *addr))
+    }
+
+    /// Number of the current slot of time, one for each regular exchange.
+    fn slot(&self) -> u64 {
+        let wall = self.parts.clock.wall().duration_since(UNIX_EPOCH).unwrap_or_default();
+        (wall.as_millis() / self.parts.upkeep.gossip_every.as_millis().max(1)) as u64
+    }
+
     /// A random peer.
     fn pick(&mut self) -> Option<(String, SocketAddr)> {
         let (live, dead) = self.contacts();
@@ -251,6 +270,9 @@
         if let Some(round) = self.pull_round() {
             return Some(round);
         }
+        if let Some(round) = self.mark_round() {
+            return Some(round);
+        }
         if let Some(round) = self.branch_round() {
             return Some(round);
         }
@@ -261,8 +283,8 @@
         }
         self.eager &= !due;
         self.pushes = self.pushes.saturating_sub(1);
-        let (peer, addr) = self.pick()?;
-        let mut round = Round { message: self.compose(&peer), peer, addr, pull: false };
+        let (peer, addr) = if due { self.turn(self.slot())? } else { self.pick()? };
+        let mut round = Round { message: self.compose(&peer, true), peer, addr, pull: false };
         if due {
             self.fill(&mut round.message);
         }
@@ -273,7 +295,7 @@
 impl Handler<Answered> for Publisher {
     type Return = ();
 
-    async fn handle(&mut self, message: Answered, _: &mut Context<Self>) {
+    async fn handle(&mut self, message: Answered, ctx: &mut Context<Self>) {
         let Answered { peer, pull, reply } = message;
         let mut served = false;
         match reply {
@@ -289,6 +311,10 @@
             Ok(reply) => {
                 self.record(Code::PeerRefused, &peer, &format!("version {}", reply.version));
             }
+            Err(PlatformError::Status { status: BUSY, .. }) => {
+                self.members.succeeded(&peer);
+                self.retry_soon(&peer, ctx);
+            }
             Err(e) => {
                 self.peers.remove(&peer);
                 // Its branches get the newest records from here.
@@ -297,6 +323,11 @@
                     self.branches.extend(orphans);
                     self.news.notify_one();
                 }
+                if self.parts.marks.fresh_count(self.now(), |_| true) > 0 {
+                    let orphans = self.tree_children(&peer);
+                    self.mark_branches.extend(orphans);
+                    self.news.notify_one();
+                }
                 self.meet(&peer);
                 if self.members.failed(&peer, self.now()) {
                     self.record(Code::RouterSuspected, &peer, &e.to_string());
@@ -323,15 +354,18 @@
         let peer = message.from.name.clone();
         let want = message.want;
         let regular = message.records.is_empty() && want.is_none();
+        let next = message.next;
+        let marked = message.has_marks();
         if message.version == GOSSIP_VERSION {
             self.absorb(message);
         } else {
             self.record(Code::PeerRefused, &peer, &format!("version {}", message.version));
         }
-        let mut reply = self.compose(&peer);
+        let mut reply = self.compose(&peer, !marked);
         if let Some(want) = want {
             self.serve(want, &mut reply);
         } else if regular {
+            self.add_records(&mut reply, next);
             self.fill(&mut reply);
         }
         if self.members.get(&peer).is_some_and(|it| it.status == MemberStatus::Dead) {
@@ -340,17 +374,3 @@
         reply
     }
 }
-
-impl From<Mark> for WireMark {
-    fn from(it: Mark) -> WireMark {
-        let left_ms = it.left.as_millis() as u64;
-        WireMark { name: it.name, incarnation: it.incarnation, left_ms }
-    }
-}
-
-impl From<WireMark> for Mark {
-    fn from(it: WireMark) -> Mark {
-        let left = Duration::from_millis(it.left_ms);
-        Mark { name: it.name, incarnation: it.incarnation, left }
-    }
-}
--- a/src/controllers/ticket_tail.rs
+++ b/src/controllers/ticket_tail.rs
@@ -10,6 +10,7 @@
 use crate::backend::{LogClient, PlatformError};
 use crate::controllers::Publisher;
 use crate::controllers::messages::{Folded, Restored, TailPlan, TailQuery, TicketRecord};
+use crate::controllers::publisher::TAILERS;
 use crate::events::{Code, EventLog, Fields};
 use crate::settings::Control;
 use crate::state::{InForce, Ticket, record_digest};
@@ -21,6 +22,9 @@
 pub const SNAPSHOT_STREAM: &str = "snapshots";
 /// Pause between two looks whether this router should follow the log.
 const PLAN_EVERY: Duration = Duration::from_millis(500);
+/// Pause after news, times the place among the followers: when many records come
+/// at once, the later ones read in one answer what the first one pays for by and by.
+const STAGGER: Duration = Duration::from_millis(500);
 /// Part of the pause between snapshots after which a failed one is tried again.
 const SNAPSHOT_RETRY_PART: u32 = 10;
 /// Newest snapshots that are tried, one after the other.
@@ -71,7 +75,7 @@
                 sleep(PLAN_EVERY).await;
                 continue;
             }
-            self.log.afford().await;
+            self.log.afford(0.0).await;
             let pause = match self.step(&plan).await {
                 Ok(true) => Duration::ZERO,
                 Ok(false) => self.upkeep.retry_every,
@@ -90,7 +94,7 @@
         if !self.verified && !self.verify(state).await? {
             return Ok(false);
         }
-        if plan.writer {
+        if plan.rank == 0 {
             self.write_snapshot(state).await;
         }
         let page = self.log.read(TICKET_STREAM, state.next, self.upkeep.log_wait).await?;
@@ -102,8 +106,13 @@
         if page.first > state.next {
             return self.restore(&page, state).await;
         }
+        let news = !page.records.is_empty();
         let records = page.records.into_iter().map(read_record).collect();
-        Ok(self.publisher.send(Folded { records }).await.is_ok())
+        let folded = self.publisher.send(Folded { records }).await.is_ok();
+        if news {
+            sleep(STAGGER * plan.rank.min(TAILERS) as u32).await;
+        }
+        Ok(folded)
     }
 
     /// Compares the record before the end of the state with the log's, after every
--- a/src/daemon/control_thread.rs
+++ b/src/daemon/control_thread.rs
@@ -13,7 +13,9 @@
 use xtra::{Address, Mailbox};
 
 use crate::backend::{ControlHttp, EngineClient, ListClient, LogClient, RouterClient};
-use crate::controllers::{Leave, Parts, Publisher, Tail, exchange_gossip, watch_list, watch_loads};
+use crate::controllers::{
+    Leave, ListWatch, Parts, Publisher, Tail, exchange_gossip, watch_loads, watch_marks,
+};
 use crate::daemon::control_api::control_calls;
 use crate::daemon::daemon::{grace, listen};
 use crate::daemon::once_api::start_claims;
@@ -150,13 +152,22 @@
     let log = LogClient::new(paid(Purpose::Log), settings.log);
     let tail = Tail::new(log, publisher.clone(), Arc::clone(events), upkeep.clone());
     tokio::spawn(tail.run());
-    let claims = ControlHttp::new(shared.http.clone(), Arc::clone(&shared.claim_meter));
-    start_claims(shared, LogClient::new(claims, settings.log));
+    start_claims(shared, LogClient::new(paid(Purpose::Claims), settings.log));
     let list = ListClient::new(paid(Purpose::List), settings.list);
-    tokio::spawn(watch_list(list, publisher.clone(), Arc::clone(events), upkeep.clone()));
+    let watch = ListWatch {
+        list,
+        publisher: publisher.clone(),
+        events: Arc::clone(events),
+        view: Arc::clone(&shared.view),
+        clock: Arc::clone(&shared.clock),
+        name: settings.name.clone(),
+        every: upkeep.list_every,
+    };
+    tokio::spawn(watch.run());
     let engines = EngineClient::new(paid(Purpose::Load));
     tokio::spawn(watch_loads(engines, publisher.clone(), upkeep.clone()));
     let routers = RouterClient::new(paid(Purpose::Gossip), &settings.token);
+    tokio::spawn(watch_marks(Arc::clone(&shared.marks), publisher.clone()));
     tokio::spawn(exchange_gossip(routers, publisher.clone(), news, upkeep.gossip_every));
     publisher
 }
--- a/src/daemon/daemon.rs
+++ b/src/daemon/daemon.rs
@@ -78,7 +78,6 @@
             view: Arc::new(ViewCell::default()),
             events,
             meter: Arc::default(),
-            claim_meter: Arc::default(),
             marks: Arc::default(),
             budget: Arc::new(Budget::new(settings.upkeep.budget.as_u64(), Arc::clone(&clock))),
             crashes: Arc::default(),
--- a/src/daemon/gossip_api.rs
+++ b/src/daemon/gossip_api.rs
@@ -13,7 +13,7 @@
 use crate::daemon::control_api::refuse_stranger;
 use crate::filters::Shared;
 use crate::fleet::Purpose;
-use crate::wire::Gossip;
+use crate::wire::{pack_gossip, unpack_gossip};
 
 /// Largest message taken from a peer, in bytes.
 const MAX_MESSAGE: u64 = 4 * 1024 * 1024;
@@ -22,7 +22,7 @@
 /// Bytes of the head of an answer: status line, date, length, empty line.
 const REPLY_BYTES: usize = 17 + 37 + 21 + 2;
 /// Debt in bytes beyond which peers are turned away.
-const MAX_DEBT: f64 = -8_192.0;
+const MAX_DEBT: f64 = -1_536.0;
 
 /// `POST /v1/gossip`.
 pub(crate) fn gossip_calls(
@@ -54,7 +54,7 @@
         return refusal;
     }
     let received = REQUEST_BYTES + head_bytes(headers) + body.len();
-    shared.meter.add_received(received);
+    shared.meter.add(Purpose::Gossip, received);
     shared.budget.spend(Purpose::Gossip, received);
     let reply = if shared.budget.balance(Purpose::Gossip) < MAX_DEBT {
         Err(StatusCode::TOO_MANY_REQUESTS)
@@ -62,7 +62,7 @@
         answer(publisher, body).await
     };
     let sent = REPLY_BYTES + reply.as_ref().map_or(0, Vec::len);
-    shared.meter.add_sent(sent);
+    shared.meter.add(Purpose::Gossip, sent);
     shared.budget.spend(Purpose::Gossip, sent);
     match reply {
         Ok(body) => warp::http::Response::new(Bytes::from(body)).into_response(),
@@ -71,8 +71,8 @@
 }
 
 async fn answer(publisher: &Address<Publisher>, body: &Bytes) -> Result<Vec<u8>, StatusCode> {
-    let message: Gossip = rmp_serde::from_slice(body).map_err(|_| StatusCode::BAD_REQUEST)?;
+    let message = unpack_gossip(body).map_err(|_| StatusCode::BAD_REQUEST)?;
     let reply = publisher.send(Exchange { message }).await;
     let reply = reply.map_err(|_| StatusCode::SERVICE_UNAVAILABLE)?;
-    rmp_serde::to_vec_named(&reply).map_err(|_| StatusCode::INTERNAL_SERVER_ERROR)
+    pack_gossip(&reply).map_err(|_| StatusCode::INTERNAL_SERVER_ERROR)
 }
--- a/src/demo/report.rs
+++ b/src/demo/report.rs
@@ -5,6 +5,7 @@
 
 use crate::daemon::Daemon;
 use crate::demo::{Fleet, Outcome};
+use crate::fleet::Purpose;
 
 /// Figures of one demonstration.
 #[derive(Debug)]
@@ -29,7 +30,7 @@
             }
         }
         let control = sum(|it| it.shared().meter.total());
-        let claims = sum(|it| it.shared().claim_meter.total());
+        let claims = sum(|it| it.shared().meter.of(Purpose::Claims));
         let seconds = fleet.began.elapsed().as_secs_f64();
         let rate = |bytes: u64| bytes as f64 / fleet.routers.len() as f64 / seconds;
         Report {
@@ -66,7 +67,7 @@
         writeln!(f, "{:<36}{worst:>10.2}", "skew in tokens, worst look")?;
         writeln!(f, "{:<36}{mean:>10.2}", "skew in tokens, mean")?;
         writeln!(f, "{:<36}{:>10.0}", "control bytes/router/s, joining", self.control_rate)?;
-        writeln!(f, "{:<36}{:>10.0}", "claim bytes/router/s", self.claim_rate)?;
+        writeln!(f, "{:<36}{:>10.0}", "of these for claims", self.claim_rate)?;
         for it in outcome.wrong.iter().take(10) {
             writeln!(f, "  {it}")?;
         }
--- a/src/filters/chat.rs
+++ b/src/filters/chat.rs
@@ -14,6 +14,7 @@
 use crate::filters::failure::Failure;
 use crate::filters::forward::{Chosen, Job, Plan, forward, time_left};
 use crate::filters::hint::read_hint;
+use crate::filters::leaving::note_leaving;
 use crate::filters::reply::read_whole;
 use crate::filters::stream::{Source, stream_answer};
 use crate::filters::suspect::{Risk, fingerprint};
@@ -85,7 +86,11 @@
         .header(DEADLINE_HEADER, left.as_millis() as u64)
         .body(job.body.clone())
         .send();
-    let reply = match sent.await {
+    let answered = sent.await;
+    if let Ok(it) = &answered {
+        note_leaving(shared, &chosen, it.headers());
+    }
+    let reply = match answered {
         Ok(it) if it.status() == StatusCode::OK => it,
         Ok(it) => {
             cancel.disarm();
--- a/src/filters/mod.rs
+++ b/src/filters/mod.rs
@@ -16,6 +16,7 @@
 mod hint;
 mod identify;
 mod in_flight;
+mod leaving;
 mod new_key;
 mod once;
 mod once_forward;
@@ -57,6 +58,8 @@
 pub const REQUEST_HEADER: &str = "filberttiller-request";
 /// Header that carries the verdict in answers.
 pub const VERDICT_HEADER: &str = "filberttiller-verdict";
+/// Header by which a backend server tells that it is leaving, with any answer.
+pub const STANDING_HEADER: &str = "filberttiller-standing";
 /// Header that carries hybrid logical time, both ways.
 pub const TIME_HEADER: &str = "filberttiller-time";
 /// Header that sets the deadline, in milliseconds from now.
--- a/src/filters/service.rs
+++ b/src/filters/service.rs
@@ -14,6 +14,7 @@
 use crate::filters::answer::mark;
 use crate::filters::failure::Failure;
 use crate::filters::forward::{Chosen, Job, Plan, forward, time_left};
+use crate::filters::leaving::note_leaving;
 use crate::filters::once::run_once;
 use crate::filters::reply::read_whole;
 use crate::filters::{
@@ -67,6 +68,7 @@
         .body(call.body.clone())
         .send();
     let reply = sent.await.map_err(|e| Failure::of_send(&e))?;
+    note_leaving(shared, &chosen, reply.headers());
     check_head(call, &reply)?;
     let status = reply.status();
     let headers = chosen_headers(reply.headers(), &RETURNED);
--- a/src/filters/shared.rs
+++ b/src/filters/shared.rs
@@ -31,10 +31,8 @@
     pub events: Arc<EventLog>,
     /// Counters.
     pub counters: Counters,
-    /// Bytes of control calls, claims left out.
+    /// Bytes of control calls.
     pub meter: Arc<Meter>,
-    /// Bytes of claims of operation keys; these grow with the calls that need them.
-    pub claim_meter: Arc<Meter>,
     /// Backend servers that are leaving.
     pub marks: Arc<MarkBoard>,
     /// Budget of control calls.
--- a/src/fleet/budget.rs
+++ b/src/fleet/budget.rs
@@ -10,8 +10,10 @@
     pub enum Purpose {
         /// Exchanges between routers.
         Gossip,
-        /// Reads and appends of the log.
+        /// Tickets and snapshots in the log.
         Log,
+        /// Claims of operation keys in the log.
+        Claims,
         /// Reads of the instance list.
         List,
         /// Asking engines.
@@ -19,10 +21,23 @@
     }
 }
 
+impl Purpose {
+    /// Number of purposes.
+    pub const COUNT: usize = 5;
+    /// All purposes, in their order.
+    pub const ALL: [Purpose; Purpose::COUNT] =
+        [Purpose::Gossip, Purpose::Log, Purpose::Claims, Purpose::List, Purpose::Load];
+
+    /// Whether the reserve helps to pay.
+    fn has_reserve(self) -> bool {
+        matches!(self, Purpose::Gossip | Purpose::Log | Purpose::Claims)
+    }
+}
+
 /// Share of each purpose in percent, in the order of [`Purpose`].
-const SHARES: [f64; 4] = [40.0, 10.0, 15.0, 35.0];
-/// Time over which an account, and the reserve, save up.
-const SAVED: Duration = Duration::from_secs(1);
+const SHARES: [f64; Purpose::COUNT] = [40.0, 10.0, 8.0, 15.0, 27.0];
+/// Time over which the accounts save up, and the reserve once more.
+const SAVED: Duration = Duration::from_millis(250);
 
 #[derive(Debug, Clone, Copy)]
 struct Account {
@@ -35,8 +50,8 @@
 
 #[derive(Debug)]
 struct Accounts {
-    all: [Account; 4],
-    /// What full accounts could not keep, for exchanges and the log.
+    all: [Account; Purpose::COUNT],
+    /// What full accounts could not keep, for exchanges and both uses of the log.
     /// Invariant: at most the whole rate times [`SAVED`].
     reserve: f64,
     at: Instant,
@@ -46,7 +61,7 @@
 ///
 /// A call is made while its account is not in debt and pays when its size is
 /// known, so that over any time the bytes are at most rate times time, plus what
-/// was saved, plus one call for each account.
+/// was saved (twice [`SAVED`]), plus one call for each account.
 #[derive(Debug)]
 pub struct Budget {
     clock: SharedClock,
@@ -55,18 +70,19 @@
 }
 
 impl Budget {
-    /// Full accounts that together spend `rate` bytes a second.
+    /// Empty accounts that together spend `rate` bytes a second.
     pub fn new(rate: u64, clock: SharedClock) -> Budget {
         let rate = rate as f64;
         let all = SHARES.map(|share| {
             let rate = rate * share / 100.0;
-            Account { rate, balance: rate * SAVED.as_secs_f64() }
+            Account { rate, balance: 0.0 }
         });
         let accounts = Accounts { all, reserve: 0.0, at: clock.now() };
         Budget { clock, rate, accounts: Mutex::new(accounts) }
     }
 
-    /// Bytes that `purpose` may spend now; below 0 in debt.
+    /// Bytes that `purpose` may spend now, with the reserve where it helps; below
+    /// 0 in debt.
     pub fn balance(&self, purpose: Purpose) -> f64 {
         self.change(purpose, 0)
     }
@@ -91,21 +107,31 @@
         let mut accounts = self.accounts.lock().unwrap();
         accounts.earn(now, self.rate);
         accounts.all[purpose as usize].balance -= bytes as f64;
-        if matches!(purpose, Purpose::Gossip | Purpose::Log) {
+        if purpose.has_reserve() {
             accounts.draw(purpose);
         }
-        accounts.all[purpose as usize].balance
+        let helps = if purpose.has_reserve() { accounts.reserve } else { 0.0 };
+        accounts.all[purpose as usize].balance + helps
     }
 }
 
 impl Accounts {
     /// Pays in for the time since the last call; the reserve takes what is over.
+    /// While the log is in debt, the account for engines leaves it what it earns.
     fn earn(&mut self, now: Instant, rate: f64) {
         let time = now.saturating_duration_since(self.at).as_secs_f64();
         self.at = self.at.max(now);
-        for it in &mut self.all {
+        for purpose in Purpose::ALL {
+            let mut earned = self.all[purpose as usize].rate * time;
+            if purpose == Purpose::Load {
+                let log = &mut self.all[Purpose::Log as usize];
+                let given = (-log.balance).clamp(0.0, earned);
+                log.balance += given;
+                earned -= given;
+            }
+            let it = &mut self.all[purpose as usize];
             let most = it.rate * SAVED.as_secs_f64();
-            let balance = it.balance + it.rate * time;
+            let balance = it.balance + earned;
             self.reserve += (balance - most).max(0.0);
             it.balance = balance.min(most);
         }
--- a/src/fleet/mark_board.rs
+++ b/src/fleet/mark_board.rs
@@ -4,8 +4,10 @@
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
+use tokio::sync::Notify;
+
 /// Times that a mark is passed on.
-const SENDS: u32 = 6;
+const SENDS: u32 = 8;
 /// Marks kept at most.
 const CAPACITY: usize = 4_096;
 
@@ -28,17 +30,36 @@
     sends: u32,
 }
 
+impl Kept {
+    /// Whether it is still to be passed on.
+    fn is_fresh(&self, now: Instant) -> bool {
+        self.sends > 0 && self.until > now
+    }
+}
+
 /// All leaving marks that hold. A mark outlives list versions that still show
 /// the backend server as live, and ends with its time or a new incarnation.
 #[derive(Debug, Default)]
 pub struct MarkBoard {
     marks: Mutex<BTreeMap<String, Kept>>,
+    /// Told when traffic adds a mark.
+    pub(crate) added: Notify,
 }
 
 impl MarkBoard {
-    /// Adds a mark seen here or told by a peer; true when it is news. The same
-    /// mark again only holds longer, which is passed on too.
+    /// Adds a mark that traffic saw, and has it published and passed on; true when
+    /// it is news.
     pub fn insert(&self, mark: &Mark, now: Instant) -> bool {
+        let news = self.learn(mark, now);
+        if news {
+            self.added.notify_one();
+        }
+        news
+    }
+
+    /// Adds a mark that control saw or a peer told; true when it is news. The same
+    /// mark again only holds longer, which is passed on too.
+    pub fn learn(&self, mark: &Mark, now: Instant) -> bool {
         let mut marks = self.marks.lock().unwrap();
         if marks.len() >= CAPACITY && !marks.contains_key(&mark.name) {
             return false;
@@ -72,11 +93,17 @@
         marks.len() != before
     }
 
-    /// Marks to pass on, the freshest first, at most `most`.
-    pub fn fresh(&self, most: usize, now: Instant) -> Vec<Mark> {
+    /// Number of marks to pass on out of those whose name is `wanted`.
+    pub fn fresh_count(&self, now: Instant, wanted: impl Fn(&str) -> bool) -> usize {
+        let marks = self.marks.lock().unwrap();
+        marks.iter().filter(|(name, it)| it.is_fresh(now) && wanted(name)).count()
+    }
+
+    /// Marks to pass on whose name is `wanted`, the freshest first, at most `most`.
+    pub fn fresh(&self, most: usize, now: Instant, wanted: impl Fn(&str) -> bool) -> Vec<Mark> {
         let mut marks = self.marks.lock().unwrap();
         let mut fresh: Vec<(&String, &mut Kept)> =
-            marks.iter_mut().filter(|(_, it)| it.sends > 0 && it.until > now).collect();
+            marks.iter_mut().filter(|(name, it)| it.is_fresh(now) && wanted(name)).collect();
         fresh.sort_by_key(|(_, it)| std::cmp::Reverse(it.sends));
         fresh
             .into_iter()
--- a/src/once/appender.rs
+++ b/src/once/appender.rs
@@ -10,6 +10,7 @@
 use crate::backend::{LogClient, PlatformError};
 use crate::decide::once::Claim;
 use crate::fleet::ViewCell;
+use crate::once::tail::CLAIM_DEBT;
 use crate::once::{CLAIM_STREAM, OnceDesk};
 use crate::wire::WireClaims;
 
@@ -30,6 +31,7 @@
         desk.waiting.notified().await;
         loop {
             sleep(pause(&desk, view.peek().routers.len())).await;
+            log.afford(CLAIM_DEBT).await;
             let Ok(permit) = Arc::clone(&room).acquire_owned().await else {
                 return;
             };
--- a/src/once/tail.rs
+++ b/src/once/tail.rs
@@ -11,6 +11,8 @@
 use crate::settings::Control;
 use crate::wire::{Page, WireClaims};
 
+/// Debt in bytes up to which claims are still appended and read: calls wait for them.
+pub(crate) const CLAIM_DEBT: f64 = -2_048.0;
 /// Stream of the claims.
 pub const CLAIM_STREAM: &str = "filberttiller-claims";
 
@@ -25,6 +27,7 @@
     let mut begun = false;
     let mut wait = Duration::ZERO;
     loop {
+        log.afford(CLAIM_DEBT).await;
         match log.read(CLAIM_STREAM, next, wait).await {
             Ok(page) => {
                 if begun && (page.first > next || page.next < next) {
--- a/src/wire/gossip.rs
+++ b/src/wire/gossip.rs
@@ -64,6 +64,22 @@
         pub left_ms: u64,
     }
 
+    /// Leaving marks of many backend servers.
+    pub struct WireMarkSet {
+        /// Digest of the names of all backend servers on the sender's list, in order.
+        #[serde(rename = "h")]
+        pub names: u64,
+        /// Highest incarnation that leaves; 0 when none is known.
+        #[serde(rename = "i")]
+        pub newest: u64,
+        /// How long the marks still hold, in milliseconds.
+        #[serde(rename = "t")]
+        pub left_ms: u64,
+        /// One bit for each name, the lowest bit of the first byte first.
+        #[serde(rename = "b")]
+        pub bits: Vec<u8>,
+    }
+
     /// A line of the instance list, with the version that this fleet counts.
     pub struct WireLine {
         /// Counts the changes of this line.
@@ -142,6 +158,9 @@
         /// Leaving marks.
         #[serde(rename = "k", default, skip_serializing_if = "Vec::is_empty")]
         pub marks: Vec<WireMark>,
+        /// Leaving marks, when they are many.
+        #[serde(rename = "ks", default, skip_serializing_if = "Option::is_none")]
+        pub mark_set: Option<WireMarkSet>,
         /// Records of the ticket stream by offset.
         #[serde(rename = "r", default, skip_serializing_if = "Vec::is_empty")]
         pub records: Vec<(u64, String)>,
@@ -169,6 +188,13 @@
     }
 }
 
+impl Gossip {
+    /// Whether it tells any leaving marks.
+    pub fn has_marks(&self) -> bool {
+        !self.marks.is_empty() || self.mark_set.is_some()
+    }
+}
+
 impl From<&WireLoad> for LoadReport {
     fn from(it: &WireLoad) -> LoadReport {
         let [tokens, running, queued, slots] = it.3;
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -9,6 +9,7 @@
 mod load;
 mod log;
 mod once;
+mod packed;
 mod status;
 mod ticket;
 
@@ -17,12 +18,13 @@
 pub use entry::{EntryAddress, EntryAnswer};
 pub use gossip::{
     Bulk, GOSSIP_VERSION, Gossip, MemberStatus, Part, Want, WireLine, WireLoad, WireMark,
-    WireMember,
+    WireMarkSet, WireMember,
 };
 pub use in_force::{WireEarlier, WireHeld, WireInForce, WireOutcome};
 pub use instance::{Instance, Role, Standing};
 pub use load::{LoadReport, Loaded};
 pub use log::{Appended, Page, Record};
 pub use once::{KeyAnswer, KeyQuery, NewKey, WireClaims};
+pub use packed::{PackError, pack_gossip, packed_len, unpack_gossip};
 pub use status::{WireCount, WireEngine, WireStatus};
 pub use ticket::{WireObject, WireTicket, parse_ticket};
--- a/standins/src/engine/faults.rs
+++ b/standins/src/engine/faults.rs
@@ -10,6 +10,8 @@
     pub slow: u32,
     /// Answers 503 before doing anything.
     pub refuse: bool,
+    /// Answers 503 and tells that it is leaving, before doing anything.
+    pub leaving: bool,
     /// Accepts requests and never answers them.
     pub hang: bool,
     /// A prompt that contains this text takes the engine down.
--- a/standins/src/engine/http.rs
+++ b/standins/src/engine/http.rs
@@ -20,6 +20,8 @@
 use crate::engine::{Faults, OrderRequest};
 use crate::server::{bad_request, json_reply, not_found, status_reply};
 
+/// Header by which an engine tells that it is leaving.
+const STANDING_HEADER: &str = "filberttiller-standing";
 /// Time for what was sent to leave before a connection is cut.
 const FLUSH_TIME: Duration = Duration::from_millis(5);
 
@@ -149,6 +151,10 @@
         return status_reply(StatusCode::SERVICE_UNAVAILABLE, "not taking requests")
             .into_response();
     }
+    if faults.leaving {
+        let reply = status_reply(StatusCode::SERVICE_UNAVAILABLE, "leaving");
+        return warp::reply::with_header(reply, STANDING_HEADER, "leaving").into_response();
+    }
     if faults.hang {
         std::future::pending::<()>().await;
     }
--- a/tests/it/control.rs
+++ b/tests/it/control.rs
@@ -10,7 +10,7 @@
 use filberttiller::demo::{Fleet, FleetOptions};
 use filberttiller::events::Code;
 use filberttiller::fleet::{Budget, Mark, Purpose};
-use filberttiller::wire::{GOSSIP_VERSION, Gossip, MemberStatus, WireMember};
+use filberttiller::wire::{GOSSIP_VERSION, Gossip, MemberStatus, WireMember, unpack_gossip};
 use proptest::prelude::*;
 use rstest::rstest;
 use serde::Serialize;
@@ -201,6 +201,7 @@
         chain: 0,
         log_age: None,
         marks: Vec::new(),
+        mark_set: None,
         base: Some(base),
         records: vec![(0, ticket(1, "a").to_string())],
         want: None,
@@ -228,7 +229,7 @@
     let reply = request.send().await.unwrap();
     assert_eq!(reply.status().as_u16(), status);
     if status == 200 {
-        let reply: Gossip = rmp_serde::from_slice(&reply.bytes().await.unwrap()).unwrap();
+        let reply = unpack_gossip(&reply.bytes().await.unwrap()).unwrap();
         assert_eq!(reply.from.name, "entry-0");
     }
     let taken = u64::from(status == 200);
@@ -303,21 +304,21 @@
     /// rate times time, what accounts and reserve saved, and one call per account.
     #[test]
     fn budget_bounds_bytes(
-        calls in prop::collection::vec((0..4usize, 1..3_000usize, 0..2_000u64), 1..200),
+        calls in prop::collection::vec((0..Purpose::COUNT, 1..3_000usize, 0..2_000u64), 1..200),
     ) {
         let clock = Arc::new(ManualClock::new());
         let budget = Budget::new(4_096, clock.clone());
         let begin = clock.now();
-        let all = [Purpose::Gossip, Purpose::Log, Purpose::List, Purpose::Load];
         let mut spent = 0;
         for (purpose, bytes, pause) in calls {
             clock.advance(Duration::from_millis(pause));
-            if budget.delay(all[purpose], 0.0).is_zero() {
-                budget.spend(all[purpose], bytes);
+            let purpose = Purpose::ALL[purpose];
+            if budget.delay(purpose, 0.0).is_zero() {
+                budget.spend(purpose, bytes);
                 spent += bytes;
             }
             let time = clock.now().duration_since(begin).as_secs_f64();
-            prop_assert!(spent as f64 <= 4_096.0 * (time + 2.0) + 4.0 * 3_000.0 + 1.0);
+            prop_assert!(spent as f64 <= 4_096.0 * (time + 0.5) + 5.0 * 3_000.0 + 1.0);
         }
     }
 
--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -23,6 +23,7 @@
 mod path;
 mod reservation;
 mod settings;
+mod spread;
 mod state;
 mod storm;
 mod support;
--- a/tests/it/storm.rs
+++ b/tests/it/storm.rs
@@ -164,6 +164,7 @@
 fn engine_faults(rng: &mut ChaCha8Rng) -> Faults {
     let some = |rng: &mut ChaCha8Rng| rng.random_bool(0.12);
     Faults {
+        leaving: false,
         slow: if some(rng) { 20 } else { 0 },
         refuse: some(rng),
         hang: rng.random_bool(0.05),
