--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -24,6 +24,7 @@
 mod path;
 mod reservation;
 mod settings;
+mod spread;
 mod state;
 mod storm;
 mod story;
--- a/tests/it/once.rs
+++ b/tests/it/once.rs
@@ -221,6 +221,12 @@
         events.iter().any(|e| e.code == Code::InstanceGone.number() && e.subject == "entry-2")
     };
     fleet.wait_until(gone).await;
+    // Off the list, only exchanges between routers can tell of it.
+    let met = |it: &Fleet| {
+        let view = it.routers[0].shared().view.peek();
+        view.routers.iter().any(|r| r.name == "entry-2")
+    };
+    fleet.wait_until(met).await;
     assert!(reserve(&fleet, all[0], order(&key)).await.is("ran", ""));
     drop(fleet.routers.remove(2));
     let told = reserve(&fleet, all[0], order(&key)).await;
