Load and unload models and adapters as tickets say

Change: `copies` and `versions` in the objects model and adapter say what engines hold. Gossip tells what engines hold. Requests go only to engines that hold what they ask for, else they are refused as not_loaded, "not run", with a time to come back.

--- a/src/backend/engine_client.rs
+++ b/src/backend/engine_client.rs
@@ -3,8 +3,10 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use reqwest::Method;
+
 use crate::backend::{ControlHttp, PlatformError};
-use crate::wire::LoadReport;
+use crate::wire::{LoadReport, OrderRequest};
 
 /// Time for a call.
 const CALL_TIMEOUT: Duration = Duration::from_secs(1);
@@ -34,4 +36,15 @@
         let url = format!("http://{addr}/load");
         self.http.json(self.http.get(&url), CALL_TIMEOUT).await
     }
+
+    /// Gives the engine at `addr` an order.
+    ///
+    /// # Errors
+    /// Status 409 when the engine has seen a higher fencing number; after
+    /// [`PlatformError::NoAnswer`] the order may have taken effect.
+    pub async fn order(&self, addr: SocketAddr, order: &OrderRequest) -> Result<(), PlatformError> {
+        let url = format!("http://{addr}/orders");
+        let request = self.http.request(Method::POST, &url).json(order);
+        self.http.call(request, CALL_TIMEOUT).await.map(drop)
+    }
 }
--- a/src/controllers/mod.rs
+++ b/src/controllers/mod.rs
@@ -6,11 +6,14 @@
 mod list_watch;
 mod load_watch;
 mod messages;
+mod order_plan;
+mod orders;
 mod publisher;
 mod pull;
 mod round;
 mod ticket_tail;
 mod view_parts;
+pub(crate) mod wanted;
 
 pub use gossip::exchange_gossip;
 pub use list_watch::watch_list;
@@ -19,5 +22,7 @@
     Answered, Exchange, Flush, Folded, Leave, Listed, NextRound, Reported, Restored, Round,
     TailPlan, TailQuery, Targets, TicketRecord,
 };
+pub use order_plan::{OrderPlan, OrderQuery, Planned};
+pub use orders::{ORDER_STREAM, OrderGiver, OrderParts};
 pub use publisher::{Parts, Publisher};
 pub use ticket_tail::{SNAPSHOT_STREAM, TICKET_STREAM, Tail};
--- /dev/null
+++ b/src/controllers/orders.rs
@@ -0,0 +1,398 @@
+//! Gives engines their orders, one claim in the log for each.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use rand::Rng;
+use serde_json::Value;
+use tokio::time::sleep;
+use xtra::Address;
+
+use crate::backend::{EngineClient, LogClient, PlatformError};
+use crate::clock::SharedClock;
+use crate::controllers::Publisher;
+use crate::controllers::order_plan::{OrderPlan, OrderQuery, Planned};
+use crate::decide::hash_bytes;
+use crate::decide::orders::{Book, Claim, ClaimKind, Turn};
+use crate::events::{Code, EventLog, Fields};
+use crate::settings::Orders;
+use crate::wire::{OrderRecord, OrderRequest, WireOrder};
+
+/// Stream of the claims of engines.
+pub const ORDER_STREAM: &str = "filberttiller-orders";
+/// Records before the end that are read at the start.
+const BACK: u64 = 128;
+/// Waiting loads for each slot; more are not claimed yet.
+const QUEUED: usize = 2;
+/// An offset beyond every stream.
+const BEYOND: u64 = u64::MAX / 2;
+/// Status of an order with an old fencing number.
+const CONFLICT: u16 = 409;
+/// Pause before an order that was taken is given again.
+const AGAIN: Duration = Duration::from_secs(5);
+
+/// What orders are given with.
+#[derive(Debug)]
+pub struct OrderParts {
+    /// Name of this router.
+    pub router: String,
+    /// The log.
+    pub log: LogClient,
+    /// The engines.
+    pub engines: EngineClient,
+    /// The publisher, which knows what is to be done.
+    pub publisher: Address<Publisher>,
+    /// Recent events.
+    pub events: Arc<EventLog>,
+    /// The clock.
+    pub clock: SharedClock,
+    /// Settings.
+    pub settings: Orders,
+}
+
+/// A claim of this router.
+#[derive(Debug)]
+struct Own {
+    claim: Claim,
+    engine: String,
+    what: String,
+    /// When it was made, before its append.
+    made: Instant,
+    /// When the order was last taken, and by which incarnation.
+    taken: Option<(Instant, u64)>,
+    /// Whether the order may have reached the engine.
+    sent: bool,
+    /// Whether nothing is left to do but to say so in the log.
+    over: bool,
+}
+
+/// Giver of orders.
+#[derive(Debug)]
+pub struct OrderGiver {
+    parts: OrderParts,
+    book: Book,
+    own: Vec<Own>,
+    /// First offset not yet read; `None` before the first read.
+    next: Option<u64>,
+    start: Instant,
+    /// When the stream was last read to its end.
+    read_at: Instant,
+    reachable: bool,
+    /// No claims before this, as some may have been missed.
+    blind_until: Instant,
+}
+
+impl OrderGiver {
+    /// A giver of orders that has read nothing.
+    pub fn new(parts: OrderParts) -> OrderGiver {
+        let now = parts.clock.now();
+        OrderGiver {
+            parts,
+            book: Book::default(),
+            own: Vec::new(),
+            next: None,
+            start: now,
+            read_at: now,
+            reachable: true,
+            blind_until: now,
+        }
+    }
+
+    /// Gives orders until the publisher is gone.
+    pub async fn run(mut self) {
+        while let Ok(plan) = self.parts.publisher.send(OrderQuery).await {
+            self.look(&plan).await;
+            let pause = self.parts.settings.every.mul_f64(rand::rng().random_range(0.8..1.2));
+            sleep(pause).await;
+        }
+    }
+
+    /// Goes on with what is claimed and claims what is next.
+    pub async fn look(&mut self, plan: &OrderPlan) {
+        if plan.orders.is_empty() && self.own.is_empty() {
+            return;
+        }
+        let current = self.read().await;
+        for i in 0..self.own.len() {
+            self.advance(i, plan).await;
+        }
+        self.close().await;
+        if current && self.now() >= self.blind_until {
+            self.claim_next(plan).await;
+        }
+    }
+
+    fn now(&self) -> Instant {
+        self.parts.clock.now()
+    }
+
+    fn now_ms(&self) -> u64 {
+        self.now().saturating_duration_since(self.start).as_millis() as u64
+    }
+
+    fn hold(&self) -> Duration {
+        self.parts.settings.hold
+    }
+
+    /// How long after a claim was made its order may be sent: half the time for
+    /// which others leave the engine alone.
+    fn lease(&self) -> Duration {
+        self.hold() / 2
+    }
+
+    fn record(&self, code: Code, subject: &str, detail: &str) {
+        self.parts.events.record(code, Fields { subject, detail });
+    }
+
+    /// Reads the stream to its end; false when the log does not answer.
+    async fn read(&mut self) -> bool {
+        match self.read_all().await {
+            Ok(()) => {
+                self.read_at = self.now();
+                let until = self.now_ms().saturating_sub(self.hold().as_millis() as u64);
+                self.book.expire(until);
+                if !std::mem::replace(&mut self.reachable, true) {
+                    self.record(Code::OrdersResumed, &self.parts.router, "");
+                }
+                true
+            }
+            Err(e) => {
+                self.unreachable(&e);
+                false
+            }
+        }
+    }
+
+    fn unreachable(&mut self, error: &PlatformError) {
+        if std::mem::replace(&mut self.reachable, false) {
+            self.record(Code::OrdersHeld, &self.parts.router, &error.to_string());
+        }
+    }
+
+    async fn read_all(&mut self) -> Result<(), PlatformError> {
+        let log = self.parts.log.clone();
+        let stale = self.now().saturating_duration_since(self.read_at) > self.hold();
+        let mut next = match self.next.filter(|_| !stale) {
+            Some(it) => it,
+            None => {
+                log.afford().await;
+                let end = log.read(ORDER_STREAM, BEYOND, Duration::ZERO).await?;
+                self.book.clear();
+                end.next.saturating_sub(BACK).max(end.first)
+            }
+        };
+        loop {
+            log.afford().await;
+            let page = log.read(ORDER_STREAM, next, Duration::ZERO).await?;
+            if page.next < next || page.first > next {
+                self.note_gap(next, page.first, page.next);
+                next = page.first.max(next.min(page.next));
+                self.next = Some(next);
+                continue;
+            }
+            for it in page.records {
+                next = it.offset + 1;
+                self.take(it.offset, it.body);
+            }
+            self.next = Some(next);
+            if next >= page.next {
+                return Ok(());
+            }
+        }
+    }
+
+    /// Claims may be open that were never read: none is made until they are over.
+    fn note_gap(&mut self, next: u64, first: u64, end: u64) {
+        let detail = format!("expected {next}, kept {first} to {end}");
+        self.record(Code::OrderLogGap, &self.parts.router, &detail);
+        self.book.clear();
+        self.blind_until = self.now() + self.hold();
+    }
+
+    /// Applies one record; one of another form claims nothing.
+    fn take(&mut self, offset: u64, body: Value) {
+        let now = self.now_ms();
+        match serde_json::from_value(body) {
+            Ok(OrderRecord::Claim { id, engine, unload, what, .. }) => {
+                let kind = if unload { ClaimKind::Unload } else { ClaimKind::Load };
+                let engine = hash_bytes(engine.as_bytes());
+                let key = hash_bytes(what.as_bytes());
+                self.book.claim(offset, Claim { id, engine, kind, key }, now);
+            }
+            Ok(OrderRecord::Done(id)) => self.book.done(id),
+            Err(_) => {}
+        }
+    }
+
+    /// Goes on with the claim at `i`.
+    async fn advance(&mut self, i: usize, plan: &OrderPlan) {
+        let now = self.now();
+        let own = &self.own[i];
+        if own.over {
+            return;
+        }
+        let unload = own.claim.kind == ClaimKind::Unload;
+        let same =
+            |it: &&Planned| (it.id, it.key, it.unload) == (own.claim.engine, own.claim.key, unload);
+        let held = plan.holds.iter().find(|it| it.0 == own.claim.engine);
+        let done = held.is_some_and(|it| it.1.contains(&own.claim.key) != unload);
+        if done {
+            self.record(Code::OrderDone, &own.engine, &own.what);
+            self.own[i].over = true;
+            return;
+        }
+        let planned = plan.orders.iter().find(same);
+        let late = now.saturating_duration_since(own.made) >= self.lease();
+        if !own.sent && (late || planned.is_none()) {
+            if late {
+                self.record(Code::ClaimLapsed, &own.engine, &own.what);
+            }
+            self.own[i].over = true;
+            return;
+        }
+        let Some(planned) = planned.filter(|_| !late) else {
+            return;
+        };
+        let fresh = own.taken.is_some_and(|(at, incarnation)| {
+            incarnation == planned.incarnation && now.saturating_duration_since(at) < AGAIN
+        });
+        let slots = self.parts.settings.loads;
+        if !fresh && self.book.turn(own.claim.id, slots) == Turn::Now {
+            self.give(i, planned).await;
+        }
+    }
+
+    /// Gives the order of the claim at `i`.
+    async fn give(&mut self, i: usize, planned: &Planned) {
+        let Some(offset) = self.book.offset(self.own[i].claim.id) else {
+            return;
+        };
+        let fencing = offset + 1;
+        if planned.unload && !self.is_kept(planned, fencing).await {
+            return;
+        }
+        let order = match planned.unload {
+            true => WireOrder::Unload(planned.what.clone()),
+            false => WireOrder::Load(planned.what.clone()),
+        };
+        if !self.may_send(i, planned).await {
+            return;
+        }
+        let own = &mut self.own[i];
+        own.sent = true;
+        let detail = format!("{order:?} with {fencing}");
+        let result = self.parts.engines.order(planned.addr, &OrderRequest { fencing, order }).await;
+        self.record(Code::OrderSent, &planned.engine, &detail);
+        self.note(i, planned, result);
+    }
+
+    /// Looks again right before an order is sent: the engine may have begun to
+    /// leave, another router may have become the one to order it, and the time
+    /// of the claim may be over.
+    async fn may_send(&mut self, i: usize, planned: &Planned) -> bool {
+        let Ok(plan) = self.parts.publisher.send(OrderQuery).await else {
+            return false;
+        };
+        let valid = plan.orders.contains(planned);
+        valid && self.now().saturating_duration_since(self.own[i].made) < self.lease()
+    }
+
+    fn note(&mut self, i: usize, planned: &Planned, result: Result<(), PlatformError>) {
+        let now = self.now();
+        match result {
+            Ok(()) => self.own[i].taken = Some((now, planned.incarnation)),
+            Err(PlatformError::Status { status: CONFLICT, body }) => {
+                self.record(Code::OrderRefused, &planned.engine, &body);
+                self.own[i].over = true;
+            }
+            Err(e) => self.record(Code::OrderFailed, &planned.engine, &e.to_string()),
+        }
+    }
+
+    /// Whether all keepers hold what another engine is to unload, after the time
+    /// from which on they refuse every order older than `fencing`.
+    ///
+    /// Each is ordered to load what it holds, which changes nothing but the
+    /// highest number that it has seen, and is then read back.
+    async fn is_kept(&self, planned: &Planned, fencing: u64) -> bool {
+        let name = planned.what.full_name();
+        for (engine, addr) in &planned.keepers {
+            self.parts.engines.afford().await;
+            let Ok(report) = self.parts.engines.load(*addr).await else {
+                return false;
+            };
+            if !report.loaded.iter().any(|it| it.full_name() == name) {
+                return false;
+            }
+            if report.fencing >= fencing {
+                continue;
+            }
+            let order = WireOrder::Load(planned.what.clone());
+            let request = OrderRequest { fencing, order };
+            if let Err(e) = self.parts.engines.order(*addr, &request).await {
+                self.record(Code::OrderFailed, engine, &e.to_string());
+            }
+            // Its report lags; the next look sees the number.
+            return false;
+        }
+        true
+    }
+
+    /// Says in the log which claims are over, and forgets those that are older
+    /// than anybody remembers.
+    async fn close(&mut self) {
+        let now = self.now();
+        let hold = self.hold();
+        self.own.retain(|it| now.saturating_duration_since(it.made) < hold);
+        let over: Vec<u64> = self.own.iter().filter(|it| it.over).map(|it| it.claim.id).collect();
+        for id in over {
+            if self.append(&OrderRecord::Done(id)).await {
+                self.own.retain(|it| it.claim.id != id);
+                self.book.done(id);
+            }
+        }
+    }
+
+    /// Claims engines that have an order to come and no open claim.
+    async fn claim_next(&mut self, plan: &OrderPlan) {
+        for it in &plan.orders {
+            let own = self.own.iter().any(|own| own.claim.engine == it.id);
+            let waiting = self.own.iter().filter(|it| it.claim.kind == ClaimKind::Load).count();
+            let loads = self.book.loads().max(waiting);
+            let full = !it.unload && loads >= self.parts.settings.loads * QUEUED;
+            if own || full || self.book.is_claimed(it.id) {
+                continue;
+            }
+            let kind = if it.unload { ClaimKind::Unload } else { ClaimKind::Load };
+            let claim = Claim { id: rand::random(), engine: it.id, kind, key: it.key };
+            let what = it.what.full_name();
+            let record = OrderRecord::Claim {
+                id: claim.id,
+                by: self.parts.router.clone(),
+                engine: it.engine.clone(),
+                unload: it.unload,
+                what: what.clone(),
+            };
+            let made = self.now();
+            if !self.append(&record).await {
+                return;
+            }
+            let engine = it.engine.clone();
+            self.own.push(Own { claim, engine, what, made, taken: None, sent: false, over: false });
+        }
+    }
+
+    /// Appends a record; false when the log refused it. After a lost reply it
+    /// counts when it is read back.
+    async fn append(&mut self, record: &OrderRecord) -> bool {
+        let body = serde_json::to_value(record).unwrap_or_default();
+        self.parts.log.afford().await;
+        match self.parts.log.append(ORDER_STREAM, &body).await {
+            Ok(_) | Err(PlatformError::NoAnswer { .. }) => true,
+            Err(e) => {
+                self.unreachable(&e);
+                false
+            }
+        }
+    }
+}
--- a/src/controllers/publisher.rs
+++ b/src/controllers/publisher.rs
@@ -19,7 +19,8 @@
 use crate::decide::{Sent, combine, hash_bytes};
 use crate::events::{Code, EventLog, Fields};
 use crate::fleet::{
-    Budget, Crash, CrashBoard, LoadTable, Mark, MarkBoard, Members, Roster, View, ViewCell,
+    Budget, Crash, CrashBoard, HoldTable, LoadTable, Mark, MarkBoard, Members, Roster, View,
+    ViewCell,
 };
 use crate::settings::{Control, Seed};
 use crate::state::{History, InForce, Ticket};
@@ -68,6 +69,7 @@
     pub(super) members: Members,
     pub(super) roster: Roster,
     pub(super) loads: LoadTable,
+    pub(super) holds: HoldTable,
     /// First offset that each peer has not folded, as it last told.
     pub(super) peers: HashMap<String, u64>,
     /// When anybody last heard from the log, as far as known here.
@@ -105,6 +107,7 @@
             history: History::default(),
             roster: Roster::default(),
             loads: LoadTable::default(),
+            holds: HoldTable::default(),
             peers: HashMap::new(),
             log_seen: None,
             pushes: 0,
@@ -153,7 +156,7 @@
         let now = self.now();
         let marks = Arc::clone(&self.parts.marks);
         let marked = |name: &str, incarnation| marks.holds(name, incarnation, now);
-        let pools = pools(&self.roster, &self.loads, marked, &mut self.sent);
+        let pools = pools(&self.roster, &self.loads, &self.holds, marked, &mut self.sent);
         let routers = routers(&self.roster, &self.members);
         let state = Arc::clone(&self.state);
         self.parts.cell.store(View { ready: self.ready, state, pools, routers });
@@ -246,7 +249,7 @@
     }
 
     /// Rank of this router for `key` among all live routers, from 0.
-    fn own_rank(&self, key: u64) -> usize {
+    pub(super) fn own_rank(&self, key: u64) -> usize {
         let score = |name: &str| combine(key, hash_bytes(name.as_bytes()));
         let own = score(&self.parts.own.name);
         let view = self.parts.cell.peek();
@@ -297,6 +300,7 @@
         let known: Vec<u64> =
             self.roster.instances().map(|it| hash_bytes(it.name.as_bytes())).collect();
         self.loads.retain(|id| known.contains(&id));
+        self.holds.retain(|id| known.contains(&id));
         let roster = &self.roster;
         self.sent.retain(|name, _| roster.get(name).is_some());
         self.publish();
@@ -310,7 +314,11 @@
     async fn handle(&mut self, message: Reported, ctx: &mut Context<Self>) {
         let wall = self.parts.clock.wall().duration_since(UNIX_EPOCH).unwrap_or_default();
         let id = hash_bytes(message.name.as_bytes());
-        self.loads.asked(id, message.report, wall.as_millis() as u64);
+        let at_ms = wall.as_millis() as u64;
+        if self.holds.asked(id, &message.report, at_ms) {
+            self.hurry();
+        }
+        self.loads.asked(id, message.report, at_ms);
         self.publish_soon(ctx);
     }
 }
--- a/src/controllers/round.rs
+++ b/src/controllers/round.rs
@@ -26,6 +26,10 @@
 const CRASHES: usize = 8;
 /// Load rows in one message.
 const LOADS: usize = 8;
+/// Rows about what engines hold in one message.
+const HOLDS: usize = 4;
+/// One in this many messages without news repeats such a row.
+const HOLD_TURNS: u32 = 4;
 /// Bytes that regular exchanges leave for urgent ones.
 pub(super) const SPARE: f64 = 800.0;
 /// Times that a crash report is passed on.
@@ -55,6 +59,7 @@
             crashes: self.crash_rows(),
             lines: Vec::new(),
             loads: Vec::new(),
+            holds: Vec::new(),
         }
     }
 
@@ -62,6 +67,10 @@
     fn fill(&mut self, message: &mut Gossip) {
         if self.parts.budget.balance(Purpose::Gossip) > 0.0 {
             message.lines = self.roster.fresh(LINE_BYTES);
+            message.holds = self.holds.fresh(HOLDS);
+            if message.holds.is_empty() && self.rng.random_ratio(1, HOLD_TURNS) {
+                message.holds.extend(self.holds.repeat());
+            }
             message.loads = self.loads.fresh(LOADS);
             if message.loads.len() < LOADS {
                 message.loads.extend(self.loads.repeat());
@@ -135,6 +144,9 @@
         for it in &message.loads {
             changed |= self.loads.learn(it);
         }
+        for it in &message.holds {
+            changed |= self.holds.learn(it);
+        }
         let from = self.state.next;
         self.take_records(&peer, message.base, message.records);
         if let Some(age) = message.log_age {
--- a/src/controllers/view_parts.rs
+++ b/src/controllers/view_parts.rs
@@ -5,13 +5,14 @@
 
 use crate::controllers::engine_side::engine;
 use crate::decide::{Sent, hash_bytes};
-use crate::fleet::{BackendServer, LoadTable, Members, Pool, Roster, Router};
+use crate::fleet::{BackendServer, HoldTable, LoadTable, Members, Pool, Roster, Router};
 use crate::wire::{MemberStatus, Role, Standing, WireMember};
 
 /// Backend servers by pool; those `marked` as leaving are so, whatever the list says.
 pub(super) fn pools(
     roster: &Roster,
     loads: &LoadTable,
+    holds: &HoldTable,
     marked: impl Fn(&str, u64) -> bool,
     sent: &mut HashMap<String, Arc<Sent>>,
 ) -> HashMap<String, Pool> {
@@ -29,6 +30,7 @@
         if it.standing == Standing::Live {
             pool.figures.add(report);
         }
+        pool.holds.push(holds.get(id, report.map_or(0, |it| it.incarnation)).cloned());
         pool.engines.push(engine(&it, report, sent));
         pool.servers.push(BackendServer { name: it.name, address: it.address, domain: it.domain });
     }
--- /dev/null
+++ b/src/controllers/wanted.rs
@@ -0,0 +1,87 @@
+//! What the tickets in force ask engines to hold.
+
+use std::collections::BTreeMap;
+
+use crate::decide::hash_bytes;
+use crate::decide::orders::{Item, Present};
+use crate::state::{InForce, Kind};
+use crate::wire::Loaded;
+
+/// What the tickets in force ask engines to hold.
+#[derive(Debug, Default)]
+pub(crate) struct Wanted {
+    /// All items, each once.
+    pub(crate) items: Vec<Item>,
+    /// What each item is, by its key.
+    pub(crate) names: BTreeMap<u64, Loaded>,
+}
+
+impl Wanted {
+    /// A pure function of the state in force.
+    pub(crate) fn new(state: &InForce) -> Wanted {
+        let mut wanted = Wanted::default();
+        for (name, spec) in state.models() {
+            let Some(copies) = spec.copies else { continue };
+            let pool = hash_bytes(spec.pool.as_bytes());
+            for version in versions(state, name, &spec.version, &spec.versions) {
+                let it = loaded(name, version, "");
+                wanted.add(it, |key, group| Item { key, group, pool, copies, base: None });
+            }
+        }
+        for (name, spec) in state.adapters() {
+            let (Some(copies), Some(model)) = (spec.copies, state.model(&spec.model)) else {
+                continue;
+            };
+            let pool = hash_bytes(model.pool.as_bytes());
+            let base = loaded(&spec.model, &model.version, "");
+            let base = model.copies.map(|_| key(&base));
+            for version in versions(state, name, &spec.version, &spec.versions) {
+                let it = loaded(&spec.model, version, name);
+                wanted.add(it, |key, group| Item { key, group, pool, copies, base });
+            }
+        }
+        wanted
+    }
+
+    fn add(&mut self, it: Loaded, item: impl Fn(u64, u64) -> Item) {
+        let item = item(key(&it), hash_bytes(it.model.as_bytes()));
+        if self.names.insert(item.key, it).is_none() {
+            self.items.push(item);
+        }
+    }
+}
+
+/// Key of the name by which requests ask for exactly this.
+pub(crate) fn key(it: &Loaded) -> u64 {
+    hash_bytes(it.full_name().as_bytes())
+}
+
+fn loaded(model: &str, version: &str, adapter: &str) -> Loaded {
+    Loaded { model: model.to_owned(), version: version.to_owned(), adapter: adapter.to_owned() }
+}
+
+/// The version in force, those beside it and those that experiments ask for.
+fn versions<'a>(
+    state: &'a InForce,
+    name: &'a str,
+    in_force: &'a str,
+    beside: &'a [String],
+) -> impl Iterator<Item = &'a str> {
+    let targets = state.experiments().filter_map(|it| it.1.target.split_once('@'));
+    let targets = targets.filter(move |it| it.0 == name).map(|it| it.1);
+    [in_force].into_iter().chain(beside.iter().map(String::as_str)).chain(targets)
+}
+
+/// What of an engine's report tickets decide about: models and adapters that
+/// are ordered, and those that a ticket removed.
+pub(crate) fn present(state: &InForce, it: &Loaded) -> Option<Present> {
+    let adapter = !it.adapter.is_empty();
+    let (kind, name) = match adapter {
+        true => (Kind::Adapter, &it.adapter),
+        false => (Kind::Model, &it.model),
+    };
+    let removed = state.objects.get(kind, name).is_some_and(|it| it.spec.is_none());
+    let group = hash_bytes(it.model.as_bytes());
+    let decided = removed || state.is_ordered(name);
+    decided.then(|| Present { key: key(it), group, adapter })
+}
--- a/src/daemon/control_thread.rs
+++ b/src/daemon/control_thread.rs
@@ -13,7 +13,9 @@
 use xtra::{Address, Mailbox};
 
 use crate::backend::{ControlHttp, EngineClient, ListClient, LogClient, RouterClient};
-use crate::controllers::{Leave, Parts, Publisher, Tail, exchange_gossip, watch_list, watch_loads};
+use crate::controllers::{
+    Leave, OrderGiver, OrderParts, Parts, Publisher, Tail, exchange_gossip, watch_list, watch_loads,
+};
 use crate::daemon::control_api::control_calls;
 use crate::daemon::daemon::{grace, listen};
 use crate::daemon::once_api::start_claims;
@@ -155,7 +157,17 @@
     let list = ListClient::new(paid(Purpose::List), settings.list);
     tokio::spawn(watch_list(list, publisher.clone(), Arc::clone(events), upkeep.clone()));
     let engines = EngineClient::new(paid(Purpose::Load));
-    tokio::spawn(watch_loads(engines, publisher.clone(), upkeep.clone()));
+    tokio::spawn(watch_loads(engines.clone(), publisher.clone(), upkeep.clone()));
+    let orders = OrderParts {
+        router: settings.name.clone(),
+        log: LogClient::new(paid(Purpose::Log), settings.log),
+        engines,
+        publisher: publisher.clone(),
+        events: Arc::clone(events),
+        clock: Arc::clone(&shared.clock),
+        settings: settings.orders.clone(),
+    };
+    tokio::spawn(OrderGiver::new(orders).run());
     let routers = RouterClient::new(paid(Purpose::Gossip), &settings.token);
     tokio::spawn(exchange_gossip(routers, publisher.clone(), news, upkeep.gossip_every));
     publisher
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -10,6 +10,7 @@
 mod failure_point;
 mod hash;
 pub mod once;
+pub mod orders;
 mod outlier;
 mod place;
 mod retry_budget;
--- /dev/null
+++ b/src/decide/orders/step.rs
@@ -0,0 +1,71 @@
+//! The next order to one engine.
+
+use crate::decide::orders::{Assignment, Holder, Item, Present};
+
+plain! {
+    /// One order.
+    pub enum Step {
+        /// Load the item with this key.
+        Load(u64),
+        /// Unload what has this key.
+        Unload {
+            /// The key.
+            key: u64,
+            /// Engines, as indexes, that must hold it before. Not empty while
+            /// tickets in force ask for it.
+            keepers: Vec<usize>,
+        },
+    }
+}
+
+/// The next order to the engine with index `at`, which reports `present`, if
+/// there is one.
+///
+/// It loads before it unloads. Nothing in force is unloaded before all engines
+/// that are to hold it do so, and nothing else of a model before all that is in
+/// force of that model is held as often as asked.
+pub fn next_step(
+    at: usize,
+    items: &[Item],
+    holders: &[Holder<'_>],
+    chosen: &Assignment,
+    present: &[Present],
+) -> Option<Step> {
+    let own = &holders[at];
+    if own.leaving || own.held.is_none() {
+        return None;
+    }
+    let is_chosen = |key| chosen.get(&key).is_some_and(|it| it.contains(&at));
+    let base_held = |it: &Item| it.base.is_none_or(|base| own.holds(base) || !managed(items, base));
+    let missing = items.iter().filter(|it| is_chosen(it.key) && !own.holds(it.key));
+    let load = missing.filter(|it| base_held(it)).min_by_key(|it| it.base.is_some());
+    if let Some(it) = load {
+        return Some(Step::Load(it.key));
+    }
+    let mut surplus: Vec<_> = present.iter().filter(|it| !is_chosen(it.key)).collect();
+    surplus.sort_by_key(|it| (!it.adapter, it.key));
+    surplus.into_iter().find_map(|it| unload(it, items, holders, chosen))
+}
+
+/// Whether tickets in force ask for the item with `key`.
+fn managed(items: &[Item], key: u64) -> bool {
+    items.iter().any(|it| it.key == key)
+}
+
+fn unload(
+    it: &Present,
+    items: &[Item],
+    holders: &[Holder<'_>],
+    chosen: &Assignment,
+) -> Option<Step> {
+    let complete = |item: &Item| {
+        let engines = chosen.get(&item.key).map_or(&[][..], Vec::as_slice);
+        !engines.is_empty() && engines.iter().all(|at| holders[*at].holds(item.key))
+    };
+    let mut needed = items.iter().filter(|item| item.group == it.group);
+    if !needed.all(complete) {
+        return None;
+    }
+    let keepers = chosen.get(&it.key).cloned().unwrap_or_default();
+    Some(Step::Unload { key: it.key, keepers })
+}
--- a/src/events/code.rs
+++ b/src/events/code.rs
@@ -66,6 +66,15 @@
     400 Placed "a request was given to a backend server";
     401 NoRoom "no backend server takes the request at present";
     420 RateExceeded "an organisation is above its rate";
+    440 OrderSent "an order was sent to an engine";
+    441 OrderDone "an engine holds what it was ordered to hold, or no longer what it was to unload";
+    442 OrderRefused "an engine refused an order with an old fencing number";
+    443 OrderFailed "an engine did not take an order";
+    444 ClaimLapsed "a claim of an engine ended before its order was sent";
+    445 OrdersHeld "the log takes no claims of engines";
+    446 OrdersResumed "the log takes claims of engines again";
+    447 OrderLogGap "claims of engines were lost from the log";
+    448 NotLoaded "no engine holds the model or adapter that a request asks for";
     // 5xx: requests and answers
     500 RequestDone "a request was answered whole";
     501 RequestRefused "a request was refused";
--- a/src/filters/mod.rs
+++ b/src/filters/mod.rs
@@ -13,6 +13,7 @@
 mod experiment;
 mod failure;
 mod forward;
+mod held;
 mod hint;
 mod identify;
 mod in_flight;
--- a/src/filters/refusal.rs
+++ b/src/filters/refusal.rs
@@ -29,6 +29,8 @@
         NotReady,
         /// No backend server takes the request.
         NoRoom,
+        /// No engine holds the model or adapter.
+        NotLoaded,
         /// The organisation is above its rate.
         RateExceeded,
         /// The backend server failed.
@@ -64,6 +66,7 @@
             Reason::Unauthorised => "unauthorised",
             Reason::NotReady => "not_ready",
             Reason::NoRoom => "no_room",
+            Reason::NotLoaded => "not_loaded",
             Reason::RateExceeded => "rate_exceeded",
             Reason::BackendFailed => "backend_failed",
             Reason::DeadlinePassed => "deadline_passed",
@@ -85,7 +88,9 @@
             Reason::SlowCaller => StatusCode::REQUEST_TIMEOUT,
             Reason::UnknownCall | Reason::UnknownTarget => StatusCode::NOT_FOUND,
             Reason::Unauthorised => StatusCode::UNAUTHORIZED,
-            Reason::NotReady | Reason::NoRoom => StatusCode::SERVICE_UNAVAILABLE,
+            Reason::NotReady | Reason::NoRoom | Reason::NotLoaded => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
             Reason::RateExceeded => StatusCode::TOO_MANY_REQUESTS,
             Reason::BackendFailed => StatusCode::BAD_GATEWAY,
             Reason::DeadlinePassed => StatusCode::GATEWAY_TIMEOUT,
@@ -108,6 +113,7 @@
             Reason::Unauthorised => Code::Unauthorised,
             Reason::NotReady => Code::NotReady,
             Reason::NoRoom => Code::NoRoom,
+            Reason::NotLoaded => Code::NotLoaded,
             Reason::RateExceeded => Code::RateExceeded,
             Reason::BackendFailed => Code::BackendFailed,
             Reason::DeadlinePassed => Code::DeadlinePassed,
--- a/src/filters/tries.rs
+++ b/src/filters/tries.rs
@@ -11,6 +11,7 @@
 use crate::filters::choose::choose;
 use crate::filters::failure::Failure;
 use crate::filters::forward::{Chosen, Plan};
+use crate::filters::held::Lacking;
 use crate::filters::in_flight::InFlight;
 use crate::filters::upstream::PoolRecord;
 use crate::filters::{Call, Reason, Refusal, Shared};
@@ -19,6 +20,9 @@
 /// When a caller should try again after a failure.
 const RETRY: Duration = Duration::from_millis(500);
 
+/// When a caller should try again while nothing holds what it asks for.
+const LOAD_RETRY: Duration = Duration::from_secs(2);
+
 /// Tries of one request so far.
 pub(crate) struct Tries {
     record: Arc<PoolRecord>,
@@ -91,6 +95,9 @@
         let Some(pool) = view.pools.get(pool_name) else {
             return Err(none("the pool has no backend servers"));
         };
+        if Lacking::new(call, pool).is_whole(pool) {
+            return Err(self.last.clone().unwrap_or_else(not_loaded));
+        }
         let now = shared.clock.now();
         let most = Outliers::most(pool.servers.len(), self.bound);
         let listed = |id| pool.engines.iter().any(|it| it.id == id);
@@ -120,14 +127,35 @@
         now: Instant,
         most: usize,
     ) -> Option<Choice> {
-        let choice = self.choose_once(shared, call, pool, plan, now)?;
+        let choose = || self.choose_holder(shared, call, pool, plan, now);
+        let choice = choose()?;
         let server = pool.engines[choice.index].id;
         if !self.record.outliers().check_stall(server, now, most) {
             return Some(choice);
         }
         let fields = Fields { subject: &pool.servers[choice.index].name, detail: "it stalls" };
         shared.events.record(Code::ServerSetAside, fields);
-        self.choose_once(shared, call, pool, plan, now)
+        choose()
+    }
+
+    /// Chooses among the servers that hold what is asked for, or else among
+    /// those of which it is not known.
+    fn choose_holder(
+        &self,
+        shared: &Shared,
+        call: &Call,
+        pool: &Pool,
+        plan: &Plan,
+        now: Instant,
+    ) -> Option<Choice> {
+        let lacking = Lacking::new(call, pool);
+        let mut out = lacking.known.clone();
+        if lacking.unsure.is_empty() {
+            return self.choose_once(shared, call, pool, plan, now, &out);
+        }
+        out.extend(lacking.unsure.iter().copied());
+        let sure = self.choose_once(shared, call, pool, plan, now, &out);
+        sure.or_else(|| self.choose_once(shared, call, pool, plan, now, &lacking.known))
     }
 
     /// Chooses among the servers in use, or else among all.
@@ -138,10 +166,12 @@
         pool: &Pool,
         plan: &Plan,
         now: Instant,
+        out: &[usize],
     ) -> Option<Choice> {
         let avoided: SmallVec<[u64; 4]> =
             self.record.outliers().avoided(now, plan.idempotent).collect();
-        let used = indexes(pool, &self.servers);
+        let mut used = indexes(pool, &self.servers);
+        used.extend_from_slice(out);
         if avoided.is_empty() {
             return choose(shared, call, pool, plan, &used);
         }
@@ -217,3 +247,9 @@
 pub(crate) fn no_room(message: impl Into<String>) -> Refusal {
     Refusal::not_run(Reason::NoRoom, message).retry_after(RETRY)
 }
+
+/// A refusal because no engine holds what the request asks for.
+fn not_loaded() -> Refusal {
+    let message = "no engine holds the model or adapter at present";
+    Refusal::not_run(Reason::NotLoaded, message).retry_after(LOAD_RETRY)
+}
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -2,6 +2,7 @@
 
 mod budget;
 mod crash_board;
+mod hold_table;
 mod load_table;
 mod mark_board;
 mod members;
@@ -13,6 +14,7 @@
 
 pub use budget::{Budget, Purpose};
 pub use crash_board::{Crash, CrashBoard, RunningSuspect};
+pub use hold_table::{HoldTable, Keys};
 pub use load_table::LoadTable;
 pub use mark_board::{Mark, MarkBoard};
 pub use members::Members;
--- a/src/fleet/pool.rs
+++ b/src/fleet/pool.rs
@@ -4,6 +4,7 @@
 
 use crate::admission::PoolFigures;
 use crate::decide::Engine;
+use crate::fleet::Keys;
 
 plain! {
     /// A backend server as traffic reaches it.
@@ -22,6 +23,9 @@
 pub struct Pool {
     /// What placement needs. Invariant: same order and length as `servers`.
     pub engines: Vec<Engine>,
+    /// What each engine holds; `None` when that is not known. Invariant: same
+    /// order and length as `servers`.
+    pub holds: Vec<Option<Keys>>,
     /// What the connection needs.
     pub servers: Vec<BackendServer>,
     /// Sums over the engines' reports, leaving ones left out.
--- a/src/settings/check.rs
+++ b/src/settings/check.rs
@@ -164,7 +164,7 @@
 }
 
 /// All times that must be above 0.
-fn times(s: &Settings) -> [(&'static str, Duration); 16] {
+fn times(s: &Settings) -> [(&'static str, Duration); 18] {
     [
         ("limits.receive", s.limits.receive),
         ("limits.send", s.limits.send),
@@ -182,6 +182,8 @@
         ("state.load_every", s.upkeep.load_every),
         ("state.log_wait", s.upkeep.log_wait),
         ("state.retry_every", s.upkeep.retry_every),
+        ("orders.every", s.orders.every),
+        ("orders.hold", s.orders.hold),
     ]
 }
 
@@ -197,6 +199,7 @@
     let counts = [
         ("once.appends", s.once.appends as usize),
         ("once.keys", s.once.keys),
+        ("orders.loads", s.orders.loads),
         ("crashes.limit", s.crashes.limit),
     ];
     for (place, count) in counts {
--- a/src/settings/settings.rs
+++ b/src/settings/settings.rs
@@ -5,7 +5,7 @@
 use serde::Deserialize;
 
 use crate::settings::{
-    Admission, Control, Crashes, Events, FleetKey, Limits, Once, Routing, Traffic,
+    Admission, Control, Crashes, Events, FleetKey, Limits, Once, Orders, Routing, Traffic,
 };
 
 /// The commented settings file that `filberttiller init` prints.
@@ -54,6 +54,9 @@
         /// Calls that may not be repeated.
         #[serde(default)]
         pub once: Once,
+        /// Orders to engines.
+        #[serde(default)]
+        pub orders: Orders,
         /// Requests that crash backend servers.
         #[serde(default)]
         pub crashes: Crashes,
--- a/src/state/fold.rs
+++ b/src/state/fold.rs
@@ -163,6 +163,32 @@
         }
     }
 
+    /// The models, by name.
+    pub fn models(&self) -> impl Iterator<Item = (&str, &ModelSpec)> {
+        self.objects.of_kind(Kind::Model).filter_map(|(name, it)| match &it.spec {
+            Some(Spec::Model(spec)) => Some((name, spec)),
+            _ => None,
+        })
+    }
+
+    /// The adapters, by name.
+    pub fn adapters(&self) -> impl Iterator<Item = (&str, &AdapterSpec)> {
+        self.objects.of_kind(Kind::Adapter).filter_map(|(name, it)| match &it.spec {
+            Some(Spec::Adapter(spec)) => Some((name, spec)),
+            _ => None,
+        })
+    }
+
+    /// Whether engines are ordered to load the model or adapter that requests
+    /// call `name`, with or without `@version`.
+    pub fn is_ordered(&self, name: &str) -> bool {
+        let name = name.split_once('@').map_or(name, |it| it.0);
+        match self.model(name) {
+            Some(it) => it.copies.is_some(),
+            None => self.adapter(name).is_some_and(|it| it.copies.is_some()),
+        }
+    }
+
     /// The service called `name`.
     pub fn service(&self, name: &str) -> Option<&ServiceSpec> {
         match self.spec(Kind::Service, name)? {
--- a/src/state/spec.rs
+++ b/src/state/spec.rs
@@ -9,6 +9,13 @@
         /// Version in force; empty for whatever is loaded.
         #[serde(default)]
         pub version: String,
+        /// Engines of the pool that hold each version; absent when nobody is to
+        /// order them to load it. Invariant: above 0, and then `version` is given.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        pub copies: Option<usize>,
+        /// Versions to hold beside the one in force.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        pub versions: Vec<String>,
     }
 
     /// An adapter.
@@ -19,6 +26,13 @@
         /// Version in force; empty for whatever is loaded.
         #[serde(default)]
         pub version: String,
+        /// Engines that hold it; absent when nobody is to order them to load it.
+        /// Invariant: above 0, and then `version` is given.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        pub copies: Option<usize>,
+        /// Versions to hold beside the one in force.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        pub versions: Vec<String>,
     }
 
     /// A plain service.
--- a/src/state/ticket.rs
+++ b/src/state/ticket.rs
@@ -59,8 +59,14 @@
 fn check_spec(spec: &Spec) -> Result<(), &'static str> {
     let ok = |good: bool, fault| if good { Ok(()) } else { Err(fault) };
     match spec {
-        Spec::Model(it) => ok(!it.pool.is_empty(), "`pool` must not be empty"),
-        Spec::Adapter(it) => ok(!it.model.is_empty(), "`model` must not be empty"),
+        Spec::Model(it) => {
+            ok(!it.pool.is_empty(), "`pool` must not be empty")?;
+            check_copies(it.copies, &it.version, &it.versions)
+        }
+        Spec::Adapter(it) => {
+            ok(!it.model.is_empty(), "`model` must not be empty")?;
+            check_copies(it.copies, &it.version, &it.versions)
+        }
         Spec::Service(it) => ok(!it.pool.is_empty(), "`pool` must not be empty"),
         Spec::Organisation(it) => {
             ok(it.weight > 0.0 && it.weight.is_finite(), "`weight` must be above 0")?;
@@ -74,3 +80,24 @@
         Spec::Policy(it) => ok(it.bound > 1.0 && it.bound.is_finite(), "`bound` must be above 1"),
     }
 }
+
+/// Checks what a model or adapter asks engines to hold.
+fn check_copies(
+    copies: Option<usize>,
+    version: &str,
+    versions: &[String],
+) -> Result<(), &'static str> {
+    if copies == Some(0) {
+        return Err("`copies` must be above 0");
+    }
+    if copies.is_some() && version.is_empty() {
+        return Err("`version` must be given with `copies`");
+    }
+    if copies.is_none() && !versions.is_empty() {
+        return Err("`copies` must be given with `versions`");
+    }
+    if versions.iter().any(String::is_empty) {
+        return Err("`versions` must not hold an empty name");
+    }
+    Ok(())
+}
--- a/src/wire/gossip.rs
+++ b/src/wire/gossip.rs
@@ -89,6 +89,18 @@
         pub [u64; 4],
     );
 
+    /// What an engine holds.
+    pub struct WireHold(
+        /// Hash of its name.
+        pub u64,
+        /// Counts the changes.
+        pub u64,
+        /// Incarnation.
+        pub u64,
+        /// Hashes of the names by which requests ask for what it holds.
+        pub Vec<u64>,
+    );
+
     /// Asks for what the sender lacks.
     #[derive(Copy)]
     pub struct Want {
@@ -166,6 +178,9 @@
         /// Loads of engines.
         #[serde(rename = "e", default, skip_serializing_if = "Vec::is_empty")]
         pub loads: Vec<WireLoad>,
+        /// What engines hold.
+        #[serde(rename = "g", default, skip_serializing_if = "Vec::is_empty")]
+        pub holds: Vec<WireHold>,
     }
 }
 
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -9,6 +9,7 @@
 mod load;
 mod log;
 mod once;
+mod order;
 mod status;
 mod ticket;
 
@@ -16,7 +17,7 @@
 pub use chat::{ChatAnswer, ChatChunk, ChatMessage, ChatRequest, PromptDetails, Usage};
 pub use entry::{EntryAddress, EntryAnswer};
 pub use gossip::{
-    Bulk, GOSSIP_VERSION, Gossip, MemberStatus, Part, Want, WireLine, WireLoad, WireMark,
+    Bulk, GOSSIP_VERSION, Gossip, MemberStatus, Part, Want, WireHold, WireLine, WireLoad, WireMark,
     WireMember,
 };
 pub use in_force::{WireEarlier, WireHeld, WireInForce, WireOutcome};
@@ -24,5 +25,6 @@
 pub use load::{LoadReport, Loaded};
 pub use log::{Appended, Page, Record};
 pub use once::{KeyAnswer, KeyQuery, NewKey, WireClaims};
+pub use order::{OrderRecord, OrderRequest, WireOrder};
 pub use status::{WireCount, WireEngine, WireStatus};
 pub use ticket::{WireObject, WireTicket, parse_ticket};
--- a/standins/src/engine/engine.rs
+++ b/standins/src/engine/engine.rs
@@ -70,6 +70,7 @@
     pub(crate) queued: usize,
     pub(crate) tokens: u64,
     loaded: Vec<Loaded>,
+    loading: Vec<Loaded>,
     role: String,
     fencing: u64,
     orders: VecDeque<OrderRequest>,
@@ -173,6 +174,7 @@
             queued: 0,
             tokens: 0,
             loaded: options.loaded.clone(),
+            loading: Vec::new(),
             role: "serve".to_owned(),
             fencing: 0,
             orders: VecDeque::new(),
@@ -205,7 +207,7 @@
     }
 
     /// Takes an order, or returns the higher fencing number seen before.
-    pub(crate) fn order(&self, request: OrderRequest) -> Result<(), u64> {
+    pub(crate) fn order(self: &Arc<Core>, request: OrderRequest) -> Result<(), u64> {
         let checks = self.options.checks_fencing;
         let mut state = self.state();
         if checks && request.fencing < state.fencing {
@@ -213,9 +215,15 @@
         }
         state.fencing = state.fencing.max(request.fencing);
         match &request.order {
-            Order::Load(it) if !state.loaded.contains(it) => state.loaded.push(it.clone()),
+            Order::Load(it) if !state.loaded.contains(it) && !state.loading.contains(it) => {
+                state.loading.push(it.clone());
+                tokio::spawn(Arc::clone(self).load(it.clone()));
+            }
             Order::Load(_) => {}
-            Order::Unload(it) => state.loaded.retain(|held| held != it),
+            Order::Unload(it) => {
+                state.loaded.retain(|held| held != it);
+                state.loading.retain(|held| held != it);
+            }
             Order::Role { role } => state.role.clone_from(role),
         }
         if state.orders.len() == ORDER_WINDOW {
@@ -225,6 +233,18 @@
         Ok(())
     }
 
+    /// Loads `it` unless it is unloaded meanwhile.
+    async fn load(self: Arc<Core>, it: Loaded) {
+        self.options.store.begin();
+        sleep(self.paced(self.options.load_time)).await;
+        self.options.store.end();
+        let mut state = self.state();
+        if state.loading.contains(&it) {
+            state.loading.retain(|other| *other != it);
+            state.loaded.push(it);
+        }
+    }
+
     /// The load at this moment.
     pub(crate) fn report(&self) -> LoadReport {
         let state = self.state();
--- a/standins/src/engine/mod.rs
+++ b/standins/src/engine/mod.rs
@@ -11,6 +11,7 @@
 mod options;
 mod orders;
 mod slots;
+mod weight_store;
 
 pub use answer::{answer, answer_token};
 pub use cache::{CacheEvent, PrefixCache};
@@ -18,3 +19,4 @@
 pub use faults::Faults;
 pub use options::Options;
 pub use orders::{Order, OrderRequest};
+pub use weight_store::WeightStore;
--- a/standins/src/engine/options.rs
+++ b/standins/src/engine/options.rs
@@ -1,8 +1,9 @@
 //! Properties of one engine.
 
+use std::sync::Arc;
 use std::time::Duration;
 
-use crate::engine::Loaded;
+use crate::engine::{Loaded, WeightStore};
 
 /// How an engine behaves while nothing is wrong.
 #[derive(Debug, Clone, PartialEq)]
@@ -27,6 +28,10 @@
     pub resume_window: Duration,
     /// Models loaded at the start.
     pub loaded: Vec<Loaded>,
+    /// Time to load a model version or adapter.
+    pub load_time: Duration,
+    /// Where it is loaded from.
+    pub store: Arc<WeightStore>,
 }
 
 impl Default for Options {
@@ -42,6 +47,8 @@
             checks_fencing: true,
             resume_window: Duration::from_secs(2),
             loaded: Vec::new(),
+            load_time: Duration::ZERO,
+            store: Arc::default(),
         }
     }
 }
--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -19,6 +19,7 @@
 mod model;
 mod once;
 mod once_storm;
+mod orders;
 mod outlier;
 mod path;
 mod reservation;
