--- a/src/backend/log_client.rs
+++ b/src/backend/log_client.rs
@@ -36,6 +36,11 @@
         self.http.afford(bytes).await;
     }
 
+    /// Waits until the account has `bytes` to spend, but no longer than `most`.
+    pub async fn afford_within(&self, bytes: f64, most: Duration) {
+        let _ = tokio::time::timeout(most, self.http.afford(bytes)).await;
+    }
+
     /// Reads `stream` from offset `from` on, waiting up to `wait` for news.
     ///
     /// # Errors
--- a/src/controllers/mod.rs
+++ b/src/controllers/mod.rs
@@ -8,12 +8,15 @@
 mod mark_watch;
 mod marks;
 mod messages;
+mod order_plan;
+mod orders;
 mod publisher;
 mod pull;
 mod retry;
 mod round;
 mod ticket_tail;
 mod view_parts;
+pub(crate) mod wanted;
 
 pub use gossip::exchange_gossip;
 pub use list_watch::{ListWatch, turn_delay};
@@ -23,5 +26,7 @@
     Answered, Exchange, Flush, Folded, Leave, Listed, Marked, NextRound, Reported, Restored, Round,
     TailPlan, TailQuery, Targets, TicketRecord,
 };
+pub use order_plan::{OrderPlan, OrderQuery, Planned};
+pub use orders::{ORDER_STREAM, OrderGiver, OrderParts};
 pub use publisher::{Parts, Publisher};
 pub use ticket_tail::{SNAPSHOT_STREAM, TICKET_STREAM, Tail};
--- a/src/daemon/control_thread.rs
+++ b/src/daemon/control_thread.rs
@@ -14,7 +14,8 @@
 
 use crate::backend::{ControlHttp, EngineClient, ListClient, LogClient, RouterClient};
 use crate::controllers::{
-    Leave, ListWatch, Parts, Publisher, Tail, exchange_gossip, watch_loads, watch_marks,
+    Leave, ListWatch, OrderGiver, OrderParts, Parts, Publisher, Tail, exchange_gossip, watch_loads,
+    watch_marks,
 };
 use crate::daemon::control_api::control_calls;
 use crate::daemon::daemon::{grace, listen};
@@ -165,7 +166,17 @@
     };
     tokio::spawn(watch.run());
     let engines = EngineClient::new(paid(Purpose::Load));
-    tokio::spawn(watch_loads(engines, publisher.clone(), upkeep.clone()));
+    tokio::spawn(watch_loads(engines.clone(), publisher.clone(), upkeep.clone()));
+    let orders = OrderParts {
+        router: settings.name.clone(),
+        log: LogClient::new(paid(Purpose::Log), settings.log),
+        engines,
+        publisher: publisher.clone(),
+        events: Arc::clone(events),
+        clock: Arc::clone(&shared.clock),
+        settings: settings.orders.clone(),
+    };
+    tokio::spawn(OrderGiver::new(orders).run());
     let routers = RouterClient::new(paid(Purpose::Gossip), &settings.token);
     tokio::spawn(watch_marks(Arc::clone(&shared.marks), publisher.clone()));
     tokio::spawn(exchange_gossip(routers, publisher.clone(), news, upkeep.gossip_every));
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -9,6 +9,7 @@
 mod load;
 mod log;
 mod once;
+mod order;
 mod packed;
 mod status;
 mod ticket;
@@ -17,7 +18,7 @@
 pub use chat::{ChatAnswer, ChatChunk, ChatMessage, ChatRequest, PromptDetails, Usage};
 pub use entry::{EntryAddress, EntryAnswer};
 pub use gossip::{
-    Bulk, GOSSIP_VERSION, Gossip, MemberStatus, Part, Want, WireLine, WireLoad, WireMark,
+    Bulk, GOSSIP_VERSION, Gossip, MemberStatus, Part, Want, WireHold, WireLine, WireLoad, WireMark,
     WireMarkSet, WireMember,
 };
 pub use in_force::{WireEarlier, WireHeld, WireInForce, WireOutcome};
@@ -25,6 +26,7 @@
 pub use load::{LoadReport, Loaded};
 pub use log::{Appended, Page, Record};
 pub use once::{KeyAnswer, KeyQuery, NewKey, WireClaims};
+pub use order::{OrderRecord, OrderRequest, WireOrder};
 pub use packed::{PackError, pack_gossip, packed_len, unpack_gossip};
 pub use status::{WireCount, WireEngine, WireStatus};
 pub use ticket::{WireObject, WireTicket, parse_ticket};
--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -20,6 +20,7 @@
 mod model;
 mod once;
 mod once_storm;
+mod orders;
 mod outlier;
 mod path;
 mod reservation;
--- a/tests/it/spread.rs
+++ b/tests/it/spread.rs
@@ -141,6 +141,7 @@
         crashes: Vec::new(),
         lines: Vec::new(),
         loads: Vec::new(),
+        holds: Vec::new(),
     }
 }
 
