Lift suspects by ticket; bound sends at once after a first death

Before: none of the new tests can pass. With the rendezvous, the hold of the stream and the looks left out (trial), both cases of resent_at_once_after_death_costs_limit and stream_of_suspect_is_alone failed and the run was stopped after 60 s. After: 16 sends at once at four routers after a first death cost 2 engines in all. Conclusion: bounded but for sends at once before any death is known (docs/CRASHES.md).

--- a/src/capacity/samples.rs
+++ b/src/capacity/samples.rs
@@ -18,8 +18,8 @@
     ChatTable, Engine, EntryQuery, EntryRouter, PlaceQuery, entry_order, hash_bytes, place,
 };
 use crate::events::{Code, EventLog, Fields, discard_logger};
-use crate::fleet::{Budget, ViewCell};
-use crate::settings::Control;
+use crate::fleet::{Budget, CrashBoard, ViewCell};
+use crate::settings::{Control, Crashes};
 use crate::state::{InForce, Kind, Object, OrganisationSpec, Spec, Ticket};
 use crate::wire::{Instance, LoadReport, MemberStatus, Role, Standing, WireInForce, WireMember};
 
@@ -123,7 +123,7 @@
         events: Arc::new(events),
         clock: Arc::clone(&clock),
         marks: Arc::default(),
-        crashes: Arc::default(),
+        crashes: Arc::new(CrashBoard::new(Crashes::default().release)),
         budget: Arc::new(Budget::new(AMPLE_BUDGET, clock)),
         upkeep: Control::default(),
         seeds: Vec::new(),
--- a/src/controllers/publisher.rs
+++ b/src/controllers/publisher.rs
@@ -19,7 +19,7 @@
 use crate::decide::{Sent, combine, hash_bytes};
 use crate::events::{Code, EventLog, Fields};
 use crate::fleet::{
-    Budget, Crash, CrashBoard, LoadTable, Mark, MarkBoard, Members, Roster, View, ViewCell,
+    Budget, CrashBoard, CrashReport, LoadTable, Mark, MarkBoard, Members, Roster, View, ViewCell,
 };
 use crate::settings::{Control, Seed};
 use crate::state::{History, InForce, Ticket};
@@ -84,8 +84,10 @@
     /// Whole state cut into parts, with its offset and when it was last asked for.
     pub(super) bulk: Option<(u64, Vec<String>, Instant)>,
     /// Crashes to pass on, and how often still.
-    pub(super) crashes: Vec<(Crash, u32)>,
+    pub(super) crashes: Vec<(CrashReport, u32)>,
     pub(super) crash_cursor: usize,
+    /// Counts the reports told again.
+    pub(super) crash_turn: usize,
     /// Wakes the task that makes exchanges.
     pub(super) news: Arc<Notify>,
     pub(super) rng: ChaCha8Rng,
@@ -115,6 +117,7 @@
             bulk: None,
             crashes: Vec::new(),
             crash_cursor: 0,
+            crash_turn: 0,
             news,
             rng: ChaCha8Rng::seed_from_u64(seed),
             sent: HashMap::new(),
--- a/src/controllers/round.rs
+++ b/src/controllers/round.rs
@@ -11,8 +11,8 @@
 use crate::controllers::pull::Pull;
 use crate::controllers::ticket_tail::read_text;
 use crate::events::Code;
-use crate::fleet::{Crash, Mark, Purpose};
-use crate::wire::{GOSSIP_VERSION, Gossip, MemberStatus, WireMark, WireMember};
+use crate::fleet::{CrashReport, Mark, Purpose};
+use crate::wire::{GOSSIP_VERSION, Gossip, MemberStatus, WireCrash, WireMark, WireMember};
 
 /// Bytes of records that go along unasked; more is announced and fetched.
 const INLINE_BYTES: usize = 800;
@@ -61,6 +61,9 @@
     /// Adds what can wait, while there is something left of the budget.
     fn fill(&mut self, message: &mut Gossip) {
         if self.parts.budget.balance(Purpose::Gossip) > 0.0 {
+            if message.crashes.is_empty() {
+                message.crashes.extend(self.repeated_crash());
+            }
             message.lines = self.roster.fresh(LINE_BYTES);
             message.loads = self.loads.fresh(LOADS);
             if message.loads.len() < LOADS {
@@ -86,20 +89,30 @@
         self.history.chain_before(records.first()?.0)
     }
 
-    fn crash_rows(&mut self) -> Vec<(u64, u64, u64)> {
-        let new = self.parts.crashes.since(self.crash_cursor);
-        self.crash_cursor += new.len();
+    fn crash_rows(&mut self) -> Vec<WireCrash> {
+        let now = self.now();
+        let (new, next) = self.parts.crashes.since(self.crash_cursor);
+        self.crash_cursor = next;
         self.crashes.extend(new.into_iter().map(|it| (it, CRASH_SENDS)));
         self.crashes.sort_by_key(|it| std::cmp::Reverse(it.1));
         let rows = self.crashes.iter_mut().take(CRASHES).map(|(it, sends)| {
             *sends -= 1;
-            (it.fingerprint, it.server, it.incarnation)
+            it.to_wire(now)
         });
         let rows = rows.collect();
         self.crashes.retain(|it| it.1 > 0);
         rows
     }
 
+    /// One report in turn, for routers that came later or were cut off.
+    fn repeated_crash(&mut self) -> Option<WireCrash> {
+        let now = self.now();
+        let all = self.parts.crashes.current(now);
+        self.crash_turn = self.crash_turn.wrapping_add(1);
+        let index = self.crash_turn.checked_rem(all.len())?;
+        Some(all[index].to_wire(now))
+    }
+
     /// Takes in what a peer tells.
     fn absorb(&mut self, message: Gossip) {
         let now = self.now();
@@ -129,8 +142,8 @@
                 changed = true;
             }
         }
-        for (fingerprint, server, incarnation) in message.crashes {
-            self.parts.crashes.insert(Crash { fingerprint, server, incarnation });
+        for it in &message.crashes {
+            self.parts.crashes.insert(CrashReport::from_wire(it, now), now);
         }
         for it in &message.loads {
             changed |= self.loads.learn(it);
--- a/src/daemon/once_api.rs
+++ b/src/daemon/once_api.rs
@@ -10,7 +10,7 @@
 use crate::backend::LogClient;
 use crate::daemon::control_api::guarded;
 use crate::filters::{Reason, Refusal, Shared};
-use crate::fleet::Crash;
+use crate::fleet::CrashReport;
 use crate::once::{append_claims, tail_claims};
 use crate::wire::{KeyAnswer, KeyQuery};
 
@@ -51,11 +51,12 @@
 
 /// Takes a peer's report of a crash.
 fn take_crash(shared: &Shared, body: &[u8]) -> Response {
-    let Ok((fingerprint, server, incarnation)) = rmp_serde::from_slice(body) else {
+    let Ok(wire) = rmp_serde::from_slice(body) else {
         let refusal = Refusal::not_run(Reason::BadRequest, "the report cannot be read");
         return refusal.reply("").into_response();
     };
-    shared.crashes.insert(Crash { fingerprint, server, incarnation });
+    let now = shared.clock.now();
+    shared.crashes.insert(CrashReport::from_wire(&wire, now), now);
     "ok".into_response()
 }
 
--- a/src/daemon/status_api.rs
+++ b/src/daemon/status_api.rs
@@ -57,7 +57,9 @@
     let counters = &shared.counters;
     let own = view.routers.iter().find(|it| it.name == shared.settings.name);
     let requests = counters.verdicts().into_iter();
-    let crashed: BTreeSet<u64> = shared.crashes.since(0).iter().map(|it| it.fingerprint).collect();
+    let crashes = shared.crashes.current(shared.clock.now()).into_iter().map(|it| it.crash);
+    let suspects = crashes.filter(|it| it.lift >= view.state.lift(it.fingerprint));
+    let suspects: BTreeSet<u64> = suspects.map(|it| it.fingerprint).collect();
     WireStatus {
         instance: shared.settings.name.clone(),
         domain: shared.settings.domain.clone(),
@@ -73,7 +75,7 @@
         cached_tokens: counters.cached_tokens.get(),
         spilled: counters.spilled.get(),
         control_bytes: shared.meter.total(),
-        suspects: crashed.iter().map(|it| format!("{it:016x}")).collect(),
+        suspects: suspects.iter().map(|it| format!("{it:016x}")).collect(),
         engines: loads(&view),
     }
 }
--- a/src/filters/chat.rs
+++ b/src/filters/chat.rs
@@ -16,7 +16,7 @@
 use crate::filters::hint::read_hint;
 use crate::filters::reply::read_whole;
 use crate::filters::stream::{Source, stream_answer};
-use crate::filters::suspect::{Risk, fingerprint};
+use crate::filters::suspect::{Risk, Watch, fingerprint};
 use crate::filters::{Call, DEADLINE_HEADER, HINT_HEADER, Reason, Refusal, Shared, Target};
 use crate::keys::write_hint;
 use crate::wire::ChatAnswer;
@@ -107,7 +107,8 @@
             address,
             deadline: call.deadline,
             next: 0,
-            risk: Risk::new(shared, job.fingerprint, &chosen),
+            risk: Watch::new(shared, Risk::new(shared, job.fingerprint, &chosen)),
+            _trial: chosen.trial.clone(),
         };
         stream_answer(shared, reply, source, Some(chosen.work), cancel)
     } else {
--- a/src/filters/choose.rs
+++ b/src/filters/choose.rs
@@ -1,6 +1,6 @@
 //! Chooses the backend server for a request.
 
-use crate::decide::{ChatPlace, Choice, PlaceQuery, place};
+use crate::decide::{ChatPlace, Choice, PlaceQuery, combine, place};
 use crate::filters::forward::Plan;
 use crate::filters::{Call, Shared, Target};
 use crate::fleet::Pool;
@@ -17,8 +17,12 @@
     plan: &Plan,
     tried: &[usize],
 ) -> Option<Choice> {
-    // With a bound of 0 only an idle engine fits, else the least loaded is taken.
-    let bound = if plan.alone { 0.0 } else { load_bound(call) };
+    if plan.alone
+        && let Some(choice) = trial_place(shared, pool, plan, tried)
+    {
+        return Some(choice);
+    }
+    let bound = load_bound(call);
     let known = known_place(shared, call, plan);
     let held = known.map_or(0, |it| u64::from(it.tokens).min(plan.cost));
     let query = PlaceQuery {
@@ -42,6 +46,19 @@
     Some(choice)
 }
 
+/// Where a suspect runs: at the same engine from all routers, so that sends to
+/// many routers at once cost one engine (rendezvous hashing, Thaler and
+/// Ravishankar 1998). What is known to be dead is passed over.
+fn trial_place(shared: &Shared, pool: &Pool, plan: &Plan, tried: &[usize]) -> Option<Choice> {
+    let fingerprint = plan.fingerprint?;
+    let open = pool.engines.iter().enumerate().filter(|(i, it)| {
+        let dead = shared.crashes.is_dead(it.id, it.incarnation);
+        !it.leaving && !dead && !tried.contains(i)
+    });
+    let (index, _) = open.max_by_key(|(_, it)| combine(fingerprint, it.id))?;
+    Some(Choice { index, spilled: false })
+}
+
 /// Largest load of an engine as a multiple of the mean, by the policy of `call`.
 pub(crate) fn load_bound(call: &Call) -> f64 {
     call.view
--- a/src/filters/forward.rs
+++ b/src/filters/forward.rs
@@ -13,10 +13,12 @@
 use crate::filters::failure::Failure;
 use crate::filters::in_flight::InFlight;
 use crate::filters::service::send_service;
-use crate::filters::suspect::{Risk, enter as enter_suspect, looks_dead, note as note_death};
+use crate::filters::suspect::{
+    Risk, Watch, enter as enter_suspect, looks_dead, note as note_death,
+};
 use crate::filters::tries::{Tries, no_room};
 use crate::filters::{Call, Refusal, Shared};
-use crate::fleet::BackendServer;
+use crate::fleet::{BackendServer, RunningSuspect};
 
 /// Multiple of the mean load that the service instances left in use must stay within.
 const SERVICE_BOUND: f64 = 2.0;
@@ -30,6 +32,8 @@
     pub(crate) server: BackendServer,
     pub(crate) engine: Engine,
     pub(crate) work: InFlight,
+    /// Held while a suspect runs, a stream up to its end.
+    pub(crate) trial: Option<Arc<RunningSuspect>>,
 }
 
 /// What is sent to the chosen backend server.
@@ -89,19 +93,23 @@
     };
     let mut tries = Tries::new(record, pass, bound);
     loop {
-        let running = match plan.fingerprint {
+        let trial = match plan.fingerprint {
             Some(it) => enter_suspect(shared, it, &call.id).map_err(|it| tries.refuse(it))?,
             None => None,
         };
-        let plan = &Plan { alone: running.is_some(), ..*plan };
-        let (chosen, attempt) = tries.next(shared, call, pool, plan)?;
+        let trial = trial.map(Arc::new);
+        let plan = &Plan { alone: trial.is_some(), ..*plan };
+        let (mut chosen, attempt) = tries.next(shared, call, pool, plan)?;
+        chosen.trial = trial.clone();
         let risk = plan.fingerprint.and_then(|it| Risk::new(shared, it, &chosen));
+        let mut watch = Watch::new(shared, risk);
         let name = chosen.server.name.clone();
         let sent = Arc::clone(&chosen.engine.sent);
         let result = match &job {
             Job::Chat(chat) => send_chat(shared, call, chat, chosen).await,
             Job::Service => send_service(shared, call, chosen, plan.idempotent).await,
         };
+        let risk = watch.over();
         let now = shared.clock.now();
         let outcome = outcome(&result, attempt.took(now), &job, plan);
         if attempt.end(outcome, now) {
@@ -117,7 +125,7 @@
         if let Some(risk) = risk.filter(|_| looks_dead(&failure)) {
             note_death(shared, &risk).await;
         }
-        drop(running);
+        drop(trial);
         let refusal = tries.fail(&failure);
         if matches!(job, Job::Chat(_)) && refusal.verdict == Verdict::NotRun {
             sent.fail();
--- a/src/filters/resume.rs
+++ b/src/filters/resume.rs
@@ -10,6 +10,7 @@
 use crate::filters::cancel::Cancel;
 use crate::filters::request_id::belongs;
 use crate::filters::stream::{LAST_EVENT, Source, ask_stream, stream_answer};
+use crate::filters::suspect::Watch;
 use crate::filters::{CHAT_HEADER, Call, HINT_HEADER, Reason, Refusal, Shared};
 use crate::fleet::{BackendServer, View};
 use crate::keys::read_hint;
@@ -40,7 +41,8 @@
         address: server.address,
         deadline: call.deadline,
         next,
-        risk: None,
+        risk: Watch::new(shared, None),
+        _trial: None,
     };
     let reply = ask_stream(shared, &source)
         .await
--- a/src/filters/stream.rs
+++ b/src/filters/stream.rs
@@ -24,8 +24,9 @@
 use crate::filters::cancel::Cancel;
 use crate::filters::ending::{Ending, Streamed};
 use crate::filters::in_flight::InFlight;
-use crate::filters::suspect::{Risk, note};
+use crate::filters::suspect::{Watch, note};
 use crate::filters::{Arm, Reason, Refusal, Shared, sse};
+use crate::fleet::RunningSuspect;
 use crate::wire::ChatChunk;
 
 /// Data of the last event of a whole stream.
@@ -53,7 +54,9 @@
     /// Index of the token that must come next.
     pub(crate) next: u64,
     /// What is at risk while it runs.
-    pub(crate) risk: Option<Risk>,
+    pub(crate) risk: Watch,
+    /// Held until the stream ends when it is of a suspect.
+    pub(crate) _trial: Option<Arc<RunningSuspect>>,
 }
 
 /// One stream on its way to the caller.
@@ -151,7 +154,7 @@
                 Fault::Broken(fault) => match self.resume().await {
                     Ok(()) => {}
                     Err(why) => {
-                        if let Some(risk) = self.source.risk {
+                        if let Some(risk) = self.source.risk.over() {
                             note(&self.shared, &risk).await;
                         }
                         return self.cut(&format!("{fault}; {why}"));
@@ -224,6 +227,7 @@
 
     fn end(&mut self) -> Bytes {
         self.over = true;
+        self.source.risk.over();
         self.cancel.disarm();
         self.ending.done("stream");
         self.shared.counters.count_arms(&self.source.arms, Verdict::Ran);
@@ -232,6 +236,7 @@
 
     fn cut(&mut self, fault: &str) -> Bytes {
         self.over = true;
+        self.source.risk.over();
         self.ending.cut(fault);
         self.shared.counters.count_arms(&self.source.arms, Verdict::MayHaveRun);
         let refusal = Refusal::may_have_run(Reason::BackendFailed, fault);
--- a/src/filters/suspect.rs
+++ b/src/filters/suspect.rs
@@ -5,6 +5,8 @@
 use std::time::Duration;
 
 use futures_util::future::join_all;
+use tokio::runtime::Handle;
+use tokio::time::sleep;
 
 use crate::backend::TOKEN_HEADER;
 use crate::decide::{Care, FailurePoint, Verdict, care, combine, hash_bytes};
@@ -12,7 +14,7 @@
 use crate::filters::failure::Failure;
 use crate::filters::forward::Chosen;
 use crate::filters::{Reason, Refusal, Shared};
-use crate::fleet::{Crash, RunningSuspect};
+use crate::fleet::{Crash, CrashReport, RunningSuspect};
 use crate::wire::{ChatRequest, LoadReport};
 
 /// Time for an engine to show that it lives, and for peers to take a report.
@@ -20,6 +22,10 @@
 /// When a suspect that runs here may come again.
 const RETRY: Duration = Duration::from_secs(1);
 
+/// Pauses before each look at an engine whose caller left.
+const LOOKS: [Duration; 3] =
+    [Duration::from_millis(100), Duration::from_secs(1), Duration::from_secs(4)];
+
 /// What is at risk while a request runs on an engine.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Risk {
@@ -41,7 +47,7 @@
         if shared.crashes.is_dead(server, incarnation) {
             return None;
         }
-        let crash = Crash { fingerprint, server, incarnation };
+        let crash = Crash { fingerprint, server, incarnation, lift: 0 };
         Some(Risk { address: chosen.server.address, crash })
     }
 }
@@ -53,9 +59,14 @@
     request: &str,
 ) -> Result<Option<RunningSuspect>, Refusal> {
     let settings = &shared.settings.crashes;
-    let deaths = shared.crashes.deaths(fingerprint, shared.clock.now(), settings.release);
+    if !shared.crashes.is_used() {
+        return Ok(None);
+    }
+    let lift = shared.view.peek().state.lift(fingerprint);
+    let deaths = shared.crashes.deaths(fingerprint, lift, shared.clock.now());
     let refuse = |message: &str, retry| {
-        Err(Refusal::not_run(Reason::Suspect, format!("{message} ({request})")).retry_after(retry))
+        let message = format!("{message} ({request}, fingerprint {fingerprint:016x})");
+        Err(Refusal::not_run(Reason::Suspect, message).retry_after(retry))
     };
     match care(deaths, settings.limit) {
         Care::Free => Ok(None),
@@ -74,11 +85,55 @@
     cut && failure.point.verdict() == Verdict::MayHaveRun
 }
 
+/// Looks after an engine when the caller leaves: it may die of the request all
+/// the same. Until [`Watch::over`] is called.
+#[derive(Debug)]
+pub(crate) struct Watch {
+    shared: Arc<Shared>,
+    risk: Option<Risk>,
+}
+
+impl Watch {
+    /// Watches over what is at risk, if anything is.
+    pub(crate) fn new(shared: &Arc<Shared>, risk: Option<Risk>) -> Watch {
+        Watch { shared: Arc::clone(shared), risk }
+    }
+
+    /// The request has ended, or another watch takes over.
+    pub(crate) fn over(&mut self) -> Option<Risk> {
+        self.risk.take()
+    }
+}
+
+impl Drop for Watch {
+    fn drop(&mut self) {
+        let (Some(risk), Ok(runtime)) = (self.risk.take(), Handle::try_current()) else {
+            return;
+        };
+        let shared = Arc::clone(&self.shared);
+        runtime.spawn(async move {
+            for pause in LOOKS {
+                sleep(pause).await;
+                if note(&shared, &risk).await {
+                    return;
+                }
+            }
+        });
+    }
+}
+
 /// Notes the death of the engine if it is one, and tells all routers before the
-/// caller can send the request again.
-pub(crate) async fn note(shared: &Arc<Shared>, risk: &Risk) {
-    if !died(shared, risk).await || !shared.crashes.insert(risk.crash) {
-        return;
+/// caller can send the request again. True when it died.
+pub(crate) async fn note(shared: &Arc<Shared>, risk: &Risk) -> bool {
+    if !died(shared, risk).await {
+        return false;
+    }
+    // What died after the suspicion was lifted counts, whenever it was sent.
+    let lift = shared.view.peek().state.lift(risk.crash.fingerprint);
+    let now = shared.clock.now();
+    let report = CrashReport { crash: Crash { lift, ..risk.crash }, at: now };
+    if !shared.crashes.insert(report, now) {
+        return true;
     }
     let subject = format!("{}", risk.address);
     let detail = format!("fingerprint {:016x}", risk.crash.fingerprint);
@@ -86,7 +141,8 @@
     let own = shared.once.me().router;
     let view = shared.view.load();
     let peers = view.routers.iter().filter(|it| it.id != own).filter_map(|it| it.control);
-    join_all(peers.map(|it| tell(shared, it, &risk.crash))).await;
+    join_all(peers.map(|it| tell(shared, it, &report))).await;
+    true
 }
 
 /// Whether the engine is gone or another incarnation; a timeout proves nothing.
@@ -102,8 +158,8 @@
     }
 }
 
-async fn tell(shared: &Shared, peer: SocketAddr, crash: &Crash) {
-    let row = (crash.fingerprint, crash.server, crash.incarnation);
+async fn tell(shared: &Shared, peer: SocketAddr, report: &CrashReport) {
+    let row = report.to_wire(shared.clock.now());
     let request = shared
         .http
         .post(format!("http://{peer}/v1/crashes"))
--- a/src/filters/tries.rs
+++ b/src/filters/tries.rs
@@ -130,7 +130,8 @@
         self.choose_once(shared, call, pool, plan, now)
     }
 
-    /// Chooses among the servers in use, or else among all.
+    /// Chooses among the servers in use that are not known to be dead, or else
+    /// among all.
     fn choose_once(
         &self,
         shared: &Shared,
@@ -139,10 +140,11 @@
         plan: &Plan,
         now: Instant,
     ) -> Option<Choice> {
-        let avoided: SmallVec<[u64; 4]> =
+        let mut avoided: SmallVec<[u64; 4]> =
             self.record.outliers().avoided(now, plan.idempotent).collect();
+        avoided.extend(shared.crashes.dead_among(&pool.engines));
         let used = indexes(pool, &self.servers);
-        if avoided.is_empty() {
+        if avoided.is_empty() || plan.alone {
             return choose(shared, call, pool, plan, &used);
         }
         let mut both = indexes(pool, &avoided);
@@ -164,7 +166,7 @@
         let requests = &shared.counters.in_flight;
         let work = InFlight::new(&engine.sent, plan.cost, requests, self.pass.as_ref());
         shared.events.record(Code::Placed, Fields { subject: &call.id, detail: &server.name });
-        Chosen { server: server.clone(), engine: engine.clone(), work }
+        Chosen { server: server.clone(), engine: engine.clone(), work, trial: None }
     }
 
     /// Adds a failure; the verdict of the result holds for all tries together.
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -12,7 +12,7 @@
 mod view_cell;
 
 pub use budget::{Budget, Purpose};
-pub use crash_board::{Crash, CrashBoard, RunningSuspect};
+pub use crash_board::{Crash, CrashBoard, CrashReport, RunningSuspect};
 pub use load_table::LoadTable;
 pub use mark_board::{Mark, MarkBoard};
 pub use members::Members;
--- a/src/metrics/gauges.rs
+++ b/src/metrics/gauges.rs
@@ -29,7 +29,7 @@
     gauge(registry, "ready", "1 with a state in force, else 0", i64::from(view.ready))?;
     let next = i64::try_from(view.state.next).unwrap_or(i64::MAX);
     gauge(registry, "state_offset", "Offset of the first record not yet folded", next)?;
-    let suspects = shared.crashes.since(0).len();
+    let suspects = shared.crashes.current(shared.clock.now()).len();
     let help = "Crashes of backend servers blamed on requests";
     gauge(registry, "request_crashes", help, suspects as i64)?;
     let help = "Bytes of control calls, both ways, heads included";
--- a/src/state/fold.rs
+++ b/src/state/fold.rs
@@ -195,6 +195,14 @@
         }
     }
 
+    /// Number of the ticket that lifted the suspicion against the request with
+    /// `fingerprint`; 0 when none has.
+    pub fn lift(&self, fingerprint: u64) -> u64 {
+        let held = self.objects.get(Kind::Suspect, &format!("{fingerprint:016x}"));
+        let lifted = |it: &&Held| matches!(&it.spec, Some(Spec::Suspect(spec)) if spec.lifted);
+        held.filter(lifted).map_or(0, |it| it.number)
+    }
+
     fn spec(&self, kind: Kind, name: &str) -> Option<&Spec> {
         self.objects.get(kind, name)?.spec.as_ref()
     }
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -15,6 +15,8 @@
 pub use object::{Kind, Object, Spec};
 pub use objects::{Held, Objects};
 pub use rejection::Rejection;
-pub use spec::{AdapterSpec, ExperimentSpec, ModelSpec, OrganisationSpec, PolicySpec, ServiceSpec};
+pub use spec::{
+    AdapterSpec, ExperimentSpec, ModelSpec, OrganisationSpec, PolicySpec, ServiceSpec, SuspectSpec,
+};
 pub use ticket::Ticket;
 pub use ticket_error::TicketError;
--- a/src/state/object.rs
+++ b/src/state/object.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::state::spec::{
-    AdapterSpec, ExperimentSpec, ModelSpec, OrganisationSpec, PolicySpec, ServiceSpec,
+    AdapterSpec, ExperimentSpec, ModelSpec, OrganisationSpec, PolicySpec, ServiceSpec, SuspectSpec,
 };
 
 key! {
@@ -25,6 +25,8 @@
         Experiment,
         /// Routing settings.
         Policy,
+        /// A request that is held to crash backend servers.
+        Suspect,
     }
 }
 
@@ -43,6 +45,8 @@
         Experiment(ExperimentSpec),
         /// Routing settings.
         Policy(PolicySpec),
+        /// A request that is held to crash backend servers.
+        Suspect(SuspectSpec),
     }
 
     /// One object with its whole new state.
@@ -65,6 +69,7 @@
             Kind::Organisation => "organisation",
             Kind::Experiment => "experiment",
             Kind::Policy => "policy",
+            Kind::Suspect => "suspect",
         };
         f.write_str(name)
     }
--- a/src/state/spec.rs
+++ b/src/state/spec.rs
@@ -66,6 +66,13 @@
         pub policy: String,
     }
 
+    /// A request that is held to crash backend servers, named by its fingerprint.
+    #[serde(deny_unknown_fields)]
+    pub struct SuspectSpec {
+        /// Whether the deaths until now are forgiven.
+        pub lifted: bool,
+    }
+
     /// Routing settings.
     #[serde(deny_unknown_fields)]
     pub struct PolicySpec {
--- a/src/state/ticket.rs
+++ b/src/state/ticket.rs
@@ -2,10 +2,12 @@
 
 use std::collections::BTreeSet;
 
-use crate::state::{Object, Spec, TicketError};
+use crate::state::{Kind, Object, Spec, TicketError};
 
 /// Most objects that one ticket may change.
 const MAX_OBJECTS: usize = 1_000;
+/// Hexadecimal digits of a fingerprint.
+const FINGERPRINT_DIGITS: usize = 16;
 
 plain! {
     /// A checked ticket.
@@ -44,6 +46,7 @@
             if it.name.is_empty() {
                 return Err(TicketError::NoName { kind: it.kind });
             }
+            check_name(it).map_err(|fault| TicketError::Value { object: place.clone(), fault })?;
             if !seen.insert((it.kind, &it.name)) {
                 return Err(TicketError::Twice { object: place });
             }
@@ -55,6 +58,18 @@
     }
 }
 
+/// Checks a name that must have a form of its own.
+fn check_name(object: &Object) -> Result<(), &'static str> {
+    let digit = |it: &u8| matches!(it, b'0'..=b'9' | b'a'..=b'f');
+    let name = object.name.as_bytes();
+    match object.kind {
+        Kind::Suspect if name.len() != FINGERPRINT_DIGITS || !name.iter().all(digit) => {
+            Err("`name` must be a fingerprint of 16 hexadecimal digits")
+        }
+        _ => Ok(()),
+    }
+}
+
 /// Checks the ranges of one object's values.
 fn check_spec(spec: &Spec) -> Result<(), &'static str> {
     let ok = |good: bool, fault| if good { Ok(()) } else { Err(fault) };
@@ -71,6 +86,7 @@
             ok(!it.model.is_empty(), "`model` must not be empty")?;
             ok(!it.target.is_empty() || !it.policy.is_empty(), "`target` or `policy` must be given")
         }
+        Spec::Suspect(_) => Ok(()),
         Spec::Policy(it) => ok(it.bound > 1.0 && it.bound.is_finite(), "`bound` must be above 1"),
     }
 }
--- a/src/wire/gossip.rs
+++ b/src/wire/gossip.rs
@@ -89,6 +89,21 @@
         pub [u64; 4],
     );
 
+    /// A crash report.
+    #[derive(Copy)]
+    pub struct WireCrash(
+        /// Fingerprint of the request.
+        pub u64,
+        /// Hash of the backend server's name.
+        pub u64,
+        /// Incarnation that died.
+        pub u64,
+        /// Number of the ticket that had lifted the suspicion before; 0 for none.
+        pub u64,
+        /// Time since it died, in milliseconds.
+        pub u64,
+    );
+
     /// Asks for what the sender lacks.
     #[derive(Copy)]
     pub struct Want {
@@ -157,9 +172,9 @@
         /// Routers.
         #[serde(rename = "m", default, skip_serializing_if = "Vec::is_empty")]
         pub members: Vec<WireMember>,
-        /// Crashes: fingerprint, server, incarnation.
-        #[serde(rename = "x", default, skip_serializing_if = "Vec::is_empty")]
-        pub crashes: Vec<(u64, u64, u64)>,
+        /// Crashes.
+        #[serde(rename = "y", default, skip_serializing_if = "Vec::is_empty")]
+        pub crashes: Vec<WireCrash>,
         /// Lines of the instance list.
         #[serde(rename = "l", default, skip_serializing_if = "Vec::is_empty")]
         pub lines: Vec<WireLine>,
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -16,8 +16,8 @@
 pub use chat::{ChatAnswer, ChatChunk, ChatMessage, ChatRequest, PromptDetails, Usage};
 pub use entry::{EntryAddress, EntryAnswer};
 pub use gossip::{
-    Bulk, GOSSIP_VERSION, Gossip, MemberStatus, Part, Want, WireLine, WireLoad, WireMark,
-    WireMember,
+    Bulk, GOSSIP_VERSION, Gossip, MemberStatus, Part, Want, WireCrash, WireLine, WireLoad,
+    WireMark, WireMember,
 };
 pub use in_force::{WireEarlier, WireHeld, WireInForce, WireOutcome};
 pub use instance::{Instance, Role, Standing};
--- a/src/wire/ticket.rs
+++ b/src/wire/ticket.rs
@@ -84,6 +84,7 @@
         Kind::Organisation => Spec::Organisation(read(value)?),
         Kind::Experiment => Spec::Experiment(read(value)?),
         Kind::Policy => Spec::Policy(read(value)?),
+        Kind::Suspect => Spec::Suspect(read(value)?),
     })
 }
 
@@ -113,6 +114,7 @@
             Spec::Organisation(it) => serde_json::to_value(it),
             Spec::Experiment(it) => serde_json::to_value(it),
             Spec::Policy(it) => serde_json::to_value(it),
+            Spec::Suspect(it) => serde_json::to_value(it),
         };
         value.unwrap_or(Value::Null)
     }
--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -6,6 +6,7 @@
 mod bare;
 mod capacity;
 mod control;
+mod crash_board;
 mod decide;
 mod decoders;
 mod events;
--- a/tests/it/suspect.rs
+++ b/tests/it/suspect.rs
@@ -1,16 +1,23 @@
 //! Requests that crash the engines that run them.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use filberttiller::decide::{Care, care};
+use filberttiller::daemon::{Daemon, status};
 use filberttiller::demo::{Ask, Caller, Fleet, FleetOptions};
-use filberttiller::fleet::{Crash, CrashBoard};
+use filberttiller::fleet::{Crash, CrashReport};
+use filberttiller::wire::parse_ticket;
+use futures_util::future::join_all;
 use rstest::rstest;
 use serde_json::{Value, json};
 use standins::engine::Faults;
 
 const BAD: &str = "the poisoned reed";
+/// How long a crash counts.
+const RELEASE: Duration = Duration::from_secs(600);
+/// Age of a crash when it is told.
+const AGE: Duration = Duration::from_secs(30);
 
 fn options() -> FleetOptions {
     FleetOptions { routers: 4, engines: 8, canaries: 0, services: 0, ..FleetOptions::default() }
@@ -25,6 +32,11 @@
 async fn limited(restart_ms: u64, limit: usize) -> Fleet {
     let mut options = options();
     options.settings.crashes.limit = limit;
+    poisoned(options, restart_ms).await
+}
+
+/// The same, with other options.
+async fn poisoned(options: FleetOptions, restart_ms: u64) -> Fleet {
     let fleet = Fleet::start(options).await.unwrap();
     fleet.publish_first().await.unwrap();
     let faults = Faults { crash_on: Some(BAD.to_owned()), restart_ms, ..Faults::default() };
@@ -52,9 +64,8 @@
 
 /// Crashes seen by any router.
 fn lost(fleet: &Fleet) -> usize {
-    let seen = fleet.routers.iter().flat_map(|it| it.shared().crashes.since(0));
-    let distinct: std::collections::BTreeSet<_> =
-        seen.map(|it| (it.server, it.incarnation)).collect();
+    let seen = fleet.routers.iter().flat_map(|it| it.shared().crashes.since(0).0);
+    let distinct: BTreeSet<_> = seen.map(|it| (it.crash.server, it.crash.incarnation)).collect();
     distinct.len()
 }
 
@@ -133,25 +144,201 @@
     assert_eq!(lost(&fleet), 0);
 }
 
+/// Fingerprints that `router` refuses.
+fn suspects(router: &Daemon) -> Vec<String> {
+    status(router.shared()).suspects
+}
+
+/// The ticket that lifts the suspicion, or takes that back.
+fn lift(number: u64, name: &str, lifted: bool) -> Value {
+    json!({
+        "version": 1, "number": number,
+        "objects": [{ "kind": "suspect", "name": name, "spec": { "lifted": lifted } }],
+    })
+}
+
+/// A lifted request runs again on every router, old reports do not bring the
+/// suspicion back, and new deaths are bounded as before.
+#[tokio::test]
+async fn ticket_lifts_suspicion() {
+    let fleet = fleet(3_600_000).await;
+    let resend = async || {
+        for (i, router) in fleet.routers.iter().enumerate() {
+            let _ = send(&fleet, router.address(), &format!("chat-{i}"), BAD, false).await;
+        }
+    };
+    resend().await;
+    assert_eq!(down(&fleet).await, 2);
+    let name = suspects(&fleet.routers[0])[0].clone();
+    let old = fleet.routers[0].shared().crashes.since(0).0;
+    fleet.publish(&lift(2, &name, true)).await.unwrap();
+    for router in &fleet.routers {
+        assert!(suspects(router).is_empty());
+        let now = Instant::now();
+        for it in &old {
+            router.shared().crashes.insert(*it, now);
+        }
+        let told = send(&fleet, router.address(), "calm", "which reeds", false).await;
+        assert!(told.is_ok(), "{told:?}");
+        assert!(suspects(router).is_empty());
+    }
+    resend().await;
+    assert_eq!(down(&fleet).await, 4);
+    for router in &fleet.routers {
+        assert_eq!(suspects(router), [name.as_str()]);
+    }
+    fleet.publish(&lift(3, &name, true)).await.unwrap();
+    assert!(fleet.routers.iter().all(|it| suspects(it).is_empty()));
+    fleet.publish(&lift(4, &name, false)).await.unwrap();
+    assert!(fleet.routers.iter().all(|it| suspects(it) == [name.as_str()]));
+    let told = send(&fleet, fleet.routers[0].address(), "chat", BAD, false).await.unwrap_err();
+    assert!(told.contains("\"suspect\"") && told.contains(&name), "{told}");
+}
+
+#[rstest]
+#[case::good("00ff00ff00ff00ff", json!({ "lifted": true }), true)]
+#[case::short("ff", json!({ "lifted": true }), false)]
+#[case::upper("00FF00FF00FF00FF", json!({ "lifted": true }), false)]
+#[case::no_field("00ff00ff00ff00ff", json!({}), false)]
+fn lift_checked(#[case] name: &str, #[case] spec: Value, #[case] good: bool) {
+    let ticket = json!({
+        "version": 1, "number": 2,
+        "objects": [{ "kind": "suspect", "name": name, "spec": spec }],
+    });
+    assert_eq!(parse_ticket(&ticket.to_string()).is_ok(), good);
+}
+
+/// A report that only one router was told reaches the others, and one that
+/// starts later.
+#[tokio::test]
+async fn report_crosses_by_gossip() {
+    let mut fleet = fleet(0).await;
+    let now = Instant::now();
+    let crash = Crash { fingerprint: 7, server: 1, incarnation: 2, lift: 0 };
+    let report = CrashReport { crash, at: now - AGE };
+    assert!(fleet.routers[0].shared().crashes.insert(report, now));
+    let known = |it: &Fleet| {
+        let deaths = |r: &Daemon| r.shared().crashes.deaths(7, 0, Instant::now());
+        it.routers.iter().all(|it| deaths(it) == 1)
+    };
+    fleet.wait_until(known).await;
+    fleet.add_router().unwrap();
+    fleet.wait_until(known).await;
+    // The age goes along, so that all release it together.
+    for router in &fleet.routers {
+        assert!(router.shared().crashes.current(now + RELEASE - AGE / 2).is_empty());
+    }
+}
+
+/// After one death, sends to all routers at once are tried on one engine.
+#[rstest]
+#[tokio::test]
+async fn resent_at_once_after_death_costs_limit(#[values(false, true)] stream: bool) {
+    let mut options = options();
+    options.settings.traffic.tries = 1;
+    let fleet = poisoned(options, 3_600_000).await;
+    let _ = send(&fleet, fleet.routers[0].address(), "first", BAD, stream).await;
+    assert_eq!(lost(&fleet), 1);
+    let sends = (0..16).map(|i| {
+        let (fleet, router) = (&fleet, fleet.routers[i % 4].address());
+        async move { send(fleet, router, &format!("chat-{i}"), BAD, stream).await }
+    });
+    assert!(join_all(sends).await.iter().all(Result::is_err));
+    assert_eq!((down(&fleet).await, lost(&fleet)), (2, 2));
+}
+
+/// Requests that run on any engine.
+fn running(fleet: &Fleet) -> Vec<usize> {
+    fleet.engines.iter().map(|it| it.load().running).collect()
+}
+
+/// What is in flight beside a crash is answered after all, or told truly that it
+/// may have run; no router refuses it later.
 #[rstest]
-#[case::none(0, Care::Free)]
-#[case::one(1, Care::Alone)]
-#[case::limit(2, Care::Refuse)]
-#[case::more(3, Care::Refuse)]
-fn care_by_deaths(#[case] deaths: usize, #[case] expected: Care) {
-    assert_eq!(care(deaths, 2), expected);
-}
-
-#[test]
-fn board_releases_after_time() {
-    let board = CrashBoard::default();
-    let (start, release) = (Instant::now(), Duration::from_secs(10));
-    for server in 0..2 {
-        let crash = Crash { fingerprint: 7, server, incarnation: 1 };
-        assert!(board.insert(crash));
-        assert!(!board.insert(crash));
+#[tokio::test]
+async fn innocent_beside_crash_not_refused(
+    #[values(1, 3)] tries: usize,
+    #[values(false, true)] stream: bool,
+) {
+    const REQUESTS: usize = 24;
+    let mut options = options();
+    options.settings.traffic.tries = tries;
+    options.engine.decode = Duration::from_millis(50);
+    let fleet = Fleet::start(options).await.unwrap();
+    fleet.publish_first().await.unwrap();
+    let ask = |i: usize| {
+        let (fleet, router) = (&fleet, fleet.routers[i % 4].address());
+        async move { send(fleet, router, &format!("c{i}"), &format!("reed {i}"), stream).await }
+    };
+    let crash = async {
+        fleet.wait_until(|it| running(it).iter().any(|it| *it > 1)).await;
+        let count = running(&fleet);
+        let busiest = (0..count.len()).max_by_key(|i| count[*i]).unwrap();
+        fleet.engines[busiest].crash(Duration::from_secs(3_600));
+    };
+    let (told, ()) = tokio::join!(join_all((0..REQUESTS).map(ask)), crash);
+    assert_eq!(lost(&fleet), 1);
+    for error in told.into_iter().filter_map(Result::err) {
+        assert!(tries == 1 || stream, "{error}");
+        assert!(!error.contains("\"suspect\""), "{error}");
+        let request = error.split("\"request\":\"").nth(1).unwrap().split('"').next().unwrap();
+        let ran = fleet.engines.iter().any(|it| it.runs(request) > 0);
+        let not_run = error.contains("\"not_run\"");
+        assert!(not_run || error.contains("\"may_have_run\""), "{error}");
+        assert!(!(not_run && ran), "{error}");
     }
-    assert_eq!(board.deaths(7, start, release), 2);
-    assert_eq!(board.deaths(8, start, release), 0);
-    assert_eq!(board.deaths(7, start + release, release), 0);
+    for it in join_all((0..REQUESTS).map(ask)).await {
+        assert!(it.is_ok(), "{it:?}");
+    }
+}
+
+/// The engine dies after the caller left, which tells just as much.
+#[rstest]
+#[tokio::test]
+async fn crash_after_caller_left_counts(#[values(false, true)] stream: bool) {
+    let mut options = options();
+    options.engine.decode = Duration::from_secs(3_600);
+    let fleet = Fleet::start(options).await.unwrap();
+    fleet.publish_first().await.unwrap();
+    let router = fleet.routers[0].address();
+    let mut sent = Box::pin(send(&fleet, router, "chat", "which reeds", stream));
+    let started = fleet.wait_until(|it| running(it).contains(&1));
+    tokio::select! { _ = &mut sent => unreachable!(), () = started => {} }
+    let engine = running(&fleet).iter().position(|it| *it == 1).unwrap();
+    drop(sent);
+    let left = |it: &Fleet| it.routers[0].shared().events.since(0).iter().any(|it| it.code == 512);
+    fleet.wait_until(left).await;
+    fleet.engines[engine].crash(Duration::from_secs(3_600));
+    fleet.wait_until(|it| it.routers.iter().all(|it| suspects(it).len() == 1)).await;
+}
+
+/// A suspect's stream is alone on its router up to its end, and on the same
+/// engine from all routers.
+#[tokio::test]
+async fn stream_of_suspect_is_alone() {
+    let mut options = options();
+    options.settings.traffic.tries = 1;
+    options.engine.decode = Duration::from_millis(20);
+    let fleet = poisoned(options, 3_600_000).await;
+    let all: Vec<_> = fleet.routers.iter().map(Daemon::address).collect();
+    assert!(send(&fleet, all[0], "first", BAD, false).await.is_err());
+    for it in &fleet.engines {
+        it.set_faults(Faults::default());
+    }
+    let messages = text(BAD);
+    let ask = Ask { messages: &messages, tokens: 10_000, stream: true };
+    let stream = |i: usize, chat: &str| {
+        let mut caller = Caller::new(&fleet.http, "dalisay", chat);
+        let (router, ask) = (all[i], &ask);
+        async move { caller.ask(router, ask).await }
+    };
+    let mut first = Box::pin(join_all([stream(0, "a"), stream(1, "b")]));
+    let two = fleet.wait_until(|it| running(it).iter().sum::<usize>() == 2);
+    tokio::select! { it = &mut first => panic!("{it:?}"), () = two => {} }
+    assert!(running(&fleet).contains(&2));
+    let second = send(&fleet, all[0], "c", BAD, false);
+    let told = tokio::select! { it = &mut first => panic!("{it:?}"), it = second => it };
+    assert!(told.as_ref().is_err_and(|it| it.contains("on trial")), "{told:?}");
+    drop(first);
+    while send(&fleet, all[0], "c", BAD, false).await.is_err() {}
 }
