Tell a late stream by its deadline; name the right limit

Cause: a stream cut by its deadline said backend_failed, and its error named event 502 while 504 was recorded; a zero limits.address_connections was reported under limits.connections. Change: reason deadline_passed; the error names the event that is recorded; each limit is checked by itself. Before: late_stream_ended and no_address_connections cannot pass.

--- a/src/filters/stream.rs
+++ b/src/filters/stream.rs
@@ -33,6 +33,8 @@
 const END_MARK: &str = "[DONE]";
 /// Resumptions without a new event in between, at most.
 const MAX_RESUMES: u32 = 3;
+/// What is told of a stream whose time is over.
+const LATE: &str = "the deadline passed";
 /// Pause after an engine did not let a stream be resumed.
 const RESUME_PAUSE: Duration = Duration::from_millis(20);
 /// Header that tells an engine which event came last.
@@ -78,8 +80,10 @@
 enum Fault {
     /// The connection failed; the engine may still have the rest.
     Broken(String),
-    /// What came is wrong, or the time is over.
+    /// What came is wrong, or nothing came.
     Final(String),
+    /// The deadline passed.
+    Late,
 }
 
 /// Passes the engine's stream on. The head tells `may_have_run`, as the end is
@@ -150,24 +154,33 @@
                 Err(fault) => fault,
             };
             match fault {
-                Fault::Final(fault) => return self.cut(&fault),
+                Fault::Late => return self.cut(Reason::DeadlinePassed, LATE),
+                Fault::Final(fault) => return self.cut(Reason::BackendFailed, &fault),
                 Fault::Broken(fault) => match self.resume().await {
                     Ok(()) => {}
                     Err(why) => {
                         if let Some(risk) = self.source.risk.over() {
                             note(&self.shared, &risk).await;
                         }
-                        return self.cut(&format!("{fault}; {why}"));
+                        if self.left().is_zero() {
+                            return self.cut(Reason::DeadlinePassed, LATE);
+                        }
+                        return self.cut(Reason::BackendFailed, &format!("{fault}; {why}"));
                     }
                 },
             }
         }
     }
 
+    /// Time left until the deadline.
+    fn left(&self) -> Duration {
+        self.source.deadline.saturating_duration_since(self.shared.clock.now())
+    }
+
     /// Waits for the next event within the deadline and, once events flow, the
     /// idle time.
     async fn event(&mut self) -> Result<Event, Fault> {
-        let left = self.source.deadline.saturating_duration_since(self.shared.clock.now());
+        let left = self.left();
         let idle = self.shared.settings.traffic.idle;
         let wait = if self.flowing { left.min(idle) } else { left };
         let event = match timeout(wait, self.incoming.next()).await {
@@ -178,7 +191,7 @@
                 return Err(Fault::Broken(message.to_owned()));
             }
             Err(_) if wait == left => {
-                return Err(Fault::Final("the deadline passed".to_owned()));
+                return Err(Fault::Late);
             }
             Err(_) => return Err(Fault::Final(format!("the engine was silent for {idle:?}"))),
         };
@@ -234,13 +247,14 @@
         sse::frame("", "", END_MARK)
     }
 
-    fn cut(&mut self, fault: &str) -> Bytes {
+    fn cut(&mut self, reason: Reason, fault: &str) -> Bytes {
         self.over = true;
         self.source.risk.over();
         self.ending.cut(fault);
         self.shared.counters.count_arms(&self.source.arms, Verdict::MayHaveRun);
-        let refusal = Refusal::may_have_run(Reason::BackendFailed, fault);
-        let body = serde_json::to_string(&refusal.body(&self.source.request)).unwrap_or_default();
+        let mut body = Refusal::may_have_run(reason, fault).body(&self.source.request);
+        body.error.event = Code::StreamCut.number();
+        let body = serde_json::to_string(&body).unwrap_or_default();
         sse::frame("", "error", &body)
     }
 }
@@ -263,7 +277,7 @@
 ) -> Result<reqwest::Response, String> {
     let left = source.deadline.saturating_duration_since(shared.clock.now());
     if left.is_zero() {
-        return Err("the deadline passed".to_owned());
+        return Err(LATE.to_owned());
     }
     let url = format!("http://{}/v1/streams/{}", source.address, source.request);
     let mut ask = shared.http.get(url).timeout(left);
--- a/src/settings/check.rs
+++ b/src/settings/check.rs
@@ -112,8 +112,12 @@
     expect(answer > 0, "limits.answer", "it is 0".to_owned(), "a size above 0 is needed");
     let head = s.limits.head.as_u64();
     expect(head >= 8_192, "limits.head", format!("it is {head} bytes"), "at least 8KiB is needed");
-    let most = s.limits.connections.min(s.limits.address_connections);
-    expect(most > 0, "limits.connections", "it is 0".to_owned(), "at least 1 is needed");
+    for (place, most) in [
+        ("limits.connections", s.limits.connections),
+        ("limits.address_connections", s.limits.address_connections),
+    ] {
+        expect(most > 0, place, "it is 0".to_owned(), "at least 1 is needed");
+    }
     let threads = s.traffic.threads;
     expect(
         (1..=MAX_THREADS).contains(&threads),
--- a/tests/it/answers.rs
+++ b/tests/it/answers.rs
@@ -183,3 +183,21 @@
     let left: u64 = seen.header(DEADLINE_HEADER).unwrap().parse().unwrap();
     assert!((1..=5_000).contains(&left));
 }
+
+/// A stream that outlasts its deadline says so, and names the event recorded.
+#[tokio::test]
+async fn late_stream_ended() {
+    let fleet = bare_fleet().await;
+    let fake = Fake::start(|it| Act::Answer(stream_head() + &token(it.id(), 0))).await;
+    fake.join(&fleet, Role::Engine, ENGINES).await;
+    let reply = ask(&fleet, true).header(DEADLINE_HEADER, "100").send().await.unwrap();
+    let id = reply.headers()[REQUEST_HEADER].to_str().unwrap().to_owned();
+    let text = reply.text().await.unwrap();
+    let error = text.split("event: error\ndata: ").nth(1).unwrap();
+    let error: Value = serde_json::from_str(error.trim()).unwrap();
+    assert_eq!(error["error"]["reason"], "deadline_passed");
+    assert_eq!(error["error"]["verdict"], "may_have_run");
+    let event = error["error"]["event"].as_u64().unwrap();
+    let events = fleet.routers[0].shared().events.since(0);
+    assert!(events.iter().any(|it| u64::from(it.code) == event && it.subject == id));
+}
--- a/tests/it/settings.rs
+++ b/tests/it/settings.rs
@@ -16,6 +16,12 @@
 #[case::same_address("127.0.0.1:8081", "127.0.0.1:8080", "control")]
 #[case::short_token("change-this-token", "short", "token")]
 #[case::zero_tries("\"tries\": 3", "\"tries\": 0", "traffic.tries")]
+#[case::no_connections("\"connections\": 16384", "\"connections\": 0", "limits.connections:")]
+#[case::no_address_connections(
+    "\"address_connections\": 8192",
+    "\"address_connections\": 0",
+    "limits.address_connections:"
+)]
 #[case::name_twice(
     "\"seeds\": []",
     "\"seeds\": [{\"name\": \"entry-1\", \"control\": \"127.0.0.1:1\"}]",
