--- a/src/controllers/publisher.rs
+++ b/src/controllers/publisher.rs
@@ -19,7 +19,7 @@
 use crate::decide::{Sent, combine, hash_bytes};
 use crate::events::{Code, EventLog, Fields};
 use crate::fleet::{
-    Budget, Crash, CrashBoard, HoldTable, LoadTable, Mark, MarkBoard, Members, Roster, View,
+    Budget, CrashBoard, CrashReport, HoldTable, LoadTable, Mark, MarkBoard, Members, Roster, View,
     ViewCell,
 };
 use crate::settings::{Control, Seed};
@@ -92,8 +92,10 @@
     /// Name of the leaving mark that was repeated last.
     pub(super) repeated: String,
     /// Crashes to pass on, and how often still.
-    pub(super) crashes: Vec<(Crash, u32)>,
+    pub(super) crashes: Vec<(CrashReport, u32)>,
     pub(super) crash_cursor: usize,
+    /// Counts the reports told again.
+    pub(super) crash_turn: usize,
     /// Wakes the task that makes exchanges.
     pub(super) news: Arc<Notify>,
     pub(super) rng: ChaCha8Rng,
@@ -127,6 +129,7 @@
             repeated: String::new(),
             crashes: Vec::new(),
             crash_cursor: 0,
+            crash_turn: 0,
             news,
             rng: ChaCha8Rng::seed_from_u64(seed),
             sent: HashMap::new(),
