--- a/src/capacity/probe.rs
+++ b/src/capacity/probe.rs
@@ -3,7 +3,7 @@
 use std::future::Future;
 use std::pin::Pin;
 
-use crate::capacity::{Slope, least_squares, network, samples};
+use crate::capacity::{Slope, least_squares, network, samples, streams};
 
 /// Repeats of each measurement of time; the least counts.
 const REPEATS: usize = 5;
@@ -14,7 +14,7 @@
     pub struct Sample {
         /// Heap held, in bytes.
         pub bytes: f64,
-        /// Time, in microseconds.
+        /// Time, in microseconds; processor time where a probe says so.
         pub micros: f64,
         /// Bytes on the wire, both ways, heads included.
         pub wire: f64,
@@ -135,6 +135,36 @@
         sizes: &[100, 200, 400, 800],
         take: network::log_tickets,
     },
+    Probe {
+        name: "receive_engines",
+        unit: "engine",
+        sizes: &[100, 200, 400, 800],
+        take: samples::receive_engines,
+    },
+    Probe {
+        name: "open_connections",
+        unit: "connection",
+        sizes: &[32, 64, 128, 256],
+        take: streams::open_connections,
+    },
+    Probe {
+        name: "open_streams",
+        unit: "stream",
+        sizes: &[16, 32, 64, 128],
+        take: streams::open_streams,
+    },
+    Probe {
+        name: "engine_streams",
+        unit: "stream",
+        sizes: &[16, 32, 64, 128],
+        take: streams::engine_streams,
+    },
+    Probe {
+        name: "relay_tokens",
+        unit: "token",
+        sizes: &[800, 1_600, 3_200, 6_400],
+        take: streams::relay_tokens,
+    },
 ];
 
 /// Measures `probe` at all its sizes and fits a line to each part.
--- a/src/capacity/samples.rs
+++ b/src/capacity/samples.rs
@@ -12,7 +12,7 @@
 use crate::capacity::probe::Taking;
 use crate::clock::{SharedClock, SystemClock};
 use crate::controllers::{
-    Flush, Folded, Listed, NextRound, Parts, Publisher, Reported, Targets, TicketRecord,
+    Exchange, Flush, Folded, Listed, NextRound, Parts, Publisher, Reported, Targets, TicketRecord,
 };
 use crate::decide::{
     ChatTable, Engine, EntryQuery, EntryRouter, PlaceQuery, entry_order, hash_bytes, place,
@@ -21,12 +21,16 @@
 use crate::fleet::{Budget, ViewCell};
 use crate::settings::Control;
 use crate::state::{InForce, Kind, Object, OrganisationSpec, Spec, Ticket};
-use crate::wire::{Instance, LoadReport, MemberStatus, Role, Standing, WireInForce, WireMember};
+use crate::wire::{
+    Gossip, Instance, LoadReport, MemberStatus, Role, Standing, WireInForce, WireMember,
+};
 
 /// Calls of one timed loop.
 const CALLS: u32 = 200;
 /// Calls of one timed loop of a slow call.
 const RARE_CALLS: u32 = 10;
+/// New loads in one received exchange; a message holds as many.
+const NEW_LOADS: usize = 8;
 /// Routers of the target size.
 const TARGET_ROUTERS: usize = 400;
 /// Control bytes a second that stop nothing.
@@ -212,14 +216,7 @@
         let address = publisher(size, 4, 10).await;
         let _ = address.send(NextRound { due: true }).await;
         for i in 0..size {
-            let report = LoadReport {
-                incarnation: 1_700_000_000_000,
-                tokens: 40_000,
-                running: 16,
-                queued: 4,
-                slots: 16,
-                ..LoadReport::default()
-            };
+            let report = report(40_000);
             let _ = address.send(Reported { name: format!("engine-{i}"), report }).await;
         }
         let round = address.send(NextRound { due: true }).await.ok().flatten();
@@ -229,6 +226,51 @@
     })
 }
 
+/// Handling one exchange that a peer began and that brings new loads, by engines;
+/// the publication that follows is part of it.
+pub(crate) fn receive_engines(size: usize) -> Taking {
+    Box::pin(async move {
+        let sender = publisher(size, 4, 10).await;
+        let receiver = publisher(size, 4, 10).await;
+        let mut spent = Duration::ZERO;
+        for call in 0..CALLS {
+            let Some(message) = message(&sender, u64::from(call)).await else {
+                return Sample::default();
+            };
+            let begin = Instant::now();
+            let _ = receiver.send(Exchange { message }).await;
+            spent += begin.elapsed();
+        }
+        stop(sender).await;
+        stop(receiver).await;
+        let micros = spent.as_secs_f64() * 1e6 / f64::from(CALLS);
+        Sample { micros, ..Sample::default() }
+    })
+}
+
+/// A message of another router with loads that nobody knows yet.
+async fn message(sender: &Address<Publisher>, call: u64) -> Option<Gossip> {
+    for i in 0..NEW_LOADS {
+        let report = report(40_000 + call);
+        let _ = sender.send(Reported { name: format!("engine-{i}"), report }).await;
+    }
+    let mut message = sender.send(NextRound { due: true }).await.ok()??.message;
+    message.from.name = "router-1".to_owned();
+    Some(message)
+}
+
+/// What an engine under load reports.
+fn report(tokens: u64) -> LoadReport {
+    LoadReport {
+        incarnation: 1_700_000_000_000,
+        tokens,
+        running: 16,
+        queued: 4,
+        slots: 16,
+        ..LoadReport::default()
+    }
+}
+
 /// One publication, by engines in the view.
 pub(crate) fn publish_engines(size: usize) -> Taking {
     Box::pin(published(size, 4, 10))
--- a/src/capacity/sizes.rs
+++ b/src/capacity/sizes.rs
@@ -11,6 +11,10 @@
         pub requests: f64,
         /// Tokens a second over the fleet, at the peak.
         pub tokens: f64,
+        /// Time between two tokens of a stream, in seconds.
+        pub token_gap: f64,
+        /// Time until the first token of a stream, in seconds.
+        pub first_token: f64,
         /// Chats that may return.
         pub chats: f64,
         /// Organisations.
@@ -32,6 +36,8 @@
             workers: 790.0,
             requests: 4_600.0,
             tokens: 1_300_000.0,
+            token_gap: 0.039,
+            first_token: 1.3,
             chats: 4_900_000.0,
             organisations: 2_300.0,
             models: 24.0,
@@ -47,6 +53,12 @@
         self.organisations + self.models
     }
 
+    /// Streams open at the same time: those that wait for their first token and
+    /// those that flow (Little 1961).
+    pub fn streams(&self) -> f64 {
+        self.requests * self.first_token + self.tokens * self.token_gap
+    }
+
     /// Instances on the list.
     pub fn instances(&self) -> f64 {
         self.routers + self.workers
--- a/src/capacity/slope.rs
+++ b/src/capacity/slope.rs
@@ -51,6 +51,11 @@
         self.part(name, |it| it.bytes.as_ref()).map_or(f64::NAN, |it| it.at(size))
     }
 
+    /// Growth of the heap in bytes from size 0 to `size`.
+    pub fn more_bytes(&self, name: &str, size: f64) -> f64 {
+        self.part(name, |it| it.bytes.as_ref()).map_or(f64::NAN, |it| it.slope * size)
+    }
+
     /// Time in microseconds at `size`.
     pub fn micros(&self, name: &str, size: f64) -> f64 {
         self.part(name, |it| it.micros.as_ref()).map_or(f64::NAN, |it| it.at(size))
--- a/src/capacity/table.rs
+++ b/src/capacity/table.rs
@@ -4,7 +4,7 @@
 
 use crate::capacity::role::Role;
 use crate::capacity::{Sizes, Slopes};
-use crate::settings::Control;
+use crate::settings::{Control, Limits};
 
 /// Most processor time for control, in percent of a core.
 const CONTROL_PERCENT: f64 = 4.0;
@@ -107,6 +107,7 @@
     all.extend(control_time(slopes, sizes, upkeep));
     all.extend(control_bytes(slopes, sizes, upkeep));
     all.extend(traffic(slopes, sizes));
+    all.extend(traffic_memory(slopes, sizes));
     all.extend(log(slopes, sizes, upkeep));
     all.extend(operator(slopes, sizes));
     all
@@ -189,7 +190,10 @@
     let poll = pace.asked / pace.load_pause * slopes.more_micros("poll_engines", 1.0) / 1e4;
     let fold = sizes.tickets / DAY_S * slopes.more_micros("fold_tickets", 1.0) / 1e4;
     let list = slopes.micros("list_instances", sizes.instances()) / pace.list_pause / 1e4;
-    let total = publish + round + targets + poll + list + fold;
+    let receive = slopes.micros("receive_engines", sizes.workers)
+        - slopes.micros("publish_engines", sizes.workers);
+    let take = 2.0 * pace.exchanges * receive.max(0.0) / 1e4;
+    let total = publish + round + take + targets + poll + list + fold;
     let age = sizes.workers / (2.0 * pace.exchanges * ROWS);
     let row = |what, value, slopes, carrier| {
         figure(Role::Control, what, (value, "% of a core"), slopes, carrier)
@@ -208,6 +212,7 @@
         count("age of a load, at least", age, "s", "message_loads", "gossip, 8 rows a message"),
         row("time: publishing", publish, "publish_*", "view rebuilt after each exchange"),
         row("time: composing exchanges", round, "round_routers", "gossip"),
+        row("time: taking exchanges in", take, "receive_engines less publish_engines", "gossip"),
         row("time: choosing whom to ask", targets, "targets_engines", "rank of routers"),
         row("time: asking for load", poll, "poll_engines (both ends)", "HTTP"),
         row("time: instance list", list, "list_instances (both ends)", "HTTP"),
@@ -248,6 +253,33 @@
     ]
 }
 
+fn traffic_memory(slopes: &Slopes, sizes: &Sizes) -> Vec<Figure> {
+    let streams = sizes.streams() / sizes.routers;
+    let each = slopes.more_bytes("open_streams", 1.0) - slopes.more_bytes("engine_streams", 1.0);
+    let limit = Limits::default().connections as f64;
+    let connections = slopes.more_bytes("open_connections", limit) / 1e6;
+    let row = |what, value, unit, slopes, carrier| {
+        figure(Role::Traffic, what, (value, unit), slopes, carrier)
+    };
+    vec![
+        row("streams open", streams, "at once", "exact", "connections"),
+        row(
+            "memory: open streams",
+            streams * each / 1e6,
+            "MB",
+            "open_streams less engine_streams",
+            "one connection each way",
+        ),
+        row(
+            "memory: connections, all that are allowed",
+            connections,
+            "MB",
+            "open_connections",
+            "`limits.connections`",
+        ),
+    ]
+}
+
 fn traffic(slopes: &Slopes, sizes: &Sizes) -> Vec<Figure> {
     let requests = sizes.requests / sizes.routers;
     let place = requests * slopes.micros("place_engines", sizes.workers / sizes.models) / 1e4;
@@ -255,20 +287,17 @@
     let events = requests * EVENTS_A_REQUEST;
     let record = events * slopes.more_micros("ring_events", 1.0) / 1e4;
     let span = EVENTS_KEPT / events;
+    let tokens = sizes.tokens / sizes.routers;
+    let relay = slopes.more_micros("relay_tokens", tokens) / 1e4;
     let row = |what, value, unit, slopes, carrier| {
         figure(Role::Traffic, what, (value, unit), slopes, carrier)
     };
     vec![
         row("messages: requests", requests, "a second", "exact", "rendezvous of callers"),
-        row(
-            "messages: tokens passed on",
-            sizes.tokens / sizes.routers,
-            "a second",
-            "exact",
-            "streams",
-        ),
+        row("messages: tokens passed on", tokens, "a second", "exact", "streams"),
         row("time: placement", place, "% of a core", "place_engines", "rank within one pool"),
         row("time: answers about addresses", entry, "% of a core", "entry_routers", "rank"),
+        row("time: tokens passed on", relay, "% of a core", "relay_tokens", "streams"),
         row("time: events", record, "% of a core", "ring_events", "bounded ring"),
         row("events reach back", span, "s", "exact", "bounded ring"),
     ]
--- a/src/cli/args.rs
+++ b/src/cli/args.rs
@@ -196,6 +196,9 @@
 pub(crate) struct CapacityArgs {
     /// Measures the slopes anew, for about a minute, in place of the recorded ones.
     pub(crate) measure: bool,
+    /// Measures only this slope and prints it; may stand several times.
+    #[bpaf(argument("NAME"))]
+    pub(crate) probe: Vec<String>,
     /// Prints the slopes as JSON.
     pub(crate) json: bool,
     /// Routers.
--- a/src/cli/capacity.rs
+++ b/src/cli/capacity.rs
@@ -1,13 +1,17 @@
 //! `filberttiller capacity`.
 
-use crate::capacity::{Fit, PROBES, Sizes, Slope, Slopes, figures, head, measure, short};
+use crate::capacity::{Fit, PROBES, Probe, Sizes, Slope, Slopes, figures, head, measure, short};
 use crate::cli::CliError;
 use crate::cli::args::CapacityArgs;
 use crate::settings::Control;
 
 /// Prints what each role takes at the asked size.
 pub(crate) async fn run(args: &CapacityArgs) -> Result<(), CliError> {
-    let slopes = if args.measure { measured().await } else { recorded()? };
+    let slopes = match (args.measure, args.probe.as_slice()) {
+        (false, []) => recorded()?,
+        (true, []) => measured(PROBES).await,
+        (_, names) => measured(&named(names)?).await,
+    };
     if args.json {
         let all: Vec<_> = slopes.iter().collect();
         let text = serde_json::to_string_pretty(&all);
@@ -15,6 +19,9 @@
         return Ok(());
     }
     print_slopes(&slopes);
+    if !args.probe.is_empty() {
+        return Ok(());
+    }
     let sizes = Sizes {
         routers: args.routers,
         workers: args.workers,
@@ -30,9 +37,18 @@
     Ok(())
 }
 
-async fn measured() -> Slopes {
+/// The probes with these names.
+fn named(names: &[String]) -> Result<Vec<Probe>, CliError> {
+    let find = |name: &String| {
+        let found = PROBES.iter().find(|it| it.name == name).copied();
+        found.ok_or_else(|| CliError::Input(format!("there is no probe `{name}`")))
+    };
+    names.iter().map(find).collect()
+}
+
+async fn measured(probes: &[Probe]) -> Slopes {
     let mut slopes = Vec::new();
-    for probe in PROBES {
+    for probe in probes {
         eprintln!("measuring {} at {:?} {}s", probe.name, probe.sizes, probe.unit);
         slopes.push(measure(probe).await);
     }
--- a/src/daemon/daemon.rs
+++ b/src/daemon/daemon.rs
@@ -25,6 +25,8 @@
 use crate::once::OnceDesk;
 use crate::settings::Settings;
 
+/// Name of the threads that carry traffic.
+pub(crate) const TRAFFIC_THREAD: &str = "traffic";
 /// Part of the time that answers are kept in which all routers have heard of a leaving one.
 const SPREAD_PART: u32 = 5;
 
@@ -94,7 +96,7 @@
         });
         let traffic = Builder::new_multi_thread()
             .worker_threads(shared.settings.traffic.threads)
-            .thread_name("traffic")
+            .thread_name(TRAFFIC_THREAD)
             .enable_all()
             .build()
             .change_context(DaemonError::SetUp)?;
--- a/src/daemon/status_api.rs
+++ b/src/daemon/status_api.rs
@@ -73,6 +73,7 @@
         cached_tokens: counters.cached_tokens.get(),
         spilled: counters.spilled.get(),
         control_bytes: shared.meter.total(),
+        control_budget: shared.settings.upkeep.budget.as_u64(),
         suspects: crashed.iter().map(|it| format!("{it:016x}")).collect(),
         engines: loads(&view),
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod measure;
 pub mod metrics;
 pub mod once;
+pub mod overview;
 pub mod settings;
 pub mod state;
 pub mod timeline;
--- /dev/null
+++ b/src/overview/mod.rs
@@ -0,0 +1,7 @@
+//! One screen over the fleet.
+
+mod look;
+mod screen;
+
+pub use look::Look;
+pub use screen::screen;
--- /dev/null
+++ b/src/overview/screen.rs
@@ -0,0 +1,110 @@
+//! A look as text for one screen.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt::Write;
+
+use crate::overview::Look;
+use crate::wire::{WireEngine, WireStatus};
+
+/// Load below which a backend server is not marked as over its bound.
+const NOISE_TOKENS: f64 = 1_000.0;
+
+/// The screen for `look`; rates are those since the look `before`, or since the
+/// start of a router that `before` does not have. A mark `!` stands at what is
+/// behind or above its bound.
+pub fn screen(look: &Look, before: &Look) -> String {
+    let mut out = String::new();
+    router_lines(&mut out, look, before);
+    for (name, fault) in &look.unreachable {
+        let _ = writeln!(out, "{name:<16}unreachable: {fault}");
+    }
+    let suspects: BTreeSet<_> = look.routers.values().flat_map(|it| &it.suspects).collect();
+    for it in suspects {
+        let _ = writeln!(out, "suspect request {it}");
+    }
+    engine_lines(&mut out, look);
+    out
+}
+
+fn router_lines(out: &mut String, look: &Look, before: &Look) {
+    let newest = look.routers.values().map(|it| it.next).max().unwrap_or(0);
+    let _ = writeln!(
+        out,
+        "{:<16}{:<14}{:<10}{:>8}{:>10}{:>11}{:>9}{:>8}{:>14}",
+        "ROUTER",
+        "DOMAIN",
+        "STANDING",
+        "OFFSET",
+        "IN FLIGHT",
+        "REFUSED",
+        "SPILLED",
+        "REUSE",
+        "CONTROL B/s"
+    );
+    for (name, it) in &look.routers {
+        let _ = writeln!(out, "{}", router_line(name, it, before.routers.get(name), newest));
+    }
+}
+
+fn router_line(name: &str, it: &WireStatus, before: Option<&WireStatus>, newest: u64) -> String {
+    let standing = match (it.ready, it.leaving) {
+        (false, _) => "not ready",
+        (true, true) => "leaving",
+        (true, false) => "live",
+    };
+    let behind = if it.next < newest { "!" } else { "" };
+    let all: u64 = it.requests.iter().map(|it| it.count).sum();
+    let refused: u64 = it.requests.iter().filter(|it| it.verdict != "ran").map(|it| it.count).sum();
+    let reuse = 100.0 * it.cached_tokens as f64 / it.prompt_tokens.max(1) as f64;
+    let rate = control_rate(it, before);
+    let over = if rate > it.control_budget as f64 { "!" } else { "" };
+    format!(
+        "{name:<16}{:<14}{standing:<10}{:>8}{:>10}{:>11}{:>9}{:>8}{:>14}",
+        it.domain,
+        format!("{}{behind}", it.next),
+        it.in_flight,
+        format!("{refused}/{all}"),
+        it.spilled,
+        format!("{reuse:.1}%"),
+        format!("{rate:.0}{over}/{}", it.control_budget),
+    )
+}
+
+/// Control bytes a second since the look before, or since the start.
+fn control_rate(now: &WireStatus, before: Option<&WireStatus>) -> f64 {
+    let same = before.filter(|it| it.up_ms < now.up_ms);
+    let (bytes, up_ms) = same.map_or((0, 0), |it| (it.control_bytes, it.up_ms));
+    let time = (now.up_ms - up_ms).max(1) as f64 / 1e3;
+    now.control_bytes.saturating_sub(bytes) as f64 / time
+}
+
+/// One line for each backend server: the loads that the routers see.
+fn engine_lines(out: &mut String, look: &Look) {
+    let mut engines: BTreeMap<(&str, &str), Vec<&WireEngine>> = BTreeMap::new();
+    for it in look.routers.values().flat_map(|it| &it.engines) {
+        engines.entry((&it.pool, &it.name)).or_default().push(it);
+    }
+    let _ = writeln!(
+        out,
+        "\n{:<22}{:<18}{:<10}{:>14}{:>12}  SEEN BY",
+        "BACKEND SERVER", "POOL", "STANDING", "LOAD (tokens)", "OF BOUND"
+    );
+    for ((pool, name), seen) in &engines {
+        let most = seen.iter().max_by(|a, b| a.load.total_cmp(&b.load));
+        let Some(it) = most else { continue };
+        let standing = if seen.iter().any(|it| it.leaving) { "leaving" } else { "live" };
+        let (count, all) = (seen.len(), look.routers.len());
+        let (load, share) = (it.load, bound_share(it));
+        let _ = writeln!(
+            out,
+            "{name:<22}{pool:<18}{standing:<10}{load:>14.0}{share:>12}  {count} of {all}"
+        );
+    }
+}
+
+/// The load in percent of its bound, marked when above.
+fn bound_share(it: &WireEngine) -> String {
+    let share = if it.bound > 0.0 { 100.0 * it.load / it.bound } else { 0.0 };
+    let over = if share > 100.0 && it.load > NOISE_TOKENS { "!" } else { "" };
+    format!("{share:.0}%{over}")
+}
--- a/src/wire/status.rs
+++ b/src/wire/status.rs
@@ -51,6 +51,9 @@
         pub spilled: u64,
         /// Control bytes since the start, both ways.
         pub control_bytes: u64,
+        /// Control bytes that it may spend a second.
+        #[serde(default)]
+        pub control_budget: u64,
         /// Fingerprints of requests under suspicion of crashing backend servers.
         pub suspects: Vec<String>,
         /// Backend servers.
--- a/tests/it/capacity.rs
+++ b/tests/it/capacity.rs
@@ -63,3 +63,24 @@
     let fit = slope.wire.unwrap();
     assert!(fit.slope > 50.0 && fit.residual < 0.05, "{fit:?}");
 }
+
+#[test]
+fn sizes_count_open_streams() {
+    let sizes = Sizes {
+        requests: 10.0,
+        first_token: 2.0,
+        tokens: 1_000.0,
+        token_gap: 0.05,
+        ..Sizes::default()
+    };
+    assert!((sizes.streams() - 70.0).abs() < 1e-9);
+}
+
+#[rstest]
+#[case::processor_time("relay_tokens", 160)]
+#[case::wall_time("receive_engines", 20)]
+#[tokio::test]
+async fn probe_takes_time(#[case] name: &str, #[case] size: usize) {
+    let probe = PROBES.iter().find(|it| it.name == name).unwrap();
+    assert!((probe.take)(size).await.micros > 0.0);
+}
--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -20,6 +20,7 @@
 mod once;
 mod once_storm;
 mod outlier;
+mod overview;
 mod path;
 mod reservation;
 mod settings;
