--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -3,6 +3,7 @@
 mod admission;
 mod answers;
 mod attack;
+mod bare;
 mod capacity;
 mod control;
 mod decide;
@@ -30,3 +31,4 @@
 mod support;
 mod suspect;
 mod timeline;
+mod verdicts;
