--- a/src/demo/caller.rs
+++ b/src/demo/caller.rs
@@ -46,17 +46,26 @@
         }
     }
 
-    /// Asks the router at `router` which address to use.
+    /// Asks the router at `router` which address to use first.
     ///
     /// # Errors
     /// Tells why there is none.
     pub async fn entry(&self, router: SocketAddr) -> Result<SocketAddr, String> {
+        let answer = self.entries(router).await?;
+        answer.addresses.first().map(|it| it.address).ok_or_else(|| "no address".to_owned())
+    }
+
+    /// Asks the router at `router` which addresses to use, and for how long.
+    ///
+    /// # Errors
+    /// Tells why there is no answer.
+    pub async fn entries(&self, router: SocketAddr) -> Result<EntryAnswer, String> {
         let query = [("org", &self.organisation), ("chat", &self.chat)];
         let query = serde_urlencoded::to_string(query).map_err(|e| e.to_string())?;
         let url = format!("http://{router}/v1/entry?{query}");
         let reply = self.http.get(url).send().await.map_err(|e| e.to_string())?;
-        let answer: EntryAnswer = reply.json().await.map_err(|e| e.to_string())?;
-        answer.addresses.first().map(|it| it.address).ok_or_else(|| "no address".to_owned())
+        let reply = reply.error_for_status().map_err(|e| e.to_string())?;
+        reply.json().await.map_err(|e| e.to_string())
     }
 
     /// Sends one request to the router at `router`; the answer must be the whole
@@ -80,7 +89,7 @@
         if let Some(hint) = &self.hint {
             request = request.header(HINT_HEADER, hint);
         }
-        let reply = request.send().await.map_err(|e| e.to_string())?;
+        let reply = request.send().await.map_err(|e| send_fault(&e))?;
         let status = reply.status();
         if !status.is_success() {
             return Err(format!("{status}: {}", reply.text().await.unwrap_or_default()));
@@ -96,6 +105,14 @@
     }
 }
 
+/// Begins the text of a fault after which nothing was sent.
+pub const NOT_CONNECTED: &str = "not connected: ";
+
+/// What to say of a request that got no answer.
+pub(crate) fn send_fault(error: &reqwest::Error) -> String {
+    if error.is_connect() { format!("{NOT_CONNECTED}{error}") } else { error.to_string() }
+}
+
 async fn read_whole(reply: reqwest::Response) -> Result<String, String> {
     let body: Value = reply.json().await.map_err(|e| e.to_string())?;
     let text = body["choices"][0]["message"]["content"].as_str();
--- a/src/demo/mod.rs
+++ b/src/demo/mod.rs
@@ -8,7 +8,8 @@
 mod story;
 mod traffic;
 
-pub use caller::{Ask, Caller, prompt};
+pub(crate) use caller::send_fault;
+pub use caller::{Ask, Caller, NOT_CONNECTED, prompt};
 pub use fleet::{DemoError, Fleet};
 pub use fleet_options::FleetOptions;
 pub use report::Report;
--- a/src/load/dispatch.rs
+++ b/src/load/dispatch.rs
@@ -69,7 +69,7 @@
         let due = self.start + step.at;
         let call = async {
             match step.kind {
-                Kind::Once => {
+                Kind::Once | Kind::Issued => {
                     let organisation = organisation(step);
                     let caller = Caller::new(&self.http, &organisation, &format!("once-{index}"));
                     reserve(&caller, &self.options, step).await
--- a/src/load/mod.rs
+++ b/src/load/mod.rs
@@ -1,5 +1,6 @@
 //! A bounded load generator for a running fleet.
 
+mod addresses;
 mod dispatch;
 mod html;
 mod options;
--- a/src/load/schedule.rs
+++ b/src/load/schedule.rs
@@ -7,6 +7,8 @@
 
 use crate::load::LoadOptions;
 
+/// Share of issued keys among calls that may not be repeated.
+const ISSUED: f64 = 0.5;
 /// Fewest and most tokens of an answer.
 const TOKENS: (u32, u32) = (8, 64);
 
@@ -17,8 +19,10 @@
         Whole,
         /// A chat request with a streamed answer.
         Stream,
-        /// A call that may not be repeated.
+        /// A call that may not be repeated, under a key of the caller's own.
         Once,
+        /// The same under a key that a router issued.
+        Issued,
     }
 
     /// One request.
@@ -40,7 +44,7 @@
 
 impl Kind {
     /// All kinds.
-    pub const ALL: [Kind; 3] = [Kind::Whole, Kind::Stream, Kind::Once];
+    pub const ALL: [Kind; 4] = [Kind::Whole, Kind::Stream, Kind::Once, Kind::Issued];
 
     /// Name in reports.
     pub fn as_str(self) -> &'static str {
@@ -48,6 +52,7 @@
             Kind::Whole => "whole",
             Kind::Stream => "stream",
             Kind::Once => "once",
+            Kind::Issued => "issued",
         }
     }
 }
@@ -70,7 +75,7 @@
 
     fn kind(&mut self) -> Kind {
         if self.rng.random_bool(self.options.once) {
-            Kind::Once
+            if self.rng.random_bool(ISSUED) { Kind::Issued } else { Kind::Once }
         } else if self.rng.random_bool(self.options.streams) {
             Kind::Stream
         } else {
--- a/tests/it/load.rs
+++ b/tests/it/load.rs
@@ -1,8 +1,11 @@
 //! The load generator.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
+use filberttiller::daemon::Daemon;
 use filberttiller::demo::{Fleet, FleetOptions};
+use filberttiller::events::Code;
 use filberttiller::load::{Fate, Kind, LoadOptions, LoadReport, Schedule, Step, Tally, html, run};
 use rstest::rstest;
 use serde_json::Value;
@@ -114,3 +117,45 @@
     assert!(!report.kinds["stream"].contains_key(&Fate::Good), "{report}");
     assert!(!report.kinds["once"].contains_key(&Fate::Good), "{report}");
 }
+
+#[tokio::test]
+async fn run_goes_on_at_other_addresses() {
+    let mut options =
+        FleetOptions { routers: 3, engines: 3, canaries: 0, ..FleetOptions::default() };
+    // The survivors go on naming the router that is gone.
+    options.settings.upkeep.gossip_every = Duration::from_secs(3_600);
+    let mut fleet = Fleet::start(options).await.unwrap();
+    fleet.publish_first().await.unwrap();
+    let options = load(&fleet);
+    drop(fleet.routers.remove(0));
+    let names_gone = |it: &Daemon| {
+        it.shared().view.peek().routers.iter().any(|it| it.address == options.routers[0])
+    };
+    assert!(fleet.routers.iter().all(names_gone), "the router that is gone is not named");
+    let tally = run(&options).await.unwrap();
+    let sent = Schedule::new(&options).count() as u64;
+    assert_eq!(tally.count(Fate::Good), sent, "{}", LoadReport::new(&options, &tally));
+}
+
+#[rstest]
+#[case::old(1, true)]
+#[case::good(300, false)]
+#[tokio::test]
+async fn run_asks_again_when_addresses_age(#[case] ttl_s: u64, #[case] again: bool) {
+    let mut options =
+        FleetOptions { routers: 1, engines: 3, canaries: 0, ..FleetOptions::default() };
+    options.settings.traffic.entry_ttl = Duration::from_secs(ttl_s);
+    let fleet = Fleet::start(options).await.unwrap();
+    fleet.publish_first().await.unwrap();
+    let time = Duration::from_secs(3);
+    let options = LoadOptions { time, returning: 1.0, once: 0.0, ..load(&fleet) };
+    run(&options).await.unwrap();
+    let events = fleet.routers[0].shared().events.since(0);
+    let told: Vec<_> = events
+        .iter()
+        .filter(|it| it.code == Code::EntryAnswered.number())
+        .map(|it| it.detail.clone())
+        .collect();
+    let chats: BTreeSet<_> = told.iter().collect();
+    assert_eq!(told.len() > chats.len(), again, "{} answers for {} chats", told.len(), chats.len());
+}
