--- a/src/overview/screen.rs
+++ b/src/overview/screen.rs
@@ -6,7 +6,7 @@
 use crate::overview::Look;
 use crate::wire::{WireEngine, WireStatus};
 
-/// Load below which a backend server is not marked as over its bound.
+/// Load below which a backend server is not held against its bound.
 const NOISE_TOKENS: f64 = 1_000.0;
 
 /// The screen for `look`; rates are those since the look `before`, or since the
@@ -102,9 +102,12 @@
     }
 }
 
-/// The load in percent of its bound, marked when above.
+/// The load in percent of its bound, marked when above; `-` for small loads.
 fn bound_share(it: &WireEngine) -> String {
-    let share = if it.bound > 0.0 { 100.0 * it.load / it.bound } else { 0.0 };
-    let over = if share > 100.0 && it.load > NOISE_TOKENS { "!" } else { "" };
+    if it.load < NOISE_TOKENS || it.bound <= 0.0 {
+        return "-".to_owned();
+    }
+    let share = 100.0 * it.load / it.bound;
+    let over = if share > 100.0 { "!" } else { "" };
     format!("{share:.0}%{over}")
 }
--- a/tests/it/overview.rs
+++ b/tests/it/overview.rs
@@ -52,6 +52,7 @@
 #[rstest]
 #[case::below(2_000.0, "50%")]
 #[case::above(6_000.0, "150%!")]
+#[case::small(900.0, "-")]
 fn screen_tells_load_against_bound(#[case] load: f64, #[case] share: &str) {
     let engine = WireEngine {
         name: "llm-1".to_owned(),
--- a/tests/it/timeline.rs
+++ b/tests/it/timeline.rs
@@ -177,6 +177,59 @@
     }
 }
 
+/// The fields that the trace event format asks of each phase used.
+fn check_trace_event(it: &Value) {
+    let texts: &[&str] = match it["ph"].as_str().unwrap() {
+        "M" => &["name"],
+        "i" => &["name", "cat", "s"],
+        "b" | "e" => &["name", "cat", "id"],
+        other => panic!("unknown phase {other}"),
+    };
+    assert!(texts.iter().all(|name| it[*name].is_string()), "{it}");
+    assert!(it["pid"].is_u64() && it["tid"].is_u64(), "{it}");
+    assert!(it["ph"] == "M" || it["ts"].is_u64(), "{it}");
+    assert!(it["ph"] != "i" || ["g", "p", "t"].iter().any(|scope| it["s"] == *scope), "{it}");
+    assert!(it["ph"] != "M" || it["args"]["name"].is_string(), "{it}");
+}
+
+#[test]
+fn trace_reads_back() {
+    let (fast, slow) = skewed();
+    let all = merged(&[&fast, &slow]);
+    let trace: Value = serde_json::from_str(&trace(&all)).unwrap();
+    assert_eq!(trace["displayTimeUnit"], "ms");
+    let events = trace["traceEvents"].as_array().unwrap();
+    events.iter().for_each(check_trace_event);
+    let names: BTreeMap<u64, &str> = events
+        .iter()
+        .filter(|it| it["ph"] == "M")
+        .map(|it| (it["pid"].as_u64().unwrap(), it["args"]["name"].as_str().unwrap()))
+        .collect();
+    assert_eq!(names.values().copied().collect::<Vec<_>>(), ["fast", "gone", "slow"]);
+    let instants = events.iter().filter(|it| it["ph"] == "i");
+    let read: Vec<_> = instants
+        .map(|it| {
+            let text = |value: &Value| value.as_str().unwrap().to_owned();
+            let instance = names[&it["pid"].as_u64().unwrap()].to_owned();
+            (it["ts"].as_u64().unwrap(), instance, text(&it["name"]), text(&it["args"]["detail"]))
+        })
+        .collect();
+    let told = all.events.iter();
+    let told: Vec<_> = told
+        .map(|it| (it.time.micros(), it.instance.clone(), it.name.clone(), it.detail.clone()))
+        .collect();
+    assert_eq!(read, told);
+    let mut open = BTreeMap::new();
+    for it in events.iter().filter(|it| it["ph"] == "b" || it["ph"] == "e") {
+        let key = (it["cat"].as_str().unwrap(), it["id"].as_str().unwrap());
+        match it["ph"].as_str().unwrap() {
+            "b" => assert_eq!(open.insert(key, it["ts"].as_u64().unwrap()), None, "{it}"),
+            _ => assert!(open.remove(&key).unwrap() <= it["ts"].as_u64().unwrap(), "{it}"),
+        }
+    }
+    assert!(open.is_empty(), "{open:?} have no end");
+}
+
 #[test]
 fn html_cannot_be_broken_by_texts() {
     let it = process("entry-1", 0, 10);
