Tell a log outage at the first failed append

Cause: only reads of the log told of an outage, up to state.log_wait late, and only at the routers that follow the tickets. Change: event 930 at the first failed append of claims, 931 when appends are taken again; both belong to the story of a refused request. Reads that hang on a dead connection still end only after state.log_wait and the time of a call.

--- a/src/daemon/once_api.rs
+++ b/src/daemon/once_api.rs
@@ -21,8 +21,14 @@
 pub(crate) fn start_claims(shared: &Arc<Shared>, log: LogClient) {
     let desk = Arc::clone(&shared.once);
     let events = Arc::clone(&shared.events);
-    tokio::spawn(tail_claims(log.clone(), desk, events, shared.settings.upkeep.clone()));
-    tokio::spawn(append_claims(log, Arc::clone(&shared.once), Arc::clone(&shared.view)));
+    tokio::spawn(tail_claims(
+        log.clone(),
+        desk,
+        Arc::clone(&events),
+        shared.settings.upkeep.clone(),
+    ));
+    let view = Arc::clone(&shared.view);
+    tokio::spawn(append_claims(log, Arc::clone(&shared.once), view, events));
 }
 
 /// Calls of peers about operation keys.
--- a/src/events/code.rs
+++ b/src/events/code.rs
@@ -98,7 +98,9 @@
     610 HintRefused "a chat hint is broken, forged or of another chat";
     620 ServerCrashed "a backend server died while it ran a request";
     621 SuspectRefused "a request that may crash backend servers was refused";
-    // 9xx: time line
+    // 9xx: time line and log appends
     900 EntryAnswered "a caller was told which addresses to use";
     901 RequestReceived "a request arrived";
+    930 AppendFailed "the log service does not take an append";
+    931 AppendTaken "the log service takes appends again";
 }
--- a/src/once/appender.rs
+++ b/src/once/appender.rs
@@ -1,6 +1,7 @@
 //! Appends claims to the log, many at a time.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use serde_json::Value;
@@ -9,6 +10,7 @@
 
 use crate::backend::{LogClient, PlatformError};
 use crate::decide::once::Claim;
+use crate::events::{Code, EventLog, Fields};
 use crate::fleet::ViewCell;
 use crate::once::{CLAIM_STREAM, OnceDesk};
 use crate::wire::WireClaims;
@@ -22,9 +24,39 @@
 /// Pause after such an append.
 const BUSY_PAUSE: Duration = Duration::from_millis(250);
 
+/// Tells once when appends begin to fail, at the first failure, and once when
+/// they are taken again; reads of the log may hang for long before they fail.
+#[derive(Debug)]
+struct Health {
+    events: Arc<EventLog>,
+    failing: AtomicBool,
+}
+
+impl Health {
+    fn note(&self, result: &Result<u64, PlatformError>) {
+        let fault = match result {
+            Err(PlatformError::Status { status: BUSY, .. }) => return,
+            Err(e) => Some(e.to_string()),
+            Ok(_) => None,
+        };
+        if self.failing.swap(fault.is_some(), Ordering::Relaxed) == fault.is_some() {
+            return;
+        }
+        let code = if fault.is_some() { Code::AppendFailed } else { Code::AppendTaken };
+        let detail = fault.unwrap_or_default();
+        self.events.record(code, Fields { subject: CLAIM_STREAM, detail: &detail });
+    }
+}
+
 /// Appends what waits, for as long as the process lives. The claims count when
 /// they are read back, whatever became of the reply.
-pub(crate) async fn append_claims(log: LogClient, desk: Arc<OnceDesk>, view: Arc<ViewCell>) {
+pub(crate) async fn append_claims(
+    log: LogClient,
+    desk: Arc<OnceDesk>,
+    view: Arc<ViewCell>,
+    events: Arc<EventLog>,
+) {
+    let health = Arc::new(Health { events, failing: AtomicBool::new(false) });
     let room = Arc::new(Semaphore::new(MAX_APPENDS));
     loop {
         desk.waiting.notified().await;
@@ -39,18 +71,21 @@
             }
             let log = log.clone();
             let desk = Arc::clone(&desk);
+            let health = Arc::clone(&health);
             tokio::spawn(async move {
-                append(&log, &desk, claims).await;
+                append(&log, &desk, &health, claims).await;
                 drop(permit);
             });
         }
     }
 }
 
-async fn append(log: &LogClient, desk: &OnceDesk, claims: Vec<(u64, Claim)>) {
+async fn append(log: &LogClient, desk: &OnceDesk, health: &Health, claims: Vec<(u64, Claim)>) {
     let wire = WireClaims::new(desk.me(), claims.iter().map(|it| &it.1));
     let body: Value = serde_json::to_value(wire).unwrap_or_default();
-    match log.append(CLAIM_STREAM, &body).await {
+    let result = log.append(CLAIM_STREAM, &body).await;
+    health.note(&result);
+    match result {
         Err(PlatformError::Status { status: BUSY, .. }) => {
             sleep(BUSY_PAUSE).await;
             desk.put_back(claims);
--- a/src/timeline/selection.rs
+++ b/src/timeline/selection.rs
@@ -6,9 +6,13 @@
 use crate::filters::FIRST;
 use crate::timeline::Timeline;
 
-/// Events about the platform: they explain refusals of any request.
-const PLATFORM: [Code; 4] =
-    [Code::LogUnreachable, Code::LogReachable, Code::ListUnreachable, Code::ListReachable];
+/// Events that begin and end an outage of the platform: they explain refusals of
+/// any request.
+const PLATFORM: [(Code, Code); 3] = [
+    (Code::LogUnreachable, Code::LogReachable),
+    (Code::ListUnreachable, Code::ListReachable),
+    (Code::AppendFailed, Code::AppendTaken),
+];
 
 plain! {
     /// What to show of a time line.
@@ -95,16 +99,14 @@
 }
 
 fn is_platform(event: &Event) -> bool {
-    PLATFORM.iter().any(|it| is(event, *it))
+    PLATFORM.iter().any(|(out, back)| is(event, *out) || is(event, *back))
 }
 
 /// Positions of the outages that hold at the end of `events` at `routers`.
 fn platform_state(events: &[Event], routers: &BTreeSet<&str>) -> BTreeSet<usize> {
-    let pairs =
-        [(Code::LogUnreachable, Code::LogReachable), (Code::ListUnreachable, Code::ListReachable)];
     let mut open = BTreeSet::new();
     for router in routers {
-        for (out, back) in pairs {
+        for (out, back) in PLATFORM {
             let mine = |it: &Event| it.instance == *router && (is(it, out) || is(it, back));
             let last = events.iter().rposition(mine);
             open.extend(last.filter(|&i| is(&events[i], out)));
--- a/tests/it/story.rs
+++ b/tests/it/story.rs
@@ -10,6 +10,7 @@
 use filberttiller::wire::ApiError;
 use rstest::rstest;
 use standins::engine::Faults as EngineFaults;
+use standins::log::Faults as LogFaults;
 use standins::service::Faults as ServiceFaults;
 
 use crate::reservation::{key, once_options, order, reserve, set_service};
@@ -132,3 +133,28 @@
     assert_eq!(moved.wrong.iter().filter(|it| it.contains("turn")).count(), moved.asked);
     assert!(story.refused >= moved.asked, "{} refused", story.refused);
 }
+
+#[tokio::test]
+async fn log_outage_told_at_first_append() {
+    let mut options = once_options();
+    // Reads of the log may hang and tell nothing of the outage meanwhile.
+    options.settings.upkeep.log_wait = Duration::from_secs(3_600);
+    let fleet = start(options).await;
+    let router = fleet.routers[0].address();
+    assert!(reserve(&fleet, router, order("first")).await.is("ran", ""));
+    fleet.log.set_faults(LogFaults { out: true, ..LogFaults::default() });
+    let told = reserve(&fleet, router, order("second")).await;
+    assert_eq!(told.reason, "claims_unavailable", "{told:?}");
+    let again = reserve(&fleet, router, order("third")).await;
+    assert_eq!(again.reason, "claims_unavailable", "{again:?}");
+    let all = story(&fleet, &[]).await.timeline;
+    let count = |code: Code| all.events.iter().filter(|it| it.code == code.number()).count();
+    assert_eq!(count(Code::AppendFailed), 1);
+    let id = ApiError::find(&told.body.to_string()).unwrap().request;
+    let part = Selection::Request(id).apply(&all);
+    assert!(position(&part, Code::AppendFailed, "entry-0") > 0);
+    fleet.log.set_faults(LogFaults::default());
+    assert!(reserve(&fleet, router, order("fourth")).await.is("ran", ""));
+    let all = story(&fleet, &[]).await.timeline;
+    position(&all, Code::AppendTaken, "entry-0");
+}
