--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -25,6 +25,7 @@
 mod path;
 mod reservation;
 mod settings;
+mod spread;
 mod state;
 mod storm;
 mod story;
