--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -23,6 +23,7 @@
 mod once_storm;
 mod orders;
 mod outlier;
+mod overview;
 mod path;
 mod reservation;
 mod settings;
