--- a/src/controllers/marks.rs
+++ b/src/controllers/marks.rs
@@ -29,15 +29,28 @@
         let listed = |name: &str| names.contains(name);
         let marks = &self.parts.marks;
         if marks.fresh_count(now, listed) <= NAMED {
-            let found = marks.fresh(UNLISTED, now, |_| true);
+            let found = marks.fresh(UNLISTED, now);
             message.marks = found.into_iter().map(WireMark::from).collect();
             return;
         }
-        message.mark_set = mark_set(&names, &marks.fresh(usize::MAX, now, listed));
-        let others = marks.fresh(UNLISTED, now, |it| !listed(it));
+        message.mark_set = mark_set(&names, &marks.fresh_of(usize::MAX, now, listed));
+        let others = marks.fresh_of(UNLISTED, now, |it| !listed(it));
         message.marks = others.into_iter().map(WireMark::from).collect();
     }
 
+    /// Repeats marks in turn while a peer holds others: the messages that first
+    /// told them may all have been lost, or have been about another list.
+    pub(super) fn repeat_marks(&mut self, message: &mut Gossip) {
+        if !self.marks_differ || message.has_marks() {
+            return;
+        }
+        let marks = self.parts.marks.repeat(&self.repeated, NAMED, self.now());
+        if let Some(last) = marks.last() {
+            self.repeated = last.name.clone();
+        }
+        message.marks = marks.into_iter().map(WireMark::from).collect();
+    }
+
     /// Takes marks told by `peer`; true when any is news.
     pub(super) fn take_marks(
         &mut self,
@@ -99,7 +112,7 @@
     pub(super) fn mark_round(&mut self) -> Option<Round> {
         while let Some(peer) = self.mark_branches.pop() {
             let addr = self.contacts().0.get(&peer).copied();
-            if let Some(addr) = addr {
+            if let Some(addr) = addr.filter(|_| !self.is_busy(&peer)) {
                 let message = self.compose(&peer, true);
                 if message.has_marks() {
                     return Some(Round { peer, addr, message, pull: false });
--- a/src/controllers/publisher.rs
+++ b/src/controllers/publisher.rs
@@ -1,6 +1,6 @@
 //! The actor that owns the state and publishes the view.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Instant, UNIX_EPOCH};
@@ -78,6 +78,8 @@
     pub(super) eager: bool,
     /// Peers to which new records are still to be passed on.
     pub(super) branches: Vec<String>,
+    /// Peers that had spent their budget and are left alone for now.
+    pub(super) busy: HashSet<String>,
     /// Peers to which fresh leaving marks are still to be passed on.
     pub(super) mark_branches: Vec<String>,
     /// Offset of the first of the records folded last.
@@ -85,6 +87,10 @@
     pub(super) pull: Option<Pull>,
     /// Whole state cut into parts, with its offset and when it was last asked for.
     pub(super) bulk: Option<(u64, Vec<String>, Instant)>,
+    /// Whether the last peer heard from held other leaving marks.
+    pub(super) marks_differ: bool,
+    /// Name of the leaving mark that was repeated last.
+    pub(super) repeated: String,
     /// Crashes to pass on, and how often still.
     pub(super) crashes: Vec<(Crash, u32)>,
     pub(super) crash_cursor: usize,
@@ -113,9 +119,12 @@
             eager: false,
             branches: Vec::new(),
             mark_branches: Vec::new(),
+            busy: HashSet::new(),
             fresh_from: 0,
             pull: None,
             bulk: None,
+            marks_differ: false,
+            repeated: String::new(),
             crashes: Vec::new(),
             crash_cursor: 0,
             news,
--- a/src/controllers/round.rs
+++ b/src/controllers/round.rs
@@ -27,7 +27,7 @@
 /// Load rows in one message.
 const LOADS: usize = 8;
 /// Bytes that regular exchanges leave for urgent ones.
-pub(super) const SPARE: f64 = 800.0;
+pub(super) const SPARE: f64 = 400.0;
 /// Status with which a router turns peers away that its budget cannot pay for.
 const BUSY: u16 = 429;
 /// Times that a crash report is passed on.
@@ -49,6 +49,7 @@
             log_age,
             marks: Vec::new(),
             mark_set: None,
+            board: Some(self.parts.marks.digest(now)),
             base: None,
             records: Vec::new(),
             want: None,
@@ -72,6 +73,7 @@
             if message.loads.len() < LOADS {
                 message.loads.extend(self.loads.repeat());
             }
+            self.repeat_marks(message);
         }
     }
 
@@ -114,6 +116,8 @@
         }
         let joined = changed;
         let news = self.take_marks(&peer, message.marks, message.mark_set);
+        let own = self.parts.marks.digest(now);
+        self.marks_differ = message.board.is_some_and(|it| it != own);
         for it in message.lines {
             let name = it.name.clone();
             let standing = self.roster.get(&name).map(|it| it.standing);
@@ -182,7 +186,7 @@
         while let Some(peer) = self.branches.pop() {
             let known = self.peers.get(&peer).is_some_and(|it| *it >= self.state.next);
             let addr = self.contacts().0.get(&peer).copied();
-            if let Some(addr) = addr.filter(|_| !known) {
+            if let Some(addr) = addr.filter(|_| !known && !self.is_busy(&peer)) {
                 let mut message = self.compose(&peer, true);
                 let told = self.peers.get(&peer).copied().unwrap_or(0);
                 self.add_records(&mut message, self.fresh_from.max(told));
@@ -284,6 +288,9 @@
         self.eager &= !due;
         self.pushes = self.pushes.saturating_sub(1);
         let (peer, addr) = if due { self.turn(self.slot())? } else { self.pick()? };
+        if self.is_busy(&peer) {
+            return None;
+        }
         let mut round = Round { message: self.compose(&peer, true), peer, addr, pull: false };
         if due {
             self.fill(&mut round.message);
@@ -311,9 +318,9 @@
             Ok(reply) => {
                 self.record(Code::PeerRefused, &peer, &format!("version {}", reply.version));
             }
-            Err(PlatformError::Status { status: BUSY, .. }) => {
+            Err(PlatformError::Status { status: BUSY, body }) => {
                 self.members.succeeded(&peer);
-                self.retry_soon(&peer, ctx);
+                self.spare(&peer, &body, ctx);
             }
             Err(e) => {
                 self.peers.remove(&peer);
--- a/src/fleet/mark_board.rs
+++ b/src/fleet/mark_board.rs
@@ -6,6 +6,8 @@
 
 use tokio::sync::Notify;
 
+use crate::decide::{combine, hash_bytes};
+
 /// Times that a mark is passed on.
 const SENDS: u32 = 8;
 /// Marks kept at most.
@@ -25,6 +27,8 @@
 
 #[derive(Debug)]
 struct Kept {
+    /// Hash of the name and the incarnation.
+    id: u64,
     incarnation: u64,
     until: Instant,
     sends: u32,
@@ -35,6 +39,11 @@
     fn is_fresh(&self, now: Instant) -> bool {
         self.sends > 0 && self.until > now
     }
+
+    fn told(&self, name: &str, now: Instant) -> Mark {
+        let left = self.until.saturating_duration_since(now);
+        Mark { name: name.to_owned(), incarnation: self.incarnation, left }
+    }
 }
 
 /// All leaving marks that hold. A mark outlives list versions that still show
@@ -65,14 +74,16 @@
             return false;
         }
         let until = now + mark.left;
-        let fresh = marks.get(&mark.name).is_none_or(|it| it.incarnation < mark.incarnation);
-        if fresh {
-            let kept = Kept { incarnation: mark.incarnation, until, sends: SENDS };
+        let old = marks.get(&mark.name).map(|it| it.incarnation);
+        if old.is_none_or(|it| it < mark.incarnation) {
+            let id = combine(hash_bytes(mark.name.as_bytes()), mark.incarnation);
+            let kept = Kept { id, incarnation: mark.incarnation, until, sends: SENDS };
             marks.insert(mark.name.clone(), kept);
         } else if let Some(it) = marks.get_mut(&mark.name) {
             it.until = it.until.max(until);
         }
-        fresh
+        // A mark of an unknown incarnation held for this one already.
+        old.is_none_or(|it| it != 0 && it < mark.incarnation)
     }
 
     /// Whether the incarnation of the backend server called `name` is leaving; a
@@ -99,8 +110,13 @@
         marks.iter().filter(|(name, it)| it.is_fresh(now) && wanted(name)).count()
     }
 
-    /// Marks to pass on whose name is `wanted`, the freshest first, at most `most`.
-    pub fn fresh(&self, most: usize, now: Instant, wanted: impl Fn(&str) -> bool) -> Vec<Mark> {
+    /// Marks to pass on, the freshest first, at most `most`.
+    pub fn fresh(&self, most: usize, now: Instant) -> Vec<Mark> {
+        self.fresh_of(most, now, |_| true)
+    }
+
+    /// The same out of those whose name is `wanted`.
+    pub fn fresh_of(&self, most: usize, now: Instant, wanted: impl Fn(&str) -> bool) -> Vec<Mark> {
         let mut marks = self.marks.lock().unwrap();
         let mut fresh: Vec<(&String, &mut Kept)> =
             marks.iter_mut().filter(|(name, it)| it.is_fresh(now) && wanted(name)).collect();
@@ -110,9 +126,25 @@
             .take(most)
             .map(|(name, it)| {
                 it.sends -= 1;
-                let left = it.until.saturating_duration_since(now);
-                Mark { name: name.clone(), incarnation: it.incarnation, left }
+                it.told(name, now)
             })
             .collect()
     }
+
+    /// Digest of all marks that hold; boards with the same marks have the same one.
+    pub fn digest(&self, now: Instant) -> u64 {
+        let marks = self.marks.lock().unwrap();
+        let held = marks.values().filter(|it| it.until > now);
+        held.fold(0, |sum, it| sum.wrapping_add(it.id))
+    }
+
+    /// Marks after `last` by name, from the first again after the last one, at most
+    /// `most`, for a peer that holds others.
+    pub fn repeat(&self, last: &str, most: usize, now: Instant) -> Vec<Mark> {
+        let marks = self.marks.lock().unwrap();
+        let (before, after): (Vec<_>, Vec<_>) =
+            marks.iter().filter(|(_, it)| it.until > now).partition(|it| it.0.as_str() <= last);
+        let turn = after.into_iter().chain(before).take(most);
+        turn.map(|(name, it)| it.told(name, now)).collect()
+    }
 }
--- a/src/wire/gossip.rs
+++ b/src/wire/gossip.rs
@@ -161,6 +161,9 @@
         /// Leaving marks, when they are many.
         #[serde(rename = "ks", default, skip_serializing_if = "Option::is_none")]
         pub mark_set: Option<WireMarkSet>,
+        /// Digest of all leaving marks that the sender holds.
+        #[serde(rename = "kd", default, skip_serializing_if = "Option::is_none")]
+        pub board: Option<u64>,
         /// Records of the ticket stream by offset.
         #[serde(rename = "r", default, skip_serializing_if = "Vec::is_empty")]
         pub records: Vec<(u64, String)>,
--- a/tests/it/spread.rs
+++ b/tests/it/spread.rs
@@ -132,6 +132,7 @@
         log_age: None,
         marks: Vec::new(),
         mark_set: None,
+        board: None,
         base: None,
         records: Vec::new(),
         want: None,
