--- a/src/daemon/gossip_api.rs
+++ b/src/daemon/gossip_api.rs
@@ -21,7 +21,8 @@
 const REQUEST_BYTES: usize = 27;
 /// Bytes of the head of an answer: status line, date, length, empty line.
 const REPLY_BYTES: usize = 17 + 37 + 21 + 2;
-/// Debt in bytes beyond which peers are turned away.
+/// Debt in bytes beyond which peers are turned away, with the milliseconds until it
+/// is paid.
 const MAX_DEBT: f64 = -1_536.0;
 
 /// `POST /v1/gossip`.
@@ -56,18 +57,21 @@
     let received = REQUEST_BYTES + head_bytes(headers) + body.len();
     shared.meter.add(Purpose::Gossip, received);
     shared.budget.spend(Purpose::Gossip, received);
-    let reply = if shared.budget.balance(Purpose::Gossip) < MAX_DEBT {
-        Err(StatusCode::TOO_MANY_REQUESTS)
+    let (status, reply) = if shared.budget.balance(Purpose::Gossip) < MAX_DEBT {
+        let pause = shared.budget.delay(Purpose::Gossip, 0.0).as_millis();
+        (StatusCode::TOO_MANY_REQUESTS, pause.to_string().into_bytes())
     } else {
-        answer(publisher, body).await
+        match answer(publisher, body).await {
+            Ok(it) => (StatusCode::OK, it),
+            Err(it) => (it, Vec::new()),
+        }
     };
-    let sent = REPLY_BYTES + reply.as_ref().map_or(0, Vec::len);
+    let sent = REPLY_BYTES + reply.len();
     shared.meter.add(Purpose::Gossip, sent);
     shared.budget.spend(Purpose::Gossip, sent);
-    match reply {
-        Ok(body) => warp::http::Response::new(Bytes::from(body)).into_response(),
-        Err(status) => status.into_response(),
-    }
+    let mut answer = warp::http::Response::new(Bytes::from(reply)).into_response();
+    *answer.status_mut() = status;
+    answer
 }
 
 async fn answer(publisher: &Address<Publisher>, body: &Bytes) -> Result<Vec<u8>, StatusCode> {
--- a/src/fleet/mark_board.rs
+++ b/src/fleet/mark_board.rs
@@ -74,15 +74,16 @@
             return false;
         }
         let until = now + mark.left;
-        let fresh = marks.get(&mark.name).is_none_or(|it| it.incarnation < mark.incarnation);
-        if fresh {
+        let old = marks.get(&mark.name).map(|it| it.incarnation);
+        if old.is_none_or(|it| it < mark.incarnation) {
             let id = combine(hash_bytes(mark.name.as_bytes()), mark.incarnation);
             let kept = Kept { id, incarnation: mark.incarnation, until, sends: SENDS };
             marks.insert(mark.name.clone(), kept);
         } else if let Some(it) = marks.get_mut(&mark.name) {
             it.until = it.until.max(until);
         }
-        fresh
+        // A mark of an unknown incarnation held for this one already.
+        old.is_none_or(|it| it != 0 && it < mark.incarnation)
     }
 
     /// Whether the incarnation of the backend server called `name` is leaving; a
@@ -109,8 +110,13 @@
         marks.iter().filter(|(name, it)| it.is_fresh(now) && wanted(name)).count()
     }
 
-    /// Marks to pass on whose name is `wanted`, the freshest first, at most `most`.
-    pub fn fresh(&self, most: usize, now: Instant, wanted: impl Fn(&str) -> bool) -> Vec<Mark> {
+    /// Marks to pass on, the freshest first, at most `most`.
+    pub fn fresh(&self, most: usize, now: Instant) -> Vec<Mark> {
+        self.fresh_of(most, now, |_| true)
+    }
+
+    /// The same out of those whose name is `wanted`.
+    pub fn fresh_of(&self, most: usize, now: Instant, wanted: impl Fn(&str) -> bool) -> Vec<Mark> {
         let mut marks = self.marks.lock().unwrap();
         let mut fresh: Vec<(&String, &mut Kept)> =
             marks.iter_mut().filter(|(name, it)| it.is_fresh(now) && wanted(name)).collect();
