Skip hopeless engines in the rank by one comparison

Cause: for each engine the rank turned a hash into a number, worked out the room and compared a product; the logarithm was spared, the rest was not.

Change: the largest weight bounds every score, so that the best score so far gives a hash below which no engine can win. One comparison of integers skips the engine; what passes goes through the checks as before.

--- a/src/decide/place.rs
+++ b/src/decide/place.rs
@@ -16,6 +16,12 @@
 const FRESH_SLACK: f64 = 0.4;
 /// Smallest room of an engine, as a share of the mean, in the rank.
 const MIN_ROOM: f64 = 1e-6;
+/// Bits of a hash that a number between 0 and 1 leaves out.
+const UNIT_SHIFT: u32 = 11;
+/// Numbers between 0 and 1 that hashes are mapped to.
+const UNIT_STEPS: f64 = (1u64 << 53) as f64;
+/// Steps that rounding may cost.
+const ROUNDING_STEPS: u64 = 4;
 
 plain! {
     /// What placement needs to know about a request.
@@ -51,17 +57,25 @@
     tried: &'a [usize],
     /// Mean load by weight.
     mean: f64,
+    /// Largest weight of an engine that is not leaving.
+    largest: f64,
 }
 
 impl Field<'_> {
     fn new<'a>(engines: &'a [Engine], tried: &'a [usize]) -> Field<'a> {
-        let (mut tokens, mut weight) = (0, 0.0);
-        for it in engines.iter().filter(|it| !it.leaving) {
+        let (mut tokens, mut weight, mut largest) = (0, 0.0, 0.0);
+        for it in engines {
+            if it.leaving {
+                continue;
+            }
             tokens += it.tokens();
             weight += it.weight;
+            if it.weight > largest {
+                largest = it.weight;
+            }
         }
         let mean = if weight > 0.0 { tokens as f64 / weight } else { 0.0 };
-        Field { engines, tried, mean }
+        Field { engines, tried, mean, largest }
     }
 
     /// Whether the engine at `index` may be chosen.
@@ -108,27 +122,41 @@
         let top = self.mean * (1.0 + FRESH_SLACK * (query.bound - 1.0));
         let least = (self.mean * MIN_ROOM).max(MIN_ROOM);
         let weight = |it: &Engine, tokens: u64| (top * it.weight - tokens as f64).max(least);
+        let cap = (top * self.largest).max(least);
         let mut best = None;
         let mut most = 0.0;
+        let mut floor = 0;
         for (i, it) in self.engines.iter().enumerate() {
-            let unit = unit(combine(query.key, it.id));
+            let hash = combine(query.key, it.id);
+            if hash < floor || it.leaving {
+                continue;
+            }
+            let unit = unit(hash);
+            let weight = weight(it, it.tokens());
             // The score is at most weight / (1 - unit), which spares most logarithms.
-            let bar = most * (1.0 - unit);
-            if weight(it, it.reported) <= bar || weight(it, it.tokens()) <= bar {
+            if weight <= most * (1.0 - unit) {
                 continue;
             }
-            let score = -weight(it, it.tokens()) / unit.ln();
+            let score = -weight / unit.ln();
             if score > most && self.is_open(i) {
                 (best, most) = (Some(i), score);
+                floor = least_hash(most / cap);
             }
         }
         best
     }
 }
 
+/// A hash below which no score of a weight of 1 reaches `score`: the score of a
+/// number `u` is at most `1 / (1 - u)`.
+fn least_hash(score: f64) -> u64 {
+    let number = (1.0 - 1.0 / score).max(0.0) * UNIT_STEPS;
+    (number as u64).saturating_sub(ROUNDING_STEPS) << UNIT_SHIFT
+}
+
 /// A hash as a number between 0 and 1, both excluded.
 fn unit(hash: u64) -> f64 {
-    ((hash >> 11) as f64 + 0.5) / (1u64 << 53) as f64
+    ((hash >> UNIT_SHIFT) as f64 + 0.5) / UNIT_STEPS
 }
 
 /// Chooses an engine: the one that holds the prefix unless its load is too far
--- a/tests/it/decide.rs
+++ b/tests/it/decide.rs
@@ -37,6 +37,20 @@
     place(engines, query).map(|it| engines[it.index].id)
 }
 
+/// Id of the engine whose score is the highest, all scores computed.
+fn highest(engines: &[Engine], query: &PlaceQuery<'_>) -> Option<u64> {
+    let open: Vec<&Engine> = engines.iter().filter(|it| !it.leaving).collect();
+    let tokens: u64 = open.iter().map(|it| it.tokens()).sum();
+    let mean = tokens as f64 / open.iter().map(|it| it.weight).sum::<f64>();
+    let top = mean * (1.0 + 0.4 * (query.bound - 1.0));
+    let score = |it: &Engine| {
+        let unit = ((combine(query.key, it.id) >> 11) as f64 + 0.5) / (1u64 << 53) as f64;
+        let room = top * it.weight - it.tokens() as f64;
+        -room.max((mean * 1e-6).max(1e-6)) / unit.ln()
+    };
+    open.into_iter().max_by(|a, b| score(a).total_cmp(&score(b))).map(|it| it.id)
+}
+
 proptest! {
     #[test]
     fn place_same_on_all_routers(
@@ -50,6 +64,20 @@
         prop_assert_eq!(chosen(&one, &query(key)), chosen(&other, &query(key)));
     }
 
+    #[test]
+    fn place_chooses_the_highest_of_all_scores(
+        fleet in prop::collection::vec((0..2 * USUAL, 1u64..200, 0u64..8, 0..USUAL), 1..120),
+        key: u64,
+    ) {
+        let mut engines = engines(&[0]);
+        for (i, (load, weight, leaving, sent)) in fleet.into_iter().enumerate() {
+            let it = engine(i as u64 + 1, load * weight);
+            it.sent.add(sent);
+            engines.push(Engine { weight: weight as f64, leaving: leaving == 0, ..it });
+        }
+        prop_assert_eq!(chosen(&engines, &query(key)), highest(&engines, &query(key)));
+    }
+
     #[test]
     fn place_moves_only_chats_of_a_leaving_engine(
         count in 2usize..40,
