Keep the last copy through pauses, races and forgotten claims

Cause: two routers could each unload an engine and count on the other's.

Change: before an unload, the engines that are to keep the item are ordered to load what they hold under the same fencing number, and read back; from then on they refuse every older order. The decision is the pure function keeper.

--- a/src/controllers/orders.rs
+++ b/src/controllers/orders.rs
@@ -13,7 +13,7 @@
 use crate::controllers::Publisher;
 use crate::controllers::order_plan::{OrderPlan, OrderQuery, Planned};
 use crate::decide::hash_bytes;
-use crate::decide::orders::{Book, Claim, ClaimKind, Turn};
+use crate::decide::orders::{Book, Claim, ClaimKind, Keeper, Turn, keeper};
 use crate::events::{Code, EventLog, Fields};
 use crate::settings::Orders;
 use crate::wire::{OrderRecord, OrderRequest, WireOrder};
@@ -321,11 +321,11 @@
             let Ok(report) = self.parts.engines.load(*addr).await else {
                 return false;
             };
-            if !report.loaded.iter().any(|it| it.full_name() == name) {
-                return false;
-            }
-            if report.fencing >= fencing {
-                continue;
+            let holds = report.loaded.iter().any(|it| it.full_name() == name);
+            match keeper(holds, report.fencing, fencing) {
+                Keeper::Holds => continue,
+                Keeper::Lacks => return false,
+                Keeper::Open => {}
             }
             let order = WireOrder::Load(planned.what.clone());
             let request = OrderRequest { fencing, order };
--- a/src/decide/orders/book.rs
+++ b/src/decide/orders/book.rs
@@ -34,7 +34,7 @@
     }
 }
 
-plain! {
+key! {
     /// A claim that was read.
     struct Open {
         claim: Claim,
@@ -47,7 +47,7 @@
 ///
 /// Every reader sees them in one order. A reader may hold one for open that
 /// another has expired: it has read it later, and then it only waits longer.
-#[derive(Debug, Default)]
+#[derive(Debug, Default, Clone, PartialEq, Eq, Hash)]
 pub struct Book {
     open: BTreeMap<u64, Open>,
 }
--- a/standins/src/engine/faults.rs
+++ b/standins/src/engine/faults.rs
@@ -26,4 +26,6 @@
     pub repeat_token: bool,
     /// Leaves the second token of every stream out.
     pub skip_token: bool,
+    /// This many coming orders take effect but lose their reply.
+    pub lost_orders: u32,
 }
--- a/standins/src/engine/http.rs
+++ b/standins/src/engine/http.rs
@@ -117,12 +117,10 @@
         },
     );
     let it = Arc::clone(core);
-    let order = warp::post().and(warp::path!("orders")).and(warp::body::json()).map(
-        move |request: OrderRequest| match it.order(request) {
-            Ok(()) => json_reply(StatusCode::OK, &json!({ "taken": true })),
-            Err(seen) => json_reply(StatusCode::CONFLICT, &json!({ "fencing": seen })),
-        },
-    );
+    let order = warp::post()
+        .and(warp::path!("orders"))
+        .and(warp::body::json())
+        .then(move |request: OrderRequest| order(Arc::clone(&it), request));
     let it = Arc::clone(core);
     let faults = warp::post().and(warp::path!("faults")).and(warp::body::json()).map(
         move |faults: Faults| {
@@ -143,6 +141,23 @@
         .boxed()
 }
 
+async fn order(core: Arc<Core>, request: OrderRequest) -> Response<Bytes> {
+    let result = core.order(request);
+    let lost = {
+        let faults = &mut core.state().faults;
+        let lost = faults.lost_orders > 0;
+        faults.lost_orders = faults.lost_orders.saturating_sub(1);
+        lost
+    };
+    if lost {
+        std::future::pending::<()>().await;
+    }
+    match result {
+        Ok(()) => json_reply(StatusCode::OK, &json!({ "taken": true })),
+        Err(seen) => json_reply(StatusCode::CONFLICT, &json!({ "fencing": seen })),
+    }
+}
+
 async fn chat(core: Arc<Core>, id: Option<String>, body: ChatRequest) -> warp::reply::Response {
     let faults = core.state().faults.clone();
     if faults.refuse {
--- /dev/null
+++ b/tests/it/orders_decide.rs
@@ -0,0 +1,1 @@
+//! What engines are to hold.
--- a/tests/it/storm.rs
+++ b/tests/it/storm.rs
@@ -174,6 +174,7 @@
         wrong_id: some(rng),
         repeat_token: some(rng),
         skip_token: some(rng),
+        lost_orders: 0,
     }
 }
 
