--- a/src/cli/status.rs
+++ b/src/cli/status.rs
@@ -11,7 +11,7 @@
 
 use crate::cli::CliError;
 use crate::cli::client::Client;
-use crate::wire::{WireEngine, WireStatus};
+use crate::wire::{WireEngine, WireItem, WireStatus};
 
 /// Pause between two looks with `--watch`.
 const LOOK_EVERY: Duration = Duration::from_secs(2);
@@ -99,6 +99,7 @@
         let _ = writeln!(out, "suspect request {it}");
     }
     engine_lines(&mut out, look);
+    item_lines(&mut out, look);
     out
 }
 
@@ -160,3 +161,22 @@
         );
     }
 }
+
+/// One line for each model version or adapter that engines are ordered to hold,
+/// as the router that knows of the fewest copies sees it.
+fn item_lines(out: &mut String, look: &Look) {
+    let mut items: BTreeMap<&str, Vec<&WireItem>> = BTreeMap::new();
+    for it in look.routers.values().flat_map(|it| &it.items) {
+        items.entry(&it.name).or_default().push(it);
+    }
+    if items.is_empty() {
+        return;
+    }
+    let _ = writeln!(out, "\n{:<28}{:<18}{:>10}  HELD BY", "MODEL OR ADAPTER", "POOL", "COPIES");
+    for (name, seen) in &items {
+        let Some(it) = seen.iter().min_by_key(|it| it.held.len()) else { continue };
+        let missing = if it.held.len() < it.wanted { "!" } else { "" };
+        let copies = format!("{}{missing}/{}", it.held.len(), it.wanted);
+        let _ = writeln!(out, "{name:<28}{:<18}{copies:>10}  {}", it.pool, it.held.join(", "));
+    }
+}
--- /dev/null
+++ b/src/controllers/held_items.rs
@@ -0,0 +1,33 @@
+//! What engines are ordered to hold, and which of them do.
+
+use crate::controllers::wanted::Wanted;
+use crate::fleet::{Pool, View};
+use crate::wire::WireItem;
+
+/// All items that tickets in force ask engines to hold, by name.
+pub fn held_items(view: &View) -> Vec<WireItem> {
+    let wanted = Wanted::new(&view.state);
+    let mut items: Vec<_> = wanted
+        .items
+        .iter()
+        .filter_map(|it| {
+            let what = wanted.names.get(&it.key)?;
+            let pool = view.state.model(&what.model)?.pool.clone();
+            let held = view.pools.get(&pool).map(|pool| holders(pool, it.key));
+            let held = held.unwrap_or_default();
+            Some(WireItem { name: what.full_name(), pool, wanted: it.copies, held })
+        })
+        .collect();
+    items.sort_by(|a, b| a.name.cmp(&b.name));
+    items
+}
+
+/// Names of the live engines of `pool` that hold the item with `key`.
+fn holders(pool: &Pool, key: u64) -> Vec<String> {
+    let both = pool.engines.iter().zip(&pool.servers).zip(&pool.holds);
+    both.filter(|((engine, _), held)| {
+        !engine.leaving && held.as_ref().is_some_and(|it| it.binary_search(&key).is_ok())
+    })
+    .map(|((_, server), _)| server.name.clone())
+    .collect()
+}
--- a/src/controllers/mod.rs
+++ b/src/controllers/mod.rs
@@ -3,6 +3,7 @@
 mod engine_side;
 mod forest;
 mod gossip;
+mod held_items;
 mod list_watch;
 mod load_watch;
 mod messages;
@@ -13,9 +14,10 @@
 mod round;
 mod ticket_tail;
 mod view_parts;
-pub(crate) mod wanted;
+mod wanted;
 
 pub use gossip::exchange_gossip;
+pub use held_items::held_items;
 pub use list_watch::watch_list;
 pub use load_watch::watch_loads;
 pub use messages::{
--- a/src/controllers/orders.rs
+++ b/src/controllers/orders.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use prometheus::IntCounter;
 use rand::Rng;
 use serde_json::Value;
 use tokio::time::sleep;
@@ -48,6 +49,10 @@
     pub clock: SharedClock,
     /// Settings.
     pub settings: Orders,
+    /// Counts the orders sent.
+    pub sent: IntCounter,
+    /// Counts those refused for an old fencing number.
+    pub refused: IntCounter,
 }
 
 /// A claim of this router.
@@ -282,6 +287,7 @@
         own.sent = true;
         let detail = format!("{order:?} with {fencing}");
         let result = self.parts.engines.order(planned.addr, &OrderRequest { fencing, order }).await;
+        self.parts.sent.inc();
         self.record(Code::OrderSent, &planned.engine, &detail);
         self.note(i, planned, result);
     }
@@ -302,6 +308,7 @@
         match result {
             Ok(()) => self.own[i].taken = Some((now, planned.incarnation)),
             Err(PlatformError::Status { status: CONFLICT, body }) => {
+                self.parts.refused.inc();
                 self.record(Code::OrderRefused, &planned.engine, &body);
                 self.own[i].over = true;
             }
--- a/src/daemon/control_thread.rs
+++ b/src/daemon/control_thread.rs
@@ -166,6 +166,8 @@
         events: Arc::clone(events),
         clock: Arc::clone(&shared.clock),
         settings: settings.orders.clone(),
+        sent: shared.counters.orders.clone(),
+        refused: shared.counters.refused_orders.clone(),
     };
     tokio::spawn(OrderGiver::new(orders).run());
     let routers = RouterClient::new(paid(Purpose::Gossip), &settings.token);
--- a/src/daemon/status_api.rs
+++ b/src/daemon/status_api.rs
@@ -8,6 +8,7 @@
 use warp::reply::Response;
 use warp::{Filter, Reply};
 
+use crate::controllers::held_items;
 use crate::daemon::control_api::guarded;
 use crate::filters::{DEFAULT_POLICY, Shared};
 use crate::fleet::{Pool, View};
@@ -75,6 +76,7 @@
         control_bytes: shared.meter.total(),
         suspects: crashed.iter().map(|it| format!("{it:016x}")).collect(),
         engines: loads(&view),
+        items: held_items(&view),
     }
 }
 
--- a/src/filters/shared.rs
+++ b/src/filters/shared.rs
@@ -73,6 +73,10 @@
     pub cached_tokens: IntCounter,
     /// Requests that the first of the rank could not take.
     pub spilled: IntCounter,
+    /// Orders sent to engines.
+    pub orders: IntCounter,
+    /// Orders that engines refused for an old fencing number.
+    pub refused_orders: IntCounter,
     /// Requests of experiments by arm and outcome.
     pub arm_requests: IntCounterVec,
     /// Prompt tokens of experiments by arm, cached or not.
@@ -104,6 +108,11 @@
                 "spilled_requests_total",
                 "Requests that the first of the rank could not take",
             ))?,
+            orders: IntCounter::with_opts(opts("orders_total", "Orders sent to engines"))?,
+            refused_orders: IntCounter::with_opts(opts(
+                "refused_orders_total",
+                "Orders that engines refused for an old fencing number",
+            ))?,
             arm_requests: IntCounterVec::new(
                 opts("experiment_requests_total", "Requests by experiment, arm and verdict"),
                 &["experiment", "arm", "verdict"],
@@ -119,6 +128,8 @@
         all.register(Box::new(counters.prompt_tokens.clone()))?;
         all.register(Box::new(counters.cached_tokens.clone()))?;
         all.register(Box::new(counters.spilled.clone()))?;
+        all.register(Box::new(counters.orders.clone()))?;
+        all.register(Box::new(counters.refused_orders.clone()))?;
         all.register(Box::new(counters.arm_requests.clone()))?;
         all.register(Box::new(counters.arm_tokens.clone()))?;
         Ok(counters)
--- a/src/metrics/gauges.rs
+++ b/src/metrics/gauges.rs
@@ -4,6 +4,7 @@
     Encoder, Gauge, GaugeVec, IntCounter, IntGauge, IntGaugeVec, Opts, Registry, TextEncoder,
 };
 
+use crate::controllers::held_items;
 use crate::decide::Engine;
 use crate::filters::Shared;
 use crate::fleet::View;
@@ -37,6 +38,10 @@
     counter(registry, "events_total", "Events recorded", page.recorded)?;
     let help = "Events dropped from the store because there was no room";
     counter(registry, "dropped_events_total", help, page.dropped)?;
+    let items = held_items(&view);
+    let missing: usize = items.iter().map(|it| it.wanted.saturating_sub(it.held.len())).sum();
+    let help = "Copies of models and adapters that engines are ordered to hold and do not";
+    gauge(registry, "missing_copies", help, missing as i64)?;
     servers(registry, &view)?;
     skew(registry, &view)?;
     let it = Gauge::with_opts(opts("uptime_seconds", "Time since the start"))?;
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -26,5 +26,5 @@
 pub use log::{Appended, Page, Record};
 pub use once::{KeyAnswer, KeyQuery, NewKey, WireClaims};
 pub use order::{OrderRecord, OrderRequest, WireOrder};
-pub use status::{WireCount, WireEngine, WireStatus};
+pub use status::{WireCount, WireEngine, WireItem, WireStatus};
 pub use ticket::{WireObject, WireTicket, parse_ticket};
--- a/src/wire/status.rs
+++ b/src/wire/status.rs
@@ -15,6 +15,18 @@
         pub bound: f64,
     }
 
+    /// A model version or adapter that engines are ordered to hold.
+    pub struct WireItem {
+        /// Name by which requests ask for it.
+        pub name: String,
+        /// Pool of the engines.
+        pub pool: String,
+        /// Engines that are to hold it.
+        pub wanted: usize,
+        /// Live engines that hold it, as this router knows.
+        pub held: Vec<String>,
+    }
+
     /// Requests by kind and verdict.
     pub struct WireCount {
         /// Kind of call.
@@ -55,5 +67,8 @@
         pub suspects: Vec<String>,
         /// Backend servers.
         pub engines: Vec<WireEngine>,
+        /// What engines are ordered to hold.
+        #[serde(default)]
+        pub items: Vec<WireItem>,
     }
 }
--- a/tests/it/orders_rig.rs
+++ b/tests/it/orders_rig.rs
@@ -18,6 +18,7 @@
     Instance, LoadReport, MemberStatus, OrderRequest, Role, Standing, WireMember, WireOrder,
     parse_ticket,
 };
+use prometheus::IntCounter;
 use serde_json::Value;
 use standins::engine::{EngineStandin, Loaded, Options};
 use standins::log::LogService;
@@ -95,6 +96,8 @@
             events: Arc::clone(&events),
             clock,
             settings: Orders::default(),
+            sent: IntCounter::new("sent", "sent").unwrap(),
+            refused: IntCounter::new("refused", "refused").unwrap(),
         });
         let actor = Actor { events, publisher, giver };
         actor.fold(tickets).await;
