--- a/src/controllers/orders.rs
+++ b/src/controllers/orders.rs
@@ -180,14 +180,14 @@
         let mut next = match self.next.filter(|_| !stale) {
             Some(it) => it,
             None => {
-                log.afford().await;
+                log.afford(0.0).await;
                 let end = log.read(ORDER_STREAM, BEYOND, Duration::ZERO).await?;
                 self.book.clear();
                 end.next.saturating_sub(BACK).max(end.first)
             }
         };
         loop {
-            log.afford().await;
+            log.afford(0.0).await;
             let page = log.read(ORDER_STREAM, next, Duration::ZERO).await?;
             if page.next < next || page.first > next {
                 self.note_gap(next, page.first, page.next);
@@ -393,7 +393,7 @@
     /// counts when it is read back.
     async fn append(&mut self, record: &OrderRecord) -> bool {
         let body = serde_json::to_value(record).unwrap_or_default();
-        self.parts.log.afford().await;
+        self.parts.log.afford(0.0).await;
         match self.parts.log.append(ORDER_STREAM, &body).await {
             Ok(_) | Err(PlatformError::NoAnswer { .. }) => true,
             Err(e) => {
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -10,6 +10,7 @@
 mod log;
 mod once;
 mod order;
+mod packed;
 mod status;
 mod ticket;
 
@@ -18,7 +19,7 @@
 pub use entry::{EntryAddress, EntryAnswer};
 pub use gossip::{
     Bulk, GOSSIP_VERSION, Gossip, MemberStatus, Part, Want, WireHold, WireLine, WireLoad, WireMark,
-    WireMember,
+    WireMarkSet, WireMember,
 };
 pub use in_force::{WireEarlier, WireHeld, WireInForce, WireOutcome};
 pub use instance::{Instance, Role, Standing};
@@ -26,5 +27,6 @@
 pub use log::{Appended, Page, Record};
 pub use once::{KeyAnswer, KeyQuery, NewKey, WireClaims};
 pub use order::{OrderRecord, OrderRequest, WireOrder};
+pub use packed::{PackError, pack_gossip, packed_len, unpack_gossip};
 pub use status::{WireCount, WireEngine, WireItem, WireStatus};
 pub use ticket::{WireObject, WireTicket, parse_ticket};
