--- a/src/overview/screen.rs
+++ b/src/overview/screen.rs
@@ -4,7 +4,7 @@
 use std::fmt::Write;
 
 use crate::overview::Look;
-use crate::wire::{WireEngine, WireStatus};
+use crate::wire::{WireEngine, WireItem, WireStatus};
 
 /// Load below which a backend server is not held against its bound.
 const NOISE_TOKENS: f64 = 1_000.0;
@@ -23,6 +23,7 @@
         let _ = writeln!(out, "suspect request {it}");
     }
     engine_lines(&mut out, look);
+    item_lines(&mut out, look);
     out
 }
 
@@ -111,3 +112,22 @@
     let over = if share > 100.0 { "!" } else { "" };
     format!("{share:.0}%{over}")
 }
+
+/// One line for each model version or adapter that engines are ordered to hold,
+/// as the router that knows of the fewest copies sees it.
+fn item_lines(out: &mut String, look: &Look) {
+    let mut items: BTreeMap<&str, Vec<&WireItem>> = BTreeMap::new();
+    for it in look.routers.values().flat_map(|it| &it.items) {
+        items.entry(&it.name).or_default().push(it);
+    }
+    if items.is_empty() {
+        return;
+    }
+    let _ = writeln!(out, "\n{:<28}{:<18}{:>10}  HELD BY", "MODEL OR ADAPTER", "POOL", "COPIES");
+    for (name, seen) in &items {
+        let Some(it) = seen.iter().min_by_key(|it| it.held.len()) else { continue };
+        let missing = if it.held.len() < it.wanted { "!" } else { "" };
+        let copies = format!("{}{missing}/{}", it.held.len(), it.wanted);
+        let _ = writeln!(out, "{name:<28}{:<18}{copies:>10}  {}", it.pool, it.held.join(", "));
+    }
+}
