Repeat what engines hold while routers differ; figures of orders

Cause: a whole run did not end within 300 s: loads_keep_to_rate_over_routers waited for a router that never heard of an engine which holds nothing. Rows that were lost on the way were repeated only for engines that hold something.

Change: exchanges carry a digest of all rows; while digests differ, rows are repeated in turn, 4 a message. The reading of claims is a type of its own.

--- a/src/capacity/mod.rs
+++ b/src/capacity/mod.rs
@@ -2,6 +2,7 @@
 
 mod fit;
 mod network;
+mod orders;
 mod probe;
 mod role;
 mod samples;
--- a/src/capacity/network.rs
+++ b/src/capacity/network.rs
@@ -14,21 +14,22 @@
 use crate::controllers::TICKET_STREAM;
 
 /// Any free port on loopback.
-const LOOPBACK: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
+pub(super) const LOOPBACK: SocketAddr =
+    SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
 /// Appends a second that the stand-in of the log takes.
-const APPEND_RATE: u32 = 1_000_000;
+pub(super) const APPEND_RATE: u32 = 1_000_000;
 /// How long the stand-in of the log keeps records.
-const RETENTION: Duration = Duration::from_secs(600);
+pub(super) const RETENTION: Duration = Duration::from_secs(600);
 
 /// A client whose bytes are counted.
-fn counted() -> (ControlHttp, Arc<Meter>) {
+pub(super) fn counted() -> (ControlHttp, Arc<Meter>) {
     let meter: Arc<Meter> = Arc::default();
     let http = reqwest::Client::builder().no_proxy().build().unwrap_or_default();
     (ControlHttp::new(http, Arc::clone(&meter)), meter)
 }
 
 /// Bytes and time since `begin`.
-fn taken(meter: &Meter, begin: Instant) -> Sample {
+pub(super) fn taken(meter: &Meter, begin: Instant) -> Sample {
     let micros = begin.elapsed().as_secs_f64() * 1e6;
     Sample { bytes: 0.0, micros, wire: meter.total() as f64 }
 }
--- a/src/capacity/probe.rs
+++ b/src/capacity/probe.rs
@@ -3,7 +3,7 @@
 use std::future::Future;
 use std::pin::Pin;
 
-use crate::capacity::{Slope, least_squares, network, samples};
+use crate::capacity::{Slope, least_squares, network, orders, samples};
 
 /// Repeats of each measurement of time; the least counts.
 const REPEATS: usize = 5;
@@ -135,6 +135,7 @@
         sizes: &[100, 200, 400, 800],
         take: network::log_tickets,
     },
+    Probe { name: "order_calls", unit: "order", sizes: &[4, 8, 16, 32], take: orders::order_calls },
 ];
 
 /// Measures `probe` at all its sizes and fits a line to each part.
--- a/src/capacity/table.rs
+++ b/src/capacity/table.rs
@@ -2,6 +2,7 @@
 
 use std::fmt;
 
+use crate::capacity::orders::order_figures;
 use crate::capacity::role::Role;
 use crate::capacity::{Sizes, Slopes};
 use crate::settings::Control;
@@ -13,7 +14,7 @@
 /// Most control and probe bytes a second.
 const CONTROL_BYTES: f64 = 4_096.0;
 /// Appends a second that the platform's log takes.
-const LOG_APPENDS: f64 = 300.0;
+pub(super) const LOG_APPENDS: f64 = 300.0;
 /// Events of one request that is answered at the first try, its address included.
 const EVENTS_A_REQUEST: f64 = 4.0;
 /// Events that a router keeps.
@@ -108,11 +109,12 @@
     all.extend(control_bytes(slopes, sizes, upkeep));
     all.extend(traffic(slopes, sizes));
     all.extend(log(slopes, sizes, upkeep));
+    all.extend(order_figures(slopes, sizes));
     all.extend(operator(slopes, sizes));
     all
 }
 
-fn figure(
+pub(super) fn figure(
     role: Role,
     what: &'static str,
     (value, unit): (f64, &'static str),
@@ -122,7 +124,7 @@
     Figure { role, what, value, unit, target: None, slopes, carrier }
 }
 
-fn at_most(figure: Figure, most: f64) -> Figure {
+pub(super) fn at_most(figure: Figure, most: f64) -> Figure {
     Figure { target: Some(Target { most }), ..figure }
 }
 
--- a/src/controllers/mod.rs
+++ b/src/controllers/mod.rs
@@ -10,6 +10,7 @@
 mod marks;
 mod messages;
 mod order_plan;
+mod order_tail;
 mod orders;
 mod publisher;
 mod pull;
@@ -29,6 +30,7 @@
     TailPlan, TailQuery, Targets, TicketRecord,
 };
 pub use order_plan::{OrderPlan, OrderQuery, Planned};
-pub use orders::{ORDER_STREAM, OrderGiver, OrderParts};
+pub use order_tail::ORDER_STREAM;
+pub use orders::{OrderGiver, OrderParts};
 pub use publisher::{Parts, Publisher};
 pub use ticket_tail::{SNAPSHOT_STREAM, TICKET_STREAM, Tail};
--- a/src/controllers/orders.rs
+++ b/src/controllers/orders.rs
@@ -5,7 +5,6 @@
 
 use prometheus::IntCounter;
 use rand::Rng;
-use serde_json::Value;
 use tokio::time::sleep;
 use xtra::Address;
 
@@ -13,20 +12,14 @@
 use crate::clock::SharedClock;
 use crate::controllers::Publisher;
 use crate::controllers::order_plan::{OrderPlan, OrderQuery, Planned};
-use crate::decide::hash_bytes;
-use crate::decide::orders::{Book, Claim, ClaimKind, Keeper, Turn, keeper};
+use crate::controllers::order_tail::{ORDER_STREAM, OrderTail};
+use crate::decide::orders::{Claim, ClaimKind, Keeper, Turn, keeper};
 use crate::events::{Code, EventLog, Fields};
 use crate::settings::Orders;
 use crate::wire::{OrderRecord, OrderRequest, WireOrder};
 
-/// Stream of the claims of engines.
-pub const ORDER_STREAM: &str = "filberttiller-orders";
-/// Records before the end that are read at the start.
-const BACK: u64 = 128;
 /// Waiting loads for each slot; more are not claimed yet.
 const QUEUED: usize = 2;
-/// An offset beyond every stream.
-const BEYOND: u64 = u64::MAX / 2;
 /// Status of an order with an old fencing number.
 const CONFLICT: u16 = 409;
 /// Pause before an order that was taken is given again.
@@ -75,32 +68,16 @@
 #[derive(Debug)]
 pub struct OrderGiver {
     parts: OrderParts,
-    book: Book,
+    tail: OrderTail,
     own: Vec<Own>,
-    /// First offset not yet read; `None` before the first read.
-    next: Option<u64>,
-    start: Instant,
-    /// When the stream was last read to its end.
-    read_at: Instant,
     reachable: bool,
-    /// No claims before this, as some may have been missed.
-    blind_until: Instant,
 }
 
 impl OrderGiver {
     /// A giver of orders that has read nothing.
     pub fn new(parts: OrderParts) -> OrderGiver {
-        let now = parts.clock.now();
-        OrderGiver {
-            parts,
-            book: Book::default(),
-            own: Vec::new(),
-            next: None,
-            start: now,
-            read_at: now,
-            reachable: true,
-            blind_until: now,
-        }
+        let tail = OrderTail::new(&parts);
+        OrderGiver { parts, tail, own: Vec::new(), reachable: true }
     }
 
     /// Gives orders until the publisher is gone.
@@ -122,7 +99,7 @@
             self.advance(i, plan).await;
         }
         self.close().await;
-        if current && self.now() >= self.blind_until {
+        if current && !self.tail.is_blind() {
             self.claim_next(plan).await;
         }
     }
@@ -131,10 +108,6 @@
         self.parts.clock.now()
     }
 
-    fn now_ms(&self) -> u64 {
-        self.now().saturating_duration_since(self.start).as_millis() as u64
-    }
-
     fn hold(&self) -> Duration {
         self.parts.settings.hold
     }
@@ -151,11 +124,8 @@
 
     /// Reads the stream to its end; false when the log does not answer.
     async fn read(&mut self) -> bool {
-        match self.read_all().await {
+        match self.tail.read().await {
             Ok(()) => {
-                self.read_at = self.now();
-                let until = self.now_ms().saturating_sub(self.hold().as_millis() as u64);
-                self.book.expire(until);
                 if !std::mem::replace(&mut self.reachable, true) {
                     self.record(Code::OrdersResumed, &self.parts.router, "");
                 }
@@ -174,61 +144,6 @@
         }
     }
 
-    async fn read_all(&mut self) -> Result<(), PlatformError> {
-        let log = self.parts.log.clone();
-        let stale = self.now().saturating_duration_since(self.read_at) > self.hold();
-        let mut next = match self.next.filter(|_| !stale) {
-            Some(it) => it,
-            None => {
-                log.afford(0.0).await;
-                let end = log.read(ORDER_STREAM, BEYOND, Duration::ZERO).await?;
-                self.book.clear();
-                end.next.saturating_sub(BACK).max(end.first)
-            }
-        };
-        loop {
-            log.afford(0.0).await;
-            let page = log.read(ORDER_STREAM, next, Duration::ZERO).await?;
-            if page.next < next || page.first > next {
-                self.note_gap(next, page.first, page.next);
-                next = page.first.max(next.min(page.next));
-                self.next = Some(next);
-                continue;
-            }
-            for it in page.records {
-                next = it.offset + 1;
-                self.take(it.offset, it.body);
-            }
-            self.next = Some(next);
-            if next >= page.next {
-                return Ok(());
-            }
-        }
-    }
-
-    /// Claims may be open that were never read: none is made until they are over.
-    fn note_gap(&mut self, next: u64, first: u64, end: u64) {
-        let detail = format!("expected {next}, kept {first} to {end}");
-        self.record(Code::OrderLogGap, &self.parts.router, &detail);
-        self.book.clear();
-        self.blind_until = self.now() + self.hold();
-    }
-
-    /// Applies one record; one of another form claims nothing.
-    fn take(&mut self, offset: u64, body: Value) {
-        let now = self.now_ms();
-        match serde_json::from_value(body) {
-            Ok(OrderRecord::Claim { id, engine, unload, what, .. }) => {
-                let kind = if unload { ClaimKind::Unload } else { ClaimKind::Load };
-                let engine = hash_bytes(engine.as_bytes());
-                let key = hash_bytes(what.as_bytes());
-                self.book.claim(offset, Claim { id, engine, kind, key }, now);
-            }
-            Ok(OrderRecord::Done(id)) => self.book.done(id),
-            Err(_) => {}
-        }
-    }
-
     /// Goes on with the claim at `i`.
     async fn advance(&mut self, i: usize, plan: &OrderPlan) {
         let now = self.now();
@@ -262,14 +177,14 @@
             incarnation == planned.incarnation && now.saturating_duration_since(at) < AGAIN
         });
         let slots = self.parts.settings.loads;
-        if !fresh && self.book.turn(own.claim.id, slots) == Turn::Now {
+        if !fresh && self.tail.book.turn(own.claim.id, slots) == Turn::Now {
             self.give(i, planned).await;
         }
     }
 
     /// Gives the order of the claim at `i`.
     async fn give(&mut self, i: usize, planned: &Planned) {
-        let Some(offset) = self.book.offset(self.own[i].claim.id) else {
+        let Some(offset) = self.tail.book.offset(self.own[i].claim.id) else {
             return;
         };
         let fencing = offset + 1;
@@ -355,7 +270,7 @@
         for id in over {
             if self.append(&OrderRecord::Done(id)).await {
                 self.own.retain(|it| it.claim.id != id);
-                self.book.done(id);
+                self.tail.book.done(id);
             }
         }
     }
@@ -365,9 +280,9 @@
         for it in &plan.orders {
             let own = self.own.iter().any(|own| own.claim.engine == it.id);
             let waiting = self.own.iter().filter(|it| it.claim.kind == ClaimKind::Load).count();
-            let loads = self.book.loads().max(waiting);
+            let loads = self.tail.book.loads().max(waiting);
             let full = !it.unload && loads >= self.parts.settings.loads * QUEUED;
-            if own || full || self.book.is_claimed(it.id) {
+            if own || full || self.tail.book.is_claimed(it.id) {
                 continue;
             }
             let kind = if it.unload { ClaimKind::Unload } else { ClaimKind::Load };
--- a/src/controllers/publisher.rs
+++ b/src/controllers/publisher.rs
@@ -70,6 +70,8 @@
     pub(super) roster: Roster,
     pub(super) loads: LoadTable,
     pub(super) holds: HoldTable,
+    /// Whether the last peer told of other holds: some rows may have been lost.
+    pub(super) holds_differ: bool,
     /// First offset that each peer has not folded, as it last told.
     pub(super) peers: HashMap<String, u64>,
     /// When anybody last heard from the log, as far as known here.
@@ -114,6 +116,7 @@
             roster: Roster::default(),
             loads: LoadTable::default(),
             holds: HoldTable::default(),
+            holds_differ: false,
             peers: HashMap::new(),
             log_seen: None,
             pushes: 0,
--- a/src/controllers/round.rs
+++ b/src/controllers/round.rs
@@ -28,8 +28,6 @@
 const LOADS: usize = 8;
 /// Rows about what engines hold in one message.
 const HOLDS: usize = 4;
-/// One in this many messages without news repeats such a row.
-const HOLD_TURNS: u32 = 4;
 /// Bytes that regular exchanges leave for urgent ones.
 pub(super) const SPARE: f64 = 800.0;
 /// Status with which a router turns peers away that its budget cannot pay for.
@@ -63,6 +61,7 @@
             lines: Vec::new(),
             loads: Vec::new(),
             holds: Vec::new(),
+            held: Some(self.holds.digest()),
         };
         if marks {
             self.add_marks(&mut message);
@@ -75,8 +74,8 @@
         if self.parts.budget.balance(Purpose::Gossip) > 0.0 {
             message.lines = self.roster.fresh(LINE_BYTES);
             message.holds = self.holds.fresh(HOLDS);
-            if message.holds.is_empty() && self.rng.random_ratio(1, HOLD_TURNS) {
-                message.holds.extend(self.holds.repeat());
+            if self.holds_differ && message.holds.is_empty() {
+                message.holds = self.holds.repeat(HOLDS);
             }
             message.loads = self.loads.fresh(LOADS);
             if message.loads.len() < LOADS {
@@ -144,6 +143,7 @@
         for it in &message.holds {
             changed |= self.holds.learn(it);
         }
+        self.holds_differ = message.held.is_some_and(|it| it != self.holds.digest());
         let from = self.state.next;
         self.take_records(&peer, message.base, message.records);
         if let Some(age) = message.log_age {
--- a/src/fleet/hold_table.rs
+++ b/src/fleet/hold_table.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use crate::decide::hash_bytes;
+use crate::decide::{combine, hash_bytes};
 use crate::wire::{LoadReport, WireHold};
 
 /// Times that a change is passed on.
@@ -78,14 +78,18 @@
             .collect()
     }
 
-    /// A row to pass on although it did not change, each in its turn.
-    pub fn repeat(&mut self) -> Option<WireHold> {
-        let full = |it: &(&u64, &Hold)| !it.1.keys.is_empty();
-        let mut later = self.holds.range(self.repeated.wrapping_add(1)..).filter(full);
-        let next = later.next().or_else(|| self.holds.iter().find(full));
-        let (id, it) = next?;
-        self.repeated = *id;
-        Some(row(*id, it))
+    /// Rows to pass on although they did not change, each in its turn.
+    pub fn repeat(&mut self, most: usize) -> Vec<WireHold> {
+        let after = self.holds.range(self.repeated.saturating_add(1)..);
+        let turn = after.chain(self.holds.range(..=self.repeated));
+        let rows: Vec<_> = turn.take(most).map(|(id, it)| row(*id, it)).collect();
+        self.repeated = rows.last().map_or(0, |it| it.0);
+        rows
+    }
+
+    /// Digest of all rows; equal where the same is known.
+    pub fn digest(&self) -> u64 {
+        self.holds.iter().fold(0, |sum: u64, (id, it)| sum.wrapping_add(combine(*id, it.seq)))
     }
 }
 
--- a/src/wire/gossip.rs
+++ b/src/wire/gossip.rs
@@ -203,6 +203,9 @@
         /// What engines hold.
         #[serde(rename = "g", default, skip_serializing_if = "Vec::is_empty")]
         pub holds: Vec<WireHold>,
+        /// Digest of all that the sender knows about what engines hold.
+        #[serde(rename = "gd", default, skip_serializing_if = "Option::is_none")]
+        pub held: Option<u64>,
     }
 }
 
--- a/tests/it/control.rs
+++ b/tests/it/control.rs
@@ -212,6 +212,7 @@
         lines: Vec::new(),
         loads: Vec::new(),
         holds: Vec::new(),
+        held: None,
     };
     rmp_serde::to_vec_named(&Newer { gossip, field_of_newer_peer: vec![1, 2] }).unwrap()
 }
--- a/tests/it/spread.rs
+++ b/tests/it/spread.rs
@@ -142,6 +142,7 @@
         lines: Vec::new(),
         loads: Vec::new(),
         holds: Vec::new(),
+        held: None,
     }
 }
 
