Refuse what nobody holds before it waits for room; plan orders in parts

Cause: a request that no engine could serve waited for room first, up to admission.wait. Claims of engines that another router had taken over were closed only once they were too old.

Change: the pool is looked at before the gate; the plan tells what all engines hold, whoever orders them.

--- a/src/controllers/order_plan.rs
+++ b/src/controllers/order_plan.rs
@@ -8,7 +8,7 @@
 use crate::controllers::Publisher;
 use crate::controllers::wanted::{Wanted, present};
 use crate::decide::hash_bytes;
-use crate::decide::orders::{Holder, Step, assign, next_step};
+use crate::decide::orders::{Holder, Present, Step, assign, next_step};
 use crate::fleet::Keys;
 use crate::wire::{Instance, Loaded, MemberStatus, Role, Standing};
 
@@ -46,7 +46,7 @@
 pub struct OrderPlan {
     /// At most one order to an engine.
     pub orders: Vec<Planned>,
-    /// What these engines hold, by hash of their names, leaving ones left out.
+    /// What engines hold, by hash of their names, leaving ones left out.
     pub holds: Vec<(u64, Keys)>,
 }
 
@@ -57,63 +57,82 @@
             return plan;
         }
         let wanted = Wanted::new(&self.state);
-        let now = self.now();
         let engines: Vec<&Instance> =
             self.roster.instances().filter(|it| it.role == Role::Engine).collect();
-        let ids: Vec<u64> = engines.iter().map(|it| hash_bytes(it.name.as_bytes())).collect();
-        let incarnation = |id| self.loads.get(id).map_or(0, |it| it.incarnation);
-        let holder = |(it, id): (&&'_ Instance, &u64)| Holder {
-            id: *id,
-            pool: hash_bytes(it.pool.as_bytes()),
-            domain: "",
-            leaving: it.standing == Standing::Leaving
-                || self.parts.marks.holds(&it.name, incarnation(*id), now),
-            held: self.holds.get(*id, incarnation(*id)).map(|it| &it[..]),
-        };
-        let mut holders: Vec<Holder<'_>> = engines.iter().zip(&ids).map(holder).collect();
-        for (it, engine) in holders.iter_mut().zip(&engines) {
-            it.domain = &engine.domain;
-        }
+        let holders: Vec<_> = engines.iter().map(|it| self.holder(it)).collect();
         let chosen = assign(&wanted.items, &holders);
-        for (at, it) in engines.iter().enumerate() {
-            let Some(held) = self.holds.get(ids[at], incarnation(ids[at])) else {
+        for (at, it) in holders.iter().enumerate() {
+            let held = self.holds.get(it.id, self.incarnation(it.id));
+            let Some(held) = held.filter(|_| !it.leaving) else {
                 continue;
             };
-            if holders[at].leaving || self.own_rank(ids[at]) != 0 {
-                continue;
-            }
-            plan.holds.push((ids[at], Arc::clone(held)));
-            let loaded = self.loads.get(ids[at]).map_or(&[][..], |it| &it.loaded);
-            let known: Vec<_> = loaded
-                .iter()
-                .filter_map(|it| Some((present(&self.state, it)?, it)))
-                .filter(|it| holders[at].holds(it.0.key))
-                .collect();
+            plan.holds.push((it.id, Arc::clone(held)));
+            let known = self.known(it);
             let found: Vec<_> = known.iter().map(|it| it.0).collect();
-            let (key, keepers) = match next_step(at, &wanted.items, &holders, &chosen, &found) {
-                None => continue,
-                Some(Step::Load(key)) => (key, None),
-                Some(Step::Unload { key, keepers }) => (key, Some(keepers)),
-            };
-            let what = known.iter().find(|it| it.0.key == key).map(|it| it.1);
-            let Some(what) = what.or_else(|| wanted.names.get(&key)) else {
+            let step = next_step(at, &wanted.items, &holders, &chosen, &found);
+            let Some(step) = step.filter(|_| self.own_rank(it.id) == 0) else {
                 continue;
             };
-            let keeper = |at: &usize| (engines[*at].name.clone(), engines[*at].address);
-            let first = keepers.iter().flatten().take(KEEPERS);
-            plan.orders.push(Planned {
-                engine: it.name.clone(),
-                id: ids[at],
-                addr: it.address,
-                incarnation: incarnation(ids[at]),
-                unload: keepers.is_some(),
-                key,
-                what: what.clone(),
-                keepers: first.map(keeper).collect(),
-            });
+            let named = |key| {
+                let it = known.iter().find(|it| it.0.key == key).map(|it| it.1);
+                it.or_else(|| wanted.names.get(&key)).cloned()
+            };
+            plan.orders.extend(self.planned(at, step, &engines, named));
         }
         plan
     }
+
+    fn incarnation(&self, id: u64) -> u64 {
+        self.loads.get(id).map_or(0, |it| it.incarnation)
+    }
+
+    /// The engine `it` as orders see it.
+    fn holder<'a>(&'a self, it: &'a Instance) -> Holder<'a> {
+        let id = hash_bytes(it.name.as_bytes());
+        let incarnation = self.incarnation(id);
+        let marked = self.parts.marks.holds(&it.name, incarnation, self.now());
+        Holder {
+            id,
+            pool: hash_bytes(it.pool.as_bytes()),
+            domain: &it.domain,
+            leaving: marked || it.standing == Standing::Leaving,
+            held: self.holds.get(id, incarnation).map(|it| &it[..]),
+        }
+    }
+
+    /// What this router knows by name of what an engine holds.
+    fn known(&self, holder: &Holder<'_>) -> Vec<(Present, &Loaded)> {
+        let loaded = self.loads.get(holder.id).map_or(&[][..], |it| &it.loaded);
+        let decided = loaded.iter().filter_map(|it| Some((present(&self.state, it)?, it)));
+        decided.filter(|it| holder.holds(it.0.key)).collect()
+    }
+
+    /// The order that `step` means for the engine at `at`.
+    fn planned(
+        &self,
+        at: usize,
+        step: Step,
+        engines: &[&Instance],
+        named: impl Fn(u64) -> Option<Loaded>,
+    ) -> Option<Planned> {
+        let (key, unload, keepers) = match step {
+            Step::Load(key) => (key, false, Vec::new()),
+            Step::Unload { key, keepers } => (key, true, keepers),
+        };
+        let it = engines[at];
+        let id = hash_bytes(it.name.as_bytes());
+        let keeper = |at: &usize| (engines[*at].name.clone(), engines[*at].address);
+        Some(Planned {
+            engine: it.name.clone(),
+            id,
+            addr: it.address,
+            incarnation: self.incarnation(id),
+            unload,
+            key,
+            what: named(key)?,
+            keepers: keepers.iter().take(KEEPERS).map(keeper).collect(),
+        })
+    }
 }
 
 impl Handler<OrderQuery> for Publisher {
--- a/src/filters/forward.rs
+++ b/src/filters/forward.rs
@@ -11,10 +11,11 @@
 use crate::filters::chat::{ChatJob, send_chat};
 use crate::filters::choose::load_bound;
 use crate::filters::failure::Failure;
+use crate::filters::held::Lacking;
 use crate::filters::in_flight::InFlight;
 use crate::filters::service::send_service;
 use crate::filters::suspect::{Risk, enter as enter_suspect, looks_dead, note as note_death};
-use crate::filters::tries::{Tries, no_room};
+use crate::filters::tries::{Tries, no_room, not_loaded};
 use crate::filters::{Call, Refusal, Shared};
 use crate::fleet::BackendServer;
 
@@ -81,6 +82,9 @@
     if !call.view.pools.contains_key(pool) {
         return Err(no_room(format!("pool `{pool}` has no backend servers")));
     }
+    if call.view.pools.get(pool).is_some_and(|it| Lacking::new(call, it).is_whole(it)) {
+        return Err(not_loaded());
+    }
     let pass = enter(shared, call, pool, plan.cost).await?;
     let record = shared.upstream.pool(pool, shared.clock.now());
     let bound = match &job {
--- a/src/filters/tries.rs
+++ b/src/filters/tries.rs
@@ -249,7 +249,7 @@
 }
 
 /// A refusal because no engine holds what the request asks for.
-fn not_loaded() -> Refusal {
+pub(crate) fn not_loaded() -> Refusal {
     let message = "no engine holds the model or adapter at present";
     Refusal::not_run(Reason::NotLoaded, message).retry_after(LOAD_RETRY)
 }
--- a/tests/it/orders.rs
+++ b/tests/it/orders.rs
@@ -10,7 +10,7 @@
 use filberttiller::filters::{ORGANISATION_HEADER, VERDICT_HEADER};
 use reqwest::Response;
 use serde_json::{Value, json};
-use standins::engine::{EngineStandin, Options};
+use standins::engine::{EngineStandin, Faults, Options};
 
 use crate::support::{header, question};
 
@@ -199,3 +199,30 @@
     assert!(store.most() <= 2, "{} loads at once", store.most());
     assert_eq!(store.total(), 10);
 }
+
+/// What nobody holds is refused at once, also where others wait for room.
+#[tokio::test]
+async fn not_loaded_refused_before_the_queue() {
+    let mut options = options(1, 1);
+    options.settings.orders.every = Duration::from_secs(3_600);
+    options.engine.slots = 1;
+    let other = json!({ "model": "other", "version": "v1", "adapter": "" });
+    options.engine.loaded = vec![serde_json::from_value(other).unwrap()];
+    let fleet = start(options).await;
+    let mut ticket = model(1, "v1", &[], 1);
+    let other = json!({ "kind": "model", "name": "other", "spec": { "pool": "assistant-llm" } });
+    ticket["objects"].as_array_mut().unwrap().push(other);
+    fleet.publish(&ticket).await.unwrap();
+    fleet.engines[0].set_faults(Faults { slow: 1_000, ..Faults::default() });
+    let waiting = |it: &Fleet| it.routers[0].shared().gates.waiting();
+    let others = futures_util::future::join_all((0..8).map(|_| ask(&fleet, 0, "other")));
+    let refused = async {
+        fleet.wait_until(|it| waiting(it) > 0).await;
+        let reply = ask(&fleet, 0, "assistant").await;
+        assert_eq!(header(&reply, VERDICT_HEADER), "not_run");
+        let body: Value = reply.json().await.unwrap();
+        assert_eq!(body["error"]["reason"], "not_loaded", "{body}");
+        fleet.engines[0].set_faults(Faults::default());
+    };
+    tokio::join!(others, refused);
+}
