--- a/src/capacity/mod.rs
+++ b/src/capacity/mod.rs
@@ -9,7 +9,6 @@
 mod slope;
 mod streams;
 mod table;
-mod thread_time;
 
 pub use fit::{Fit, least_squares};
 pub use probe::{PROBES, Probe, Sample, measure};
--- a/src/capacity/streams.rs
+++ b/src/capacity/streams.rs
@@ -13,9 +13,9 @@
 
 use crate::capacity::Sample;
 use crate::capacity::probe::Taking;
-use crate::capacity::thread_time::thread_time;
 use crate::daemon::TRAFFIC_THREAD;
 use crate::demo::{Fleet, FleetOptions};
+use crate::metrics::thread_time;
 
 /// Slots of the engine; more than any measurement opens.
 const SLOTS: usize = 1_024;
--- a/src/daemon/control_thread.rs
+++ b/src/daemon/control_thread.rs
@@ -24,6 +24,8 @@
 use crate::fleet::Purpose;
 use crate::wire::{MemberStatus, WireMember};
 
+/// Name of the thread that carries control.
+pub(crate) const CONTROL_THREAD: &str = "control";
 /// A started control thread.
 #[derive(Debug)]
 pub(crate) struct ControlThread {
@@ -53,7 +55,7 @@
         let own = own_member(&shared, callers, address);
         let body = move || runtime.block_on(run(&shared, own, listener, stop, tell));
         let thread = thread::Builder::new()
-            .name("control".to_owned())
+            .name(CONTROL_THREAD.to_owned())
             .spawn(body)
             .change_context(DaemonError::SetUp)?;
         Ok(ControlThread { address, thread, drained })
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -11,6 +11,7 @@
 mod stop;
 mod write_limit;
 
+pub(crate) use control_thread::CONTROL_THREAD;
 pub(crate) use daemon::TRAFFIC_THREAD;
 pub use daemon::{Daemon, DaemonError};
 pub use server::serve;
--- a/src/filters/call.rs
+++ b/src/filters/call.rs
@@ -56,6 +56,8 @@
     pub organisation: String,
     /// Key of the chat; set by `identify`.
     pub chat: u64,
+    /// When its head arrived.
+    pub began: Instant,
     /// When the answer must be there; set by `identify`.
     pub deadline: Instant,
     /// The view that holds for this request.
--- a/src/filters/chat.rs
+++ b/src/filters/chat.rs
@@ -110,6 +110,7 @@
             request: call.id.clone(),
             arms: call.arms.clone(),
             address,
+            began: call.began,
             deadline: call.deadline,
             next: 0,
             risk: Risk::new(shared, job.fingerprint, &chosen),
--- a/src/filters/resume.rs
+++ b/src/filters/resume.rs
@@ -38,6 +38,7 @@
         request: request.to_owned(),
         arms: SmallVec::new(),
         address: server.address,
+        began: call.began,
         deadline: call.deadline,
         next,
         risk: None,
--- a/src/filters/router.rs
+++ b/src/filters/router.rs
@@ -119,6 +119,7 @@
     query: String,
     headers: HeaderMap,
 ) -> Call {
+    let began = shared.clock.now();
     let organisation = headers.get(ORGANISATION_HEADER).map_or(&[][..], |it| it.as_bytes());
     Call {
         id: new_id(&shared.settings.token, organisation),
@@ -129,7 +130,8 @@
         body: bytes::Bytes::new(),
         organisation: String::new(),
         chat: 0,
-        deadline: shared.clock.now() + shared.settings.traffic.deadline,
+        began,
+        deadline: began + shared.settings.traffic.deadline,
         view: shared.view.load(),
         request: None,
         policy: None,
--- a/src/filters/shared.rs
+++ b/src/filters/shared.rs
@@ -15,7 +15,7 @@
 use crate::filters::{Arm, Upstream};
 use crate::fleet::{Budget, CrashBoard, MarkBoard, ViewCell};
 use crate::keys::KeyRing;
-use crate::metrics::RequestMetrics;
+use crate::metrics::{RequestMetrics, StreamMetrics};
 use crate::once::OnceDesk;
 use crate::settings::Settings;
 use crate::wire::Usage;
@@ -61,6 +61,8 @@
     registry: Registry,
     /// Latencies, and requests by organisation.
     pub single: RequestMetrics,
+    /// How fast tokens come.
+    pub streams: StreamMetrics,
     /// Requests by outcome.
     pub requests: IntCounterVec,
     /// Requests in flight.
@@ -87,6 +89,7 @@
         let registry = Registry::new();
         let counters = Counters {
             single: RequestMetrics::new(&registry)?,
+            streams: StreamMetrics::new(&registry)?,
             registry,
             requests: IntCounterVec::new(
                 opts("requests_total", "Requests by kind and verdict"),
--- a/src/filters/stream.rs
+++ b/src/filters/stream.rs
@@ -26,6 +26,7 @@
 use crate::filters::in_flight::InFlight;
 use crate::filters::suspect::{Risk, note};
 use crate::filters::{Arm, Reason, Refusal, Shared, sse};
+use crate::metrics::Pace;
 use crate::wire::ChatChunk;
 
 /// Data of the last event of a whole stream.
@@ -48,6 +49,8 @@
     pub(crate) arms: SmallVec<[Arm; 2]>,
     /// Address of the engine.
     pub(crate) address: SocketAddr,
+    /// When the head of the request arrived.
+    pub(crate) began: Instant,
     /// When the whole answer must be there.
     pub(crate) deadline: Instant,
     /// Index of the token that must come next.
@@ -64,6 +67,7 @@
     /// Whether an event came since the head of the stream.
     flowing: bool,
     resumes: u32,
+    pace: Pace,
     over: bool,
     ending: Ending,
     cancel: Cancel,
@@ -92,6 +96,7 @@
     let relay = Relay {
         shared: Arc::clone(shared),
         ending: Ending::new(shared, &source.request, "chat"),
+        pace: Pace::new(source.began, source.next > 0),
         incoming: events(reply, shared.settings.limits.answer.as_u64() as usize),
         source,
         flowing: false,
@@ -195,6 +200,7 @@
         }
         self.source.next += 1;
         self.resumes = 0;
+        self.pace.token(&self.shared.counters.streams, self.shared.clock.now());
         if let Some(usage) = chunk.usage {
             self.shared.counters.count_usage(&self.source.arms, &usage);
         }
--- a/src/metrics/gauges.rs
+++ b/src/metrics/gauges.rs
@@ -1,12 +1,15 @@
 //! Metrics read from the state of a router at each look.
 
 use prometheus::{
-    Encoder, Gauge, GaugeVec, IntCounter, IntGauge, IntGaugeVec, Opts, Registry, TextEncoder,
+    Counter, Encoder, Gauge, GaugeVec, IntCounter, IntGauge, IntGaugeVec, Opts, Registry,
+    TextEncoder,
 };
 
+use crate::daemon::CONTROL_THREAD;
 use crate::decide::Engine;
 use crate::filters::Shared;
 use crate::fleet::View;
+use crate::metrics::{resident_bytes, thread_time};
 
 /// The state of a router in the text format.
 pub fn gauges(shared: &Shared) -> String {
@@ -37,6 +40,11 @@
     counter(registry, "events_total", "Events recorded", page.recorded)?;
     let help = "Events dropped from the store because there was no room";
     counter(registry, "dropped_events_total", help, page.dropped)?;
+    let memory = i64::try_from(resident_bytes()).unwrap_or(i64::MAX);
+    gauge(registry, "memory_bytes", "Memory in use by the whole process", memory)?;
+    let it = Counter::with_opts(opts("control_seconds_total", "Processor time of control"))?;
+    it.inc_by(thread_time(CONTROL_THREAD).as_secs_f64());
+    registry.register(Box::new(it))?;
     servers(registry, &view)?;
     skew(registry, &view)?;
     let it = Gauge::with_opts(opts("uptime_seconds", "Time since the start"))?;
--- a/src/metrics/mod.rs
+++ b/src/metrics/mod.rs
@@ -2,6 +2,11 @@
 
 mod gauges;
 mod requests;
+mod streams;
+mod thread_time;
 
 pub use gauges::gauges;
 pub use requests::RequestMetrics;
+pub(crate) use streams::Pace;
+pub use streams::StreamMetrics;
+pub(crate) use thread_time::{resident_bytes, thread_time};
--- a/src/capacity/thread_time.rs
+++ b/src/metrics/thread_time.rs
@@ -1,4 +1,4 @@
-//! Processor time of threads.
+//! What the operating system says of this process.
 
 use std::path::Path;
 use std::time::Duration;
@@ -6,6 +6,18 @@
 /// Directory of the threads of this process (proc(5)).
 const THREADS: &str = "/proc/self/task";
 
+/// Status of this process.
+const STATUS: &str = "/proc/self/status";
+
+/// Memory of this process that is in use, in bytes; 0 where the system does not
+/// say.
+pub(crate) fn resident_bytes() -> u64 {
+    let text = std::fs::read_to_string(STATUS).unwrap_or_default();
+    let line = text.lines().find_map(|it| it.strip_prefix("VmRSS:"));
+    let kib = line.and_then(|it| it.trim().trim_end_matches(" kB").parse::<u64>().ok());
+    kib.unwrap_or(0) * 1_024
+}
+
 /// Processor time that the threads of this process with `name` have taken; other
 /// processes on the machine do not add to it.
 pub(crate) fn thread_time(name: &str) -> Duration {
--- a/tests/it/metrics.rs
+++ b/tests/it/metrics.rs
@@ -51,11 +51,55 @@
     }
 }
 
+#[test]
+fn metrics_page_tells_what_to_do() {
+    let rows = METRICS_PAGE.lines().filter(|it| it.starts_with("| `"));
+    for row in rows {
+        let last = row.trim_end_matches('|').rsplit('|').next().unwrap();
+        assert!(last.trim().len() > 10, "{row}");
+    }
+}
+
+#[tokio::test]
+async fn control_seconds_and_memory_told() {
+    let fleet = fleet().await;
+    let value = |text: &str, name: &str| -> f64 {
+        let line = text.lines().find_map(|it| it.strip_prefix(name));
+        line.unwrap().trim().parse().unwrap()
+    };
+    let text = scrape(&fleet).await;
+    assert!(value(&text, "filberttiller_control_seconds_total ") > 0.0);
+    assert!(value(&text, "filberttiller_memory_bytes ") > 1e6);
+}
+
+#[tokio::test]
+async fn first_token_and_gaps_counted() {
+    let fleet = fleet().await;
+    let messages = [json!({ "role": "user", "content": "which reeds" })];
+    let mut caller = Caller::new(&fleet.http, "dalisay", "c1");
+    let ask = Ask { messages: &messages, tokens: 6, stream: true };
+    caller.ask(fleet.routers[0].address(), &ask).await.unwrap();
+    let text = scrape(&fleet).await;
+    let count = |name: &str| {
+        let line =
+            text.lines().find_map(|it| it.strip_prefix(&format!("filberttiller_{name}_count ")));
+        line.unwrap().parse::<u64>().unwrap()
+    };
+    assert_eq!(count("first_token_seconds"), 1);
+    assert!((5..8).contains(&count("token_gap_seconds")), "{}", count("token_gap_seconds"));
+}
+
 #[tokio::test]
 async fn metrics_page_rules_use_known_names() {
+    let fleet = fleet().await;
+    ask(&fleet).await;
+    let families = families(&scrape(&fleet).await);
+    let histograms = families.iter().filter(|it| it.1 == "histogram");
+    let buckets: Vec<_> = histograms.map(|it| format!("{}_bucket", it.0)).collect();
     let rules = METRICS_PAGE.split("## Alert rules").nth(1).unwrap();
     let rows = METRICS_PAGE.lines().filter_map(|it| it.strip_prefix("| `"));
-    let known: BTreeSet<&str> = rows.filter_map(|it| it.split('`').next()).collect();
+    let known = rows.filter_map(|it| it.split('`').next());
+    let known: BTreeSet<&str> = known.chain(buckets.iter().map(String::as_str)).collect();
     let word = |it: char| !it.is_ascii_lowercase() && it != '_';
     let used: BTreeSet<&str> =
         rules.split(word).filter_map(|it| it.strip_prefix("filberttiller_")).collect();
