--- a/src/capacity/table.rs
+++ b/src/capacity/table.rs
@@ -123,6 +123,13 @@
     Figure { role, what, value, unit, target: None, slopes, carrier }
 }
 
+/// Makes figures of one role, from what, value, unit, slopes and carrier.
+fn rows(
+    role: Role,
+) -> impl Fn(&'static str, f64, &'static str, &'static str, &'static str) -> Figure {
+    move |what, value, unit, slopes, carrier| figure(role, what, (value, unit), slopes, carrier)
+}
+
 fn at_most(figure: Figure, most: f64) -> Figure {
     Figure { target: Some(Target { most }), ..figure }
 }
@@ -198,9 +205,7 @@
     let row = |what, value, slopes, carrier| {
         figure(Role::Control, what, (value, "% of a core"), slopes, carrier)
     };
-    let count = |what, value, unit, slopes, carrier| {
-        figure(Role::Control, what, (value, unit), slopes, carrier)
-    };
+    let count = rows(Role::Control);
     vec![
         count(
             "messages: exchanges begun, at most",
@@ -229,9 +234,7 @@
     let list = slopes.wire("list_instances", sizes.instances()) / upkeep.list_every.as_secs_f64();
     let tail = call / upkeep.log_wait.as_secs_f64()
         + slopes.wire_each("log_tickets") * sizes.tickets / DAY_S;
-    let row = |what, value, unit, slopes, carrier| {
-        figure(Role::Bytes, what, (value, unit), slopes, carrier)
-    };
+    let row = rows(Role::Bytes);
     let total = gossip + loads + list + tail;
     vec![
         row("wanted: exchanges", gossip, "B/s", "message_loads", "one begun and one taken a pause"),
@@ -258,9 +261,7 @@
     let each = slopes.more_bytes("open_streams", 1.0) - slopes.more_bytes("engine_streams", 1.0);
     let limit = Limits::default().connections as f64;
     let connections = slopes.more_bytes("open_connections", limit) / 1e6;
-    let row = |what, value, unit, slopes, carrier| {
-        figure(Role::Traffic, what, (value, unit), slopes, carrier)
-    };
+    let row = rows(Role::Traffic);
     vec![
         row("streams open", streams, "at once", "exact", "connections"),
         row(
@@ -289,9 +290,7 @@
     let span = EVENTS_KEPT / events;
     let tokens = sizes.tokens / sizes.routers;
     let relay = slopes.more_micros("relay_tokens", tokens) / 1e4;
-    let row = |what, value, unit, slopes, carrier| {
-        figure(Role::Traffic, what, (value, unit), slopes, carrier)
-    };
+    let row = rows(Role::Traffic);
     vec![
         row("messages: requests", requests, "a second", "exact", "rendezvous of callers"),
         row("messages: tokens passed on", tokens, "a second", "exact", "streams"),
@@ -306,9 +305,7 @@
 fn log(slopes: &Slopes, sizes: &Sizes, upkeep: &Control) -> Vec<Figure> {
     let ticket = slopes.wire_each("log_tickets");
     let reads = TAILERS * (1.0 / upkeep.log_wait.as_secs_f64() + sizes.tickets / DAY_S);
-    let row = |what, value, unit, slopes, carrier| {
-        figure(Role::Log, what, (value, unit), slopes, carrier)
-    };
+    let row = rows(Role::Log);
     vec![
         at_most(
             row("appends of tickets", sizes.tickets / DAY_S, "a second", "exact", "operators only"),
@@ -327,9 +324,7 @@
 
 fn operator(slopes: &Slopes, sizes: &Sizes) -> Vec<Figure> {
     let state = slopes.wire("snapshot_objects", sizes.objects()) / 1e6;
-    let row = |what, value, unit, slopes, carrier| {
-        figure(Role::Operator, what, (value, unit), slopes, carrier)
-    };
+    let row = rows(Role::Operator);
     vec![
         row("state of one router", state, "MB", "snapshot_objects", "one answer"),
         row(
--- a/src/once/appender.rs
+++ b/src/once/appender.rs
@@ -12,7 +12,7 @@
 use crate::decide::once::Claim;
 use crate::events::{Code, EventLog, Fields};
 use crate::fleet::ViewCell;
-use crate::once::tail::CLAIM_DEBT;
+use crate::once::tail::{CLAIM_DEBT, CLAIM_PACE};
 use crate::once::{CLAIM_STREAM, OnceDesk};
 use crate::wire::WireClaims;
 
@@ -63,7 +63,7 @@
         desk.waiting.notified().await;
         loop {
             sleep(pause(&desk, view.peek().routers.len())).await;
-            log.afford(CLAIM_DEBT).await;
+            log.afford_within(CLAIM_DEBT, CLAIM_PACE).await;
             let Ok(permit) = Arc::clone(&room).acquire_owned().await else {
                 return;
             };
