--- a/src/controllers/publisher.rs
+++ b/src/controllers/publisher.rs
@@ -1,6 +1,6 @@
 //! The actor that owns the state and publishes the view.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Instant, UNIX_EPOCH};
@@ -80,6 +80,8 @@
     pub(super) eager: bool,
     /// Peers to which new records are still to be passed on.
     pub(super) branches: Vec<String>,
+    /// Peers that had spent their budget and are left alone for now.
+    pub(super) busy: HashSet<String>,
     /// Peers to which fresh leaving marks are still to be passed on.
     pub(super) mark_branches: Vec<String>,
     /// Offset of the first of the records folded last.
@@ -122,6 +124,7 @@
             eager: false,
             branches: Vec::new(),
             mark_branches: Vec::new(),
+            busy: HashSet::new(),
             fresh_from: 0,
             pull: None,
             bulk: None,
--- a/src/controllers/retry.rs
+++ b/src/controllers/retry.rs
@@ -1,4 +1,5 @@
-//! Urgent news for peers that had spent their budget.
+//! Peers that had spent their budget: they are left alone until they have paid, and
+//! urgent news is told to them then.
 
 use std::time::Duration;
 
@@ -8,19 +9,30 @@
 use crate::controllers::Publisher;
 use crate::controllers::messages::Retry;
 
-/// Pause before a peer that turned this router away is told again.
-const BUSY_PAUSE: Duration = Duration::from_millis(500);
+/// Shortest and longest time for which such a peer is left alone.
+const MIN_PAUSE: Duration = Duration::from_millis(100);
+const MAX_PAUSE: Duration = Duration::from_secs(5);
 
 impl Publisher {
-    /// Tells urgent news again to a peer that had spent its budget.
-    pub(super) fn retry_soon(&self, peer: &str, ctx: &mut Context<Self>) {
+    /// Leaves `peer` alone for the time that it told, in milliseconds.
+    pub(super) fn spare(&mut self, peer: &str, told: &str, ctx: &mut Context<Self>) {
+        let told = told.parse().map_or(MIN_PAUSE, Duration::from_millis);
+        let pause = told.clamp(MIN_PAUSE, MAX_PAUSE);
+        if !self.busy.insert(peer.to_owned()) {
+            return;
+        }
         let own = ctx.mailbox().address();
         let retry = Retry { peer: peer.to_owned() };
         tokio::spawn(async move {
-            sleep(BUSY_PAUSE).await;
+            sleep(pause).await;
             let _ = own.send(retry).await;
         });
     }
+
+    /// Whether `peer` is to be left alone for now.
+    pub(super) fn is_busy(&self, peer: &str) -> bool {
+        self.busy.contains(peer)
+    }
 }
 
 impl Handler<Retry> for Publisher {
@@ -28,6 +40,7 @@
 
     async fn handle(&mut self, message: Retry, _: &mut Context<Self>) {
         let Retry { peer } = message;
+        self.busy.remove(&peer);
         if !self.branches.contains(&peer) {
             self.branches.push(peer.clone());
         }
--- a/src/controllers/round.rs
+++ b/src/controllers/round.rs
@@ -31,7 +31,7 @@
 /// One in this many messages without news repeats such a row.
 const HOLD_TURNS: u32 = 4;
 /// Bytes that regular exchanges leave for urgent ones.
-pub(super) const SPARE: f64 = 800.0;
+pub(super) const SPARE: f64 = 400.0;
 /// Status with which a router turns peers away that its budget cannot pay for.
 const BUSY: u16 = 429;
 /// Times that a crash report is passed on.
@@ -211,7 +211,7 @@
         while let Some(peer) = self.branches.pop() {
             let known = self.peers.get(&peer).is_some_and(|it| *it >= self.state.next);
             let addr = self.contacts().0.get(&peer).copied();
-            if let Some(addr) = addr.filter(|_| !known) {
+            if let Some(addr) = addr.filter(|_| !known && !self.is_busy(&peer)) {
                 let mut message = self.compose(&peer, true);
                 let told = self.peers.get(&peer).copied().unwrap_or(0);
                 self.add_records(&mut message, self.fresh_from.max(told));
@@ -313,6 +313,9 @@
         self.eager &= !due;
         self.pushes = self.pushes.saturating_sub(1);
         let (peer, addr) = if due { self.turn(self.slot())? } else { self.pick()? };
+        if self.is_busy(&peer) {
+            return None;
+        }
         let mut round = Round { message: self.compose(&peer, true), peer, addr, pull: false };
         if due {
             self.fill(&mut round.message);
@@ -340,9 +343,9 @@
             Ok(reply) => {
                 self.record(Code::PeerRefused, &peer, &format!("version {}", reply.version));
             }
-            Err(PlatformError::Status { status: BUSY, .. }) => {
+            Err(PlatformError::Status { status: BUSY, body }) => {
                 self.members.succeeded(&peer);
-                self.retry_soon(&peer, ctx);
+                self.spare(&peer, &body, ctx);
             }
             Err(e) => {
                 self.peers.remove(&peer);
--- a/src/controllers/ticket_tail.rs
+++ b/src/controllers/ticket_tail.rs
@@ -22,6 +22,9 @@
 pub const SNAPSHOT_STREAM: &str = "snapshots";
 /// Pause between two looks whether this router should follow the log.
 const PLAN_EVERY: Duration = Duration::from_millis(500);
+/// Debt in bytes up to which the stream is read, so that a read is under way
+/// nearly always; a large page is paid first.
+const READ_DEBT: f64 = -2_048.0;
 /// Pause after news, times the place among the followers: when many records come
 /// at once, the later ones read in one answer what the first one pays for by and by.
 const STAGGER: Duration = Duration::from_millis(500);
@@ -75,7 +78,7 @@
                 sleep(PLAN_EVERY).await;
                 continue;
             }
-            self.log.afford(0.0).await;
+            self.log.afford(READ_DEBT).await;
             let pause = match self.step(&plan).await {
                 Ok(true) => Duration::ZERO,
                 Ok(false) => self.upkeep.retry_every,
--- a/tests/it/spread.rs
+++ b/tests/it/spread.rs
@@ -135,6 +135,7 @@
         marks: Vec::new(),
         board: None,
         mark_set: None,
+        board: None,
         base: None,
         records: Vec::new(),
         want: None,
