Take shares and rows of the capacity table from the code that uses them

Cause: the table had its own copy of the budget's shares (45, 20, 20 percent), which the budget no longer has (40, 15, 27); and the probe of messages used equal reports, which shrink more than true ones when packed (12 B a row against 26).

--- a/src/capacity/samples.rs
+++ b/src/capacity/samples.rs
@@ -12,7 +12,8 @@
 use crate::capacity::probe::Taking;
 use crate::clock::{SharedClock, SystemClock};
 use crate::controllers::{
-    Exchange, Flush, Folded, Listed, NextRound, Parts, Publisher, Reported, Targets, TicketRecord,
+    Exchange, Flush, Folded, LOADS, Listed, NextRound, Parts, Publisher, Reported, Targets,
+    TicketRecord,
 };
 use crate::decide::{
     ChatTable, Engine, EntryQuery, EntryRouter, PlaceQuery, entry_order, hash_bytes, place,
@@ -30,8 +31,6 @@
 const CALLS: u32 = 200;
 /// Calls of one timed loop of a slow call.
 const RARE_CALLS: u32 = 10;
-/// New loads in one received exchange; a message holds as many.
-const NEW_LOADS: usize = 8;
 /// Routers of the target size.
 const TARGET_ROUTERS: usize = 400;
 /// Control bytes a second that stop nothing.
@@ -217,7 +216,7 @@
         let address = publisher(size, 4, 10).await;
         let _ = address.send(NextRound { due: true }).await;
         for i in 0..size {
-            let report = report(40_000);
+            let report = report(i, 0);
             let _ = address.send(Reported { name: format!("engine-{i}"), report }).await;
         }
         let round = address.send(NextRound { due: true }).await.ok().flatten();
@@ -251,8 +250,8 @@
 
 /// A message of another router with loads that nobody knows yet.
 async fn message(sender: &Address<Publisher>, call: u64) -> Option<Gossip> {
-    for i in 0..NEW_LOADS {
-        let report = report(40_000 + call);
+    for i in 0..LOADS {
+        let report = report(i, call);
         let _ = sender.send(Reported { name: format!("engine-{i}"), report }).await;
     }
     let mut message = sender.send(NextRound { due: true }).await.ok()??.message;
@@ -260,13 +259,15 @@
     Some(message)
 }
 
-/// What an engine under load reports.
-fn report(tokens: u64) -> LoadReport {
+/// What an engine under load reports at one of several calls; engines differ, so
+/// that messages do not shrink more than true ones.
+fn report(engine: usize, call: u64) -> LoadReport {
+    let noise = hash_bytes(&engine.to_le_bytes());
     LoadReport {
-        incarnation: 1_700_000_000_000,
-        tokens,
-        running: 16,
-        queued: 4,
+        incarnation: 1_700_000_000_000 + noise % 1_000_000_000,
+        tokens: 20_000 + noise % 40_000 + call,
+        running: 8 + noise % 9,
+        queued: noise % 5,
         slots: 16,
         ..LoadReport::default()
     }
--- a/src/capacity/table.rs
+++ b/src/capacity/table.rs
@@ -4,6 +4,8 @@
 
 use crate::capacity::role::Role;
 use crate::capacity::{Sizes, Slopes};
+use crate::controllers::LOADS;
+use crate::fleet::Purpose;
 use crate::settings::{Control, Limits};
 
 /// Most processor time for control, in percent of a core.
@@ -18,12 +20,8 @@
 const EVENTS_A_REQUEST: f64 = 4.0;
 /// Events that a router keeps.
 const EVENTS_KEPT: f64 = 16_384.0;
-/// Shares of the control budget.
-const GOSSIP_SHARE: f64 = 0.45;
-const LIST_SHARE: f64 = 0.2;
-const LOAD_SHARE: f64 = 0.2;
 /// Load rows in one message at most.
-const ROWS: f64 = 8.0;
+const ROWS: f64 = LOADS as f64;
 /// Routers that follow the log.
 const TAILERS: f64 = 3.0;
 /// Seconds of a day.
@@ -175,13 +173,13 @@
     let exchange = 2.0 * slopes.wire("message_loads", ROWS) + call;
     let asked = (sizes.workers / sizes.routers).max(1.0);
     let list = slopes.wire("list_instances", sizes.instances());
-    let pays = |share: f64| CONTROL_BYTES * share;
+    let pays = |purpose: Purpose| CONTROL_BYTES * purpose.share();
     Pace {
         exchange,
-        exchanges: pays(GOSSIP_SHARE) / exchange,
+        exchanges: pays(Purpose::Gossip) / exchange,
         asked,
-        load_pause: upkeep.load_every.as_secs_f64().max(asked * call / pays(LOAD_SHARE)),
-        list_pause: upkeep.list_every.as_secs_f64().max(list / pays(LIST_SHARE)),
+        load_pause: upkeep.load_every.as_secs_f64().max(asked * call / pays(Purpose::Load)),
+        list_pause: upkeep.list_every.as_secs_f64().max(list / pays(Purpose::List)),
     }
 }
 
@@ -212,7 +210,7 @@
             pace.exchanges,
             "a second",
             "message_loads",
-            "gossip, 45% of the budget",
+            "gossip, its share of the budget",
         ),
         count("age of a load, at least", age, "s", "message_loads", "gossip, 8 rows a message"),
         row("time: publishing", publish, "publish_*", "view rebuilt after each exchange"),
@@ -245,13 +243,19 @@
             row("wanted, sum; the budget stretches the pauses", total, "B/s", "above", "budget"),
             CONTROL_BYTES,
         ),
-        row("pause between loads, stretched", pace.load_pause, "s", "poll_engines", "budget, 20%"),
+        row(
+            "pause between loads, stretched",
+            pace.load_pause,
+            "s",
+            "poll_engines",
+            "share of the budget",
+        ),
         row(
             "pause between lists, stretched",
             pace.list_pause,
             "s",
             "list_instances",
-            "budget, 20%",
+            "share of the budget",
         ),
     ]
 }
--- a/src/controllers/mod.rs
+++ b/src/controllers/mod.rs
@@ -29,4 +29,5 @@
 pub use order_plan::{OrderPlan, OrderQuery, Planned};
 pub use orders::{ORDER_STREAM, OrderGiver, OrderParts};
 pub use publisher::{Parts, Publisher};
+pub(crate) use round::LOADS;
 pub use ticket_tail::{SNAPSHOT_STREAM, TICKET_STREAM, Tail};
--- a/src/controllers/round.rs
+++ b/src/controllers/round.rs
@@ -25,7 +25,7 @@
 /// Crash reports in one message.
 const CRASHES: usize = 8;
 /// Load rows in one message.
-const LOADS: usize = 8;
+pub(crate) const LOADS: usize = 8;
 /// Rows about what engines hold in one message.
 const HOLDS: usize = 4;
 /// One in this many messages without news repeats such a row.
--- a/src/fleet/budget.rs
+++ b/src/fleet/budget.rs
@@ -28,6 +28,11 @@
     pub const ALL: [Purpose; Purpose::COUNT] =
         [Purpose::Gossip, Purpose::Log, Purpose::Claims, Purpose::List, Purpose::Load];
 
+    /// Part of the whole budget that is kept for it.
+    pub fn share(self) -> f64 {
+        SHARES[self as usize] / 100.0
+    }
+
     /// Whether the reserve helps to pay.
     fn has_reserve(self) -> bool {
         matches!(self, Purpose::Gossip | Purpose::Log | Purpose::Claims)
--- a/tests/it/spread.rs
+++ b/tests/it/spread.rs
@@ -135,7 +135,6 @@
         marks: Vec::new(),
         board: None,
         mark_set: None,
-        board: None,
         base: None,
         records: Vec::new(),
         want: None,
