--- a/src/controllers/marks.rs
+++ b/src/controllers/marks.rs
@@ -18,6 +18,8 @@
 
 /// Marks told by name in one message.
 const NAMED: usize = 4;
+/// Marks repeated in one message to a peer that holds others.
+const REPEATED: usize = 4;
 /// Marks told by name in one message when their names are not on the list.
 const UNLISTED: usize = 16;
 
@@ -29,22 +31,22 @@
         let listed = |name: &str| names.contains(name);
         let marks = &self.parts.marks;
         if marks.fresh_count(now, listed) <= NAMED {
-            let found = marks.fresh(UNLISTED, now);
+            let found = marks.fresh(UNLISTED, now, |_| true);
             message.marks = found.into_iter().map(WireMark::from).collect();
             return;
         }
-        message.mark_set = mark_set(&names, &marks.fresh_of(usize::MAX, now, listed));
-        let others = marks.fresh_of(UNLISTED, now, |it| !listed(it));
+        message.mark_set = mark_set(&names, &marks.fresh(usize::MAX, now, listed));
+        let others = marks.fresh(UNLISTED, now, |it| !listed(it));
         message.marks = others.into_iter().map(WireMark::from).collect();
     }
 
     /// Repeats marks in turn while a peer holds others: the messages that first
-    /// told them may all have been lost, or have been about another list.
+    /// told them may all have been lost.
     pub(super) fn repeat_marks(&mut self, message: &mut Gossip) {
         if !self.marks_differ || message.has_marks() {
             return;
         }
-        let marks = self.parts.marks.repeat(&self.repeated, NAMED, self.now());
+        let marks = self.parts.marks.repeat(&self.repeated, REPEATED, self.now());
         if let Some(last) = marks.last() {
             self.repeated = last.name.clone();
         }
--- a/src/controllers/round.rs
+++ b/src/controllers/round.rs
@@ -13,8 +13,8 @@
 use crate::controllers::ticket_tail::read_text;
 use crate::decide::hash_bytes;
 use crate::events::Code;
-use crate::fleet::{Crash, Purpose};
-use crate::wire::{GOSSIP_VERSION, Gossip, MemberStatus, WireMember};
+use crate::fleet::{CrashReport, Purpose};
+use crate::wire::{GOSSIP_VERSION, Gossip, MemberStatus, WireCrash, WireMember};
 
 /// Bytes of compressed records that go along unasked; more is announced and fetched.
 const INLINE_BYTES: usize = 1_536;
@@ -26,6 +26,10 @@
 const CRASHES: usize = 8;
 /// Load rows in one message.
 const LOADS: usize = 8;
+/// Rows about what engines hold in one message.
+const HOLDS: usize = 4;
+/// One in this many messages without news repeats such a row.
+const HOLD_TURNS: u32 = 4;
 /// Bytes that regular exchanges leave for urgent ones.
 pub(super) const SPARE: f64 = 400.0;
 /// Status with which a router turns peers away that its budget cannot pay for.
@@ -48,8 +52,8 @@
             chain: self.state.chain,
             log_age,
             marks: Vec::new(),
-            mark_set: None,
             board: Some(self.parts.marks.digest(now)),
+            mark_set: None,
             base: None,
             records: Vec::new(),
             want: None,
@@ -58,6 +62,7 @@
             crashes: self.crash_rows(),
             lines: Vec::new(),
             loads: Vec::new(),
+            holds: Vec::new(),
         };
         if marks {
             self.add_marks(&mut message);
@@ -68,7 +73,14 @@
     /// Adds what can wait, while there is something left of the budget.
     fn fill(&mut self, message: &mut Gossip) {
         if self.parts.budget.balance(Purpose::Gossip) > 0.0 {
+            if message.crashes.is_empty() {
+                message.crashes.extend(self.repeated_crash());
+            }
             message.lines = self.roster.fresh(LINE_BYTES);
+            message.holds = self.holds.fresh(HOLDS);
+            if message.holds.is_empty() && self.rng.random_ratio(1, HOLD_TURNS) {
+                message.holds.extend(self.holds.repeat());
+            }
             message.loads = self.loads.fresh(LOADS);
             if message.loads.len() < LOADS {
                 message.loads.extend(self.loads.repeat());
@@ -88,20 +100,30 @@
         self.history.chain_before(records.first()?.0)
     }
 
-    fn crash_rows(&mut self) -> Vec<(u64, u64, u64)> {
-        let new = self.parts.crashes.since(self.crash_cursor);
-        self.crash_cursor += new.len();
+    fn crash_rows(&mut self) -> Vec<WireCrash> {
+        let now = self.now();
+        let (new, next) = self.parts.crashes.since(self.crash_cursor);
+        self.crash_cursor = next;
         self.crashes.extend(new.into_iter().map(|it| (it, CRASH_SENDS)));
         self.crashes.sort_by_key(|it| std::cmp::Reverse(it.1));
         let rows = self.crashes.iter_mut().take(CRASHES).map(|(it, sends)| {
             *sends -= 1;
-            (it.fingerprint, it.server, it.incarnation)
+            it.to_wire(now)
         });
         let rows = rows.collect();
         self.crashes.retain(|it| it.1 > 0);
         rows
     }
 
+    /// One report in turn, for routers that came later or were cut off.
+    fn repeated_crash(&mut self) -> Option<WireCrash> {
+        let now = self.now();
+        let all = self.parts.crashes.current(now);
+        self.crash_turn = self.crash_turn.wrapping_add(1);
+        let index = self.crash_turn.checked_rem(all.len())?;
+        Some(all[index].to_wire(now))
+    }
+
     /// Takes in what a peer tells.
     fn absorb(&mut self, message: Gossip) {
         let now = self.now();
@@ -126,12 +148,15 @@
                 changed = true;
             }
         }
-        for (fingerprint, server, incarnation) in message.crashes {
-            self.parts.crashes.insert(Crash { fingerprint, server, incarnation });
+        for it in &message.crashes {
+            self.parts.crashes.insert(CrashReport::from_wire(it, now), now);
         }
         for it in &message.loads {
             changed |= self.loads.learn(it);
         }
+        for it in &message.holds {
+            changed |= self.holds.learn(it);
+        }
         let from = self.state.next;
         self.take_records(&peer, message.base, message.records);
         if let Some(age) = message.log_age {
--- a/src/wire/gossip.rs
+++ b/src/wire/gossip.rs
@@ -105,6 +105,33 @@
         pub [u64; 4],
     );
 
+    /// What an engine holds.
+    pub struct WireHold(
+        /// Hash of its name.
+        pub u64,
+        /// Counts the changes.
+        pub u64,
+        /// Incarnation.
+        pub u64,
+        /// Hashes of the names by which requests ask for what it holds.
+        pub Vec<u64>,
+    );
+
+    /// A crash report.
+    #[derive(Copy)]
+    pub struct WireCrash(
+        /// Fingerprint of the request.
+        pub u64,
+        /// Hash of the backend server's name.
+        pub u64,
+        /// Incarnation that died.
+        pub u64,
+        /// Number of the ticket that had lifted the suspicion before; 0 for none.
+        pub u64,
+        /// Time since it died, in milliseconds.
+        pub u64,
+    );
+
     /// Asks for what the sender lacks.
     #[derive(Copy)]
     pub struct Want {
@@ -158,12 +185,12 @@
         /// Leaving marks.
         #[serde(rename = "k", default, skip_serializing_if = "Vec::is_empty")]
         pub marks: Vec<WireMark>,
-        /// Leaving marks, when they are many.
-        #[serde(rename = "ks", default, skip_serializing_if = "Option::is_none")]
-        pub mark_set: Option<WireMarkSet>,
         /// Digest of all leaving marks that the sender holds.
         #[serde(rename = "kd", default, skip_serializing_if = "Option::is_none")]
         pub board: Option<u64>,
+        /// Leaving marks, when they are many.
+        #[serde(rename = "ks", default, skip_serializing_if = "Option::is_none")]
+        pub mark_set: Option<WireMarkSet>,
         /// Records of the ticket stream by offset.
         #[serde(rename = "r", default, skip_serializing_if = "Vec::is_empty")]
         pub records: Vec<(u64, String)>,
@@ -179,15 +206,18 @@
         /// Routers.
         #[serde(rename = "m", default, skip_serializing_if = "Vec::is_empty")]
         pub members: Vec<WireMember>,
-        /// Crashes: fingerprint, server, incarnation.
-        #[serde(rename = "x", default, skip_serializing_if = "Vec::is_empty")]
-        pub crashes: Vec<(u64, u64, u64)>,
+        /// Crashes.
+        #[serde(rename = "y", default, skip_serializing_if = "Vec::is_empty")]
+        pub crashes: Vec<WireCrash>,
         /// Lines of the instance list.
         #[serde(rename = "l", default, skip_serializing_if = "Vec::is_empty")]
         pub lines: Vec<WireLine>,
         /// Loads of engines.
         #[serde(rename = "e", default, skip_serializing_if = "Vec::is_empty")]
         pub loads: Vec<WireLoad>,
+        /// What engines hold.
+        #[serde(rename = "g", default, skip_serializing_if = "Vec::is_empty")]
+        pub holds: Vec<WireHold>,
     }
 }
 
