Tell again only what was urgent

Change: a peer is told again only what carried records or leaving marks; a branch with no records to tell is left out.

--- a/src/controllers/gossip.rs
+++ b/src/controllers/gossip.rs
@@ -53,7 +53,8 @@
             let publisher = publisher.clone();
             open.spawn(async move {
                 let reply = routers.gossip(round.addr, &round.message).await;
-                let answered = Answered { peer: round.peer, pull: round.pull, reply };
+                let urgent = round.message.has_marks() || !round.message.records.is_empty();
+                let answered = Answered { peer: round.peer, pull: round.pull, urgent, reply };
                 let _ = publisher.send(answered).await;
             });
         }
--- a/src/controllers/messages.rs
+++ b/src/controllers/messages.rs
@@ -106,15 +106,19 @@
     pub peer: String,
     /// Whether it was to fetch what this router lacks.
     pub pull: bool,
+    /// Whether it carried records or leaving marks.
+    pub urgent: bool,
     /// The reply.
     pub reply: Result<Gossip, PlatformError>,
 }
 
-/// Urgent news is to be told again to a peer that turned it away.
+/// A peer that turned this router away is no longer left alone.
 #[derive(Debug)]
 pub struct Retry {
     /// Name of the peer.
     pub peer: String,
+    /// Whether urgent news is to be told again.
+    pub urgent: bool,
 }
 
 /// An exchange that a peer began; answered with the reply.
--- a/src/controllers/retry.rs
+++ b/src/controllers/retry.rs
@@ -14,15 +14,17 @@
 const MAX_PAUSE: Duration = Duration::from_secs(5);
 
 impl Publisher {
-    /// Leaves `peer` alone for the time that it told, in milliseconds.
-    pub(super) fn spare(&mut self, peer: &str, told: &str, ctx: &mut Context<Self>) {
+    /// Leaves `peer` alone for the time that it told, in milliseconds; what was
+    /// `urgent` is told again then.
+    pub(super) fn spare(&mut self, peer: &str, told: &str, urgent: bool, ctx: &mut Context<Self>) {
         let told = told.parse().map_or(MIN_PAUSE, Duration::from_millis);
         let pause = told.clamp(MIN_PAUSE, MAX_PAUSE);
-        if !self.busy.insert(peer.to_owned()) {
+        let first = self.busy.insert(peer.to_owned());
+        if !first && !urgent {
             return;
         }
         let own = ctx.mailbox().address();
-        let retry = Retry { peer: peer.to_owned() };
+        let retry = Retry { peer: peer.to_owned(), urgent };
         tokio::spawn(async move {
             sleep(pause).await;
             let _ = own.send(retry).await;
@@ -39,8 +41,11 @@
     type Return = ();
 
     async fn handle(&mut self, message: Retry, _: &mut Context<Self>) {
-        let Retry { peer } = message;
+        let Retry { peer, urgent } = message;
         self.busy.remove(&peer);
+        if !urgent {
+            return;
+        }
         if !self.branches.contains(&peer) {
             self.branches.push(peer.clone());
         }
--- a/src/controllers/round.rs
+++ b/src/controllers/round.rs
@@ -215,7 +215,9 @@
                 let mut message = self.compose(&peer, true);
                 let told = self.peers.get(&peer).copied().unwrap_or(0);
                 self.add_records(&mut message, self.fresh_from.max(told));
-                return Some(Round { peer, addr, message, pull: false });
+                if !message.records.is_empty() {
+                    return Some(Round { peer, addr, message, pull: false });
+                }
             }
         }
         None
@@ -328,7 +330,7 @@
     type Return = ();
 
     async fn handle(&mut self, message: Answered, ctx: &mut Context<Self>) {
-        let Answered { peer, pull, reply } = message;
+        let Answered { peer, pull, urgent, reply } = message;
         let mut served = false;
         match reply {
             Ok(mut reply) if reply.version == GOSSIP_VERSION => {
@@ -345,7 +347,7 @@
             }
             Err(PlatformError::Status { status: BUSY, body }) => {
                 self.members.succeeded(&peer);
-                self.spare(&peer, &body, ctx);
+                self.spare(&peer, &body, urgent, ctx);
             }
             Err(e) => {
                 self.peers.remove(&peer);
