--- a/src/capacity/table.rs
+++ b/src/capacity/table.rs
@@ -181,7 +181,8 @@
         exchanges: pays(Purpose::Gossip) / exchange,
         asked,
         load_pause: upkeep.load_every.as_secs_f64().max(asked * call / pays(Purpose::Load)),
-        list_pause: upkeep.list_every.as_secs_f64().max(list / pays(Purpose::List)),
+        list_pause: (upkeep.list_every.as_secs_f64() * sizes.routers)
+            .max(list / pays(Purpose::List)),
     }
 }
 
@@ -231,7 +232,8 @@
     let call = slopes.wire_each("poll_engines");
     let gossip = 2.0 * pace.exchange / upkeep.gossip_every.as_secs_f64();
     let loads = pace.asked * call / upkeep.load_every.as_secs_f64();
-    let list = slopes.wire("list_instances", sizes.instances()) / upkeep.list_every.as_secs_f64();
+    let turn = upkeep.list_every.as_secs_f64() * sizes.routers;
+    let list = slopes.wire("list_instances", sizes.instances()) / turn;
     let tail = call / upkeep.log_wait.as_secs_f64()
         + slopes.wire_each("log_tickets") * sizes.tickets / DAY_S;
     let row = rows(Role::Bytes);
@@ -239,7 +241,7 @@
     vec![
         row("wanted: exchanges", gossip, "B/s", "message_loads", "one begun and one taken a pause"),
         row("wanted: loads", loads, "B/s", "poll_engines", "each engine asked by one router"),
-        row("wanted: instance list", list, "B/s", "list_instances", "whole list at each look"),
+        row("wanted: instance list", list, "B/s", "list_instances", "whole list, by turns"),
         row("wanted: ticket stream", tail, "B/s", "log_tickets", "3 routers follow the log"),
         at_most(
             row("wanted, sum; the budget stretches the pauses", total, "B/s", "above", "budget"),
@@ -257,7 +259,7 @@
             pace.list_pause,
             "s",
             "list_instances",
-            "share of the budget",
+            "turns; share of the budget",
         ),
     ]
 }
--- a/src/controllers/list_watch.rs
+++ b/src/controllers/list_watch.rs
@@ -17,7 +17,7 @@
 use crate::fleet::ViewCell;
 
 /// Debt in bytes with which a router still takes its turn.
-const TURN_DEBT: f64 = -2_048.0;
+const TURN_DEBT: f64 = -1_024.0;
 
 /// Reader of the instance list.
 #[derive(Debug)]
--- a/src/controllers/marks.rs
+++ b/src/controllers/marks.rs
@@ -29,12 +29,12 @@
         let listed = |name: &str| names.contains(name);
         let marks = &self.parts.marks;
         if marks.fresh_count(now, listed) <= NAMED {
-            let found = marks.fresh(UNLISTED, now);
+            let found = marks.fresh(UNLISTED, now, |_| true);
             message.marks = found.into_iter().map(WireMark::from).collect();
             return;
         }
-        message.mark_set = mark_set(&names, &marks.fresh_of(usize::MAX, now, listed));
-        let others = marks.fresh_of(UNLISTED, now, |it| !listed(it));
+        message.mark_set = mark_set(&names, &marks.fresh(usize::MAX, now, listed));
+        let others = marks.fresh(UNLISTED, now, |it| !listed(it));
         message.marks = others.into_iter().map(WireMark::from).collect();
     }
 
@@ -44,7 +44,7 @@
         if !self.marks_differ || message.has_marks() {
             return;
         }
-        let marks = self.parts.marks.repeat(&self.repeated, NAMED, self.now());
+        let marks = self.parts.marks.repeat(&self.repeated, REPEATED, self.now());
         if let Some(last) = marks.last() {
             self.repeated = last.name.clone();
         }
--- a/src/fleet/mark_board.rs
+++ b/src/fleet/mark_board.rs
@@ -110,13 +110,8 @@
         marks.iter().filter(|(name, it)| it.is_fresh(now) && wanted(name)).count()
     }
 
-    /// Marks to pass on, the freshest first, at most `most`.
-    pub fn fresh(&self, most: usize, now: Instant) -> Vec<Mark> {
-        self.fresh_of(most, now, |_| true)
-    }
-
-    /// The same out of those whose name is `wanted`.
-    pub fn fresh_of(&self, most: usize, now: Instant, wanted: impl Fn(&str) -> bool) -> Vec<Mark> {
+    /// Marks to pass on whose name is `wanted`, the freshest first, at most `most`.
+    pub fn fresh(&self, most: usize, now: Instant, wanted: impl Fn(&str) -> bool) -> Vec<Mark> {
         let mut marks = self.marks.lock().unwrap();
         let mut fresh: Vec<(&String, &mut Kept)> =
             marks.iter_mut().filter(|(name, it)| it.is_fresh(now) && wanted(name)).collect();
