Tell no not_run under an old claim; stop real routers within calls

Cause: the search with time left out lost replies and refused runs; a paused owner and a gap in the claims were shown in the model only. Change: the search with time takes a lost reply and a refused run too (it contains all orders of the one before, which it replaces). It found a fault: an owner held up for longer than a key is good told not_run of its own try while the next owner ran the call. Such a try is told may_have_run now; the guard left out is found. A clock with a gate stops real routers.

--- a/src/decide/once/claims.rs
+++ b/src/decide/once/claims.rs
@@ -25,6 +25,12 @@
     }
 }
 
+/// Whether the owner of a claim made `age_ms` ago is the only one that may run
+/// calls under its key; beyond that, others may have forgotten the claim.
+pub fn stays_owner(age_ms: u64, good_ms: u64) -> bool {
+    age_ms <= good_ms
+}
+
 /// Who owns which key, by the claims read from the log in order.
 ///
 /// A claim wins if no other claim of the key was read for the length of the
--- a/src/decide/once/mod.rs
+++ b/src/decide/once/mod.rs
@@ -11,7 +11,7 @@
 mod op;
 mod route;
 
-pub use claims::{Claim, ClaimIndex, Held};
+pub use claims::{Claim, ClaimIndex, Held, stays_owner};
 pub use ledger::{Admit, Ended, Ledger, LedgerLimits};
 pub use op::{Op, Owner, Scope};
 pub use route::{Holder, Route, route};
--- a/src/demo/fleet.rs
+++ b/src/demo/fleet.rs
@@ -14,7 +14,7 @@
 use standins::service::ServiceStandin;
 use tokio::time::{Instant, sleep};
 
-use crate::clock::SystemClock;
+use crate::clock::{SharedClock, SystemClock};
 use crate::controllers::TICKET_STREAM;
 use crate::daemon::Daemon;
 use crate::demo::FleetOptions;
@@ -108,6 +108,14 @@
     /// # Errors
     /// Fails when an address cannot be bound.
     pub fn add_router(&mut self) -> Result<(), Report<DemoError>> {
+        self.add_router_by(Arc::new(SystemClock))
+    }
+
+    /// Starts one more router that goes by `clock`.
+    ///
+    /// # Errors
+    /// Fails when an address cannot be bound.
+    pub fn add_router_by(&mut self, clock: SharedClock) -> Result<(), Report<DemoError>> {
         let index = self.routers.len();
         let domain = DOMAINS[index % DOMAINS.len()];
         let settings = Settings {
@@ -117,7 +125,7 @@
             list: self.list.addr(),
             ..self.options.settings.clone()
         };
-        let router = Daemon::start(settings, Arc::new(SystemClock), discard_logger())
+        let router = Daemon::start(settings, clock, discard_logger())
             .change_context_lazy(|| DemoError::new(format!("cannot start router {index}")))?;
         let name = format!("entry-{index}");
         let it = entry(&name, router.address(), Role::Entry, "entry", domain);
--- a/src/filters/once.rs
+++ b/src/filters/once.rs
@@ -115,6 +115,10 @@
     if admit == Admit::Run {
         shared.events.record(Code::OnceRun, Fields { subject: &id, detail: &call.path });
         return match tokio::spawn(run(Arc::clone(shared), call, pool, plan, op.scope)).await {
+            Ok(Err(refusal)) if !shared.once.stays_owner(since, issued) => {
+                // Another router may have run the call under a later claim.
+                Err(Refusal { verdict: refusal.verdict.and(Verdict::MayHaveRun), ..refusal })
+            }
             Ok(result) => result.map(|it| reply(&it, &id)),
             Err(_) => Err(unknown("the run ended without an outcome")),
         };
--- a/src/once/desk.rs
+++ b/src/once/desk.rs
@@ -8,7 +8,7 @@
 
 use crate::clock::SharedClock;
 use crate::decide::once::{Admit, Claim, ClaimIndex, Ended, Held, Ledger, LedgerLimits, Op};
-use crate::decide::once::{Owner, Scope};
+use crate::decide::once::{Owner, Scope, stays_owner};
 use crate::keys::IssuedKey;
 use crate::once::KeptAnswer;
 use crate::settings::Once;
@@ -120,6 +120,12 @@
         }
     }
 
+    /// Whether this router is still the only owner of a key that it issued or
+    /// claimed at `since_ms`.
+    pub(crate) fn stays_owner(&self, since_ms: u64, issued: bool) -> bool {
+        issued || stays_owner(self.now_ms().saturating_sub(since_ms), self.good_ms())
+    }
+
     /// What is known about a call whose key is owned here.
     pub(crate) fn peek(&self, op: &Op) -> Option<Admit<Answer>> {
         self.state().ledger.peek(op)
--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -23,6 +23,7 @@
 mod once_storm;
 mod outlier;
 mod path;
+mod paused;
 mod reservation;
 mod settings;
 mod state;
--- a/tests/it/model/calls.rs
+++ b/tests/it/model/calls.rs
@@ -34,6 +34,7 @@
                             router: r,
                             send: i,
                             incarnation: me.incarnation,
+                            since,
                             until,
                             stage: Stage::Admitted,
                         };
--- a/tests/it/model/orders.rs
+++ b/tests/it/model/orders.rs
@@ -37,7 +37,7 @@
 #[rstest]
 #[case::own_key(ALL)]
 #[case::issued_key(Bounds { issued: true, sends: 3, ..ALL })]
-#[case::own_key_ageing(AGEING)]
+#[case::own_key_ageing(Bounds { losses: 1, refusals: 1, ..AGEING })]
 #[case::issued_key_ageing(Bounds { issued: true, ticks: 2, ..ALL })]
 fn every_order_is_safe(#[case] bounds: Bounds) {
     let report = report(bounds);
@@ -57,6 +57,7 @@
 #[case::complete(Guard::Complete, ALL)]
 #[case::claim_age(Guard::ClaimAge, AGEING)]
 #[case::deadline(Guard::Deadline, AGEING)]
+#[case::refusal_age(Guard::RefusalAge, Bounds { refusals: 1, ..AGEING })]
 fn missing_guard_is_found(#[case] guard: Guard, #[case] bounds: Bounds) {
     let report = report(Bounds { without: Some(guard), ..bounds });
     let fault = report.fault.expect("the search found nothing wrong");
--- a/tests/it/model/state.rs
+++ b/tests/it/model/state.rs
@@ -30,6 +30,8 @@
     ClaimAge,
     /// The deadline is looked at directly before the call is sent.
     Deadline,
+    /// An owner whose claim is too old by the end of a run rules nothing out.
+    RefusalAge,
 }
 
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
@@ -79,6 +81,8 @@
     pub(super) incarnation: u64,
     /// The send that it belongs to.
     pub(super) send: usize,
+    /// When the owner claimed the key.
+    pub(super) since: u64,
     /// Deadline of the call.
     pub(super) until: u64,
     pub(super) stage: Stage,
--- a/tests/it/model/steps.rs
+++ b/tests/it/model/steps.rs
@@ -1,6 +1,6 @@
 //! Every step that can be taken.
 
-use filberttiller::decide::once::{ClaimIndex, Ended};
+use filberttiller::decide::once::{ClaimIndex, Ended, stays_owner};
 
 use super::bounds::Bounds;
 use super::state::{Action, GOOD, Guard, OP, Resend, Router, Stage, State, Step, Told, fresh};
@@ -44,7 +44,9 @@
         let none = ended == Ended::NotRun;
         router.ledger.finish(OP.scope, ended);
         if none && matches!(state.sends[run.send], Resend::At { .. }) {
-            self.tell(state, run.send, Told::NotRun);
+            let age = state.now.saturating_sub(run.since);
+            let known = self.issued || stays_owner(age, GOOD) || !self.has(Guard::RefusalAge);
+            self.tell(state, run.send, if known { Told::NotRun } else { Told::Maybe });
         }
     }
 
