--- a/benches/proxy.rs
+++ b/benches/proxy.rs
@@ -1,14 +1,17 @@
 //! Figures of load of one router on loopback: added latency, requests a second
 //! and memory for each open stream. Ends by itself within two minutes.
 //!
-//! `cargo bench --bench proxy -- load` needs nothing else. For the memory, the
+//! `cargo bench --bench proxy -- load` needs nothing else, nor does
+//! `cargo bench --bench proxy -- allocations`, whose counts do not depend on what
+//! else the machine does. For the memory, the
 //! backend server runs in a process of its own, as each open stream takes four
 //! file descriptors: `cargo bench --bench proxy -- backend` in one shell and
 //! `cargo bench --bench proxy -- memory` in another.
 
+use std::alloc::{GlobalAlloc, Layout, System};
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
 use filberttiller::demo::{Fleet, FleetOptions};
@@ -41,6 +44,34 @@
 const CHAT: &str =
     r#"{"model":"assistant","stream":true,"messages":[{"role":"user","content":"x"}]}"#;
 
+/// Calls whose allocations are counted.
+const COUNTED_CALLS: u64 = 5_000;
+
+static COUNTING: AtomicBool = AtomicBool::new(false);
+static COUNT: AtomicU64 = AtomicU64::new(0);
+static BYTES: AtomicU64 = AtomicU64::new(0);
+
+/// The allocator of the system, counted on demand.
+struct Counted;
+
+// SAFETY: everything is passed on to the allocator of the system.
+unsafe impl GlobalAlloc for Counted {
+    unsafe fn alloc(&self, layout: Layout) -> *mut u8 {
+        if COUNTING.load(Ordering::Relaxed) {
+            COUNT.fetch_add(1, Ordering::Relaxed);
+            BYTES.fetch_add(layout.size() as u64, Ordering::Relaxed);
+        }
+        unsafe { System.alloc(layout) }
+    }
+
+    unsafe fn dealloc(&self, pointer: *mut u8, layout: Layout) {
+        unsafe { System.dealloc(pointer, layout) }
+    }
+}
+
+#[global_allocator]
+static ALLOCATOR: Counted = Counted;
+
 fn main() {
     let callers = runtime(THREADS);
     let backend = runtime(THREADS);
@@ -59,6 +90,9 @@
         }
         return;
     }
+    if asks("allocations") {
+        return callers.block_on(allocations(&backend));
+    }
     for threads in [1, 4] {
         callers.block_on(load(&callers, &backend, threads));
     }
@@ -93,6 +127,37 @@
     fleet
 }
 
+/// Allocations of the router for each short call: of all threads, less those
+/// for direct calls.
+async fn allocations(backend: &Runtime) {
+    let direct = start_backend(backend).await;
+    let fleet = fleet(1, direct, Role::Service, "stockroom-app").await;
+    let (plain, plain_bytes) = counted(direct).await;
+    let (routed, routed_bytes) = counted(fleet.routers[0].address()).await;
+    println!(
+        "router: {:.1} allocations and {:.0} bytes a short call",
+        routed - plain,
+        routed_bytes - plain_bytes
+    );
+}
+
+/// Allocations and their bytes for each call to `addr` over a kept connection.
+async fn counted(addr: SocketAddr) -> (f64, f64) {
+    let mut stream = connect(addr).await;
+    for _ in 0..COUNTED_CALLS {
+        call(&mut stream).await;
+    }
+    COUNT.store(0, Ordering::Relaxed);
+    BYTES.store(0, Ordering::Relaxed);
+    COUNTING.store(true, Ordering::Relaxed);
+    for _ in 0..COUNTED_CALLS {
+        call(&mut stream).await;
+    }
+    COUNTING.store(false, Ordering::Relaxed);
+    let each = |it: &AtomicU64| it.load(Ordering::Relaxed) as f64 / COUNTED_CALLS as f64;
+    (each(&COUNT), each(&BYTES))
+}
+
 /// Throughput, then latency at half of it, direct and over the router.
 async fn load(callers: &Runtime, backend: &Runtime, threads: usize) {
     let direct = start_backend(backend).await;
