--- a/src/backend/log_client.rs
+++ b/src/backend/log_client.rs
@@ -31,9 +31,14 @@
         LogClient { timeout, ..self }
     }
 
-    /// Waits until the account is not in debt.
-    pub async fn afford(&self) {
-        self.http.afford(0.0).await;
+    /// Waits until the account has `bytes` to spend.
+    pub async fn afford(&self, bytes: f64) {
+        self.http.afford(bytes).await;
+    }
+
+    /// Waits until the account has `bytes` to spend, but no longer than `most`.
+    pub async fn afford_within(&self, bytes: f64, most: Duration) {
+        let _ = tokio::time::timeout(most, self.http.afford(bytes)).await;
     }
 
     /// Reads `stream` from offset `from` on, waiting up to `wait` for news.
--- a/src/controllers/publisher.rs
+++ b/src/controllers/publisher.rs
@@ -1,6 +1,6 @@
 //! The actor that owns the state and publishes the view.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Instant, UNIX_EPOCH};
@@ -19,7 +19,8 @@
 use crate::decide::{Sent, combine, hash_bytes};
 use crate::events::{Code, EventLog, Fields};
 use crate::fleet::{
-    Budget, CrashBoard, CrashReport, LoadTable, Mark, MarkBoard, Members, Roster, View, ViewCell,
+    Budget, CrashBoard, CrashReport, HoldTable, LoadTable, Mark, MarkBoard, Members, Roster, View,
+    ViewCell,
 };
 use crate::settings::{Control, Seed};
 use crate::state::{History, InForce, Ticket};
@@ -68,6 +69,7 @@
     pub(super) members: Members,
     pub(super) roster: Roster,
     pub(super) loads: LoadTable,
+    pub(super) holds: HoldTable,
     /// First offset that each peer has not folded, as it last told.
     pub(super) peers: HashMap<String, u64>,
     /// When anybody last heard from the log, as far as known here.
@@ -78,6 +80,10 @@
     pub(super) eager: bool,
     /// Peers to which new records are still to be passed on.
     pub(super) branches: Vec<String>,
+    /// Peers that had spent their budget and are left alone for now.
+    pub(super) busy: HashSet<String>,
+    /// Peers to which fresh leaving marks are still to be passed on.
+    pub(super) mark_branches: Vec<String>,
     /// Offset of the first of the records folded last.
     pub(super) fresh_from: u64,
     pub(super) pull: Option<Pull>,
@@ -111,11 +117,14 @@
             history: History::default(),
             roster: Roster::default(),
             loads: LoadTable::default(),
+            holds: HoldTable::default(),
             peers: HashMap::new(),
             log_seen: None,
             pushes: 0,
             eager: false,
             branches: Vec::new(),
+            mark_branches: Vec::new(),
+            busy: HashSet::new(),
             fresh_from: 0,
             pull: None,
             bulk: None,
@@ -162,7 +171,7 @@
         let now = self.now();
         let marks = Arc::clone(&self.parts.marks);
         let marked = |name: &str, incarnation| marks.holds(name, incarnation, now);
-        let pools = pools(&self.roster, &self.loads, marked, &mut self.sent);
+        let pools = pools(&self.roster, &self.loads, &self.holds, marked, &mut self.sent);
         let routers = routers(&self.roster, &self.members);
         let state = Arc::clone(&self.state);
         self.parts.cell.store(View { ready: self.ready, state, pools, routers });
@@ -228,9 +237,9 @@
             incarnation: report.map_or(0, |it| it.incarnation),
             left: self.parts.upkeep.mark_hold,
         };
-        if self.parts.marks.insert(&mark, self.now()) {
+        if self.parts.marks.learn(&mark, self.now()) {
             self.record(Code::MarkedLeaving, name, "the instance list");
-            self.spread();
+            self.spread_marks(true);
         }
     }
 
@@ -255,7 +264,7 @@
     }
 
     /// Rank of this router for `key` among all live routers, from 0.
-    fn own_rank(&self, key: u64) -> usize {
+    pub(super) fn own_rank(&self, key: u64) -> usize {
         let score = |name: &str| combine(key, hash_bytes(name.as_bytes()));
         let own = score(&self.parts.own.name);
         let view = self.parts.cell.peek();
@@ -306,6 +315,7 @@
         let known: Vec<u64> =
             self.roster.instances().map(|it| hash_bytes(it.name.as_bytes())).collect();
         self.loads.retain(|id| known.contains(&id));
+        self.holds.retain(|id| known.contains(&id));
         let roster = &self.roster;
         self.sent.retain(|name, _| roster.get(name).is_some());
         self.publish();
@@ -319,7 +329,11 @@
     async fn handle(&mut self, message: Reported, ctx: &mut Context<Self>) {
         let wall = self.parts.clock.wall().duration_since(UNIX_EPOCH).unwrap_or_default();
         let id = hash_bytes(message.name.as_bytes());
-        self.loads.asked(id, message.report, wall.as_millis() as u64);
+        let at_ms = wall.as_millis() as u64;
+        if self.holds.asked(id, &message.report, at_ms) {
+            self.hurry();
+        }
+        self.loads.asked(id, message.report, at_ms);
         self.publish_soon(ctx);
     }
 }
@@ -365,11 +379,7 @@
         let silence = self.parts.upkeep.log_wait + SILENCE;
         let now = self.now();
         let quiet = self.log_seen.is_none_or(|it| now.saturating_duration_since(it) > silence);
-        TailPlan {
-            follow: rank < TAILERS || quiet,
-            writer: rank == 0,
-            state: Arc::clone(&self.state),
-        }
+        TailPlan { follow: rank < TAILERS || quiet, rank, state: Arc::clone(&self.state) }
     }
 }
 
--- a/src/daemon/gossip_api.rs
+++ b/src/daemon/gossip_api.rs
@@ -13,7 +13,7 @@
 use crate::daemon::control_api::refuse_stranger;
 use crate::filters::Shared;
 use crate::fleet::Purpose;
-use crate::wire::Gossip;
+use crate::wire::{pack_gossip, unpack_gossip};
 
 /// Largest message taken from a peer, in bytes.
 const MAX_MESSAGE: u64 = 4 * 1024 * 1024;
@@ -21,8 +21,9 @@
 const REQUEST_BYTES: usize = 27;
 /// Bytes of the head of an answer: status line, date, length, empty line.
 const REPLY_BYTES: usize = 17 + 37 + 21 + 2;
-/// Debt in bytes beyond which peers are turned away.
-const MAX_DEBT: f64 = -8_192.0;
+/// Debt in bytes beyond which peers are turned away, with the milliseconds until it
+/// is paid.
+const MAX_DEBT: f64 = -1_536.0;
 
 /// `POST /v1/gossip`.
 pub(crate) fn gossip_calls(
@@ -54,25 +55,28 @@
         return refusal;
     }
     let received = REQUEST_BYTES + head_bytes(headers) + body.len();
-    shared.meter.add_received(received);
+    shared.meter.add(Purpose::Gossip, received);
     shared.budget.spend(Purpose::Gossip, received);
-    let reply = if shared.budget.balance(Purpose::Gossip) < MAX_DEBT {
-        Err(StatusCode::TOO_MANY_REQUESTS)
+    let (status, reply) = if shared.budget.balance(Purpose::Gossip) < MAX_DEBT {
+        let pause = shared.budget.delay(Purpose::Gossip, 0.0).as_millis();
+        (StatusCode::TOO_MANY_REQUESTS, pause.to_string().into_bytes())
     } else {
-        answer(publisher, body).await
+        match answer(publisher, body).await {
+            Ok(it) => (StatusCode::OK, it),
+            Err(it) => (it, Vec::new()),
+        }
     };
-    let sent = REPLY_BYTES + reply.as_ref().map_or(0, Vec::len);
-    shared.meter.add_sent(sent);
+    let sent = REPLY_BYTES + reply.len();
+    shared.meter.add(Purpose::Gossip, sent);
     shared.budget.spend(Purpose::Gossip, sent);
-    match reply {
-        Ok(body) => warp::http::Response::new(Bytes::from(body)).into_response(),
-        Err(status) => status.into_response(),
-    }
+    let mut answer = warp::http::Response::new(Bytes::from(reply)).into_response();
+    *answer.status_mut() = status;
+    answer
 }
 
 async fn answer(publisher: &Address<Publisher>, body: &Bytes) -> Result<Vec<u8>, StatusCode> {
-    let message: Gossip = rmp_serde::from_slice(body).map_err(|_| StatusCode::BAD_REQUEST)?;
+    let message = unpack_gossip(body).map_err(|_| StatusCode::BAD_REQUEST)?;
     let reply = publisher.send(Exchange { message }).await;
     let reply = reply.map_err(|_| StatusCode::SERVICE_UNAVAILABLE)?;
-    rmp_serde::to_vec_named(&reply).map_err(|_| StatusCode::INTERNAL_SERVER_ERROR)
+    pack_gossip(&reply).map_err(|_| StatusCode::INTERNAL_SERVER_ERROR)
 }
--- a/src/fleet/mark_board.rs
+++ b/src/fleet/mark_board.rs
@@ -4,10 +4,12 @@
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
+use tokio::sync::Notify;
+
 use crate::decide::{combine, hash_bytes};
 
 /// Times that a mark is passed on.
-const SENDS: u32 = 6;
+const SENDS: u32 = 8;
 /// Marks kept at most.
 const CAPACITY: usize = 4_096;
 
@@ -33,6 +35,11 @@
 }
 
 impl Kept {
+    /// Whether it is still to be passed on.
+    fn is_fresh(&self, now: Instant) -> bool {
+        self.sends > 0 && self.until > now
+    }
+
     fn told(&self, name: &str, now: Instant) -> Mark {
         let left = self.until.saturating_duration_since(now);
         Mark { name: name.to_owned(), incarnation: self.incarnation, left }
@@ -44,26 +51,39 @@
 #[derive(Debug, Default)]
 pub struct MarkBoard {
     marks: Mutex<BTreeMap<String, Kept>>,
+    /// Told when traffic adds a mark.
+    pub(crate) added: Notify,
 }
 
 impl MarkBoard {
-    /// Adds a mark seen here or told by a peer; true when it is news. The same
-    /// mark again only holds longer, which is passed on too.
+    /// Adds a mark that traffic saw, and has it published and passed on; true when
+    /// it is news.
     pub fn insert(&self, mark: &Mark, now: Instant) -> bool {
+        let news = self.learn(mark, now);
+        if news {
+            self.added.notify_one();
+        }
+        news
+    }
+
+    /// Adds a mark that control saw or a peer told; true when it is news. The same
+    /// mark again only holds longer, which is passed on too.
+    pub fn learn(&self, mark: &Mark, now: Instant) -> bool {
         let mut marks = self.marks.lock().unwrap();
         if marks.len() >= CAPACITY && !marks.contains_key(&mark.name) {
             return false;
         }
         let until = now + mark.left;
-        let fresh = marks.get(&mark.name).is_none_or(|it| it.incarnation < mark.incarnation);
-        if fresh {
+        let old = marks.get(&mark.name).map(|it| it.incarnation);
+        if old.is_none_or(|it| it < mark.incarnation) {
             let id = combine(hash_bytes(mark.name.as_bytes()), mark.incarnation);
             let kept = Kept { id, incarnation: mark.incarnation, until, sends: SENDS };
             marks.insert(mark.name.clone(), kept);
         } else if let Some(it) = marks.get_mut(&mark.name) {
             it.until = it.until.max(until);
         }
-        fresh
+        // A mark of an unknown incarnation held for this one already.
+        old.is_none_or(|it| it != 0 && it < mark.incarnation)
     }
 
     /// Whether the incarnation of the backend server called `name` is leaving; a
@@ -84,11 +104,22 @@
         marks.len() != before
     }
 
+    /// Number of marks to pass on out of those whose name is `wanted`.
+    pub fn fresh_count(&self, now: Instant, wanted: impl Fn(&str) -> bool) -> usize {
+        let marks = self.marks.lock().unwrap();
+        marks.iter().filter(|(name, it)| it.is_fresh(now) && wanted(name)).count()
+    }
+
     /// Marks to pass on, the freshest first, at most `most`.
     pub fn fresh(&self, most: usize, now: Instant) -> Vec<Mark> {
+        self.fresh_of(most, now, |_| true)
+    }
+
+    /// The same out of those whose name is `wanted`.
+    pub fn fresh_of(&self, most: usize, now: Instant, wanted: impl Fn(&str) -> bool) -> Vec<Mark> {
         let mut marks = self.marks.lock().unwrap();
         let mut fresh: Vec<(&String, &mut Kept)> =
-            marks.iter_mut().filter(|(_, it)| it.sends > 0 && it.until > now).collect();
+            marks.iter_mut().filter(|(name, it)| it.is_fresh(now) && wanted(name)).collect();
         fresh.sort_by_key(|(_, it)| std::cmp::Reverse(it.sends));
         fresh
             .into_iter()
--- a/src/once/tail.rs
+++ b/src/once/tail.rs
@@ -11,6 +11,11 @@
 use crate::settings::Control;
 use crate::wire::{Page, WireClaims};
 
+/// Debt in bytes up to which claims are appended and read at once.
+pub(crate) const CLAIM_DEBT: f64 = -2_048.0;
+/// Pause before an append, and before a read, in deeper debt: calls wait for their
+/// claims, so that these are paced and not stopped.
+pub(crate) const CLAIM_PACE: Duration = Duration::from_millis(500);
 /// Stream of the claims.
 pub const CLAIM_STREAM: &str = "filberttiller-claims";
 
@@ -25,6 +30,7 @@
     let mut begun = false;
     let mut wait = Duration::ZERO;
     loop {
+        log.afford_within(CLAIM_DEBT, CLAIM_PACE).await;
         match log.read(CLAIM_STREAM, next, wait).await {
             Ok(page) => {
                 if begun && (page.first > next || page.next < next) {
--- a/src/wire/gossip.rs
+++ b/src/wire/gossip.rs
@@ -64,6 +64,22 @@
         pub left_ms: u64,
     }
 
+    /// Leaving marks of many backend servers.
+    pub struct WireMarkSet {
+        /// Digest of the names of all backend servers on the sender's list, in order.
+        #[serde(rename = "h")]
+        pub names: u64,
+        /// Highest incarnation that leaves; 0 when none is known.
+        #[serde(rename = "i")]
+        pub newest: u64,
+        /// How long the marks still hold, in milliseconds.
+        #[serde(rename = "t")]
+        pub left_ms: u64,
+        /// One bit for each name, the lowest bit of the first byte first.
+        #[serde(rename = "b")]
+        pub bits: Vec<u8>,
+    }
+
     /// A line of the instance list, with the version that this fleet counts.
     pub struct WireLine {
         /// Counts the changes of this line.
@@ -89,6 +105,18 @@
         pub [u64; 4],
     );
 
+    /// What an engine holds.
+    pub struct WireHold(
+        /// Hash of its name.
+        pub u64,
+        /// Counts the changes.
+        pub u64,
+        /// Incarnation.
+        pub u64,
+        /// Hashes of the names by which requests ask for what it holds.
+        pub Vec<u64>,
+    );
+
     /// A crash report.
     #[derive(Copy)]
     pub struct WireCrash(
@@ -160,6 +188,9 @@
         /// Digest of all leaving marks that the sender holds.
         #[serde(rename = "kd", default, skip_serializing_if = "Option::is_none")]
         pub board: Option<u64>,
+        /// Leaving marks, when they are many.
+        #[serde(rename = "ks", default, skip_serializing_if = "Option::is_none")]
+        pub mark_set: Option<WireMarkSet>,
         /// Records of the ticket stream by offset.
         #[serde(rename = "r", default, skip_serializing_if = "Vec::is_empty")]
         pub records: Vec<(u64, String)>,
@@ -184,6 +215,16 @@
         /// Loads of engines.
         #[serde(rename = "e", default, skip_serializing_if = "Vec::is_empty")]
         pub loads: Vec<WireLoad>,
+        /// What engines hold.
+        #[serde(rename = "g", default, skip_serializing_if = "Vec::is_empty")]
+        pub holds: Vec<WireHold>,
+    }
+}
+
+impl Gossip {
+    /// Whether it tells any leaving marks.
+    pub fn has_marks(&self) -> bool {
+        !self.marks.is_empty() || self.mark_set.is_some()
     }
 }
 
