--- a/src/capacity/mod.rs
+++ b/src/capacity/mod.rs
@@ -2,6 +2,7 @@
 
 mod fit;
 mod network;
+mod orders;
 mod probe;
 mod role;
 mod samples;
@@ -9,7 +10,6 @@
 mod slope;
 mod streams;
 mod table;
-mod thread_time;
 
 pub use fit::{Fit, least_squares};
 pub use probe::{PROBES, Probe, Sample, measure};
--- a/src/capacity/probe.rs
+++ b/src/capacity/probe.rs
@@ -3,7 +3,7 @@
 use std::future::Future;
 use std::pin::Pin;
 
-use crate::capacity::{Slope, least_squares, network, samples, streams};
+use crate::capacity::{Slope, least_squares, network, orders, samples, streams};
 
 /// Repeats of each measurement of time; the least counts.
 const REPEATS: usize = 5;
@@ -165,6 +165,7 @@
         sizes: &[800, 1_600, 3_200, 6_400],
         take: streams::relay_tokens,
     },
+    Probe { name: "order_calls", unit: "order", sizes: &[4, 8, 16, 32], take: orders::order_calls },
 ];
 
 /// Measures `probe` at all its sizes and fits a line to each part.
--- a/src/capacity/table.rs
+++ b/src/capacity/table.rs
@@ -2,8 +2,11 @@
 
 use std::fmt;
 
+use crate::capacity::orders::order_figures;
 use crate::capacity::role::Role;
 use crate::capacity::{Sizes, Slopes};
+use crate::controllers::LOADS;
+use crate::fleet::Purpose;
 use crate::settings::{Control, Limits};
 
 /// Most processor time for control, in percent of a core.
@@ -13,17 +16,13 @@
 /// Most control and probe bytes a second.
 const CONTROL_BYTES: f64 = 4_096.0;
 /// Appends a second that the platform's log takes.
-const LOG_APPENDS: f64 = 300.0;
+pub(super) const LOG_APPENDS: f64 = 300.0;
 /// Events of one request that is answered at the first try, its address included.
 const EVENTS_A_REQUEST: f64 = 4.0;
 /// Events that a router keeps.
 const EVENTS_KEPT: f64 = 16_384.0;
-/// Shares of the control budget.
-const GOSSIP_SHARE: f64 = 0.45;
-const LIST_SHARE: f64 = 0.2;
-const LOAD_SHARE: f64 = 0.2;
 /// Load rows in one message at most.
-const ROWS: f64 = 8.0;
+const ROWS: f64 = LOADS as f64;
 /// Routers that follow the log.
 const TAILERS: f64 = 3.0;
 /// Seconds of a day.
@@ -109,11 +108,12 @@
     all.extend(traffic(slopes, sizes));
     all.extend(traffic_memory(slopes, sizes));
     all.extend(log(slopes, sizes, upkeep));
+    all.extend(order_figures(slopes, sizes));
     all.extend(operator(slopes, sizes));
     all
 }
 
-fn figure(
+pub(super) fn figure(
     role: Role,
     what: &'static str,
     (value, unit): (f64, &'static str),
@@ -123,7 +123,14 @@
     Figure { role, what, value, unit, target: None, slopes, carrier }
 }
 
-fn at_most(figure: Figure, most: f64) -> Figure {
+/// Makes figures of one role, from what, value, unit, slopes and carrier.
+fn rows(
+    role: Role,
+) -> impl Fn(&'static str, f64, &'static str, &'static str, &'static str) -> Figure {
+    move |what, value, unit, slopes, carrier| figure(role, what, (value, unit), slopes, carrier)
+}
+
+pub(super) fn at_most(figure: Figure, most: f64) -> Figure {
     Figure { target: Some(Target { most }), ..figure }
 }
 
@@ -168,13 +175,13 @@
     let exchange = 2.0 * slopes.wire("message_loads", ROWS) + call;
     let asked = (sizes.workers / sizes.routers).max(1.0);
     let list = slopes.wire("list_instances", sizes.instances());
-    let pays = |share: f64| CONTROL_BYTES * share;
+    let pays = |purpose: Purpose| CONTROL_BYTES * purpose.share();
     Pace {
         exchange,
-        exchanges: pays(GOSSIP_SHARE) / exchange,
+        exchanges: pays(Purpose::Gossip) / exchange,
         asked,
-        load_pause: upkeep.load_every.as_secs_f64().max(asked * call / pays(LOAD_SHARE)),
-        list_pause: upkeep.list_every.as_secs_f64().max(list / pays(LIST_SHARE)),
+        load_pause: upkeep.load_every.as_secs_f64().max(asked * call / pays(Purpose::Load)),
+        list_pause: upkeep.list_every.as_secs_f64().max(list / pays(Purpose::List)),
     }
 }
 
@@ -198,16 +205,14 @@
     let row = |what, value, slopes, carrier| {
         figure(Role::Control, what, (value, "% of a core"), slopes, carrier)
     };
-    let count = |what, value, unit, slopes, carrier| {
-        figure(Role::Control, what, (value, unit), slopes, carrier)
-    };
+    let count = rows(Role::Control);
     vec![
         count(
             "messages: exchanges begun, at most",
             pace.exchanges,
             "a second",
             "message_loads",
-            "gossip, 45% of the budget",
+            "gossip, its share of the budget",
         ),
         count("age of a load, at least", age, "s", "message_loads", "gossip, 8 rows a message"),
         row("time: publishing", publish, "publish_*", "view rebuilt after each exchange"),
@@ -229,9 +234,7 @@
     let list = slopes.wire("list_instances", sizes.instances()) / upkeep.list_every.as_secs_f64();
     let tail = call / upkeep.log_wait.as_secs_f64()
         + slopes.wire_each("log_tickets") * sizes.tickets / DAY_S;
-    let row = |what, value, unit, slopes, carrier| {
-        figure(Role::Bytes, what, (value, unit), slopes, carrier)
-    };
+    let row = rows(Role::Bytes);
     let total = gossip + loads + list + tail;
     vec![
         row("wanted: exchanges", gossip, "B/s", "message_loads", "one begun and one taken a pause"),
@@ -242,13 +245,19 @@
             row("wanted, sum; the budget stretches the pauses", total, "B/s", "above", "budget"),
             CONTROL_BYTES,
         ),
-        row("pause between loads, stretched", pace.load_pause, "s", "poll_engines", "budget, 20%"),
+        row(
+            "pause between loads, stretched",
+            pace.load_pause,
+            "s",
+            "poll_engines",
+            "share of the budget",
+        ),
         row(
             "pause between lists, stretched",
             pace.list_pause,
             "s",
             "list_instances",
-            "budget, 20%",
+            "share of the budget",
         ),
     ]
 }
@@ -258,9 +267,7 @@
     let each = slopes.more_bytes("open_streams", 1.0) - slopes.more_bytes("engine_streams", 1.0);
     let limit = Limits::default().connections as f64;
     let connections = slopes.more_bytes("open_connections", limit) / 1e6;
-    let row = |what, value, unit, slopes, carrier| {
-        figure(Role::Traffic, what, (value, unit), slopes, carrier)
-    };
+    let row = rows(Role::Traffic);
     vec![
         row("streams open", streams, "at once", "exact", "connections"),
         row(
@@ -289,9 +296,7 @@
     let span = EVENTS_KEPT / events;
     let tokens = sizes.tokens / sizes.routers;
     let relay = slopes.more_micros("relay_tokens", tokens) / 1e4;
-    let row = |what, value, unit, slopes, carrier| {
-        figure(Role::Traffic, what, (value, unit), slopes, carrier)
-    };
+    let row = rows(Role::Traffic);
     vec![
         row("messages: requests", requests, "a second", "exact", "rendezvous of callers"),
         row("messages: tokens passed on", tokens, "a second", "exact", "streams"),
@@ -306,9 +311,7 @@
 fn log(slopes: &Slopes, sizes: &Sizes, upkeep: &Control) -> Vec<Figure> {
     let ticket = slopes.wire_each("log_tickets");
     let reads = TAILERS * (1.0 / upkeep.log_wait.as_secs_f64() + sizes.tickets / DAY_S);
-    let row = |what, value, unit, slopes, carrier| {
-        figure(Role::Log, what, (value, unit), slopes, carrier)
-    };
+    let row = rows(Role::Log);
     vec![
         at_most(
             row("appends of tickets", sizes.tickets / DAY_S, "a second", "exact", "operators only"),
@@ -327,9 +330,7 @@
 
 fn operator(slopes: &Slopes, sizes: &Sizes) -> Vec<Figure> {
     let state = slopes.wire("snapshot_objects", sizes.objects()) / 1e6;
-    let row = |what, value, unit, slopes, carrier| {
-        figure(Role::Operator, what, (value, unit), slopes, carrier)
-    };
+    let row = rows(Role::Operator);
     vec![
         row("state of one router", state, "MB", "snapshot_objects", "one answer"),
         row(
