--- a/src/controllers/marks.rs
+++ b/src/controllers/marks.rs
@@ -44,7 +44,7 @@
         if !self.marks_differ || message.has_marks() {
             return;
         }
-        let marks = self.parts.marks.repeat(&self.repeated, REPEATED, self.now());
+        let marks = self.parts.marks.repeat(&self.repeated, NAMED, self.now());
         if let Some(last) = marks.last() {
             self.repeated = last.name.clone();
         }
