--- a/src/controllers/pull.rs
+++ b/src/controllers/pull.rs
@@ -113,6 +113,9 @@
 
     /// The exchange that fetches what this router lacks.
     pub(super) fn pull_round(&mut self) -> Option<Round> {
+        if self.pull.as_ref().is_some_and(|it| !it.busy && self.is_busy(&it.peer)) {
+            self.pull = None;
+        }
         let pull = self.pull.as_mut().filter(|it| !it.busy)?;
         pull.busy = true;
         let (whole, part) = pull.whole.as_ref().map_or((0, 0), |it| (it.0, it.1.len()));
--- a/src/fleet/budget.rs
+++ b/src/fleet/budget.rs
@@ -36,6 +36,9 @@
 
 /// Share of each purpose in percent, in the order of [`Purpose`].
 const SHARES: [f64; Purpose::COUNT] = [40.0, 10.0, 8.0, 15.0, 27.0];
+/// Part of its income that the account for engines leaves to tickets and claims
+/// while these are in debt.
+const HELP: f64 = 0.75;
 /// Time over which the accounts save up, and the reserve once more.
 const SAVED: Duration = Duration::from_millis(250);
 
@@ -70,12 +73,12 @@
 }
 
 impl Budget {
-    /// Empty accounts that together spend `rate` bytes a second.
+    /// Full accounts that together spend `rate` bytes a second, and no reserve.
     pub fn new(rate: u64, clock: SharedClock) -> Budget {
         let rate = rate as f64;
         let all = SHARES.map(|share| {
             let rate = rate * share / 100.0;
-            Account { rate, balance: 0.0 }
+            Account { rate, balance: rate * SAVED.as_secs_f64() }
         });
         let accounts = Accounts { all, reserve: 0.0, at: clock.now() };
         Budget { clock, rate, accounts: Mutex::new(accounts) }
@@ -117,17 +120,20 @@
 
 impl Accounts {
     /// Pays in for the time since the last call; the reserve takes what is over.
-    /// While the log is in debt, the account for engines leaves it what it earns.
+    /// While tickets or claims are in debt, the account for engines helps them.
     fn earn(&mut self, now: Instant, rate: f64) {
         let time = now.saturating_duration_since(self.at).as_secs_f64();
         self.at = self.at.max(now);
         for purpose in Purpose::ALL {
             let mut earned = self.all[purpose as usize].rate * time;
             if purpose == Purpose::Load {
-                let log = &mut self.all[Purpose::Log as usize];
-                let given = (-log.balance).clamp(0.0, earned);
-                log.balance += given;
-                earned -= given;
+                let mut help = earned * HELP;
+                for debtor in [Purpose::Log, Purpose::Claims] {
+                    let given = (-self.all[debtor as usize].balance).clamp(0.0, help);
+                    self.all[debtor as usize].balance += given;
+                    help -= given;
+                    earned -= given;
+                }
             }
             let it = &mut self.all[purpose as usize];
             let most = it.rate * SAVED.as_secs_f64();
--- a/src/settings/check.rs
+++ b/src/settings/check.rs
@@ -112,8 +112,12 @@
     expect(answer > 0, "limits.answer", "it is 0".to_owned(), "a size above 0 is needed");
     let head = s.limits.head.as_u64();
     expect(head >= 8_192, "limits.head", format!("it is {head} bytes"), "at least 8KiB is needed");
-    let most = s.limits.connections.min(s.limits.address_connections);
-    expect(most > 0, "limits.connections", "it is 0".to_owned(), "at least 1 is needed");
+    for (place, most) in [
+        ("limits.connections", s.limits.connections),
+        ("limits.address_connections", s.limits.address_connections),
+    ] {
+        expect(most > 0, place, "it is 0".to_owned(), "at least 1 is needed");
+    }
     let threads = s.traffic.threads;
     expect(
         (1..=MAX_THREADS).contains(&threads),
@@ -164,7 +168,7 @@
 }
 
 /// All times that must be above 0.
-fn times(s: &Settings) -> [(&'static str, Duration); 16] {
+fn times(s: &Settings) -> [(&'static str, Duration); 18] {
     [
         ("limits.receive", s.limits.receive),
         ("limits.send", s.limits.send),
@@ -182,6 +186,8 @@
         ("state.load_every", s.upkeep.load_every),
         ("state.log_wait", s.upkeep.log_wait),
         ("state.retry_every", s.upkeep.retry_every),
+        ("orders.every", s.orders.every),
+        ("orders.hold", s.orders.hold),
     ]
 }
 
@@ -197,6 +203,7 @@
     let counts = [
         ("once.appends", s.once.appends as usize),
         ("once.keys", s.once.keys),
+        ("orders.loads", s.orders.loads),
         ("crashes.limit", s.crashes.limit),
     ];
     for (place, count) in counts {
--- a/src/state/fold.rs
+++ b/src/state/fold.rs
@@ -163,6 +163,32 @@
         }
     }
 
+    /// The models, by name.
+    pub fn models(&self) -> impl Iterator<Item = (&str, &ModelSpec)> {
+        self.objects.of_kind(Kind::Model).filter_map(|(name, it)| match &it.spec {
+            Some(Spec::Model(spec)) => Some((name, spec)),
+            _ => None,
+        })
+    }
+
+    /// The adapters, by name.
+    pub fn adapters(&self) -> impl Iterator<Item = (&str, &AdapterSpec)> {
+        self.objects.of_kind(Kind::Adapter).filter_map(|(name, it)| match &it.spec {
+            Some(Spec::Adapter(spec)) => Some((name, spec)),
+            _ => None,
+        })
+    }
+
+    /// Whether engines are ordered to load the model or adapter that requests
+    /// call `name`, with or without `@version`.
+    pub fn is_ordered(&self, name: &str) -> bool {
+        let name = name.split_once('@').map_or(name, |it| it.0);
+        match self.model(name) {
+            Some(it) => it.copies.is_some(),
+            None => self.adapter(name).is_some_and(|it| it.copies.is_some()),
+        }
+    }
+
     /// The service called `name`.
     pub fn service(&self, name: &str) -> Option<&ServiceSpec> {
         match self.spec(Kind::Service, name)? {
@@ -195,6 +221,14 @@
         }
     }
 
+    /// Number of the ticket that lifted the suspicion against the request with
+    /// `fingerprint`; 0 when none has.
+    pub fn lift(&self, fingerprint: u64) -> u64 {
+        let held = self.objects.get(Kind::Suspect, &format!("{fingerprint:016x}"));
+        let lifted = |it: &&Held| matches!(&it.spec, Some(Spec::Suspect(spec)) if spec.lifted);
+        held.filter(lifted).map_or(0, |it| it.number)
+    }
+
     fn spec(&self, kind: Kind, name: &str) -> Option<&Spec> {
         self.objects.get(kind, name)?.spec.as_ref()
     }
