--- a/tests/it/overview.rs
+++ b/tests/it/overview.rs
@@ -29,6 +29,7 @@
         spilled: 0,
         control_bytes,
         control_budget: BUDGET,
+        items: Vec::new(),
         suspects: Vec::new(),
         engines: Vec::new(),
     }
--- a/tests/it/spread.rs
+++ b/tests/it/spread.rs
@@ -135,7 +135,6 @@
         marks: Vec::new(),
         board: None,
         mark_set: None,
-        board: None,
         base: None,
         records: Vec::new(),
         want: None,
@@ -145,6 +144,7 @@
         lines: Vec::new(),
         loads: Vec::new(),
         holds: Vec::new(),
+        held: None,
     }
 }
 
