--- a/src/capacity/mod.rs
+++ b/src/capacity/mod.rs
@@ -2,11 +2,13 @@
 
 mod fit;
 mod network;
+mod orders;
 mod probe;
 mod role;
 mod samples;
 mod sizes;
 mod slope;
+mod streams;
 mod table;
 
 pub use fit::{Fit, least_squares};
--- a/src/capacity/table.rs
+++ b/src/capacity/table.rs
@@ -2,9 +2,12 @@
 
 use std::fmt;
 
+use crate::capacity::orders::order_figures;
 use crate::capacity::role::Role;
 use crate::capacity::{Sizes, Slopes};
-use crate::settings::Control;
+use crate::controllers::LOADS;
+use crate::fleet::Purpose;
+use crate::settings::{Control, Limits};
 
 /// Most processor time for control, in percent of a core.
 const CONTROL_PERCENT: f64 = 4.0;
@@ -13,17 +16,13 @@
 /// Most control and probe bytes a second.
 const CONTROL_BYTES: f64 = 4_096.0;
 /// Appends a second that the platform's log takes.
-const LOG_APPENDS: f64 = 300.0;
+pub(super) const LOG_APPENDS: f64 = 300.0;
 /// Events of one request that is answered at the first try, its address included.
 const EVENTS_A_REQUEST: f64 = 4.0;
 /// Events that a router keeps.
 const EVENTS_KEPT: f64 = 16_384.0;
-/// Shares of the control budget.
-const GOSSIP_SHARE: f64 = 0.40;
-const LIST_SHARE: f64 = 0.15;
-const LOAD_SHARE: f64 = 0.27;
 /// Load rows in one message at most.
-const ROWS: f64 = 8.0;
+const ROWS: f64 = LOADS as f64;
 /// Routers that follow the log.
 const TAILERS: f64 = 3.0;
 /// Seconds of a day.
@@ -107,12 +106,14 @@
     all.extend(control_time(slopes, sizes, upkeep));
     all.extend(control_bytes(slopes, sizes, upkeep));
     all.extend(traffic(slopes, sizes));
+    all.extend(traffic_memory(slopes, sizes));
     all.extend(log(slopes, sizes, upkeep));
+    all.extend(order_figures(slopes, sizes));
     all.extend(operator(slopes, sizes));
     all
 }
 
-fn figure(
+pub(super) fn figure(
     role: Role,
     what: &'static str,
     (value, unit): (f64, &'static str),
@@ -122,7 +123,14 @@
     Figure { role, what, value, unit, target: None, slopes, carrier }
 }
 
-fn at_most(figure: Figure, most: f64) -> Figure {
+/// Makes figures of one role, from what, value, unit, slopes and carrier.
+fn rows(
+    role: Role,
+) -> impl Fn(&'static str, f64, &'static str, &'static str, &'static str) -> Figure {
+    move |what, value, unit, slopes, carrier| figure(role, what, (value, unit), slopes, carrier)
+}
+
+pub(super) fn at_most(figure: Figure, most: f64) -> Figure {
     Figure { target: Some(Target { most }), ..figure }
 }
 
@@ -167,13 +175,14 @@
     let exchange = 2.0 * slopes.wire("message_loads", ROWS) + call;
     let asked = (sizes.workers / sizes.routers).max(1.0);
     let list = slopes.wire("list_instances", sizes.instances());
-    let pays = |share: f64| CONTROL_BYTES * share;
+    let pays = |purpose: Purpose| CONTROL_BYTES * purpose.share();
     Pace {
         exchange,
-        exchanges: pays(GOSSIP_SHARE) / exchange,
+        exchanges: pays(Purpose::Gossip) / exchange,
         asked,
-        load_pause: upkeep.load_every.as_secs_f64().max(asked * call / pays(LOAD_SHARE)),
-        list_pause: (upkeep.list_every.as_secs_f64() * sizes.routers).max(list / pays(LIST_SHARE)),
+        load_pause: upkeep.load_every.as_secs_f64().max(asked * call / pays(Purpose::Load)),
+        list_pause: (upkeep.list_every.as_secs_f64() * sizes.routers)
+            .max(list / pays(Purpose::List)),
     }
 }
 
@@ -189,25 +198,27 @@
     let poll = pace.asked / pace.load_pause * slopes.more_micros("poll_engines", 1.0) / 1e4;
     let fold = sizes.tickets / DAY_S * slopes.more_micros("fold_tickets", 1.0) / 1e4;
     let list = slopes.micros("list_instances", sizes.instances()) / pace.list_pause / 1e4;
-    let total = publish + round + targets + poll + list + fold;
+    let receive = slopes.micros("receive_engines", sizes.workers)
+        - slopes.micros("publish_engines", sizes.workers);
+    let take = 2.0 * pace.exchanges * receive.max(0.0) / 1e4;
+    let total = publish + round + take + targets + poll + list + fold;
     let age = sizes.workers / (2.0 * pace.exchanges * ROWS);
     let row = |what, value, slopes, carrier| {
         figure(Role::Control, what, (value, "% of a core"), slopes, carrier)
     };
-    let count = |what, value, unit, slopes, carrier| {
-        figure(Role::Control, what, (value, unit), slopes, carrier)
-    };
+    let count = rows(Role::Control);
     vec![
         count(
             "messages: exchanges begun, at most",
             pace.exchanges,
             "a second",
             "message_loads",
-            "gossip, 40% of the budget",
+            "gossip, its share of the budget",
         ),
         count("age of a load, at least", age, "s", "message_loads", "gossip, 8 rows a message"),
         row("time: publishing", publish, "publish_*", "view rebuilt after each exchange"),
         row("time: composing exchanges", round, "round_routers", "gossip"),
+        row("time: taking exchanges in", take, "receive_engines less publish_engines", "gossip"),
         row("time: choosing whom to ask", targets, "targets_engines", "rank of routers"),
         row("time: asking for load", poll, "poll_engines (both ends)", "HTTP"),
         row("time: instance list", list, "list_instances (both ends)", "HTTP"),
@@ -225,9 +236,7 @@
     let list = slopes.wire("list_instances", sizes.instances()) / turn;
     let tail = call / upkeep.log_wait.as_secs_f64()
         + slopes.wire_each("log_tickets") * sizes.tickets / DAY_S;
-    let row = |what, value, unit, slopes, carrier| {
-        figure(Role::Bytes, what, (value, unit), slopes, carrier)
-    };
+    let row = rows(Role::Bytes);
     let total = gossip + loads + list + tail;
     vec![
         row("wanted: exchanges", gossip, "B/s", "message_loads", "one begun and one taken a pause"),
@@ -238,13 +247,44 @@
             row("wanted, sum; the budget stretches the pauses", total, "B/s", "above", "budget"),
             CONTROL_BYTES,
         ),
-        row("pause between loads, stretched", pace.load_pause, "s", "poll_engines", "budget, 27%"),
+        row(
+            "pause between loads, stretched",
+            pace.load_pause,
+            "s",
+            "poll_engines",
+            "share of the budget",
+        ),
         row(
             "pause between lists, stretched",
             pace.list_pause,
             "s",
             "list_instances",
-            "turns; budget, 15%",
+            "turns; share of the budget",
+        ),
+    ]
+}
+
+fn traffic_memory(slopes: &Slopes, sizes: &Sizes) -> Vec<Figure> {
+    let streams = sizes.streams() / sizes.routers;
+    let each = slopes.more_bytes("open_streams", 1.0) - slopes.more_bytes("engine_streams", 1.0);
+    let limit = Limits::default().connections as f64;
+    let connections = slopes.more_bytes("open_connections", limit) / 1e6;
+    let row = rows(Role::Traffic);
+    vec![
+        row("streams open", streams, "at once", "exact", "connections"),
+        row(
+            "memory: open streams",
+            streams * each / 1e6,
+            "MB",
+            "open_streams less engine_streams",
+            "one connection each way",
+        ),
+        row(
+            "memory: connections, all that are allowed",
+            connections,
+            "MB",
+            "open_connections",
+            "`limits.connections`",
         ),
     ]
 }
@@ -256,20 +296,15 @@
     let events = requests * EVENTS_A_REQUEST;
     let record = events * slopes.more_micros("ring_events", 1.0) / 1e4;
     let span = EVENTS_KEPT / events;
-    let row = |what, value, unit, slopes, carrier| {
-        figure(Role::Traffic, what, (value, unit), slopes, carrier)
-    };
+    let tokens = sizes.tokens / sizes.routers;
+    let relay = slopes.more_micros("relay_tokens", tokens) / 1e4;
+    let row = rows(Role::Traffic);
     vec![
         row("messages: requests", requests, "a second", "exact", "rendezvous of callers"),
-        row(
-            "messages: tokens passed on",
-            sizes.tokens / sizes.routers,
-            "a second",
-            "exact",
-            "streams",
-        ),
+        row("messages: tokens passed on", tokens, "a second", "exact", "streams"),
         row("time: placement", place, "% of a core", "place_engines", "rank within one pool"),
         row("time: answers about addresses", entry, "% of a core", "entry_routers", "rank"),
+        row("time: tokens passed on", relay, "% of a core", "relay_tokens", "streams"),
         row("time: events", record, "% of a core", "ring_events", "bounded ring"),
         row("events reach back", span, "s", "exact", "bounded ring"),
     ]
@@ -278,9 +313,7 @@
 fn log(slopes: &Slopes, sizes: &Sizes, upkeep: &Control) -> Vec<Figure> {
     let ticket = slopes.wire_each("log_tickets");
     let reads = TAILERS * (1.0 / upkeep.log_wait.as_secs_f64() + sizes.tickets / DAY_S);
-    let row = |what, value, unit, slopes, carrier| {
-        figure(Role::Log, what, (value, unit), slopes, carrier)
-    };
+    let row = rows(Role::Log);
     vec![
         at_most(
             row("appends of tickets", sizes.tickets / DAY_S, "a second", "exact", "operators only"),
@@ -299,9 +332,7 @@
 
 fn operator(slopes: &Slopes, sizes: &Sizes) -> Vec<Figure> {
     let state = slopes.wire("snapshot_objects", sizes.objects()) / 1e6;
-    let row = |what, value, unit, slopes, carrier| {
-        figure(Role::Operator, what, (value, unit), slopes, carrier)
-    };
+    let row = rows(Role::Operator);
     vec![
         row("state of one router", state, "MB", "snapshot_objects", "one answer"),
         row(
--- a/src/controllers/marks.rs
+++ b/src/controllers/marks.rs
@@ -18,8 +18,6 @@
 
 /// Marks told by name in one message.
 const NAMED: usize = 4;
-/// Marks repeated in one message to a peer that holds others.
-const REPEATED: usize = 4;
 /// Marks told by name in one message when their names are not on the list.
 const UNLISTED: usize = 16;
 
@@ -41,12 +39,12 @@
     }
 
     /// Repeats marks in turn while a peer holds others: the messages that first
-    /// told them may all have been lost.
+    /// told them may all have been lost, or have been about another list.
     pub(super) fn repeat_marks(&mut self, message: &mut Gossip) {
         if !self.marks_differ || message.has_marks() {
             return;
         }
-        let marks = self.parts.marks.repeat(&self.repeated, REPEATED, self.now());
+        let marks = self.parts.marks.repeat(&self.repeated, NAMED, self.now());
         if let Some(last) = marks.last() {
             self.repeated = last.name.clone();
         }
--- a/src/daemon/status_api.rs
+++ b/src/daemon/status_api.rs
@@ -8,6 +8,7 @@
 use warp::reply::Response;
 use warp::{Filter, Reply};
 
+use crate::controllers::held_items;
 use crate::daemon::control_api::guarded;
 use crate::filters::{DEFAULT_POLICY, Shared};
 use crate::fleet::{Pool, View};
@@ -75,8 +76,10 @@
         cached_tokens: counters.cached_tokens.get(),
         spilled: counters.spilled.get(),
         control_bytes: shared.meter.total(),
+        control_budget: shared.settings.upkeep.budget.as_u64(),
         suspects: suspects.iter().map(|it| format!("{it:016x}")).collect(),
         engines: loads(&view),
+        items: held_items(&view),
     }
 }
 
--- a/src/filters/shared.rs
+++ b/src/filters/shared.rs
@@ -15,7 +15,7 @@
 use crate::filters::{Arm, Upstream};
 use crate::fleet::{Budget, CrashBoard, MarkBoard, ViewCell};
 use crate::keys::KeyRing;
-use crate::metrics::RequestMetrics;
+use crate::metrics::{RequestMetrics, StreamMetrics};
 use crate::once::OnceDesk;
 use crate::settings::Settings;
 use crate::wire::Usage;
@@ -61,6 +61,8 @@
     registry: Registry,
     /// Latencies, and requests by organisation.
     pub single: RequestMetrics,
+    /// How fast tokens come.
+    pub streams: StreamMetrics,
     /// Requests by outcome.
     pub requests: IntCounterVec,
     /// Requests in flight.
@@ -71,6 +73,10 @@
     pub cached_tokens: IntCounter,
     /// Requests that the first of the rank could not take.
     pub spilled: IntCounter,
+    /// Orders sent to engines.
+    pub orders: IntCounter,
+    /// Orders that engines refused for an old fencing number.
+    pub refused_orders: IntCounter,
     /// Requests of experiments by arm and outcome.
     pub arm_requests: IntCounterVec,
     /// Prompt tokens of experiments by arm, cached or not.
@@ -87,6 +93,7 @@
         let registry = Registry::new();
         let counters = Counters {
             single: RequestMetrics::new(&registry)?,
+            streams: StreamMetrics::new(&registry)?,
             registry,
             requests: IntCounterVec::new(
                 opts("requests_total", "Requests by kind and verdict"),
@@ -102,6 +109,11 @@
                 "spilled_requests_total",
                 "Requests that the first of the rank could not take",
             ))?,
+            orders: IntCounter::with_opts(opts("orders_total", "Orders sent to engines"))?,
+            refused_orders: IntCounter::with_opts(opts(
+                "refused_orders_total",
+                "Orders that engines refused for an old fencing number",
+            ))?,
             arm_requests: IntCounterVec::new(
                 opts("experiment_requests_total", "Requests by experiment, arm and verdict"),
                 &["experiment", "arm", "verdict"],
@@ -117,6 +129,8 @@
         all.register(Box::new(counters.prompt_tokens.clone()))?;
         all.register(Box::new(counters.cached_tokens.clone()))?;
         all.register(Box::new(counters.spilled.clone()))?;
+        all.register(Box::new(counters.orders.clone()))?;
+        all.register(Box::new(counters.refused_orders.clone()))?;
         all.register(Box::new(counters.arm_requests.clone()))?;
         all.register(Box::new(counters.arm_tokens.clone()))?;
         Ok(counters)
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -28,5 +28,5 @@
 pub use once::{KeyAnswer, KeyQuery, NewKey, WireClaims};
 pub use order::{OrderRecord, OrderRequest, WireOrder};
 pub use packed::{PackError, pack_gossip, packed_len, unpack_gossip};
-pub use status::{WireCount, WireEngine, WireStatus};
+pub use status::{WireCount, WireEngine, WireItem, WireStatus};
 pub use ticket::{WireObject, WireTicket, parse_ticket};
--- a/src/wire/status.rs
+++ b/src/wire/status.rs
@@ -15,6 +15,18 @@
         pub bound: f64,
     }
 
+    /// A model version or adapter that engines are ordered to hold.
+    pub struct WireItem {
+        /// Name by which requests ask for it.
+        pub name: String,
+        /// Pool of the engines.
+        pub pool: String,
+        /// Engines that are to hold it.
+        pub wanted: usize,
+        /// Live engines that hold it, as this router knows.
+        pub held: Vec<String>,
+    }
+
     /// Requests by kind and verdict.
     pub struct WireCount {
         /// Kind of call.
@@ -51,9 +63,15 @@
         pub spilled: u64,
         /// Control bytes since the start, both ways.
         pub control_bytes: u64,
+        /// Control bytes that it may spend a second.
+        #[serde(default)]
+        pub control_budget: u64,
         /// Fingerprints of requests under suspicion of crashing backend servers.
         pub suspects: Vec<String>,
         /// Backend servers.
         pub engines: Vec<WireEngine>,
+        /// What engines are ordered to hold.
+        #[serde(default)]
+        pub items: Vec<WireItem>,
     }
 }
