--- a/src/controllers/publisher.rs
+++ b/src/controllers/publisher.rs
@@ -1,6 +1,6 @@
 //! The actor that owns the state and publishes the view.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Instant, UNIX_EPOCH};
@@ -19,7 +19,7 @@
 use crate::decide::{Sent, combine, hash_bytes};
 use crate::events::{Code, EventLog, Fields};
 use crate::fleet::{
-    Budget, Crash, CrashBoard, HoldTable, LoadTable, Mark, MarkBoard, Members, Roster, View,
+    Budget, CrashBoard, CrashReport, HoldTable, LoadTable, Mark, MarkBoard, Members, Roster, View,
     ViewCell,
 };
 use crate::settings::{Control, Seed};
@@ -82,6 +82,8 @@
     pub(super) eager: bool,
     /// Peers to which new records are still to be passed on.
     pub(super) branches: Vec<String>,
+    /// Peers that had spent their budget and are left alone for now.
+    pub(super) busy: HashSet<String>,
     /// Peers to which fresh leaving marks are still to be passed on.
     pub(super) mark_branches: Vec<String>,
     /// Offset of the first of the records folded last.
@@ -94,8 +96,10 @@
     /// Name of the leaving mark that was repeated last.
     pub(super) repeated: String,
     /// Crashes to pass on, and how often still.
-    pub(super) crashes: Vec<(Crash, u32)>,
+    pub(super) crashes: Vec<(CrashReport, u32)>,
     pub(super) crash_cursor: usize,
+    /// Counts the reports told again.
+    pub(super) crash_turn: usize,
     /// Wakes the task that makes exchanges.
     pub(super) news: Arc<Notify>,
     pub(super) rng: ChaCha8Rng,
@@ -123,6 +127,7 @@
             eager: false,
             branches: Vec::new(),
             mark_branches: Vec::new(),
+            busy: HashSet::new(),
             fresh_from: 0,
             pull: None,
             bulk: None,
@@ -130,6 +135,7 @@
             repeated: String::new(),
             crashes: Vec::new(),
             crash_cursor: 0,
+            crash_turn: 0,
             news,
             rng: ChaCha8Rng::seed_from_u64(seed),
             sent: HashMap::new(),
--- a/src/daemon/daemon.rs
+++ b/src/daemon/daemon.rs
@@ -20,11 +20,13 @@
 use crate::decide::{ChatTable, QueueLimits, hash_bytes};
 use crate::events::{Code, EventLog, Fields};
 use crate::filters::{Counters, Shared, Upstream, callers, client};
-use crate::fleet::{Budget, ViewCell};
+use crate::fleet::{Budget, CrashBoard, ViewCell};
 use crate::keys::KeyRing;
 use crate::once::OnceDesk;
 use crate::settings::Settings;
 
+/// Name of the threads that carry traffic.
+pub(crate) const TRAFFIC_THREAD: &str = "traffic";
 /// Part of the time that answers are kept in which all routers have heard of a leaving one.
 const SPREAD_PART: u32 = 5;
 
@@ -80,7 +82,7 @@
             meter: Arc::default(),
             marks: Arc::default(),
             budget: Arc::new(Budget::new(settings.upkeep.budget.as_u64(), Arc::clone(&clock))),
-            crashes: Arc::default(),
+            crashes: Arc::new(CrashBoard::new(settings.crashes.release)),
             upstream: Upstream::new(&settings.traffic).change_context(DaemonError::SetUp)?,
             chats: ChatTable::new(settings.routing.chats),
             gates: Gates::new(QueueLimits::from(&settings.admission)),
@@ -93,7 +95,7 @@
         });
         let traffic = Builder::new_multi_thread()
             .worker_threads(shared.settings.traffic.threads)
-            .thread_name("traffic")
+            .thread_name(TRAFFIC_THREAD)
             .enable_all()
             .build()
             .change_context(DaemonError::SetUp)?;
--- a/src/filters/stream.rs
+++ b/src/filters/stream.rs
@@ -24,14 +24,17 @@
 use crate::filters::cancel::Cancel;
 use crate::filters::ending::{Ending, Streamed};
 use crate::filters::in_flight::InFlight;
-use crate::filters::suspect::{Risk, note};
+use crate::filters::suspect::{Watch, note};
 use crate::filters::{Arm, Reason, Refusal, Shared, sse};
+use crate::fleet::RunningSuspect;
 use crate::wire::ChatChunk;
 
 /// Data of the last event of a whole stream.
 const END_MARK: &str = "[DONE]";
 /// Resumptions without a new event in between, at most.
 const MAX_RESUMES: u32 = 3;
+/// What is told of a stream whose time is over.
+const LATE: &str = "the deadline passed";
 /// Pause after an engine did not let a stream be resumed.
 const RESUME_PAUSE: Duration = Duration::from_millis(20);
 /// Header that tells an engine which event came last.
@@ -53,7 +56,9 @@
     /// Index of the token that must come next.
     pub(crate) next: u64,
     /// What is at risk while it runs.
-    pub(crate) risk: Option<Risk>,
+    pub(crate) risk: Watch,
+    /// Held until the stream ends when it is of a suspect.
+    pub(crate) _trial: Option<Arc<RunningSuspect>>,
 }
 
 /// One stream on its way to the caller.
@@ -75,8 +80,10 @@
 enum Fault {
     /// The connection failed; the engine may still have the rest.
     Broken(String),
-    /// What came is wrong, or the time is over.
+    /// What came is wrong, or nothing came.
     Final(String),
+    /// The deadline passed.
+    Late,
 }
 
 /// Passes the engine's stream on. The head tells `may_have_run`, as the end is
@@ -147,24 +154,33 @@
                 Err(fault) => fault,
             };
             match fault {
-                Fault::Final(fault) => return self.cut(&fault),
+                Fault::Late => return self.cut(Reason::DeadlinePassed, LATE),
+                Fault::Final(fault) => return self.cut(Reason::BackendFailed, &fault),
                 Fault::Broken(fault) => match self.resume().await {
                     Ok(()) => {}
                     Err(why) => {
-                        if let Some(risk) = self.source.risk {
+                        if let Some(risk) = self.source.risk.over() {
                             note(&self.shared, &risk).await;
                         }
-                        return self.cut(&format!("{fault}; {why}"));
+                        if self.left().is_zero() {
+                            return self.cut(Reason::DeadlinePassed, LATE);
+                        }
+                        return self.cut(Reason::BackendFailed, &format!("{fault}; {why}"));
                     }
                 },
             }
         }
     }
 
+    /// Time left until the deadline.
+    fn left(&self) -> Duration {
+        self.source.deadline.saturating_duration_since(self.shared.clock.now())
+    }
+
     /// Waits for the next event within the deadline and, once events flow, the
     /// idle time.
     async fn event(&mut self) -> Result<Event, Fault> {
-        let left = self.source.deadline.saturating_duration_since(self.shared.clock.now());
+        let left = self.left();
         let idle = self.shared.settings.traffic.idle;
         let wait = if self.flowing { left.min(idle) } else { left };
         let event = match timeout(wait, self.incoming.next()).await {
@@ -175,7 +191,7 @@
                 return Err(Fault::Broken(message.to_owned()));
             }
             Err(_) if wait == left => {
-                return Err(Fault::Final("the deadline passed".to_owned()));
+                return Err(Fault::Late);
             }
             Err(_) => return Err(Fault::Final(format!("the engine was silent for {idle:?}"))),
         };
@@ -224,18 +240,19 @@
 
     fn end(&mut self) -> Bytes {
         self.over = true;
+        self.source.risk.over();
         self.cancel.disarm();
         self.ending.done("stream");
         self.shared.counters.count_arms(&self.source.arms, Verdict::Ran);
         sse::frame("", "", END_MARK)
     }
 
-    fn cut(&mut self, fault: &str) -> Bytes {
+    fn cut(&mut self, reason: Reason, fault: &str) -> Bytes {
         self.over = true;
+        self.source.risk.over();
         self.ending.cut(fault);
         self.shared.counters.count_arms(&self.source.arms, Verdict::MayHaveRun);
-        let refusal = Refusal::may_have_run(Reason::BackendFailed, fault);
-        let mut body = refusal.body(&self.source.request);
+        let mut body = Refusal::may_have_run(reason, fault).body(&self.source.request);
         body.error.event = Code::StreamCut.number();
         let body = serde_json::to_string(&body).unwrap_or_default();
         sse::frame("", "error", &body)
@@ -260,7 +277,7 @@
 ) -> Result<reqwest::Response, String> {
     let left = source.deadline.saturating_duration_since(shared.clock.now());
     if left.is_zero() {
-        return Err("the deadline passed".to_owned());
+        return Err(LATE.to_owned());
     }
     let url = format!("http://{}/v1/streams/{}", source.address, source.request);
     let mut ask = shared.http.get(url).timeout(left);
--- a/tests/it/orders_rig.rs
+++ b/tests/it/orders_rig.rs
@@ -12,8 +12,8 @@
     TicketRecord,
 };
 use filberttiller::events::{Code, EventLog, discard_logger};
-use filberttiller::fleet::{Budget, ViewCell};
-use filberttiller::settings::{Control, Orders};
+use filberttiller::fleet::{Budget, CrashBoard, ViewCell};
+use filberttiller::settings::{Control, Crashes, Orders};
 use filberttiller::wire::{
     Instance, LoadReport, MemberStatus, OrderRequest, Role, Standing, WireMember, WireOrder,
     parse_ticket,
@@ -80,7 +80,7 @@
             events: Arc::clone(&events),
             clock: Arc::clone(&clock),
             marks: Arc::default(),
-            crashes: Arc::default(),
+            crashes: Arc::new(CrashBoard::new(Crashes::default().release)),
             budget: Arc::new(Budget::new(1 << 40, Arc::clone(&clock))),
             upkeep: Control::default(),
             seeds: Vec::new(),
--- a/tests/it/spread.rs
+++ b/tests/it/spread.rs
@@ -12,7 +12,7 @@
 use filberttiller::decide::hash_bytes;
 use filberttiller::demo::{Ask, Caller, Fleet, FleetOptions};
 use filberttiller::events::{EventLog, discard_logger};
-use filberttiller::fleet::{Budget, Mark, MarkBoard, Purpose, ViewCell};
+use filberttiller::fleet::{Budget, CrashBoard, Mark, MarkBoard, Purpose, ViewCell};
 use filberttiller::settings::Control;
 use filberttiller::wire::{
     GOSSIP_VERSION, Gossip, Instance, LoadReport, MemberStatus, Role, Standing, WireMember,
@@ -34,6 +34,8 @@
 /// Backend servers of the fleet, and those of the failure domain that leaves.
 const SERVERS: usize = 790;
 const LEAVING: usize = 100;
+/// How long a crash counts.
+const RELEASE: Duration = Duration::from_secs(600);
 /// Tickets of a storm.
 const STORM: u64 = 100;
 
@@ -80,7 +82,7 @@
             events: Arc::new(EventLog::new(name, clock.clone(), discard_logger())),
             clock: clock.clone(),
             marks: Arc::clone(&marks),
-            crashes: Arc::default(),
+            crashes: Arc::new(CrashBoard::new(RELEASE)),
             budget: Arc::new(Budget::new(RATE as u64, clock.clone())),
             upkeep: Control::default(),
             seeds: Vec::new(),
