--- a/src/capacity/probe.rs
+++ b/src/capacity/probe.rs
@@ -135,7 +135,6 @@
         sizes: &[100, 200, 400, 800],
         take: network::log_tickets,
     },
-    Probe { name: "order_calls", unit: "order", sizes: &[4, 8, 16, 32], take: orders::order_calls },
     Probe {
         name: "receive_engines",
         unit: "engine",
@@ -166,6 +165,7 @@
         sizes: &[800, 1_600, 3_200, 6_400],
         take: streams::relay_tokens,
     },
+    Probe { name: "order_calls", unit: "order", sizes: &[4, 8, 16, 32], take: orders::order_calls },
 ];
 
 /// Measures `probe` at all its sizes and fits a line to each part.
--- a/tests/it/overview.rs
+++ b/tests/it/overview.rs
@@ -29,9 +29,9 @@
         spilled: 0,
         control_bytes,
         control_budget: BUDGET,
+        items: Vec::new(),
         suspects: Vec::new(),
         engines: Vec::new(),
-        items: Vec::new(),
     }
 }
 
