--- a/tests/it/membership.rs
+++ b/tests/it/membership.rs
@@ -146,7 +146,7 @@
     for i in 0..5 {
         from.insert(&Mark { name: format!("e-{i}"), incarnation: i, left }, now);
     }
-    while !from.fresh(5, now).is_empty() {}
+    while !from.fresh(5, now, |_| true).is_empty() {}
     let mut last = String::new();
     let mut told = 0;
     while from.digest(now) != to.digest(now) {
@@ -293,7 +293,7 @@
     let left = Duration::from_secs(600);
     let mark = Mark { name: "assistant-llm-1".to_owned(), incarnation: 0, left };
     shared.marks.insert(&mark, shared.clock.now());
-    while !shared.marks.fresh(1, shared.clock.now()).is_empty() {}
+    while !shared.marks.fresh(1, shared.clock.now(), |_| true).is_empty() {}
     fleet.wait_until(|it| all_hold_leaving(it, "assistant-llm-1")).await;
 }
 
