Part what is taken in from what is sent between routers

Change: intake.rs takes a peer's message in, one step a function; tests of routers in processes of their own stand in process.rs. Nothing else changed.

--- a/src/controllers/mod.rs
+++ b/src/controllers/mod.rs
@@ -4,6 +4,7 @@
 mod forest;
 mod gossip;
 mod held_items;
+mod intake;
 mod list_watch;
 mod load_watch;
 mod mark_watch;
--- a/src/controllers/round.rs
+++ b/src/controllers/round.rs
@@ -1,7 +1,7 @@
-//! Exchanges between routers: what is sent, and what is made of what comes.
+//! Exchanges between routers: what is sent, and to whom.
 
 use std::net::SocketAddr;
-use std::time::{Duration, Instant, UNIX_EPOCH};
+use std::time::{Instant, UNIX_EPOCH};
 
 use rand::Rng;
 use xtra::prelude::*;
@@ -9,11 +9,9 @@
 use crate::backend::PlatformError;
 use crate::controllers::Publisher;
 use crate::controllers::messages::{Answered, Exchange, NextRound, Round};
-use crate::controllers::pull::Pull;
-use crate::controllers::ticket_tail::read_text;
 use crate::decide::hash_bytes;
 use crate::events::Code;
-use crate::fleet::{CrashReport, Purpose};
+use crate::fleet::Purpose;
 use crate::wire::{GOSSIP_VERSION, Gossip, MemberStatus, WireCrash, WireMember};
 
 /// Bytes of compressed records that go along unasked; more is announced and fetched.
@@ -123,89 +121,6 @@
         Some(all[index].to_wire(now))
     }
 
-    /// Takes in what a peer tells.
-    fn absorb(&mut self, message: Gossip) {
-        let now = self.now();
-        let peer = message.from.name.clone();
-        let before = self.members.own().incarnation;
-        let mut changed = self.members.learn(message.from.clone(), now);
-        for it in message.members {
-            changed |= self.members.learn(it, now);
-        }
-        if self.members.own().incarnation != before {
-            self.record(Code::SuspicionRefuted, &self.parts.own.name, &format!("told by {peer}"));
-        }
-        let joined = changed;
-        let news = self.take_marks(&peer, message.marks, message.mark_set);
-        let own = self.parts.marks.digest(now);
-        self.marks_differ = message.board.is_some_and(|it| it != own);
-        for it in message.lines {
-            let name = it.name.clone();
-            let standing = self.roster.get(&name).map(|it| it.standing);
-            if self.roster.learn(it) {
-                self.note_line(&name, standing);
-                changed = true;
-            }
-        }
-        for it in &message.crashes {
-            self.parts.crashes.insert(CrashReport::from_wire(it, now), now);
-        }
-        for it in &message.loads {
-            changed |= self.loads.learn(it);
-        }
-        for it in &message.holds {
-            changed |= self.holds.learn(it);
-        }
-        self.holds_differ = message.held.is_some_and(|it| it != self.holds.digest());
-        let from = self.state.next;
-        self.take_records(&peer, message.base, message.records);
-        if let Some(age) = message.log_age {
-            let seen = now.checked_sub(Duration::from_millis(age));
-            self.log_seen = self.log_seen.max(seen);
-        }
-        self.compare(&peer, message.next, message.chain);
-        self.peers.insert(peer.clone(), message.next);
-        if message.next > self.state.next && self.pull.is_none() {
-            let addr = message.from.control;
-            self.pull = Some(Pull { peer, addr, busy: false, whole: None });
-            self.news.notify_one();
-        }
-        if news {
-            self.spread_marks(false);
-        }
-        if joined {
-            self.hurry();
-        }
-        let folded = self.state.next > from;
-        if news || changed || folded {
-            self.publish();
-        }
-        if folded {
-            self.spread_records(from);
-        }
-    }
-
-    /// Folds records told by `peer`, unless they go on from another history.
-    fn take_records(&mut self, peer: &str, base: Option<u64>, records: Vec<(u64, String)>) {
-        let first = records.first().map(|it| it.0);
-        if first == Some(self.state.next) && base.is_some_and(|it| it != self.state.chain) {
-            self.record(Code::StateDiffers, peer, &format!("before offset {}", self.state.next));
-            return;
-        }
-        for (offset, text) in records {
-            let ticket = read_text(&text);
-            self.fold(offset, &text, ticket);
-        }
-    }
-
-    /// Says so when `peer` folded other records up to the same offset.
-    fn compare(&self, peer: &str, next: u64, chain: u64) {
-        let first = self.peers.get(peer) != Some(&next);
-        if first && next == self.state.next && chain != self.state.chain {
-            self.record(Code::StateDiffers, peer, &format!("offset {next}"));
-        }
-    }
-
     /// The exchange that passes new records on.
     fn branch_round(&mut self) -> Option<Round> {
         while let Some(peer) = self.branches.pop() {
--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -31,6 +31,7 @@
 mod pace;
 mod path;
 mod paused;
+mod process;
 mod reservation;
 mod settings;
 mod spread;
