Build messages between routers in one place in tests

Cause: two tests listed all fields of a message; each new field had to be added twice, which broke merges. Conclusion: one place knows the fields.

--- a/tests/it/control.rs
+++ b/tests/it/control.rs
@@ -17,6 +17,8 @@
 use serde_json::{Value, json};
 use standins::log::Faults;
 
+use crate::support::empty_message;
+
 fn options(routers: usize) -> FleetOptions {
     let mut options = FleetOptions { routers, engines: 1, canaries: 0, ..FleetOptions::default() };
     options.settings.traffic.threads = 1;
@@ -196,23 +198,10 @@
     };
     let gossip = Gossip {
         version,
-        from,
         next: 1,
-        chain: 0,
-        log_age: None,
-        board: None,
-        marks: Vec::new(),
-        mark_set: None,
         base: Some(base),
         records: vec![(0, ticket(1, "a").to_string())],
-        want: None,
-        part: None,
-        members: Vec::new(),
-        crashes: Vec::new(),
-        lines: Vec::new(),
-        loads: Vec::new(),
-        holds: Vec::new(),
-        held: None,
+        ..empty_message(from)
     };
     rmp_serde::to_vec_named(&Newer { gossip, field_of_newer_peer: vec![1, 2] }).unwrap()
 }
--- a/tests/it/spread.rs
+++ b/tests/it/spread.rs
@@ -15,8 +15,8 @@
 use filberttiller::fleet::{Budget, CrashBoard, Mark, MarkBoard, Purpose, ViewCell};
 use filberttiller::settings::Control;
 use filberttiller::wire::{
-    GOSSIP_VERSION, Gossip, Instance, LoadReport, MemberStatus, Role, Standing, WireMember,
-    pack_gossip, unpack_gossip,
+    Gossip, Instance, LoadReport, MemberStatus, Role, Standing, WireMember, pack_gossip,
+    unpack_gossip,
 };
 use proptest::prelude::*;
 use rstest::rstest;
@@ -25,7 +25,7 @@
 use xtra::{Address, Mailbox};
 
 use crate::decoders::fixed;
-use crate::support::{question, start};
+use crate::support::{empty_message, question, start};
 
 /// Control bytes of a router in a second.
 const RATE: usize = 4_096;
@@ -124,28 +124,9 @@
     }
 }
 
-/// A message with nothing in it.
+/// A message of the router called `from` with nothing in it.
 fn empty(from: &str) -> Gossip {
-    Gossip {
-        version: GOSSIP_VERSION,
-        from: member(from),
-        next: 0,
-        chain: 0,
-        log_age: None,
-        marks: Vec::new(),
-        board: None,
-        mark_set: None,
-        base: None,
-        records: Vec::new(),
-        want: None,
-        part: None,
-        members: Vec::new(),
-        crashes: Vec::new(),
-        lines: Vec::new(),
-        loads: Vec::new(),
-        holds: Vec::new(),
-        held: None,
-    }
+    empty_message(member(from))
 }
 
 #[tokio::test]
--- a/tests/it/support.rs
+++ b/tests/it/support.rs
@@ -2,6 +2,7 @@
 
 use filberttiller::demo::{Fleet, FleetOptions};
 use filberttiller::filters::CHAT_HEADER;
+use filberttiller::wire::{GOSSIP_VERSION, Gossip, WireMember};
 use reqwest::Response;
 use reqwest::header::{HeaderMap, HeaderName, HeaderValue};
 use serde_json::{Value, json};
@@ -33,3 +34,27 @@
 pub(crate) fn header(reply: &Response, name: &str) -> String {
     reply.headers().get(name).map_or("", |it| it.to_str().unwrap()).to_owned()
 }
+
+/// A message between routers with nothing in it.
+pub(crate) fn empty_message(from: WireMember) -> Gossip {
+    Gossip {
+        version: GOSSIP_VERSION,
+        from,
+        next: 0,
+        chain: 0,
+        log_age: None,
+        marks: Vec::new(),
+        board: None,
+        mark_set: None,
+        base: None,
+        records: Vec::new(),
+        want: None,
+        part: None,
+        members: Vec::new(),
+        crashes: Vec::new(),
+        lines: Vec::new(),
+        loads: Vec::new(),
+        holds: Vec::new(),
+        held: None,
+    }
+}
