--- a/src/cli/args.rs
+++ b/src/cli/args.rs
@@ -246,17 +246,3 @@
         .help("Settings file of any instance; it names the log, the list and the token")
         .argument("FILE")
 }
-
-/// Arguments of the daemon.
-///
-/// Exit codes: 0 stopped with nothing cut off, 1 failed or cut off, 2 wrong input.
-#[derive(Debug, Clone, Bpaf)]
-#[bpaf(options, version)]
-pub(crate) struct DaemonArgs {
-    /// Form of log lines: text or json.
-    #[bpaf(argument("FORM"), fallback(crate::events::LogFormat::Text), debug_fallback)]
-    pub(crate) log_format: crate::events::LogFormat,
-    /// The settings file.
-    #[bpaf(positional("SETTINGS"))]
-    pub(crate) settings: PathBuf,
-}
--- a/src/cli/check.rs
+++ b/src/cli/check.rs
@@ -6,6 +6,7 @@
 use crate::settings::{self, Settings};
 
 /// Checks a settings file.
+#[cfg(feature = "trial")]
 pub(crate) fn run(file: &Path) -> Result<(), CliError> {
     let settings = read(file)?;
     println!("{}: settings of `{}` are good", file.display(), settings.name);
--- a/src/cli/daemon.rs
+++ b/src/cli/daemon.rs
@@ -5,7 +5,7 @@
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
 use crate::cli::CliError;
-use crate::cli::args::daemon_args;
+use crate::cli::daemon_args::daemon_args;
 use crate::cli::check::read;
 use crate::clock::SystemClock;
 use crate::daemon::{Daemon, Stop};
--- a/src/cli/run.rs
+++ b/src/cli/run.rs
@@ -1,6 +1,5 @@
 //! Entry point of the operators' program.
 
-use std::process::ExitCode;
 use std::time::Duration;
 
 use crate::cli::args::{Args, TicketArgs, args};
@@ -41,17 +40,6 @@
     }
 }
 
-/// Prints the error, if any, and gives the exit code.
-pub fn report(result: Result<(), CliError>) -> ExitCode {
-    match result {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(e) => {
-            eprintln!("error: {e}");
-            e.code()
-        }
-    }
-}
-
 /// Runs a command on a runtime of its own.
 fn block_on(command: impl Future<Output = Result<(), CliError>>) -> Result<(), CliError> {
     let runtime = tokio::runtime::Builder::new_multi_thread()
--- a/src/clock/clock.rs
+++ b/src/clock/clock.rs
@@ -2,7 +2,7 @@
 
 use std::fmt::Debug;
 use std::sync::Arc;
-use std::time::{Instant, SystemTime};
+use std::time::{Duration, Instant, SystemTime};
 
 /// Tells the time.
 pub trait Clock: Debug + Send + Sync {
@@ -11,6 +11,9 @@
 
     /// Wall-clock time; may jump and may differ between instances.
     fn wall(&self) -> SystemTime;
+
+    /// Time since the machine started, its suspensions included.
+    fn boot(&self) -> Duration;
 }
 
 /// A clock that many tasks share.
--- a/src/clock/manual.rs
+++ b/src/clock/manual.rs
@@ -42,4 +42,8 @@
     fn wall(&self) -> SystemTime {
         UNIX_EPOCH + self.passed()
     }
+
+    fn boot(&self) -> Duration {
+        self.passed()
+    }
 }
--- a/src/clock/system.rs
+++ b/src/clock/system.rs
@@ -1,6 +1,8 @@
 //! The clock of the machine.
 
-use std::time::{Instant, SystemTime};
+use std::time::{Duration, Instant, SystemTime};
+
+use nix::time::{ClockId, clock_gettime};
 
 use crate::clock::Clock;
 
@@ -16,4 +18,9 @@
     fn wall(&self) -> SystemTime {
         SystemTime::now()
     }
+
+    fn boot(&self) -> Duration {
+        let time = clock_gettime(ClockId::CLOCK_BOOTTIME);
+        time.map(Duration::from).expect("the kernel has a boot-time clock")
+    }
 }
--- a/src/controllers/mod.rs
+++ b/src/controllers/mod.rs
@@ -34,5 +34,6 @@
 pub use order_tail::ORDER_STREAM;
 pub use orders::{OrderGiver, OrderParts};
 pub use publisher::{Parts, Publisher};
+#[cfg(feature = "trial")]
 pub(crate) use round::LOADS;
 pub use ticket_tail::{SNAPSHOT_STREAM, TICKET_STREAM, Tail};
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -12,6 +12,7 @@
 mod write_limit;
 
 pub(crate) use control_thread::CONTROL_THREAD;
+#[cfg(feature = "trial")]
 pub(crate) use daemon::TRAFFIC_THREAD;
 pub use daemon::{Daemon, DaemonError};
 pub use server::serve;
--- /dev/null
+++ b/src/decide/pick.rs
@@ -0,0 +1,65 @@
+//! Which backend server gets a request that is passed on.
+
+use crate::decide::weighted_score;
+
+key! {
+    /// A backend server that may be chosen.
+    pub struct Candidate {
+        /// Hash of its name, the same at all routers.
+        pub hash: u64,
+        /// Requests that it holds, as far as known.
+        pub load: u32,
+        /// Requests that it runs at once.
+        pub slots: u32,
+        /// It is not to be used: tried already, unreachable or failing.
+        pub closed: bool,
+    }
+}
+
+plain! {
+    /// How far loads may differ.
+    pub struct Bound {
+        /// Multiple of the mean load.
+        pub factor: f64,
+        /// Requests above that multiple.
+        pub extra: f64,
+        /// Requests that may wait at a server, for each of its slots.
+        pub queue: f64,
+    }
+}
+
+/// Chooses among `candidates`: with a `key`, the first in its rendezvous order
+/// that is within the bound, so that all routers send one key to one server;
+/// else the least loaded. `seed` breaks ties. None when all are closed or full.
+///
+/// Rendezvous hashing after Thaler and Ravishankar (1998), with bounded loads
+/// after Mirrokni, Thorup and Zadimoghaddam (2018).
+pub fn pick(candidates: &[Candidate], key: Option<u64>, bound: &Bound, seed: u64) -> Option<usize> {
+    let open = |it: &Candidate| !it.closed && f64::from(it.load) < room(it, bound);
+    let count = candidates.iter().filter(|it| !it.closed).count();
+    let total: u32 = candidates.iter().filter(|it| !it.closed).map(|it| it.load).sum();
+    let mean = f64::from(total) / count.max(1) as f64;
+    let limit = mean * bound.factor + bound.extra;
+    let within = |it: &Candidate| open(it) && f64::from(it.load) < limit;
+    let home = key.and_then(|key| best(candidates, within, |it| weighted_score(key, it.hash, 1.0)));
+    home.or_else(|| {
+        best(candidates, open, |it| {
+            let tie = weighted_score(seed, it.hash, 1.0);
+            -f64::from(it.load) / f64::from(it.slots.max(1)) + tie * 1e-6
+        })
+    })
+}
+
+fn room(it: &Candidate, bound: &Bound) -> f64 {
+    f64::from(it.slots) * (1.0 + bound.queue)
+}
+
+fn best(
+    candidates: &[Candidate],
+    open: impl Fn(&Candidate) -> bool,
+    score: impl Fn(&Candidate) -> f64,
+) -> Option<usize> {
+    let all = candidates.iter().enumerate().filter(|(_, it)| open(it));
+    let scored = all.map(|(at, it)| (at, score(it)));
+    scored.max_by(|a, b| a.1.total_cmp(&b.1)).map(|(at, _)| at)
+}
--- a/src/events/logger.rs
+++ b/src/events/logger.rs
@@ -5,6 +5,9 @@
 use slog::{Discard, Drain, Logger, Never, OwnedKV, SendSyncRefUnwindSafeKV, o};
 use slog_async::{Async, AsyncBuilder, AsyncGuard};
 
+/// Log lines that wait to be written at most.
+const QUEUED_LINES: usize = 2_048;
+
 key! {
     /// Form of log lines.
     pub enum LogFormat {
@@ -44,6 +47,14 @@
     }
 }
 
+/// A logger of JSON lines to standard output that never blocks its callers: lines
+/// that find no room are counted, and the count is written later.
+pub fn json_logger(instance: &str) -> (Logger, AsyncGuard) {
+    let drain = slog_json::Json::default(std::io::stdout()).fuse();
+    let queue = Async::new(drain).chan_size(QUEUED_LINES);
+    rooted(queue, o!("instance" => instance.to_owned()))
+}
+
 fn rooted<T: SendSyncRefUnwindSafeKV + 'static>(
     queue: AsyncBuilder<impl Drain<Ok = (), Err = Never> + Send + 'static>,
     values: OwnedKV<T>,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,6 +9,7 @@
 
 pub mod admission;
 pub mod backend;
+#[cfg(feature = "trial")]
 pub mod capacity;
 pub mod check;
 pub mod cli;
@@ -16,16 +17,23 @@
 pub mod controllers;
 pub mod daemon;
 pub mod decide;
+#[cfg(feature = "trial")]
 pub mod demo;
 pub mod events;
 pub mod filters;
 pub mod fleet;
 pub mod keys;
+#[cfg(feature = "trial")]
 pub mod load;
 pub mod measure;
 pub mod metrics;
 pub mod once;
 pub mod overview;
+pub mod peers;
+pub mod relay;
+pub mod router;
+pub mod rules;
+pub mod servers;
 pub mod settings;
 pub mod state;
 pub mod timeline;
--- /dev/null
+++ b/src/peers/mod.rs
@@ -0,0 +1,7 @@
+//! The other routers: which are alive, and how much each has in flight.
+
+mod client;
+mod roster;
+
+pub use client::{PeerClient, PeerError, decode, encode};
+pub use roster::Roster;
--- /dev/null
+++ b/src/relay/body.rs
@@ -0,0 +1,33 @@
+//! Bodies of answers to callers.
+
+use std::fmt;
+use std::pin::Pin;
+
+use bytes::Bytes;
+use futures_util::Stream;
+use http_body_util::{Either, Full, StreamBody};
+use hyper::body::Frame;
+
+/// An answer that ends before its end; the caller's connection is cut, so that
+/// it does not look complete.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RelayError;
+
+impl fmt::Display for RelayError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("the answer broke off")
+    }
+}
+
+impl std::error::Error for RelayError {}
+
+/// Events of a stream as they arrive.
+pub(crate) type Events = Pin<Box<dyn Stream<Item = Result<Frame<Bytes>, RelayError>> + Send>>;
+
+/// The body of an answer: whole, or as it arrives.
+pub type RelayBody = Either<Full<Bytes>, StreamBody<Events>>;
+
+/// A body that is known whole.
+pub fn whole(bytes: impl Into<Bytes>) -> RelayBody {
+    Either::Left(Full::new(bytes.into()))
+}
--- /dev/null
+++ b/src/relay/exchange.rs
@@ -0,0 +1,103 @@
+//! One try: a request sent to one backend server, and the head of its answer.
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::header::HeaderMap;
+use hyper::http::response::Parts;
+use hyper::{Method, Request, Response, StatusCode, Uri};
+use tokio::time::{Instant, timeout_at};
+
+use crate::relay::connection::SendError;
+use crate::relay::{AnswerHead, Connection, Failed, drop_hop_headers};
+use crate::servers::InFlight;
+
+/// Longest answer that is read whole, in bytes.
+const MAX_WHOLE: usize = 8 * 1024 * 1024;
+
+/// A request as it goes to a backend server.
+#[derive(Debug, Clone)]
+pub(crate) struct Sending {
+    pub method: Method,
+    pub uri: Uri,
+    pub headers: HeaderMap,
+    pub body: Bytes,
+}
+
+impl Sending {
+    fn request(&self) -> Request<Full<Bytes>> {
+        let mut request = Request::new(Full::new(self.body.clone()));
+        *request.method_mut() = self.method.clone();
+        *request.uri_mut() = self.uri.clone();
+        *request.headers_mut() = self.headers.clone();
+        request
+    }
+}
+
+/// The head of a good answer, with its body still to come.
+#[derive(Debug)]
+pub(crate) struct Reply {
+    pub parts: Parts,
+    pub head: AnswerHead,
+    pub body: Incoming,
+    pub connection: Connection,
+    pub in_flight: InFlight,
+}
+
+/// Sends `sending` and judges the head of what comes back.
+///
+/// # Errors
+/// Tells why the answer is none, and with it whether the request may have run.
+pub(crate) async fn exchange(
+    sending: &Sending,
+    mut connection: Connection,
+    in_flight: InFlight,
+    id: &str,
+    read: fn(&HeaderMap) -> AnswerHead,
+    deadline: Instant,
+) -> Result<Reply, Failed> {
+    let sent = timeout_at(deadline, connection.send(sending.request())).await;
+    let response = match sent {
+        Err(_) => return Err(Failed::Silent),
+        Ok(Err(SendError::Unsent(_))) => return Err(Failed::Unsent),
+        Ok(Err(SendError::Lost(e))) if e.is_parse() => return Err(Failed::Garbled),
+        Ok(Err(SendError::Lost(_))) => return Err(Failed::Lost),
+        Ok(Ok(response)) => response,
+    };
+    let (mut parts, body) = response.into_parts();
+    let head = read(&parts.headers);
+    judge(parts.status, &head, id)?;
+    drop_hop_headers(&mut parts.headers);
+    Ok(Reply { parts, head, body, connection, in_flight })
+}
+
+fn judge(status: StatusCode, head: &AnswerHead, id: &str) -> Result<(), Failed> {
+    if head.request.as_deref().is_some_and(|it| it != id) {
+        return Err(Failed::Garbled);
+    }
+    if head.not_run {
+        let elsewhere = status == StatusCode::MISDIRECTED_REQUEST;
+        return Err(if elsewhere { Failed::Misdirected } else { Failed::Shed });
+    }
+    if head.encoded || !head.signed {
+        return Err(Failed::Garbled);
+    }
+    Ok(())
+}
+
+impl Reply {
+    /// Reads the body to its end; the connection may carry the next request.
+    ///
+    /// # Errors
+    /// Fails when the body breaks off or takes too long.
+    pub async fn whole(
+        self,
+        deadline: Instant,
+    ) -> Result<(Response<Bytes>, AnswerHead, Connection, InFlight), Failed> {
+        let body = Limited::new(self.body, MAX_WHOLE).collect();
+        let body = timeout_at(deadline, body).await.map_err(|_| Failed::Silent)?;
+        let body = body.map_err(|_| Failed::Lost)?.to_bytes();
+        let response = Response::from_parts(self.parts, body);
+        Ok((response, self.head, self.connection, self.in_flight))
+    }
+}
--- /dev/null
+++ b/src/relay/refusal.rs
@@ -0,0 +1,113 @@
+//! Answers of the router's own.
+
+use std::time::Duration;
+
+use hyper::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
+use hyper::{Response, StatusCode};
+
+use crate::decide::Verdict;
+use crate::relay::{RelayBody, whole};
+
+key! {
+    /// Why a request gets no answer of a backend server.
+    pub enum Refusal {
+        /// The head cannot be read.
+        Malformed,
+        /// The body is longer than allowed.
+        TooLarge,
+        /// The key belongs to no organisation.
+        NoOrganisation,
+        /// No route has this host and path.
+        NoRoute,
+        /// The rules are not known, or were not confirmed for too long.
+        NoRules,
+        /// No backend server can take it now.
+        NoServer,
+        /// All backend servers are full.
+        NoRoom,
+        /// It crashed the backend servers that ran it.
+        Crashes,
+        /// Backend servers failed it; it may have run.
+        ServerFailed,
+        /// Its time is over; it may have run.
+        TimedOut,
+        /// Its time is over and it did not run.
+        TooLate,
+        /// A backend server shed it, and it cannot be sent again.
+        Shed,
+    }
+}
+
+impl Refusal {
+    /// Status of the answer. 503 promises that the request did not run.
+    pub fn status(self) -> StatusCode {
+        match self {
+            Refusal::Malformed => StatusCode::BAD_REQUEST,
+            Refusal::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Refusal::NoOrganisation => StatusCode::UNAUTHORIZED,
+            Refusal::NoRoute => StatusCode::NOT_FOUND,
+            Refusal::ServerFailed => StatusCode::BAD_GATEWAY,
+            Refusal::TimedOut => StatusCode::GATEWAY_TIMEOUT,
+            Refusal::NoRules
+            | Refusal::NoServer
+            | Refusal::NoRoom
+            | Refusal::Crashes
+            | Refusal::TooLate
+            | Refusal::Shed => StatusCode::SERVICE_UNAVAILABLE,
+        }
+    }
+
+    /// Whether the request may have run.
+    pub fn verdict(self) -> Verdict {
+        match self {
+            Refusal::ServerFailed | Refusal::TimedOut => Verdict::MayHaveRun,
+            _ => Verdict::NotRun,
+        }
+    }
+
+    /// Time after which the caller should come back; by then the cause is likely gone.
+    pub fn retry_after(self) -> Option<Duration> {
+        match self {
+            // Another router most likely has the rules.
+            Refusal::NoRules => Some(Duration::from_millis(100)),
+            Refusal::NoServer => Some(Duration::from_millis(500)),
+            Refusal::NoRoom | Refusal::Shed => Some(Duration::from_millis(300)),
+            Refusal::Crashes => Some(Duration::from_secs(10)),
+            _ => None,
+        }
+    }
+
+    /// Name for logs and bodies.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Refusal::Malformed => "malformed",
+            Refusal::TooLarge => "too_large",
+            Refusal::NoOrganisation => "no_organisation",
+            Refusal::NoRoute => "no_route",
+            Refusal::NoRules => "no_rules",
+            Refusal::NoServer => "no_server",
+            Refusal::NoRoom => "no_room",
+            Refusal::Crashes => "crashes",
+            Refusal::ServerFailed => "server_failed",
+            Refusal::TimedOut => "timed_out",
+            Refusal::TooLate => "too_late",
+            Refusal::Shed => "shed",
+        }
+    }
+
+    /// The answer to the caller.
+    pub fn response(self) -> Response<RelayBody> {
+        let verdict = self.verdict().as_str();
+        let text = format!("{{\"error\":\"{}\",\"verdict\":\"{verdict}\"}}", self.as_str());
+        let mut response = Response::new(whole(text));
+        *response.status_mut() = self.status();
+        let headers = response.headers_mut();
+        headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        if let Some(time) = self.retry_after() {
+            let text = format!("{:.3}", time.as_secs_f64());
+            let value = HeaderValue::from_str(&text).expect("digits are a valid header");
+            headers.insert(RETRY_AFTER, value);
+        }
+        response
+    }
+}
--- /dev/null
+++ b/src/relay/retries.rs
@@ -0,0 +1,71 @@
+//! Retry budgets of all services.
+
+use std::collections::HashMap;
+use std::sync::Mutex;
+use std::time::Instant;
+
+use crate::decide::{RetryBudget, RetryRate};
+use crate::relay::RelayLimits;
+
+/// Part of the allowed ratio that one router uses; windows of routers overlap.
+const RATIO_PART: f64 = 0.5;
+/// Part of the allowed slack that is earned over a window without requests.
+const SLACK_PART: f64 = 0.4;
+/// Part of the allowed slack that may be spent at once.
+const BURST_PART: f64 = 0.4;
+
+/// One budget a service; the routers alive share what the fleet may spend.
+#[derive(Debug)]
+pub struct Retries {
+    budgets: Mutex<HashMap<String, RetryBudget>>,
+}
+
+impl Retries {
+    /// Full budgets.
+    pub fn new() -> Retries {
+        Retries { budgets: Mutex::default() }
+    }
+
+    /// Counts the first try of a request for `service`.
+    pub fn earn(&self, service: &str, rate: &RetryRate, now: Instant) {
+        self.with(service, rate, now, RetryBudget::earn);
+    }
+
+    /// Takes one retry for `service`, if there is one.
+    pub fn spend(&self, service: &str, rate: &RetryRate, now: Instant) -> bool {
+        self.with(service, rate, now, |it| it.spend(now))
+    }
+
+    /// The share of one of `routers` routers.
+    pub fn rate(limits: &RelayLimits, routers: usize) -> RetryRate {
+        let slack = limits.retry_slack / routers.max(1) as f64;
+        let window = limits.retry_window.as_secs_f64().max(1.0);
+        RetryRate {
+            per_request: limits.retry_ratio * RATIO_PART,
+            per_second: slack * SLACK_PART / window,
+            most: (slack * BURST_PART).max(1.0),
+        }
+    }
+
+    fn with<T>(
+        &self,
+        service: &str,
+        rate: &RetryRate,
+        now: Instant,
+        act: impl FnOnce(&mut RetryBudget) -> T,
+    ) -> T {
+        let mut all = self.budgets.lock().unwrap();
+        let budget = match all.get_mut(service) {
+            Some(it) => it,
+            None => all.entry(service.to_owned()).or_insert(RetryBudget::with_rate(*rate, now)),
+        };
+        budget.set_rate(*rate);
+        act(budget)
+    }
+}
+
+impl Default for Retries {
+    fn default() -> Retries {
+        Retries::new()
+    }
+}
--- /dev/null
+++ b/src/relay/stream.rs
@@ -0,0 +1,141 @@
+//! Streams of events, passed on as they arrive.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use futures_util::stream;
+use http_body_util::{BodyExt, Either, StreamBody};
+use hyper::Response;
+use hyper::body::{Frame, Incoming};
+use hyper::http::response::Parts;
+use tokio::time::timeout_at;
+
+use crate::decide::Verdict;
+use crate::relay::body::Events;
+use crate::relay::exchange::Reply;
+use crate::relay::relay::{Answer, Job};
+use crate::relay::{AnswerHead, Connection, Frames, Outcome, Relay, RelayBody, RelayError};
+use crate::servers::InFlight;
+
+/// A stream under way. Dropping it closes the connection to the backend
+/// server, which then stops its work.
+struct Pump {
+    relay: Arc<Relay>,
+    job: Box<Job>,
+    body: Incoming,
+    head: AnswerHead,
+    connection: Option<Connection>,
+    in_flight: InFlight,
+    /// Present where the stream may be resumed: only whole events are passed on.
+    frames: Option<Frames>,
+}
+
+/// The answer to the caller of a stream whose head is there.
+pub(crate) fn relay_stream(
+    relay: &Arc<Relay>,
+    job: Box<Job>,
+    reply: Reply,
+) -> Response<RelayBody> {
+    let Reply { parts, head, body, connection, in_flight } = reply;
+    let frames = is_resumable(relay, &job).then(|| Frames::after(job.last_event.clone()));
+    let relay = Arc::clone(relay);
+    let connection = Some(connection);
+    let pump = Box::new(Pump { relay, job, body, head, connection, in_flight, frames });
+    let events = stream::try_unfold(pump, |mut pump| async move {
+        let bytes = pump.next().await?;
+        Ok(bytes.map(|it| (Frame::data(it), pump)))
+    });
+    respond(parts, Box::pin(events))
+}
+
+fn respond(parts: Parts, events: Events) -> Response<RelayBody> {
+    Response::from_parts(parts, Either::Right(StreamBody::new(events)))
+}
+
+fn is_resumable(relay: &Relay, job: &Job) -> bool {
+    let rules = relay.rules.load();
+    let route = rules.as_ref().and_then(|it| it.route(&job.ask.host, job.head.uri.path()));
+    route.is_some_and(|it| it.resumable)
+}
+
+/// What comes next in a stream.
+enum Next {
+    Bytes(Bytes),
+    End,
+    Broken,
+    TimedOut,
+}
+
+impl Pump {
+    /// The next bytes for the caller; none at the end.
+    async fn next(&mut self) -> Result<Option<Bytes>, RelayError> {
+        loop {
+            match self.read().await {
+                Next::Bytes(bytes) if bytes.is_empty() => {}
+                Next::Bytes(bytes) => return Ok(Some(bytes)),
+                Next::End => {
+                    self.finish();
+                    return Ok(None);
+                }
+                Next::TimedOut => return self.cut("timed_out"),
+                Next::Broken if self.resume().await => {}
+                Next::Broken => return self.cut("broken"),
+            }
+        }
+    }
+
+    async fn read(&mut self) -> Next {
+        let frame = timeout_at(self.job.deadline.into(), self.body.frame()).await;
+        let data = match frame {
+            Err(_) => return Next::TimedOut,
+            Ok(None) if self.frames.as_ref().is_none_or(Frames::is_even) => return Next::End,
+            Ok(None) | Ok(Some(Err(_))) => return Next::Broken,
+            Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
+        };
+        match &mut self.frames {
+            None => Next::Bytes(data),
+            Some(frames) => frames.push(&data).map_or(Next::Broken, Next::Bytes),
+        }
+    }
+
+    fn finish(&mut self) {
+        self.job.trail.verdict = Verdict::Ran;
+        self.job.trail.finish(Outcome::Done, "streamed");
+        if let Some(connection) = self.connection.take() {
+            let now = self.relay.clock().now();
+            let server = self.in_flight.server();
+            self.relay.upstream().keep(server, connection, self.head.keep_alive, now);
+        }
+    }
+
+    fn cut(&mut self, reason: &str) -> Result<Option<Bytes>, RelayError> {
+        self.connection = None;
+        self.job.trail.finish(Outcome::Cut, reason);
+        Err(RelayError)
+    }
+
+    /// Goes on at another backend server; true when one took it.
+    async fn resume(&mut self) -> bool {
+        let Some(frames) = &mut self.frames else {
+            return false;
+        };
+        // The first run ends with its connection.
+        self.connection = None;
+        frames.drop_partial();
+        let last = frames.last().map(str::to_owned);
+        self.job.resume(self.in_flight.server(), last.as_deref());
+        if !self.relay.may_resume(&mut self.job) {
+            return false;
+        }
+        match self.relay.run(&mut self.job).await {
+            Ok(Answer::Stream(reply)) => {
+                self.body = reply.body;
+                self.head = reply.head;
+                self.connection = Some(reply.connection);
+                self.in_flight = reply.in_flight;
+                true
+            }
+            _ => false,
+        }
+    }
+}
--- /dev/null
+++ b/src/router/exchange_loop.rs
@@ -0,0 +1,85 @@
+//! Exchanges with the other routers.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use rand::seq::IndexedRandom;
+use slog::{debug, info, warn};
+use tokio::time::{sleep, timeout};
+
+use crate::peers::{PeerClient, PeerError, encode};
+use crate::router::{Router, Store};
+
+/// Time between two rounds.
+const ROUND: Duration = Duration::from_millis(500);
+/// Routers told in one round; others hear of it from these.
+const MOST_TOLD: usize = 8;
+/// Time between two looks for routers that nobody told of.
+const LOOK_TIME: Duration = Duration::from_secs(10);
+/// Time between two such looks while no other router is known.
+const LONELY_LOOK_TIME: Duration = Duration::from_secs(2);
+
+/// Tells the other routers what this one knows, for ever.
+pub(crate) async fn exchange<S: Store>(router: Arc<Router<S>>, client: PeerClient) {
+    loop {
+        let known: Vec<SocketAddr> = router.roster.lock().unwrap().addresses().collect();
+        let told = known.choose_multiple(&mut rand::rng(), MOST_TOLD);
+        match encode(&router.message()) {
+            Ok(body) => {
+                for peer in told {
+                    tokio::spawn(tell(Arc::clone(&router), client.clone(), *peer, body.clone()));
+                }
+            }
+            Err(e) => warn!(router.logger, "a message cannot be written"; "error" => %e),
+        }
+        router.roster.lock().unwrap().sweep(router.relay.clock().now());
+        // Ends early when there is news; either way a round begins.
+        let _ = timeout(ROUND, router.tell_now.notified()).await;
+    }
+}
+
+async fn tell<S: Store>(
+    router: Arc<Router<S>>,
+    client: PeerClient,
+    peer: SocketAddr,
+    body: Bytes,
+) {
+    match client.exchange(peer, body).await {
+        Ok(message) => router.hear(message),
+        Err(e) => {
+            debug!(router.logger, "a router does not answer"; "peer" => %peer, "error" => %e);
+            if matches!(e, PeerError::Refused) {
+                router.roster.lock().unwrap().refused(peer);
+            }
+        }
+    }
+}
+
+/// Announces this router in the store and looks for others there, for ever.
+pub(crate) async fn find_routers<S: Store>(router: Arc<Router<S>>) {
+    let own = router.roster.lock().unwrap().own().clone();
+    let mut announced = false;
+    loop {
+        if !announced {
+            match router.store.announce(&own).await {
+                Ok(()) => announced = true,
+                Err(e) => warn!(router.logger, "cannot announce this router"; "error" => %e),
+            }
+        }
+        let now = router.relay.clock().now();
+        match router.store.routers().await {
+            Ok(found) => {
+                let mut roster = router.roster.lock().unwrap();
+                for it in found {
+                    roster.learn(it, now);
+                }
+            }
+            Err(e) => info!(router.logger, "cannot look for other routers"; "error" => %e),
+        }
+        router.tell_now.notify_one();
+        let alone = router.roster.lock().unwrap().alive(now) == 0;
+        sleep(if alone || !announced { LONELY_LOOK_TIME } else { LOOK_TIME }).await;
+    }
+}
--- /dev/null
+++ b/src/rules/ask_limits.rs
@@ -0,0 +1,28 @@
+//! Bounds on what callers send.
+
+use std::time::Duration;
+
+plain! {
+    /// What a caller may send, and how long it may take.
+    pub struct AskLimits {
+        /// Longest head of a request, in bytes.
+        pub head: usize,
+        /// Longest body of a request, in bytes.
+        pub body: usize,
+        /// Time for the head of a request, once begun.
+        pub head_time: Duration,
+        /// Time without a request after which a connection may be closed.
+        pub idle: Duration,
+    }
+}
+
+impl Default for AskLimits {
+    fn default() -> AskLimits {
+        AskLimits {
+            head: 16 * 1024,
+            body: 4 * 1024 * 1024,
+            head_time: Duration::from_secs(3),
+            idle: Duration::from_secs(15),
+        }
+    }
+}
--- /dev/null
+++ b/src/rules/mod.rs
@@ -0,0 +1,18 @@
+//! What operators have set for passing requests on: routes, services,
+//! organisations and limits, and how long a copy of them may be trusted.
+
+mod ask_limits;
+mod lease;
+mod organisation;
+mod route;
+mod rule_set;
+mod rules_cell;
+mod service;
+
+pub use ask_limits::AskLimits;
+pub use lease::Lease;
+pub use organisation::Organisation;
+pub use route::{Route, RouteKind, Target};
+pub use rule_set::{Denied, RuleSet};
+pub use rules_cell::RulesCell;
+pub use service::{EngineLimits, Service};
--- /dev/null
+++ b/src/rules/service.rs
@@ -0,0 +1,21 @@
+//! A set of alike backend servers.
+
+plain! {
+    /// What operators set for one service.
+    pub struct Service {
+        /// Name, as in the records of its backend servers.
+        pub name: String,
+        /// Connections that one backend server takes from all routers together.
+        pub max_connections: Option<u32>,
+        /// Present where the backend servers are model engines.
+        pub engine: Option<EngineLimits>,
+    }
+
+    /// What one model engine can hold.
+    pub struct EngineLimits {
+        /// Requests that run at once.
+        pub slots: u32,
+        /// Tokens of running requests and cached prefixes together.
+        pub tokens: u64,
+    }
+}
--- /dev/null
+++ b/src/servers/mod.rs
@@ -0,0 +1,12 @@
+//! The backend servers that requests are passed on to: who they are, what
+//! each holds, and which can be reached.
+
+mod change;
+mod record;
+mod server;
+mod table;
+
+pub use change::{Change, Page};
+pub use record::{Standing, ServerRecord};
+pub use server::{InFlight, Server};
+pub use table::{Effect, ServerTable};
--- /dev/null
+++ b/src/servers/server.rs
@@ -0,0 +1,132 @@
+//! One incarnation of a backend server.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use crate::decide::hash_bytes;
+use crate::servers::ServerRecord;
+
+/// Pause after the first failed connection.
+const FIRST_PAUSE: Duration = Duration::from_millis(200);
+/// Longest pause after failed connections.
+const LONGEST_PAUSE: Duration = Duration::from_secs(2);
+
+#[derive(Debug, Default)]
+struct Reach {
+    /// Failures in a row.
+    failures: u32,
+    /// No request until then.
+    until: Option<Instant>,
+}
+
+/// A backend server as this router knows it. A restart makes a new value, so
+/// that nothing learnt of the former incarnation is used for the next.
+#[derive(Debug)]
+pub struct Server {
+    /// Its id.
+    pub id: Arc<str>,
+    /// Hash of its id; the same at all routers.
+    pub hash: u64,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Failure domain.
+    pub domain: String,
+    /// Requests that run at once.
+    pub slots: u32,
+    /// When it started, in milliseconds since 1970.
+    pub born: u64,
+    leaving: AtomicBool,
+    /// Requests of this router that it holds.
+    own: AtomicU32,
+    /// Requests of the other routers, as they told last.
+    others: AtomicU32,
+    reach: Mutex<Reach>,
+}
+
+impl Server {
+    /// A server with nothing in flight.
+    pub fn new(id: &str, record: &ServerRecord) -> Server {
+        Server {
+            id: id.into(),
+            hash: hash_bytes(id.as_bytes()),
+            address: record.address,
+            domain: record.domain.clone(),
+            slots: record.slots,
+            born: record.born,
+            leaving: AtomicBool::new(false),
+            own: AtomicU32::new(0),
+            others: AtomicU32::new(0),
+            reach: Mutex::default(),
+        }
+    }
+
+    /// Whether it takes no new work.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::Relaxed)
+    }
+
+    /// It takes no new work from now on.
+    pub fn leave(&self) {
+        self.leaving.store(true, Ordering::Relaxed);
+    }
+
+    /// Requests of this router that it holds.
+    pub fn own(&self) -> u32 {
+        self.own.load(Ordering::Relaxed)
+    }
+
+    /// Requests of all routers that it holds, as far as known.
+    pub fn load(&self) -> u32 {
+        self.own() + self.others.load(Ordering::Relaxed)
+    }
+
+    /// What the other routers have there.
+    pub fn set_others(&self, count: u32) {
+        self.others.store(count, Ordering::Relaxed);
+    }
+
+    /// Counts a request for as long as the value lives.
+    pub fn enter(self: &Arc<Server>) -> InFlight {
+        self.own.fetch_add(1, Ordering::Relaxed);
+        InFlight { server: Arc::clone(self) }
+    }
+
+    /// Whether requests may be sent to it now, as far as connections tell.
+    pub fn is_reachable(&self, now: Instant) -> bool {
+        self.reach.lock().unwrap().until.is_none_or(|until| now >= until)
+    }
+
+    /// A connection or an answer came about.
+    pub fn reached(&self) {
+        *self.reach.lock().unwrap() = Reach::default();
+    }
+
+    /// It could not be reached: no request for a while, longer each time.
+    pub fn unreached(&self, now: Instant) {
+        let mut reach = self.reach.lock().unwrap();
+        let pause = FIRST_PAUSE * 2u32.saturating_pow(reach.failures.min(8));
+        reach.failures += 1;
+        reach.until = Some(now + pause.min(LONGEST_PAUSE));
+    }
+}
+
+/// A request at a backend server; leaving the scope ends it.
+#[derive(Debug)]
+pub struct InFlight {
+    server: Arc<Server>,
+}
+
+impl InFlight {
+    /// The server that holds it.
+    pub fn server(&self) -> &Arc<Server> {
+        &self.server
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.server.own.fetch_sub(1, Ordering::Relaxed);
+    }
+}
--- /dev/null
+++ b/src/servers/table.rs
@@ -0,0 +1,192 @@
+//! All backend servers that may get requests.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use crate::servers::{Change, Page, Server, ServerRecord, Standing};
+
+/// How long records may lack after an outage of their source.
+const RETURN_TIME: Duration = Duration::from_millis(2_200);
+/// How long the last record of a server that is gone is kept, against older ones.
+const FORGET_TIME: Duration = Duration::from_secs(60);
+
+#[derive(Debug)]
+struct Known {
+    record: ServerRecord,
+    /// Absent when its newest record cannot be used or is gone.
+    server: Option<Arc<Server>>,
+    /// When its record went; absent while it is there.
+    gone: Option<Instant>,
+    /// Its record went during an outage: still used until then.
+    held: Option<Instant>,
+}
+
+key! {
+    /// What a change did to a server.
+    pub enum Effect {
+        /// Nothing.
+        None,
+        /// A new incarnation takes work.
+        Joined,
+        /// It takes no new work.
+        Left,
+        /// Its record is not to be used.
+        Unreadable,
+        /// Its record went during an outage and may come back.
+        Held,
+    }
+}
+
+/// The backend servers by id and by service.
+#[derive(Debug, Default)]
+pub struct ServerTable {
+    known: HashMap<String, Known>,
+    /// Servers that take work. Invariant: agrees with `known`.
+    services: HashMap<String, Arc<[Arc<Server>]>>,
+    /// Records that go before then may come back.
+    returning: Option<Instant>,
+}
+
+impl ServerTable {
+    /// The source of records answers again after an outage.
+    pub fn source_returned(&mut self, now: Instant) {
+        self.returning = Some(now + RETURN_TIME);
+    }
+
+    /// Servers of `service` that take work.
+    pub fn of(&self, service: &str) -> Option<Arc<[Arc<Server>]>> {
+        self.services.get(service).cloned()
+    }
+
+    /// All servers that take work.
+    pub fn all(&self) -> impl Iterator<Item = &Arc<Server>> {
+        self.services.values().flat_map(|it| it.iter())
+    }
+
+    /// Takes what the source tells; `note` hears of each server that it changed.
+    pub fn apply(
+        &mut self,
+        page: Page<ServerRecord>,
+        now: Instant,
+        mut note: impl FnMut(&str, Effect),
+    ) {
+        if page.whole {
+            for id in self.missing(&page.changes) {
+                let effect = self.remove(&id, now);
+                note(&id, effect);
+            }
+        }
+        for change in page.changes {
+            let effect = match change.value {
+                Some(Ok(record)) => self.update(&change.key, record, now),
+                Some(Err(_)) => self.unreadable(&change.key),
+                None => self.remove(&change.key, now),
+            };
+            note(&change.key, effect);
+        }
+        self.rebuild();
+    }
+
+    /// Ends what time ends; true when a server went.
+    pub fn expire(&mut self, now: Instant, mut note: impl FnMut(&str, Effect)) {
+        let mut ended = false;
+        for (id, it) in &mut self.known {
+            if it.held.is_some_and(|until| now >= until) {
+                it.held = None;
+                it.server = None;
+                ended = true;
+                note(id, Effect::Left);
+            }
+        }
+        self.known.retain(|_, it| it.gone.is_none_or(|at| now < at + FORGET_TIME));
+        if ended {
+            self.rebuild();
+        }
+    }
+
+    fn missing(&self, present: &[Change<ServerRecord>]) -> Vec<String> {
+        let listed = |id: &str| present.iter().any(|it| it.key == id);
+        let there = self.known.iter().filter(|(_, it)| it.gone.is_none());
+        there.filter(|(id, _)| !listed(id)).map(|(id, _)| id.clone()).collect()
+    }
+
+    fn update(&mut self, id: &str, record: ServerRecord, now: Instant) -> Effect {
+        let former = self.known.get(id);
+        if former.is_some_and(|it| !record.follows(&it.record) && it.gone.is_some()) {
+            return Effect::None;
+        }
+        if former.is_some_and(|it| it.record.follows(&record)) {
+            return Effect::None;
+        }
+        let former = self.known.remove(id);
+        let server = former.and_then(|it| it.server).filter(|it| {
+            let same = it.born == record.born && it.address == record.address;
+            same && it.slots == record.slots
+        });
+        let fresh = server.is_none();
+        let server = server.unwrap_or_else(|| Arc::new(Server::new(id, &record)));
+        let left = record.standing == Standing::Leaving && !server.is_leaving();
+        if left {
+            server.leave();
+        }
+        if server.is_leaving() && record.standing == Standing::Ready {
+            return self.rejoin(id, record, now);
+        }
+        let known = Known { record, server: Some(server), gone: None, held: None };
+        self.known.insert(id.to_owned(), known);
+        match (left, fresh) {
+            (true, _) => Effect::Left,
+            (false, true) => Effect::Joined,
+            (false, false) => Effect::None,
+        }
+    }
+
+    /// A server that was leaving is ready again.
+    fn rejoin(&mut self, id: &str, record: ServerRecord, _now: Instant) -> Effect {
+        let server = Some(Arc::new(Server::new(id, &record)));
+        let known = Known { record, server, gone: None, held: None };
+        self.known.insert(id.to_owned(), known);
+        Effect::Joined
+    }
+
+    fn unreadable(&mut self, id: &str) -> Effect {
+        if let Some(it) = self.known.get_mut(id) {
+            it.server = None;
+        }
+        Effect::Unreadable
+    }
+
+    fn remove(&mut self, id: &str, now: Instant) -> Effect {
+        let returning = self.returning.filter(|until| now < *until);
+        let Some(it) = self.known.get_mut(id) else {
+            return Effect::None;
+        };
+        if it.gone.is_some() {
+            return Effect::None;
+        }
+        it.gone = Some(now);
+        if returning.is_some() && it.server.as_ref().is_some_and(|it| !it.is_leaving()) {
+            it.held = returning;
+            return Effect::Held;
+        }
+        if let Some(server) = it.server.take() {
+            server.leave();
+        }
+        Effect::Left
+    }
+
+    fn rebuild(&mut self) {
+        let mut services: HashMap<String, Vec<Arc<Server>>> = HashMap::new();
+        for it in self.known.values() {
+            let Some(server) = it.server.as_ref().filter(|it| !it.is_leaving()) else {
+                continue;
+            };
+            services.entry(it.record.service.clone()).or_default().push(Arc::clone(server));
+        }
+        for it in services.values_mut() {
+            it.sort_by_key(|it| it.hash);
+        }
+        self.services = services.into_iter().map(|(name, it)| (name, it.into())).collect();
+    }
+}
