--- a/src/cli/daemon.rs
+++ b/src/cli/daemon.rs
@@ -5,8 +5,8 @@
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
 use crate::cli::CliError;
-use crate::cli::daemon_args::daemon_args;
 use crate::cli::check::read;
+use crate::cli::daemon_args::daemon_args;
 use crate::clock::SystemClock;
 use crate::daemon::{Daemon, Stop};
 use crate::events::root_logger;
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -31,11 +31,7 @@
 }
 
 /// The answer to the caller of a stream whose head is there.
-pub(crate) fn relay_stream(
-    relay: &Arc<Relay>,
-    job: Box<Job>,
-    reply: Reply,
-) -> Response<RelayBody> {
+pub(crate) fn relay_stream(relay: &Arc<Relay>, job: Box<Job>, reply: Reply) -> Response<RelayBody> {
     let Reply { parts, head, body, connection, in_flight } = reply;
     let frames = is_resumable(relay, &job).then(|| Frames::after(job.last_event.clone()));
     let relay = Arc::clone(relay);
--- a/src/router/entry.rs
+++ b/src/router/entry.rs
@@ -20,7 +20,10 @@
 const MAX_MESSAGE: usize = 1024 * 1024;
 
 /// Whether the router is ready.
-pub(crate) fn ready<S: Store>(router: &Router<S>, asked: &Request<Incoming>) -> Response<RelayBody> {
+pub(crate) fn ready<S: Store>(
+    router: &Router<S>,
+    asked: &Request<Incoming>,
+) -> Response<RelayBody> {
     let known = (router.face.asks_ready)(asked.uri());
     let status = match (known, router.relay.is_ready()) {
         (false, _) => StatusCode::NOT_FOUND,
@@ -31,7 +34,10 @@
 }
 
 /// Which addresses a caller should use: all routers believed ready.
-pub(crate) fn entry<S: Store>(router: &Router<S>, asked: &Request<Incoming>) -> Response<RelayBody> {
+pub(crate) fn entry<S: Store>(
+    router: &Router<S>,
+    asked: &Request<Incoming>,
+) -> Response<RelayBody> {
     if !(router.face.asks_entry)(asked.uri()) {
         return plain(StatusCode::NOT_FOUND, Vec::new());
     }
--- a/src/router/exchange_loop.rs
+++ b/src/router/exchange_loop.rs
@@ -40,12 +40,7 @@
     }
 }
 
-async fn tell<S: Store>(
-    router: Arc<Router<S>>,
-    client: PeerClient,
-    peer: SocketAddr,
-    body: Bytes,
-) {
+async fn tell<S: Store>(router: Arc<Router<S>>, client: PeerClient, peer: SocketAddr, body: Bytes) {
     match client.exchange(peer, body).await {
         Ok(message) => router.hear(message),
         Err(e) => {
--- a/src/router/lifecycle.rs
+++ b/src/router/lifecycle.rs
@@ -117,7 +117,9 @@
     }
     match busy() {
         0 => info!(router.logger, "stopped"; "event" => 103),
-        cut => warn!(router.logger, "stopped with requests in flight"; "event" => 104, "cut" => cut),
+        cut => {
+            warn!(router.logger, "stopped with requests in flight"; "event" => 104, "cut" => cut)
+        }
     }
 }
 
--- a/src/router/source_health.rs
+++ b/src/router/source_health.rs
@@ -36,9 +36,7 @@
     pub fn succeeded(&mut self, now: Instant) -> Turn {
         self.failures = 0;
         let lost = self.lost.take();
-        lost.map_or(Turn::None, |at| {
-            Turn::Back(now.saturating_duration_since(at) > SHORT_OUTAGE)
-        })
+        lost.map_or(Turn::None, |at| Turn::Back(now.saturating_duration_since(at) > SHORT_OUTAGE))
     }
 
     /// A call failed that was sent at `sent`.
--- a/src/servers/mod.rs
+++ b/src/servers/mod.rs
@@ -7,6 +7,6 @@
 mod table;
 
 pub use change::{Change, Page};
-pub use record::{Standing, ServerRecord};
+pub use record::{ServerRecord, Standing};
 pub use server::{InFlight, Server};
 pub use table::{Effect, ServerTable};
--- a/tests/it/paused.rs
+++ b/tests/it/paused.rs
@@ -6,7 +6,7 @@
 use std::thread;
 use std::time::{Duration, Instant, SystemTime};
 
-use filberttiller::clock::{Clock, SharedClock};
+use filberttiller::clock::{Clock, SharedClock, SystemClock};
 use filberttiller::demo::Fleet;
 use filberttiller::events::Code;
 use filberttiller::once::CLAIM_STREAM;
@@ -60,6 +60,10 @@
     fn wall(&self) -> SystemTime {
         SystemTime::now()
     }
+
+    fn boot(&self) -> Duration {
+        SystemClock.boot()
+    }
 }
 
 /// Opens the gate when the test ends, however it ends.
