--- a/src/peers/roster.rs
+++ b/src/peers/roster.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use crate::wire::{WireExchange, WireRouter, WireSeen};
+use crate::wire::{WireCrash, WireExchange, WireRouter, WireSeen};
 
 /// A router that was not heard of for this long counts as dead: three exchanges.
 const ALIVE_TIME: Duration = Duration::from_millis(1_600);
@@ -83,6 +83,7 @@
         ready: bool,
         leaving: bool,
         loads: Vec<(u64, u32)>,
+        crashes: Vec<WireCrash>,
         now: Instant,
     ) -> WireExchange {
         let own = WireSeen { router: self.own.clone(), ready, leaving, age_ms: 0 };
@@ -93,7 +94,7 @@
             leaving: it.leaving,
             age_ms: now.saturating_duration_since(it.heard).as_millis() as u64,
         });
-        WireExchange { own, others: others.collect(), loads }
+        WireExchange { own, others: others.collect(), loads, crashes }
     }
 
     /// Where to reach the other routers, dead ones too, as they may be back.
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -22,6 +22,7 @@
 mod retries;
 mod sse;
 mod stream;
+mod suspect;
 mod upstream;
 
 pub use answer::AnswerHead;
--- a/src/relay/relay.rs
+++ b/src/relay/relay.rs
@@ -12,9 +12,11 @@
 use hyper::http::request::Parts;
 use hyper::{Request, Response};
 use smallvec::SmallVec;
+use tokio::sync::Notify;
 
 use crate::clock::SharedClock;
 use crate::decide::{Candidate, Verdict, hash_bytes, pick};
+use crate::fleet::{CrashBoard, RunningSuspect};
 use crate::relay::exchange::{Reply, Sending, exchange};
 use crate::relay::journal::Trail;
 use crate::relay::stream::relay_stream;
@@ -27,6 +29,8 @@
 
 /// Connections tried for one request before it is refused.
 const MOST_CONNECTS: usize = 4;
+/// How long the death of a backend server counts against a request.
+const CRASH_RELEASE: Duration = Duration::from_secs(60);
 /// Time left below which a request is not sent any more.
 const LEAST_LEFT: Duration = Duration::from_millis(10);
 
@@ -49,6 +53,10 @@
     pub routers: AtomicUsize,
     /// This router is shutting down.
     pub leaving: AtomicBool,
+    /// Requests that crash backend servers, as all routers have seen.
+    pub crashes: Arc<CrashBoard>,
+    /// Wakes whoever tells other routers, when there is something urgent.
+    pub news: Arc<Notify>,
 }
 
 /// How a request is allowed.
@@ -69,6 +77,8 @@
     pub last_event: Option<String>,
     /// Servers that are not tried again.
     tried: SmallVec<[u64; 4]>,
+    /// Held while it is the only run of a request that may crash servers.
+    pub alone: Option<RunningSuspect>,
     /// Times that it was sent.
     sends: u32,
     connects: usize,
@@ -101,6 +111,8 @@
             servers: Mutex::default(),
             routers: AtomicUsize::new(1),
             leaving: AtomicBool::new(false),
+            crashes: Arc::new(CrashBoard::new(CRASH_RELEASE)),
+            news: Arc::default(),
         }
     }
 
@@ -124,6 +136,11 @@
         &self.clock
     }
 
+    /// What becomes of requests.
+    pub(crate) fn journal(&self) -> &Journal {
+        &self.journal
+    }
+
     /// Whether callers may be sent here.
     pub fn is_ready(&self) -> bool {
         let fresh = self.lease.holds(self.clock.boot(), self.limits().ready_age);
@@ -204,7 +221,7 @@
     ///
     /// # Errors
     /// Tells what to answer in place.
-    pub(crate) async fn run(&self, job: &mut Job) -> Result<Answer, Refusal> {
+    pub(crate) async fn run(self: &Arc<Relay>, job: &mut Job) -> Result<Answer, Refusal> {
         let mut verdict = job.trail.verdict;
         let mut fallback = None;
         loop {
@@ -262,13 +279,14 @@
         grant.is_ok_and(|it| it.route.resumable && self.may_retry(job, &it, Verdict::MayHaveRun))
     }
 
-    async fn try_once(&self, job: &mut Job) -> Result<Tried, Refusal> {
+    async fn try_once(self: &Arc<Relay>, job: &mut Job) -> Result<Tried, Refusal> {
         let now = self.clock.now();
         let left = job.deadline.saturating_duration_since(now);
         if left < LEAST_LEFT {
             return Err(Refusal::TooLate);
         }
         let grant = self.allow(&job.ask, job.head.uri.path(), &mut job.trail)?;
+        self.enter_suspect(job)?;
         let server = self.choose(job, &grant)?;
         let load = server.load();
         let in_flight = server.enter();
@@ -338,7 +356,7 @@
     }
 
     fn failed(
-        &self,
+        self: &Arc<Relay>,
         job: &mut Job,
         server: &Server,
         failed: Failed,
@@ -351,6 +369,9 @@
             return;
         }
         job.tried.push(server.hash);
+        if failed == Failed::Lost {
+            self.look_after(job, server);
+        }
         let unreached = matches!(failed, Failed::Connect(_) | Failed::Misdirected);
         if unreached || (failed == Failed::Lost && first) {
             server.unreached(self.clock.now());
@@ -442,6 +463,7 @@
             body: self.body,
             deadline: self.deadline,
             tried: SmallVec::new(),
+            alone: None,
             sends: 0,
             connects: 0,
             trail,
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -74,8 +74,12 @@
                     return Ok(None);
                 }
                 Next::TimedOut => return self.cut("timed_out"),
-                Next::Broken if self.resume().await => {}
-                Next::Broken => return self.cut("broken"),
+                Next::Broken => {
+                    self.relay.look_after(&self.job, self.in_flight.server());
+                    if !self.resume().await {
+                        return self.cut("broken");
+                    }
+                }
             }
         }
     }
--- a/src/router/lifecycle.rs
+++ b/src/router/lifecycle.rs
@@ -1,14 +1,12 @@
 //! Start, reload and shutdown of a router.
 
 use std::future::ready;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use error_stack::{Report, ResultExt};
 use slog::{info, warn};
-use tokio::net::{TcpListener, TcpSocket};
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::time::sleep;
 
@@ -17,10 +15,8 @@
 use crate::router::exchange_loop::{exchange, find_routers};
 use crate::router::rules_watch::follow_rules;
 use crate::router::servers_watch::follow_servers;
-use crate::router::{Router, RouterError, Store, entry};
+use crate::router::{Listeners, Router, RouterError, Store, entry};
 
-/// Connections that may wait to be accepted: after an outage all callers come at once.
-const BACKLOG: u32 = 4096;
 /// Time after the signal to stop in which callers that kept the address still connect.
 const LINGER: Duration = Duration::from_secs(4);
 /// Time before the kill at which the process ends on its own.
@@ -37,20 +33,13 @@
 /// Fails when an address cannot be bound or signals cannot be handled.
 pub async fn run<S: Store>(
     router: Arc<Router<S>>,
+    listeners: Listeners,
     reload: impl Fn(&Router<S>),
 ) -> Result<(), Report<RouterError>> {
     let mut term = listen_signal(SignalKind::terminate())?;
     let mut interrupt = listen_signal(SignalKind::interrupt())?;
     let mut hangup = listen_signal(SignalKind::hangup())?;
-    serve(&router)?;
-    let client = PeerClient::new().change_context(RouterError::SetUp)?;
-    tokio::spawn(follow_rules(Arc::clone(&router)));
-    tokio::spawn(follow_servers(Arc::clone(&router)));
-    tokio::spawn(find_routers(Arc::clone(&router)));
-    tokio::spawn(exchange(Arc::clone(&router), client));
-    let own = &router.settings;
-    info!(router.logger, "started"; "event" => 100, "callers" => %own.callers,
-        "domain" => &own.domain, "version" => env!("CARGO_PKG_VERSION"));
+    start(&router, listeners)?;
     loop {
         tokio::select! {
             _ = term.recv() => break,
@@ -62,8 +51,28 @@
     Ok(())
 }
 
-fn serve<S: Store>(router: &Arc<Router<S>>) -> Result<(), Report<RouterError>> {
-    let settings = &router.settings;
+/// Starts all tasks of `router`; they end with the runtime.
+///
+/// # Errors
+/// Fails when clients cannot be made.
+pub fn start<S: Store>(
+    router: &Arc<Router<S>>,
+    listeners: Listeners,
+) -> Result<(), Report<RouterError>> {
+    let client = PeerClient::new().change_context(RouterError::SetUp)?;
+    serve(router, listeners);
+    tokio::spawn(follow_rules(Arc::clone(router)));
+    tokio::spawn(follow_servers(Arc::clone(router)));
+    tokio::spawn(find_routers(Arc::clone(router)));
+    tokio::spawn(exchange(Arc::clone(router), client));
+    let own = &router.settings;
+    info!(router.logger, "started"; "event" => 100, "callers" => %own.callers,
+        "ready" => %own.ready, "entry" => %own.entry, "metrics" => %own.metrics,
+        "domain" => &own.domain, "version" => env!("CARGO_PKG_VERSION"));
+    Ok(())
+}
+
+fn serve<S: Store>(router: &Arc<Router<S>>, listeners: Listeners) {
     let others = || OTHERS_IDLE;
     let other = || {
         let mut front = router.front();
@@ -75,23 +84,22 @@
     let relay = move |request| Arc::clone(&it).handle(request);
     let it = Arc::clone(&router.relay);
     let idle = move || idle(&it);
-    tokio::spawn(serve_connections(listen(settings.callers)?, router.front(), relay, idle));
+    tokio::spawn(serve_connections(listeners.callers, router.front(), relay, idle));
     let it = Arc::clone(router);
     let asked = move |request| ready(entry::ready(&it, &request));
-    tokio::spawn(serve_connections(listen(settings.ready)?, other(), asked, others));
+    tokio::spawn(serve_connections(listeners.ready, other(), asked, others));
     let it = Arc::clone(router);
     let asked = move |request| ready(entry::entry(&it, &request));
-    tokio::spawn(serve_connections(listen(settings.entry)?, other(), asked, others));
+    tokio::spawn(serve_connections(listeners.entry, other(), asked, others));
     let it = Arc::clone(router);
     let told = move |request| {
         let it = Arc::clone(&it);
         async move { entry::hear(&it, request).await }
     };
-    tokio::spawn(serve_connections(listen(settings.peers)?, other(), told, others));
+    tokio::spawn(serve_connections(listeners.peers, other(), told, others));
     let it = Arc::clone(router);
     let asked = move |_| ready(entry::metrics(&it));
-    tokio::spawn(serve_connections(listen(settings.metrics)?, other(), asked, others));
-    Ok(())
+    tokio::spawn(serve_connections(listeners.metrics, other(), asked, others));
 }
 
 fn idle(relay: &Relay) -> Duration {
@@ -99,7 +107,7 @@
 }
 
 /// Ends once all requests have their answers, or shortly before the kill.
-async fn drain<S: Store>(router: &Router<S>) {
+pub async fn drain<S: Store>(router: &Router<S>) {
     let clock = router.relay.clock();
     let began = clock.boot();
     router.relay.leaving.store(true, Ordering::Relaxed);
@@ -123,19 +131,6 @@
     }
 }
 
-fn listen(address: SocketAddr) -> Result<TcpListener, Report<RouterError>> {
-    let bound = || {
-        let socket = match address {
-            SocketAddr::V4(_) => TcpSocket::new_v4()?,
-            SocketAddr::V6(_) => TcpSocket::new_v6()?,
-        };
-        socket.set_reuseaddr(true)?;
-        socket.bind(address)?;
-        socket.listen(BACKLOG)
-    };
-    bound().change_context(RouterError::Bind(address))
-}
-
 fn listen_signal(kind: SignalKind) -> Result<Signal, Report<RouterError>> {
     signal(kind).change_context(RouterError::SetUp)
 }
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -4,6 +4,7 @@
 mod exchange_loop;
 mod face;
 mod lifecycle;
+mod listeners;
 mod router;
 mod router_error;
 mod router_settings;
@@ -13,7 +14,8 @@
 mod store;
 
 pub use face::Face;
-pub use lifecycle::run;
+pub use lifecycle::{drain, run, start};
+pub use listeners::Listeners;
 pub use router::Router;
 pub use router_error::RouterError;
 pub use router_settings::RouterSettings;
--- a/src/router/router.rs
+++ b/src/router/router.rs
@@ -10,6 +10,7 @@
 use tokio::sync::Notify;
 
 use crate::clock::SharedClock;
+use crate::fleet::CrashReport;
 use crate::peers::Roster;
 use crate::relay::{Front, Journal, Relay};
 use crate::router::{Face, RouterError, RouterSettings, Store};
@@ -35,7 +36,7 @@
     /// Requests of callers whose answers are not complete.
     pub busy: Arc<AtomicU32>,
     /// Wakes the exchange with other routers before its time.
-    pub(crate) tell_now: Notify,
+    pub(crate) tell_now: Arc<Notify>,
 }
 
 impl<S: Store> Router<S> {
@@ -63,6 +64,7 @@
         };
         let limits = settings.limits.clone();
         let relay = Relay::new(face.codec, limits, clock, Arc::new(journal));
+        let tell_now = Arc::clone(&relay.news);
         Ok(Router {
             settings,
             face,
@@ -72,7 +74,7 @@
             registry,
             logger,
             busy: Arc::default(),
-            tell_now: Notify::new(),
+            tell_now,
         })
     }
 
@@ -93,13 +95,17 @@
         let servers = self.relay.servers.lock().unwrap();
         let busy = servers.all().filter(|it| it.own() > 0);
         let loads = busy.map(|it| (it.hash, it.own())).collect();
+        let crashes = self.relay.crashes.current(now).iter().map(|it| it.to_wire(now)).collect();
         let roster = self.roster.lock().unwrap();
-        roster.message(self.relay.is_ready(), self.is_leaving(), loads, now)
+        roster.message(self.relay.is_ready(), self.is_leaving(), loads, crashes, now)
     }
 
     /// Takes what another router tells.
     pub(crate) fn hear(&self, message: WireExchange) {
         let now = self.relay.clock().now();
+        for crash in &message.crashes {
+            self.relay.crashes.insert(CrashReport::from_wire(crash, now), now);
+        }
         let mut roster = self.roster.lock().unwrap();
         roster.hear(message, now);
         self.relay.routers.store(roster.alive(now) + 1, Ordering::Relaxed);
--- a/src/wire/peer.rs
+++ b/src/wire/peer.rs
@@ -3,6 +3,8 @@
 
 use std::net::SocketAddr;
 
+use crate::wire::WireCrash;
+
 wire! {
     /// A router as it presents itself.
     pub struct WireRouter {
@@ -38,5 +40,7 @@
         pub others: Vec<WireSeen>,
         /// Requests of the sender in flight, by hash of the backend server.
         pub loads: Vec<(u64, u32)>,
+        /// Backend servers that died while they ran a request.
+        pub crashes: Vec<WireCrash>,
     }
 }
