--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -7,5 +7,6 @@
 pub mod engine;
 pub mod list;
 pub mod log;
+pub mod platform;
 pub mod server;
 pub mod service;
--- /dev/null
+++ b/standins/src/platform/conduct.rs
@@ -0,0 +1,34 @@
+//! How a backend server treats requests.
+
+/// What a [`Worker`](crate::platform::Worker) does with a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Conduct {
+    /// Runs it and answers.
+    Good,
+    /// Runs it and answers with status 500.
+    ServerError,
+    /// Does not run it and says so.
+    Shed,
+    /// Runs it and closes the connection without an answer.
+    LoseAnswer,
+    /// Runs it and never answers.
+    Hang,
+    /// Ends a stream after so many events, in the middle of the next.
+    BreakAfter(u32),
+    /// Sends a second answer after the first.
+    Extra,
+    /// Answers with the id of another request.
+    WrongId,
+    /// Answers without a signature.
+    Unsigned,
+    /// Answers with a body that is said to be encoded.
+    Encoded,
+    /// Answers without a length; the end of the connection ends the body.
+    Unframed,
+    /// Says a longer body than it sends.
+    Short,
+    /// Sends bytes that are no answer.
+    Noise,
+    /// Dies: the port closes with all connections.
+    Die,
+}
--- /dev/null
+++ b/standins/src/platform/mod.rs
@@ -0,0 +1,9 @@
+//! The users' platform: its store, and backend servers as they speak there.
+
+mod conduct;
+mod store;
+mod worker;
+
+pub use conduct::Conduct;
+pub use store::{MetaStore, StoreFault};
+pub use worker::{Ran, Worker};
--- /dev/null
+++ b/standins/src/platform/store.rs
@@ -0,0 +1,273 @@
+//! The platform's store: a log of topics, with the newest record of each key.
+
+use std::collections::{BTreeMap, HashMap};
+use std::io;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use bytes::Bytes;
+use serde::Deserialize;
+use tokio::sync::Notify;
+use tokio::time::{sleep, timeout};
+use warp::Filter;
+use warp::http::{Response, StatusCode};
+
+use crate::server::{Server, Switch, json_reply, not_found, status_reply};
+
+/// Longest time without an answer; the caller gives up before.
+const FOREVER: Duration = Duration::from_secs(3_600);
+/// Most entries of one page.
+const PAGE: usize = 500;
+
+/// How the store treats calls.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StoreFault {
+    /// As it should.
+    None,
+    /// Refuses them with this status.
+    Refuse(u16),
+    /// Never answers.
+    Silent,
+    /// Answers late.
+    Slow(Duration),
+    /// Does what is asked and never answers.
+    LoseAnswer,
+}
+
+#[derive(Debug, Default)]
+struct Topic {
+    /// Offset of the first record that is kept.
+    first: u64,
+    records: Vec<Vec<u8>>,
+    newest: BTreeMap<String, (Vec<u8>, u64)>,
+}
+
+impl Topic {
+    fn end(&self) -> u64 {
+        self.first + self.records.len() as u64
+    }
+
+    fn append(&mut self, record: Vec<u8>) {
+        let (length, rest) = record.split_first().expect("a record has a key");
+        let (key, value) = rest.split_at(usize::from(*length));
+        let key = String::from_utf8_lossy(key).into_owned();
+        if value.is_empty() {
+            self.newest.remove(&key);
+        } else {
+            self.newest.insert(key, (value.to_vec(), self.end()));
+        }
+        self.records.push(record);
+    }
+}
+
+#[derive(Debug)]
+struct Shared {
+    topics: Mutex<HashMap<String, Topic>>,
+    fault: Mutex<StoreFault>,
+    written: Notify,
+    calls: AtomicU64,
+}
+
+/// A running store; it stops when dropped.
+#[derive(Debug)]
+pub struct MetaStore {
+    server: Server,
+    shared: Arc<Shared>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Query {
+    topic: String,
+    #[serde(default)]
+    from: u64,
+    #[serde(default)]
+    wait_ms: u64,
+    #[serde(default)]
+    after: String,
+}
+
+impl MetaStore {
+    /// An empty store on a free port.
+    ///
+    /// # Errors
+    /// Fails when no port can be bound.
+    pub async fn start() -> io::Result<MetaStore> {
+        let shared = Arc::new(Shared {
+            topics: Mutex::default(),
+            fault: Mutex::new(StoreFault::None),
+            written: Notify::new(),
+            calls: AtomicU64::new(0),
+        });
+        let it = Arc::clone(&shared);
+        let routes = warp::any()
+            .and(warp::path::param::<String>())
+            .and(warp::query::<Query>())
+            .and(warp::body::bytes())
+            .then(move |call: String, query, body| {
+                let it = Arc::clone(&it);
+                async move { it.answer(&call, &query, &body).await }
+            });
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let routes = routes.recover(not_found).unify();
+        let server = Server::start(any, Arc::new(Switch::default()), routes).await?;
+        Ok(MetaStore { server, shared })
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.server.addr()
+    }
+
+    /// Writes the newest value of a key.
+    pub fn put(&self, topic: &str, key: &str, value: &[u8]) {
+        self.append(topic, key, value);
+    }
+
+    /// Takes a key away.
+    pub fn remove(&self, topic: &str, key: &str) {
+        self.append(topic, key, &[]);
+    }
+
+    /// Drops all records; the newest of each key stays.
+    pub fn forget_history(&self, topic: &str) {
+        let mut topics = self.shared.topics();
+        let topic = topics.entry(topic.to_owned()).or_default();
+        topic.first = topic.end();
+        topic.records.clear();
+    }
+
+    /// Treats calls so from now on.
+    pub fn set_fault(&self, fault: StoreFault) {
+        *self.shared.fault.lock().unwrap() = fault;
+    }
+
+    /// Calls so far.
+    pub fn calls(&self) -> u64 {
+        self.shared.calls.load(Ordering::Relaxed)
+    }
+
+    fn append(&self, topic: &str, key: &str, value: &[u8]) {
+        let length = u8::try_from(key.len()).expect("a short key");
+        let record = [&[length], key.as_bytes(), value].concat();
+        self.shared.append(topic, vec![record]);
+    }
+}
+
+impl Shared {
+    fn topics(&self) -> MutexGuard<'_, HashMap<String, Topic>> {
+        self.topics.lock().unwrap()
+    }
+
+    fn append(&self, topic: &str, records: Vec<Vec<u8>>) -> (u64, u64) {
+        let mut topics = self.topics();
+        let topic = topics.entry(topic.to_owned()).or_default();
+        let offset = topic.end();
+        records.into_iter().for_each(|it| topic.append(it));
+        let end = topic.end();
+        drop(topics);
+        self.written.notify_waiters();
+        (offset, end)
+    }
+
+    async fn answer(&self, call: &str, query: &Query, body: &Bytes) -> Response<Bytes> {
+        self.calls.fetch_add(1, Ordering::Relaxed);
+        let fault = *self.fault.lock().unwrap();
+        match fault {
+            StoreFault::None | StoreFault::LoseAnswer => {}
+            StoreFault::Refuse(status) => return refuse(status),
+            StoreFault::Silent => sleep(FOREVER).await,
+            StoreFault::Slow(time) => sleep(time).await,
+        }
+        let response = match call {
+            "log-append" => self.log_append(query, body),
+            "log-read" => self.log_read(query).await,
+            "log-newest" => self.log_newest(query),
+            _ => status_reply(StatusCode::NOT_FOUND, "no such call"),
+        };
+        if fault == StoreFault::LoseAnswer {
+            sleep(FOREVER).await;
+        }
+        response
+    }
+
+    fn log_append(&self, query: &Query, body: &[u8]) -> Response<Bytes> {
+        let mut records = Vec::new();
+        let mut left = body;
+        while let Some((length, rest)) = left.split_first_chunk::<4>() {
+            let (record, rest) = rest.split_at(u32::from_be_bytes(*length) as usize);
+            records.push(record.to_vec());
+            left = rest;
+        }
+        let (offset, end) = self.append(&query.topic, records);
+        json_reply(StatusCode::OK, &serde_json::json!({ "offset": offset, "end": end }))
+    }
+
+    async fn log_read(&self, query: &Query) -> Response<Bytes> {
+        let written = self.written.notified();
+        if let Some(found) = self.records(query, false) {
+            return found;
+        }
+        let waited = timeout(Duration::from_millis(query.wait_ms), async {
+            let mut written = std::pin::pin!(written);
+            loop {
+                written.as_mut().await;
+                written.set(self.written.notified());
+                if let Some(found) = self.records(query, false) {
+                    return found;
+                }
+            }
+        });
+        match waited.await {
+            Ok(found) => found,
+            Err(_) => self.records(query, true).unwrap_or_default(),
+        }
+    }
+
+    /// The records from an offset on; none when there are none and `empty` is false.
+    fn records(&self, query: &Query, empty: bool) -> Option<Response<Bytes>> {
+        let mut topics = self.topics();
+        let topic = topics.entry(query.topic.clone()).or_default();
+        if query.from < topic.first {
+            return Some(status_reply(StatusCode::GONE, "no longer kept"));
+        }
+        let known = (query.from - topic.first) as usize;
+        let records = topic.records.get(known..).unwrap_or_default();
+        if records.is_empty() && !empty {
+            return None;
+        }
+        let mut body = [topic.end().to_be_bytes(), topic.first.to_be_bytes()].concat();
+        for record in records {
+            body.extend((record.len() as u32).to_be_bytes());
+            body.extend(record);
+        }
+        Some(Response::new(body.into()))
+    }
+
+    fn log_newest(&self, query: &Query) -> Response<Bytes> {
+        let mut topics = self.topics();
+        let topic = topics.entry(query.topic.clone()).or_default();
+        let mut rest = topic.newest.iter().filter(|(key, _)| **key > query.after);
+        let entries: Vec<_> = rest
+            .by_ref()
+            .take(PAGE)
+            .map(|(key, (value, offset))| {
+                serde_json::json!({ "key": key, "value": STANDARD.encode(value), "offset": offset })
+            })
+            .collect();
+        let more = rest.next().is_some();
+        json_reply(
+            StatusCode::OK,
+            &serde_json::json!({ "entries": entries, "hasMore": more, "end": topic.end() }),
+        )
+    }
+}
+
+fn refuse(status: u16) -> Response<Bytes> {
+    let status = StatusCode::from_u16(status).unwrap_or(StatusCode::SERVICE_UNAVAILABLE);
+    status_reply(status, "refused")
+}
