--- a/src/relay/codec.rs
+++ b/src/relay/codec.rs
@@ -1,5 +1,6 @@
 //! How requests and answers look on the wire.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use hyper::HeaderMap;
@@ -18,7 +19,9 @@
         pub left: Duration,
         /// Rank, 0 first.
         pub priority: u8,
-        /// Event after which a broken stream goes on.
+        /// Another backend server that can hand over the cached prefix.
+    pub source: Option<SocketAddr>,
+    /// Event after which a broken stream goes on.
         pub last_event: Option<&'a str>,
     }
 }
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -16,6 +16,7 @@
 mod headers;
 mod journal;
 mod limits;
+mod prefix_homes;
 mod refusal;
 
 mod relay;
@@ -35,6 +36,7 @@
 pub use headers::drop_hop_headers;
 pub use journal::{Journal, Outcome};
 pub use limits::RelayLimits;
+pub use prefix_homes::PrefixHomes;
 pub use refusal::Refusal;
 pub use relay::Relay;
 pub use retries::Retries;
--- a/src/relay/relay.rs
+++ b/src/relay/relay.rs
@@ -21,8 +21,8 @@
 use crate::relay::journal::Trail;
 use crate::relay::stream::relay_stream;
 use crate::relay::{
-    Ask, Codec, Failed, Journal, Outcome, Outgoing, Refusal, RelayBody, RelayLimits, Retries,
-    Upstream, drop_hop_headers, whole,
+    Ask, Codec, Failed, Journal, Outcome, Outgoing, PrefixHomes, Refusal, RelayBody, RelayLimits,
+    Retries, Upstream, drop_hop_headers, whole,
 };
 use crate::rules::{Denied, Lease, Organisation, Route, RouteKind, RulesCell};
 use crate::servers::{Server, ServerTable};
@@ -43,6 +43,7 @@
     journal: Arc<Journal>,
     upstream: Upstream,
     retries: Retries,
+    homes: PrefixHomes,
     /// The rules in force.
     pub rules: RulesCell,
     /// How far the rules are confirmed.
@@ -106,6 +107,7 @@
             journal,
             upstream: Upstream::default(),
             retries: Retries::new(),
+            homes: PrefixHomes::default(),
             rules: RulesCell::default(),
             lease: Lease::default(),
             servers: Mutex::default(),
@@ -340,6 +342,9 @@
         let status = reply.parts.status;
         if grant.route.kind == RouteKind::Streaming && status.is_success() {
             job.trail.tried(&server.id, load, "stream", began);
+            if let Some(key) = job.ask.prefix_key() {
+                self.homes.note(key, server, self.clock.now());
+            }
             job.trail.answered(status.as_u16());
             return Ok(Took::Stream(Box::new(reply)));
         }
@@ -399,15 +404,19 @@
         Ok(Arc::clone(&servers[at]))
     }
 
-    fn sending(&self, job: &Job, grant: &Grant, server: &Server) -> Sending {
+    fn sending(&self, job: &Job, grant: &Grant, server: &Arc<Server>) -> Sending {
         let mut headers = job.head.headers.clone();
         drop_hop_headers(&mut headers);
         let organisation = grant.organisation.as_deref();
         let own = organisation.and_then(|it| it.priority);
+        let now = self.clock.now();
+        let key = job.ask.prefix_key();
+        let source = key.and_then(|key| self.homes.source(key, server, now));
         let outgoing = Outgoing {
+            source: source.map(|it| it.address),
             server: &server.id,
             organisation: organisation.map(|it| it.name.as_str()),
-            left: job.deadline.saturating_duration_since(self.clock.now()),
+            left: job.deadline.saturating_duration_since(now),
             priority: own.unwrap_or(grant.route.priority),
             last_event: job.last_event.as_deref(),
         };
--- a/src/servers/server.rs
+++ b/src/servers/server.rs
@@ -38,6 +38,7 @@
     /// When it started, in milliseconds since 1970.
     pub born: u64,
     leaving: AtomicBool,
+    gone: AtomicBool,
     /// Requests of this router that it holds.
     own: AtomicU32,
     /// Requests of the other routers, as they told last.
@@ -56,6 +57,7 @@
             slots: record.slots,
             born: record.born,
             leaving: AtomicBool::new(false),
+            gone: AtomicBool::new(false),
             own: AtomicU32::new(0),
             others: AtomicU32::new(0),
             reach: Mutex::default(),
@@ -72,6 +74,17 @@
         self.leaving.store(true, Ordering::Relaxed);
     }
 
+    /// Whether its process has likely ended.
+    pub fn is_gone(&self) -> bool {
+        self.gone.load(Ordering::Relaxed)
+    }
+
+    /// Its record is gone: it takes no new work and hands nothing over.
+    pub fn end(&self) {
+        self.leave();
+        self.gone.store(true, Ordering::Relaxed);
+    }
+
     /// Requests of this router that it holds.
     pub fn own(&self) -> u32 {
         self.own.load(Ordering::Relaxed)
--- a/src/servers/table.rs
+++ b/src/servers/table.rs
@@ -94,7 +94,9 @@
         for (id, it) in &mut self.known {
             if it.held.is_some_and(|until| now >= until) {
                 it.held = None;
-                it.server = None;
+                if let Some(server) = it.server.take() {
+                    server.end();
+                }
                 ended = true;
                 note(id, Effect::Left);
             }
@@ -171,7 +173,7 @@
             return Effect::Held;
         }
         if let Some(server) = it.server.take() {
-            server.leave();
+            server.end();
         }
         Effect::Left
     }
