--- /dev/null
+++ b/tests/it/servers.rs
@@ -0,0 +1,158 @@
+//! Records of backend servers: joins, leaves, incarnations, outages.
+
+use std::time::{Duration, Instant};
+
+use filberttiller::servers::{Change, Effect, Page, ServerRecord, ServerTable, Standing};
+use rstest::rstest;
+
+fn record(born: u64, sequence: u64, standing: Standing) -> ServerRecord {
+    ServerRecord {
+        service: "s".to_owned(),
+        address: "127.0.0.1:80".parse().unwrap(),
+        domain: "a".to_owned(),
+        slots: 4,
+        standing,
+        warm_up: Duration::ZERO,
+        born,
+        sequence,
+    }
+}
+
+fn ready(born: u64, sequence: u64) -> ServerRecord {
+    record(born, sequence, Standing::Ready)
+}
+
+fn put(key: &str, record: ServerRecord) -> Change<ServerRecord> {
+    Change { key: key.to_owned(), value: Some(Ok(record)) }
+}
+
+fn gone(key: &str) -> Change<ServerRecord> {
+    Change { key: key.to_owned(), value: None }
+}
+
+fn apply(
+    table: &mut ServerTable,
+    changes: Vec<Change<ServerRecord>>,
+    whole: bool,
+    now: Instant,
+) -> Vec<(String, Effect)> {
+    let mut effects = Vec::new();
+    let page = Page { changes, next: 0, whole };
+    table.apply(page, now, |id, effect| effects.push((id.to_owned(), effect)));
+    effects
+}
+
+fn ids(table: &ServerTable) -> Vec<String> {
+    let mut ids: Vec<String> = table.all().map(|it| it.id.to_string()).collect();
+    ids.sort();
+    ids
+}
+
+#[test]
+fn apply_join_leave_gone() {
+    let (mut table, now) = (ServerTable::default(), Instant::now());
+    apply(&mut table, vec![put("a", ready(1, 1)), put("b", ready(1, 1))], true, now);
+    assert_eq!(ids(&table), ["a", "b"]);
+    let leaving = record(1, 2, Standing::Leaving);
+    let effects = apply(&mut table, vec![put("a", leaving)], false, now);
+    assert_eq!(effects, [("a".to_owned(), Effect::Left)]);
+    assert_eq!(ids(&table), ["b"]);
+    apply(&mut table, vec![gone("b")], false, now);
+    assert!(ids(&table).is_empty());
+    assert!(table.of("s").is_none());
+}
+
+#[test]
+fn apply_heartbeat_keeps_state() {
+    let (mut table, now) = (ServerTable::default(), Instant::now());
+    apply(&mut table, vec![put("a", ready(1, 1))], true, now);
+    let server = table.all().next().unwrap().clone();
+    let _held = server.enter();
+    apply(&mut table, vec![put("a", ready(1, 2))], false, now);
+    assert_eq!(table.all().next().unwrap().own(), 1);
+}
+
+#[rstest]
+#[case::same_incarnation_older(1, 3)]
+#[case::earlier_incarnation(0, 9)]
+fn apply_old_record_ignored(#[case] born: u64, #[case] sequence: u64) {
+    let (mut table, now) = (ServerTable::default(), Instant::now());
+    apply(&mut table, vec![put("a", record(1, 5, Standing::Leaving))], true, now);
+    apply(&mut table, vec![put("a", ready(born, sequence))], false, now);
+    assert!(ids(&table).is_empty(), "a leaving server does not come back by an old record");
+    apply(&mut table, vec![gone("a"), put("a", ready(born, sequence))], false, now);
+    assert!(ids(&table).is_empty(), "nor one that is gone");
+}
+
+#[test]
+fn apply_new_incarnation_starts_anew() {
+    let (mut table, now) = (ServerTable::default(), Instant::now());
+    apply(&mut table, vec![put("a", ready(1, 50))], true, now);
+    let former = table.all().next().unwrap().clone();
+    let _held = former.enter();
+    former.unreached(now);
+    apply(&mut table, vec![put("a", ready(2, 1))], false, now);
+    let server = table.all().next().unwrap();
+    assert_eq!((server.born, server.own()), (2, 0));
+    assert!(server.is_reachable(now));
+}
+
+#[test]
+fn apply_unreadable_names_no_server() {
+    let (mut table, now) = (ServerTable::default(), Instant::now());
+    apply(&mut table, vec![put("a", ready(1, 1)), put("b", ready(1, 1))], true, now);
+    let odd = Change { key: "a".to_owned(), value: Some(Err("odd".to_owned())) };
+    assert_eq!(apply(&mut table, vec![odd], false, now), [("a".to_owned(), Effect::Unreadable)]);
+    assert_eq!(ids(&table), ["b"]);
+    apply(&mut table, vec![put("a", ready(1, 2))], false, now);
+    assert_eq!(ids(&table), ["a", "b"]);
+}
+
+#[test]
+fn outage_lapsed_records_wait() {
+    let (mut table, now) = (ServerTable::default(), Instant::now());
+    apply(&mut table, vec![put("a", ready(1, 1)), put("b", ready(1, 1))], true, now);
+    table.source_returned(now);
+    apply(&mut table, vec![gone("a"), gone("b")], false, now);
+    assert_eq!(ids(&table), ["a", "b"], "lapsed records may come back");
+    let soon = now + Duration::from_millis(1_900);
+    apply(&mut table, vec![put("a", ready(1, 7))], false, soon);
+    let later = now + Duration::from_millis(2_300);
+    table.expire(later, |_, _| {});
+    assert_eq!(ids(&table), ["a"], "what is still missing is gone");
+}
+
+#[test]
+fn outage_leaving_server_is_not_held() {
+    let (mut table, now) = (ServerTable::default(), Instant::now());
+    apply(&mut table, vec![put("a", ready(1, 1))], true, now);
+    table.source_returned(now);
+    let leaving = record(1, 2, Standing::Leaving);
+    apply(&mut table, vec![put("a", leaving), gone("a")], false, now);
+    assert!(ids(&table).is_empty());
+}
+
+#[test]
+fn whole_page_removes_missing() {
+    let (mut table, now) = (ServerTable::default(), Instant::now());
+    apply(&mut table, vec![put("a", ready(1, 1)), put("b", ready(1, 1))], true, now);
+    apply(&mut table, vec![put("b", ready(1, 2))], true, now);
+    assert_eq!(ids(&table), ["b"]);
+}
+
+#[test]
+fn unreached_pauses_grow() {
+    let (mut table, now) = (ServerTable::default(), Instant::now());
+    apply(&mut table, vec![put("a", ready(1, 1))], true, now);
+    let server = table.all().next().unwrap();
+    server.unreached(now);
+    assert!(!server.is_reachable(now + Duration::from_millis(100)));
+    assert!(server.is_reachable(now + Duration::from_millis(250)));
+    for _ in 0..20 {
+        server.unreached(now);
+    }
+    assert!(!server.is_reachable(now + Duration::from_millis(1_900)));
+    assert!(server.is_reachable(now + Duration::from_millis(2_100)), "never forgotten for long");
+    server.reached();
+    assert!(server.is_reachable(now));
+}
