--- a/src/router/rules_watch.rs
+++ b/src/router/rules_watch.rs
@@ -10,9 +10,9 @@
 use crate::rules::RuleSet;
 use crate::servers::Page;
 
-/// How long the store holds a read back when nothing changes. A read proves the
-/// rules only once it returns.
-const WAIT: Duration = Duration::from_millis(1_500);
+/// How long the store holds a read back when nothing changes. A read proves what was in
+/// force when it was sent, so that the lease gets as old as two waits.
+const WAIT: Duration = Duration::from_millis(900);
 
 /// Follows the rules for ever.
 pub(crate) async fn follow_rules<S: Store>(router: Arc<Router<S>>) {
