Let four routers follow the store for the whole fleet

The first four by the hash of their names read; the others confirm their lease by exchanges with these and ask them for changes of servers.

--- a/src/peers/client.rs
+++ b/src/peers/client.rs
@@ -6,9 +6,15 @@
 
 use bytes::Bytes;
 use reqwest::Client;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
 
-use crate::wire::WireExchange;
+use crate::wire::{WireExchange, WireServers, WireServersAsk};
 
+/// Path of exchanges.
+pub(crate) const EXCHANGE_PATH: &str = "/exchange";
+/// Path of questions for backend servers.
+pub(crate) const SERVERS_PATH: &str = "/servers";
 /// Time for a connection to another router.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time for an exchange.
@@ -62,7 +68,29 @@
     /// # Errors
     /// Tells whether the process there is gone or only did not answer.
     pub async fn exchange(&self, peer: SocketAddr, body: Bytes) -> Result<WireExchange, PeerError> {
-        let sent = self.http.post(format!("http://{peer}/exchange")).body(body).send().await;
+        self.call(peer, EXCHANGE_PATH, body).await
+    }
+
+    /// Asks the router at `peer` for changes of backend servers.
+    ///
+    /// # Errors
+    /// Tells whether the process there is gone or only did not answer.
+    pub async fn servers(
+        &self,
+        peer: SocketAddr,
+        ask: &WireServersAsk,
+    ) -> Result<WireServers, PeerError> {
+        let body = encode(ask).map_err(|e| PeerError::Failed(e.to_string()))?;
+        self.call(peer, SERVERS_PATH, body).await
+    }
+
+    async fn call<T: DeserializeOwned>(
+        &self,
+        peer: SocketAddr,
+        path: &str,
+        body: Bytes,
+    ) -> Result<T, PeerError> {
+        let sent = self.http.post(format!("http://{peer}{path}")).body(body).send().await;
         let response = sent.and_then(reqwest::Response::error_for_status).map_err(failed)?;
         let body = response.bytes().await.map_err(failed)?;
         decode(&body).map_err(|e| PeerError::Failed(format!("unreadable message: {e}")))
@@ -80,7 +108,7 @@
 ///
 /// # Errors
 /// Fails when it cannot be written.
-pub fn encode(message: &WireExchange) -> Result<Bytes, rmp_serde::encode::Error> {
+pub fn encode<T: Serialize>(message: &T) -> Result<Bytes, rmp_serde::encode::Error> {
     rmp_serde::to_vec(message).map(Bytes::from)
 }
 
@@ -88,6 +116,6 @@
 ///
 /// # Errors
 /// Fails when the bytes are no message.
-pub fn decode(bytes: &[u8]) -> Result<WireExchange, rmp_serde::decode::Error> {
+pub fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, rmp_serde::decode::Error> {
     rmp_serde::from_slice(bytes)
 }
--- a/src/peers/mod.rs
+++ b/src/peers/mod.rs
@@ -3,5 +3,6 @@
 mod client;
 mod roster;
 
+pub(crate) use client::{EXCHANGE_PATH, SERVERS_PATH};
 pub use client::{PeerClient, PeerError, decode, encode};
-pub use roster::Roster;
+pub use roster::{Reader, Roster};
--- a/src/peers/roster.rs
+++ b/src/peers/roster.rs
@@ -4,13 +4,38 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use smallvec::SmallVec;
+
+use crate::decide::hash_bytes;
 use crate::wire::{WireCrash, WireExchange, WireRouter, WireSeen};
 
 /// A router that was not heard of for this long counts as dead: three exchanges.
 const ALIVE_TIME: Duration = Duration::from_millis(1_600);
+/// Routers that follow the platform's store; the others ask these.
+const READERS: usize = 4;
 /// A router that was not heard of for this long is no longer asked.
 const FORGET_TIME: Duration = Duration::from_secs(60);
 
+key! {
+    /// A router that follows the platform's store.
+    pub enum Reader {
+        /// This one.
+        Own,
+        /// Another one, and where it takes messages.
+        Peer(SocketAddr),
+    }
+}
+
+impl Reader {
+    /// Where it takes messages; none for this router.
+    pub fn peer(&self) -> Option<SocketAddr> {
+        match self {
+            Reader::Own => None,
+            Reader::Peer(address) => Some(*address),
+        }
+    }
+}
+
 #[derive(Debug)]
 struct Peer {
     router: WireRouter,
@@ -19,8 +44,8 @@
     heard: Instant,
     /// It refused a connection since it was heard.
     refused: bool,
-    /// Requests in flight by backend server, as it told itself.
-    loads: Vec<(u64, u32)>,
+    /// Requests in flight by backend server, as it told itself, and when.
+    loads: Option<(Instant, Vec<(u64, u32)>)>,
 }
 
 impl Peer {
@@ -65,7 +90,7 @@
             }
         }
         if let Some(peer) = self.peers.get_mut(&name) {
-            peer.loads = message.loads;
+            peer.loads = Some((now, message.loads));
         }
     }
 
@@ -73,7 +98,7 @@
     pub fn refused(&mut self, address: SocketAddr) {
         for peer in self.peers.values_mut().filter(|it| it.router.peers == address) {
             peer.refused = true;
-            peer.loads.clear();
+            peer.loads = None;
         }
     }
 
@@ -84,6 +109,7 @@
         leaving: bool,
         loads: Vec<(u64, u32)>,
         crashes: Vec<WireCrash>,
+        rules: Option<(u64, u64)>,
         now: Instant,
     ) -> WireExchange {
         let own = WireSeen { router: self.own.clone(), ready, leaving, age_ms: 0 };
@@ -94,7 +120,7 @@
             leaving: it.leaving,
             age_ms: now.saturating_duration_since(it.heard).as_millis() as u64,
         });
-        WireExchange { own, others: others.collect(), loads, crashes }
+        WireExchange { own, others: others.collect(), loads, crashes, rules }
     }
 
     /// Where to reach the other routers, dead ones too, as they may be back.
@@ -113,17 +139,50 @@
         self.peers.values().filter(|it| it.is_alive(now)).count()
     }
 
-    /// Requests of the other routers in flight, by backend server.
+    /// Requests of the other routers in flight, by backend server. Routers that
+    /// have not told lately are taken to have as much as the others.
     pub fn loads(&self, now: Instant) -> HashMap<u64, u32> {
         let mut all = HashMap::new();
-        for peer in self.peers.values().filter(|it| it.is_alive(now)) {
-            for (server, count) in &peer.loads {
-                *all.entry(*server).or_insert(0) += count;
+        let alive = self.peers.values().filter(|it| it.is_alive(now));
+        let fresh = |at: Instant| now.saturating_duration_since(at) < ALIVE_TIME;
+        let told = alive.filter_map(|it| it.loads.as_ref()).filter(|(at, _)| fresh(*at));
+        let mut count = 0;
+        for (_, loads) in told {
+            count += 1;
+            for (server, load) in loads {
+                *all.entry(*server).or_insert(0) += load;
             }
         }
+        let silent = self.alive(now).saturating_sub(count);
+        if count > 0 && silent > 0 {
+            let scale = |it: u32| it + (it as usize * silent / count) as u32;
+            all.values_mut().for_each(|it| *it = scale(*it));
+        }
         all
     }
 
+    /// Routers that follow the platform's store, as far as this one knows: the
+    /// first by the hash of their names. This one is among them while it knows few.
+    pub fn readers(&self, now: Instant) -> SmallVec<[Reader; READERS]> {
+        let own = (hash_bytes(self.own.name.as_bytes()), None);
+        let rank = |it: &Peer| (hash_bytes(it.router.name.as_bytes()), Some(it.router.peers));
+        let alive = self.peers.values().filter(|it| it.is_alive(now) && !it.leaving).map(rank);
+        let mut all: Vec<_> = alive.chain([own]).collect();
+        all.sort_unstable();
+        let first = all.into_iter().take(READERS);
+        first.map(|(_, peer)| peer.map_or(Reader::Own, Reader::Peer)).collect()
+    }
+
+    /// Whether this router follows the platform's store.
+    pub fn is_reader(&self, now: Instant) -> bool {
+        self.readers(now).contains(&Reader::Own)
+    }
+
+    /// Whether other routers rely on this one and its like to follow the store.
+    pub fn has_followers(&self, now: Instant) -> bool {
+        self.alive(now) + 1 > READERS
+    }
+
     /// Forgets routers that are long gone.
     pub fn sweep(&mut self, now: Instant) {
         let kept = |it: &Peer| now.saturating_duration_since(it.heard) < FORGET_TIME;
@@ -150,7 +209,7 @@
             leaving: seen.leaving || former.as_ref().is_some_and(|it| it.leaving),
             heard,
             refused: false,
-            loads: former.map(|it| it.loads).unwrap_or_default(),
+            loads: former.and_then(|it| it.loads),
         };
         self.peers.insert(router.name.clone(), peer);
     }
--- a/src/router/entry.rs
+++ b/src/router/entry.rs
@@ -8,9 +8,11 @@
 use hyper::{Request, Response, StatusCode};
 use prometheus::{Encoder, TextEncoder};
 use rand::seq::IndexedRandom;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
 use slog::warn;
 
-use crate::peers::{decode, encode};
+use crate::peers::{EXCHANGE_PATH, SERVERS_PATH, decode, encode};
 use crate::relay::{RelayBody, whole};
 use crate::router::{Router, Store};
 
@@ -65,11 +67,12 @@
     all
 }
 
-/// Takes a message of another router and answers with an own one.
+/// Takes a message of another router and answers it.
 pub(crate) async fn hear<S: Store>(
     router: &Router<S>,
     asked: Request<Incoming>,
 ) -> Response<RelayBody> {
+    let path = asked.uri().path().to_owned();
     let body = match Limited::new(asked.into_body(), MAX_MESSAGE).collect().await {
         Ok(it) => it.to_bytes(),
         Err(e) => {
@@ -77,14 +80,29 @@
             return plain(StatusCode::BAD_REQUEST, Vec::new());
         }
     };
-    match decode(&body) {
-        Ok(message) => router.hear(message),
+    match path.as_str() {
+        EXCHANGE_PATH => take(router, &body, |message| {
+            router.hear(message);
+            router.message()
+        }),
+        SERVERS_PATH => take(router, &body, |ask| router.servers_since(&ask)),
+        _ => plain(StatusCode::NOT_FOUND, Vec::new()),
+    }
+}
+
+fn take<S, T: DeserializeOwned, A: Serialize>(
+    router: &Router<S>,
+    body: &[u8],
+    answer: impl FnOnce(T) -> A,
+) -> Response<RelayBody> {
+    let message = match decode(body) {
+        Ok(it) => it,
         Err(e) => {
             warn!(router.logger, "a message of a router cannot be read"; "error" => %e);
             return plain(StatusCode::BAD_REQUEST, Vec::new());
         }
-    }
-    match encode(&router.message()) {
+    };
+    match encode(&answer(message)) {
         Ok(own) => plain(StatusCode::OK, own),
         Err(e) => {
             warn!(router.logger, "a message cannot be written"; "error" => %e);
--- a/src/router/exchange_loop.rs
+++ b/src/router/exchange_loop.rs
@@ -7,29 +7,30 @@
 use bytes::Bytes;
 use rand::seq::IndexedRandom;
 use slog::{debug, info, warn};
+use smallvec::SmallVec;
 use tokio::time::{sleep, timeout};
 
-use crate::peers::{PeerClient, PeerError, encode};
+use crate::peers::{PeerError, Reader, encode};
 use crate::router::{Router, Store};
 
 /// Time between two rounds.
 const ROUND: Duration = Duration::from_millis(500);
 /// Routers told in one round; others hear of it from these.
 const MOST_TOLD: usize = 8;
+/// Routers told in one round that follow the store.
+const READERS_TOLD: usize = 2;
 /// Time between two looks for routers that nobody told of.
 const LOOK_TIME: Duration = Duration::from_secs(10);
 /// Time between two such looks while no other router is known.
 const LONELY_LOOK_TIME: Duration = Duration::from_secs(2);
 
 /// Tells the other routers what this one knows, for ever.
-pub(crate) async fn exchange<S: Store>(router: Arc<Router<S>>, client: PeerClient) {
+pub(crate) async fn exchange<S: Store>(router: Arc<Router<S>>) {
     loop {
-        let known: Vec<SocketAddr> = router.roster.lock().unwrap().addresses().collect();
-        let told = known.choose_multiple(&mut rand::rng(), MOST_TOLD);
         match encode(&router.message()) {
             Ok(body) => {
-                for peer in told {
-                    tokio::spawn(tell(Arc::clone(&router), client.clone(), *peer, body.clone()));
+                for peer in told(&router) {
+                    tokio::spawn(tell(Arc::clone(&router), peer, body.clone()));
                 }
             }
             Err(e) => warn!(router.logger, "a message cannot be written"; "error" => %e),
@@ -40,9 +41,24 @@
     }
 }
 
-async fn tell<S: Store>(router: Arc<Router<S>>, client: PeerClient, peer: SocketAddr, body: Bytes) {
-    match client.exchange(peer, body).await {
-        Ok(message) => router.hear(message),
+/// Routers to tell in this round: two that follow the store, and some of all.
+fn told<S: Store>(router: &Router<S>) -> SmallVec<[SocketAddr; MOST_TOLD]> {
+    let roster = router.roster.lock().unwrap();
+    let readers = roster.readers(router.relay.clock().now());
+    let readers: SmallVec<[SocketAddr; 4]> = readers.iter().filter_map(Reader::peer).collect();
+    let random = &mut rand::rng();
+    let mut told: SmallVec<[SocketAddr; MOST_TOLD]> =
+        readers.choose_multiple(random, READERS_TOLD).copied().collect();
+    let others: Vec<SocketAddr> = roster.addresses().filter(|it| !told.contains(it)).collect();
+    let left = MOST_TOLD - told.len();
+    told.extend(others.choose_multiple(random, left).copied());
+    told
+}
+
+async fn tell<S: Store>(router: Arc<Router<S>>, peer: SocketAddr, body: Bytes) {
+    let sent = router.relay.clock().boot();
+    match router.client.exchange(peer, body).await {
+        Ok(message) => router.hear_answer(message, sent),
         Err(e) => {
             debug!(router.logger, "a router does not answer"; "peer" => %peer, "error" => %e);
             if matches!(e, PeerError::Refused) {
--- a/src/router/lifecycle.rs
+++ b/src/router/lifecycle.rs
@@ -10,7 +10,6 @@
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::time::sleep;
 
-use crate::peers::PeerClient;
 use crate::relay::{Relay, serve_connections};
 use crate::router::exchange_loop::{exchange, find_routers};
 use crate::router::rules_watch::follow_rules;
@@ -39,7 +38,7 @@
     let mut term = listen_signal(SignalKind::terminate())?;
     let mut interrupt = listen_signal(SignalKind::interrupt())?;
     let mut hangup = listen_signal(SignalKind::hangup())?;
-    start(&router, listeners)?;
+    start(&router, listeners);
     loop {
         tokio::select! {
             _ = term.recv() => break,
@@ -52,24 +51,16 @@
 }
 
 /// Starts all tasks of `router`; they end with the runtime.
-///
-/// # Errors
-/// Fails when clients cannot be made.
-pub fn start<S: Store>(
-    router: &Arc<Router<S>>,
-    listeners: Listeners,
-) -> Result<(), Report<RouterError>> {
-    let client = PeerClient::new().change_context(RouterError::SetUp)?;
+pub fn start<S: Store>(router: &Arc<Router<S>>, listeners: Listeners) {
     serve(router, listeners);
     tokio::spawn(follow_rules(Arc::clone(router)));
     tokio::spawn(follow_servers(Arc::clone(router)));
     tokio::spawn(find_routers(Arc::clone(router)));
-    tokio::spawn(exchange(Arc::clone(router), client));
+    tokio::spawn(exchange(Arc::clone(router)));
     let own = &router.settings;
     info!(router.logger, "started"; "event" => 100, "callers" => %own.callers,
         "ready" => %own.ready, "entry" => %own.entry, "metrics" => %own.metrics,
         "domain" => &own.domain, "version" => env!("CARGO_PKG_VERSION"));
-    Ok(())
 }
 
 fn serve<S: Store>(router: &Arc<Router<S>>, listeners: Listeners) {
--- a/src/router/router.rs
+++ b/src/router/router.rs
@@ -1,8 +1,9 @@
 //! What all tasks of a router share.
 
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::cmp::Ordering;
+use std::sync::atomic::{AtomicU32, Ordering::Relaxed};
 use std::sync::{Arc, Mutex};
-use std::time::UNIX_EPOCH;
+use std::time::{Duration, UNIX_EPOCH};
 
 use error_stack::{Report, ResultExt};
 use prometheus::Registry;
@@ -11,10 +12,11 @@
 
 use crate::clock::SharedClock;
 use crate::fleet::CrashReport;
-use crate::peers::Roster;
+use crate::peers::{PeerClient, Roster};
 use crate::relay::{Front, Journal, Relay};
 use crate::router::{Face, RouterError, RouterSettings, Store};
-use crate::wire::{WireExchange, WireRouter};
+use crate::rules::Lease;
+use crate::wire::{WireExchange, WireRouter, WireServers, WireServersAsk};
 
 /// A router: its store, its peers, its relay.
 #[derive(Debug)]
@@ -37,6 +39,12 @@
     pub busy: Arc<AtomicU32>,
     /// Wakes the exchange with other routers before its time.
     pub(crate) tell_now: Arc<Notify>,
+    /// Another router has newer rules.
+    pub(crate) rules_due: Notify,
+    /// How far the records of backend servers are read.
+    pub(crate) servers_read: Lease,
+    /// Sends messages to other routers.
+    pub(crate) client: PeerClient,
 }
 
 impl<S: Store> Router<S> {
@@ -75,6 +83,9 @@
             logger,
             busy: Arc::default(),
             tell_now,
+            rules_due: Notify::new(),
+            servers_read: Lease::default(),
+            client: PeerClient::new().change_context(RouterError::SetUp)?,
         })
     }
 
@@ -86,7 +97,7 @@
 
     /// Whether the router is shutting down.
     pub fn is_leaving(&self) -> bool {
-        self.relay.leaving.load(Ordering::Relaxed)
+        self.relay.leaving.load(Relaxed)
     }
 
     /// What this router tells others now.
@@ -96,8 +107,43 @@
         let busy = servers.all().filter(|it| it.own() > 0);
         let loads = busy.map(|it| (it.hash, it.own())).collect();
         let crashes = self.relay.crashes.current(now).iter().map(|it| it.to_wire(now)).collect();
+        let version = self.relay.rules.load().map(|it| it.version);
+        let age = self.relay.lease.age(self.relay.clock().boot());
+        let rules = version.zip(age.map(|it| it.as_millis() as u64));
         let roster = self.roster.lock().unwrap();
-        roster.message(self.relay.is_ready(), self.is_leaving(), loads, crashes, now)
+        roster.message(self.relay.is_ready(), self.is_leaving(), loads, crashes, rules, now)
+    }
+
+    /// Takes the answer to a message that was sent at `sent`, time since boot. What
+    /// another router had confirmed by then is confirmed here, too.
+    pub(crate) fn hear_answer(&self, message: WireExchange, sent: Duration) {
+        let own = self.relay.rules.load().map_or(0, |it| it.version);
+        if let Some((version, age_ms)) = message.rules {
+            let confirmed = sent.checked_sub(Duration::from_millis(age_ms));
+            match (version.cmp(&own), confirmed) {
+                (Ordering::Equal, Some(at)) => self.relay.lease.renew(at),
+                (Ordering::Greater, _) => self.rules_due.notify_one(),
+                _ => {}
+            }
+        }
+        self.hear(message);
+    }
+
+    /// Whether this router follows the store itself.
+    pub(crate) fn is_reader(&self) -> bool {
+        let now = self.relay.clock().now();
+        self.roster.lock().unwrap().is_reader(now)
+    }
+
+    /// What another router asks to know of backend servers.
+    pub(crate) fn servers_since(&self, ask: &WireServersAsk) -> WireServers {
+        let epoch = self.roster.lock().unwrap().own().born;
+        let age = self.servers_read.age(self.relay.clock().boot());
+        let servers = self.relay.servers.lock().unwrap();
+        let stamp = if ask.epoch == epoch { ask.stamp } else { u64::MAX };
+        let (whole, rows) = servers.since(stamp);
+        let age_ms = age.map(|it| it.as_millis() as u64);
+        WireServers { epoch, stamp: servers.stamp(), whole, age_ms, rows }
     }
 
     /// Takes what another router tells.
@@ -108,7 +154,7 @@
         }
         let mut roster = self.roster.lock().unwrap();
         roster.hear(message, now);
-        self.relay.routers.store(roster.alive(now) + 1, Ordering::Relaxed);
+        self.relay.routers.store(roster.alive(now) + 1, Relaxed);
         let loads = roster.loads(now);
         drop(roster);
         for server in self.relay.servers.lock().unwrap().all() {
--- a/src/router/rules_watch.rs
+++ b/src/router/rules_watch.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use slog::{error, info, warn};
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use crate::router::{Router, SourceHealth, Store, StoreError, Turn};
 use crate::rules::RuleSet;
@@ -14,15 +14,22 @@
 /// force when it was sent, so that the lease gets as old as two waits.
 const WAIT: Duration = Duration::from_millis(900);
 
+/// The same where other routers rely on this one.
+const FOLLOWED_WAIT: Duration = Duration::from_millis(400);
+/// A router that does not follow the store reads the rules itself once they were
+/// not confirmed for this long.
+const FOLLOW_AGE: Duration = Duration::from_millis(1_700);
+
 /// Follows the rules for ever.
 pub(crate) async fn follow_rules<S: Store>(router: Arc<Router<S>>) {
     let clock = router.relay.clock();
     let mut health = SourceHealth::default();
     let mut from = None;
     loop {
+        let wait = next_read(&router).await;
         let sent = clock.boot();
         let began = clock.now();
-        match router.store.rules(from, WAIT).await {
+        match router.store.rules(from, wait).await {
             Ok(page) => {
                 let next = page.next;
                 if apply(&router, page) {
@@ -48,6 +55,25 @@
     }
 }
 
+/// Waits until the rules are to be read, and tells how long that read may wait.
+/// Routers that do not follow the store rely on those that do, unless these
+/// have newer rules or confirm none.
+async fn next_read<S: Store>(router: &Router<S>) -> Duration {
+    let clock = router.relay.clock();
+    let followed = router.roster.lock().unwrap().has_followers(clock.now());
+    if router.is_reader() {
+        return if followed { FOLLOWED_WAIT } else { WAIT };
+    }
+    loop {
+        let age = router.relay.lease.age(clock.boot()).unwrap_or(FOLLOW_AGE);
+        let left = FOLLOW_AGE.saturating_sub(age);
+        let due = timeout(left, router.rules_due.notified()).await.is_ok();
+        if due || left.is_zero() {
+            return Duration::ZERO;
+        }
+    }
+}
+
 /// False when what was read cannot be used.
 fn apply<S: Store>(router: &Router<S>, page: Page<RuleSet>) -> bool {
     let mut readable = true;
--- a/src/router/servers_watch.rs
+++ b/src/router/servers_watch.rs
@@ -1,25 +1,45 @@
 //! Follows the records of backend servers in the store.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use slog::{info, warn};
 use tokio::time::sleep;
 
+use crate::decide::hash_bytes;
+use crate::peers::Reader;
 use crate::router::{Router, SourceHealth, Store, StoreError, Turn};
-use crate::servers::{Effect, Page, ServerRecord};
+use crate::servers::{Change, Effect, Page, ServerRecord};
+use crate::wire::{WireServer, WireServersAsk};
 
 /// Pause between two reads. Records come many a second, so that a read which
 /// waits for the next would return at once.
 const PAUSE: Duration = Duration::from_millis(700);
 
+/// The same where other routers rely on this one.
+const FOLLOWED_PAUSE: Duration = Duration::from_millis(400);
+/// Pause between two questions to a router that follows the store.
+const ASK_PAUSE: Duration = Duration::from_millis(400);
+/// Records that another router read longer ago are of no use.
+const MOST_AGE: Duration = Duration::from_millis(1_500);
+
 /// Follows the records for ever.
 pub(crate) async fn follow_servers<S: Store>(router: Arc<Router<S>>) {
     let clock = router.relay.clock();
     let mut health = SourceHealth::default();
     let mut from = None;
+    let mut known = WireServersAsk { epoch: 0, stamp: 0 };
     loop {
+        if let Some(peer) = reader(&router)
+            && ask(&router, peer, &mut known).await
+        {
+            from = None;
+            sleep(ASK_PAUSE).await;
+            continue;
+        }
         let began = clock.now();
+        let sent = clock.boot();
         let pause = match router.store.servers(from).await {
             Ok(page) => {
                 let turn = health.succeeded(clock.now());
@@ -30,8 +50,10 @@
                     }
                 }
                 from = Some(page.next);
+                router.servers_read.renew(sent);
                 apply(&router, page);
-                PAUSE
+                let followed = router.roster.lock().unwrap().has_followers(clock.now());
+                if followed { FOLLOWED_PAUSE } else { PAUSE }
             }
             Err(StoreError::Gap) => {
                 info!(router.logger, "backend servers are read as a whole"; "event" => 207);
@@ -51,6 +73,45 @@
     }
 }
 
+/// A router to ask for backend servers; none where this one follows the store itself.
+fn reader<S: Store>(router: &Router<S>) -> Option<SocketAddr> {
+    let readers = router.roster.lock().unwrap().readers(router.relay.clock().now());
+    if readers.contains(&Reader::Own) {
+        return None;
+    }
+    // The same one each time while it lives, as it tells only what changed.
+    let own = hash_bytes(router.settings.name.as_bytes()) as usize;
+    readers[own % readers.len()].peer()
+}
+
+/// Asks another router for changes; false when its answer is of no use.
+async fn ask<S: Store>(router: &Router<S>, peer: SocketAddr, known: &mut WireServersAsk) -> bool {
+    let clock = router.relay.clock();
+    let sent = clock.boot();
+    let answer = match router.client.servers(peer, known).await {
+        Ok(it) => it,
+        Err(e) => {
+            info!(router.logger, "a router does not tell of backend servers";
+                "peer" => %peer, "error" => %e);
+            return false;
+        }
+    };
+    let age = answer.age_ms.map(Duration::from_millis).filter(|it| *it < MOST_AGE);
+    let Some(read) = age.and_then(|it| sent.checked_sub(it)) else {
+        return false;
+    };
+    router.servers_read.renew(read);
+    *known = WireServersAsk { epoch: answer.epoch, stamp: answer.stamp };
+    let change = |(key, row): (String, Option<WireServer>)| {
+        let value = row.map(|it| Ok(ServerRecord::from(it)));
+        Change { key, value }
+    };
+    let changes = answer.rows.into_iter().map(change).collect();
+    apply(router, Page { changes, next: answer.stamp, whole: answer.whole });
+    expire(router);
+    true
+}
+
 fn apply<S: Store>(router: &Router<S>, page: Page<ServerRecord>) {
     let now = router.relay.clock().now();
     for it in &page.changes {
--- a/src/servers/record.rs
+++ b/src/servers/record.rs
@@ -3,6 +3,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use crate::wire::WireServer;
+
 key! {
     /// Whether a backend server takes new work.
     pub enum Standing {
@@ -35,9 +37,46 @@
     }
 }
 
+impl From<&ServerRecord> for WireServer {
+    fn from(it: &ServerRecord) -> WireServer {
+        WireServer {
+            service: it.service.clone(),
+            address: it.address,
+            domain: it.domain.clone(),
+            slots: it.slots,
+            leaving: it.standing == Standing::Leaving,
+            warm_up_ms: it.warm_up.as_millis() as u64,
+            born: it.born,
+            sequence: it.sequence,
+        }
+    }
+}
+
+impl From<WireServer> for ServerRecord {
+    fn from(it: WireServer) -> ServerRecord {
+        ServerRecord {
+            service: it.service,
+            address: it.address,
+            domain: it.domain,
+            slots: it.slots,
+            standing: if it.leaving { Standing::Leaving } else { Standing::Ready },
+            warm_up: Duration::from_millis(it.warm_up_ms),
+            born: it.born,
+            sequence: it.sequence,
+        }
+    }
+}
+
 impl ServerRecord {
     /// Whether `self` was written after `other`.
     pub fn follows(&self, other: &ServerRecord) -> bool {
         (self.born, self.sequence) > (other.born, other.sequence)
     }
+
+    /// Whether `self` says the same as `other`, a former record of the same incarnation.
+    pub fn repeats(&self, other: &ServerRecord) -> bool {
+        let sequence = self.sequence;
+        // Times that only run down are no news.
+        *self == ServerRecord { sequence, warm_up: self.warm_up, ..other.clone() }
+    }
 }
--- a/src/servers/server.rs
+++ b/src/servers/server.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use crate::decide::hash_bytes;
-use crate::servers::ServerRecord;
+use crate::servers::{ServerRecord, Standing};
 
 /// Pause after the first failed connection.
 const FIRST_PAUSE: Duration = Duration::from_millis(200);
@@ -64,6 +64,13 @@
         }
     }
 
+    /// Whether `record` tells of this server, unchanged but for its leaving.
+    pub fn is_as(&self, record: &ServerRecord) -> bool {
+        let same = self.born == record.born && self.address == record.address;
+        let returned = self.is_leaving() && record.standing == Standing::Ready;
+        same && self.slots == record.slots && !returned
+    }
+
     /// Whether it takes no new work.
     pub fn is_leaving(&self) -> bool {
         self.leaving.load(Ordering::Relaxed)
--- a/src/servers/table.rs
+++ b/src/servers/table.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use crate::servers::{Change, Page, Server, ServerRecord, Standing};
+use crate::wire::WireServer;
 
 /// How long records may lack after an outage of their source.
 const RETURN_TIME: Duration = Duration::from_millis(2_200);
@@ -20,6 +21,8 @@
     gone: Option<Instant>,
     /// Its record went during an outage: still used until then.
     held: Option<Instant>,
+    /// Number of its last change that others have to hear of.
+    stamp: u64,
 }
 
 key! {
@@ -46,6 +49,10 @@
     services: HashMap<String, Arc<[Arc<Server>]>>,
     /// Records that go before then may come back.
     returning: Option<Instant>,
+    /// Number of the last change.
+    stamp: u64,
+    /// Highest stamp among the servers that were forgotten.
+    forgotten: u64,
 }
 
 impl ServerTable {
@@ -64,6 +71,23 @@
         self.services.values().flat_map(|it| it.iter())
     }
 
+    /// Number of the last change.
+    pub fn stamp(&self) -> u64 {
+        self.stamp
+    }
+
+    /// What changed after `stamp`: all servers (true) when that is no longer known.
+    pub fn since(&self, stamp: u64) -> (bool, Vec<(String, Option<WireServer>)>) {
+        let whole = stamp < self.forgotten || stamp > self.stamp;
+        let news = self.known.iter().filter(|(_, it)| whole || it.stamp > stamp);
+        let row = |(id, it): (&String, &Known)| {
+            let record = it.server.as_ref().map(|_| WireServer::from(&it.record));
+            (id.clone(), record)
+        };
+        let rows = news.map(row).filter(|(_, record)| !whole || record.is_some());
+        (whole, rows.collect())
+    }
+
     /// Takes what the source tells; `note` hears of each server that it changed.
     pub fn apply(
         &mut self,
@@ -79,7 +103,7 @@
         }
         for change in page.changes {
             let effect = match change.value {
-                Some(Ok(record)) => self.update(&change.key, record, now),
+                Some(Ok(record)) => self.update(&change.key, record),
                 Some(Err(_)) => self.unreadable(&change.key),
                 None => self.remove(&change.key, now),
             };
@@ -98,10 +122,15 @@
                     server.end();
                 }
                 ended = true;
+                self.stamp += 1;
+                it.stamp = self.stamp;
                 note(id, Effect::Left);
             }
         }
-        self.known.retain(|_, it| it.gone.is_none_or(|at| now < at + FORGET_TIME));
+        let old = |it: &Known| it.gone.is_some_and(|at| now >= at + FORGET_TIME);
+        let lost = self.known.values().filter(|it| old(it)).map(|it| it.stamp).max();
+        self.forgotten = self.forgotten.max(lost.unwrap_or(0));
+        self.known.retain(|_, it| !old(it));
         if ended {
             self.rebuild();
         }
@@ -113,7 +142,7 @@
         there.filter(|(id, _)| !listed(id)).map(|(id, _)| id.clone()).collect()
     }
 
-    fn update(&mut self, id: &str, record: ServerRecord, now: Instant) -> Effect {
+    fn update(&mut self, id: &str, record: ServerRecord) -> Effect {
         let former = self.known.get(id);
         if former.is_some_and(|it| !record.follows(&it.record) && it.gone.is_some()) {
             return Effect::None;
@@ -122,20 +151,18 @@
             return Effect::None;
         }
         let former = self.known.remove(id);
-        let server = former.and_then(|it| it.server).filter(|it| {
-            let same = it.born == record.born && it.address == record.address;
-            same && it.slots == record.slots
-        });
+        let stamp = match &former {
+            Some(it) if it.server.is_some() && record.repeats(&it.record) => it.stamp,
+            _ => self.next_stamp(),
+        };
+        let server = former.and_then(|it| it.server).filter(|it| it.is_as(&record));
         let fresh = server.is_none();
         let server = server.unwrap_or_else(|| Arc::new(Server::new(id, &record)));
         let left = record.standing == Standing::Leaving && !server.is_leaving();
         if left {
             server.leave();
         }
-        if server.is_leaving() && record.standing == Standing::Ready {
-            return self.rejoin(id, record, now);
-        }
-        let known = Known { record, server: Some(server), gone: None, held: None };
+        let known = Known { record, server: Some(server), gone: None, held: None, stamp };
         self.known.insert(id.to_owned(), known);
         match (left, fresh) {
             (true, _) => Effect::Left,
@@ -144,23 +171,23 @@
         }
     }
 
-    /// A server that was leaving is ready again.
-    fn rejoin(&mut self, id: &str, record: ServerRecord, _now: Instant) -> Effect {
-        let server = Some(Arc::new(Server::new(id, &record)));
-        let known = Known { record, server, gone: None, held: None };
-        self.known.insert(id.to_owned(), known);
-        Effect::Joined
+    fn next_stamp(&mut self) -> u64 {
+        self.stamp += 1;
+        self.stamp
     }
 
     fn unreadable(&mut self, id: &str) -> Effect {
+        let stamp = self.next_stamp();
         if let Some(it) = self.known.get_mut(id) {
             it.server = None;
+            it.stamp = stamp;
         }
         Effect::Unreadable
     }
 
     fn remove(&mut self, id: &str, now: Instant) -> Effect {
         let returning = self.returning.filter(|until| now < *until);
+        let stamp = self.next_stamp();
         let Some(it) = self.known.get_mut(id) else {
             return Effect::None;
         };
@@ -172,6 +199,7 @@
             it.held = returning;
             return Effect::Held;
         }
+        it.stamp = stamp;
         if let Some(server) = it.server.take() {
             server.end();
         }
--- a/src/wire/peer.rs
+++ b/src/wire/peer.rs
@@ -42,5 +42,50 @@
         pub loads: Vec<(u64, u32)>,
         /// Backend servers that died while they ran a request.
         pub crashes: Vec<WireCrash>,
+        /// Version of the rules in force at the sender, and how long ago they were
+        /// confirmed, in milliseconds.
+        pub rules: Option<(u64, u64)>,
+    }
+
+    /// Asks for changes of backend servers.
+    pub struct WireServersAsk {
+        /// Process whose stamps are meant; any other answers with all.
+        pub epoch: u64,
+        /// Changes up to this stamp are known.
+        pub stamp: u64,
+    }
+
+    /// Changes of backend servers.
+    pub struct WireServers {
+        /// Process whose stamps are meant.
+        pub epoch: u64,
+        /// Stamp of the last change.
+        pub stamp: u64,
+        /// Servers that are not listed do not exist.
+        pub whole: bool,
+        /// How long ago the sender read the records, in milliseconds; absent when it never did.
+        pub age_ms: Option<u64>,
+        /// Servers by id; without a record they are gone.
+        pub rows: Vec<(String, Option<WireServer>)>,
+    }
+
+    /// A backend server.
+    pub struct WireServer {
+        /// Service that it belongs to.
+        pub service: String,
+        /// Where it listens.
+        pub address: SocketAddr,
+        /// Failure domain.
+        pub domain: String,
+        /// Requests that run at once.
+        pub slots: u32,
+        /// It takes no new work.
+        pub leaving: bool,
+        /// How much longer it is slow after its start.
+        pub warm_up_ms: u64,
+        /// When it started, in milliseconds since 1970.
+        pub born: u64,
+        /// Rises with each record of one incarnation.
+        pub sequence: u64,
     }
 }
--- a/tests/it/servers.rs
+++ b/tests/it/servers.rs
@@ -156,3 +156,47 @@
     server.reached();
     assert!(server.is_reachable(now));
 }
+
+/// Applies what one table tells to another, as routers do that do not follow the store.
+fn follow(from: &ServerTable, to: &mut ServerTable, known: &mut u64, now: Instant) -> usize {
+    let (whole, rows) = from.since(*known);
+    *known = from.stamp();
+    let count = rows.len();
+    let change = |(key, row): (String, Option<filberttiller::wire::WireServer>)| Change {
+        key,
+        value: row.map(|it| Ok(ServerRecord::from(it))),
+    };
+    apply(to, rows.into_iter().map(change).collect(), whole, now);
+    count
+}
+
+#[test]
+fn since_tells_only_news() {
+    let (mut table, mut other, now) =
+        (ServerTable::default(), ServerTable::default(), Instant::now());
+    let mut known = u64::MAX;
+    apply(&mut table, vec![put("a", ready(1, 1)), put("b", ready(1, 1))], true, now);
+    assert_eq!(follow(&table, &mut other, &mut known, now), 2);
+    apply(&mut table, vec![put("a", ready(1, 2)), put("b", ready(1, 2))], false, now);
+    assert_eq!(follow(&table, &mut other, &mut known, now), 0, "heartbeats are no news");
+    apply(&mut table, vec![put("a", record(1, 3, Standing::Leaving)), gone("b")], false, now);
+    assert_eq!(follow(&table, &mut other, &mut known, now), 2);
+    assert!(ids(&other).is_empty());
+    apply(&mut table, vec![put("b", ready(2, 1))], false, now);
+    follow(&table, &mut other, &mut known, now);
+    assert_eq!(ids(&other), ["b"]);
+}
+
+#[test]
+fn since_forgotten_change_tells_all() {
+    let (mut table, mut other, now) =
+        (ServerTable::default(), ServerTable::default(), Instant::now());
+    let mut known = u64::MAX;
+    apply(&mut table, vec![put("a", ready(1, 1)), put("b", ready(1, 1))], true, now);
+    follow(&table, &mut other, &mut known, now);
+    apply(&mut table, vec![gone("a")], false, now);
+    let later = now + Duration::from_secs(61);
+    table.expire(later, |_, _| {});
+    follow(&table, &mut other, &mut known, later);
+    assert_eq!(ids(&other), ["b"]);
+}
