End held servers in time; close the callers' port 2.8 s after the signal to stop

Cause: the two seconds were only looked at with each read, every 0.7 s. Ruled out: a lost record, it was read at the first read after the outage. Now the wait ends in time, and the time is 2.0 s (2.2 s). Cause: callers keep addresses up to three times their life, and the port stayed open until the end. Now it closes after 2.8 s, idle connections with it, and what still comes is refused as not run.

--- a/src/relay/front.rs
+++ b/src/relay/front.rs
@@ -13,6 +13,7 @@
 use hyper_util::rt::TokioIo;
 use slog::{Logger, warn};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
 use tokio::time::{sleep, sleep_until};
 
 use crate::clock::SharedClock;
@@ -34,18 +35,24 @@
     pub clock: SharedClock,
     /// Requests whose answers are not complete, or connections just begun.
     pub busy: Arc<AtomicU32>,
+    /// True once no new request is taken: the port and idle connections close.
+    pub closed: watch::Receiver<bool>,
 }
 
-/// Accepts connections for ever and serves requests by `handle`. Connections
+/// Accepts connections until it is closed and serves requests by `handle`. Connections
 /// without a request for the time that `idle` tells are closed.
-pub async fn serve_connections<H, F, I>(listener: TcpListener, front: Front, handle: H, idle: I)
+pub async fn serve_connections<H, F, I>(listener: TcpListener, mut front: Front, handle: H, idle: I)
 where
     H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = Response<RelayBody>> + Send + 'static,
     I: Fn() -> Duration + Clone + Send + Sync + 'static,
 {
     loop {
-        match listener.accept().await {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = closing(&mut front.closed) => return,
+        };
+        match accepted {
             Ok((stream, _)) => {
                 tokio::spawn(serve(stream, front.clone(), handle.clone(), idle.clone()));
             }
@@ -57,6 +64,14 @@
     }
 }
 
+/// Ends when no new request is taken any more.
+async fn closing(closed: &mut watch::Receiver<bool>) {
+    if closed.wait_for(|it| *it).await.is_err() {
+        // Nobody is left to close it.
+        std::future::pending().await
+    }
+}
+
 async fn serve<H, F, I>(stream: TcpStream, front: Front, handle: H, idle: I)
 where
     H: Fn(Request<Incoming>) -> F + Send + Sync + 'static,
@@ -79,19 +94,24 @@
         .max_buf_size(HEAD_BUFFER)
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
-    let mut closing = false;
+    let mut closed = front.closed.clone();
+    let mut ending = false;
     loop {
         let wake = *activity.last.lock().unwrap() + idle();
         tokio::select! {
             // How it ended was told to the request under way, if there was one.
             _ = connection.as_mut() => return,
-            () = sleep_until(wake.into()), if !closing => {
+            () = closing(&mut closed), if !ending => {
+                connection.as_mut().graceful_shutdown();
+                ending = true;
+            }
+            () = sleep_until(wake.into()), if !ending => {
                 let now = front.clock.now();
                 if !activity.is_quiet() {
                     *activity.last.lock().unwrap() = now;
                 } else if now >= *activity.last.lock().unwrap() + idle() {
                     connection.as_mut().graceful_shutdown();
-                    closing = true;
+                    ending = true;
                 }
             }
         }
--- a/src/relay/refusal.rs
+++ b/src/relay/refusal.rs
@@ -21,6 +21,8 @@
         NoRoute,
         /// The rules are not known, or were not confirmed for too long.
         NoRules,
+        /// The router is about to end.
+        Leaving,
         /// No backend server can take it now.
         NoServer,
         /// All backend servers are full.
@@ -49,6 +51,7 @@
             Refusal::ServerFailed => StatusCode::BAD_GATEWAY,
             Refusal::TimedOut => StatusCode::GATEWAY_TIMEOUT,
             Refusal::NoRules
+            | Refusal::Leaving
             | Refusal::NoServer
             | Refusal::NoRoom
             | Refusal::Crashes
@@ -68,8 +71,8 @@
     /// Time after which the caller should come back; by then the cause is likely gone.
     pub fn retry_after(self) -> Option<Duration> {
         match self {
-            // Another router most likely has the rules.
-            Refusal::NoRules => Some(Duration::from_millis(100)),
+            // Another router most likely serves it.
+            Refusal::NoRules | Refusal::Leaving => Some(Duration::from_millis(100)),
             Refusal::NoServer => Some(Duration::from_millis(500)),
             Refusal::NoRoom | Refusal::Shed => Some(Duration::from_millis(300)),
             Refusal::Crashes => Some(Duration::from_secs(10)),
@@ -85,6 +88,7 @@
             Refusal::NoOrganisation => "no_organisation",
             Refusal::NoRoute => "no_route",
             Refusal::NoRules => "no_rules",
+            Refusal::Leaving => "leaving",
             Refusal::NoServer => "no_server",
             Refusal::NoRoom => "no_room",
             Refusal::Crashes => "crashes",
--- a/src/relay/relay.rs
+++ b/src/relay/relay.rs
@@ -149,11 +149,19 @@
         !self.leaving.load(Ordering::Relaxed) && self.rules.load().is_some() && fresh
     }
 
-    /// Serves one request.
-    pub async fn handle(self: Arc<Relay>, request: Request<Incoming>) -> Response<RelayBody> {
+    /// Serves one request; refuses it where `closed`, as it would be cut off.
+    pub async fn handle(
+        self: Arc<Relay>,
+        request: Request<Incoming>,
+        closed: bool,
+    ) -> Response<RelayBody> {
         let mut trail = Trail::new(&self.journal);
         let (head, body) = request.into_parts();
-        let mut response = match self.admit(head, body, &mut trail).await {
+        let admitted = match closed {
+            true => Err(Refusal::Leaving),
+            false => self.admit(head, body, &mut trail).await,
+        };
+        let mut response = match admitted {
             Ok(job) => self.answer(job.with(trail)).await,
             Err(refusal) => refuse(&mut trail, refusal),
         };
--- a/src/router/lifecycle.rs
+++ b/src/router/lifecycle.rs
@@ -8,6 +8,7 @@
 use error_stack::{Report, ResultExt};
 use slog::{info, warn};
 use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::sync::watch;
 use tokio::time::sleep;
 
 use crate::relay::{Relay, serve_connections};
@@ -16,8 +17,9 @@
 use crate::router::servers_watch::follow_servers;
 use crate::router::{Listeners, Router, RouterError, Store, entry};
 
-/// Time after the signal to stop in which callers that kept the address still connect.
-const LINGER: Duration = Duration::from_secs(4);
+/// Time after the signal to stop in which new requests are taken: callers keep the
+/// address for a while. What is taken later might not end before the kill.
+const TAKE_TIME: Duration = Duration::from_millis(2_800);
 /// Time before the kill at which the process ends on its own.
 const KILL_MARGIN: Duration = Duration::from_millis(400);
 /// Pause between two looks whether all requests have ended.
@@ -67,12 +69,14 @@
     let others = || OTHERS_IDLE;
     let other = || {
         let mut front = router.front();
-        // Only callers' requests are waited for at the end.
+        // Only callers' requests are waited for at the end, and only their port closes.
         front.busy = Arc::default();
+        front.closed = watch::Sender::new(false).subscribe();
         front
     };
     let it = Arc::clone(&router.relay);
-    let relay = move |request| Arc::clone(&it).handle(request);
+    let closed = router.closed.subscribe();
+    let relay = move |request| Arc::clone(&it).handle(request, *closed.borrow());
     let it = Arc::clone(&router.relay);
     let idle = move || idle(&it);
     tokio::spawn(serve_connections(listeners.callers, router.front(), relay, idle));
@@ -108,7 +112,10 @@
     let last = router.settings.grace.saturating_sub(KILL_MARGIN);
     loop {
         let passed = clock.boot().saturating_sub(began);
-        let empty = passed >= LINGER.min(last) && busy() == 0;
+        if passed >= TAKE_TIME {
+            router.closed.send_replace(true);
+        }
+        let empty = passed >= TAKE_TIME + DRAIN_PAUSE && busy() == 0;
         if empty || passed >= last {
             break;
         }
--- a/src/router/router.rs
+++ b/src/router/router.rs
@@ -8,7 +8,7 @@
 use error_stack::{Report, ResultExt};
 use prometheus::Registry;
 use slog::Logger;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 
 use crate::clock::SharedClock;
 use crate::fleet::CrashReport;
@@ -37,6 +37,8 @@
     pub logger: Logger,
     /// Requests of callers whose answers are not complete.
     pub busy: Arc<AtomicU32>,
+    /// Set once no new request is taken.
+    pub(crate) closed: watch::Sender<bool>,
     /// Wakes the exchange with other routers before its time.
     pub(crate) tell_now: Arc<Notify>,
     /// Another router has newer rules.
@@ -82,6 +84,7 @@
             registry,
             logger,
             busy: Arc::default(),
+            closed: watch::Sender::new(false),
             tell_now,
             rules_due: Notify::new(),
             servers_read: Lease::default(),
@@ -92,7 +95,8 @@
     /// What connections of callers share.
     pub fn front(&self) -> Front {
         let clock = Arc::clone(self.relay.clock());
-        Front { logger: self.logger.clone(), clock, busy: Arc::clone(&self.busy) }
+        let closed = self.closed.subscribe();
+        Front { logger: self.logger.clone(), clock, busy: Arc::clone(&self.busy), closed }
     }
 
     /// Whether the router is shutting down.
--- a/src/router/servers_watch.rs
+++ b/src/router/servers_watch.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use slog::{info, warn};
-use tokio::time::sleep;
+use tokio::time::sleep_until;
 
 use crate::decide::hash_bytes;
 use crate::peers::Reader;
@@ -35,7 +35,7 @@
             && ask(&router, peer, &mut known).await
         {
             from = None;
-            sleep(ASK_PAUSE).await;
+            wait(&router, ASK_PAUSE).await;
             continue;
         }
         let began = clock.now();
@@ -68,8 +68,7 @@
                 health.pause(&mut rand::rng())
             }
         };
-        expire(&router);
-        sleep(pause).await;
+        wait(&router, pause).await;
     }
 }
 
@@ -108,7 +107,6 @@
     };
     let changes = answer.rows.into_iter().map(change).collect();
     apply(router, Page { changes, next: answer.stamp, whole: answer.whole });
-    expire(router);
     true
 }
 
@@ -123,6 +121,20 @@
     servers.apply(page, now, |id, effect| note(router, id, effect));
 }
 
+/// Waits before the next read; what ends meanwhile ends in time.
+async fn wait<S: Store>(router: &Router<S>, pause: Duration) {
+    let until = router.relay.clock().now() + pause;
+    loop {
+        expire(router);
+        let next = router.relay.servers.lock().unwrap().next_end();
+        let Some(next) = next.filter(|it| *it < until) else {
+            break;
+        };
+        sleep_until(next.into()).await;
+    }
+    sleep_until(until.into()).await;
+}
+
 fn expire<S: Store>(router: &Router<S>) {
     let now = router.relay.clock().now();
     let mut servers = router.relay.servers.lock().unwrap();
--- a/src/servers/table.rs
+++ b/src/servers/table.rs
@@ -8,7 +8,7 @@
 use crate::wire::WireServer;
 
 /// How long records may lack after an outage of their source.
-const RETURN_TIME: Duration = Duration::from_millis(2_200);
+const RETURN_TIME: Duration = Duration::from_millis(2_000);
 /// How long the last record of a server that is gone is kept, against older ones.
 const FORGET_TIME: Duration = Duration::from_secs(60);
 
@@ -112,6 +112,11 @@
         self.rebuild();
     }
 
+    /// When the next server ends whose record went during an outage.
+    pub fn next_end(&self) -> Option<Instant> {
+        self.known.values().filter_map(|it| it.held).min()
+    }
+
     /// Ends what time ends; true when a server went.
     pub fn expire(&mut self, now: Instant, mut note: impl FnMut(&str, Effect)) {
         let mut ended = false;
