Hold servers after an outage no longer than until the platform counts the router as in touch

With a store that is silent, the first call that succeeds may come 2.3 s after its return, and two seconds more would pass the bound again: the time now also ends 2.8 s after the last failed call was sent. Test outage_noticed_late_holds_shorter.

--- a/src/router/rules_watch.rs
+++ b/src/router/rules_watch.rs
@@ -36,7 +36,7 @@
                     router.relay.lease.renew(sent);
                 }
                 from = Some(next);
-                if let Turn::Back(_) = health.succeeded(clock.now()) {
+                if let Turn::Back(..) = health.succeeded(clock.now()) {
                     info!(router.logger, "rules are read again"; "event" => 203);
                 }
             }
--- a/src/router/servers_watch.rs
+++ b/src/router/servers_watch.rs
@@ -19,6 +19,9 @@
 
 /// The same where other routers rely on this one.
 const FOLLOWED_PAUSE: Duration = Duration::from_millis(400);
+/// Time after the last call that failed from which records bind again, whatever
+/// was missed: the platform takes a router to be in touch 3 s after an outage.
+const SETTLE_TIME: Duration = Duration::from_millis(2_800);
 /// Pause between two questions to a router that follows the store.
 const ASK_PAUSE: Duration = Duration::from_millis(400);
 /// Records that another router read longer ago are of no use.
@@ -43,10 +46,15 @@
         let pause = match router.store.servers(from).await {
             Ok(page) => {
                 let turn = health.succeeded(clock.now());
-                if let Turn::Back(long) = turn {
+                if let Turn::Back(long, last) = turn {
                     info!(router.logger, "backend servers are read again"; "event" => 301);
                     if long {
-                        router.relay.servers.lock().unwrap().source_returned(clock.now());
+                        router
+                            .relay
+                            .servers
+                            .lock()
+                            .unwrap()
+                            .source_returned(clock.now(), last + SETTLE_TIME);
                     }
                 }
                 from = Some(page.next);
--- a/src/router/source_health.rs
+++ b/src/router/source_health.rs
@@ -18,8 +18,9 @@
         None,
         /// The source was answering and no longer does.
         Lost,
-        /// It answers again after the outage, which was long enough to matter or not.
-        Back(bool),
+        /// It answers again after an outage that was long enough to matter (true) or not.
+        /// The last call that failed was sent at the given time.
+        Back(bool, Instant),
     }
 }
 
@@ -29,6 +30,8 @@
 pub struct SourceHealth {
     failures: u32,
     lost: Option<Instant>,
+    /// When the last call that failed was sent.
+    last: Option<Instant>,
 }
 
 impl SourceHealth {
@@ -44,6 +47,7 @@
         self.failures += 1;
         let first = self.lost.is_none();
         self.lost.get_or_insert(sent);
+        self.last = Some(sent);
         if first { Turn::Lost } else { Turn::None }
     }
 
--- a/src/servers/table.rs
+++ b/src/servers/table.rs
@@ -56,9 +56,10 @@
 }
 
 impl ServerTable {
-    /// The source of records answers again after an outage.
-    pub fn source_returned(&mut self, now: Instant) {
-        self.returning = Some(now + RETURN_TIME);
+    /// The source of records answers again after an outage. Records that go from
+    /// now on may come back for a while, at the `latest` until then.
+    pub fn source_returned(&mut self, now: Instant, latest: Instant) {
+        self.returning = Some(latest.min(now + RETURN_TIME));
     }
 
     /// Servers of `service` that take work.
--- a/tests/it/servers.rs
+++ b/tests/it/servers.rs
@@ -112,7 +112,7 @@
 fn outage_lapsed_records_wait() {
     let (mut table, now) = (ServerTable::default(), Instant::now());
     apply(&mut table, vec![put("a", ready(1, 1)), put("b", ready(1, 1))], true, now);
-    table.source_returned(now);
+    table.source_returned(now, now + Duration::from_secs(9));
     apply(&mut table, vec![gone("a"), gone("b")], false, now);
     assert_eq!(ids(&table), ["a", "b"], "lapsed records may come back");
     let soon = now + Duration::from_millis(1_900);
@@ -122,11 +122,24 @@
     assert_eq!(ids(&table), ["a"], "what is still missing is gone");
 }
 
+/// The last call that failed was a silent one, long before the first that did not.
+#[test]
+fn outage_noticed_late_holds_shorter() {
+    let (mut table, now) = (ServerTable::default(), Instant::now());
+    apply(&mut table, vec![put("a", ready(1, 1))], true, now);
+    let latest = now + Duration::from_millis(700);
+    table.source_returned(now, latest);
+    apply(&mut table, vec![gone("a")], false, now);
+    assert_eq!(table.next_end(), Some(latest));
+    table.expire(latest, |_, _| {});
+    assert!(ids(&table).is_empty());
+}
+
 #[test]
 fn outage_leaving_server_is_not_held() {
     let (mut table, now) = (ServerTable::default(), Instant::now());
     apply(&mut table, vec![put("a", ready(1, 1))], true, now);
-    table.source_returned(now);
+    table.source_returned(now, now + Duration::from_secs(9));
     let leaving = record(1, 2, Standing::Leaving);
     apply(&mut table, vec![put("a", leaving), gone("a")], false, now);
     assert!(ids(&table).is_empty());
