--- a/src/router/source_health.rs
+++ b/src/router/source_health.rs
@@ -38,8 +38,10 @@
     /// A call succeeded.
     pub fn succeeded(&mut self, now: Instant) -> Turn {
         self.failures = 0;
-        let lost = self.lost.take();
-        lost.map_or(Turn::None, |at| Turn::Back(now.saturating_duration_since(at) > SHORT_OUTAGE))
+        let lost = self.lost.take().zip(self.last.take());
+        lost.map_or(Turn::None, |(at, last)| {
+            Turn::Back(now.saturating_duration_since(at) > SHORT_OUTAGE, last)
+        })
     }
 
     /// A call failed that was sent at `sent`.
