--- a/src/events/code.rs
+++ b/src/events/code.rs
@@ -39,6 +39,8 @@
     102 ShutdownBegun "a graceful shutdown began";
     103 ShutdownDone "a graceful shutdown ended with nothing cut off";
     104 ShutdownCut "a shutdown cut off requests in flight";
+    105 SettingsRead "changed settings were read";
+    106 SettingsRefused "changed settings are wrong, the last ones stay";
     // 2xx: tickets and state
     200 TicketAccepted "a ticket came into force";
     201 TicketRejected "a ticket did not come into force";
@@ -51,6 +53,11 @@
     208 StateFromSnapshot "the state was taken from a snapshot in the log";
     209 StateFromPeer "the state was taken from a peer";
     210 SnapshotWritten "a snapshot was written to the log";
+    220 RulesInForce "newer rules are in force";
+    221 RulesUnreadable "rules cannot be decoded, the last ones stay in force";
+    222 RulesLost "the store does not tell the rules";
+    223 RulesBack "the store tells the rules again";
+    224 ReadWhole "what comes next is no longer kept in the store, the whole is read";
     // 3xx: membership
     300 ListUnreachable "the instance list does not answer";
     301 ListReachable "the instance list answers again";
@@ -62,6 +69,10 @@
     307 SuspicionRefuted "this router objected to a suspicion of itself";
     308 MarkedLeaving "a backend server is marked as leaving";
     309 PeerRefused "an exchange with a peer of another version was refused";
+    320 ServersLost "the store does not tell of backend servers";
+    321 ServersBack "the store tells of backend servers again";
+    322 RecordHeld "a record went during an outage, its server is used for a while";
+    323 RecordUnreadable "a record names no backend server";
     // 4xx: placement and admission
     400 Placed "a request was given to a backend server";
     401 NoRoom "no backend server takes the request at present";
--- a/src/relay/suspect.rs
+++ b/src/relay/suspect.rs
@@ -8,6 +8,7 @@
 use tokio::time::{sleep, timeout};
 
 use crate::decide::{Care, care, combine, hash_bytes};
+use crate::events::Code;
 use crate::fleet::{Crash, CrashReport};
 use crate::relay::relay::Job;
 use crate::relay::{Refusal, Relay};
@@ -58,7 +59,7 @@
             let now = relay.clock().now();
             if relay.crashes.insert(CrashReport { crash, at: now }, now) {
                 warn!(relay.journal().logger(), "a backend server died while it ran a request";
-                    "event" => 620, "server" => &*id, "request" => request,
+                    "event" => Code::ServerCrashed.number(), "server" => &*id, "request" => request,
                     "fingerprint" => format!("{fingerprint:016x}"));
                 relay.news.notify_one();
             }
--- a/src/router/lifecycle.rs
+++ b/src/router/lifecycle.rs
@@ -11,6 +11,7 @@
 use tokio::sync::watch;
 use tokio::time::sleep;
 
+use crate::events::Code;
 use crate::relay::{Relay, serve_connections};
 use crate::router::exchange_loop::{exchange, find_routers};
 use crate::router::rules_watch::follow_rules;
@@ -60,7 +61,7 @@
     tokio::spawn(find_routers(Arc::clone(router)));
     tokio::spawn(exchange(Arc::clone(router)));
     let own = &router.settings;
-    info!(router.logger, "started"; "event" => 100, "callers" => %own.callers,
+    info!(router.logger, "started"; "event" => Code::Started.number(), "callers" => %own.callers,
         "ready" => %own.ready, "entry" => %own.entry, "metrics" => %own.metrics,
         "domain" => &own.domain, "version" => env!("CARGO_PKG_VERSION"));
 }
@@ -108,7 +109,7 @@
     router.relay.leaving.store(true, Ordering::Relaxed);
     router.tell_now.notify_one();
     let busy = || router.busy.load(Ordering::Relaxed);
-    info!(router.logger, "stopping"; "event" => 102, "in_flight" => busy());
+    info!(router.logger, "stopping"; "event" => Code::ShutdownBegun.number(), "in_flight" => busy());
     let last = router.settings.grace.saturating_sub(KILL_MARGIN);
     loop {
         let passed = clock.boot().saturating_sub(began);
@@ -122,9 +123,9 @@
         sleep(DRAIN_PAUSE).await;
     }
     match busy() {
-        0 => info!(router.logger, "stopped"; "event" => 103),
+        0 => info!(router.logger, "stopped"; "event" => Code::ShutdownDone.number()),
         cut => {
-            warn!(router.logger, "stopped with requests in flight"; "event" => 104, "cut" => cut)
+            warn!(router.logger, "stopped with requests in flight"; "event" => Code::ShutdownCut.number(), "cut" => cut)
         }
     }
 }
--- a/src/router/rules_watch.rs
+++ b/src/router/rules_watch.rs
@@ -6,6 +6,7 @@
 use slog::{error, info, warn};
 use tokio::time::{sleep, timeout};
 
+use crate::events::Code;
 use crate::router::{Router, SourceHealth, Store, StoreError, Turn};
 use crate::rules::RuleSet;
 use crate::servers::Page;
@@ -37,16 +38,16 @@
                 }
                 from = Some(next);
                 if let Turn::Back(..) = health.succeeded(clock.now()) {
-                    info!(router.logger, "rules are read again"; "event" => 203);
+                    info!(router.logger, "rules are read again"; "event" => Code::RulesBack.number());
                 }
             }
             Err(StoreError::Gap) => {
-                info!(router.logger, "rules are read as a whole"; "event" => 207);
+                info!(router.logger, "rules are read as a whole"; "event" => Code::ReadWhole.number());
                 from = None;
             }
             Err(e) => {
                 if health.failed(began) == Turn::Lost {
-                    warn!(router.logger, "rules cannot be read"; "event" => 202, "error" => %e);
+                    warn!(router.logger, "rules cannot be read"; "event" => Code::RulesLost.number(), "error" => %e);
                 }
                 let pause = health.pause(&mut rand::rng());
                 sleep(pause).await;
@@ -83,13 +84,13 @@
                 readable = true;
                 let version = rules.version;
                 if router.relay.rules.advance(rules) {
-                    info!(router.logger, "rules in force"; "event" => 200, "version" => version);
+                    info!(router.logger, "rules in force"; "event" => Code::RulesInForce.number(), "version" => version);
                 }
             }
             Some(Err(e)) => {
                 readable = false;
                 error!(router.logger, "rules cannot be decoded, the last ones stay in force";
-                    "event" => 201, "error" => e);
+                    "event" => Code::RulesUnreadable.number(), "error" => e);
             }
             None => {}
         }
--- a/src/router/servers_watch.rs
+++ b/src/router/servers_watch.rs
@@ -8,6 +8,7 @@
 use tokio::time::sleep_until;
 
 use crate::decide::hash_bytes;
+use crate::events::Code;
 use crate::peers::Reader;
 use crate::router::{Router, SourceHealth, Store, StoreError, Turn};
 use crate::servers::{Change, Effect, Page, ServerRecord};
@@ -47,7 +48,7 @@
             Ok(page) => {
                 let turn = health.succeeded(clock.now());
                 if let Turn::Back(long, last) = turn {
-                    info!(router.logger, "backend servers are read again"; "event" => 301);
+                    info!(router.logger, "backend servers are read again"; "event" => Code::ServersBack.number());
                     if long {
                         router
                             .relay
@@ -64,14 +65,14 @@
                 if followed { FOLLOWED_PAUSE } else { PAUSE }
             }
             Err(StoreError::Gap) => {
-                info!(router.logger, "backend servers are read as a whole"; "event" => 207);
+                info!(router.logger, "backend servers are read as a whole"; "event" => Code::ReadWhole.number());
                 from = None;
                 Duration::ZERO
             }
             Err(e) => {
                 if health.failed(began) == Turn::Lost {
                     warn!(router.logger, "backend servers cannot be read";
-                        "event" => 300, "error" => %e);
+                        "event" => Code::ServersLost.number(), "error" => %e);
                 }
                 health.pause(&mut rand::rng())
             }
@@ -122,7 +123,8 @@
     let now = router.relay.clock().now();
     for it in &page.changes {
         if let Some(Err(e)) = &it.value {
-            warn!(router.logger, "a record names no backend server"; "key" => &it.key, "error" => e);
+            warn!(router.logger, "a record names no backend server";
+                "event" => Code::RecordUnreadable.number(), "key" => &it.key, "error" => e);
         }
     }
     let mut servers = router.relay.servers.lock().unwrap();
@@ -154,9 +156,11 @@
 fn note<S: Store>(router: &Router<S>, id: &str, effect: Effect) {
     let (event, text) = match effect {
         Effect::None | Effect::Unreadable => return,
-        Effect::Joined => (302, "a backend server joined"),
-        Effect::Left => (303, "a backend server takes no new requests"),
-        Effect::Held => (304, "a record went during an outage; the server is used for a while"),
+        Effect::Joined => (Code::InstanceJoined, "a backend server joined"),
+        Effect::Left => (Code::InstanceLeaving, "a backend server takes no new requests"),
+        Effect::Held => {
+            (Code::RecordHeld, "a record went during an outage; the server is used for a while")
+        }
     };
-    info!(router.logger, "{}", text; "event" => event, "server" => id);
+    info!(router.logger, "{}", text; "event" => event.number(), "server" => id);
 }
