--- /dev/null
+++ b/soak/src/fleet.rs
@@ -0,0 +1,194 @@
+//! Everything of one soak: store, backend servers, links, routers.
+
+use std::io;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::sync::Mutex;
+use std::time::{Duration, Instant};
+
+use serde_json::json;
+use standins::platform::{MetaStore, Worker};
+
+use crate::link::Link;
+use crate::router_process::RouterProcess;
+use crate::rules::{SERVICE, rules};
+
+/// Backend servers that faults harm; the others stay sound, so that callers can be served.
+pub const HARMED_BACKENDS: usize = 3;
+/// Slots of each backend server.
+const SLOTS: u32 = 16;
+
+/// A backend server behind its link.
+#[derive(Debug)]
+pub struct Backend {
+    pub worker: Worker,
+    pub link: Link,
+    /// When its record said that it leaves.
+    pub left: Option<Instant>,
+}
+
+/// A key of the organisation.
+#[derive(Debug, Clone)]
+pub struct Key {
+    pub text: String,
+    /// When it was taken away, as the store acknowledged.
+    pub taken: Option<Instant>,
+}
+
+/// A graceful shutdown of a router that was not harmed shortly before.
+#[derive(Debug, Clone, Copy)]
+pub struct Shutdown {
+    /// Where callers reached it.
+    pub callers: SocketAddr,
+    /// When it was told to stop.
+    pub at: Instant,
+}
+
+/// The operator's side.
+#[derive(Debug)]
+pub struct Operator {
+    pub version: u64,
+    pub keys: Vec<Key>,
+    sequence: u64,
+}
+
+/// One deployment.
+#[derive(Debug)]
+pub struct Fleet {
+    pub store: MetaStore,
+    /// One link to the store for each router.
+    pub store_links: Vec<Link>,
+    pub backends: Mutex<Vec<Backend>>,
+    pub routers: tokio::sync::Mutex<Vec<Option<RouterProcess>>>,
+    pub operator: Mutex<Operator>,
+    pub shutdowns: Mutex<Vec<Shutdown>>,
+    program: PathBuf,
+    folder: PathBuf,
+}
+
+impl Fleet {
+    /// Starts everything; files go to `folder`.
+    ///
+    /// # Errors
+    /// Fails when a port cannot be bound or a router does not start.
+    pub async fn start(
+        program: &Path,
+        folder: &Path,
+        routers: usize,
+        backends: usize,
+    ) -> io::Result<Fleet> {
+        std::fs::create_dir_all(folder)?;
+        let store = MetaStore::start().await?;
+        let mut links = Vec::new();
+        for _ in 0..routers {
+            links.push(Link::start(store.address()).await?);
+        }
+        let keys = (0..4).map(|it| Key { text: format!("key-{it}"), taken: None }).collect();
+        let fleet = Fleet {
+            store,
+            store_links: links,
+            backends: Mutex::default(),
+            routers: tokio::sync::Mutex::new((0..routers).map(|_| None).collect()),
+            operator: Mutex::new(Operator { version: 0, keys, sequence: 0 }),
+            shutdowns: Mutex::default(),
+            program: program.to_owned(),
+            folder: folder.to_owned(),
+        };
+        fleet.put_rules();
+        for _ in 0..backends {
+            fleet.add_backend().await?;
+        }
+        for number in 0..routers {
+            fleet.start_router(number).await?;
+        }
+        Ok(fleet)
+    }
+
+    /// Starts the process of router `number`.
+    ///
+    /// # Errors
+    /// Fails when it does not start.
+    pub async fn start_router(&self, number: usize) -> io::Result<()> {
+        let path = self.folder.join(format!("front-{number}.conf"));
+        let text = settings(number, self.store_links[number].address());
+        std::fs::write(&path, text)?;
+        let start = self.next_sequence();
+        let log = self.folder.join(format!("front-{number}-{start}.log"));
+        let process = RouterProcess::start(&self.program, &path, log).await?;
+        self.routers.lock().await[number] = Some(process);
+        Ok(())
+    }
+
+    /// Starts one more backend server.
+    ///
+    /// # Errors
+    /// Fails when no port can be bound.
+    pub async fn add_backend(&self) -> io::Result<()> {
+        let id = format!("i-{}", self.next_sequence());
+        let worker = Worker::start(&id).await?;
+        worker.set_pace(Duration::from_millis(15));
+        let link = Link::start(worker.address()).await?;
+        let backend = Backend { worker, link, left: None };
+        self.put_record(&backend, "ready");
+        self.backends.lock().unwrap().push(backend);
+        Ok(())
+    }
+
+    /// Writes the record of a backend server.
+    pub fn put_record(&self, backend: &Backend, state: &str) {
+        let record = json!({
+            "service": SERVICE, "address": backend.link.address(), "zone": "a", "version": "v1",
+            "slots": SLOTS, "state": state, "coldRemainingMs": 0,
+            "sequence": self.next_sequence(), "born": 7,
+        });
+        self.store.put("keyed.servers", backend.worker.id(), record.to_string().as_bytes());
+    }
+
+    /// Writes the next version of the configuration.
+    pub fn put_rules(&self) {
+        let mut operator = self.operator.lock().unwrap();
+        operator.version += 3;
+        let valid = operator.keys.iter().filter(|it| it.taken.is_none());
+        let keys: Vec<String> = valid.map(|it| it.text.clone()).collect();
+        let rules = rules(operator.version, &keys);
+        self.store.put("keyed.op", "config", rules.to_string().as_bytes());
+    }
+
+    /// Takes one key away, and gives another one out.
+    pub fn take_key(&self, choice: usize) {
+        let mut operator = self.operator.lock().unwrap();
+        let number = operator.keys.len();
+        let valid = operator.keys.iter_mut().filter(|it| it.taken.is_none());
+        let mut valid: Vec<&mut Key> = valid.collect();
+        let choice = choice % valid.len();
+        valid[choice].taken = Some(Instant::now());
+        operator.keys.push(Key { text: format!("key-{number}"), taken: None });
+        drop(operator);
+        self.put_rules();
+        // The bound runs from the store's word.
+        let mut operator = self.operator.lock().unwrap();
+        let now = Instant::now();
+        let taken = operator.keys.iter_mut().filter_map(|it| it.taken.as_mut());
+        if let Some(last) = taken.max() {
+            *last = now;
+        }
+    }
+
+    fn next_sequence(&self) -> u64 {
+        let mut operator = self.operator.lock().unwrap();
+        operator.sequence += 1;
+        operator.sequence
+    }
+}
+
+/// Settings as the platform writes them, with free ports.
+fn settings(number: usize, store: SocketAddr) -> String {
+    format!(
+        "nodeName=front-{number}\nip=127.0.0.1\nzone=a\nregion=r\n\
+         listenAddrs.frontend=127.0.0.1:0\nlistenAddrs.ready=127.0.0.1:0\n\
+         listenAddrs.directory=127.0.0.1:0\ninternalPorts=0,0\nbounds.graceS=8\n\
+         bounds.revokeMs=5000\nbounds.strictRevocation=true\nbounds.configApplyMs=2000\n\
+         bounds.capX=2\nbounds.retryBudgetRatio=0.2\nbounds.budgetWindowS=10\n\
+         bounds.retrySlack=58\nbounds.ttl_max_s=5\nprovider.address={store}\n"
+    )
+}
--- /dev/null
+++ b/soak/src/lib.rs
@@ -0,0 +1,15 @@
+//! A randomized soak: router processes before stand-ins on loopback, faults from
+//! outside, and checks of the promises by what callers and backend servers see.
+
+mod callers;
+mod checks;
+mod faults;
+mod fleet;
+mod link;
+mod report;
+mod router_process;
+mod rules;
+mod run;
+
+pub use report::Report;
+pub use run::{Options, run};
--- /dev/null
+++ b/soak/src/main.rs
@@ -0,0 +1,81 @@
+//! Plays seeds of the soak and prints what they found.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use bpaf::Bpaf;
+use soak::{Options, run};
+use tokio::task::JoinSet;
+
+/// Runs real routers under random faults. Exit code 1 when a promise was broken.
+#[derive(Debug, Clone, Bpaf)]
+#[bpaf(options)]
+struct Arguments {
+    /// First seed.
+    #[bpaf(argument("SEED"), fallback(1))]
+    first: u64,
+    /// Number of seeds.
+    #[bpaf(argument("COUNT"), fallback(1))]
+    seeds: u64,
+    /// Seeds played at a time.
+    #[bpaf(argument("COUNT"), fallback(2))]
+    jobs: usize,
+    /// Seconds of faults for each seed.
+    #[bpaf(argument("SECONDS"), fallback(12))]
+    seconds: u64,
+    /// Router processes of each seed.
+    #[bpaf(argument("COUNT"), fallback(4))]
+    routers: usize,
+    /// Callers of each seed.
+    #[bpaf(argument("COUNT"), fallback(12))]
+    callers: u64,
+    /// Where logs go.
+    #[bpaf(argument("FOLDER"), fallback(PathBuf::from("/tmp/soak")))]
+    folder: PathBuf,
+    /// The router's program.
+    #[bpaf(positional("PROGRAM"))]
+    program: PathBuf,
+}
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    let arguments = arguments().run();
+    let options = Options {
+        program: arguments.program,
+        folder: arguments.folder,
+        routers: arguments.routers,
+        backends: 7,
+        callers: arguments.callers,
+        length: Duration::from_secs(arguments.seconds),
+    };
+    let mut failed = false;
+    let mut seeds = arguments.first..arguments.first + arguments.seeds;
+    let mut running = JoinSet::new();
+    loop {
+        while running.len() < arguments.jobs
+            && let Some(seed) = seeds.next()
+        {
+            let options = options.clone();
+            running.spawn(async move { (seed, run(&options, seed).await) });
+        }
+        let Some(ended) = running.join_next().await else {
+            break;
+        };
+        match ended {
+            Ok((_, Ok(report))) => {
+                failed |= !report.broken.is_empty();
+                println!("{report}");
+            }
+            Ok((seed, Err(e))) => {
+                failed = true;
+                println!("seed {seed}: cannot run: {e}");
+            }
+            Err(e) => {
+                failed = true;
+                println!("a seed ended: {e}");
+            }
+        }
+    }
+    if failed { ExitCode::FAILURE } else { ExitCode::SUCCESS }
+}
--- /dev/null
+++ b/soak/tests/short.rs
@@ -0,0 +1,31 @@
+//! A short soak for CI, and every seed that ever failed.
+
+use std::path::PathBuf;
+use std::time::Duration;
+
+use rstest::rstest;
+use soak::{Options, run};
+
+fn options() -> Options {
+    // Built with the tests of the workspace, beside the folder of this test.
+    let target = std::env::current_exe().expect("the test has a path");
+    let profile = target.ancestors().nth(2).expect("it lies in target/PROFILE/deps");
+    Options {
+        program: profile.join("filberttiller-platform"),
+        folder: PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("soak"),
+        routers: 3,
+        backends: 7,
+        callers: 6,
+        length: Duration::from_secs(5),
+    }
+}
+
+#[rstest]
+#[case::first(1)]
+#[case::second(2)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn soak_keeps_promises(#[case] seed: u64) {
+    let report = run(&options(), seed).await.expect("everything starts");
+    assert!(report.broken.is_empty(), "{report}");
+    assert!(report.served > 0, "{report}");
+}
--- a/standins/src/platform/worker.rs
+++ b/standins/src/platform/worker.rs
@@ -4,7 +4,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::{TcpListener, TcpStream};
@@ -22,8 +22,10 @@
 const SEAL: &str = "seal-1";
 
 /// One request that was run.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone)]
 pub struct Ran {
+    /// When it arrived.
+    pub at: Instant,
     /// Method, path and version.
     pub line: String,
     /// Headers in lower case names, a line each.
@@ -160,10 +162,11 @@
 }
 
 async fn read_request(stream: &mut BufReader<TcpStream>) -> io::Result<Option<Ran>> {
-    let mut request = Ran::default();
-    if stream.read_line(&mut request.line).await? == 0 {
+    let mut line = String::new();
+    if stream.read_line(&mut line).await? == 0 {
         return Ok(None);
     }
+    let mut request = Ran { at: Instant::now(), line, head: String::new(), body: Vec::new() };
     loop {
         let mut line = String::new();
         stream.read_line(&mut line).await?;
