Avoid servers that fail far more than the others; leave silent ones where the request may run again

Routers tell each other decaying counts of results (half-life 3 s); a server with three failures or more, a fifth of its requests and three times the rate of the others gets nothing until its failures are nearly forgotten, at most a third of a service at once.

--- a/src/peers/mod.rs
+++ b/src/peers/mod.rs
@@ -5,4 +5,4 @@
 
 pub(crate) use client::{EXCHANGE_PATH, SERVERS_PATH};
 pub use client::{PeerClient, PeerError, decode, encode};
-pub use roster::{Reader, Roster};
+pub use roster::{OtherLoad, Reader, Roster};
--- a/src/peers/roster.rs
+++ b/src/peers/roster.rs
@@ -6,8 +6,8 @@
 
 use smallvec::SmallVec;
 
-use crate::decide::hash_bytes;
-use crate::wire::{WireCrash, WireExchange, WireRouter, WireSeen};
+use crate::decide::{Results, hash_bytes};
+use crate::wire::{WireCrash, WireExchange, WireRouter, WireSeen, WireServerLoad};
 
 /// A router that was not heard of for this long counts as dead: three exchanges.
 const ALIVE_TIME: Duration = Duration::from_millis(1_600);
@@ -36,6 +36,15 @@
     }
 }
 
+/// What other routers have at one backend server.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub struct OtherLoad {
+    /// Requests in flight.
+    pub in_flight: u32,
+    /// How requests went.
+    pub results: Results,
+}
+
 #[derive(Debug)]
 struct Peer {
     router: WireRouter,
@@ -45,7 +54,7 @@
     /// It refused a connection since it was heard.
     refused: bool,
     /// Requests in flight by backend server, as it told itself, and when.
-    loads: Option<(Instant, Vec<(u64, u32)>)>,
+    loads: Option<(Instant, Vec<WireServerLoad>)>,
 }
 
 impl Peer {
@@ -107,7 +116,7 @@
         &self,
         ready: bool,
         leaving: bool,
-        loads: Vec<(u64, u32)>,
+        loads: Vec<WireServerLoad>,
         crashes: Vec<WireCrash>,
         rules: Option<(u64, u64)>,
         now: Instant,
@@ -139,24 +148,25 @@
         self.peers.values().filter(|it| it.is_alive(now)).count()
     }
 
-    /// Requests of the other routers in flight, by backend server. Routers that
-    /// have not told lately are taken to have as much as the others.
-    pub fn loads(&self, now: Instant) -> HashMap<u64, u32> {
-        let mut all = HashMap::new();
+    /// What the other routers have at backend servers, by hash. Routers that have
+    /// not told lately are taken to have as much as the others.
+    pub fn loads(&self, now: Instant) -> HashMap<u64, OtherLoad> {
+        let mut all: HashMap<u64, OtherLoad> = HashMap::new();
         let alive = self.peers.values().filter(|it| it.is_alive(now));
         let fresh = |at: Instant| now.saturating_duration_since(at) < ALIVE_TIME;
         let told = alive.filter_map(|it| it.loads.as_ref()).filter(|(at, _)| fresh(*at));
-        let mut count = 0;
+        let mut count: u32 = 0;
         for (_, loads) in told {
             count += 1;
-            for (server, load) in loads {
-                *all.entry(*server).or_insert(0) += load;
+            for WireServerLoad(server, in_flight, good, bad) in loads {
+                let it = all.entry(*server).or_default();
+                it.in_flight += in_flight;
+                it.results = it.results.and(Results { good: (*good).into(), bad: (*bad).into() });
             }
         }
-        let silent = self.alive(now).saturating_sub(count);
-        if count > 0 && silent > 0 {
-            let scale = |it: u32| it + (it as usize * silent / count) as u32;
-            all.values_mut().for_each(|it| *it = scale(*it));
+        let silent = (self.alive(now) as u32).saturating_sub(count);
+        for it in all.values_mut() {
+            it.in_flight += it.in_flight * silent / count;
         }
         all
     }
--- a/src/relay/relay.rs
+++ b/src/relay/relay.rs
@@ -13,6 +13,7 @@
 use hyper::{Request, Response};
 use smallvec::SmallVec;
 use tokio::sync::Notify;
+use tokio::time::timeout;
 
 use crate::clock::SharedClock;
 use crate::decide::{Candidate, Verdict, hash_bytes, pick, weighted_score};
@@ -29,6 +30,10 @@
 
 /// Connections tried for one request before it is refused.
 const MOST_CONNECTS: usize = 4;
+/// Objectives after which a server that has not begun to answer is left.
+const PATIENCE_FACTOR: u32 = 3;
+/// Shortest time after which such a server is left.
+const LEAST_PATIENCE: Duration = Duration::from_millis(500);
 /// How long the death of a backend server counts against a request.
 const CRASH_RELEASE: Duration = Duration::from_secs(60);
 /// Time left below which a request is not sent any more.
@@ -238,6 +243,11 @@
             let outcome = self.try_once(job).await;
             let (failed, repeatable, response) = match outcome {
                 Ok(Tried::Answer(answer)) => return Ok(answer),
+                Ok(Tried::Abandoned) => {
+                    verdict = Verdict::MayHaveRun;
+                    job.trail.verdict = verdict;
+                    continue;
+                }
                 Ok(Tried::Failed(failed, grant)) => (Some(failed), grant, None),
                 Ok(Tried::ServerError(response, grant)) => (None, grant, Some(response)),
                 Err(refusal) => {
@@ -319,7 +329,13 @@
         }
         job.sends += 1;
         job.trail.verdict = Verdict::MayHaveRun;
-        let tried = exchange(&sending, connection, in_flight, &job.ask.id, read, deadline).await;
+        let id = job.ask.id.clone();
+        let tried = exchange(&sending, connection, in_flight, &id, read, deadline);
+        let Some(tried) = self.patiently(tried, job, &grant, &server).await else {
+            job.trail.tried(&server.id, load, "abandoned", now);
+            job.tried.push(server.hash);
+            return Ok(Tried::Abandoned);
+        };
         let failed = match tried {
             Ok(reply) => {
                 server.reached();
@@ -337,6 +353,27 @@
         Ok(Tried::Failed(failed, grant))
     }
 
+    /// Waits for `tried`. A server that is silent for far longer than the request's
+    /// objective is left where another one may be tried; then there is no result.
+    async fn patiently<T>(
+        &self,
+        tried: impl Future<Output = T>,
+        job: &Job,
+        grant: &Grant,
+        server: &Server,
+    ) -> Option<T> {
+        let mut tried = std::pin::pin!(tried);
+        let patience = (grant.route.objective * PATIENCE_FACTOR).max(LEAST_PATIENCE);
+        if let Ok(result) = timeout(patience, tried.as_mut()).await {
+            return Some(result);
+        }
+        server.note(false, self.clock.now());
+        if self.may_retry(job, grant, Verdict::MayHaveRun) {
+            return None;
+        }
+        Some(tried.await)
+    }
+
     /// Takes a good head: streams go on, other answers are read whole.
     async fn take(
         &self,
@@ -350,6 +387,7 @@
         let status = reply.parts.status;
         if grant.route.kind == RouteKind::Streaming && status.is_success() {
             job.trail.tried(&server.id, load, "stream", began);
+            server.note(true, self.clock.now());
             if let Some(key) = job.ask.prefix_key() {
                 self.homes.note(key, server, self.clock.now());
             }
@@ -361,6 +399,7 @@
         let again = status.is_server_error() && grant.route.is_repeatable();
         job.trail.tried(&server.id, load, status.as_str(), began);
         job.trail.answered(status.as_u16());
+        server.note(!status.is_server_error(), self.clock.now());
         if again {
             job.tried.push(server.hash);
             return Ok(Took::ServerError(response));
@@ -382,6 +421,9 @@
             return;
         }
         job.tried.push(server.hash);
+        if failed.verdict() == Verdict::MayHaveRun {
+            server.note(false, self.clock.now());
+        }
         if failed == Failed::Lost {
             self.look_after(job, server);
         }
@@ -465,6 +507,8 @@
     /// An answer with a server error, and the request may be sent again.
     ServerError(Response<Bytes>, Grant),
     Failed(Failed, Grant),
+    /// The server was silent, and a try at another one is paid for.
+    Abandoned,
 }
 
 /// A good head, with as much of the body as is read at once.
@@ -524,7 +568,8 @@
 }
 
 fn candidate(server: &Server, tried: &[u64], now: Instant) -> Candidate {
-    let closed = tried.contains(&server.hash) || !server.is_reachable(now);
+    let open = server.is_reachable(now) && !server.is_avoided();
+    let closed = !open || tried.contains(&server.hash);
     Candidate { hash: server.hash, load: server.load(), slots: server.slots, closed }
 }
 
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -75,6 +75,7 @@
                 }
                 Next::TimedOut => return self.cut("timed_out"),
                 Next::Broken => {
+                    self.in_flight.server().note(false, self.relay.clock().now());
                     self.relay.look_after(&self.job, self.in_flight.server());
                     if !self.resume().await {
                         return self.cut("broken");
--- a/src/router/router.rs
+++ b/src/router/router.rs
@@ -7,16 +7,20 @@
 
 use error_stack::{Report, ResultExt};
 use prometheus::Registry;
-use slog::Logger;
+use slog::{Logger, info};
 use tokio::sync::{Notify, watch};
 
 use crate::clock::SharedClock;
+use crate::events::Code;
 use crate::fleet::CrashReport;
-use crate::peers::{PeerClient, Roster};
+use crate::peers::{OtherLoad, PeerClient, Roster};
 use crate::relay::{Front, Journal, Relay};
 use crate::router::{Face, RouterError, RouterSettings, Store};
 use crate::rules::Lease;
-use crate::wire::{WireExchange, WireRouter, WireServers, WireServersAsk};
+use crate::wire::{WireExchange, WireRouter, WireServerLoad, WireServers, WireServersAsk};
+
+/// Results at a backend server below which they are not told.
+const LEAST_TOLD: f32 = 0.1;
 
 /// A router: its store, its peers, its relay.
 #[derive(Debug)]
@@ -108,8 +112,12 @@
     pub(crate) fn message(&self) -> WireExchange {
         let now = self.relay.clock().now();
         let servers = self.relay.servers.lock().unwrap();
-        let busy = servers.all().filter(|it| it.own() > 0);
-        let loads = busy.map(|it| (it.hash, it.own())).collect();
+        let loads = servers.all().map(|it| {
+            let results = it.own_results(now);
+            WireServerLoad(it.hash, it.own(), results.good as f32, results.bad as f32)
+        });
+        let telling = |it: &WireServerLoad| it.1 > 0 || it.2 + it.3 > LEAST_TOLD;
+        let loads = loads.filter(telling).collect();
         let crashes = self.relay.crashes.current(now).iter().map(|it| it.to_wire(now)).collect();
         let version = self.relay.rules.load().map(|it| it.version);
         let age = self.relay.lease.age(self.relay.clock().boot());
@@ -161,8 +169,15 @@
         self.relay.routers.store(roster.alive(now) + 1, Relaxed);
         let loads = roster.loads(now);
         drop(roster);
-        for server in self.relay.servers.lock().unwrap().all() {
-            server.set_others(loads.get(&server.hash).copied().unwrap_or(0));
+        let servers = self.relay.servers.lock().unwrap();
+        for server in servers.all() {
+            let OtherLoad { in_flight, results } =
+                loads.get(&server.hash).copied().unwrap_or_default();
+            server.set_others(in_flight, results);
         }
+        servers.judge(now, |id, avoided| {
+            let code = if avoided { Code::ServerSetAside } else { Code::ServerProbed };
+            info!(self.logger, "{}", code.text(); "event" => code.number(), "server" => id);
+        });
     }
 }
--- a/src/servers/mod.rs
+++ b/src/servers/mod.rs
@@ -5,6 +5,7 @@
 mod record;
 mod server;
 mod table;
+mod tally;
 
 pub use change::{Change, Page};
 pub use record::{ServerRecord, Standing};
--- a/src/servers/server.rs
+++ b/src/servers/server.rs
@@ -5,7 +5,8 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use crate::decide::hash_bytes;
+use crate::decide::{Results, hash_bytes};
+use crate::servers::tally::Tally;
 use crate::servers::{ServerRecord, Standing};
 
 /// Pause after the first failed connection.
@@ -44,6 +45,11 @@
     /// Requests of the other routers, as they told last.
     others: AtomicU32,
     reach: Mutex<Reach>,
+    /// Results at this router.
+    tally: Mutex<Tally>,
+    /// Results at the other routers, as they told last.
+    told: Mutex<Results>,
+    avoided: AtomicBool,
 }
 
 impl Server {
@@ -61,6 +67,9 @@
             own: AtomicU32::new(0),
             others: AtomicU32::new(0),
             reach: Mutex::default(),
+            tally: Mutex::default(),
+            told: Mutex::default(),
+            avoided: AtomicBool::new(false),
         }
     }
 
@@ -102,9 +111,35 @@
         self.own() + self.others.load(Ordering::Relaxed)
     }
 
-    /// What the other routers have there.
-    pub fn set_others(&self, count: u32) {
+    /// What the other routers have there, and how it went.
+    pub fn set_others(&self, count: u32, results: Results) {
         self.others.store(count, Ordering::Relaxed);
+        *self.told.lock().unwrap() = results;
+    }
+
+    /// Counts the result of a request.
+    pub fn note(&self, good: bool, now: Instant) {
+        self.tally.lock().unwrap().add(good, now);
+    }
+
+    /// Results at this router.
+    pub fn own_results(&self, now: Instant) -> Results {
+        self.tally.lock().unwrap().results(now)
+    }
+
+    /// Results at all routers, as far as known.
+    pub fn results(&self, now: Instant) -> Results {
+        self.own_results(now).and(*self.told.lock().unwrap())
+    }
+
+    /// Whether it gets no requests as it fails too many.
+    pub fn is_avoided(&self) -> bool {
+        self.avoided.load(Ordering::Relaxed)
+    }
+
+    /// Sets whether it gets no requests as it fails too many.
+    pub fn avoid(&self, avoided: bool) {
+        self.avoided.store(avoided, Ordering::Relaxed);
     }
 
     /// Counts a request for as long as the value lives.
--- a/src/servers/table.rs
+++ b/src/servers/table.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use crate::decide::{Results, is_failing, most_avoided};
 use crate::servers::{Change, Page, Server, ServerRecord, Standing};
 use crate::wire::WireServer;
 
@@ -72,6 +73,24 @@
         self.services.values().flat_map(|it| it.iter())
     }
 
+    /// Judges all servers by their results; `note` hears of each that is avoided
+    /// from now on, or no longer.
+    pub fn judge(&self, now: Instant, mut note: impl FnMut(&str, bool)) {
+        for servers in self.services.values() {
+            let results = servers.iter().map(|it| it.results(now));
+            let all = results.fold(Results::default(), Results::and);
+            let mut left = most_avoided(servers.len());
+            for it in servers.iter() {
+                let failing = is_failing(it.results(now), all, it.is_avoided()) && left > 0;
+                left -= usize::from(failing);
+                if failing != it.is_avoided() {
+                    it.avoid(failing);
+                    note(&it.id, failing);
+                }
+            }
+        }
+    }
+
     /// Number of the last change.
     pub fn stamp(&self) -> u64 {
         self.stamp
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -29,6 +29,8 @@
 pub use once::{KeyAnswer, KeyQuery, NewKey, WireClaims};
 pub use order::{OrderRecord, OrderRequest, WireOrder};
 pub use packed::{PackError, pack_gossip, packed_len, unpack_gossip};
-pub use peer::{WireExchange, WireRouter, WireSeen, WireServer, WireServers, WireServersAsk};
+pub use peer::{
+    WireExchange, WireRouter, WireSeen, WireServer, WireServerLoad, WireServers, WireServersAsk,
+};
 pub use status::{WireCount, WireEngine, WireItem, WireStatus};
 pub use ticket::{WireObject, WireTicket, parse_ticket};
--- a/src/wire/peer.rs
+++ b/src/wire/peer.rs
@@ -32,14 +32,27 @@
         pub age_ms: u64,
     }
 
+    /// What a router has at one backend server.
+    #[derive(Copy)]
+    pub struct WireServerLoad(
+        /// Hash of the server's id.
+        pub u64,
+        /// Requests in flight.
+        pub u32,
+        /// Requests that went well, older ones counting less.
+        pub f32,
+        /// Requests that did not.
+        pub f32,
+    );
+
     /// One message, and its answer.
     pub struct WireExchange {
         /// The sender, of age 0.
         pub own: WireSeen,
         /// The other routers that the sender knows.
         pub others: Vec<WireSeen>,
-        /// Requests of the sender in flight, by hash of the backend server.
-        pub loads: Vec<(u64, u32)>,
+        /// What the sender has at backend servers.
+        pub loads: Vec<WireServerLoad>,
         /// Backend servers that died while they ran a request.
         pub crashes: Vec<WireCrash>,
         /// Version of the rules in force at the sender, and how long ago they were
--- /dev/null
+++ b/tests/it/failing.rs
@@ -0,0 +1,87 @@
+//! Backend servers that fail a part of their requests while their records say that
+//! they are ready: days `srv_grey`.
+
+use std::time::{Duration, Instant};
+
+use filberttiller::decide::{Results, is_failing, most_avoided};
+use filberttiller::servers::{Change, Page, ServerRecord, ServerTable, Standing};
+use rstest::rstest;
+
+const fn results(good: f64, bad: f64) -> Results {
+    Results { good, bad }
+}
+
+#[rstest]
+#[case::one_of_many(results(5.0, 4.0), results(150.0, 5.0), true)]
+#[case::too_few_to_tell(results(0.0, 2.0), results(150.0, 2.0), false)]
+#[case::all_fail_alike(results(5.0, 4.0), results(50.0, 40.0), false)]
+#[case::many_but_small_share(results(90.0, 10.0), results(900.0, 10.0), false)]
+#[case::twice_the_others(results(6.0, 4.0), results(86.0, 24.0), false)]
+fn is_failing_by_others(#[case] own: Results, #[case] all: Results, #[case] expected: bool) {
+    assert_eq!(is_failing(own, all, false), expected);
+}
+
+#[test]
+fn is_failing_until_forgiven() {
+    let all = results(100.0, 3.0);
+    assert!(is_failing(results(0.0, 1.5), all, true));
+    assert!(!is_failing(results(0.0, 0.9), all, true));
+}
+
+fn table(count: u64) -> ServerTable {
+    let record = |sequence| ServerRecord {
+        service: "s".to_owned(),
+        address: "127.0.0.1:80".parse().unwrap(),
+        domain: "a".to_owned(),
+        slots: 64,
+        standing: Standing::Ready,
+        warm_up: Duration::ZERO,
+        born: 1,
+        sequence,
+    };
+    let change = |it: u64| Change { key: format!("i-{it}"), value: Some(Ok(record(it))) };
+    let mut table = ServerTable::default();
+    let page = Page { changes: (0..count).map(change).collect(), next: 0, whole: true };
+    table.apply(page, Instant::now(), |_, _| {});
+    table
+}
+
+/// Three of 18 servers fail 45 in 100: they are avoided, and tried again later.
+#[test]
+fn judge_avoids_grey_servers_for_a_while() {
+    let (table, now) = (table(18), Instant::now());
+    let servers: Vec<_> = table.all().cloned().collect();
+    for step in 0..20u32 {
+        for (at, server) in servers.iter().enumerate() {
+            server.note(at >= 3 || step % 2 == 0, now);
+        }
+    }
+    let mut changed = Vec::new();
+    table.judge(now, |id, avoided| changed.push((id.to_owned(), avoided)));
+    assert_eq!(changed.len(), 3);
+    assert!(servers[..3].iter().all(|it| it.is_avoided()));
+    table.judge(now + Duration::from_secs(5), |_, _| panic!("too early"));
+    table.judge(now + Duration::from_secs(15), |_, avoided| assert!(!avoided));
+    assert!(servers.iter().all(|it| !it.is_avoided()));
+}
+
+/// What one router saw is enough for another one.
+#[test]
+fn judge_by_results_of_others() {
+    let (table, now) = (table(18), Instant::now());
+    let server = table.all().next().unwrap();
+    server.set_others(0, results(4.0, 4.0));
+    table.judge(now, |_, avoided| assert!(avoided));
+    assert!(server.is_avoided());
+}
+
+#[test]
+fn judge_leaves_enough_servers() {
+    let (table, now) = (table(3), Instant::now());
+    let servers: Vec<_> = table.all().cloned().collect();
+    (0..50).for_each(|_| servers[2].note(true, now));
+    (0..10).for_each(|_| servers[..2].iter().for_each(|it| it.note(false, now)));
+    table.judge(now, |_, _| {});
+    let avoided = servers.iter().filter(|it| it.is_avoided()).count();
+    assert!(avoided <= most_avoided(3));
+}
--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -10,6 +10,7 @@
 mod decide;
 mod decoders;
 mod events;
+mod failing;
 mod fake;
 mod fault;
 mod keys;
--- a/tests/it/peers.rs
+++ b/tests/it/peers.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use filberttiller::peers::{Roster, decode, encode};
-use filberttiller::wire::{WireExchange, WireRouter, WireSeen, WireServers};
+use filberttiller::wire::{WireExchange, WireRouter, WireSeen, WireServerLoad, WireServers};
 use proptest::collection::vec;
 use proptest::prelude::{any, proptest};
 
@@ -23,6 +23,7 @@
 }
 
 fn message(own: WireSeen, others: Vec<WireSeen>, loads: Vec<(u64, u32)>) -> WireExchange {
+    let loads = loads.into_iter().map(|(it, count)| WireServerLoad(it, count, 0.0, 0.0)).collect();
     WireExchange { own, others, loads, crashes: Vec::new(), rules: None }
 }
 
@@ -30,6 +31,10 @@
     roster.ready(now).map(|it| it.name.clone()).collect()
 }
 
+fn in_flight(roster: &Roster, server: u64, now: Instant) -> Option<u32> {
+    roster.loads(now).get(&server).map(|it| it.in_flight)
+}
+
 const fn millis(count: u64) -> Duration {
     Duration::from_millis(count)
 }
@@ -40,7 +45,7 @@
     let others = vec![seen(router("c", 1), 300), seen(router("me", 0), 10)];
     roster.hear(message(seen(router("b", 1), 0), others, vec![(5, 2)]), now);
     assert_eq!(ready(&roster, now), ["b", "c"]);
-    assert_eq!(roster.loads(now).get(&5), Some(&4), "c has not told: it is taken to be alike");
+    assert_eq!(in_flight(&roster, 5, now), Some(4), "c has not told: it is taken to be alike");
     assert_eq!(ready(&roster, now + millis(1_400)), ["b"], "c was heard of 300 ms earlier");
     assert!(ready(&roster, now + millis(1_700)).is_empty());
     assert!(roster.loads(now + millis(1_700)).is_empty());
@@ -124,14 +129,21 @@
     let others = (0..8).map(|it| seen(router(&format!("r{it}"), 1), 10)).collect();
     roster.hear(message(seen(router("a", 1), 0), others, vec![(7, 3)]), now);
     roster.hear(message(seen(router("b", 1), 0), Vec::new(), vec![(7, 1)]), now);
-    assert_eq!(roster.loads(now).get(&7), Some(&20));
+    assert_eq!(in_flight(&roster, 7, now), Some(20));
 }
 
 #[test]
 fn message_round_trip() {
     let (mut roster, now) = (Roster::new(router("me", 1)), Instant::now());
     roster.hear(message(seen(router("b", 1), 0), Vec::new(), Vec::new()), now);
-    let sent = roster.message(true, false, vec![(1, 2)], Vec::new(), Some((3, 40)), now);
+    let sent = roster.message(
+        true,
+        false,
+        vec![WireServerLoad(1, 2, 0.5, 0.0)],
+        Vec::new(),
+        Some((3, 40)),
+        now,
+    );
     assert_eq!(decode::<WireExchange>(&encode(&sent).unwrap()).unwrap(), sent);
 }
 
