--- a/src/relay/journal.rs
+++ b/src/relay/journal.rs
@@ -1,15 +1,14 @@
 //! What became of each request, for logs and metrics.
 
-use std::fmt::Write;
-use std::sync::{Arc, Mutex};
+use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
 use prometheus::{HistogramOpts, HistogramVec, IntCounter, IntCounterVec, Opts, Registry};
 use slog::{Logger, info, warn};
 
 use crate::clock::SharedClock;
-use crate::decide::Verdict;
-use crate::events::Code;
+use crate::relay::Outcome;
+use crate::relay::trail::Trail;
 
 /// Log lines a second of requests that went well; the others are counted.
 const MOST_DONE: u32 = 100;
@@ -18,45 +17,6 @@
 /// Upper bounds of the latency buckets, in seconds.
 const BUCKETS: [f64; 12] = [0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.6, 1.0, 2.0, 4.0, 8.0, 16.0];
 
-key! {
-    /// How a request ended.
-    pub enum Outcome {
-        /// The caller has the whole answer of a backend server.
-        Done,
-        /// The router answered that it did not run.
-        Refused,
-        /// The router answered that it may have run.
-        Failed,
-        /// The answer broke off after its head.
-        Cut,
-        /// The caller left before the end.
-        Left,
-    }
-}
-
-impl Outcome {
-    /// Name for logs and metrics.
-    pub fn as_str(self) -> &'static str {
-        match self {
-            Outcome::Done => "done",
-            Outcome::Refused => "refused",
-            Outcome::Failed => "failed",
-            Outcome::Cut => "cut",
-            Outcome::Left => "caller_left",
-        }
-    }
-
-    fn code(self) -> Code {
-        match self {
-            Outcome::Done => Code::RequestDone,
-            Outcome::Refused => Code::RequestRefused,
-            Outcome::Failed => Code::BackendFailed,
-            Outcome::Cut => Code::StreamCut,
-            Outcome::Left => Code::CallerLeft,
-        }
-    }
-}
-
 /// Lines written in the present second.
 #[derive(Debug)]
 struct Second {
@@ -70,12 +30,12 @@
 #[derive(Debug)]
 pub struct Journal {
     logger: Logger,
-    clock: SharedClock,
+    pub(crate) clock: SharedClock,
     second: Mutex<Second>,
     requests: IntCounterVec,
     tries: IntCounterVec,
     dropped: IntCounter,
-    head: HistogramVec,
+    pub(crate) head: HistogramVec,
     total: HistogramVec,
 }
 
@@ -127,9 +87,10 @@
         self.tries.with_label_values(&[result]).inc();
     }
 
-    fn write(&self, trail: &Trail, outcome: Outcome, reason: &str) {
+    /// Writes the line of a request at its end.
+    pub(crate) fn write(&self, trail: &Trail, outcome: Outcome, reason: &str) {
         self.requests.with_label_values(&[outcome.as_str(), reason]).inc();
-        let took = self.clock.now().saturating_duration_since(trail.received);
+        let took = self.clock.now().saturating_duration_since(trail.received());
         if outcome == Outcome::Done {
             self.total.with_label_values(&[trail.kind]).observe(took.as_secs_f64());
         }
@@ -167,94 +128,3 @@
         may
     }
 }
-
-/// Everything that was decided on one request. Dropping it unfinished means
-/// that the caller left.
-#[derive(Debug)]
-pub(crate) struct Trail {
-    journal: Arc<Journal>,
-    received: Instant,
-    finished: bool,
-    /// Identity of the request.
-    pub request: String,
-    /// Name of the route.
-    pub route: String,
-    /// Kind of the route.
-    pub kind: &'static str,
-    /// Service that it was sent to.
-    pub service: String,
-    /// Organisation of the caller.
-    pub organisation: String,
-    /// Version of the rules that decided.
-    pub rules: u64,
-    /// How long ago the rules were confirmed.
-    pub rules_age: Duration,
-    /// Each try: server, its load as known, result and time.
-    pub tries: String,
-    /// Whether it may have run.
-    pub verdict: Verdict,
-    /// Status of the answer.
-    pub status: u16,
-    /// Time to the head of the answer.
-    pub head: Option<Duration>,
-    /// Times that the stream went on elsewhere.
-    pub resumed: u32,
-}
-
-impl Trail {
-    /// The trail of a request that has just been read.
-    pub fn new(journal: &Arc<Journal>) -> Trail {
-        Trail {
-            received: journal.clock.now(),
-            journal: Arc::clone(journal),
-            finished: false,
-            request: String::new(),
-            route: String::new(),
-            kind: "unknown",
-            service: String::new(),
-            organisation: String::new(),
-            rules: 0,
-            rules_age: Duration::ZERO,
-            tries: String::new(),
-            verdict: Verdict::NotRun,
-            status: 0,
-            head: None,
-            resumed: 0,
-        }
-    }
-
-    /// When the request was read.
-    pub fn received(&self) -> Instant {
-        self.received
-    }
-
-    /// Notes a try.
-    pub fn tried(&mut self, server: &str, load: u32, result: &str, began: Instant) {
-        self.journal.tried(result);
-        let took = self.journal.clock.now().saturating_duration_since(began).as_millis();
-        let gap = if self.tries.is_empty() { "" } else { " " };
-        let _ = write!(self.tries, "{gap}{server}:load={load}:{result}:{took}ms");
-    }
-
-    /// Notes that the head of the answer is there.
-    pub fn answered(&mut self, status: u16) {
-        let took = self.journal.clock.now().saturating_duration_since(self.received);
-        self.status = status;
-        self.head = Some(took);
-        self.journal.head.with_label_values(&[self.kind]).observe(took.as_secs_f64());
-    }
-
-    /// The end.
-    pub fn finish(&mut self, outcome: Outcome, reason: &str) {
-        if !self.finished {
-            self.finished = true;
-            self.journal.write(self, outcome, reason);
-        }
-    }
-}
-
-impl Drop for Trail {
-    fn drop(&mut self) {
-        self.finish(Outcome::Left, "closed");
-    }
-}
--- a/src/relay/refusal.rs
+++ b/src/relay/refusal.rs
@@ -13,6 +13,8 @@
     pub enum Refusal {
         /// The head cannot be read.
         Malformed,
+        /// The head is longer than allowed.
+        HeadTooLarge,
         /// The body is longer than allowed.
         TooLarge,
         /// The key belongs to no organisation.
@@ -45,6 +47,7 @@
     pub fn status(self) -> StatusCode {
         match self {
             Refusal::Malformed => StatusCode::BAD_REQUEST,
+            Refusal::HeadTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
             Refusal::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Refusal::NoOrganisation => StatusCode::UNAUTHORIZED,
             Refusal::NoRoute => StatusCode::NOT_FOUND,
@@ -84,6 +87,7 @@
     pub fn as_str(self) -> &'static str {
         match self {
             Refusal::Malformed => "malformed",
+            Refusal::HeadTooLarge => "head_too_large",
             Refusal::TooLarge => "too_large",
             Refusal::NoOrganisation => "no_organisation",
             Refusal::NoRoute => "no_route",
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -13,7 +13,8 @@
 use crate::decide::Verdict;
 use crate::relay::body::Events;
 use crate::relay::exchange::Reply;
-use crate::relay::relay::{Answer, Job};
+use crate::relay::job::Job;
+use crate::relay::tries::Answer;
 use crate::relay::{AnswerHead, Connection, Frames, Outcome, Relay, RelayBody, RelayError};
 use crate::servers::InFlight;
 
@@ -75,7 +76,7 @@
                 }
                 Next::TimedOut => return self.cut("timed_out"),
                 Next::Broken => {
-                    self.in_flight.server().note(false, self.relay.clock().now());
+                    self.in_flight.server().note(false, self.relay.clock.now());
                     self.relay.look_after(&self.job, self.in_flight.server());
                     if !self.resume().await {
                         return self.cut("broken");
@@ -103,9 +104,9 @@
         self.job.trail.verdict = Verdict::Ran;
         self.job.trail.finish(Outcome::Done, "streamed");
         if let Some(connection) = self.connection.take() {
-            let now = self.relay.clock().now();
+            let now = self.relay.clock.now();
             let server = self.in_flight.server();
-            self.relay.upstream().keep(server, connection, self.head.keep_alive, now);
+            self.relay.upstream.keep(server, connection, self.head.keep_alive, now);
         }
     }
 
--- a/src/relay/suspect.rs
+++ b/src/relay/suspect.rs
@@ -10,7 +10,7 @@
 use crate::decide::{Care, care, combine, hash_bytes};
 use crate::events::Code;
 use crate::fleet::{Crash, CrashReport};
-use crate::relay::relay::Job;
+use crate::relay::job::Job;
 use crate::relay::{Refusal, Relay};
 use crate::servers::Server;
 
@@ -29,7 +29,7 @@
             return Ok(());
         }
         let fingerprint = fingerprint(job);
-        let deaths = self.crashes.deaths(fingerprint, 0, self.clock().now());
+        let deaths = self.crashes.deaths(fingerprint, 0, self.clock.now());
         match care(deaths, CRASH_LIMIT) {
             Care::Free => Ok(()),
             Care::Alone => {
@@ -56,9 +56,9 @@
             if !matches!(lives, Ok(Err(_))) {
                 return;
             }
-            let now = relay.clock().now();
+            let now = relay.clock.now();
             if relay.crashes.insert(CrashReport { crash, at: now }, now) {
-                warn!(relay.journal().logger(), "a backend server died while it ran a request";
+                warn!(relay.journal.logger(), "a backend server died while it ran a request";
                     "event" => Code::ServerCrashed.number(), "server" => &*id, "request" => request,
                     "fingerprint" => format!("{fingerprint:016x}"));
                 relay.news.notify_one();
--- /dev/null
+++ b/src/relay/tries.rs
@@ -0,0 +1,260 @@
+//! Tries at backend servers: when one is enough, and when another may follow.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use hyper::Response;
+use tokio::time::timeout;
+
+use crate::decide::Verdict;
+use crate::relay::exchange::{Reply, exchange};
+use crate::relay::job::{Grant, Job};
+use crate::relay::{Failed, Refusal, Relay, Retries};
+use crate::rules::RouteKind;
+use crate::servers::Server;
+
+/// Objectives after which a server that has not begun to answer is left.
+const PATIENCE_FACTOR: u32 = 3;
+/// Shortest time after which such a server is left.
+const LEAST_PATIENCE: Duration = Duration::from_millis(500);
+/// Time left below which a request is not sent any more.
+const LEAST_LEFT: Duration = Duration::from_millis(10);
+
+/// A good answer.
+pub(crate) enum Answer {
+    Whole(Response<Bytes>),
+    Stream(Box<Reply>),
+}
+
+/// What one try brought.
+enum Tried {
+    Answer(Answer),
+    /// An answer with a server error, and the request may be sent again.
+    ServerError(Response<Bytes>, Grant),
+    Failed(Failed, Grant),
+    /// The server was silent, and a try at another one is paid for.
+    Abandoned,
+}
+
+/// A good head, with as much of the body as is read at once.
+enum Took {
+    Whole(Response<Bytes>),
+    Stream(Box<Reply>),
+    ServerError(Response<Bytes>),
+}
+
+impl Took {
+    fn with(self, grant: Grant) -> Tried {
+        match self {
+            Took::Whole(response) => Tried::Answer(Answer::Whole(response)),
+            Took::Stream(reply) => Tried::Answer(Answer::Stream(reply)),
+            Took::ServerError(response) => Tried::ServerError(response, grant),
+        }
+    }
+}
+
+impl Relay {
+    /// Tries backend servers until one answers or no further try is allowed.
+    ///
+    /// # Errors
+    /// Tells what to answer in place.
+    pub(crate) async fn run(self: &Arc<Relay>, job: &mut Job) -> Result<Answer, Refusal> {
+        let mut verdict = job.trail.verdict;
+        let mut fallback = None;
+        loop {
+            let outcome = self.try_once(job).await;
+            let (failed, repeatable, response) = match outcome {
+                Ok(Tried::Answer(answer)) => return Ok(answer),
+                Ok(Tried::Abandoned) => {
+                    verdict = Verdict::MayHaveRun;
+                    job.trail.verdict = verdict;
+                    continue;
+                }
+                Ok(Tried::Failed(failed, grant)) => (Some(failed), grant, None),
+                Ok(Tried::ServerError(response, grant)) => (None, grant, Some(response)),
+                Err(refusal) => {
+                    return match fallback {
+                        Some(response) => Ok(Answer::Whole(response)),
+                        None if verdict == Verdict::NotRun => Err(refusal),
+                        None => Err(Refusal::ServerFailed),
+                    };
+                }
+            };
+            if let Some(failed) = failed {
+                verdict = verdict.and(failed.verdict());
+            } else {
+                verdict = Verdict::MayHaveRun;
+            }
+            job.trail.verdict = verdict;
+            fallback = response.or(fallback);
+            if failed.is_some_and(|it| !it.arrived()) {
+                continue;
+            }
+            if self.may_retry(job, &repeatable, verdict) {
+                continue;
+            }
+            return match (fallback, failed) {
+                (Some(response), _) => Ok(Answer::Whole(response)),
+                (None, Some(Failed::Silent)) => Err(Refusal::TimedOut),
+                (None, _) if verdict == Verdict::NotRun => Err(Refusal::Shed),
+                (None, _) => Err(Refusal::ServerFailed),
+            };
+        }
+    }
+
+    fn may_retry(&self, job: &Job, grant: &Grant, verdict: Verdict) -> bool {
+        let route = &grant.route;
+        let now = self.clock.now();
+        let allowed = verdict == Verdict::NotRun || route.is_repeatable();
+        let left = job.deadline.saturating_duration_since(now);
+        let rate = Retries::rate(&self.limits(), self.routers.load(Ordering::Relaxed));
+        allowed
+            && job.sends < route.attempts
+            && left > LEAST_LEFT
+            && self.retries.spend(&job.trail.service, &rate, now)
+    }
+
+    /// Whether a broken stream may go on elsewhere.
+    pub(crate) fn may_resume(&self, job: &mut Job) -> bool {
+        let path = job.head.uri.path().to_owned();
+        let grant = self.allow(&job.ask, &path, &mut job.trail);
+        grant.is_ok_and(|it| it.route.resumable && self.may_retry(job, &it, Verdict::MayHaveRun))
+    }
+
+    async fn try_once(self: &Arc<Relay>, job: &mut Job) -> Result<Tried, Refusal> {
+        let now = self.clock.now();
+        let left = job.deadline.saturating_duration_since(now);
+        if left < LEAST_LEFT {
+            return Err(Refusal::TooLate);
+        }
+        let grant = self.allow(&job.ask, job.head.uri.path(), &mut job.trail)?;
+        self.enter_suspect(job)?;
+        let server = self.choose(job, &grant)?;
+        let load = server.load();
+        let in_flight = server.enter();
+        let fresh = grant.route.kind == RouteKind::NonIdempotent || job.sends + job.resumes() > 0;
+        let connection = match self.upstream.open(&server, fresh, now).await {
+            Ok(it) => it,
+            Err(e) => {
+                let failed = Failed::Connect(e);
+                self.failed(job, &server, failed, load, now, true);
+                return Ok(Tried::Failed(failed, grant));
+            }
+        };
+        let first = !connection.reused;
+        let sending = self.sending(job, &grant, &server);
+        let deadline = job.deadline.into();
+        let read = self.codec.answer;
+        if job.sends == 0 {
+            let rate = Retries::rate(&self.limits(), self.routers.load(Ordering::Relaxed));
+            self.retries.earn(&job.trail.service, &rate, now);
+        }
+        job.sends += 1;
+        job.trail.verdict = Verdict::MayHaveRun;
+        let id = job.ask.id.clone();
+        let tried = exchange(&sending, connection, in_flight, &id, read, deadline);
+        let Some(tried) = self.patiently(tried, job, &grant, &server).await else {
+            job.trail.tried(&server.id, load, "abandoned", now);
+            job.tried.push(server.hash);
+            return Ok(Tried::Abandoned);
+        };
+        let failed = match tried {
+            Ok(reply) => {
+                server.reached();
+                match self.take(job, &grant, &server, reply, load, now).await {
+                    Ok(tried) => return Ok(tried.with(grant)),
+                    Err(failed) => failed,
+                }
+            }
+            Err(failed) => failed,
+        };
+        if failed == Failed::Unsent {
+            job.sends -= 1;
+        }
+        self.failed(job, &server, failed, load, now, first);
+        Ok(Tried::Failed(failed, grant))
+    }
+
+    /// Waits for `tried`. A server that is silent for far longer than the request's
+    /// objective is left where another one may be tried; then there is no result.
+    async fn patiently<T>(
+        &self,
+        tried: impl Future<Output = T>,
+        job: &Job,
+        grant: &Grant,
+        server: &Server,
+    ) -> Option<T> {
+        let mut tried = std::pin::pin!(tried);
+        let patience = (grant.route.objective * PATIENCE_FACTOR).max(LEAST_PATIENCE);
+        if let Ok(result) = timeout(patience, tried.as_mut()).await {
+            return Some(result);
+        }
+        server.note(false, self.clock.now());
+        if self.may_retry(job, grant, Verdict::MayHaveRun) {
+            return None;
+        }
+        Some(tried.await)
+    }
+
+    /// Takes a good head: streams go on, other answers are read whole.
+    async fn take(
+        &self,
+        job: &mut Job,
+        grant: &Grant,
+        server: &Arc<Server>,
+        reply: Reply,
+        load: u32,
+        began: Instant,
+    ) -> Result<Took, Failed> {
+        let status = reply.parts.status;
+        if grant.route.kind == RouteKind::Streaming && status.is_success() {
+            job.trail.tried(&server.id, load, "stream", began);
+            server.note(true, self.clock.now());
+            if let Some(key) = job.ask.prefix_key() {
+                self.homes.note(key, server, self.clock.now());
+            }
+            job.trail.answered(status.as_u16());
+            return Ok(Took::Stream(Box::new(reply)));
+        }
+        let (response, head, connection, _) = reply.whole(job.deadline.into()).await?;
+        self.upstream.keep(server, connection, head.keep_alive, self.clock.now());
+        let again = status.is_server_error() && grant.route.is_repeatable();
+        job.trail.tried(&server.id, load, status.as_str(), began);
+        job.trail.answered(status.as_u16());
+        server.note(!status.is_server_error(), self.clock.now());
+        if again {
+            job.tried.push(server.hash);
+            return Ok(Took::ServerError(response));
+        }
+        Ok(Took::Whole(response))
+    }
+
+    fn failed(
+        self: &Arc<Relay>,
+        job: &mut Job,
+        server: &Server,
+        failed: Failed,
+        load: u32,
+        began: Instant,
+        first: bool,
+    ) {
+        job.trail.tried(&server.id, load, failed.as_str(), began);
+        if failed == Failed::Unsent {
+            return;
+        }
+        job.tried.push(server.hash);
+        if failed.verdict() == Verdict::MayHaveRun {
+            server.note(false, self.clock.now());
+        }
+        if failed == Failed::Lost {
+            self.look_after(job, server);
+        }
+        let unreached = matches!(failed, Failed::Connect(_) | Failed::Misdirected);
+        if unreached || (failed == Failed::Lost && first) {
+            server.unreached(self.clock.now());
+            self.upstream.forget(server);
+        }
+    }
+}
--- a/src/router/servers_watch.rs
+++ b/src/router/servers_watch.rs
@@ -142,7 +142,7 @@
     let mut servers = router.relay.servers.lock().unwrap();
     servers.expire(now, |id, effect| note(router, id, effect));
     drop(servers);
-    router.relay.upstream().sweep(now);
+    router.relay.upstream.sweep(now);
 }
 
 fn note<S: Store>(router: &Router<S>, id: &str, effect: Effect) {
--- a/src/rules/ask_limits.rs
+++ b/src/rules/ask_limits.rs
@@ -9,20 +9,13 @@
         pub head: usize,
         /// Longest body of a request, in bytes.
         pub body: usize,
-        /// Time for the head of a request, once begun.
-        pub head_time: Duration,
-        /// Time without a request after which a connection may be closed.
+        /// Time without a whole request after which a connection is closed.
         pub idle: Duration,
     }
 }
 
 impl Default for AskLimits {
     fn default() -> AskLimits {
-        AskLimits {
-            head: 16 * 1024,
-            body: 4 * 1024 * 1024,
-            head_time: Duration::from_secs(3),
-            idle: Duration::from_secs(15),
-        }
+        AskLimits { head: 16 * 1024, body: 4 * 1024 * 1024, idle: Duration::from_secs(15) }
     }
 }
