--- a/soak/src/callers.rs
+++ b/soak/src/callers.rs
@@ -10,10 +10,10 @@
 use rand_chacha::ChaCha8Rng;
 use reqwest::Client;
 use serde_json::Value;
+use standins::platform::fixture::HOST;
 use tokio::time::sleep;
 
 use crate::fleet::Fleet;
-use crate::rules::HOST;
 
 /// How long addresses are kept.
 const KEEP_TIME: Duration = Duration::from_secs(2);
@@ -82,10 +82,9 @@
     let http = http.expect("a client without special options");
     let mut known: (Instant, Vec<SocketAddr>) = (Instant::now(), Vec::new());
     while !book.stop.load(Ordering::Relaxed) {
-        if known.1.is_empty() || known.0.elapsed() > KEEP_TIME {
-            if let Some(found) = resolve(&fleet, &http, &mut random).await {
-                known = (Instant::now(), found);
-            }
+        let old = known.1.is_empty() || known.0.elapsed() > KEEP_TIME;
+        if old && let Some(found) = resolve(&fleet, &http, &mut random).await {
+            known = (Instant::now(), found);
         }
         if let Some(router) = known.1.choose(&mut random).copied() {
             let seen = send(&fleet, &book, &http, router, &mut random).await;
--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -6,18 +6,14 @@
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
-use serde_json::json;
+use standins::platform::fixture::{rules, server_record, settings};
 use standins::platform::{MetaStore, Worker};
 
 use crate::link::Link;
 use crate::router_process::RouterProcess;
-use crate::rules::{SERVICE, rules};
 
 /// Backend servers that faults harm; the others stay sound, so that callers can be served.
 pub const HARMED_BACKENDS: usize = 3;
-/// Slots of each backend server.
-const SLOTS: u32 = 16;
-
 /// A backend server behind its link.
 #[derive(Debug)]
 pub struct Backend {
@@ -110,7 +106,7 @@
     /// Fails when it does not start.
     pub async fn start_router(&self, number: usize) -> io::Result<()> {
         let path = self.folder.join(format!("front-{number}.conf"));
-        let text = settings(number, self.store_links[number].address());
+        let text = settings(&format!("front-{number}"), self.store_links[number].address());
         std::fs::write(&path, text)?;
         let start = self.next_sequence();
         let log = self.folder.join(format!("front-{number}-{start}.log"));
@@ -136,11 +132,8 @@
 
     /// Writes the record of a backend server.
     pub fn put_record(&self, backend: &Backend, state: &str) {
-        let record = json!({
-            "service": SERVICE, "address": backend.link.address(), "zone": "a", "version": "v1",
-            "slots": SLOTS, "state": state, "coldRemainingMs": 0,
-            "sequence": self.next_sequence(), "born": 7,
-        });
+        let sequence = self.next_sequence();
+        let record = server_record(backend.link.address(), state, sequence);
         self.store.put("keyed.servers", backend.worker.id(), record.to_string().as_bytes());
     }
 
@@ -180,15 +173,3 @@
         operator.sequence
     }
 }
-
-/// Settings as the platform writes them, with free ports.
-fn settings(number: usize, store: SocketAddr) -> String {
-    format!(
-        "nodeName=front-{number}\nip=127.0.0.1\nzone=a\nregion=r\n\
-         listenAddrs.frontend=127.0.0.1:0\nlistenAddrs.ready=127.0.0.1:0\n\
-         listenAddrs.directory=127.0.0.1:0\ninternalPorts=0,0\nbounds.graceS=8\n\
-         bounds.revokeMs=5000\nbounds.strictRevocation=true\nbounds.configApplyMs=2000\n\
-         bounds.capX=2\nbounds.retryBudgetRatio=0.2\nbounds.budgetWindowS=10\n\
-         bounds.retrySlack=58\nbounds.ttl_max_s=5\nprovider.address={store}\n"
-    )
-}
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -8,7 +8,6 @@
 mod link;
 mod report;
 mod router_process;
-mod rules;
 mod run;
 
 pub use report::Report;
--- a/standins/src/platform/mod.rs
+++ b/standins/src/platform/mod.rs
@@ -1,6 +1,7 @@
 //! The users' platform: its store, and backend servers as they speak there.
 
 mod conduct;
+pub mod fixture;
 mod store;
 mod worker;
 
