Leave connections and streams that have gone silent

Pattern: open connections go silent at one moment, without a reset, while new ones work; and streams that stall. A server that does not begin to answer within three objectives loses all its kept connections; a stream that may be resumed goes on elsewhere after four of the route's pauses without a byte, one second at least, if the budget has a retry; else it waits on.

--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -1,6 +1,7 @@
 //! Streams of events, passed on as they arrive.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use futures_util::stream;
@@ -8,7 +9,7 @@
 use hyper::Response;
 use hyper::body::{Frame, Incoming};
 use hyper::http::response::Parts;
-use tokio::time::timeout_at;
+use tokio::time::{Instant, timeout_at};
 
 use crate::decide::Verdict;
 use crate::relay::body::Events;
@@ -18,6 +19,13 @@
 use crate::relay::{AnswerHead, Connection, Frames, Outcome, Relay, RelayBody, RelayError};
 use crate::servers::InFlight;
 
+/// Longest pauses in time after which a silent stream goes on elsewhere.
+const STALL_FACTOR: u32 = 4;
+/// Shortest such silence.
+const LEAST_STALL: Duration = Duration::from_millis(1_000);
+/// Longer than any deadline.
+const FOREVER: Duration = Duration::from_secs(86_400);
+
 /// A stream under way. Dropping it closes the connection to the backend
 /// server, which then stops its work.
 struct Pump {
@@ -29,15 +37,21 @@
     in_flight: InFlight,
     /// Present where the stream may be resumed: only whole events are passed on.
     frames: Option<Frames>,
+    /// Silence after which a stream that may be resumed goes on elsewhere.
+    stall: Duration,
 }
 
 /// The answer to the caller of a stream whose head is there.
 pub(crate) fn relay_stream(relay: &Arc<Relay>, job: Box<Job>, reply: Reply) -> Response<RelayBody> {
     let Reply { parts, head, body, connection, in_flight } = reply;
-    let frames = is_resumable(relay, &job).then(|| Frames::after(job.last_event.clone()));
+    let rules = relay.rules.load();
+    let route = rules.as_ref().and_then(|it| it.route(&job.ask.host, job.head.uri.path()));
+    let resumable = route.is_some_and(|it| it.resumable);
+    let stall = route.map_or(LEAST_STALL, |it| it.pause * STALL_FACTOR).max(LEAST_STALL);
+    let frames = resumable.then(|| Frames::after(job.last_event.clone()));
     let relay = Arc::clone(relay);
     let connection = Some(connection);
-    let pump = Box::new(Pump { relay, job, body, head, connection, in_flight, frames });
+    let pump = Box::new(Pump { relay, job, body, head, connection, in_flight, frames, stall });
     let events = stream::try_unfold(pump, |mut pump| async move {
         let bytes = pump.next().await?;
         Ok(bytes.map(|it| (Frame::data(it), pump)))
@@ -49,17 +63,13 @@
     Response::from_parts(parts, Either::Right(StreamBody::new(events)))
 }
 
-fn is_resumable(relay: &Relay, job: &Job) -> bool {
-    let rules = relay.rules.load();
-    let route = rules.as_ref().and_then(|it| it.route(&job.ask.host, job.head.uri.path()));
-    route.is_some_and(|it| it.resumable)
-}
-
 /// What comes next in a stream.
 enum Next {
     Bytes(Bytes),
     End,
     Broken,
+    /// Nothing for too long, though it may go on elsewhere.
+    Stalled,
     TimedOut,
 }
 
@@ -74,11 +84,21 @@
                     self.finish();
                     return Ok(None);
                 }
+                Next::Stalled => {
+                    self.relay.upstream.forget(self.in_flight.server());
+                    self.in_flight.server().note(false, self.relay.clock.now());
+                    if !self.may_resume() {
+                        // It may still come: there is nothing better.
+                        self.stall = FOREVER;
+                    } else if !self.resume().await {
+                        return self.cut("stalled");
+                    }
+                }
                 Next::TimedOut => return self.cut("timed_out"),
                 Next::Broken => {
                     self.in_flight.server().note(false, self.relay.clock.now());
                     self.relay.look_after(&self.job, self.in_flight.server());
-                    if !self.resume().await {
+                    if !self.may_resume() || !self.resume().await {
                         return self.cut("broken");
                     }
                 }
@@ -87,8 +107,14 @@
     }
 
     async fn read(&mut self) -> Next {
-        let frame = timeout_at(self.job.deadline.into(), self.body.frame()).await;
+        let deadline: Instant = self.job.deadline.into();
+        let stalled = match self.frames {
+            Some(_) => deadline.min(Instant::now() + self.stall),
+            None => deadline,
+        };
+        let frame = timeout_at(stalled, self.body.frame()).await;
         let data = match frame {
+            Err(_) if stalled < deadline => return Next::Stalled,
             Err(_) => return Next::TimedOut,
             Ok(None) if self.frames.as_ref().is_none_or(Frames::is_even) => return Next::End,
             Ok(None) | Ok(Some(Err(_))) => return Next::Broken,
@@ -116,6 +142,11 @@
         Err(RelayError)
     }
 
+    /// Whether the stream may go on elsewhere; if so, that is paid for.
+    fn may_resume(&mut self) -> bool {
+        self.frames.is_some() && self.relay.may_resume(&mut self.job)
+    }
+
     /// Goes on at another backend server; true when one took it.
     async fn resume(&mut self) -> bool {
         let Some(frames) = &mut self.frames else {
@@ -126,9 +157,6 @@
         frames.drop_partial();
         let last = frames.last().map(str::to_owned);
         self.job.resume(self.in_flight.server(), last.as_deref());
-        if !self.relay.may_resume(&mut self.job) {
-            return false;
-        }
         match self.relay.run(&mut self.job).await {
             Ok(Answer::Stream(reply)) => {
                 self.body = reply.body;
--- a/src/relay/tries.rs
+++ b/src/relay/tries.rs
@@ -192,6 +192,8 @@
             return Some(result);
         }
         server.note(false, self.clock.now());
+        // Kept connections may all have gone silent at one moment.
+        self.upstream.forget(server);
         if self.may_retry(job, grant, Verdict::MayHaveRun) {
             return None;
         }
--- a/standins/src/platform/conduct.rs
+++ b/standins/src/platform/conduct.rs
@@ -15,6 +15,10 @@
     Hang,
     /// Ends a stream after so many events, in the middle of the next.
     BreakAfter(u32),
+    /// Falls silent in a stream after so many events.
+    StallAfter(u32),
+    /// Swallows requests on connections that have carried one before.
+    SilentWhenKept,
     /// Sends a second answer after the first.
     Extra,
     /// Answers with the id of another request.
--- a/standins/src/platform/worker.rs
+++ b/standins/src/platform/worker.rs
@@ -142,7 +142,12 @@
 
 async fn serve(stream: TcpStream, shared: &Shared) -> io::Result<()> {
     let mut stream = BufReader::new(stream);
+    let mut kept = false;
     while let Some(request) = read_request(&mut stream).await? {
+        if kept && *shared.conduct.lock().unwrap() == Conduct::SilentWhenKept {
+            sleep(FOREVER).await;
+        }
+        kept = true;
         let id = request.id().to_owned();
         let mut gone = [0];
         let (mut reader, mut writer) = stream.get_mut().split();
@@ -269,6 +274,9 @@
             writer.write_all(chunk(half).as_bytes()).await?;
             return Ok(false);
         }
+        if conduct == Conduct::StallAfter(number - 1) {
+            sleep(FOREVER).await;
+        }
         writer.write_all(chunk(&event).as_bytes()).await?;
     }
     writer.write_all(b"0\r\n\r\n").await?;
--- a/tests/it/rules.rs
+++ b/tests/it/rules.rs
@@ -25,6 +25,7 @@
         resumable: false,
         timeout: seconds(2),
         objective: seconds(1),
+        pause: seconds(1),
         attempts: 2,
         priority: 1,
         public: false,
