--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -40,6 +40,7 @@
 mod rules;
 mod servers;
 mod settings;
+mod source_health;
 mod spread;
 mod state;
 mod storm;
