--- a/soak/src/callers.rs
+++ b/soak/src/callers.rs
@@ -17,6 +17,11 @@
 
 /// How long addresses are kept.
 const KEEP_TIME: Duration = Duration::from_secs(2);
+/// The same for callers that keep them longer than they were told, one in
+/// `LONG_KEEPERS`.
+const LONG_KEEP_TIME: Duration = Duration::from_secs(20);
+/// One caller in so many keeps addresses for long.
+const LONG_KEEPERS: u64 = 3;
 /// Longest wait for an answer.
 const PATIENCE: Duration = Duration::from_secs(6);
 /// Longest pause between two requests of one caller.
@@ -80,9 +85,11 @@
     let mut random = ChaCha8Rng::seed_from_u64(seed);
     let http = Client::builder().no_proxy().timeout(PATIENCE).build();
     let http = http.expect("a client without special options");
+    let long = seed.is_multiple_of(LONG_KEEPERS);
+    let keep = if long { LONG_KEEP_TIME } else { KEEP_TIME };
     let mut known: (Instant, Vec<SocketAddr>) = (Instant::now(), Vec::new());
     while !book.stop.load(Ordering::Relaxed) {
-        let old = known.1.is_empty() || known.0.elapsed() > KEEP_TIME;
+        let old = known.1.is_empty() || known.0.elapsed() > keep;
         if old && let Some(found) = resolve(&fleet, &http, &mut random).await {
             known = (Instant::now(), found);
         }
--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -18,6 +18,9 @@
 const MOST_PAUSE_MS: u64 = 700;
 /// A shutdown is a calm one if its router was not harmed for this long.
 const CALM_BEFORE_STOP: Duration = Duration::from_secs(3);
+/// How much longer the way of one router to the store is harmed than other things, so
+/// that its rules grow older than they may.
+const STORE_LINK_FACTOR: u32 = 3;
 /// Longest fault.
 const MOST_TIME_MS: u64 = 4_000;
 
@@ -102,7 +105,7 @@
         Fault::StoreLink(harm) => {
             let link = &fleet.store_links[choice % fleet.store_links.len()];
             link.set_harm(harm);
-            sleep(time).await;
+            sleep(time * STORE_LINK_FACTOR).await;
             link.set_harm(Harm::None);
         }
         Fault::ServerLink(harm) => {
