--- a/src/relay/tries.rs
+++ b/src/relay/tries.rs
@@ -11,9 +11,9 @@
 use crate::decide::Verdict;
 use crate::relay::exchange::{Reply, exchange};
 use crate::relay::job::{Grant, Job};
-use crate::relay::{Failed, Refusal, Relay, Retries};
+use crate::relay::{Connection, Failed, Refusal, Relay, Retries};
 use crate::rules::RouteKind;
-use crate::servers::Server;
+use crate::servers::{InFlight, Server};
 
 /// Objectives after which a server that has not begun to answer is left.
 const PATIENCE_FACTOR: u32 = 3;
@@ -24,10 +24,28 @@
 
 /// A good answer.
 pub(crate) enum Answer {
+    /// Read to its end.
     Whole(Response<Bytes>),
+    /// Its events are still to come.
     Stream(Box<Reply>),
 }
 
+/// One try at one server.
+struct Attempt {
+    server: Arc<Server>,
+    /// Requests that the server held, as known when it was chosen.
+    load: u32,
+    began: Instant,
+    /// The connection carried no request before.
+    first: bool,
+}
+
+impl Attempt {
+    fn note(&self, job: &mut Job, result: &str) {
+        job.trail.tried(&self.server.id, self.load, result, self.began);
+    }
+}
+
 /// What one try brought.
 enum Tried {
     Answer(Answer),
@@ -64,8 +82,7 @@
         let mut verdict = job.trail.verdict;
         let mut fallback = None;
         loop {
-            let outcome = self.try_once(job).await;
-            let (failed, repeatable, response) = match outcome {
+            let (failed, grant, response) = match self.try_once(job).await {
                 Ok(Tried::Answer(answer)) => return Ok(answer),
                 Ok(Tried::Abandoned) => {
                     verdict = Verdict::MayHaveRun;
@@ -82,17 +99,14 @@
                     };
                 }
             };
-            if let Some(failed) = failed {
-                verdict = verdict.and(failed.verdict());
-            } else {
-                verdict = Verdict::MayHaveRun;
-            }
+            // A server error is an answer: the request ran.
+            verdict = failed.map_or(Verdict::MayHaveRun, |it| verdict.and(it.verdict()));
             job.trail.verdict = verdict;
             fallback = response.or(fallback);
             if failed.is_some_and(|it| !it.arrived()) {
                 continue;
             }
-            if self.may_retry(job, &repeatable, verdict) {
+            if self.may_retry(job, &grant, verdict) {
                 continue;
             }
             return match (fallback, failed) {
@@ -104,6 +118,7 @@
         }
     }
 
+    /// Whether a request may be sent once more; if so, that is paid for.
     fn may_retry(&self, job: &Job, grant: &Grant, verdict: Verdict) -> bool {
         let route = &grant.route;
         let now = self.clock.now();
@@ -125,8 +140,7 @@
 
     async fn try_once(self: &Arc<Relay>, job: &mut Job) -> Result<Tried, Refusal> {
         let now = self.clock.now();
-        let left = job.deadline.saturating_duration_since(now);
-        if left < LEAST_LEFT {
+        if job.deadline.saturating_duration_since(now) < LEAST_LEFT {
             return Err(Refusal::TooLate);
         }
         let grant = self.allow(&job.ask, job.head.uri.path(), &mut job.trail)?;
@@ -134,37 +148,50 @@
         let server = self.choose(job, &grant)?;
         let load = server.load();
         let in_flight = server.enter();
-        let fresh = grant.route.kind == RouteKind::NonIdempotent || job.sends + job.resumes() > 0;
-        let connection = match self.upstream.open(&server, fresh, now).await {
-            Ok(it) => it,
+        // What may run once must not meet a connection that the server is about to close.
+        let new = grant.route.kind == RouteKind::NonIdempotent || job.sends + job.resumes() > 0;
+        match self.upstream.open(&server, new, now).await {
+            Ok(connection) => {
+                let attempt = Attempt { server, load, began: now, first: !connection.reused };
+                Ok(self.send(job, grant, &attempt, connection, in_flight).await)
+            }
             Err(e) => {
-                let failed = Failed::Connect(e);
-                self.failed(job, &server, failed, load, now, true);
-                return Ok(Tried::Failed(failed, grant));
+                let attempt = Attempt { server, load, began: now, first: true };
+                self.failed(job, &attempt, Failed::Connect(e));
+                Ok(Tried::Failed(Failed::Connect(e), grant))
             }
-        };
-        let first = !connection.reused;
-        let sending = self.sending(job, &grant, &server);
-        let deadline = job.deadline.into();
-        let read = self.codec.answer;
+        }
+    }
+
+    /// Sends a request on an open connection and takes what comes back.
+    async fn send(
+        self: &Arc<Relay>,
+        job: &mut Job,
+        grant: Grant,
+        attempt: &Attempt,
+        connection: Connection,
+        in_flight: InFlight,
+    ) -> Tried {
+        let sending = self.sending(job, &grant, &attempt.server);
         if job.sends == 0 {
             let rate = Retries::rate(&self.limits(), self.routers.load(Ordering::Relaxed));
-            self.retries.earn(&job.trail.service, &rate, now);
+            self.retries.earn(&job.trail.service, &rate, attempt.began);
         }
         job.sends += 1;
         job.trail.verdict = Verdict::MayHaveRun;
         let id = job.ask.id.clone();
+        let (read, deadline) = (self.codec.answer, job.deadline.into());
         let tried = exchange(&sending, connection, in_flight, &id, read, deadline);
-        let Some(tried) = self.patiently(tried, job, &grant, &server).await else {
-            job.trail.tried(&server.id, load, "abandoned", now);
-            job.tried.push(server.hash);
-            return Ok(Tried::Abandoned);
+        let Some(tried) = self.patiently(tried, job, &grant, &attempt.server).await else {
+            attempt.note(job, "abandoned");
+            job.tried.push(attempt.server.hash);
+            return Tried::Abandoned;
         };
         let failed = match tried {
             Ok(reply) => {
-                server.reached();
-                match self.take(job, &grant, &server, reply, load, now).await {
-                    Ok(tried) => return Ok(tried.with(grant)),
+                attempt.server.reached();
+                match self.take(job, &grant, attempt, reply).await {
+                    Ok(took) => return took.with(grant),
                     Err(failed) => failed,
                 }
             }
@@ -173,8 +200,8 @@
         if failed == Failed::Unsent {
             job.sends -= 1;
         }
-        self.failed(job, &server, failed, load, now, first);
-        Ok(Tried::Failed(failed, grant))
+        self.failed(job, attempt, failed);
+        Tried::Failed(failed, grant)
     }
 
     /// Waits for `tried`. A server that is silent for far longer than the request's
@@ -205,14 +232,13 @@
         &self,
         job: &mut Job,
         grant: &Grant,
-        server: &Arc<Server>,
+        attempt: &Attempt,
         reply: Reply,
-        load: u32,
-        began: Instant,
     ) -> Result<Took, Failed> {
+        let server = &attempt.server;
         let status = reply.parts.status;
         if grant.route.kind == RouteKind::Streaming && status.is_success() {
-            job.trail.tried(&server.id, load, "stream", began);
+            attempt.note(job, "stream");
             server.note(true, self.clock.now());
             if let Some(key) = job.ask.prefix_key() {
                 self.homes.note(key, server, self.clock.now());
@@ -223,7 +249,7 @@
         let (response, head, connection, _) = reply.whole(job.deadline.into()).await?;
         self.upstream.keep(server, connection, head.keep_alive, self.clock.now());
         let again = status.is_server_error() && grant.route.is_repeatable();
-        job.trail.tried(&server.id, load, status.as_str(), began);
+        attempt.note(job, status.as_str());
         job.trail.answered(status.as_u16());
         server.note(!status.is_server_error(), self.clock.now());
         if again {
@@ -233,19 +259,13 @@
         Ok(Took::Whole(response))
     }
 
-    fn failed(
-        self: &Arc<Relay>,
-        job: &mut Job,
-        server: &Server,
-        failed: Failed,
-        load: u32,
-        began: Instant,
-        first: bool,
-    ) {
-        job.trail.tried(&server.id, load, failed.as_str(), began);
+    /// Draws the conclusions of a try that brought no answer.
+    fn failed(self: &Arc<Relay>, job: &mut Job, attempt: &Attempt, failed: Failed) {
+        attempt.note(job, failed.as_str());
         if failed == Failed::Unsent {
             return;
         }
+        let server = &attempt.server;
         job.tried.push(server.hash);
         if failed.verdict() == Verdict::MayHaveRun {
             server.note(false, self.clock.now());
@@ -254,7 +274,7 @@
             self.look_after(job, server);
         }
         let unreached = matches!(failed, Failed::Connect(_) | Failed::Misdirected);
-        if unreached || (failed == Failed::Lost && first) {
+        if unreached || (failed == Failed::Lost && attempt.first) {
             server.unreached(self.clock.now());
             self.upstream.forget(server);
         }
