--- a/tests/it/source_health.rs
+++ b/tests/it/source_health.rs
@@ -37,7 +37,9 @@
     health.failed(now);
     let first = health.pause(&mut random);
     assert!(first >= millis(50) && first <= millis(100), "{first:?}");
-    (0..20).for_each(|_| drop(health.failed(now)));
+    for _ in 0..20 {
+        assert_eq!(health.failed(now), Turn::None);
+    }
     let pauses: Vec<Duration> = (0..20).map(|_| health.pause(&mut random)).collect();
     assert!(pauses.iter().all(|it| *it >= millis(400) && *it <= millis(800)));
     assert!(pauses.windows(2).any(|it| it[0] != it[1]));
