Cut a head that never ends; find missing servers by a set

Found in reading: a connection whose head never came to its end stayed open after its idle limit, as an orderly close waits for it. Test endless_head_cut failed before (8 s), passes now.

--- a/src/relay/front.rs
+++ b/src/relay/front.rs
@@ -23,6 +23,8 @@
 
 /// Pause after a connection could not be accepted, most likely for lack of descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// Time for a connection without a request to close in an orderly way.
+const CLOSE_TIME: Duration = Duration::from_secs(2);
 /// Most bytes of a head that are buffered.
 const HEAD_BUFFER: usize = 64 * 1024;
 
@@ -105,6 +107,8 @@
                 connection.as_mut().graceful_shutdown();
                 ending = true;
             }
+            // What is left then is a head that never came to its end.
+            () = sleep(CLOSE_TIME), if ending && activity.is_quiet() => return,
             () = sleep_until(wake.into()), if !ending => {
                 let now = front.clock.now();
                 if !activity.is_quiet() {
--- a/src/router/lifecycle.rs
+++ b/src/router/lifecycle.rs
@@ -109,7 +109,8 @@
     router.relay.leaving.store(true, Ordering::Relaxed);
     router.tell_now.notify_one();
     let busy = || router.busy.load(Ordering::Relaxed);
-    info!(router.logger, "stopping"; "event" => Code::ShutdownBegun.number(), "in_flight" => busy());
+    info!(router.logger, "stopping";
+        "event" => Code::ShutdownBegun.number(), "in_flight" => busy());
     let last = router.settings.grace.saturating_sub(KILL_MARGIN);
     loop {
         let passed = clock.boot().saturating_sub(began);
@@ -125,7 +126,8 @@
     match busy() {
         0 => info!(router.logger, "stopped"; "event" => Code::ShutdownDone.number()),
         cut => {
-            warn!(router.logger, "stopped with requests in flight"; "event" => Code::ShutdownCut.number(), "cut" => cut)
+            warn!(router.logger, "stopped with requests in flight";
+                "event" => Code::ShutdownCut.number(), "cut" => cut)
         }
     }
 }
--- a/src/router/rules_watch.rs
+++ b/src/router/rules_watch.rs
@@ -14,7 +14,6 @@
 /// How long the store holds a read back when nothing changes. A read proves what was in
 /// force when it was sent, so that the lease gets as old as two waits.
 const WAIT: Duration = Duration::from_millis(900);
-
 /// The same where other routers rely on this one.
 const FOLLOWED_WAIT: Duration = Duration::from_millis(400);
 /// A router that does not follow the store reads the rules itself once they were
@@ -38,16 +37,19 @@
                 }
                 from = Some(next);
                 if let Turn::Back(..) = health.succeeded(clock.now()) {
-                    info!(router.logger, "rules are read again"; "event" => Code::RulesBack.number());
+                    info!(router.logger, "rules are read again";
+                        "event" => Code::RulesBack.number());
                 }
             }
             Err(StoreError::Gap) => {
-                info!(router.logger, "rules are read as a whole"; "event" => Code::ReadWhole.number());
+                info!(router.logger, "rules are read as a whole";
+                    "event" => Code::ReadWhole.number());
                 from = None;
             }
             Err(e) => {
                 if health.failed(began) == Turn::Lost {
-                    warn!(router.logger, "rules cannot be read"; "event" => Code::RulesLost.number(), "error" => %e);
+                    warn!(router.logger, "rules cannot be read";
+                        "event" => Code::RulesLost.number(), "error" => %e);
                 }
                 let pause = health.pause(&mut rand::rng());
                 sleep(pause).await;
--- a/src/servers/table.rs
+++ b/src/servers/table.rs
@@ -1,6 +1,6 @@
 //! All backend servers that may get requests.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -137,7 +137,7 @@
         self.known.values().filter_map(|it| it.held).min()
     }
 
-    /// Ends what time ends; true when a server went.
+    /// Ends what time ends; `note` hears of each server that went.
     pub fn expire(&mut self, now: Instant, mut note: impl FnMut(&str, Effect)) {
         let mut ended = false;
         for (id, it) in &mut self.known {
@@ -162,9 +162,9 @@
     }
 
     fn missing(&self, present: &[Change<ServerRecord>]) -> Vec<String> {
-        let listed = |id: &str| present.iter().any(|it| it.key == id);
+        let listed: HashSet<&str> = present.iter().map(|it| it.key.as_str()).collect();
         let there = self.known.iter().filter(|(_, it)| it.gone.is_none());
-        there.filter(|(id, _)| !listed(id)).map(|(id, _)| id.clone()).collect()
+        there.filter(|(id, _)| !listed.contains(id.as_str())).map(|(id, _)| id.clone()).collect()
     }
 
     fn update(&mut self, id: &str, record: ServerRecord) -> Effect {
