Choose by whole-number scores

Cause: each choice took a logarithm for each server, though all weights are equal; the order is the same. cargo bench, pick: 377 to 81 ns at 18, 2.27 us to 574 ns at 140, 18.2 to 3.2 us at 790.

--- a/src/decide/pick.rs
+++ b/src/decide/pick.rs
@@ -1,6 +1,8 @@
 //! Which backend server gets a request that is passed on.
 
-use crate::decide::weighted_score;
+use std::cmp::Ordering;
+
+use crate::decide::combine;
 
 key! {
     /// A backend server that may be chosen.
@@ -41,11 +43,11 @@
     let mean = f64::from(total) / count.max(1) as f64;
     let limit = mean * bound.factor + bound.extra;
     let within = |it: &Candidate| open(it) && f64::from(it.load) < limit;
-    let home = key.and_then(|key| best(candidates, within, |it| weighted_score(key, it.hash, 1.0)));
+    let home = key.and_then(|key| best(candidates, within, |it| combine(key, it.hash)));
     home.or_else(|| {
         best(candidates, open, |it| {
-            let tie = weighted_score(seed, it.hash, 1.0);
-            -f64::from(it.load) / f64::from(it.slots.max(1)) + tie * 1e-6
+            let room = -f64::from(it.load) / f64::from(it.slots.max(1));
+            (room, combine(seed, it.hash))
         })
     })
 }
@@ -54,12 +56,13 @@
     f64::from(it.slots) * (1.0 + bound.queue)
 }
 
-fn best(
+fn best<S: PartialOrd>(
     candidates: &[Candidate],
     open: impl Fn(&Candidate) -> bool,
-    score: impl Fn(&Candidate) -> f64,
+    score: impl Fn(&Candidate) -> S,
 ) -> Option<usize> {
     let all = candidates.iter().enumerate().filter(|(_, it)| open(it));
     let scored = all.map(|(at, it)| (at, score(it)));
-    scored.max_by(|a, b| a.1.total_cmp(&b.1)).map(|(at, _)| at)
+    // Scores are always comparable: a room is no NaN.
+    scored.max_by(|a, b| a.1.partial_cmp(&b.1).unwrap_or(Ordering::Equal)).map(|(at, _)| at)
 }
--- a/src/relay/choose.rs
+++ b/src/relay/choose.rs
@@ -5,7 +5,7 @@
 
 use smallvec::SmallVec;
 
-use crate::decide::{Candidate, hash_bytes, pick, weighted_score};
+use crate::decide::{Candidate, combine, hash_bytes, pick};
 use crate::relay::exchange::Sending;
 use crate::relay::job::{Grant, Job};
 use crate::relay::{Outgoing, Refusal, Relay, drop_hop_headers};
@@ -52,8 +52,7 @@
             let servers = self.servers.lock().unwrap().of(&job.trail.service)?;
             let others = servers.iter().filter(|it| !Arc::ptr_eq(it, server));
             let open = others.filter(|it| it.is_reachable(now));
-            let rank = |it: &Arc<Server>| weighted_score(key, it.hash, 1.0);
-            open.max_by(|a, b| rank(a).total_cmp(&rank(b))).cloned()
+            open.max_by_key(|it| combine(key, it.hash)).cloned()
         })
     }
 
