--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -30,8 +30,8 @@
     /// Callers of each seed.
     #[bpaf(argument("COUNT"), fallback(12))]
     callers: u64,
-    /// Where logs go.
-    #[bpaf(argument("FOLDER"), fallback(PathBuf::from("/tmp/soak")))]
+    /// Where logs go; without it a folder for temporary files.
+    #[bpaf(argument("FOLDER"), fallback(std::env::temp_dir().join("soak")))]
     folder: PathBuf,
     /// The router's program.
     #[bpaf(positional("PROGRAM"))]
