--- a/src/relay/answer.rs
+++ b/src/relay/answer.rs
@@ -11,8 +11,6 @@
         pub not_run: bool,
         /// Its body is encoded, which no server does.
         pub encoded: bool,
-        /// Requests running and waiting there.
-        pub load: Option<(u32, u32)>,
         /// How long the server keeps the idle connection, in whole seconds.
         pub keep_alive: Option<u64>,
     }
--- a/src/relay/tries.rs
+++ b/src/relay/tries.rs
@@ -8,7 +8,7 @@
 use hyper::Response;
 use tokio::time::timeout;
 
-use crate::decide::Verdict;
+use crate::decide::{RetryRate, Verdict};
 use crate::relay::exchange::{Reply, exchange};
 use crate::relay::job::{Grant, Job};
 use crate::relay::{Connection, Failed, Refusal, Relay, Retries};
@@ -124,11 +124,15 @@
         let now = self.clock.now();
         let allowed = verdict == Verdict::NotRun || route.is_repeatable();
         let left = job.deadline.saturating_duration_since(now);
-        let rate = Retries::rate(&self.limits(), self.routers.load(Ordering::Relaxed));
         allowed
             && job.sends < route.attempts
             && left > LEAST_LEFT
-            && self.retries.spend(&job.trail.service, &rate, now)
+            && self.retries.spend(&job.trail.service, &self.retry_rate(), now)
+    }
+
+    /// This router's part of the fleet's retry budget.
+    fn retry_rate(&self) -> RetryRate {
+        Retries::rate(&self.limits(), self.routers.load(Ordering::Relaxed))
     }
 
     /// Whether a broken stream may go on elsewhere.
@@ -174,8 +178,7 @@
     ) -> Tried {
         let sending = self.sending(job, &grant, &attempt.server);
         if job.sends == 0 {
-            let rate = Retries::rate(&self.limits(), self.routers.load(Ordering::Relaxed));
-            self.retries.earn(&job.trail.service, &rate, attempt.began);
+            self.retries.earn(&job.trail.service, &self.retry_rate(), attempt.began);
         }
         job.sends += 1;
         job.trail.verdict = Verdict::MayHaveRun;
