Take a restarted router whose clock was set back for what it is

Cause, found in reading: incarnations of a router were ordered by the wall-clock time of their start. A process killed while its clock stood back (2.4 s on these deployments) restarts with a lower one, and the others took its messages for those of the former, dead incarnation: callers were not told of it for 60 s. News of the dead one even displaced the living one.

Ruled out: boot time as the number (it starts anew with a machine that lost power); the offset of the record in the store (a router that starts with the store away would have none).

Now a message straight from a router always counts; what others tell of a lower start counts once the former has been silent for as long as a dead router. Tests of both ways failed before: callers were told no address, now they are.

--- a/src/peers/roster.rs
+++ b/src/peers/roster.rs
@@ -1,5 +1,6 @@
 //! Which routers are alive.
 
+use std::cmp::Ordering;
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -65,6 +66,27 @@
     fn is_alive(&self, now: Instant) -> bool {
         !self.refused && now.saturating_duration_since(self.heard) < ALIVE_TIME
     }
+
+    /// Whether what was heard of `router` at `heard` is newer than this. The start of an
+    /// incarnation comes from a clock that may step back, so that a later one may have
+    /// a lower one: such a one must speak for itself, or the former be silent for long.
+    fn yields_to(&self, router: &WireRouter, heard: Instant, way: Way) -> bool {
+        let later = heard > self.heard;
+        match (router.born.cmp(&self.router.born), way) {
+            (Ordering::Equal, _) | (Ordering::Greater, Way::Told) => later,
+            (_, Way::Direct) => heard >= self.heard,
+            (Ordering::Less, Way::Told) => heard > self.heard + ALIVE_TIME,
+        }
+    }
+}
+
+/// How a router was heard of.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Way {
+    /// It sent the message.
+    Direct,
+    /// Another router or the platform's store told.
+    Told,
 }
 
 /// The other routers by name, after what they and others told.
@@ -89,17 +111,17 @@
     pub fn learn(&mut self, router: WireRouter, now: Instant) {
         let old = now.checked_sub(ALIVE_TIME).unwrap_or(now);
         let seen = WireSeen { router, ready: false, leaving: false, age_ms: 0 };
-        self.take(&seen, old);
+        self.take(&seen, old, Way::Told);
     }
 
     /// Takes a message that `peer` sent just now.
     pub fn hear(&mut self, message: WireExchange, now: Instant) {
         let name = message.own.router.name.clone();
-        self.take(&message.own, now);
+        self.take(&message.own, now, Way::Direct);
         for seen in &message.others {
             let age = Duration::from_millis(seen.age_ms);
             if age < ALIVE_TIME {
-                self.take(seen, now.checked_sub(age).unwrap_or(now));
+                self.take(seen, now.checked_sub(age).unwrap_or(now), Way::Told);
             }
         }
         if let Some(peer) = self.peers.get_mut(&name) {
@@ -225,15 +247,13 @@
         self.peers.retain(|_, it| kept(it));
     }
 
-    fn take(&mut self, seen: &WireSeen, heard: Instant) {
+    fn take(&mut self, seen: &WireSeen, heard: Instant, way: Way) {
         let router = &seen.router;
         if router.name == self.own.name {
             return;
         }
         let former = self.peers.get(&router.name);
-        let key = |born: u64, at: Instant| (born, at);
-        let newer = former.is_none_or(|it| key(router.born, heard) > key(it.router.born, it.heard));
-        if !newer {
+        if former.is_some_and(|it| !it.yields_to(router, heard, way)) {
             return;
         }
         let same = former.is_some_and(|it| it.router.born == router.born);
--- a/tests/it/peers.rs
+++ b/tests/it/peers.rs
@@ -86,6 +86,32 @@
     assert_eq!(ready(&roster, now + millis(5)), ["c"]);
 }
 
+/// Pattern: a process is killed and restarts while its clock is set back.
+#[test]
+fn hear_restarted_router_with_clock_set_back() {
+    let (mut roster, now) = (Roster::new(router("me", 1)), Instant::now());
+    roster.hear(message(seen(router("b", 9_000), 0), Vec::new(), Vec::new()), now);
+    roster.refused(router("b", 9_000).peers);
+    let back = now + millis(2_500);
+    roster.hear(message(seen(router("b", 6_600), 0), Vec::new(), Vec::new()), back);
+    assert_eq!(ready(&roster, back), ["b"], "it speaks for itself");
+    let stale = vec![seen(router("b", 9_000), 1_500)];
+    let later = back + millis(300);
+    roster.hear(message(seen(router("c", 1), 0), stale, Vec::new()), later);
+    assert_eq!(ready(&roster, later + millis(1_200)), ["b", "c"], "the former one is not back");
+}
+
+/// The same, where this router hears of it through others only.
+#[test]
+fn hear_of_restarted_router_with_clock_set_back() {
+    let (mut roster, now) = (Roster::new(router("me", 1)), Instant::now());
+    roster.hear(message(seen(router("b", 9_000), 0), Vec::new(), Vec::new()), now);
+    let back = now + millis(2_500);
+    let told = vec![seen(router("b", 6_600), 100)];
+    roster.hear(message(seen(router("c", 1), 0), told, Vec::new()), back);
+    assert_eq!(ready(&roster, back), ["b", "c"]);
+}
+
 #[test]
 fn learnt_router_is_asked_but_not_told() {
     let (mut roster, now) = (Roster::new(router("me", 1)), Instant::now());
