Soak: clocks that step, and a check that callers hear of every router

`stepped-router` is the router's program with a clock that reads its steps from a file: the wall clock jumps 30 s back or ahead with a kill in between, time since boot jumps 6 s ahead. Seeds below 1000 play as before. Once faults are over, each router's answer to callers must hold every router that runs.

--- a/soak/src/callers.rs
+++ b/soak/src/callers.rs
@@ -109,7 +109,11 @@
         let routers = fleet.routers.lock().await;
         routers.iter().flatten().map(|it| it.entry).collect()
     };
-    let entry = entries.choose(random)?;
+    told_at(http, *entries.choose(random)?).await
+}
+
+/// The addresses that the router whose callers ask at `entry` tells.
+pub async fn told_at(http: &Client, entry: SocketAddr) -> Option<Vec<SocketAddr>> {
     let url = format!("http://{entry}/resolve?name={HOST}&region=r&zone=a");
     let answer = http.get(url).timeout(Duration::from_secs(1)).send().await.ok()?;
     let body: Value = serde_json::from_slice(&answer.bytes().await.ok()?).ok()?;
--- a/soak/src/checks.rs
+++ b/soak/src/checks.rs
@@ -1,9 +1,12 @@
 //! The promises, held against what callers and backend servers saw.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use crate::callers::{Kind, Seen};
+use reqwest::Client;
+
+use crate::callers::{Kind, Seen, told_at};
 use crate::fleet::{Fleet, HARMED_BACKENDS, Key};
 
 /// Bound on keys that were taken away, from the settings.
@@ -14,6 +17,8 @@
 const TAKE_TIME: Duration = Duration::from_secs(3);
 /// Share of requests that must be served once all faults are over.
 const CALM_SHARE: f64 = 0.99;
+/// Time after the last fault until all are served again.
+const SETTLE_TIME: Duration = Duration::from_millis(3_500);
 /// Events of a whole stream.
 const EVENTS: u32 = 6;
 
@@ -141,6 +146,22 @@
     seen.iter().filter(cut).map(|it| format!("cut off by a shutdown: {it:?}")).collect()
 }
 
+/// Once faults are over, every router tells callers of every router that runs.
+pub async fn entry_broken(fleet: &Fleet) -> Vec<String> {
+    let running: Vec<(SocketAddr, SocketAddr)> = {
+        let routers = fleet.routers.lock().await;
+        routers.iter().flatten().map(|it| (it.entry, it.callers)).collect()
+    };
+    let http = Client::builder().no_proxy().build().expect("a client without special options");
+    let mut broken = Vec::new();
+    for (entry, _) in &running {
+        let told = told_at(&http, *entry).await.unwrap_or_default();
+        let missed = running.iter().filter(|(_, callers)| !told.contains(callers));
+        broken.extend(missed.map(|(_, it)| format!("callers who ask {entry} do not hear of {it}")));
+    }
+    broken
+}
+
 /// Once faults are over, nearly all requests with valid keys are served.
 fn calm_broken(fleet: &Fleet, seen: &[Seen], calm: Instant) -> Option<String> {
     let valid: Vec<String> = {
@@ -148,7 +169,7 @@
         let valid = operator.keys.iter().filter(|it| it.taken.is_none());
         valid.map(|it| it.text.clone()).collect()
     };
-    let settled = calm + Duration::from_millis(3_500);
+    let settled = calm + SETTLE_TIME;
     let asked = seen.iter().filter(|it| it.sent > settled && valid.contains(&it.key));
     let asked: Vec<&Seen> = asked.collect();
     let served = asked.iter().filter(|it| it.status == Some(200) && it.body.is_some()).count();
--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -21,6 +21,10 @@
 /// How much longer the way of one router to the store is harmed than other things, so
 /// that its rules grow older than they may.
 const STORE_LINK_FACTOR: u32 = 3;
+/// How far wall clocks jump, in milliseconds.
+const WALL_STEP_MS: i64 = 30_000;
+/// A suspension that outlasts every lease.
+const BOOT_JUMP: Duration = Duration::from_millis(6_000);
 /// Longest fault.
 const MOST_TIME_MS: u64 = 4_000;
 
@@ -39,9 +43,19 @@
     Replace,
     Rules,
     TakeKey,
+    /// The wall clock jumps back, or ahead, and back again.
+    WallStep(i64),
+    /// The machine was suspended: time since boot has gone on.
+    BootJump(Duration),
 }
 
-const FAULTS: [Fault; 26] = [
+/// Seeds below this play without the faults of clocks, which came later, so that they
+/// stay what they were.
+const FIRST_CLOCK_SEED: u64 = 1_000;
+/// The faults before those of clocks.
+const CLOCKLESS: usize = 26;
+
+const FAULTS: [Fault; 29] = [
     Fault::Kill,
     Fault::Pause,
     Fault::Stop,
@@ -68,16 +82,20 @@
     Fault::Replace,
     Fault::Rules,
     Fault::TakeKey,
+    Fault::WallStep(-WALL_STEP_MS),
+    Fault::WallStep(WALL_STEP_MS),
+    Fault::BootJump(BOOT_JUMP),
 ];
 
 /// Plays random faults for the time `length`; all are over at its return.
 /// Returns lines for what went wrong with processes.
 pub async fn play(fleet: &Arc<Fleet>, seed: u64, length: Duration) -> Vec<String> {
+    let faults = if seed < FIRST_CLOCK_SEED { &FAULTS[..CLOCKLESS] } else { &FAULTS };
     let mut random = ChaCha8Rng::seed_from_u64(seed);
     let began = Instant::now();
     let mut running = JoinSet::new();
     while began.elapsed() < length {
-        let fault = *FAULTS.choose(&mut random).expect("there are faults");
+        let fault = *faults.choose(&mut random).expect("there are faults");
         let time = Duration::from_millis(random.random_range(100..MOST_TIME_MS));
         let choice = random.random_range(0..usize::MAX);
         running.spawn(one(Arc::clone(fleet), fault, choice, time));
@@ -121,6 +139,12 @@
         Fault::Replace => return replace(&fleet, choice).await,
         Fault::Rules => fleet.put_rules(),
         Fault::TakeKey => fleet.take_key(choice),
+        Fault::WallStep(by) => return wall_step(&fleet, choice, by, time).await,
+        Fault::BootJump(by) => {
+            let number = choice % fleet.store_links.len();
+            let jump = fleet.step_clock(number, |it| it.boot += by.as_millis() as u64);
+            return jump.err().map(|e| format!("a clock cannot be stepped: {e}"));
+        }
     }
     None
 }
@@ -180,6 +204,19 @@
     (!wrong.is_empty()).then(|| wrong.join("; "))
 }
 
+/// A wall clock jumps and, after `time`, back; its router is killed in between, so that
+/// the next process starts by a clock that is off.
+async fn wall_step(fleet: &Fleet, choice: usize, by: i64, time: Duration) -> Option<String> {
+    let number = choice % fleet.store_links.len();
+    let ahead = fleet.step_clock(number, |it| it.wall += by);
+    sleep(time / 2).await;
+    let wrong = restart(fleet, choice, Signal::SIGKILL, Duration::ZERO).await;
+    sleep(time / 2).await;
+    let back = fleet.step_clock(number, |it| it.wall -= by);
+    let failed = ahead.and(back).err().map(|e| format!("a clock cannot be stepped: {e}"));
+    wrong.or(failed)
+}
+
 /// Starts a backend server and lets another one leave.
 async fn replace(fleet: &Fleet, choice: usize) -> Option<String> {
     if let Err(e) = fleet.add_backend().await {
--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -9,6 +9,7 @@
 use standins::platform::fixture::{rules, server_record, settings};
 use standins::platform::{MetaStore, Worker};
 
+use crate::Steps;
 use crate::link::Link;
 use crate::router_process::RouterProcess;
 
@@ -58,6 +59,8 @@
     pub routers: tokio::sync::Mutex<Vec<Option<RouterProcess>>>,
     pub operator: Mutex<Operator>,
     pub shutdowns: Mutex<Vec<Shutdown>>,
+    /// How far the clocks of each router are off.
+    clocks: Mutex<Vec<Steps>>,
     program: PathBuf,
     folder: PathBuf,
 }
@@ -87,6 +90,7 @@
             routers: tokio::sync::Mutex::new((0..routers).map(|_| None).collect()),
             operator: Mutex::new(Operator { version: 0, keys, sequence: 0 }),
             shutdowns: Mutex::default(),
+            clocks: Mutex::new(vec![Steps::default(); routers]),
             program: program.to_owned(),
             folder: folder.to_owned(),
         };
@@ -95,6 +99,8 @@
             fleet.add_backend().await?;
         }
         for number in 0..routers {
+            // A file of an earlier run would make time since boot go back at the first step.
+            fleet.step_clock(number, |_| {})?;
             fleet.start_router(number).await?;
         }
         Ok(fleet)
@@ -105,7 +111,7 @@
     /// # Errors
     /// Fails when it does not start.
     pub async fn start_router(&self, number: usize) -> io::Result<()> {
-        let path = self.folder.join(format!("front-{number}.conf"));
+        let path = self.settings_path(number);
         let text = settings(&format!("front-{number}"), self.store_links[number].address());
         std::fs::write(&path, text)?;
         let start = self.next_sequence();
@@ -115,6 +121,20 @@
         Ok(())
     }
 
+    fn settings_path(&self, number: usize) -> PathBuf {
+        self.folder.join(format!("front-{number}.conf"))
+    }
+
+    /// Steps the clocks of router `number`; `change` is given how far they are off.
+    ///
+    /// # Errors
+    /// Fails when they cannot be stepped.
+    pub fn step_clock(&self, number: usize, change: impl FnOnce(&mut Steps)) -> io::Result<()> {
+        let mut clocks = self.clocks.lock().unwrap();
+        change(&mut clocks[number]);
+        clocks[number].write(&self.settings_path(number))
+    }
+
     /// Starts one more backend server.
     ///
     /// # Errors
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -9,6 +9,8 @@
 mod report;
 mod router_process;
 mod run;
+mod stepped_clock;
 
 pub use report::Report;
 pub use run::{Options, run};
+pub use stepped_clock::{SteppedClock, Steps};
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -30,8 +30,9 @@
     /// Callers of each seed.
     #[bpaf(argument("COUNT"), fallback(12))]
     callers: u64,
-    /// Where logs go; without it a folder for temporary files.
-    #[bpaf(argument("FOLDER"), fallback(std::env::temp_dir().join("soak")))]
+    /// Where settings and logs go; without it a folder of its own for temporary files. Two
+    /// runs at a time must not share one.
+    #[bpaf(argument("FOLDER"), fallback(own_folder()))]
     folder: PathBuf,
     /// The router's program.
     #[bpaf(positional("PROGRAM"))]
@@ -79,3 +80,8 @@
     }
     if failed { ExitCode::FAILURE } else { ExitCode::SUCCESS }
 }
+
+/// A folder that no other run uses.
+fn own_folder() -> PathBuf {
+    std::env::temp_dir().join(format!("soak-{}", std::process::id()))
+}
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -10,7 +10,7 @@
 use tokio::time::sleep;
 
 use crate::callers::{Book, call};
-use crate::checks::broken;
+use crate::checks::{broken, entry_broken};
 use crate::faults::play;
 use crate::fleet::Fleet;
 use crate::report::Report;
@@ -55,6 +55,7 @@
     let mut wrong = play(&fleet, seed, options.length).await;
     let calm = Instant::now();
     sleep(CALM_TIME).await;
+    wrong.extend(entry_broken(&fleet).await);
     book.stop.store(true, Ordering::Relaxed);
     callers.join_all().await;
     for router in fleet.routers.lock().await.iter_mut().flatten() {
--- a/soak/tests/short.rs
+++ b/soak/tests/short.rs
@@ -7,11 +7,8 @@
 use soak::{Options, run};
 
 fn options() -> Options {
-    // Built with the tests of the workspace, beside the folder of this test.
-    let target = std::env::current_exe().expect("the test has a path");
-    let profile = target.ancestors().nth(2).expect("it lies in target/PROFILE/deps");
     Options {
-        program: profile.join("filberttiller-platform"),
+        program: PathBuf::from(env!("CARGO_BIN_EXE_stepped-router")),
         folder: PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("soak"),
         routers: 3,
         backends: 7,
@@ -23,6 +20,7 @@
 #[rstest]
 #[case::first(1)]
 #[case::second(2)]
+#[case::clocks(1_001)]
 // Took a shutdown for calm whose router had stood still for 3 s: its streams had timed out.
 #[case::paused_before_stop(333)]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
