Admit by expected wait, by loads that servers tell, and by whether answers begin in time

Three reasons, from the routers' logs: half a request a slot might wait whatever requests take (0.5 s for streams of 1 s, 30 ms for calls of 60 ms); loads were known 0.8 s late, so that servers known to hold 3 to 12 had calls waiting for 0.23 s; and with long prompts to read answers were late before all slots were taken.

Now a server takes what begins within half of the objective (Little's law over the mean time that requests hold a slot); loads come from the header that servers send with answers; room shrinks by 2 in 100 with each late answer of a server that has half of its slots taken and grows by 0.2 with each other one. A less urgent request finds no room where a more urgent one finds none. Who is refused comes back later, the more find none.

Ruled out: slots alone (loads under 24 of 24 had p50 0.45 s); a longer queue.

--- a/src/decide/pick.rs
+++ b/src/decide/pick.rs
@@ -13,6 +13,8 @@
         pub load: u32,
         /// Requests that it runs at once.
         pub slots: u32,
+        /// Requests that it may hold, those that wait among them.
+        pub most: u32,
         /// It is not to be used: tried already, unreachable or failing.
         pub closed: bool,
     }
@@ -25,8 +27,6 @@
         pub factor: f64,
         /// Requests above that multiple.
         pub extra: f64,
-        /// Requests that may wait at a server, for each of its slots.
-        pub queue: f64,
     }
 }
 
@@ -37,7 +37,7 @@
 /// Rendezvous hashing after Thaler and Ravishankar (1998), with bounded loads
 /// after Mirrokni, Thorup and Zadimoghaddam (2018).
 pub fn pick(candidates: &[Candidate], key: Option<u64>, bound: &Bound, seed: u64) -> Option<usize> {
-    let open = |it: &Candidate| !it.closed && f64::from(it.load) < room(it, bound);
+    let open = |it: &Candidate| !it.closed && it.load < it.most;
     let count = candidates.iter().filter(|it| !it.closed).count();
     let total: u32 = candidates.iter().filter(|it| !it.closed).map(|it| it.load).sum();
     let mean = f64::from(total) / count.max(1) as f64;
@@ -52,10 +52,6 @@
     })
 }
 
-fn room(it: &Candidate, bound: &Bound) -> f64 {
-    f64::from(it.slots) * (1.0 + bound.queue)
-}
-
 fn best<S: PartialOrd>(
     candidates: &[Candidate],
     open: impl Fn(&Candidate) -> bool,
--- a/src/relay/answer.rs
+++ b/src/relay/answer.rs
@@ -11,6 +11,8 @@
         pub not_run: bool,
         /// Its body is encoded, which no server does.
         pub encoded: bool,
+        /// Requests that the server holds, those that wait among them.
+        pub load: Option<u32>,
         /// How long the server keeps the idle connection, in whole seconds.
         pub keep_alive: Option<u64>,
     }
--- a/src/relay/choose.rs
+++ b/src/relay/choose.rs
@@ -5,7 +5,7 @@
 
 use smallvec::SmallVec;
 
-use crate::decide::{Candidate, combine, hash_bytes, pick};
+use crate::decide::{Candidate, Pace, combine, hash_bytes, pick};
 use crate::relay::exchange::Sending;
 use crate::relay::job::{Grant, Job};
 use crate::relay::{Outgoing, Refusal, Relay, drop_hop_headers};
@@ -28,12 +28,30 @@
         job.trail.service.push_str(service);
         let servers = self.servers.lock().unwrap().of(service).ok_or(Refusal::NoServer)?;
         let now = self.clock.now();
-        let all: SmallVec<[Candidate; 32]> =
-            servers.iter().map(|it| candidate(it, &job.tried, now)).collect();
+        let rules = self.rules.load();
+        let shortest = rules.and_then(|it| it.shortest_objective(service, grant.rank()));
+        let objective = shortest.unwrap_or(grant.route.objective);
+        let most = |pace: &mut Pace| {
+            servers.iter().map(|it| pace.most_held(it.slots, objective)).collect()
+        };
+        let most: SmallVec<[u32; 32]> = self.paces.with(service, most);
+        let all: SmallVec<[Candidate; 32]> = servers
+            .iter()
+            .zip(most)
+            .map(|(it, most)| candidate(it, &job.tried, most, now))
+            .collect();
         let full = all.iter().any(|it| !it.closed);
-        let refusal = if full { Refusal::NoRoom } else { Refusal::NoServer };
-        let at = pick(&all, key, &self.limits().bound, seed).ok_or(refusal)?;
-        Ok(Arc::clone(&servers[at]))
+        let at = pick(&all, key, &self.limits().bound, seed);
+        let left = job.deadline.saturating_duration_since(now);
+        job.trail.come_back = self.paces.with(service, |it| {
+            it.note_choice(at.is_some());
+            (at.is_none() && full).then(|| it.come_back(left, rand::random()))
+        });
+        at.map(|at| Arc::clone(&servers[at])).ok_or(if full {
+            Refusal::NoRoom
+        } else {
+            Refusal::NoServer
+        })
     }
 
     /// Who can hand the prefix `key` over to `server`: a known holder, else the
@@ -61,7 +79,6 @@
         let mut headers = job.head.headers.clone();
         drop_hop_headers(&mut headers);
         let organisation = grant.organisation.as_deref();
-        let own = organisation.and_then(|it| it.priority);
         let now = self.clock.now();
         let key = job.ask.prefix_key();
         let source = key.and_then(|key| self.source(job, key, server, now));
@@ -70,7 +87,7 @@
             server: &server.id,
             organisation: organisation.map(|it| it.name.as_str()),
             left: job.deadline.saturating_duration_since(now),
-            priority: own.unwrap_or(grant.route.priority),
+            priority: grant.rank(),
             last_event: job.last_event.as_deref(),
         };
         (self.codec.outgoing)(&mut headers, &outgoing);
@@ -83,8 +100,8 @@
     }
 }
 
-fn candidate(server: &Server, tried: &[u64], now: Instant) -> Candidate {
+fn candidate(server: &Server, tried: &[u64], most: u32, now: Instant) -> Candidate {
     let open = server.is_reachable(now) && !server.is_avoided();
     let closed = !open || tried.contains(&server.hash);
-    Candidate { hash: server.hash, load: server.load(), slots: server.slots, closed }
+    Candidate { hash: server.hash, load: server.load(now), slots: server.slots, most, closed }
 }
--- a/src/relay/job.rs
+++ b/src/relay/job.rs
@@ -22,6 +22,14 @@
     pub organisation: Option<Arc<Organisation>>,
 }
 
+impl Grant {
+    /// Rank of the request, 0 first: an organisation's own goes before the route's.
+    pub fn rank(&self) -> u8 {
+        let own = self.organisation.as_ref().and_then(|it| it.priority);
+        own.unwrap_or(self.route.priority)
+    }
+}
+
 /// A request under way.
 #[derive(Debug)]
 pub(crate) struct Job {
@@ -40,6 +48,8 @@
     pub sends: u32,
     /// Servers that were chosen, the one in use among them.
     pub connects: usize,
+    /// When it was given to the server in use, if that had a free slot.
+    pub entered: Option<Instant>,
     /// What was decided on it.
     pub trail: Trail,
 }
@@ -65,6 +75,7 @@
             alone: None,
             sends: 0,
             connects: 0,
+            entered: None,
             trail,
         })
     }
--- a/src/relay/journal.rs
+++ b/src/relay/journal.rs
@@ -107,7 +107,8 @@
             "organisation" => &trail.organisation, "rules" => trail.rules,
             "rules_age_ms" => trail.rules_age.as_millis() as u64, "tries" => &trail.tries,
             "verdict" => trail.verdict.as_str(), "status" => trail.status, "head_ms" => head,
-            "resumed" => trail.resumed, "took_ms" => took.as_millis() as u64);
+            "resumed" => trail.resumed,
+            "retry_after_ms" => trail.come_back.map(|it| it.as_millis() as u64), "took_ms" => took.as_millis() as u64);
     }
 
     fn may_write(&self, done: bool) -> bool {
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -19,9 +19,9 @@
 mod journal;
 mod limits;
 mod outcome;
+mod paces;
 mod prefix_homes;
 mod refusal;
-
 mod relay;
 mod retries;
 mod sse;
@@ -42,6 +42,7 @@
 pub use journal::Journal;
 pub use limits::RelayLimits;
 pub use outcome::Outcome;
+pub use paces::Paces;
 pub use prefix_homes::PrefixHomes;
 pub use refusal::Refusal;
 pub use relay::Relay;
--- a/src/relay/refusal.rs
+++ b/src/relay/refusal.rs
@@ -103,15 +103,15 @@
         }
     }
 
-    /// The answer to the caller.
-    pub fn response(self) -> Response<RelayBody> {
+    /// The answer to the caller; `come_back` goes before the time that holds in general.
+    pub fn response(self, come_back: Option<Duration>) -> Response<RelayBody> {
         let verdict = self.verdict().as_str();
         let text = format!("{{\"error\":\"{}\",\"verdict\":\"{verdict}\"}}", self.as_str());
         let mut response = Response::new(whole(text));
         *response.status_mut() = self.status();
         let headers = response.headers_mut();
         headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
-        if let Some(time) = self.retry_after() {
+        if let Some(time) = come_back.or(self.retry_after()) {
             let text = format!("{:.3}", time.as_secs_f64());
             let value = HeaderValue::from_str(&text).expect("digits are a valid header");
             headers.insert(RETRY_AFTER, value);
--- a/src/relay/relay.rs
+++ b/src/relay/relay.rs
@@ -20,8 +20,8 @@
 use crate::relay::trail::Trail;
 use crate::relay::tries::Answer;
 use crate::relay::{
-    Ask, Codec, Journal, Outcome, PrefixHomes, Refusal, RelayBody, RelayLimits, Retries, Upstream,
-    whole,
+    Ask, Codec, Journal, Outcome, Paces, PrefixHomes, Refusal, RelayBody, RelayLimits, Retries,
+    Upstream, whole,
 };
 use crate::rules::{Denied, Lease, RouteKind, RulesCell};
 use crate::servers::ServerTable;
@@ -39,6 +39,7 @@
     pub(crate) upstream: Upstream,
     pub(crate) retries: Retries,
     pub(crate) homes: PrefixHomes,
+    pub(crate) paces: Paces,
     /// The rules in force.
     pub rules: RulesCell,
     /// How far the rules are confirmed.
@@ -71,6 +72,7 @@
             upstream: Upstream::default(),
             retries: Retries::new(),
             homes: PrefixHomes::default(),
+            paces: Paces::default(),
             rules: RulesCell::default(),
             lease: Lease::default(),
             servers: Mutex::default(),
@@ -206,5 +208,5 @@
         _ => Outcome::Failed,
     };
     trail.finish(outcome, refusal.as_str());
-    refusal.response()
+    refusal.response(trail.come_back)
 }
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -127,6 +127,7 @@
     }
 
     fn finish(&mut self) {
+        self.relay.held(&mut self.job);
         self.job.trail.verdict = Verdict::Ran;
         self.job.trail.finish(Outcome::Done, "streamed");
         if let Some(connection) = self.connection.take() {
--- a/src/relay/trail.rs
+++ b/src/relay/trail.rs
@@ -36,6 +36,8 @@
     pub status: u16,
     /// Time to the head of the answer.
     pub head: Option<Duration>,
+    /// When the caller should come back, where no server had room.
+    pub come_back: Option<Duration>,
     /// Times that the stream went on elsewhere.
     pub resumed: u32,
 }
@@ -58,6 +60,7 @@
             verdict: Verdict::NotRun,
             status: 0,
             head: None,
+            come_back: None,
             resumed: 0,
         }
     }
--- a/src/relay/tries.rs
+++ b/src/relay/tries.rs
@@ -9,7 +9,7 @@
 use slog::info;
 use tokio::time::timeout;
 
-use crate::decide::{RetryRate, Verdict};
+use crate::decide::{Pace, RetryRate, Verdict};
 use crate::events::Code;
 use crate::relay::exchange::{Reply, exchange};
 use crate::relay::job::{Grant, Job};
@@ -152,8 +152,9 @@
         let grant = self.allow(&job.ask, job.head.uri.path(), &mut job.trail)?;
         self.enter_suspect(job)?;
         let server = self.choose(job, &grant)?;
-        let load = server.load();
+        let load = server.load(now);
         let in_flight = server.enter();
+        job.entered = (load < server.slots).then_some(now);
         // What may run once must not meet a connection that the server is about to close.
         let new = grant.route.kind == RouteKind::NonIdempotent || job.sends + job.resumes() > 0;
         match self.upstream.open(&server, new, now).await {
@@ -195,6 +196,9 @@
         let failed = match tried {
             Ok(reply) => {
                 self.reached(&attempt.server);
+                if let Some(load) = reply.head.load {
+                    attempt.server.told_load(load, self.clock.now());
+                }
                 match self.take(job, &grant, attempt, reply).await {
                     Ok(took) => return took.with(grant),
                     Err(failed) => failed,
@@ -242,6 +246,10 @@
     ) -> Result<Took, Failed> {
         let server = &attempt.server;
         let status = reply.parts.status;
+        let took = self.clock.now().saturating_duration_since(attempt.began);
+        let late = took > grant.route.objective;
+        let note = |it: &mut Pace| it.note_answer(late, attempt.load, server.slots);
+        self.paces.with(&job.trail.service, note);
         if grant.route.kind == RouteKind::Streaming && status.is_success() {
             attempt.note(job, "stream");
             server.note(true, self.clock.now());
@@ -252,6 +260,7 @@
             return Ok(Took::Stream(Box::new(reply)));
         }
         let (response, head, connection, _) = reply.whole(job.deadline.into()).await?;
+        self.held(job);
         self.upstream.keep(server, connection, head.keep_alive, self.clock.now());
         let again = status.is_server_error() && grant.route.is_repeatable();
         attempt.note(job, status.as_str());
@@ -264,6 +273,14 @@
         Ok(Took::Whole(response))
     }
 
+    /// A request has left the slot that it held.
+    pub(crate) fn held(&self, job: &mut Job) {
+        if let Some(entered) = job.entered.take() {
+            let time = self.clock.now().saturating_duration_since(entered);
+            self.paces.with(&job.trail.service, |it| it.note_hold(time));
+        }
+    }
+
     /// Draws the conclusions of a try that brought no answer.
     fn failed(self: &Arc<Relay>, job: &mut Job, attempt: &Attempt, failed: Failed) {
         attempt.note(job, failed.as_str());
--- a/src/rules/rule_set.rs
+++ b/src/rules/rule_set.rs
@@ -2,6 +2,9 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
+use std::time::Duration;
+
+use smallvec::SmallVec;
 
 use crate::rules::{AskLimits, Organisation, Route, Service};
 
@@ -23,6 +26,8 @@
     /// By host, then by prefix.
     routes: HashMap<String, HashMap<String, Arc<Route>>>,
     services: HashMap<String, Service>,
+    /// Shortest objective of each rank, by service. Invariant: agrees with `routes`.
+    objectives: HashMap<String, SmallVec<[(u8, Duration); 4]>>,
     /// By key; absent when callers need none.
     organisations: Option<HashMap<String, Arc<Organisation>>>,
     /// Bounds on requests.
@@ -37,6 +42,13 @@
 
     /// Adds a route.
     pub fn add_route(&mut self, route: Route) {
+        for target in &route.targets {
+            let ranks = self.objectives.entry(target.service.clone()).or_default();
+            match ranks.iter_mut().find(|(rank, _)| *rank == route.priority) {
+                Some((_, shortest)) => *shortest = route.objective.min(*shortest),
+                None => ranks.push((route.priority, route.objective)),
+            }
+        }
         let host = self.routes.entry(route.host.clone()).or_default();
         host.insert(route.prefix.clone(), Arc::new(route));
     }
@@ -74,6 +86,14 @@
         self.services.get(name)
     }
 
+    /// Shortest objective of all routes to `service` that are as urgent as `rank` or
+    /// more; a less urgent request must not find room where a more urgent one finds none.
+    pub fn shortest_objective(&self, service: &str, rank: u8) -> Option<Duration> {
+        let ranks = self.objectives.get(service)?;
+        let urgent = ranks.iter().filter(|(other, _)| *other <= rank);
+        urgent.map(|(_, objective)| *objective).min()
+    }
+
     /// Whether requests on `route` need a key.
     pub fn needs_key(&self, route: &Route) -> bool {
         self.organisations.is_some() && !route.public
--- a/src/servers/server.rs
+++ b/src/servers/server.rs
@@ -22,6 +22,18 @@
     until: Option<Instant>,
 }
 
+/// How long what a server told of its own load is used; about as old is what other
+/// routers tell.
+const SEEN_TIME: Duration = Duration::from_millis(700);
+
+/// What a server told of its own load.
+#[derive(Debug, Clone, Copy)]
+struct Seen {
+    at: Instant,
+    /// Requests of the other routers among it.
+    others: u32,
+}
+
 /// A backend server as this router knows it. A restart makes a new value, so
 /// that nothing learnt of the former incarnation is used for the next.
 #[derive(Debug)]
@@ -44,6 +56,8 @@
     own: AtomicU32,
     /// Requests of the other routers, as they told last.
     others: AtomicU32,
+    /// What it told itself last.
+    seen: Mutex<Option<Seen>>,
     reach: Mutex<Reach>,
     /// Results at this router.
     tally: Mutex<Tally>,
@@ -66,6 +80,7 @@
             gone: AtomicBool::new(false),
             own: AtomicU32::new(0),
             others: AtomicU32::new(0),
+            seen: Mutex::default(),
             reach: Mutex::default(),
             tally: Mutex::default(),
             told: Mutex::default(),
@@ -106,9 +121,19 @@
         self.own.load(Ordering::Relaxed)
     }
 
-    /// Requests of all routers that it holds, as far as known.
-    pub fn load(&self) -> u32 {
-        self.own() + self.others.load(Ordering::Relaxed)
+    /// Requests of all routers that it holds, as far as known: what it told itself
+    /// lately, else what the other routers told.
+    pub fn load(&self, now: Instant) -> u32 {
+        let seen = *self.seen.lock().unwrap();
+        let fresh = seen.filter(|it| now.saturating_duration_since(it.at) < SEEN_TIME);
+        let others = fresh.map_or_else(|| self.others.load(Ordering::Relaxed), |it| it.others);
+        self.own() + others
+    }
+
+    /// It said with an answer that it holds `total` requests.
+    pub fn told_load(&self, total: u32, now: Instant) {
+        let others = total.saturating_sub(self.own());
+        *self.seen.lock().unwrap() = Some(Seen { at: now, others });
     }
 
     /// What the other routers have there, and how it went.
--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -28,6 +28,7 @@
 mod orders_model;
 mod orders_rig;
 mod outlier;
+mod overload;
 mod overview;
 mod pace;
 mod path;
--- a/tests/it/rules.rs
+++ b/tests/it/rules.rs
@@ -54,6 +54,22 @@
     assert!(rules.route("other", path).is_none());
 }
 
+#[rstest]
+#[case::most_urgent(0, Some(300))]
+#[case::less_urgent(1, Some(300))]
+#[case::least_urgent(9, Some(200))]
+fn shortest_objective_by_rank(#[case] rank: u8, #[case] millis: Option<u64>) {
+    let mut rules = RuleSet::new(1, AskLimits::default());
+    for (prefix, priority, objective) in [("/a/", 0, 300), ("/b/", 1, 600), ("/c/", 2, 200)] {
+        let mut it = route(prefix, &[("s", 1), ("other", 1)]);
+        it.priority = priority;
+        it.objective = Duration::from_millis(objective);
+        rules.add_route(it);
+    }
+    assert_eq!(rules.shortest_objective("s", rank), millis.map(Duration::from_millis));
+    assert_eq!(rules.shortest_objective("none", rank), None);
+}
+
 #[test]
 fn allow_key_and_public() {
     let mut rules = set(1, &["/a/"]);
--- a/tests/it/servers.rs
+++ b/tests/it/servers.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, Instant};
 
+use filberttiller::decide::Results;
 use filberttiller::servers::{Change, Effect, Page, ServerRecord, ServerTable, Standing};
 use rstest::rstest;
 
@@ -173,6 +174,25 @@
     assert!(!server.reached());
 }
 
+/// What a server says of itself goes before what other routers told, for a while.
+#[test]
+fn load_as_server_told_lately() {
+    let (mut table, now) = (ServerTable::default(), Instant::now());
+    apply(&mut table, vec![put("a", ready(1, 1))], true, now);
+    let server = table.all().next().unwrap();
+    let held = server.enter();
+    server.set_others(2, Results::default());
+    assert_eq!(server.load(now), 3);
+    server.told_load(9, now);
+    assert_eq!(server.load(now), 9, "this router's request is among them");
+    drop(held);
+    assert_eq!(server.load(now), 8);
+    let _more = server.enter();
+    assert_eq!(server.load(now + Duration::from_secs(1)), 3, "too long ago");
+    server.told_load(0, now);
+    assert_eq!(server.load(now), 1, "the server has not got this router's request yet");
+}
+
 /// Pattern: connections are reset while twenty requests are about to be sent.
 #[test]
 fn unreached_by_many_at_once_pauses_once() {
