`filberttiller logs`: why a request ended as it did, from the logs of all routers

The command reads logs from files or standard input, orders them, and judges a request's last server by its other requests at all routers.

The test found that a silent server's good answers lay outside the time looked at; it counts from the start of the request now.

--- a/src/cli/args.rs
+++ b/src/cli/args.rs
@@ -5,6 +5,8 @@
 
 use bpaf::Bpaf;
 
+use crate::timeline::{Timeline, html, jsonl, text, trace};
+
 /// Serves and steers a fleet of routers between callers and model engines.
 ///
 /// Exit codes: 0 done, 1 failed, 2 wrong input, 3 only part of the fleet answered.
@@ -95,6 +97,22 @@
     /// Shows the events of all routers in causal order.
     #[bpaf(command)]
     Timeline(#[bpaf(external(timeline_args))] TimelineArgs),
+    /// Shows logs of routers on a platform in the order of time, or why a request ended as it did.
+    #[bpaf(command)]
+    Logs {
+        /// Only what bears on one request; its cause goes to standard error.
+        #[bpaf(argument("ID"))]
+        request: Option<String>,
+        /// Only what concerns one backend server.
+        #[bpaf(argument("NAME"))]
+        server: Option<String>,
+        /// Form: text, jsonl, trace (for trace viewers) or html (one page).
+        #[bpaf(argument("FORM"), fallback(Format::Text), debug_fallback)]
+        format: Format,
+        /// Log files of all routers; `-` is standard input.
+        #[bpaf(positional("FILE"), some("at least one log is needed"))]
+        files: Vec<PathBuf>,
+    },
     /// Sends checked load to a running fleet of stand-in engines, then reports and ends.
     #[bpaf(command)]
     Load(#[bpaf(external(load_args))] LoadArgs),
@@ -177,6 +195,18 @@
     }
 }
 
+impl Format {
+    /// The time line in this form.
+    pub(crate) fn write(self, all: &Timeline) -> String {
+        match self {
+            Format::Text => text(all),
+            Format::Jsonl => jsonl(all),
+            Format::Trace => trace(all),
+            Format::Html => html(all),
+        }
+    }
+}
+
 impl FromStr for Format {
     type Err = String;
 
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -19,6 +19,8 @@
 #[cfg(feature = "trial")]
 mod load;
 #[cfg(feature = "trial")]
+mod logs;
+#[cfg(feature = "trial")]
 mod measure;
 mod report;
 #[cfg(feature = "trial")]
--- a/src/cli/run.rs
+++ b/src/cli/run.rs
@@ -4,7 +4,7 @@
 
 use crate::cli::args::{Args, TicketArgs, args};
 use crate::cli::{
-    CliError, capacity, check, demo, in_force, init, load, measure, spread, standins, status,
+    CliError, capacity, check, demo, in_force, init, load, logs, measure, spread, standins, status,
     ticket, timeline,
 };
 
@@ -32,6 +32,9 @@
         Args::Spread { routers, engines } => block_on(spread::run(routers, engines)),
         Args::Capacity(args) => block_on(capacity::run(&args)),
         Args::Load(args) => block_on(load::run(&args)),
+        Args::Logs { request, server, format, files } => {
+            logs::run(&files, request.as_deref(), server.as_deref(), format)
+        }
         Args::Timeline(args) => block_on(timeline::run(&args)),
         Args::Status { settings_arg, watch, json } => {
             block_on(status::run(&settings_arg, watch, json))
--- a/src/cli/timeline.rs
+++ b/src/cli/timeline.rs
@@ -1,11 +1,11 @@
 //! `filberttiller timeline`.
 
 use crate::cli::CliError;
-use crate::cli::args::{Format, TimelineArgs};
+use crate::cli::args::TimelineArgs;
 use crate::cli::client::Client;
 use crate::clock::SystemClock;
 use crate::decide::chat_key;
-use crate::timeline::{Selection, html, jsonl, read, text, trace};
+use crate::timeline::{Selection, read};
 
 /// Shows the events of all routers in causal order.
 pub(crate) async fn run(args: &TimelineArgs) -> Result<(), CliError> {
@@ -14,13 +14,7 @@
     let routers = client.routers().await;
     let all = read(&client.routers, &routers, args.since.into(), &SystemClock).await;
     let selected = selection.apply(&all);
-    let format = match args.format {
-        Format::Text => text,
-        Format::Jsonl => jsonl,
-        Format::Trace => trace,
-        Format::Html => html,
-    };
-    print!("{}", format(&selected));
+    print!("{}", args.format.write(&selected));
     if selected.events.is_empty() {
         return Err(CliError::Failed("no event matches".to_owned()));
     }
--- a/src/events/logger.rs
+++ b/src/events/logger.rs
@@ -1,5 +1,6 @@
 //! Set-up of the log output.
 
+use std::io::Write;
 use std::str::FromStr;
 
 use slog::{Discard, Drain, Logger, Never, OwnedKV, SendSyncRefUnwindSafeKV, o};
@@ -50,7 +51,12 @@
 /// A logger of JSON lines to standard output that never blocks its callers: lines
 /// that find no room are counted, and the count is written later.
 pub fn json_logger(instance: &str) -> (Logger, AsyncGuard) {
-    let drain = slog_json::Json::default(std::io::stdout()).fuse();
+    json_logger_to(std::io::stdout(), instance)
+}
+
+/// The same, to `out`.
+pub fn json_logger_to(out: impl Write + Send + 'static, instance: &str) -> (Logger, AsyncGuard) {
+    let drain = slog_json::Json::default(out).fuse();
     let queue = Async::new(drain).chan_size(QUEUED_LINES);
     rooted(queue, o!("instance" => instance.to_owned()))
 }
--- a/src/timeline/mod.rs
+++ b/src/timeline/mod.rs
@@ -3,6 +3,8 @@
 mod explain;
 mod html;
 mod jsonl;
+mod log_line;
+mod log_story;
 mod process;
 mod read;
 mod selection;
@@ -13,6 +15,8 @@
 pub use explain::{Explanation, explain, unexplained};
 pub use html::html;
 pub use jsonl::jsonl;
+pub use log_line::LogLine;
+pub use log_story::{LogStory, log_story};
 pub use process::{Gap, Process};
 pub use read::read;
 pub use selection::Selection;
--- a/src/timeline/timeline.rs
+++ b/src/timeline/timeline.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use crate::events::{Code, Event, EventPage};
-use crate::timeline::{Gap, Process};
+use crate::timeline::{Gap, LogLine, Process};
 
 /// Events of all processes in causal order.
 #[derive(Debug, Clone, Default, PartialEq)]
@@ -31,6 +31,20 @@
         self.events.sort_by(|a, b| (a.time, &a.instance, a.seq).cmp(&(b.time, &b.instance, b.seq)));
     }
 
+    /// The lines of logs, in their order.
+    pub fn of_logs(lines: &[&LogLine]) -> Timeline {
+        let mut all = Timeline::default();
+        for (seq, line) in (0..).zip(lines) {
+            all.events.push(line.to_event(seq));
+            let name = line.instance.as_str();
+            if !all.processes.contains_key(name) {
+                let process = Process { missing: None, ..Process::missing(name, "") };
+                all.processes.insert(name.to_owned(), process);
+            }
+        }
+        all
+    }
+
     /// Notes that the process `name` told nothing.
     pub fn add_missing(&mut self, name: &str, fault: &str) {
         self.processes.entry(name.to_owned()).or_insert_with(|| Process::missing(name, fault));
