Two routers read the store in fleets of 5 to 50

Small fleets read each on their own, larger ones have four. followers_learn_through_others expects two readers of seven now; its bounds stay.

--- a/src/peers/roster.rs
+++ b/src/peers/roster.rs
@@ -15,8 +15,12 @@
 const ALIVE_TIME: Duration = Duration::from_millis(1_600);
 /// Routers of which one message tells, besides its sender.
 const MOST_PASSED_ON: usize = 8;
-/// Routers that follow the platform's store; the others ask these.
+/// Most routers that follow the platform's store; the others ask these.
 const READERS: usize = 4;
+/// Readers of a fleet of middle size, where fewer carry the questions of the others.
+const FEW_READERS: usize = 2;
+/// Largest fleet for which these are enough.
+const MIDDLE_FLEET: usize = 50;
 /// A router that was not heard of for this long is no longer asked.
 const FORGET_TIME: Duration = Duration::from_secs(60);
 
@@ -222,7 +226,12 @@
         let alive = self.peers.values().filter(|it| it.is_alive(now) && !it.leaving).map(rank);
         let mut all: Vec<_> = alive.chain([own]).collect();
         all.sort_unstable();
-        let first = all.into_iter().take(READERS);
+        let wanted = match all.len() {
+            0..=READERS => READERS,
+            size if size <= MIDDLE_FLEET => FEW_READERS,
+            _ => READERS,
+        };
+        let first = all.into_iter().take(wanted);
         first.map(|(_, reader)| reader).collect()
     }
 
--- a/tests/it/peers.rs
+++ b/tests/it/peers.rs
@@ -8,6 +8,7 @@
 };
 use proptest::collection::vec;
 use proptest::prelude::{any, proptest};
+use rstest::rstest;
 
 fn router(name: &str, born: u64) -> WireRouter {
     let port = 1_000 + name.bytes().map(u16::from).sum::<u16>();
@@ -140,6 +141,22 @@
     assert!(all.iter().filter(|(_, _, own)| *own).count() <= 4);
 }
 
+/// Small fleets read the store each on their own; in larger ones few do for all.
+#[rstest]
+#[case::small(4, 4)]
+#[case::middle(5, 2)]
+#[case::largest_middle(50, 2)]
+#[case::large(51, 4)]
+fn readers_by_size(#[case] routers: usize, #[case] readers: usize) {
+    let now = Instant::now();
+    let mut roster = Roster::new(router("front-0", 1));
+    let others = (1..routers).map(|it| seen(router(&format!("front-{it}"), 1), 10)).collect();
+    roster.hear(message(seen(router("front-1", 1), 0), others, Vec::new()), now);
+    assert_eq!(roster.alive(now) + 1, routers);
+    assert_eq!(roster.readers(now).len(), readers);
+    assert_eq!(roster.has_followers(now), readers < routers);
+}
+
 #[test]
 fn lonely_router_is_reader() {
     let (mut roster, now) = (Roster::new(router("me", 1)), Instant::now());
