--- a/src/peers/mod.rs
+++ b/src/peers/mod.rs
@@ -1,6 +1,7 @@
 //! The other routers: which are alive, and how much each has in flight.
 
 mod client;
+mod peer;
 mod roster;
 
 pub(crate) use client::{EXCHANGE_PATH, SERVERS_PATH};
--- a/src/peers/roster.rs
+++ b/src/peers/roster.rs
@@ -1,6 +1,5 @@
 //! Which routers are alive.
 
-use std::cmp::Ordering;
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -9,10 +8,9 @@
 use smallvec::SmallVec;
 
 use crate::decide::{Results, hash_bytes};
-use crate::wire::{ServerLoad, WireCrash, WireExchange, WireRouter, WireSeen, unpack_loads};
+use crate::peers::peer::{ALIVE_TIME, Peer, Way};
+use crate::wire::{WireCrash, WireExchange, WireRouter, WireSeen, unpack_loads};
 
-/// A router that was not heard of for this long counts as dead: three exchanges.
-const ALIVE_TIME: Duration = Duration::from_millis(1_600);
 /// Routers of which one message tells, besides its sender.
 const MOST_PASSED_ON: usize = 8;
 /// Most routers that follow the platform's store; the others ask these.
@@ -54,45 +52,6 @@
     pub results: Results,
 }
 
-#[derive(Debug)]
-struct Peer {
-    router: WireRouter,
-    ready: bool,
-    leaving: bool,
-    heard: Instant,
-    /// It refused a connection since it was heard.
-    refused: bool,
-    /// Requests in flight by backend server, as it told itself, and when.
-    loads: Option<(Instant, Vec<ServerLoad>)>,
-}
-
-impl Peer {
-    fn is_alive(&self, now: Instant) -> bool {
-        !self.refused && now.saturating_duration_since(self.heard) < ALIVE_TIME
-    }
-
-    /// Whether what was heard of `router` at `heard` is newer than this. The start of an
-    /// incarnation comes from a clock that may step back, so that a later one may have
-    /// a lower one: such a one must speak for itself, or the former be silent for long.
-    fn yields_to(&self, router: &WireRouter, heard: Instant, way: Way) -> bool {
-        let later = heard > self.heard;
-        match (router.born.cmp(&self.router.born), way) {
-            (Ordering::Equal, _) | (Ordering::Greater, Way::Told) => later,
-            (_, Way::Direct) => heard >= self.heard,
-            (Ordering::Less, Way::Told) => heard > self.heard + ALIVE_TIME,
-        }
-    }
-}
-
-/// How a router was heard of.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Way {
-    /// It sent the message.
-    Direct,
-    /// Another router or the platform's store told.
-    Told,
-}
-
 /// The other routers by name, after what they and others told.
 #[derive(Debug)]
 pub struct Roster {
--- /dev/null
+++ b/src/relay/conclusions.rs
@@ -0,0 +1,93 @@
+//! What a router concludes from tries of the servers that they went to.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use slog::info;
+
+use crate::decide::{Pace, Verdict};
+use crate::events::Code;
+use crate::relay::exchange::Reply;
+use crate::relay::job::{Grant, Job};
+use crate::relay::{Failed, Relay};
+use crate::servers::Server;
+
+/// One try at one server.
+pub(crate) struct Attempt {
+    pub server: Arc<Server>,
+    /// Requests that the server held, as known when it was chosen.
+    pub load: u32,
+    pub began: Instant,
+    /// The connection carried no request before.
+    pub first: bool,
+}
+
+impl Attempt {
+    /// Notes its result with what is decided on the request.
+    pub fn note(&self, job: &mut Job, result: &str) {
+        job.trail.tried(&self.server.id, self.load, result, self.began);
+    }
+}
+
+impl Relay {
+    /// The head of an answer is there.
+    pub(crate) fn answered(&self, job: &Job, grant: &Grant, attempt: &Attempt, reply: &Reply) {
+        let now = self.clock.now();
+        let server = &attempt.server;
+        self.reached(server);
+        if let Some(load) = reply.head.load {
+            server.told_load(load, now);
+        }
+        let late = now.saturating_duration_since(attempt.began) > grant.route.objective;
+        let note = |it: &mut Pace| it.note_answer(late, attempt.load, server.slots);
+        self.paces.with(&job.trail.service, note);
+    }
+
+    /// A request has left the slot that it held.
+    pub(crate) fn held(&self, job: &mut Job) {
+        if let Some(entered) = job.entered.take() {
+            let time = self.clock.now().saturating_duration_since(entered);
+            self.paces.with(&job.trail.service, |it| it.note_hold(time));
+        }
+    }
+
+    /// Draws the conclusions of a try that brought no answer.
+    pub(crate) fn failed(self: &Arc<Relay>, job: &mut Job, attempt: &Attempt, failed: Failed) {
+        attempt.note(job, failed.as_str());
+        if failed == Failed::Unsent {
+            return;
+        }
+        let server = &attempt.server;
+        job.tried.push(server.hash);
+        if failed.verdict() == Verdict::MayHaveRun {
+            server.note(false, self.clock.now());
+        }
+        if failed == Failed::Lost {
+            self.look_after(job, server);
+        }
+        let unreached = matches!(failed, Failed::Connect(_) | Failed::Misdirected);
+        if unreached || (failed == Failed::Lost && attempt.first) {
+            self.unreached(job, server, failed);
+            self.upstream.forget(server);
+        }
+    }
+
+    /// A server answered; told to the log where it could not be reached before.
+    pub(crate) fn reached(&self, server: &Server) {
+        if server.reached() {
+            let code = Code::ServerReached;
+            info!(self.journal.logger(), "{}", code.text();
+                "event" => code.number(), "server" => &*server.id);
+        }
+    }
+
+    /// A server is left alone for a while.
+    fn unreached(&self, job: &Job, server: &Server, failed: Failed) {
+        if let Some(pause) = server.unreached(self.clock.now()) {
+            let code = Code::ServerUnreached;
+            info!(self.journal.logger(), "{}", code.text();
+                "event" => code.number(), "server" => &*server.id, "request" => &job.ask.id,
+                "why" => failed.as_str(), "pause_ms" => pause.as_millis() as u64);
+        }
+    }
+}
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -10,6 +10,7 @@
 mod busy;
 mod choose;
 mod codec;
+mod conclusions;
 mod connection;
 mod exchange;
 mod failed;
--- a/src/relay/tries.rs
+++ b/src/relay/tries.rs
@@ -2,15 +2,14 @@
 
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bytes::Bytes;
 use hyper::Response;
-use slog::info;
 use tokio::time::timeout;
 
-use crate::decide::{Pace, RetryRate, Verdict};
-use crate::events::Code;
+use crate::decide::{RetryRate, Verdict};
+use crate::relay::conclusions::Attempt;
 use crate::relay::exchange::{Reply, exchange};
 use crate::relay::job::{Grant, Job};
 use crate::relay::{Connection, Failed, Refusal, Relay, Retries};
@@ -32,22 +31,6 @@
     Stream(Box<Reply>),
 }
 
-/// One try at one server.
-struct Attempt {
-    server: Arc<Server>,
-    /// Requests that the server held, as known when it was chosen.
-    load: u32,
-    began: Instant,
-    /// The connection carried no request before.
-    first: bool,
-}
-
-impl Attempt {
-    fn note(&self, job: &mut Job, result: &str) {
-        job.trail.tried(&self.server.id, self.load, result, self.began);
-    }
-}
-
 /// What one try brought.
 enum Tried {
     Answer(Answer),
@@ -195,10 +178,7 @@
         };
         let failed = match tried {
             Ok(reply) => {
-                self.reached(&attempt.server);
-                if let Some(load) = reply.head.load {
-                    attempt.server.told_load(load, self.clock.now());
-                }
+                self.answered(job, &grant, attempt, &reply);
                 match self.take(job, &grant, attempt, reply).await {
                     Ok(took) => return took.with(grant),
                     Err(failed) => failed,
@@ -246,10 +226,6 @@
     ) -> Result<Took, Failed> {
         let server = &attempt.server;
         let status = reply.parts.status;
-        let took = self.clock.now().saturating_duration_since(attempt.began);
-        let late = took > grant.route.objective;
-        let note = |it: &mut Pace| it.note_answer(late, attempt.load, server.slots);
-        self.paces.with(&job.trail.service, note);
         if grant.route.kind == RouteKind::Streaming && status.is_success() {
             attempt.note(job, "stream");
             server.note(true, self.clock.now());
@@ -272,52 +248,4 @@
         }
         Ok(Took::Whole(response))
     }
-
-    /// A request has left the slot that it held.
-    pub(crate) fn held(&self, job: &mut Job) {
-        if let Some(entered) = job.entered.take() {
-            let time = self.clock.now().saturating_duration_since(entered);
-            self.paces.with(&job.trail.service, |it| it.note_hold(time));
-        }
-    }
-
-    /// Draws the conclusions of a try that brought no answer.
-    fn failed(self: &Arc<Relay>, job: &mut Job, attempt: &Attempt, failed: Failed) {
-        attempt.note(job, failed.as_str());
-        if failed == Failed::Unsent {
-            return;
-        }
-        let server = &attempt.server;
-        job.tried.push(server.hash);
-        if failed.verdict() == Verdict::MayHaveRun {
-            server.note(false, self.clock.now());
-        }
-        if failed == Failed::Lost {
-            self.look_after(job, server);
-        }
-        let unreached = matches!(failed, Failed::Connect(_) | Failed::Misdirected);
-        if unreached || (failed == Failed::Lost && attempt.first) {
-            self.unreached(job, server, failed);
-            self.upstream.forget(server);
-        }
-    }
-
-    /// A server answered; told to the log where it could not be reached before.
-    fn reached(&self, server: &Server) {
-        if server.reached() {
-            let code = Code::ServerReached;
-            info!(self.journal.logger(), "{}", code.text();
-                "event" => code.number(), "server" => &*server.id);
-        }
-    }
-
-    /// A server is left alone for a while.
-    fn unreached(&self, job: &Job, server: &Server, failed: Failed) {
-        if let Some(pause) = server.unreached(self.clock.now()) {
-            let code = Code::ServerUnreached;
-            info!(self.journal.logger(), "{}", code.text();
-                "event" => code.number(), "server" => &*server.id, "request" => &job.ask.id,
-                "why" => failed.as_str(), "pause_ms" => pause.as_millis() as u64);
-        }
-    }
 }
