--- a/src/relay/conclusions.rs
+++ b/src/relay/conclusions.rs
@@ -1,6 +1,7 @@
 //! What a router concludes from tries of the servers that they went to.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Instant;
 
 use slog::info;
@@ -9,7 +10,7 @@
 use crate::events::Code;
 use crate::relay::exchange::Reply;
 use crate::relay::job::{Grant, Job};
-use crate::relay::{Failed, Relay};
+use crate::relay::{Connection, Failed, Relay, Upstream};
 use crate::servers::Server;
 
 /// One try at one server.
@@ -43,6 +44,20 @@
         self.paces.with(&job.trail.service, note);
     }
 
+    /// Keeps a connection to `server` of `service` for the next request.
+    pub(crate) fn keep(
+        &self,
+        service: &str,
+        server: &Server,
+        connection: Connection,
+        idle: Option<u64>,
+    ) {
+        let rules = self.rules.load();
+        let limit = rules.and_then(|it| it.service(service)?.max_connections);
+        let most = Upstream::most_kept(limit, self.routers.load(Ordering::Relaxed));
+        self.upstream.keep(server, connection, idle, most, self.clock.now());
+    }
+
     /// A request has left the slot that it held.
     pub(crate) fn held(&self, job: &mut Job) {
         if let Some(entered) = job.entered.take() {
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -131,9 +131,9 @@
         self.job.trail.verdict = Verdict::Ran;
         self.job.trail.finish(Outcome::Done, "streamed");
         if let Some(connection) = self.connection.take() {
-            let now = self.relay.clock.now();
             let server = self.in_flight.server();
-            self.relay.upstream.keep(server, connection, self.head.keep_alive, now);
+            let service = &self.job.trail.service;
+            self.relay.keep(service, server, connection, self.head.keep_alive);
         }
     }
 
--- a/src/relay/tries.rs
+++ b/src/relay/tries.rs
@@ -237,7 +237,7 @@
         }
         let (response, head, connection, _) = reply.whole(job.deadline.into()).await?;
         self.held(job);
-        self.upstream.keep(server, connection, head.keep_alive, self.clock.now());
+        self.keep(&job.trail.service, server, connection, head.keep_alive);
         let again = status.is_server_error() && grant.route.is_repeatable();
         attempt.note(job, status.as_str());
         job.trail.answered(status.as_u16());
--- a/src/relay/upstream.rs
+++ b/src/relay/upstream.rs
@@ -15,6 +15,11 @@
 const MOST_IDLE: Duration = Duration::from_secs(8);
 /// Idle connections kept for one server.
 const MOST_KEPT: usize = 48;
+/// Fewest that may be kept, whatever the server takes.
+const LEAST_KEPT: usize = 2;
+/// Part of the connections that a server takes which all routers together keep idle;
+/// the rest is for requests under way.
+const KEPT_PART: f64 = 0.5;
 
 #[derive(Debug)]
 struct Idle {
@@ -47,12 +52,20 @@
         }
     }
 
-    /// Keeps a connection whose answer was read to its end.
+    /// Idle connections that one of `routers` routers may keep to a server that takes
+    /// `limit` from all of them, and resets those beyond.
+    pub fn most_kept(limit: Option<u32>, routers: usize) -> usize {
+        let share = |it: u32| f64::from(it) * KEPT_PART / routers.max(1) as f64;
+        limit.map_or(MOST_KEPT, |it| (share(it) as usize).clamp(LEAST_KEPT, MOST_KEPT))
+    }
+
+    /// Keeps a connection whose answer was read to its end, unless there are `most`.
     pub fn keep(
         &self,
         server: &Server,
         mut connection: Connection,
         idle: Option<u64>,
+        most: usize,
         now: Instant,
     ) {
         let time = idle.map_or(DEFAULT_IDLE, |seconds| {
@@ -62,7 +75,7 @@
         connection.reused = true;
         let mut all = self.idle.lock().unwrap();
         let kept = all.entry((server.hash, server.born)).or_default();
-        if kept.len() < MOST_KEPT && !server.is_leaving() {
+        if kept.len() < most && !server.is_leaving() {
             kept.push(Idle { connection, until: now + time });
         }
     }
--- a/tests/it/relay_parts.rs
+++ b/tests/it/relay_parts.rs
@@ -4,7 +4,9 @@
 use std::time::{Duration, Instant};
 
 use filberttiller::decide::{Bound, RetryBudget, RetryRate, Verdict};
-use filberttiller::relay::{Frames, PrefixHomes, Refusal, RelayLimits, Retries, drop_hop_headers};
+use filberttiller::relay::{
+    Frames, PrefixHomes, Refusal, RelayLimits, Retries, Upstream, drop_hop_headers,
+};
 use filberttiller::servers::{Server, ServerRecord, Standing};
 use hyper::{HeaderMap, StatusCode};
 use proptest::prelude::{any, proptest};
@@ -154,6 +156,18 @@
     assert_eq!(headers.keys().collect::<Vec<_>>(), ["x-kept"]);
 }
 
+/// Pattern: a service that takes 110 connections; idle ones of all routers leave half of
+/// them to requests.
+#[rstest]
+#[case::no_limit(None, 4, 48)]
+#[case::small_service(Some(110), 4, 13)]
+#[case::engines(Some(370), 4, 46)]
+#[case::many_routers(Some(530), 25, 10)]
+#[case::very_many_routers(Some(530), 400, 2)]
+fn most_kept_by_limit(#[case] limit: Option<u32>, #[case] routers: usize, #[case] most: usize) {
+    assert_eq!(Upstream::most_kept(limit, routers), most);
+}
+
 /// Statuses 408, 421, 429 and 503 promise that a request did not run.
 #[rstest]
 #[case(Refusal::NoRules)]
