--- a/soak/src/stepped_clock.rs
+++ b/soak/src/stepped_clock.rs
@@ -37,12 +37,26 @@
         fs::rename(&new, &path)
     }
 
-    /// No steps where there is no file, or none that can be read.
+    /// No steps while there is no file. What cannot be read goes to standard error, which
+    /// the soak takes for a failure.
     fn read(path: &Path) -> Steps {
-        let text = fs::read_to_string(path).unwrap_or_default();
-        let parts = text.split_once(' ');
-        let steps = parts.and_then(|(wall, boot)| Some((wall.parse().ok()?, boot.parse().ok()?)));
-        steps.map_or(Steps::default(), |(wall, boot)| Steps { wall, boot })
+        let text = match fs::read_to_string(path) {
+            Ok(it) => it,
+            Err(e) if e.kind() == io::ErrorKind::NotFound => return Steps::default(),
+            Err(e) => {
+                eprintln!("steps of the clock cannot be read: {e}");
+                return Steps::default();
+            }
+        };
+        Steps::parse(&text).unwrap_or_else(|| {
+            eprintln!("steps of the clock are no two numbers: {text}");
+            Steps::default()
+        })
+    }
+
+    fn parse(text: &str) -> Option<Steps> {
+        let (wall, boot) = text.split_once(' ')?;
+        Some(Steps { wall: wall.parse().ok()?, boot: boot.parse().ok()? })
     }
 }
 
