A soak that is stopped ends its routers

Traced by a run that printed what fakes saw: GET /log-read from routers of soaks that I had ended by a signal; they lived on and asked for their store at ports that fakes had meanwhile. Shown: 32 such processes were there, and each odd line was theirs. Ruled out: the routers under test (they answered 400 and sent nothing), load alone. The soak handles SIGTERM and SIGINT now; stopped_soak_ends_routers is the test. ambiguous_path_refused tells what the service saw when it fails.

--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -6,6 +6,7 @@
 
 use bpaf::Bpaf;
 use soak::{Options, run};
+use tokio::signal::unix::{SignalKind, signal};
 use tokio::task::JoinSet;
 
 /// Runs real routers under random faults. Exit code 1 when a promise was broken.
@@ -42,6 +43,30 @@
 #[tokio::main]
 async fn main() -> ExitCode {
     let arguments = arguments().run();
+    // The end of the runtime drops all routers, and with them their processes.
+    tokio::select! {
+        code = play(arguments) => code,
+        () = told_to_stop() => {
+            println!("stopped before the end");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+/// Returns once the program is told to stop.
+async fn told_to_stop() {
+    let term = signal(SignalKind::terminate());
+    let interrupt = signal(SignalKind::interrupt());
+    let (mut term, mut interrupt) =
+        term.and_then(|it| Ok((it, interrupt?))).expect("signals can be handled");
+    tokio::select! {
+        _ = term.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+}
+
+/// Plays all seeds.
+async fn play(arguments: Arguments) -> ExitCode {
     let options = Options {
         program: arguments.program,
         folder: arguments.folder,
--- a/soak/tests/short.rs
+++ b/soak/tests/short.rs
@@ -1,10 +1,15 @@
 //! A short soak for CI, and every seed that ever failed.
 
 use std::path::PathBuf;
-use std::time::Duration;
+use std::process::Stdio;
+use std::time::{Duration, Instant};
 
+use nix::sys::signal::{Signal, kill};
+use nix::unistd::Pid;
 use rstest::rstest;
 use soak::{Options, run};
+use tokio::process::Command;
+use tokio::time::sleep;
 
 fn options() -> Options {
     Options {
@@ -29,3 +34,47 @@
     assert!(report.broken.is_empty(), "{report}");
     assert!(report.served > 0, "{report}");
 }
+
+/// Longest wait for processes to end.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// A soak that is stopped midway leaves no router behind: it would go on asking at a port
+/// that soon belongs to somebody else.
+#[tokio::test]
+async fn stopped_soak_ends_routers() {
+    let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("soak-stopped");
+    let mut soak = Command::new(env!("CARGO_BIN_EXE_soak"))
+        .arg(env!("CARGO_BIN_EXE_stepped-router"))
+        .args(["--seconds", "60", "--folder"])
+        .arg(folder)
+        .stdout(Stdio::null())
+        .kill_on_drop(true)
+        .spawn()
+        .expect("it starts");
+    let id = soak.id().expect("it runs");
+    let mut routers = all_children(id);
+    while routers.len() < 4 {
+        assert!(soak.try_wait().expect("it is ours").is_none(), "it ended early");
+        sleep(Duration::from_millis(50)).await;
+        routers = all_children(id);
+    }
+    kill(Pid::from_raw(id as i32), Signal::SIGTERM).expect("it runs");
+    soak.wait().await.expect("it is ours");
+    let lives = |it: &String| {
+        let state = std::fs::read_to_string(format!("/proc/{it}/stat")).unwrap_or_default();
+        state.contains("stepped-router") && !state.contains(") Z ")
+    };
+    let stopped = Instant::now();
+    while routers.iter().any(lives) {
+        assert!(stopped.elapsed() < PATIENCE, "routers live on");
+        sleep(Duration::from_millis(50)).await;
+    }
+}
+
+/// Processes started by any thread of the process `id`.
+fn all_children(id: u32) -> Vec<String> {
+    let threads = std::fs::read_dir(format!("/proc/{id}/task")).into_iter().flatten().flatten();
+    let lists = threads.map(|it| std::fs::read_to_string(it.path().join("children")));
+    let lists = lists.map(Result::unwrap_or_default).collect::<Vec<_>>();
+    lists.iter().flat_map(|it| it.split_whitespace()).map(str::to_owned).collect()
+}
--- a/tests/it/attack.rs
+++ b/tests/it/attack.rs
@@ -139,7 +139,8 @@
     let line = format!("GET /v1/services/stockroom{path} HTTP/1.1\r\nhost: a\r\n");
     let bytes = format!("{line}{WHO}connection: close\r\n\r\n");
     let reply = raw(fleet.routers[0].address(), &bytes).await;
-    assert_eq!((status(&reply), fake.count()), ("400", 0), "{reply}");
+    let seen: Vec<String> = fake.seen.lock().unwrap().iter().map(|it| it.head.clone()).collect();
+    assert_eq!((status(&reply), fake.count()), ("400", 0), "{reply}, the service saw {seen:?}");
 }
 
 /// An encoded letter does not make a call repeatable that a ticket lists: it is
