--- /dev/null
+++ b/src/relay/by_service.rs
@@ -0,0 +1,32 @@
+//! One value for each service.
+
+use std::collections::HashMap;
+use std::sync::Mutex;
+
+/// Values by the name of a service.
+#[derive(Debug)]
+pub(crate) struct ByService<T> {
+    values: Mutex<HashMap<String, T>>,
+}
+
+impl<T> Default for ByService<T> {
+    fn default() -> ByService<T> {
+        ByService { values: Mutex::default() }
+    }
+}
+
+impl<T> ByService<T> {
+    /// Reads or changes the value of `service`, which `make` gives where there is none.
+    pub fn with<R>(
+        &self,
+        service: &str,
+        make: impl FnOnce() -> T,
+        act: impl FnOnce(&mut T) -> R,
+    ) -> R {
+        let mut values = self.values.lock().unwrap();
+        match values.get_mut(service) {
+            Some(it) => act(it),
+            None => act(values.entry(service.to_owned()).or_insert_with(make)),
+        }
+    }
+}
--- a/src/relay/choose.rs
+++ b/src/relay/choose.rs
@@ -34,7 +34,7 @@
         let most = |pace: &mut Pace| {
             servers.iter().map(|it| pace.most_held(it.slots, objective)).collect()
         };
-        let most: SmallVec<[u32; 32]> = self.paces.with(service, most);
+        let most: SmallVec<[u32; 32]> = self.paces.with(service, Pace::default, most);
         let all: SmallVec<[Candidate; 32]> = servers
             .iter()
             .zip(most)
@@ -43,7 +43,7 @@
         let full = all.iter().any(|it| !it.closed);
         let at = pick(&all, key, &self.limits().bound, seed);
         let left = job.deadline.saturating_duration_since(now);
-        job.trail.come_back = self.paces.with(service, |it| {
+        job.trail.come_back = self.paces.with(service, Pace::default, |it| {
             it.note_choice(at.is_some());
             (at.is_none() && full).then(|| it.come_back(left, rand::random()))
         });
--- a/src/relay/conclusions.rs
+++ b/src/relay/conclusions.rs
@@ -41,7 +41,7 @@
         }
         let late = now.saturating_duration_since(attempt.began) > grant.route.objective;
         let note = |it: &mut Pace| it.note_answer(late, attempt.load, server.slots);
-        self.paces.with(&job.trail.service, note);
+        self.paces.with(&job.trail.service, Pace::default, note);
     }
 
     /// Keeps a connection to `server` of `service` for the next request.
@@ -62,7 +62,7 @@
     pub(crate) fn held(&self, job: &mut Job) {
         if let Some(entered) = job.entered.take() {
             let time = self.clock.now().saturating_duration_since(entered);
-            self.paces.with(&job.trail.service, |it| it.note_hold(time));
+            self.paces.with(&job.trail.service, Pace::default, |it| it.note_hold(time));
         }
     }
 
@@ -88,7 +88,7 @@
     }
 
     /// A server answered; told to the log where it could not be reached before.
-    pub(crate) fn reached(&self, server: &Server) {
+    fn reached(&self, server: &Server) {
         if server.reached() {
             let code = Code::ServerReached;
             info!(self.journal.logger(), "{}", code.text();
--- a/src/relay/relay.rs
+++ b/src/relay/relay.rs
@@ -13,15 +13,16 @@
 use tokio::sync::Notify;
 
 use crate::clock::SharedClock;
-use crate::decide::Verdict;
+use crate::decide::{Pace, Verdict};
 use crate::fleet::CrashBoard;
+use crate::relay::by_service::ByService;
 use crate::relay::job::{Admitted, Grant, Job};
 use crate::relay::stream::relay_stream;
 use crate::relay::trail::Trail;
 use crate::relay::tries::Answer;
 use crate::relay::{
-    Ask, Codec, Journal, Outcome, Paces, PrefixHomes, Refusal, RelayBody, RelayLimits, Retries,
-    Upstream, whole,
+    Ask, Codec, Journal, Outcome, PrefixHomes, Refusal, RelayBody, RelayLimits, Retries, Upstream,
+    whole,
 };
 use crate::rules::{Denied, Lease, RouteKind, RulesCell};
 use crate::servers::ServerTable;
@@ -39,7 +40,7 @@
     pub(crate) upstream: Upstream,
     pub(crate) retries: Retries,
     pub(crate) homes: PrefixHomes,
-    pub(crate) paces: Paces,
+    pub(crate) paces: ByService<Pace>,
     /// The rules in force.
     pub rules: RulesCell,
     /// How far the rules are confirmed.
@@ -72,7 +73,7 @@
             upstream: Upstream::default(),
             retries: Retries::new(),
             homes: PrefixHomes::default(),
-            paces: Paces::default(),
+            paces: ByService::default(),
             rules: RulesCell::default(),
             lease: Lease::default(),
             servers: Mutex::default(),
--- a/src/relay/retries.rs
+++ b/src/relay/retries.rs
@@ -1,11 +1,10 @@
 //! Retry budgets of all services.
 
-use std::collections::HashMap;
-use std::sync::Mutex;
 use std::time::Instant;
 
 use crate::decide::{RetryBudget, RetryRate};
 use crate::relay::RelayLimits;
+use crate::relay::by_service::ByService;
 
 /// Part of the allowed ratio that one router uses; windows of routers overlap.
 const RATIO_PART: f64 = 0.5;
@@ -15,15 +14,15 @@
 const BURST_PART: f64 = 0.4;
 
 /// One budget a service; the routers alive share what the fleet may spend.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct Retries {
-    budgets: Mutex<HashMap<String, RetryBudget>>,
+    budgets: ByService<RetryBudget>,
 }
 
 impl Retries {
     /// Full budgets.
     pub fn new() -> Retries {
-        Retries { budgets: Mutex::default() }
+        Retries::default()
     }
 
     /// Counts the first try of a request for `service`.
@@ -54,18 +53,10 @@
         now: Instant,
         act: impl FnOnce(&mut RetryBudget) -> T,
     ) -> T {
-        let mut all = self.budgets.lock().unwrap();
-        let budget = match all.get_mut(service) {
-            Some(it) => it,
-            None => all.entry(service.to_owned()).or_insert(RetryBudget::with_rate(*rate, now)),
-        };
-        budget.set_rate(*rate);
-        act(budget)
-    }
-}
-
-impl Default for Retries {
-    fn default() -> Retries {
-        Retries::new()
+        let full = || RetryBudget::with_rate(*rate, now);
+        self.budgets.with(service, full, |budget| {
+            budget.set_rate(*rate);
+            act(budget)
+        })
     }
 }
--- a/src/relay/tries.rs
+++ b/src/relay/tries.rs
@@ -140,13 +140,12 @@
         job.entered = (load < server.slots).then_some(now);
         // What may run once must not meet a connection that the server is about to close.
         let new = grant.route.kind == RouteKind::NonIdempotent || job.sends + job.resumes() > 0;
-        match self.upstream.open(&server, new, now).await {
-            Ok(connection) => {
-                let attempt = Attempt { server, load, began: now, first: !connection.reused };
-                Ok(self.send(job, grant, &attempt, connection, in_flight).await)
-            }
+        let opened = self.upstream.open(&server, new, now).await;
+        let first = !opened.as_ref().is_ok_and(|it| it.reused);
+        let attempt = Attempt { server, load, began: now, first };
+        match opened {
+            Ok(connection) => Ok(self.send(job, grant, &attempt, connection, in_flight).await),
             Err(e) => {
-                let attempt = Attempt { server, load, began: now, first: true };
                 self.failed(job, &attempt, Failed::Connect(e));
                 Ok(Tried::Failed(Failed::Connect(e), grant))
             }
