Tell no router twice in one round of a larger fleet

dedup on an unsorted list found a reader only where it stood next to itself, so that one that was also picked among the near ones got the message twice.

--- a/src/router/exchange_loop.rs
+++ b/src/router/exchange_loop.rs
@@ -62,8 +62,11 @@
     let near = near.choose_multiple(random, NEAR_TOLD).copied().collect::<Vec<_>>();
     let far = far.choose_multiple(random, FAR_TOLD);
     let mut told: SmallVec<[SocketAddr; MOST_TOLD]> = reader.into_iter().collect();
-    told.extend(near.iter().chain(far).map(|(address, _)| *address));
-    told.dedup();
+    for (address, _) in near.iter().chain(far) {
+        if !told.contains(address) {
+            told.push(*address);
+        }
+    }
     told
 }
 
