--- a/src/servers/server.rs
+++ b/src/servers/server.rs
@@ -44,8 +44,6 @@
     pub hash: u64,
     /// Where it listens.
     pub address: SocketAddr,
-    /// Failure domain.
-    pub domain: String,
     /// Requests that run at once.
     pub slots: u32,
     /// When it started, in milliseconds since 1970.
@@ -73,7 +71,6 @@
             id: id.into(),
             hash: hash_bytes(id.as_bytes()),
             address: record.address,
-            domain: record.domain.clone(),
             slots: record.slots,
             born: record.born,
             leaving: AtomicBool::new(false),
