--- a/src/relay/relay.rs
+++ b/src/relay/relay.rs
@@ -181,7 +181,7 @@
                 job.trail.finish(Outcome::Done, "answered");
                 response.map(whole)
             }
-            Ok(Answer::Stream(reply)) => relay_stream(self, job, *reply),
+            Ok(Answer::Stream(reply, route)) => relay_stream(self, job, *reply, &route),
             Err(refusal) => refuse(&mut job.trail, refusal),
         }
     }
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -17,6 +17,7 @@
 use crate::relay::job::Job;
 use crate::relay::tries::Answer;
 use crate::relay::{AnswerHead, Connection, Frames, Outcome, Relay, RelayBody, RelayError};
+use crate::rules::Route;
 use crate::servers::InFlight;
 
 /// Longest pauses in time after which a silent stream goes on elsewhere.
@@ -42,13 +43,15 @@
 }
 
 /// The answer to the caller of a stream whose head is there.
-pub(crate) fn relay_stream(relay: &Arc<Relay>, job: Box<Job>, reply: Reply) -> Response<RelayBody> {
+pub(crate) fn relay_stream(
+    relay: &Arc<Relay>,
+    job: Box<Job>,
+    reply: Reply,
+    route: &Route,
+) -> Response<RelayBody> {
     let Reply { parts, head, body, connection, in_flight } = reply;
-    let rules = relay.rules.load();
-    let route = rules.as_ref().and_then(|it| it.route(&job.ask.host, job.head.uri.path()));
-    let resumable = route.is_some_and(|it| it.resumable);
-    let stall = route.map_or(LEAST_STALL, |it| it.pause * STALL_FACTOR).max(LEAST_STALL);
-    let frames = resumable.then(|| Frames::after(job.last_event.clone()));
+    let stall = (route.pause * STALL_FACTOR).max(LEAST_STALL);
+    let frames = route.resumable.then(|| Frames::after(job.last_event.clone()));
     let relay = Arc::clone(relay);
     let connection = Some(connection);
     let pump = Box::new(Pump { relay, job, body, head, connection, in_flight, frames, stall });
@@ -159,7 +162,7 @@
         let last = frames.last().map(str::to_owned);
         self.job.resume(self.in_flight.server(), last.as_deref());
         match self.relay.run(&mut self.job).await {
-            Ok(Answer::Stream(reply)) => {
+            Ok(Answer::Stream(reply, _)) => {
                 self.body = reply.body;
                 self.head = reply.head;
                 self.connection = Some(reply.connection);
--- a/src/relay/tries.rs
+++ b/src/relay/tries.rs
@@ -13,7 +13,7 @@
 use crate::relay::exchange::{Reply, exchange};
 use crate::relay::job::{Grant, Job};
 use crate::relay::{Connection, Failed, Refusal, Relay, Retries};
-use crate::rules::RouteKind;
+use crate::rules::{Route, RouteKind};
 use crate::servers::{InFlight, Server};
 
 /// Objectives after which a server that has not begun to answer is left.
@@ -27,8 +27,8 @@
 pub(crate) enum Answer {
     /// Read to its end.
     Whole(Response<Bytes>),
-    /// Its events are still to come.
-    Stream(Box<Reply>),
+    /// Its events are still to come, on this route.
+    Stream(Box<Reply>, Arc<Route>),
 }
 
 /// What one try brought.
@@ -52,7 +52,7 @@
     fn with(self, grant: Grant) -> Tried {
         match self {
             Took::Whole(response) => Tried::Answer(Answer::Whole(response)),
-            Took::Stream(reply) => Tried::Answer(Answer::Stream(reply)),
+            Took::Stream(reply) => Tried::Answer(Answer::Stream(reply, grant.route)),
             Took::ServerError(response) => Tried::ServerError(response, grant),
         }
     }
