Gate the operators' commands once, in a folder of their own

Fifteen modules of src/cli each had the same condition; moved to src/cli/operator, whose one line has it.

--- a/src/cli/capacity.rs
+++ b/src/cli/operator/capacity.rs
@@ -2,7 +2,7 @@
 
 use crate::capacity::{Fit, PROBES, Probe, Sizes, Slope, Slopes, figures, head, measure, short};
 use crate::cli::CliError;
-use crate::cli::args::CapacityArgs;
+use crate::cli::operator::args::CapacityArgs;
 use crate::settings::Control;
 
 /// Prints what each role takes at the asked size.
--- a/src/cli/in_force.rs
+++ b/src/cli/operator/in_force.rs
@@ -6,7 +6,7 @@
 use serde_json::json;
 
 use crate::cli::CliError;
-use crate::cli::client::Client;
+use crate::cli::operator::client::Client;
 use crate::wire::{WireHeld, WireInForce};
 
 /// Shows what is in force on every router.
--- a/src/cli/load.rs
+++ b/src/cli/operator/load.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use crate::cli::CliError;
-use crate::cli::args::LoadArgs;
-use crate::cli::client::Client;
+use crate::cli::operator::args::LoadArgs;
+use crate::cli::operator::client::Client;
 use crate::load::{LoadOptions, LoadReport, html, run as run_load};
 
 /// Sends load to a running fleet and reports what became of it.
--- a/src/cli/logs.rs
+++ b/src/cli/operator/logs.rs
@@ -5,7 +5,7 @@
 use std::path::{Path, PathBuf};
 
 use crate::cli::CliError;
-use crate::cli::args::Format;
+use crate::cli::operator::args::Format;
 use crate::timeline::{LogLine, Selection, Timeline, log_story};
 
 /// Stands for standard input among file names.
--- a/src/cli/run.rs
+++ b/src/cli/operator/run.rs
@@ -2,11 +2,11 @@
 
 use std::time::Duration;
 
-use crate::cli::args::{Args, TicketArgs, args};
-use crate::cli::{
-    CliError, capacity, check, demo, in_force, init, load, logs, measure, spread, standins, status,
-    ticket, timeline,
+use crate::cli::operator::args::{Args, TicketArgs, args};
+use crate::cli::operator::{
+    capacity, demo, in_force, init, load, logs, measure, spread, standins, status, ticket, timeline,
 };
+use crate::cli::{CliError, check};
 
 /// Runs the command that the arguments name.
 ///
--- a/src/cli/status.rs
+++ b/src/cli/operator/status.rs
@@ -7,7 +7,7 @@
 use tokio::time::sleep;
 
 use crate::cli::CliError;
-use crate::cli::client::Client;
+use crate::cli::operator::client::Client;
 use crate::overview::{Look, screen};
 
 /// Pause between two looks with `--watch`.
--- a/src/cli/ticket.rs
+++ b/src/cli/operator/ticket.rs
@@ -9,7 +9,7 @@
 
 use crate::backend::PlatformError;
 use crate::cli::CliError;
-use crate::cli::client::Client;
+use crate::cli::operator::client::Client;
 use crate::controllers::TICKET_STREAM;
 use crate::state::Ticket;
 use crate::wire::{WireEarlier, WireOutcome, WireTicket, parse_ticket};
--- a/src/cli/timeline.rs
+++ b/src/cli/operator/timeline.rs
@@ -1,8 +1,8 @@
 //! `filberttiller timeline`.
 
 use crate::cli::CliError;
-use crate::cli::args::TimelineArgs;
-use crate::cli::client::Client;
+use crate::cli::operator::args::TimelineArgs;
+use crate::cli::operator::client::Client;
 use crate::clock::SystemClock;
 use crate::decide::chat_key;
 use crate::timeline::{Selection, read};
