Log how the body of an answer was framed and how it ended

Callers received streams that had been broken off with all marks of a complete answer. The log of the routers could not tell why: its line has neither how the server's body was delimited, nor how its connection ended, nor whether the last event was whole.

The line of a request now has framing, body_end and last_event. No decision changes. The stand-in of a backend server answers without a length or chunks, for streams too, and breaks such answers off in three ways.

--- a/src/relay/attempt_loop.rs
+++ b/src/relay/attempt_loop.rs
@@ -236,6 +236,7 @@
     ) -> Result<TakenAnswer, AttemptError> {
         let server = &attempt.server;
         let status = reply.parts.status;
+        pending.trace.framing = Some(reply.framing);
         if grant.route.kind == RouteKind::Streaming && status.is_success() {
             attempt.record(pending, "stream");
             server.record_result(true, self.clock.now());
@@ -245,7 +246,8 @@
             pending.trace.record_answer(status.as_u16());
             return Ok(TakenAnswer::Stream(Box::new(reply)));
         }
-        let (response, head, connection, _) = reply.read_full(pending.deadline.into()).await?;
+        let deadline = pending.deadline.into();
+        let (response, head, connection, _) = reply.read_full(deadline, &mut pending.trace).await?;
         self.record_service_time(pending);
         self.pool_connection(&pending.trace.service, server, connection, head.keep_alive);
         let may_repeat = status.is_server_error() && grant.route.is_repeatable();
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -9,7 +9,8 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::relay::connection::SendError;
-use crate::relay::{AnswerHead, AttemptError, Connection, drop_hop_headers};
+use crate::relay::request_trace::RequestTrace;
+use crate::relay::{AnswerHead, AttemptError, BodyEnd, Connection, Framing, drop_hop_headers};
 use crate::servers::InFlight;
 
 /// Limit on the body of an answer that is read in full.
@@ -39,6 +40,7 @@
 pub(crate) struct Reply {
     pub parts: Parts,
     pub head: AnswerHead,
+    pub framing: Framing,
     pub body: Incoming,
     pub connection: Connection,
     pub in_flight: InFlight,
@@ -64,11 +66,12 @@
         Ok(Err(SendError::Lost(_))) => return Err(AttemptError::Lost),
         Ok(Ok(response)) => response,
     };
+    let framing = Framing::of(&response);
     let (mut parts, body) = response.into_parts();
     let head = read(&parts.headers);
     validate(parts.status, &head, id)?;
     drop_hop_headers(&mut parts.headers);
-    Ok(Reply { parts, head, body, connection, in_flight })
+    Ok(Reply { parts, head, framing, body, connection, in_flight })
 }
 
 fn validate(status: StatusCode, head: &AnswerHead, id: &str) -> Result<(), AttemptError> {
@@ -86,16 +89,22 @@
 }
 
 impl Reply {
-    /// Reads the body to its end, after which the connection can be reused.
+    /// Reads the body to its end, after which the connection can be reused. Records in
+    /// `trace` how it ended.
     ///
     /// # Errors
     /// Fails when the body is cut off, too large, or not complete by the deadline.
     pub async fn read_full(
         self,
         deadline: Instant,
+        trace: &mut RequestTrace,
     ) -> Result<(Response<Bytes>, AnswerHead, Connection, InFlight), AttemptError> {
         let body = Limited::new(self.body, MAX_BODY_BYTES).collect();
         let body = timeout_at(deadline, body).await.map_err(|_| AttemptError::TimedOut)?;
+        trace.body_end = Some(match &body {
+            Ok(_) => BodyEnd::Complete,
+            Err(e) => BodyEnd::of_error(e.as_ref()),
+        });
         let body = body.map_err(|_| AttemptError::Lost)?.to_bytes();
         let response = Response::from_parts(self.parts, body);
         Ok((response, self.head, self.connection, self.in_flight))
--- a/src/relay/request_log.rs
+++ b/src/relay/request_log.rs
@@ -8,8 +8,8 @@
 
 use crate::clock::SharedClock;
 use crate::events::Code;
-use crate::relay::Outcome;
 use crate::relay::request_trace::RequestTrace;
+use crate::relay::{BodyEnd, Framing, Outcome};
 
 /// Limit on the log lines a second for completed requests; lines beyond it are only counted.
 const MAX_DONE_LINES: u32 = 100;
@@ -111,6 +111,9 @@
             "organisation" => &trace.organisation, "rules" => trace.rules,
             "rules_age_ms" => trace.rules_age.as_millis() as u64, "tries" => &trace.attempts,
             "verdict" => trace.verdict.as_str(), "status" => trace.status, "head_ms" => head,
+            "framing" => trace.framing.map(Framing::as_str),
+            "body_end" => trace.body_end.map(BodyEnd::as_str),
+            "last_event" => trace.last_event.as_deref(),
             "resumed" => trace.resumed,
             "retry_after_ms" => trace.retry_after.map(|it| it.as_millis() as u64),
             "took_ms" => took.as_millis() as u64);
--- a/src/relay/request_trace.rs
+++ b/src/relay/request_trace.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use crate::decide::Verdict;
-use crate::relay::{Outcome, RequestLog};
+use crate::relay::{BodyEnd, Framing, Outcome, RequestLog};
 
 /// The decisions on one request. Dropping it unfinished means that the caller
 /// disconnected.
@@ -34,6 +34,12 @@
     pub verdict: Verdict,
     /// Status of the answer.
     pub status: u16,
+    /// How the body of the answer is framed, towards this router.
+    pub framing: Option<Framing>,
+    /// How the body of the answer ended.
+    pub body_end: Option<BodyEnd>,
+    /// Id of the last complete event of a stream.
+    pub last_event: Option<String>,
     /// Time to the head of the answer.
     pub head_time: Option<Duration>,
     /// Time after which the caller should retry, where no server had free capacity.
@@ -59,6 +65,9 @@
             attempts: String::new(),
             verdict: Verdict::NotRun,
             status: 0,
+            framing: None,
+            body_end: None,
+            last_event: None,
             head_time: None,
             retry_after: None,
             resumed: 0,
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -16,7 +16,9 @@
 use crate::relay::body::Events;
 use crate::relay::exchange::Reply;
 use crate::relay::pending_request::PendingRequest;
-use crate::relay::{AnswerHead, Connection, EventFramer, Outcome, Relay, RelayBody, RelayError};
+use crate::relay::{
+    AnswerHead, BodyEnd, Connection, EventFramer, Outcome, Relay, RelayBody, RelayError,
+};
 use crate::rules::Route;
 use crate::servers::InFlight;
 
@@ -38,6 +40,8 @@
     in_flight: InFlight,
     /// Present where the stream may be resumed: only complete events are relayed.
     framer: Option<EventFramer>,
+    /// Follows the events of a stream that may not be resumed.
+    observer: EventFramer,
     /// Silence after which a stream that may be resumed counts as stalled.
     stall: Duration,
 }
@@ -49,13 +53,22 @@
     reply: Reply,
     route: &Route,
 ) -> Response<RelayBody> {
-    let Reply { parts, head, body, connection, in_flight } = reply;
+    let Reply { parts, head, framing: _, body, connection, in_flight } = reply;
     let stall = (route.max_pause * STALL_FACTOR).max(MIN_STALL);
     let framer = route.resumable.then(|| EventFramer::after(pending.last_event.clone()));
     let relay = Arc::clone(relay);
     let connection = Some(connection);
-    let state =
-        Box::new(StreamRelay { relay, pending, body, head, connection, in_flight, framer, stall });
+    let state = Box::new(StreamRelay {
+        relay,
+        pending,
+        body,
+        head,
+        connection,
+        in_flight,
+        framer,
+        observer: EventFramer::default(),
+        stall,
+    });
     let events = stream::try_unfold(state, |mut state| async move {
         let bytes = state.next().await?;
         Ok(bytes.map(|it| (Frame::data(it), state)))
@@ -117,6 +130,12 @@
             None => deadline,
         };
         let frame = timeout_at(read_until, self.body.frame()).await;
+        self.pending.trace.body_end = match &frame {
+            Ok(None) if self.events().is_at_boundary() => Some(BodyEnd::Complete),
+            Ok(None) => Some(BodyEnd::InsideEvent),
+            Ok(Some(Err(e))) => Some(BodyEnd::of_error(e)),
+            Ok(Some(Ok(_))) | Err(_) => None,
+        };
         let data = match frame {
             Err(_) if read_until < deadline => return Next::Stalled,
             Err(_) => return Next::TimedOut,
@@ -127,12 +146,21 @@
             Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
         };
         match &mut self.framer {
-            None => Next::Bytes(data),
+            None => {
+                self.observer.push(&data);
+                Next::Bytes(data)
+            }
             Some(framer) => framer.push(&data).map_or(Next::Broken, Next::Bytes),
         }
     }
 
+    /// The events received so far.
+    fn events(&self) -> &EventFramer {
+        self.framer.as_ref().unwrap_or(&self.observer)
+    }
+
     fn finish(&mut self) {
+        self.pending.trace.last_event = self.events().last_id().map(str::to_owned);
         self.relay.record_service_time(&mut self.pending);
         self.pending.trace.verdict = Verdict::Ran;
         self.pending.trace.finish(Outcome::Done, "streamed");
@@ -145,6 +173,7 @@
 
     fn cut(&mut self, reason: &str) -> Result<Option<Bytes>, RelayError> {
         self.connection = None;
+        self.pending.trace.last_event = self.events().last_id().map(str::to_owned);
         self.pending.trace.finish(Outcome::Cut, reason);
         Err(RelayError)
     }
--- a/standins/src/platform/server_behaviour.rs
+++ b/standins/src/platform/server_behaviour.rs
@@ -27,8 +27,17 @@
     Unsigned,
     /// Answers with a `content-encoding` header.
     Encoded,
-    /// Answers without a length; closing the connection ends the body.
+    /// Answers with neither a length nor chunks; closing the connection ends the body.
     Unframed,
+    /// Like `Unframed`, but closes a stream after this many events, in the middle of the next one.
+    UnframedBreakAfter(u32),
+    /// Like `Unframed`, but closes a stream before its first event.
+    UnframedEmpty,
+    /// Like `Unframed`, but resets the connection: of a stream after this many events, of
+    /// any other answer in the middle of its body.
+    UnframedResetAfter(u32),
+    /// Like `UnframedBreakAfter`, with HTTP/1.0 in the status line.
+    Http10BreakAfter(u32),
     /// Sends a body that is shorter than its `content-length`.
     ShortBody,
     /// Sends bytes that are not an HTTP response.
@@ -36,3 +45,35 @@
     /// Closes the port and all connections.
     Crash,
 }
+
+impl ServerBehaviour {
+    /// Whether answers have neither a length nor chunks.
+    pub fn is_unframed(self) -> bool {
+        matches!(
+            self,
+            ServerBehaviour::Unframed
+                | ServerBehaviour::UnframedBreakAfter(_)
+                | ServerBehaviour::UnframedEmpty
+                | ServerBehaviour::UnframedResetAfter(_)
+                | ServerBehaviour::Http10BreakAfter(_)
+        )
+    }
+
+    /// Number of events after which a stream breaks off in the middle of the next one.
+    pub fn breaks_after(self) -> Option<u32> {
+        match self {
+            ServerBehaviour::BreakAfter(events)
+            | ServerBehaviour::UnframedBreakAfter(events)
+            | ServerBehaviour::Http10BreakAfter(events) => Some(events),
+            _ => None,
+        }
+    }
+
+    /// The HTTP version of answers.
+    pub fn version(self) -> &'static str {
+        match self {
+            ServerBehaviour::Http10BreakAfter(_) => "HTTP/1.0",
+            _ => "HTTP/1.1",
+        }
+    }
+}
--- a/standins/src/platform/server_standin.rs
+++ b/standins/src/platform/server_standin.rs
@@ -16,6 +16,8 @@
 
 /// Delay of an answer that never comes; longer than any caller's timeout.
 const HANG_TIME: Duration = Duration::from_secs(3_600);
+/// Pause between the last bytes of an answer and the reset of its connection.
+const RESET_PAUSE: Duration = Duration::from_millis(20);
 /// Number of events in a complete stream.
 const STREAM_EVENTS: u32 = 6;
 /// Signature of all answers.
@@ -58,6 +60,14 @@
     crashed: Notify,
 }
 
+/// What happens to a connection after an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum NextStep {
+    KeepOpen,
+    Close,
+    Reset,
+}
+
 /// A running backend server; it stops when dropped.
 #[derive(Debug)]
 pub struct ServerStandin {
@@ -151,16 +161,18 @@
         let id = request.id().to_owned();
         let mut probe = [0];
         let (mut reader, mut writer) = stream.get_mut().split();
-        let keep_open = tokio::select! {
-            keep_open = respond(&mut writer, request, shared) => keep_open?,
+        let next = tokio::select! {
+            next = respond(&mut writer, request, shared) => next?,
             // Callers send nothing while they wait, so a read returns only when they close.
             _ = reader.read(&mut probe) => {
                 shared.abandoned.lock().unwrap().push(id);
                 return Ok(());
             }
         };
-        if !keep_open {
-            return Ok(());
+        match next {
+            NextStep::KeepOpen => {}
+            NextStep::Close => return Ok(()),
+            NextStep::Reset => return stream.get_ref().set_zero_linger(),
         }
     }
     Ok(())
@@ -188,12 +200,12 @@
     Ok(Some(request))
 }
 
-/// Answers a request; false when the connection must close.
+/// Answers a request.
 async fn respond<W: AsyncWriteExt + Unpin>(
     writer: &mut W,
     request: HandledRequest,
     shared: &Shared,
-) -> io::Result<bool> {
+) -> io::Result<NextStep> {
     let behaviour = *shared.behaviour.lock().unwrap();
     let delay = *shared.delay.lock().unwrap();
     let id = request.id().to_owned();
@@ -204,12 +216,12 @@
             shared.id
         );
         writer.write_all(text.as_bytes()).await?;
-        return Ok(true);
+        return Ok(NextStep::KeepOpen);
     }
     if behaviour == ServerBehaviour::Shed {
         let text = "HTTP/1.1 503 Service Unavailable\r\nnot-run: 1\r\ncontent-length: 0\r\n\r\n";
         writer.write_all(text.as_bytes()).await?;
-        return Ok(true);
+        return Ok(NextStep::KeepOpen);
     }
     let after = request.header("last-event-id").and_then(|it| it.parse().ok()).unwrap_or(0);
     let stream = request.line.contains("stream");
@@ -220,7 +232,7 @@
             shared.crashed.notify_one();
             sleep(HANG_TIME).await;
         }
-        ServerBehaviour::LoseAnswer => return Ok(false),
+        ServerBehaviour::LoseAnswer => return Ok(NextStep::Close),
         ServerBehaviour::Hang => sleep(HANG_TIME).await,
         _ => {}
     }
@@ -229,12 +241,23 @@
     }
     sleep(delay).await;
     let text = full_answer(&id, &body, behaviour);
+    if let ServerBehaviour::UnframedResetAfter(_) = behaviour {
+        let (sent, _) = text.split_at(text.len() - body.len() / 2);
+        writer.write_all(sent.as_bytes()).await?;
+        return pause_before_reset().await;
+    }
     writer.write_all(text.as_bytes()).await?;
-    let is_open = !matches!(
-        behaviour,
-        ServerBehaviour::Unframed | ServerBehaviour::ShortBody | ServerBehaviour::Garbage
-    );
-    Ok(is_open)
+    Ok(match behaviour {
+        ServerBehaviour::ShortBody | ServerBehaviour::Garbage => NextStep::Close,
+        _ if behaviour.is_unframed() => NextStep::Close,
+        _ => NextStep::KeepOpen,
+    })
+}
+
+/// Lets the peer read what was sent, as a reset discards what it has not read yet.
+async fn pause_before_reset() -> io::Result<NextStep> {
+    sleep(RESET_PAUSE).await;
+    Ok(NextStep::Reset)
 }
 
 fn full_answer(id: &str, body: &str, behaviour: ServerBehaviour) -> String {
@@ -242,12 +265,12 @@
     let id = if behaviour == ServerBehaviour::WrongId { "another" } else { id };
     let signature_header =
         if behaviour == ServerBehaviour::Unsigned { "x-none" } else { "server-seal" };
+    let version = behaviour.version();
     let head =
-        format!("HTTP/1.1 {status}\r\nrequest-id: {id}\r\n{signature_header}: {SIGNATURE}\r\n");
+        format!("{version} {status}\r\nrequest-id: {id}\r\n{signature_header}: {SIGNATURE}\r\n");
     let length = body.len();
     match behaviour {
         ServerBehaviour::Garbage => "no answer at all\r\n\r\n".to_owned(),
-        ServerBehaviour::Unframed => format!("{head}\r\n{body}"),
         ServerBehaviour::ShortBody => format!("{head}content-length: {}\r\n\r\n{body}", length + 5),
         ServerBehaviour::Encoded => {
             format!("{head}content-encoding: gzip\r\ncontent-length: {length}\r\n\r\n{body}")
@@ -256,6 +279,7 @@
             let one = format!("{head}content-length: {length}\r\n\r\n{body}");
             format!("{one}{one}")
         }
+        _ if behaviour.is_unframed() => format!("{head}\r\n{body}"),
         _ => format!("{head}content-length: {length}\r\n\r\n{body}"),
     }
 }
@@ -266,27 +290,41 @@
     after: u32,
     behaviour: ServerBehaviour,
     delay: Duration,
-) -> io::Result<bool> {
+) -> io::Result<NextStep> {
+    let version = behaviour.version();
+    let (framing, encode): (_, fn(&str) -> String) = match behaviour.is_unframed() {
+        true => ("", str::to_owned),
+        false => ("transfer-encoding: chunked\r\n", chunk),
+    };
     let head = format!(
-        "HTTP/1.1 200 OK\r\nrequest-id: {id}\r\nserver-seal: {SIGNATURE}\r\n\
-         content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n"
+        "{version} 200 OK\r\nrequest-id: {id}\r\nserver-seal: {SIGNATURE}\r\n\
+         content-type: text/event-stream\r\n{framing}\r\n"
     );
     writer.write_all(head.as_bytes()).await?;
+    if behaviour == ServerBehaviour::UnframedEmpty {
+        return Ok(NextStep::Close);
+    }
     for number in after + 1..=STREAM_EVENTS {
         sleep(delay).await;
         let event = format!("id: {number}\ndata: token-{number}\n\n");
-        if behaviour == ServerBehaviour::BreakAfter(number - 1) {
+        if behaviour.breaks_after() == Some(number - 1) {
             let half = &event[..event.len() / 2];
-            writer.write_all(chunk(half).as_bytes()).await?;
-            return Ok(false);
+            writer.write_all(encode(half).as_bytes()).await?;
+            return Ok(NextStep::Close);
+        }
+        if behaviour == ServerBehaviour::UnframedResetAfter(number - 1) {
+            return pause_before_reset().await;
         }
         if behaviour == ServerBehaviour::StallAfter(number - 1) {
             sleep(HANG_TIME).await;
         }
-        writer.write_all(chunk(&event).as_bytes()).await?;
+        writer.write_all(encode(&event).as_bytes()).await?;
+    }
+    if behaviour.is_unframed() {
+        return Ok(NextStep::Close);
     }
     writer.write_all(b"0\r\n\r\n").await?;
-    Ok(true)
+    Ok(NextStep::KeepOpen)
 }
 
 fn chunk(text: &str) -> String {
