Cut streams whose server breaks off and closes its connection in order

Callers saw: rank-history streams that ended early, with status 200, the server's signature and a proper end of the body.

Cause: an answer with neither length nor chunks ends with its connection. The router took any end without an error for the end of the answer, and only streams that may be resumed were checked for a whole last event. A server that breaks off and closes in order gives no error. Class: absence of an error taken as proof of completeness.

Change: all streams of events go through the framer, so that callers get whole events only, and one function tells how a stream ended from its framing and its events (BodyEnd::of_events). Inside an event it is broken, whatever the framing; where the connection is the only end mark, a stream without any event is broken too, also after it was resumed. Broken ones are cut, or resumed where that is allowed. Answers that state another media type on a stream's route have no events and are read whole. Pieces that end with an event are passed on without a copy.

Resets and breaks in chunks were cut before, so an error lost on the way is ruled out.

--- a/src/relay/attempt_loop.rs
+++ b/src/relay/attempt_loop.rs
@@ -6,6 +6,7 @@
 
 use bytes::Bytes;
 use hyper::Response;
+use hyper::header::{CONTENT_TYPE, HeaderMap};
 use tokio::time::timeout;
 
 use crate::decide::{RetryRate, Verdict};
@@ -24,6 +25,9 @@
 /// Remaining time below which a request is no longer sent.
 const MIN_REMAINING: Duration = Duration::from_millis(10);
 
+/// Media type of a stream of server-sent events.
+const EVENT_STREAM: &[u8] = b"text/event-stream";
+
 /// An answer for the caller.
 pub(crate) enum Answer {
     /// Read to its end.
@@ -237,7 +241,10 @@
         let server = &attempt.server;
         let status = reply.parts.status;
         pending.trace.framing = Some(reply.framing);
-        if grant.route.kind == RouteKind::Streaming && status.is_success() {
+        let is_stream = grant.route.kind == RouteKind::Streaming
+            && status.is_success()
+            && may_be_events(&reply.parts.headers);
+        if is_stream {
             attempt.record(pending, "stream");
             server.record_result(true, self.clock.now());
             if let Some(key) = pending.meta.prefix_key() {
@@ -261,3 +268,8 @@
         Ok(TakenAnswer::Full(response))
     }
 }
+
+/// Whether a body can be a stream of events: no other media type is stated.
+fn may_be_events(headers: &HeaderMap) -> bool {
+    headers.get(CONTENT_TYPE).is_none_or(|it| it.as_bytes().starts_with(EVENT_STREAM))
+}
--- a/src/relay/body_end.rs
+++ b/src/relay/body_end.rs
@@ -3,6 +3,8 @@
 use std::error::Error;
 use std::io::{self, ErrorKind};
 
+use crate::relay::{EventFramer, Framing};
+
 key! {
     /// The end of a body, as seen on the connection to the backend server.
     pub enum BodyEnd {
@@ -10,6 +12,8 @@
         Complete,
         /// It ended as its framing demands, but inside an event.
         InsideEvent,
+        /// It ended with its connection, which brought no event.
+        NoEvent,
         /// The connection was closed before the end that the framing demands.
         Short,
         /// The connection was reset.
@@ -20,6 +24,20 @@
 }
 
 impl BodyEnd {
+    /// The end of a stream of events that ended as `framing` demands, without an error.
+    ///
+    /// A server that breaks off may close its connection in order. Where that is also how a
+    /// complete stream ends, whole events are the only sign that nothing is missing.
+    pub fn of_events(framing: Framing, events: &EventFramer) -> BodyEnd {
+        if !events.is_at_boundary() {
+            BodyEnd::InsideEvent
+        } else if framing == Framing::Close && !events.has_event() {
+            BodyEnd::NoEvent
+        } else {
+            BodyEnd::Complete
+        }
+    }
+
     /// The end that an error of a body means.
     pub fn of_error(error: &(dyn Error + 'static)) -> BodyEnd {
         let mut cause = Some(error);
@@ -44,6 +62,7 @@
         match self {
             BodyEnd::Complete => "complete",
             BodyEnd::InsideEvent => "inside_event",
+            BodyEnd::NoEvent => "no_event",
             BodyEnd::Short => "short",
             BodyEnd::Reset => "reset",
             BodyEnd::Failed => "failed",
--- a/src/relay/event_framer.rs
+++ b/src/relay/event_framer.rs
@@ -10,33 +10,54 @@
 pub struct EventFramer {
     /// The bytes received so far of an event that is not complete yet.
     partial: BytesMut,
+    /// Whether an event was complete since the stream began or resumed.
+    has_event: bool,
     last_id: Option<String>,
 }
 
 impl EventFramer {
     /// A framer for a stream that resumes after the event with id `last_id`.
     pub fn after(last_id: Option<String>) -> EventFramer {
-        EventFramer { partial: BytesMut::new(), last_id }
+        EventFramer { last_id, ..EventFramer::default() }
     }
 
     /// Adds received bytes and returns the bytes of all events that are complete now,
     /// possibly none. Returns `None` when no event is complete and the incomplete one
     /// exceeds `MAX_EVENT_BYTES`.
-    pub fn push(&mut self, bytes: &[u8]) -> Option<Bytes> {
-        self.partial.extend_from_slice(bytes);
-        let Some(end) = last_boundary(&self.partial) else {
-            return (self.partial.len() <= MAX_EVENT_BYTES).then(Bytes::new);
-        };
-        let complete = self.partial.split_to(end).freeze();
+    pub fn push(&mut self, bytes: Bytes) -> Option<Bytes> {
+        let complete = self.take_complete(bytes);
+        if complete.is_empty() {
+            return (self.partial.len() <= MAX_EVENT_BYTES).then_some(complete);
+        }
+        self.has_event = true;
         if let Some(id) = find_last_id(&complete) {
             self.last_id = Some(id);
         }
         Some(complete)
     }
 
+    /// Adds received bytes and removes the events that are complete. Bytes are copied only
+    /// where an event arrives in pieces.
+    fn take_complete(&mut self, mut bytes: Bytes) -> Bytes {
+        if self.partial.is_empty() {
+            let complete = bytes.split_to(last_boundary(&bytes));
+            self.partial.extend_from_slice(&bytes);
+            return complete;
+        }
+        self.partial.extend_from_slice(&bytes);
+        let end = last_boundary(&self.partial);
+        self.partial.split_to(end).freeze()
+    }
+
     /// Discards an incomplete event, before the stream resumes at another server.
-    pub fn drop_partial(&mut self) {
+    pub fn resume(&mut self) {
         self.partial.clear();
+        self.has_event = false;
+    }
+
+    /// Whether an event was complete since the stream began or resumed.
+    pub fn has_event(&self) -> bool {
+        self.has_event
     }
 
     /// Whether no event is incomplete.
@@ -50,11 +71,14 @@
     }
 }
 
-/// Position after the last blank line.
-fn last_boundary(bytes: &[u8]) -> Option<usize> {
+/// Position after the last blank line, 0 without one.
+fn last_boundary(bytes: &[u8]) -> usize {
+    if bytes.ends_with(b"\n\n") {
+        return bytes.len();
+    }
     let lf = rfind(bytes, b"\n\n").map(|at| at + 2);
     let crlf = rfind(bytes, b"\r\n\r\n").map(|at| at + 4);
-    lf.max(crlf)
+    lf.max(crlf).unwrap_or(0)
 }
 
 fn rfind(bytes: &[u8], pattern: &[u8]) -> Option<usize> {
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -17,7 +17,7 @@
 use crate::relay::exchange::Reply;
 use crate::relay::pending_request::PendingRequest;
 use crate::relay::{
-    AnswerHead, BodyEnd, Connection, EventFramer, Outcome, Relay, RelayBody, RelayError,
+    AnswerHead, BodyEnd, Connection, EventFramer, Framing, Outcome, Relay, RelayBody, RelayError,
 };
 use crate::rules::Route;
 use crate::servers::InFlight;
@@ -38,10 +38,11 @@
     head: AnswerHead,
     connection: Option<Connection>,
     in_flight: InFlight,
-    /// Present where the stream may be resumed: only complete events are relayed.
-    framer: Option<EventFramer>,
-    /// Follows the events of a stream that may not be resumed.
-    observer: EventFramer,
+    framing: Framing,
+    /// Only complete events are relayed, so that a broken stream ends after one.
+    events: EventFramer,
+    /// The stream may be resumed at another server.
+    resumable: bool,
     /// Silence after which a stream that may be resumed counts as stalled.
     stall: Duration,
 }
@@ -53,9 +54,9 @@
     reply: Reply,
     route: &Route,
 ) -> Response<RelayBody> {
-    let Reply { parts, head, framing: _, body, connection, in_flight } = reply;
+    let Reply { parts, head, framing, body, connection, in_flight } = reply;
     let stall = (route.max_pause * STALL_FACTOR).max(MIN_STALL);
-    let framer = route.resumable.then(|| EventFramer::after(pending.last_event.clone()));
+    let events = EventFramer::after(pending.last_event.clone());
     let relay = Arc::clone(relay);
     let connection = Some(connection);
     let state = Box::new(StreamRelay {
@@ -65,8 +66,9 @@
         head,
         connection,
         in_flight,
-        framer,
-        observer: EventFramer::default(),
+        framing,
+        events,
+        resumable: route.resumable,
         stall,
     });
     let events = stream::try_unfold(state, |mut state| async move {
@@ -125,42 +127,33 @@
 
     async fn read(&mut self) -> Next {
         let deadline: Instant = self.pending.deadline.into();
-        let read_until = match self.framer {
-            Some(_) => deadline.min(Instant::now() + self.stall),
-            None => deadline,
+        let read_until = match self.resumable {
+            true => deadline.min(Instant::now() + self.stall),
+            false => deadline,
         };
-        let frame = timeout_at(read_until, self.body.frame()).await;
-        self.pending.trace.body_end = match &frame {
-            Ok(None) if self.events().is_at_boundary() => Some(BodyEnd::Complete),
-            Ok(None) => Some(BodyEnd::InsideEvent),
-            Ok(Some(Err(e))) => Some(BodyEnd::of_error(e)),
-            Ok(Some(Ok(_))) | Err(_) => None,
-        };
-        let data = match frame {
-            Err(_) if read_until < deadline => return Next::Stalled,
-            Err(_) => return Next::TimedOut,
-            Ok(None) if self.framer.as_ref().is_none_or(EventFramer::is_at_boundary) => {
-                return Next::End;
-            }
-            Ok(None) | Ok(Some(Err(_))) => return Next::Broken,
-            Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
-        };
-        match &mut self.framer {
-            None => {
-                self.observer.push(&data);
-                Next::Bytes(data)
-            }
-            Some(framer) => framer.push(&data).map_or(Next::Broken, Next::Bytes),
+        match timeout_at(read_until, self.body.frame()).await {
+            Err(_) if read_until < deadline => Next::Stalled,
+            Err(_) => Next::TimedOut,
+            Ok(None) => self.end(BodyEnd::of_events(self.framing, &self.events)),
+            Ok(Some(Err(e))) => self.end(BodyEnd::of_error(&e)),
+            Ok(Some(Ok(frame))) => match self.events.push(frame.into_data().unwrap_or_default()) {
+                Some(events) => Next::Bytes(events),
+                None => self.end(BodyEnd::Failed),
+            },
         }
     }
 
-    /// The events received so far.
-    fn events(&self) -> &EventFramer {
-        self.framer.as_ref().unwrap_or(&self.observer)
+    /// Records how the body ended.
+    fn end(&mut self, end: BodyEnd) -> Next {
+        self.pending.trace.body_end = Some(end);
+        match end {
+            BodyEnd::Complete => Next::End,
+            _ => Next::Broken,
+        }
     }
 
     fn finish(&mut self) {
-        self.pending.trace.last_event = self.events().last_id().map(str::to_owned);
+        self.pending.trace.last_event = self.events.last_id().map(str::to_owned);
         self.relay.record_service_time(&mut self.pending);
         self.pending.trace.verdict = Verdict::Ran;
         self.pending.trace.finish(Outcome::Done, "streamed");
@@ -173,30 +166,29 @@
 
     fn cut(&mut self, reason: &str) -> Result<Option<Bytes>, RelayError> {
         self.connection = None;
-        self.pending.trace.last_event = self.events().last_id().map(str::to_owned);
+        self.pending.trace.last_event = self.events.last_id().map(str::to_owned);
         self.pending.trace.finish(Outcome::Cut, reason);
         Err(RelayError)
     }
 
     /// Whether the stream may resume at another server; if so, spends a retry.
     fn may_resume(&mut self) -> bool {
-        self.framer.is_some() && self.relay.may_resume(&mut self.pending)
+        self.resumable && self.relay.may_resume(&mut self.pending)
     }
 
     /// Resumes the stream at another backend server; false when none took it.
     async fn resume(&mut self) -> bool {
-        let Some(framer) = &mut self.framer else {
-            return false;
-        };
         // Closing the connection ends the first run.
         self.connection = None;
-        framer.drop_partial();
-        let last = framer.last_id().map(str::to_owned);
+        self.events.resume();
+        self.pending.trace.body_end = None;
+        let last = self.events.last_id().map(str::to_owned);
         self.pending.prepare_resume(self.in_flight.server(), last.as_deref());
         match self.relay.run_attempts(&mut self.pending).await {
             Ok(Answer::Stream(reply, _)) => {
                 self.body = reply.body;
                 self.head = reply.head;
+                self.framing = reply.framing;
                 self.connection = Some(reply.connection);
                 self.in_flight = reply.in_flight;
                 true
--- a/standins/src/platform/server_standin.rs
+++ b/standins/src/platform/server_standin.rs
@@ -266,8 +266,10 @@
     let signature_header =
         if behaviour == ServerBehaviour::Unsigned { "x-none" } else { "server-seal" };
     let version = behaviour.version();
-    let head =
-        format!("{version} {status}\r\nrequest-id: {id}\r\n{signature_header}: {SIGNATURE}\r\n");
+    let head = format!(
+        "{version} {status}\r\nrequest-id: {id}\r\n{signature_header}: {SIGNATURE}\r\n\
+         content-type: text/plain\r\n"
+    );
     let length = body.len();
     match behaviour {
         ServerBehaviour::Garbage => "no answer at all\r\n\r\n".to_owned(),
--- a/tests/it/relay_parts.rs
+++ b/tests/it/relay_parts.rs
@@ -4,10 +4,11 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use bytes::Bytes;
 use filberttiller::decide::{LoadBound, RetryBudget, RetryRate, Verdict};
 use filberttiller::relay::{
-    ConnectionPool, EventFramer, PrefixHolders, Refusal, RelayLimits, RetryBudgets,
-    drop_hop_headers,
+    BodyEnd, ConnectionPool, EventFramer, Framing, PrefixHolders, Refusal, RelayLimits,
+    RetryBudgets, drop_hop_headers,
 };
 use filberttiller::servers::{Server, ServerRecord, ServerState};
 use hyper::{HeaderMap, StatusCode};
@@ -29,22 +30,53 @@
 #[test]
 fn push_complete_events_only() {
     let mut framer = EventFramer::default();
-    assert_eq!(framer.push(b"id: 1\nda").unwrap(), "");
-    assert_eq!(framer.push(b"ta: a\n\nid: 2\n").unwrap(), "id: 1\ndata: a\n\n");
+    assert_eq!(framer.push(Bytes::from_static(b"id: 1\nda")).unwrap(), "");
+    assert_eq!(framer.push(Bytes::from_static(b"ta: a\n\nid: 2\n")).unwrap(), "id: 1\ndata: a\n\n");
     assert!(!framer.is_at_boundary());
     assert_eq!(framer.last_id(), Some("1"));
-    framer.drop_partial();
-    assert_eq!(framer.push(b"id: 2\r\ndata: b\r\n\r\n").unwrap(), "id: 2\r\ndata: b\r\n\r\n");
+    framer.resume();
+    assert_eq!(
+        framer.push(Bytes::from_static(b"id: 2\r\ndata: b\r\n\r\n")).unwrap(),
+        "id: 2\r\ndata: b\r\n\r\n"
+    );
     assert_eq!(framer.last_id(), Some("2"));
     assert!(framer.is_at_boundary());
 }
 
+/// Guards against broken-off streams that are taken for complete.
+#[rstest]
+#[case::chunked_whole(Framing::Chunked, "id: 1\n\n", BodyEnd::Complete)]
+#[case::chunked_empty(Framing::Chunked, "", BodyEnd::Complete)]
+#[case::chunked_in_event(Framing::Chunked, "id: 1\n\nid", BodyEnd::InsideEvent)]
+#[case::length_whole(Framing::Length, "id: 1\n\n", BodyEnd::Complete)]
+#[case::length_in_event(Framing::Length, "id: 1\n", BodyEnd::InsideEvent)]
+#[case::close_whole(Framing::Close, "id: 1\n\nid: 2\r\n\r\n", BodyEnd::Complete)]
+#[case::close_empty(Framing::Close, "", BodyEnd::NoEvent)]
+#[case::close_before_blank_line(Framing::Close, "id: 1\n\nid: 2\n", BodyEnd::InsideEvent)]
+#[case::close_in_line_end(Framing::Close, "id: 1\r\n\r", BodyEnd::InsideEvent)]
+fn end_of_events(#[case] framing: Framing, #[case] stream: &str, #[case] end: BodyEnd) {
+    let mut events = EventFramer::default();
+    events.push(Bytes::copy_from_slice(stream.as_bytes())).unwrap();
+    assert_eq!(BodyEnd::of_events(framing, &events), end);
+}
+
+/// Guards against a resumed stream that counts events from before it broke.
+#[test]
+fn end_of_events_after_resume() {
+    let mut events = EventFramer::default();
+    events.push(Bytes::from_static(b"id: 1\n\nid: 2")).unwrap();
+    events.resume();
+    assert_eq!(BodyEnd::of_events(Framing::Close, &events), BodyEnd::NoEvent);
+    events.push(Bytes::from_static(b"id: 2\n\n")).unwrap();
+    assert_eq!(BodyEnd::of_events(Framing::Close, &events), BodyEnd::Complete);
+}
+
 #[test]
 fn push_event_too_large() {
     let mut framer = EventFramer::default();
-    let part = vec![b'x'; 600 * 1024];
-    assert!(framer.push(&part).is_some());
-    assert!(framer.push(&part).is_none(), "the event exceeds the limit");
+    let part = Bytes::from(vec![b'x'; 600 * 1024]);
+    assert!(framer.push(part.clone()).is_some());
+    assert!(framer.push(part).is_none(), "the event exceeds the limit");
 }
 
 proptest! {
@@ -59,7 +91,7 @@
                 break;
             }
             let (part, remaining) = rest.split_at((*cut).min(rest.len()));
-            let events = framer.push(part).unwrap();
+            let events = framer.push(Bytes::copy_from_slice(part)).unwrap();
             assert!(events.is_empty() || events.ends_with(b"\n\n"));
             relayed.push_str(std::str::from_utf8(&events).unwrap());
             rest = remaining;
