Never let a cut stream look complete where answers end with their connection

Callers saw, in a test of our own: a stream that the router had cut, and logged as cut, ended in order for a caller of HTTP/1.0, and for any caller if the server had answered with HTTP/1.0.

Cause: the router passed the version of the server's answer on, and HTTP/1.0 has no chunks: such an answer is framed by its connection, on which a cut is an orderly close.

Change: answers bear the router's own version. Callers of HTTP/1.0 get answers with a length, read to their end first; one that breaks off is a 502.

--- a/src/relay/body.rs
+++ b/src/relay/body.rs
@@ -8,6 +8,9 @@
 use http_body_util::{Either, Full, StreamBody};
 use hyper::body::Frame;
 
+/// Limit on the body of an answer that is read in full.
+pub(crate) const MAX_BODY_BYTES: usize = 8 * 1024 * 1024;
+
 /// An answer ended before it was complete. The caller's connection is cut, so
 /// that the answer does not look complete.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -5,17 +5,15 @@
 use hyper::body::Incoming;
 use hyper::header::HeaderMap;
 use hyper::http::response::Parts;
-use hyper::{Method, Request, Response, StatusCode, Uri};
+use hyper::{Method, Request, Response, StatusCode, Uri, Version};
 use tokio::time::{Instant, timeout_at};
 
+use crate::relay::body::MAX_BODY_BYTES;
 use crate::relay::connection::SendError;
 use crate::relay::request_trace::RequestTrace;
 use crate::relay::{AnswerHead, AttemptError, BodyEnd, Connection, Framing, drop_hop_headers};
 use crate::servers::InFlight;
 
-/// Limit on the body of an answer that is read in full.
-const MAX_BODY_BYTES: usize = 8 * 1024 * 1024;
-
 /// A request as it goes to a backend server.
 #[derive(Debug, Clone)]
 pub(crate) struct UpstreamRequest {
@@ -46,7 +44,8 @@
     pub in_flight: InFlight,
 }
 
-/// Sends `request` and validates the head of the answer.
+/// Sends `request` and validates the head of the answer. Headers and version that concern
+/// the connection to the server only are removed.
 ///
 /// # Errors
 /// Fails when there is no valid answer; the error states whether the request may have run.
@@ -71,6 +70,7 @@
     let head = read(&parts.headers);
     validate(parts.status, &head, id)?;
     drop_hop_headers(&mut parts.headers);
+    parts.version = Version::HTTP_11;
     Ok(Reply { parts, head, framing, body, connection, in_flight })
 }
 
--- a/src/relay/relay.rs
+++ b/src/relay/relay.rs
@@ -9,13 +9,16 @@
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::http::request::Parts;
-use hyper::{Request, Response};
+use hyper::{Request, Response, Version};
+use slog::warn;
 use tokio::sync::Notify;
 
 use crate::clock::SharedClock;
 use crate::decide::{ServiceLoad, Verdict};
+use crate::events::Code;
 use crate::fleet::CrashTable;
 use crate::relay::attempt_loop::Answer;
+use crate::relay::body::MAX_BODY_BYTES;
 use crate::relay::by_service::ByService;
 use crate::relay::pending_request::{Admitted, Grant, PendingRequest};
 use crate::relay::request_trace::RequestTrace;
@@ -113,10 +116,14 @@
     ) -> Response<RelayBody> {
         let mut trace = RequestTrace::new(&self.request_log);
         let (head, body) = request.into_parts();
+        let version = head.version;
         let mut response = match self.admit(head, body, is_closed, &mut trace).await {
             Ok(admitted) => self.answer(admitted.with_trace(trace)).await,
             Err(refusal) => refuse(&mut trace, refusal),
         };
+        if version < Version::HTTP_11 {
+            response = self.with_length(response).await;
+        }
         if self.leaving.load(Ordering::Relaxed) {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
@@ -190,6 +197,24 @@
             Err(refusal) => refuse(&mut pending.trace, refusal),
         }
     }
+
+    /// Reads an answer to its end, so that it is sent with its length. Callers of HTTP/1.0
+    /// know no chunks, and a stream that is cut would look complete to them.
+    async fn with_length(&self, response: Response<RelayBody>) -> Response<RelayBody> {
+        let (parts, body) = response.into_parts();
+        match Limited::new(body, MAX_BODY_BYTES).collect().await {
+            Ok(body) => Response::from_parts(parts, full_body(body.to_bytes())),
+            Err(e) => {
+                // Any other error is in the log line of the request.
+                if e.is::<LengthLimitError>() {
+                    let code = Code::TooLarge;
+                    warn!(self.request_log.logger(), "an answer to a caller of HTTP/1.0 is too large";
+                        "event" => code.number(), "limit_bytes" => MAX_BODY_BYTES);
+                }
+                Refusal::ServerFailed.response(None)
+            }
+        }
+    }
 }
 
 /// Approximate length of a head on the wire.
