Soak: answers that end with their connection, resets that arrive as resets, callers of HTTP/1.0

The soak could not find broken-off streams that look complete: its servers always sent chunks, and its links turned every reset into an orderly close, which with answers that end with their connection no router could tell from their end.

Seeds from 2000 draw five more behaviours of servers; lower seeds draw as before. Links reset both sides. One caller in five uses HTTP/1.0.

Seed 2005 is a case of the short soak.

--- a/soak/src/callers.rs
+++ b/soak/src/callers.rs
@@ -8,7 +8,7 @@
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use reqwest::Client;
+use reqwest::{Client, Version};
 use serde_json::Value;
 use standins::platform::fixture::HOST;
 use tokio::time::sleep;
@@ -21,6 +21,8 @@
 const STALE_CACHE_TIME: Duration = Duration::from_secs(20);
 /// One caller in this many uses `STALE_CACHE_TIME`.
 const STALE_CACHE_EVERY: u64 = 3;
+/// One caller in this many uses HTTP/1.0, whose answers end with their connection.
+const HTTP_10_EVERY: u64 = 5;
 /// Timeout of a request.
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(6);
 /// Maximum pause between two requests of one caller.
@@ -85,6 +87,10 @@
     let mut random = ChaCha8Rng::seed_from_u64(seed);
     let http = Client::builder().no_proxy().timeout(REQUEST_TIMEOUT).build();
     let http = http.expect("a client without special options");
+    let version = match seed.is_multiple_of(HTTP_10_EVERY) {
+        true => Version::HTTP_10,
+        false => Version::HTTP_11,
+    };
     let is_stale = seed.is_multiple_of(STALE_CACHE_EVERY);
     let keep = if is_stale { STALE_CACHE_TIME } else { CACHE_TIME };
     let mut known: (Instant, Vec<SocketAddr>) = (Instant::now(), Vec::new());
@@ -94,7 +100,7 @@
             known = (Instant::now(), found);
         }
         if let Some(router) = known.1.choose(&mut random).copied() {
-            let result = send(&fleet, &log, &http, router, &mut random).await;
+            let result = send(&fleet, &log, &http, version, router, &mut random).await;
             if result.status.is_none() {
                 known.1.retain(|it| *it != router);
             }
@@ -125,6 +131,7 @@
     fleet: &Fleet,
     log: &ResultLog,
     http: &Client,
+    version: Version,
     router: SocketAddr,
     random: &mut ChaCha8Rng,
 ) -> RequestResult {
@@ -135,7 +142,7 @@
         // Includes revoked keys.
         operator.keys.choose(random).expect("there are keys").text.clone()
     };
-    let call = http.post(format!("http://{router}{}", kind.path()));
+    let call = http.post(format!("http://{router}{}", kind.path())).version(version);
     let call = call.header("host", HOST).header("request-id", &id).header("deadline-ms", "5000");
     let call = call.header("authorization", format!("Token {key}"));
     let part = random.random_range(0..20);
--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -54,8 +54,12 @@
 const FIRST_CLOCK_SEED: u64 = 1_000;
 /// Number of faults in `FAULTS` before the clock faults.
 const FAULTS_WITHOUT_CLOCKS: usize = 26;
+/// Seeds below this run without answers that end with their connection, for the same reason.
+const FIRST_UNFRAMED_SEED: u64 = 2_000;
+/// Number of faults in `FAULTS` before those of answers that end with their connection.
+const FAULTS_WITHOUT_UNFRAMED: usize = 29;
 
-const FAULTS: [Fault; 29] = [
+const FAULTS: [Fault; 34] = [
     Fault::Kill,
     Fault::Pause,
     Fault::Stop,
@@ -85,12 +89,26 @@
     Fault::WallStep(-WALL_STEP_MS),
     Fault::WallStep(WALL_STEP_MS),
     Fault::BootJump(BOOT_JUMP),
+    Fault::Behaviour(ServerBehaviour::Unframed),
+    Fault::Behaviour(ServerBehaviour::UnframedBreakAfter(2)),
+    Fault::Behaviour(ServerBehaviour::UnframedEmpty),
+    Fault::Behaviour(ServerBehaviour::UnframedResetAfter(2)),
+    Fault::Behaviour(ServerBehaviour::Http10BreakAfter(2)),
 ];
 
+/// The faults that `seed` draws from.
+fn faults(seed: u64) -> &'static [Fault] {
+    match seed {
+        ..FIRST_CLOCK_SEED => &FAULTS[..FAULTS_WITHOUT_CLOCKS],
+        FIRST_CLOCK_SEED..FIRST_UNFRAMED_SEED => &FAULTS[..FAULTS_WITHOUT_UNFRAMED],
+        _ => &FAULTS,
+    }
+}
+
 /// Injects random faults for the time `length`; all have ended when it returns.
 /// Returns one line for each failure of a process.
 pub async fn inject_faults(fleet: &Arc<Fleet>, seed: u64, length: Duration) -> Vec<String> {
-    let faults = if seed < FIRST_CLOCK_SEED { &FAULTS[..FAULTS_WITHOUT_CLOCKS] } else { &FAULTS };
+    let faults = faults(seed);
     let mut random = ChaCha8Rng::seed_from_u64(seed);
     let began = Instant::now();
     let mut running = JoinSet::new();
--- a/soak/src/link.rs
+++ b/soak/src/link.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::tcp::{ReadHalf, WriteHalf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
@@ -23,7 +23,7 @@
     Silence,
     /// No bytes arrive at the target.
     CutOneWay,
-    /// Open connections are closed, and new ones at once.
+    /// Open connections are reset, and new ones closed at once.
     Reset,
 }
 
@@ -71,55 +71,63 @@
     }
 }
 
-async fn forward(stream: TcpStream, target: SocketAddr, fault: watch::Receiver<LinkFault>) {
+async fn forward(mut stream: TcpStream, target: SocketAddr, fault: watch::Receiver<LinkFault>) {
     if *fault.borrow() == LinkFault::Reset {
         return;
     }
-    let Ok(peer) = TcpStream::connect(target).await else {
+    let Ok(mut peer) = TcpStream::connect(target).await else {
         return;
     };
-    let (from_caller, to_caller) = stream.into_split();
-    let (from_peer, to_peer) = peer.into_split();
     let mut reset = fault.clone();
-    tokio::select! {
-        () = copy_both_ways(from_caller, to_peer, from_peer, to_caller, fault) => {}
-        _ = reset.wait_for(|it| *it == LinkFault::Reset) => {}
+    let is_reset = tokio::select! {
+        result = copy_both_ways(&mut stream, &mut peer, fault) => result.is_err(),
+        _ = reset.wait_for(|it| *it == LinkFault::Reset) => true,
+    };
+    if is_reset {
+        // Both ends must see a reset, not an orderly close.
+        set_zero_linger(&stream);
+        set_zero_linger(&peer);
     }
 }
 
+fn set_zero_linger(stream: &TcpStream) {
+    stream.set_zero_linger().expect("an open socket takes the option");
+}
+
 async fn copy_both_ways(
-    from_caller: OwnedReadHalf,
-    to_peer: OwnedWriteHalf,
-    from_peer: OwnedReadHalf,
-    to_caller: OwnedWriteHalf,
+    stream: &mut TcpStream,
+    peer: &mut TcpStream,
     fault: watch::Receiver<LinkFault>,
-) {
+) -> io::Result<()> {
+    let (from_caller, to_caller) = stream.split();
+    let (from_peer, to_peer) = peer.split();
     let forwards = copy(from_caller, to_peer, fault.clone(), true);
     let backwards = copy(from_peer, to_caller, fault, false);
     // The end of either direction closes the connection, as when a caller disconnects.
     tokio::select! {
-        () = forwards => {}
-        () = backwards => {}
+        result = forwards => result,
+        result = backwards => result,
     }
 }
 
 async fn copy(
-    mut from: OwnedReadHalf,
-    mut to: OwnedWriteHalf,
+    mut from: ReadHalf<'_>,
+    mut to: WriteHalf<'_>,
     mut fault: watch::Receiver<LinkFault>,
     to_target: bool,
-) {
+) -> io::Result<()> {
     let mut buffer = vec![0; 16 * 1024];
     loop {
-        let count = match from.read(&mut buffer).await {
-            Ok(count) if count > 0 => count,
-            _ => return,
-        };
+        let count = from.read(&mut buffer).await?;
+        if count == 0 {
+            return Ok(());
+        }
         let is_blocked = |it: &LinkFault| {
             *it == LinkFault::Silence || (to_target && *it == LinkFault::CutOneWay)
         };
         if fault.wait_for(|it| !is_blocked(it)).await.is_err() {
-            return;
+            // The link itself is gone.
+            return Ok(());
         }
         let delay = match *fault.borrow() {
             LinkFault::Delay(time) => time,
@@ -128,8 +136,6 @@
         if !delay.is_zero() {
             sleep(delay).await;
         }
-        if to.write_all(&buffer[..count]).await.is_err() {
-            return;
-        }
+        to.write_all(&buffer[..count]).await?;
     }
 }
--- a/soak/tests/short.rs
+++ b/soak/tests/short.rs
@@ -26,6 +26,8 @@
 #[case::first(1)]
 #[case::second(2)]
 #[case::clocks(1_001)]
+// Routers took a stream for complete whose server had closed its connection inside an event.
+#[case::closed_inside_event(2_005)]
 // The check once counted a shutdown as graceful although the router had been paused for 3 s
 // and its streams had timed out.
 #[case::paused_before_stop(333)]
