Logs: find the cause of streams that broke off

On-call engineers asked for the cause of a broken stream got 'server i-0 failed 0 of 6 attempts (stream)': each attempt that was answered by the head of a stream counted as answered. Broken, stalled and timed-out streams count as failed now, as do those that were sent again, and the cause names how the body ended.

failure_causes::stream_broken_off, three cases, failed before with the text above and passes now.

--- a/src/timeline/diagnosis.rs
+++ b/src/timeline/diagnosis.rs
@@ -10,6 +10,8 @@
 const SERVER_WINDOW: Duration = Duration::from_secs(3);
 /// Time before a request in which events of its router can explain it.
 const ROUTER_WINDOW: Duration = Duration::from_secs(15);
+/// Result of an attempt whose answer was a stream, however that ended.
+const STREAM_ATTEMPT: &str = "stream";
 /// Events of a router that affect all its requests.
 const ROUTER_EVENTS: [Code; 9] = [
     Code::ShutdownBegun,
@@ -149,6 +151,10 @@
         let Some((server, result)) = self.request.attempts().last() else {
             return "it was never sent to a backend server".to_owned();
         };
+        let result = match self.request.str_field("body_end") {
+            Some(end) if result == STREAM_ATTEMPT => &format!("stream ended: {end}"),
+            _ => result,
+        };
         let crashed = self.lines.iter().any(|it| {
             let crash = it.number == Code::ServerCrashed.number();
             crash && it.str_field("server") == Some(server) && self.is_near(it)
@@ -157,10 +163,9 @@
             return format!("server {server} crashed while it ran a request ({result})");
         }
         let near = self.lines.iter().filter(|it| self.is_near(it));
-        let results = near.flat_map(|it| it.attempts()).filter(|(it, _)| *it == server);
+        let results = near.flat_map(attempt_results).filter(|(it, _)| *it == server);
         let (mut succeeded, mut failed) = (0, 0);
-        for (_, result) in results {
-            let is_success = matches!(result, "200" | "stream");
+        for (_, is_success) in results {
             succeeded += u32::from(is_success);
             failed += u32::from(!is_success);
         }
@@ -212,3 +217,14 @@
         before.find(|it| it.number == code.number() && it.is_near(self.request.at, ROUTER_WINDOW))
     }
 }
+
+/// The attempts of a request, as server and whether the server answered completely.
+fn attempt_results(line: &LogLine) -> impl Iterator<Item = (&str, bool)> {
+    let all = line.attempts().count();
+    let is_broken = matches!(line.str_field("reason"), Some("broken" | "stalled" | "timed_out"));
+    line.attempts().enumerate().map(move |(at, (server, result))| {
+        // A stream that was sent again had broken off.
+        let is_stream_whole = at + 1 == all && !is_broken;
+        (server, result == "200" || (result == STREAM_ATTEMPT && is_stream_whole))
+    })
+}
