Soak: a shutdown with a suspension in it is not a graceful one

Cause: a fault of the soak's check. It injected a simulated suspension of 6 s, 1.73 s after the signal. The router counts the time until the kill by time since boot, as the kill comes in real time, and so was right to end; the check called the shutdown graceful, as it looked at faults before the signal only.

The check leaves out shutdowns with a suspension of that router between the signal and the end of the grace time, and no others.

--- a/soak/src/checks.rs
+++ b/soak/src/checks.rs
@@ -7,7 +7,7 @@
 use reqwest::Client;
 
 use crate::callers::{Kind, RequestResult, resolve_at};
-use crate::fleet::{FAULTY_BACKENDS, Fleet, Key};
+use crate::fleet::{FAULTY_BACKENDS, Fleet, Key, Shutdown};
 
 /// Maximum time until a revoked key is refused, from the settings.
 const REVOKE_LIMIT: Duration = Duration::from_millis(5_000);
@@ -15,6 +15,8 @@
 const DRAIN_LIMIT: Duration = Duration::from_millis(2_000);
 /// Time after SIGTERM in which a router still accepts requests.
 const ACCEPT_TIME: Duration = Duration::from_secs(3);
+/// Time from SIGTERM to SIGKILL, from the settings.
+const GRACE: Duration = Duration::from_secs(8);
 /// Share of requests that must be served after the last fault.
 const SERVED_SHARE: f64 = 0.99;
 /// Recovery time after the last fault, before the share of served requests counts.
@@ -127,9 +129,18 @@
     violations
 }
 
-/// A graceful shutdown cuts off no request that only servers without faults ran.
+/// A graceful shutdown cuts off no request that only servers without faults ran. A
+/// suspension during the shutdown takes from the time until the kill, so it is no graceful one.
 fn shutdown_violations(fleet: &Fleet, results: &[RequestResult], runs: &Runs) -> Vec<String> {
-    let stops = fleet.shutdowns.lock().unwrap();
+    let suspensions = fleet.suspensions.lock().unwrap();
+    let is_suspended = |stop: &Shutdown| {
+        let grace = stop.at..stop.at + GRACE;
+        suspensions.iter().any(|it| it.router == stop.router && grace.contains(&it.at))
+    };
+    let stops: Vec<Shutdown> = {
+        let stops = fleet.shutdowns.lock().unwrap();
+        stops.iter().filter(|it| !is_suspended(it)).copied().collect()
+    };
     let faultless: Vec<String> = {
         let backends = fleet.backends.lock().unwrap();
         let faultless = backends.iter().skip(FAULTY_BACKENDS);
--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -11,7 +11,7 @@
 use tokio::task::JoinSet;
 use tokio::time::sleep;
 
-use crate::fleet::{Backend, FAULTY_BACKENDS, Fleet, Shutdown};
+use crate::fleet::{Backend, FAULTY_BACKENDS, Fleet, Shutdown, Suspension};
 use crate::link::LinkFault;
 
 /// Maximum pause between two faults.
@@ -165,6 +165,8 @@
         Fault::WallStep(by) => return wall_step(&fleet, choice, by, time).await,
         Fault::BootJump(by) => {
             let number = choice % fleet.store_links.len();
+            let suspension = Suspension { router: number, at: Instant::now() };
+            fleet.suspensions.lock().unwrap().push(suspension);
             let jump = fleet.step_clock(number, |it| it.boot += by.as_millis() as u64);
             return jump.err().map(|e| format!("clock of router {number} cannot be stepped: {e}"));
         }
@@ -206,7 +208,7 @@
     }
     let is_graceful = !router.is_paused && router.last_fault.elapsed() > FAULT_FREE_TIME;
     if signal == Signal::SIGTERM && is_graceful {
-        let stop = Shutdown { callers: router.callers, at: Instant::now() };
+        let stop = Shutdown { router: number, callers: router.callers, at: Instant::now() };
         fleet.shutdowns.lock().unwrap().push(stop);
     }
     // A paused process handles SIGTERM only after SIGCONT.
--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -37,12 +37,23 @@
 /// A graceful shutdown of a router that had no fault shortly before.
 #[derive(Debug, Clone, Copy)]
 pub struct Shutdown {
+    /// Number of the router.
+    pub router: usize,
     /// Address for callers.
     pub callers: SocketAddr,
     /// When SIGTERM was sent.
     pub at: Instant,
 }
 
+/// A simulated suspension of a router's machine.
+#[derive(Debug, Clone, Copy)]
+pub struct Suspension {
+    /// Number of the router.
+    pub router: usize,
+    /// When its time since boot jumped ahead.
+    pub at: Instant,
+}
+
 /// State of the operator: configuration version and API keys.
 #[derive(Debug)]
 pub struct Operator {
@@ -61,6 +72,7 @@
     pub routers: tokio::sync::Mutex<Vec<Option<RouterProcess>>>,
     pub operator: Mutex<Operator>,
     pub shutdowns: Mutex<Vec<Shutdown>>,
+    pub suspensions: Mutex<Vec<Suspension>>,
     /// Clock offsets of each router.
     clocks: Mutex<Vec<Steps>>,
     program: PathBuf,
@@ -92,6 +104,7 @@
             routers: tokio::sync::Mutex::new((0..routers).map(|_| None).collect()),
             operator: Mutex::new(Operator { version: 0, keys, sequence: 0 }),
             shutdowns: Mutex::default(),
+            suspensions: Mutex::default(),
             clocks: Mutex::new(vec![Steps::default(); routers]),
             program: program.to_owned(),
             folder: folder.to_owned(),
--- a/soak/tests/short.rs
+++ b/soak/tests/short.rs
@@ -28,6 +28,8 @@
 #[case::clocks(1_001)]
 // Routers took a stream for complete whose server had closed its connection inside an event.
 #[case::closed_inside_event(2_005)]
+// The check counted a shutdown as graceful although its router was suspended during it.
+#[case::suspended_in_shutdown(2_102)]
 // The check once counted a shutdown as graceful although the router had been paused for 3 s
 // and its streams had timed out.
 #[case::paused_before_stop(333)]
