--- a/src/controllers/mod.rs
+++ b/src/controllers/mod.rs
@@ -5,6 +5,7 @@
 mod exchange;
 mod gossip;
 mod gossip_merge;
+mod handlers;
 mod list_watch;
 mod load_watch;
 mod mark_watch;
--- a/src/controllers/publisher.rs
+++ b/src/controllers/publisher.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::{Instant, UNIX_EPOCH};
+use std::time::{Duration, Instant};
 
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -11,10 +11,7 @@
 use xtra::prelude::*;
 
 use crate::clock::SharedClock;
-use crate::controllers::messages::{
-    BeginLeaving, Flush, ListRead, LoadReported, LoadTargets, RecordsRead, SnapshotRead, TailPlan,
-    TailQuery,
-};
+use crate::controllers::messages::Flush;
 use crate::controllers::pull::Pull;
 use crate::controllers::view_parts::{pools, routers};
 use crate::decide::{SentTokens, combine, hash_bytes};
@@ -31,11 +28,8 @@
 pub(super) const LOG_FOLLOWERS: usize = 3;
 /// Hash key by which the routers that follow the log are chosen.
 pub(super) const FOLLOWER_KEY: &[u8] = b"ticket log";
-/// Time without contact of any router with the log, beyond the wait of one read, after
-/// which every router follows the log itself.
-const MAX_LOG_SILENCE: std::time::Duration = std::time::Duration::from_secs(15);
 /// Delay within which changed loads are collected and published together.
-const PUBLISH_DELAY: std::time::Duration = std::time::Duration::from_millis(20);
+const PUBLISH_DELAY: Duration = Duration::from_millis(20);
 /// Number of exchanges with random peers after an urgent change other than new
 /// records and marks.
 const URGENT_EXCHANGES: u32 = 3;
@@ -106,9 +100,9 @@
     /// Wakes the task that makes exchanges.
     pub(super) wake_gossip: Arc<Notify>,
     pub(super) rng: ChaCha8Rng,
-    sent_tokens: HashMap<String, Arc<SentTokens>>,
+    pub(super) sent_tokens: HashMap<String, Arc<SentTokens>>,
     ready: bool,
-    flush_pending: bool,
+    pub(super) flush_pending: bool,
 }
 
 impl Publisher {
@@ -190,6 +184,18 @@
         self.parts.cell.store(View { ready: self.ready, state, pools, routers });
     }
 
+    /// Publishes after [`PUBLISH_DELAY`], together with all other changes until then.
+    pub(super) fn publish_soon(&mut self, ctx: &mut Context<Self>) {
+        if std::mem::replace(&mut self.flush_pending, true) {
+            return;
+        }
+        let own = ctx.mailbox().address();
+        tokio::spawn(async move {
+            tokio::time::sleep(PUBLISH_DELAY).await;
+            let _ = own.send(Flush).await;
+        });
+    }
+
     /// Folds a record; false when `offset` is not the next one.
     pub(super) fn fold(&mut self, offset: u64, text: &str, record: Result<Ticket, String>) -> bool {
         let chain = self.state.chain;
@@ -285,123 +291,3 @@
         others.filter(|it| combine(key, it.id) > own).count()
     }
 }
-
-impl Handler<RecordsRead> for Publisher {
-    type Return = ();
-
-    async fn handle(&mut self, message: RecordsRead, _: &mut Context<Self>) {
-        self.log_seen = Some(self.now());
-        let from = self.state.next;
-        for it in message.records {
-            self.fold(it.offset, &it.text, it.ticket);
-        }
-        if self.state.next > from {
-            self.publish();
-            self.spread_records(from);
-        }
-    }
-}
-
-impl Handler<SnapshotRead> for Publisher {
-    type Return = ();
-
-    async fn handle(&mut self, message: SnapshotRead, _: &mut Context<Self>) {
-        if self.adopt(message.state, Code::StateFromSnapshot, "") {
-            self.publish();
-        }
-    }
-}
-
-impl Handler<ListRead> for Publisher {
-    type Return = ();
-
-    async fn handle(&mut self, message: ListRead, _: &mut Context<Self>) {
-        let before: HashMap<String, InstanceState> =
-            self.instance_table.instances().map(|it| (it.name.clone(), it.standing)).collect();
-        let changed = self.instance_table.update(message.instances);
-        for name in &changed {
-            self.record_entry_change(name, before.get(name).copied());
-        }
-        if changed.is_empty() {
-            return;
-        }
-        let known: Vec<u64> =
-            self.instance_table.instances().map(|it| hash_bytes(it.name.as_bytes())).collect();
-        self.loads.retain(|id| known.contains(&id));
-        self.loaded_models.retain(|id| known.contains(&id));
-        let instance_table = &self.instance_table;
-        self.sent_tokens.retain(|name, _| instance_table.get(name).is_some());
-        self.publish();
-        self.request_exchange();
-    }
-}
-
-impl Handler<LoadReported> for Publisher {
-    type Return = ();
-
-    async fn handle(&mut self, message: LoadReported, ctx: &mut Context<Self>) {
-        let wall = self.parts.clock.wall().duration_since(UNIX_EPOCH).unwrap_or_default();
-        let id = hash_bytes(message.name.as_bytes());
-        let at_ms = wall.as_millis() as u64;
-        if self.loaded_models.record_report(id, &message.report, at_ms) {
-            self.request_exchange();
-        }
-        self.loads.record_report(id, message.report, at_ms);
-        self.publish_soon(ctx);
-    }
-}
-
-impl Publisher {
-    /// Publishes after [`PUBLISH_DELAY`], together with all other changes until then.
-    pub(super) fn publish_soon(&mut self, ctx: &mut Context<Self>) {
-        if std::mem::replace(&mut self.flush_pending, true) {
-            return;
-        }
-        let own = ctx.mailbox().address();
-        tokio::spawn(async move {
-            tokio::time::sleep(PUBLISH_DELAY).await;
-            let _ = own.send(Flush).await;
-        });
-    }
-}
-
-impl Handler<Flush> for Publisher {
-    type Return = ();
-
-    async fn handle(&mut self, _: Flush, _: &mut Context<Self>) {
-        self.flush_pending = false;
-        self.publish();
-    }
-}
-
-impl Handler<BeginLeaving> for Publisher {
-    type Return = ();
-
-    async fn handle(&mut self, _: BeginLeaving, _: &mut Context<Self>) {
-        self.members.leave();
-        self.publish();
-        self.request_urgent_exchanges();
-    }
-}
-
-impl Handler<TailQuery> for Publisher {
-    type Return = TailPlan;
-
-    async fn handle(&mut self, _: TailQuery, _: &mut Context<Self>) -> TailPlan {
-        let rank = self.own_rank(hash_bytes(FOLLOWER_KEY));
-        let silence = self.parts.settings.log_wait + MAX_LOG_SILENCE;
-        let now = self.now();
-        let quiet = self.log_seen.is_none_or(|it| now.saturating_duration_since(it) > silence);
-        TailPlan { follow: rank < LOG_FOLLOWERS || quiet, rank, state: Arc::clone(&self.state) }
-    }
-}
-
-impl Handler<LoadTargets> for Publisher {
-    type Return = Vec<(String, SocketAddr)>;
-
-    async fn handle(&mut self, _: LoadTargets, _: &mut Context<Self>) -> Self::Return {
-        let engines = self.instance_table.instances().filter(|it| it.role == Role::Engine);
-        let own = engines.filter(|it| self.own_rank(hash_bytes(it.name.as_bytes())) == 0);
-        own.map(|it| (it.name.clone(), it.address)).collect()
-    }
-}
--- a/src/fleet/members.rs
+++ b/src/fleet/members.rs
@@ -33,14 +33,13 @@
 #[derive(Debug)]
 pub struct Members {
     own: WireMember,
-    own_sends: u32,
     others: BTreeMap<String, Known>,
 }
 
 impl Members {
     /// Membership that knows only this router.
     pub fn new(own: WireMember) -> Members {
-        Members { own, own_sends: SENDS, others: BTreeMap::new() }
+        Members { own, others: BTreeMap::new() }
     }
 
     /// The entry of this router.
@@ -51,7 +50,6 @@
     /// Marks this router as leaving: it takes no new callers from now on.
     pub fn leave(&mut self) {
         self.own.status = MemberStatus::Leaving;
-        self.own_sends = SENDS;
     }
 
     /// Merges an entry received from a peer; true when it changed what is known.
@@ -79,7 +77,6 @@
         let is_newer = entry.incarnation > self.own.incarnation;
         if is_newer || (is_accused && entry.incarnation == self.own.incarnation) {
             self.own.incarnation = entry.incarnation + 1;
-            self.own_sends = SENDS;
             return true;
         }
         false
