--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -12,6 +12,7 @@
 mod events;
 mod failing;
 mod fault;
+mod hot_key;
 mod keys;
 mod leaving;
 mod load;
