Recognise streams by media type in any case

Found in reading: 'Text/Event-Stream' would have been read whole, without the check of its end. Media types are case-insensitive (RFC 9110, section 8.3.1). relay_parts::may_be_events_by_type has the cases; upper_case failed with the comparison by bytes as it stood.

--- a/src/relay/attempt_loop.rs
+++ b/src/relay/attempt_loop.rs
@@ -6,14 +6,13 @@
 
 use bytes::Bytes;
 use hyper::Response;
-use hyper::header::{CONTENT_TYPE, HeaderMap};
 use tokio::time::timeout;
 
 use crate::decide::{RetryRate, Verdict};
 use crate::relay::attempt::Attempt;
 use crate::relay::exchange::{Reply, exchange};
 use crate::relay::pending_request::{Grant, PendingRequest};
-use crate::relay::{AttemptError, Connection, Refusal, Relay, RetryBudgets};
+use crate::relay::{AttemptError, Connection, Refusal, Relay, RetryBudgets, may_be_events};
 use crate::rules::{Route, RouteKind};
 use crate::servers::{InFlight, Server};
 
@@ -25,9 +24,6 @@
 /// Remaining time below which a request is no longer sent.
 const MIN_REMAINING: Duration = Duration::from_millis(10);
 
-/// Media type of a stream of server-sent events.
-const EVENT_STREAM: &[u8] = b"text/event-stream";
-
 /// An answer for the caller.
 pub(crate) enum Answer {
     /// Read to its end.
@@ -268,8 +264,3 @@
         Ok(TakenAnswer::Full(response))
     }
 }
-
-/// Whether a body can be a stream of events: no other media type is stated.
-fn may_be_events(headers: &HeaderMap) -> bool {
-    headers.get(CONTENT_TYPE).is_none_or(|it| it.as_bytes().starts_with(EVENT_STREAM))
-}
--- a/src/relay/headers.rs
+++ b/src/relay/headers.rs
@@ -1,13 +1,16 @@
-//! Hop-by-hop headers.
+//! Hop-by-hop headers, and the media type of streams.
 
 use hyper::HeaderMap;
 use hyper::header::{
-    CONNECTION, CONTENT_LENGTH, EXPECT, HeaderName, TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
+    CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, EXPECT, HeaderName, TE, TRAILER, TRANSFER_ENCODING,
+    UPGRADE,
 };
 use smallvec::SmallVec;
 
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 const PROXY_CONNECTION: HeaderName = HeaderName::from_static("proxy-connection");
+/// Media type of a stream of server-sent events.
+const EVENT_STREAM: &[u8] = b"text/event-stream";
 /// Headers that describe one connection, or the framing of the body on it.
 const HOP_BY_HOP: [HeaderName; 9] = [
     CONNECTION,
@@ -35,3 +38,12 @@
         headers.remove(name);
     }
 }
+
+/// Whether a body can be a stream of events: no other media type is stated.
+pub fn may_be_events(headers: &HeaderMap) -> bool {
+    let Some(stated) = headers.get(CONTENT_TYPE) else {
+        return true;
+    };
+    let start = stated.as_bytes().get(..EVENT_STREAM.len());
+    start.is_some_and(|it| it.eq_ignore_ascii_case(EVENT_STREAM))
+}
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -44,7 +44,7 @@
 pub use connection_pool::ConnectionPool;
 pub use event_framer::EventFramer;
 pub use framing::Framing;
-pub use headers::drop_hop_headers;
+pub use headers::{drop_hop_headers, may_be_events};
 pub use limits::RelayLimits;
 pub use outcome::Outcome;
 pub use prefix_holders::PrefixHolders;
--- a/tests/it/relay_parts.rs
+++ b/tests/it/relay_parts.rs
@@ -8,9 +8,10 @@
 use filberttiller::decide::{LoadBound, RetryBudget, RetryRate, Verdict};
 use filberttiller::relay::{
     BodyEnd, ConnectionPool, EventFramer, Framing, PrefixHolders, Refusal, RelayLimits,
-    RetryBudgets, drop_hop_headers,
+    RetryBudgets, drop_hop_headers, may_be_events,
 };
 use filberttiller::servers::{Server, ServerRecord, ServerState};
+use hyper::header::HeaderValue;
 use hyper::{HeaderMap, StatusCode};
 use proptest::prelude::{any, proptest};
 use rstest::rstest;
@@ -71,6 +72,23 @@
     assert_eq!(BodyEnd::of_events(Framing::Close, &events), BodyEnd::Complete);
 }
 
+/// Guards against streams that are read whole, unchecked, because their media type is written
+/// in another way.
+#[rstest]
+#[case::absent(None, true)]
+#[case::usual(Some("text/event-stream"), true)]
+#[case::upper_case(Some("Text/Event-Stream"), true)]
+#[case::parameter(Some("text/event-stream; charset=utf-8"), true)]
+#[case::json(Some("application/json"), false)]
+#[case::shorter(Some("text/event"), false)]
+fn may_be_events_by_type(#[case] stated: Option<&'static str>, #[case] expected: bool) {
+    let mut headers = HeaderMap::new();
+    if let Some(it) = stated {
+        headers.insert("content-type", HeaderValue::from_static(it));
+    }
+    assert_eq!(may_be_events(&headers), expected);
+}
+
 #[test]
 fn push_event_too_large() {
     let mut framer = EventFramer::default();
