Log the parts of a prompt and the progress of the answer with each crash report

Event 620 could not tell which part the requests of a series of crashes had in common, nor whether an answer had just begun. It names both now. The stand-in of a backend server can crash on one part of a prompt once it begins to answer. No decision changes. Test failure_causes::crash_logged_with_parts.

--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -6,7 +6,7 @@
 
 use slog::info;
 
-use crate::decide::{ServiceLoad, Verdict};
+use crate::decide::{RunProgress, ServiceLoad, Verdict};
 use crate::events::Code;
 use crate::relay::exchange::Reply;
 use crate::relay::pending_request::{Grant, PendingRequest};
@@ -74,12 +74,14 @@
         }
     }
 
-    /// Records a failed attempt: in the trace, and against the server as the error implies.
+    /// Records an attempt that failed at `progress`: in the trace, and against the server as
+    /// the error implies.
     pub(crate) fn record_failure(
         self: &Arc<Relay>,
         pending: &mut PendingRequest,
         attempt: &Attempt,
         error: AttemptError,
+        progress: RunProgress,
     ) {
         attempt.record(pending, error.as_str());
         if error == AttemptError::Unsent {
@@ -91,7 +93,7 @@
             server.record_result(false, self.clock.now());
         }
         if error == AttemptError::Lost {
-            self.check_for_crash(pending, server);
+            self.check_for_crash(pending, server, progress);
         }
         let is_unreached = matches!(error, AttemptError::Connect(_) | AttemptError::Misdirected);
         if is_unreached || (error == AttemptError::Lost && attempt.is_first_use) {
--- a/src/relay/attempt_loop.rs
+++ b/src/relay/attempt_loop.rs
@@ -8,7 +8,7 @@
 use hyper::Response;
 use tokio::time::timeout;
 
-use crate::decide::{RetryRate, Verdict};
+use crate::decide::{RetryRate, RunProgress, Verdict};
 use crate::relay::attempt::Attempt;
 use crate::relay::exchange::{Reply, exchange};
 use crate::relay::pending_request::{Grant, PendingRequest};
@@ -156,7 +156,8 @@
         match opened {
             Ok(connection) => Ok(self.send(pending, grant, &attempt, connection, in_flight).await),
             Err(e) => {
-                self.record_failure(pending, &attempt, AttemptError::Connect(e));
+                let error = AttemptError::Connect(e);
+                self.record_failure(pending, &attempt, error, RunProgress::Unanswered);
                 Ok(AttemptResult::Failed(AttemptError::Connect(e), grant))
             }
         }
@@ -186,20 +187,20 @@
             pending.excluded.push(attempt.server.hash);
             return AttemptResult::Abandoned;
         };
-        let error = match result {
+        let (error, progress) = match result {
             Ok(reply) => {
                 self.record_answer_head(pending, &grant, attempt, &reply);
                 match self.take_answer(pending, &grant, attempt, reply).await {
                     Ok(taken) => return taken.with(grant),
-                    Err(error) => error,
+                    Err(error) => (error, RunProgress::Begun),
                 }
             }
-            Err(error) => error,
+            Err(error) => (error, RunProgress::Unanswered),
         };
         if error == AttemptError::Unsent {
             pending.sends -= 1;
         }
-        self.record_failure(pending, attempt, error);
+        self.record_failure(pending, attempt, error, progress);
         AttemptResult::Failed(error, grant)
     }
 
--- a/src/relay/request_meta.rs
+++ b/src/relay/request_meta.rs
@@ -46,10 +46,22 @@
         Some(shared.iter().fold(self.model, |key, it| combine(key, it.id)))
     }
 
+    /// Parts of the prompt that other requests may have too.
+    pub fn shared_parts(&self) -> &[PromptPart] {
+        let shared = self.parts.len().saturating_sub(1);
+        &self.parts[..shared]
+    }
+
     /// Tokens of the prompt that may be cached from other requests.
     pub fn shared_tokens(&self) -> u32 {
-        let shared = self.parts.len().saturating_sub(1);
-        self.parts[..shared].iter().map(|it| it.tokens).sum()
+        self.shared_parts().iter().map(|it| it.tokens).sum()
+    }
+
+    /// The ids of the shared parts in hexadecimal, separated by commas, for logs.
+    pub fn shared_parts_text(&self) -> String {
+        let ids: SmallVec<[String; 4]> =
+            self.shared_parts().iter().map(|it| format!("{:x}", it.id)).collect();
+        ids.join(",")
     }
 }
 
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -11,7 +11,7 @@
 use hyper::http::response::Parts;
 use tokio::time::{Instant, timeout_at};
 
-use crate::decide::Verdict;
+use crate::decide::{RunProgress, Verdict};
 use crate::relay::attempt_loop::Answer;
 use crate::relay::body::Events;
 use crate::relay::exchange::Reply;
@@ -39,6 +39,8 @@
     connection: Option<Connection>,
     in_flight: InFlight,
     framing: Framing,
+    /// When the answer of the current server began.
+    began: std::time::Instant,
     /// Only complete events are relayed, so that a broken stream ends after one.
     events: EventFramer,
     /// The stream may be resumed at another server.
@@ -59,6 +61,7 @@
     let events = EventFramer::after(pending.last_event.clone());
     let relay = Arc::clone(relay);
     let connection = Some(connection);
+    let began = relay.clock.now();
     let state = Box::new(StreamRelay {
         relay,
         pending,
@@ -67,6 +70,7 @@
         connection,
         in_flight,
         framing,
+        began,
         events,
         resumable: route.resumable,
         stall,
@@ -116,7 +120,8 @@
                 Next::TimedOut => return self.cut("timed_out"),
                 Next::Broken => {
                     self.in_flight.server().record_result(false, self.relay.clock.now());
-                    self.relay.check_for_crash(&self.pending, self.in_flight.server());
+                    let progress = self.progress();
+                    self.relay.check_for_crash(&self.pending, self.in_flight.server(), progress);
                     if !self.may_resume() || !self.resume().await {
                         return self.cut("broken");
                     }
@@ -125,6 +130,11 @@
         }
     }
 
+    fn progress(&self) -> RunProgress {
+        let age = self.relay.clock.now().saturating_duration_since(self.began);
+        RunProgress::of_answer(age, self.events.has_event())
+    }
+
     async fn read(&mut self) -> Next {
         let deadline: Instant = self.pending.deadline.into();
         let read_until = match self.resumable {
@@ -189,6 +199,7 @@
                 self.body = reply.body;
                 self.head = reply.head;
                 self.framing = reply.framing;
+                self.began = self.relay.clock.now();
                 self.connection = Some(reply.connection);
                 self.in_flight = reply.in_flight;
                 true
--- a/src/relay/suspect.rs
+++ b/src/relay/suspect.rs
@@ -7,7 +7,7 @@
 use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout};
 
-use crate::decide::{SuspectPolicy, combine, hash_bytes, suspect_policy};
+use crate::decide::{RunProgress, SuspectPolicy, combine, hash_bytes, suspect_policy};
 use crate::events::Code;
 use crate::fleet::{Crash, CrashReport};
 use crate::relay::pending_request::PendingRequest;
@@ -40,9 +40,14 @@
         }
     }
 
-    /// Checks by a probe whether `server`, which cut off the run of a request, has crashed:
-    /// it has if a new connection fails before the timeout.
-    pub(crate) fn check_for_crash(self: &Arc<Relay>, pending: &PendingRequest, server: &Server) {
+    /// Checks by a probe whether `server`, which cut off the run of a request at `progress`,
+    /// has crashed: it has if a new connection fails before the timeout.
+    pub(crate) fn check_for_crash(
+        self: &Arc<Relay>,
+        pending: &PendingRequest,
+        server: &Server,
+        progress: RunProgress,
+    ) {
         if self.crashes.has_crashed(server.hash, server.born) {
             return;
         }
@@ -51,6 +56,7 @@
         let (address, id) = (server.address, Arc::clone(&server.id));
         let relay = Arc::clone(self);
         let request = pending.meta.id.clone();
+        let parts = pending.meta.shared_parts_text();
         tokio::spawn(async move {
             sleep(PROBE_PAUSE).await;
             let probe = timeout(PROBE_TIMEOUT, TcpStream::connect(address)).await;
@@ -61,7 +67,8 @@
             if relay.crashes.insert(CrashReport { crash, at: now }, now) {
                 warn!(relay.request_log.logger(), "a backend server crashed while it ran a request";
                     "event" => Code::ServerCrashed.number(), "server" => &*id, "request" => request,
-                    "fingerprint" => format!("{fingerprint:016x}"));
+                    "fingerprint" => format!("{fingerprint:016x}"), "parts" => parts,
+                    "progress" => progress.as_str());
                 relay.urgent_update.notify_one();
             }
         });
--- a/standins/src/platform/server_behaviour.rs
+++ b/standins/src/platform/server_behaviour.rs
@@ -44,6 +44,9 @@
     Garbage,
     /// Closes the port and all connections.
     Crash,
+    /// Like `Crash`, once it begins to answer a request with this part in its prompt; answers
+    /// all others.
+    CrashOnPart(u64),
 }
 
 impl ServerBehaviour {
--- a/standins/src/platform/server_standin.rs
+++ b/standins/src/platform/server_standin.rs
@@ -18,6 +18,8 @@
 const HANG_TIME: Duration = Duration::from_secs(3_600);
 /// Pause between the last bytes of an answer and the reset of its connection.
 const RESET_PAUSE: Duration = Duration::from_millis(20);
+/// Pause between the head of an answer and the crash of its server.
+const CRASH_PAUSE: Duration = Duration::from_millis(20);
 /// Number of events in a complete stream.
 const STREAM_EVENTS: u32 = 6;
 /// Signature of all answers.
@@ -42,6 +44,13 @@
         self.head.lines().find_map(|it| it.strip_prefix(name)?.strip_prefix(": "))
     }
 
+    /// Whether its prompt has the part `id`, the last one excepted.
+    pub fn has_part(&self, id: u64) -> bool {
+        let prompt = self.header("prompt-prefix").unwrap_or_default();
+        let shared = prompt.rsplit_once(',').map_or("", |(shared, _)| shared);
+        shared.split(',').filter_map(|it| it.split_once(':')).any(|(it, _)| it == format!("{id:x}"))
+    }
+
     /// Request id.
     pub fn id(&self) -> &str {
         self.header("request-id").unwrap_or_default()
@@ -225,13 +234,22 @@
     }
     let after = request.header("last-event-id").and_then(|it| it.parse().ok()).unwrap_or(0);
     let stream = request.line.contains("stream");
+    let is_fatal = match behaviour {
+        ServerBehaviour::Crash => true,
+        ServerBehaviour::CrashOnPart(part) => request.has_part(part),
+        _ => false,
+    };
     let body = format!("{} of {}", request.line.trim(), shared.id);
     shared.handled.lock().unwrap().push(request);
-    match behaviour {
-        ServerBehaviour::Crash => {
-            shared.crashed.notify_one();
-            sleep(HANG_TIME).await;
+    if is_fatal {
+        if stream && behaviour != ServerBehaviour::Crash {
+            writer.write_all(stream_head(&id, behaviour).as_bytes()).await?;
+            sleep(CRASH_PAUSE).await;
         }
+        shared.crashed.notify_one();
+        sleep(HANG_TIME).await;
+    }
+    match behaviour {
         ServerBehaviour::LoseAnswer => return Ok(NextStep::Close),
         ServerBehaviour::Hang => sleep(HANG_TIME).await,
         _ => {}
@@ -293,16 +311,11 @@
     behaviour: ServerBehaviour,
     delay: Duration,
 ) -> io::Result<NextStep> {
-    let version = behaviour.version();
-    let (framing, encode): (_, fn(&str) -> String) = match behaviour.is_unframed() {
-        true => ("", str::to_owned),
-        false => ("transfer-encoding: chunked\r\n", chunk),
+    let encode: fn(&str) -> String = match behaviour.is_unframed() {
+        true => str::to_owned,
+        false => chunk,
     };
-    let head = format!(
-        "{version} 200 OK\r\nrequest-id: {id}\r\nserver-seal: {SIGNATURE}\r\n\
-         content-type: text/event-stream\r\n{framing}\r\n"
-    );
-    writer.write_all(head.as_bytes()).await?;
+    writer.write_all(stream_head(id, behaviour).as_bytes()).await?;
     if behaviour == ServerBehaviour::UnframedEmpty {
         return Ok(NextStep::Close);
     }
@@ -329,6 +342,15 @@
     Ok(NextStep::KeepOpen)
 }
 
+fn stream_head(id: &str, behaviour: ServerBehaviour) -> String {
+    let version = behaviour.version();
+    let framing = if behaviour.is_unframed() { "" } else { "transfer-encoding: chunked\r\n" };
+    format!(
+        "{version} 200 OK\r\nrequest-id: {id}\r\nserver-seal: {SIGNATURE}\r\n\
+         content-type: text/event-stream\r\n{framing}\r\n"
+    )
+}
+
 fn chunk(text: &str) -> String {
     format!("{:x}\r\n{text}\r\n", text.len())
 }
