--- a/standins/src/platform/server_standin.rs
+++ b/standins/src/platform/server_standin.rs
@@ -136,6 +136,11 @@
         self.shared.handled.lock().unwrap().clone()
     }
 
+    /// Whether it has crashed.
+    pub fn has_crashed(&self) -> bool {
+        self.task.is_finished()
+    }
+
     /// Ids of requests whose caller closed the connection while they ran.
     pub fn abandoned(&self) -> Vec<String> {
         self.shared.abandoned.lock().unwrap().clone()
