--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -15,6 +15,7 @@
 pub mod once;
 pub mod orders;
 mod outlier;
+mod parts;
 mod pick;
 mod place;
 mod retry_budget;
@@ -38,6 +39,9 @@
 pub use hash::{chat_key, combine, hash_bytes, weighted_score};
 pub use max_in_flight::max_in_flight;
 pub use outlier::{Outliers, ServerResult};
+pub use parts::{
+    AnsweredPart, BlamedPart, CutRun, PartChange, PartIds, PartNews, PartPolicy, PartSuspects,
+};
 pub use pick::{Candidate, LoadBound, pick};
 pub use place::{PlaceQuery, Placement, place};
 pub use retry_budget::{RetryBudget, RetryRate};
--- a/src/decide/run_progress.rs
+++ b/src/decide/run_progress.rs
@@ -29,6 +29,17 @@
         }
     }
 
+    /// How strongly a crash at this moment speaks against the request: one at the begin of
+    /// an answer is most likely due to this very answer, a request without an answer may
+    /// have waited.
+    pub fn points(self) -> u8 {
+        match self {
+            RunProgress::Begun => 2,
+            RunProgress::Unanswered | RunProgress::Writing => 1,
+            RunProgress::Established => 0,
+        }
+    }
+
     /// Name for logs.
     pub fn as_str(self) -> &'static str {
         match self {
--- a/src/events/code.rs
+++ b/src/events/code.rs
@@ -132,6 +132,8 @@
     610 HintRefused "a chat hint is malformed, forged or of another chat";
     620 ServerCrashed "a backend server crashed while it ran a request";
     621 SuspectRefused "a request suspected of crashing backend servers was refused";
+    622 PartBlamed "a part of prompts crashes backend servers, requests with it are refused";
+    623 PartCleared "a request with a blamed part was answered, the part is not blamed any more";
     // 9xx: timelines and log appends
     900 EntryAnswered "a caller received the addresses of the routers to use";
     901 RequestReceived "a request was received";
--- a/src/peers/client.rs
+++ b/src/peers/client.rs
@@ -9,7 +9,8 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
-use crate::wire::{WireExchange, WireServers, WireServersRequest};
+use crate::peers::Message;
+use crate::wire::{WireServers, WireServersRequest};
 
 /// Path for the exchange of state between routers.
 pub(crate) const EXCHANGE_PATH: &str = "/exchange";
@@ -67,8 +68,9 @@
     ///
     /// # Errors
     /// `Refused` when no process listens there, `Failed` for any other failure.
-    pub async fn exchange(&self, peer: SocketAddr, body: Bytes) -> Result<WireExchange, PeerError> {
-        self.post(peer, EXCHANGE_PATH, body).await
+    pub async fn exchange(&self, peer: SocketAddr, body: Bytes) -> Result<Message, PeerError> {
+        let reply = self.post(peer, EXCHANGE_PATH, body).await?;
+        Message::decode(&reply).map_err(undecodable)
     }
 
     /// Requests changes of backend servers from the router at `peer`.
@@ -81,22 +83,21 @@
         request: &WireServersRequest,
     ) -> Result<WireServers, PeerError> {
         let body = encode(request).map_err(|e| PeerError::Failed(e.to_string()))?;
-        self.post(peer, SERVERS_PATH, body).await
+        let reply = self.post(peer, SERVERS_PATH, body).await?;
+        decode(&reply).map_err(undecodable)
     }
 
-    async fn post<T: DeserializeOwned>(
-        &self,
-        peer: SocketAddr,
-        path: &str,
-        body: Bytes,
-    ) -> Result<T, PeerError> {
+    async fn post(&self, peer: SocketAddr, path: &str, body: Bytes) -> Result<Bytes, PeerError> {
         let sent = self.http.post(format!("http://{peer}{path}")).body(body).send().await;
         let response = sent.and_then(reqwest::Response::error_for_status).map_err(peer_error)?;
-        let body = response.bytes().await.map_err(peer_error)?;
-        decode(&body).map_err(|e| PeerError::Failed(format!("cannot decode the response: {e}")))
+        response.bytes().await.map_err(peer_error)
     }
 }
 
+fn undecodable(e: rmp_serde::decode::Error) -> PeerError {
+    PeerError::Failed(format!("cannot decode the response: {e}"))
+}
+
 fn peer_error(e: reqwest::Error) -> PeerError {
     let refused = std::iter::successors(std::error::Error::source(&e), |it| it.source())
         .filter_map(|it| it.downcast_ref::<std::io::Error>())
--- a/src/relay/attempt_loop.rs
+++ b/src/relay/attempt_loop.rs
@@ -141,6 +141,7 @@
             return Err(Refusal::TooLate);
         }
         let grant = self.allow(&pending.meta, pending.head.uri.path(), &mut pending.trace)?;
+        self.apply_part_policy(pending)?;
         self.apply_suspect_policy(pending)?;
         let server = self.select_server(pending, &grant)?;
         let load = server.load(now);
@@ -258,6 +259,9 @@
         attempt.record(pending, status.as_str());
         pending.trace.record_answer(status.as_u16());
         server.record_result(!status.is_server_error(), self.clock.now());
+        if status.is_success() {
+            self.record_answered_parts(pending);
+        }
         if may_repeat {
             pending.excluded.push(server.hash);
             return Ok(TakenAnswer::ServerError(response));
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -23,6 +23,7 @@
 mod headers;
 mod limits;
 mod outcome;
+mod part_trial;
 mod pending_request;
 mod prefix_holders;
 mod refusal;
@@ -33,6 +34,7 @@
 mod retry_budgets;
 mod stream;
 mod suspect;
+mod suspect_parts;
 
 pub use answer::AnswerHead;
 pub use attempt_error::AttemptError;
--- a/src/relay/pending_request.rs
+++ b/src/relay/pending_request.rs
@@ -9,6 +9,7 @@
 
 use crate::fleet::RunningSuspect;
 use crate::relay::RequestMeta;
+use crate::relay::part_trial::PartTrial;
 use crate::relay::request_trace::RequestTrace;
 use crate::rules::{Organisation, Route};
 use crate::servers::Server;
@@ -45,6 +46,8 @@
     pub excluded: SmallVec<[u64; 4]>,
     /// Held while it is the only run of this request, which may crash servers.
     pub isolated_run: Option<RunningSuspect>,
+    /// Held while it is the only run with a part of its prompt that is under suspicion.
+    pub part_trial: Option<PartTrial>,
     /// How often it was sent.
     pub sends: u32,
     /// How many servers were selected for it, the current one included.
@@ -74,6 +77,7 @@
             deadline: self.deadline,
             excluded: SmallVec::new(),
             isolated_run: None,
+            part_trial: None,
             sends: 0,
             selections: 0,
             slot_since: None,
--- a/src/relay/refusal.rs
+++ b/src/relay/refusal.rs
@@ -31,6 +31,8 @@
         NoRoom,
         /// Backend servers that ran it crashed.
         Crashes,
+        /// Backend servers crashed that ran requests with a part of its prompt.
+        PartCrashes,
         /// Attempts at backend servers failed; it may have run.
         ServerFailed,
         /// Its deadline passed; it may have run.
@@ -58,6 +60,7 @@
             | Refusal::NoServer
             | Refusal::NoRoom
             | Refusal::Crashes
+            | Refusal::PartCrashes
             | Refusal::TooLate
             | Refusal::Shed => StatusCode::SERVICE_UNAVAILABLE,
         }
@@ -78,7 +81,7 @@
             Refusal::NoRules | Refusal::Leaving => Some(Duration::from_millis(100)),
             Refusal::NoServer => Some(Duration::from_millis(500)),
             Refusal::NoRoom | Refusal::Shed => Some(Duration::from_millis(300)),
-            Refusal::Crashes => Some(Duration::from_secs(10)),
+            Refusal::Crashes | Refusal::PartCrashes => Some(Duration::from_secs(10)),
             _ => None,
         }
     }
@@ -96,6 +99,7 @@
             Refusal::NoServer => "no_server",
             Refusal::NoRoom => "no_room",
             Refusal::Crashes => "crashes",
+            Refusal::PartCrashes => "part_crashes",
             Refusal::ServerFailed => "server_failed",
             Refusal::TimedOut => "timed_out",
             Refusal::TooLate => "too_late",
--- a/src/relay/relay.rs
+++ b/src/relay/relay.rs
@@ -14,7 +14,7 @@
 use tokio::sync::Notify;
 
 use crate::clock::SharedClock;
-use crate::decide::{ServiceLoad, Verdict};
+use crate::decide::{PartSuspects, ServiceLoad, Verdict};
 use crate::events::Code;
 use crate::fleet::CrashTable;
 use crate::relay::attempt_loop::Answer;
@@ -56,6 +56,8 @@
     pub leaving: AtomicBool,
     /// Requests that crash backend servers, as reported by all routers.
     pub crashes: Arc<CrashTable>,
+    /// Parts of prompts that may crash backend servers, as seen by all routers.
+    pub parts: Arc<Mutex<PartSuspects>>,
     /// Notified of an urgent update, which must be sent to the other routers at once.
     pub urgent_update: Arc<Notify>,
 }
@@ -83,6 +85,7 @@
             routers: AtomicUsize::new(1),
             leaving: AtomicBool::new(false),
             crashes: Arc::new(CrashTable::new(CRASH_RETENTION)),
+            parts: Arc::default(),
             urgent_update: Arc::default(),
         }
     }
--- a/src/relay/request_log.rs
+++ b/src/relay/request_log.rs
@@ -115,6 +115,7 @@
             "body_end" => trace.body_end.map(BodyEnd::as_str),
             "last_event" => trace.last_event.as_deref(),
             "resumed" => trace.resumed,
+            "blamed_part" => trace.blamed_part.map(|it| format!("{it:x}")),
             "retry_after_ms" => trace.retry_after.map(|it| it.as_millis() as u64),
             "took_ms" => took.as_millis() as u64);
     }
--- a/src/relay/request_trace.rs
+++ b/src/relay/request_trace.rs
@@ -44,6 +44,8 @@
     pub head_time: Option<Duration>,
     /// Time after which the caller should retry, where no server had free capacity.
     pub retry_after: Option<Duration>,
+    /// The part of its prompt for which it was refused.
+    pub blamed_part: Option<u64>,
     /// How often the stream resumed at another server.
     pub resumed: u32,
 }
@@ -70,6 +72,7 @@
             last_event: None,
             head_time: None,
             retry_after: None,
+            blamed_part: None,
             resumed: 0,
         }
     }
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -165,6 +165,7 @@
     fn finish(&mut self) {
         self.pending.trace.last_event = self.events.last_id().map(str::to_owned);
         self.relay.record_service_time(&mut self.pending);
+        self.relay.record_answered_parts(&self.pending);
         self.pending.trace.verdict = Verdict::Ran;
         self.pending.trace.finish(Outcome::Done, "streamed");
         if let Some(connection) = self.connection.take() {
--- a/src/relay/suspect.rs
+++ b/src/relay/suspect.rs
@@ -48,7 +48,12 @@
         server: &Server,
         progress: RunProgress,
     ) {
+        let run = self.cut_run(pending, server, progress);
         if self.crashes.has_crashed(server.hash, server.born) {
+            // A request without an answer may have been sent after the crash.
+            if progress != RunProgress::Unanswered {
+                self.record_cut_run(run);
+            }
             return;
         }
         let fingerprint = fingerprint(pending);
@@ -64,6 +69,7 @@
                 return;
             }
             let now = relay.clock.now();
+            relay.record_cut_run(run);
             if relay.crashes.insert(CrashReport { crash, at: now }, now) {
                 warn!(relay.request_log.logger(), "a backend server crashed while it ran a request";
                     "event" => Code::ServerCrashed.number(), "server" => &*id, "request" => request,
--- a/src/router/endpoints.rs
+++ b/src/router/endpoints.rs
@@ -2,18 +2,17 @@
 
 use std::net::SocketAddr;
 
+use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_TYPE, HeaderValue};
 use hyper::{Request, Response, StatusCode};
 use prometheus::{Encoder, TextEncoder};
 use rand::seq::IndexedRandom;
-use serde::Serialize;
-use serde::de::DeserializeOwned;
 use slog::warn;
 
 use crate::events::Code;
-use crate::peers::{EXCHANGE_PATH, SERVERS_PATH, decode, encode};
+use crate::peers::{EXCHANGE_PATH, Message, SERVERS_PATH, decode, encode};
 use crate::relay::{RelayBody, full_body};
 use crate::router::{Router, Store};
 
@@ -84,21 +83,23 @@
         }
     };
     match path.as_str() {
-        EXCHANGE_PATH => reply_to(router, &body, |message| {
+        EXCHANGE_PATH => reply_to(router, Message::decode(&body), |message| {
             router.receive(message);
-            router.message()
+            router.message().encode()
         }),
-        SERVERS_PATH => reply_to(router, &body, |request| router.servers_since(&request)),
+        SERVERS_PATH => {
+            reply_to(router, decode(&body), |request| encode(&router.servers_since(&request)))
+        }
         _ => response(StatusCode::NOT_FOUND, Vec::new()),
     }
 }
 
-fn reply_to<S, T: DeserializeOwned, A: Serialize>(
+fn reply_to<S, T>(
     router: &Router<S>,
-    body: &[u8],
-    reply: impl FnOnce(T) -> A,
+    message: Result<T, rmp_serde::decode::Error>,
+    reply: impl FnOnce(T) -> Result<Bytes, rmp_serde::encode::Error>,
 ) -> Response<RelayBody> {
-    let message = match decode(body) {
+    let message = match message {
         Ok(it) => it,
         Err(e) => {
             warn!(router.logger, "cannot decode the message of another router";
@@ -106,7 +107,7 @@
             return response(StatusCode::BAD_REQUEST, Vec::new());
         }
     };
-    match encode(&reply(message)) {
+    match reply(message) {
         Ok(bytes) => response(StatusCode::OK, bytes),
         Err(e) => {
             warn!(router.logger, "cannot encode the reply to another router";
--- a/src/router/exchange_loop.rs
+++ b/src/router/exchange_loop.rs
@@ -11,7 +11,7 @@
 use tokio::time::{sleep, timeout};
 
 use crate::events::Code;
-use crate::peers::{PeerError, encode};
+use crate::peers::PeerError;
 use crate::router::state_change_log::StateChangeLog;
 use crate::router::{Router, Store};
 
@@ -33,7 +33,7 @@
     let mut state_changes = StateChangeLog::default();
     loop {
         state_changes.log_changes(&router);
-        match encode(&router.message()) {
+        match router.message().encode() {
             Ok(body) => {
                 for peer in round_targets(&router) {
                     tokio::spawn(exchange_with(Arc::clone(&router), peer, body.clone()));
@@ -42,7 +42,9 @@
             Err(e) => warn!(router.logger, "cannot encode the message to other routers";
                 "event" => Code::MessageUnreadable.number(), "error" => %e),
         }
-        router.peers.lock().unwrap().remove_expired(router.relay.clock().now());
+        let now = router.relay.clock().now();
+        router.peers.lock().unwrap().remove_expired(now);
+        router.relay.parts.lock().unwrap().remove_expired(now);
         // Ends early on a change to report; the next round begins in either case.
         let _ = timeout(ROUND_INTERVAL, router.exchange_now.notified()).await;
     }
--- a/src/router/router.rs
+++ b/src/router/router.rs
@@ -3,7 +3,7 @@
 use std::cmp::Ordering;
 use std::sync::atomic::{AtomicU32, Ordering::Relaxed};
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, UNIX_EPOCH};
+use std::time::{Duration, Instant, UNIX_EPOCH};
 
 use error_stack::{Report, ResultExt};
 use prometheus::Registry;
@@ -14,13 +14,13 @@
 use crate::decide::Results;
 use crate::events::Code;
 use crate::fleet::CrashReport;
-use crate::peers::{PeerClient, PeerLoad, PeerTable};
+use crate::peers::{
+    Message, PeerClient, PeerLoad, PeerTable, part_news_from_wire, part_news_to_wire,
+};
 use crate::relay::{ConnectionContext, Relay, RequestLog};
 use crate::router::{ClientProtocol, RouterError, RouterSettings, Store};
 use crate::rules::Lease;
-use crate::wire::{
-    ServerLoad, WireExchange, WireRouter, WireServers, WireServersRequest, pack_loads,
-};
+use crate::wire::{ServerLoad, WireNews, WireRouter, WireServers, WireServersRequest, pack_loads};
 
 /// Weight of the results at a backend server up to which an idle one is not reported.
 const MIN_REPORTED_RESULTS: f64 = 0.25;
@@ -117,7 +117,7 @@
     }
 
     /// The current message to other routers.
-    pub(crate) fn message(&self) -> WireExchange {
+    pub(crate) fn message(&self) -> Message {
         let now = self.relay.clock().now();
         let servers = self.relay.servers.lock().unwrap();
         let loads = servers.all().map(|it| {
@@ -133,14 +133,21 @@
         let age = self.relay.lease.age(self.relay.clock().boot());
         let rules = version.zip(age.map(|it| it.as_millis() as u64));
         let peers = self.peers.lock().unwrap();
-        peers.message(self.relay.is_ready(), self.is_leaving(), loads, crashes, rules, now)
+        let ready = self.relay.is_ready();
+        let exchange = peers.message(ready, self.is_leaving(), loads, crashes, rules, now);
+        Message { exchange, news: self.news(now) }
+    }
+
+    fn news(&self, now: Instant) -> WireNews {
+        let parts = self.relay.parts.lock().unwrap().news(now);
+        WireNews { parts: part_news_to_wire(&parts, now) }
     }
 
     /// Handles the reply to a message that was sent at `sent`, as time since boot. If the
     /// other router has the same rules, its confirmation of them renews the lease here too.
-    pub(crate) fn receive_reply(&self, message: WireExchange, sent: Duration) {
+    pub(crate) fn receive_reply(&self, message: Message, sent: Duration) {
         let own = self.relay.rules.load().map_or(0, |it| it.version);
-        if let Some((version, age_ms)) = message.rules {
+        if let Some((version, age_ms)) = message.exchange.rules {
             let confirmed = sent.checked_sub(Duration::from_millis(age_ms));
             match (version.cmp(&own), confirmed) {
                 (Ordering::Equal, Some(at)) => self.relay.lease.renew(at),
@@ -170,13 +177,15 @@
 
     /// Handles a message of another router: merges it, and updates the loads and the
     /// ejection of backend servers accordingly.
-    pub(crate) fn receive(&self, message: WireExchange) {
+    pub(crate) fn receive(&self, message: Message) {
         let now = self.relay.clock().now();
-        for crash in &message.crashes {
+        let Message { exchange, news } = message;
+        self.relay.merge_part_news(part_news_from_wire(news.parts, now));
+        for crash in &exchange.crashes {
             self.relay.crashes.insert(CrashReport::from_wire(crash, now), now);
         }
         let mut peers = self.peers.lock().unwrap();
-        peers.merge_message(message, now);
+        peers.merge_message(exchange, now);
         self.relay.routers.store(peers.alive_count(now) + 1, Relaxed);
         let loads = peers.loads(now);
         drop(peers);
--- a/src/timeline/diagnosis.rs
+++ b/src/timeline/diagnosis.rs
@@ -77,6 +77,9 @@
             }
             "shed" => "the only backend server that the route allows refused it".to_owned(),
             "crashes" => "this request had crashed backend servers before".to_owned(),
+            "part_crashes" => {
+                "backend servers had crashed under a part of this request's prompt".to_owned()
+            }
             "leaving" => "its router was shutting down".to_owned(),
             "too_late" => "no time remained before its deadline when it could be sent".to_owned(),
             "server_failed" | "timed_out" | "broken" | "stalled" => self.server_failed(),
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -12,6 +12,7 @@
 mod once;
 mod order;
 mod packed;
+mod part_news;
 mod peer;
 mod status;
 mod ticket;
@@ -30,8 +31,9 @@
 pub use once::{KeyAnswer, KeyQuery, NewKey, WireClaims};
 pub use order::{OrderRecord, OrderRequest, WireOrder};
 pub use packed::{PackError, pack_gossip, packed_len, unpack_gossip};
+pub use part_news::{WireAnsweredPart, WireBlamedPart, WireCutRun, WirePartNews};
 pub use peer::{
-    ServerLoad, WireExchange, WireObservation, WireRouter, WireServer, WireServers,
+    ServerLoad, WireExchange, WireNews, WireObservation, WireRouter, WireServer, WireServers,
     WireServersRequest, pack_loads, unpack_loads,
 };
 pub use status::{WireEngine, WireRequestCount, WireStatus, WireWantedItem};
--- a/src/wire/peer.rs
+++ b/src/wire/peer.rs
@@ -3,7 +3,7 @@
 
 use std::net::SocketAddr;
 
-use crate::wire::WireCrash;
+use crate::wire::{WireCrash, WirePartNews};
 
 /// Size of one packed load in bytes.
 const LOAD_BYTES: usize = 7;
@@ -94,6 +94,14 @@
         pub rules: Option<(u64, u64)>,
     }
 
+    /// News that follow a [`WireExchange`]. Fields that a router does not know are skipped.
+    #[derive(Default)]
+    #[serde(default)]
+    pub struct WireNews {
+        /// Parts of prompts that may crash backend servers.
+        pub parts: WirePartNews,
+    }
+
     /// Request for changes of backend servers.
     pub struct WireServersRequest {
         /// Process that counted `stamp`; another process answers with all servers.
@@ -137,3 +145,10 @@
         pub sequence: u64,
     }
 }
+
+impl WireNews {
+    /// Whether there is nothing to tell.
+    pub fn is_empty(&self) -> bool {
+        self.parts.is_empty()
+    }
+}
--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -7,6 +7,7 @@
 mod capacity;
 mod control;
 mod crash_table;
+mod crashing_parts;
 mod decide;
 mod decoders;
 mod events;
--- a/tests/it/peers.rs
+++ b/tests/it/peers.rs
@@ -2,9 +2,10 @@
 
 use std::time::{Duration, Instant};
 
-use filberttiller::peers::{PeerTable, Reader, decode, encode};
+use filberttiller::peers::{Message, PeerTable, Reader, decode, encode};
 use filberttiller::wire::{
-    ServerLoad, WireExchange, WireObservation, WireRouter, WireServers, pack_loads, unpack_loads,
+    ServerLoad, WireBlamedPart, WireExchange, WireNews, WireObservation, WireRouter, WireServers,
+    pack_loads, unpack_loads,
 };
 use proptest::collection::vec;
 use proptest::prelude::{any, proptest};
@@ -242,6 +243,21 @@
     assert!(bytes.len() < 1_000, "{}", bytes.len());
 }
 
+/// Guards against routers of two versions that do not understand each other while one replaces
+/// the other.
+#[test]
+fn news_skipped_by_older_router() {
+    let exchange = message(report(router("b", 1), 0), Vec::new(), vec![(5, 2)]);
+    let mut news = WireNews::default();
+    news.parts.blamed.push(WireBlamedPart(7, 1_000, vec![8]));
+    let sent = Message { exchange: exchange.clone(), news };
+    let bytes = sent.encode().unwrap();
+    assert_eq!(Message::decode(&bytes).unwrap(), sent);
+    assert_eq!(decode::<WireExchange>(&bytes).unwrap(), exchange);
+    let former = Message::decode(&encode(&exchange).unwrap()).unwrap();
+    assert_eq!(former, Message { exchange, news: WireNews::default() });
+}
+
 #[test]
 fn message_round_trip() {
     let (mut peers, now) = (PeerTable::new(router("me", 1)), Instant::now());
