--- a/src/events/code.rs
+++ b/src/events/code.rs
@@ -64,6 +64,8 @@
     224 ReadWhole "the store no longer has the next changes, everything is read again";
     225 AnnounceFailed "this router could not announce itself in the store";
     226 LookFailed "other routers could not be looked up in the store";
+    227 BlameNotStored "blamed prompt parts cannot be written to the store";
+    228 BlameStored "a blamed prompt part was written to the store";
     // 3xx: membership
     300 ListUnreachable "the instance list is unreachable";
     301 ListReachable "the instance list is reachable again";
--- a/src/peers/part_news.rs
+++ b/src/peers/part_news.rs
@@ -37,7 +37,11 @@
         at: time(age, now),
         parts: bounded(parts),
     };
-    let answered = |WireAnsweredPart(part, age)| AnsweredPart { part, at: time(age, now) };
+    // An answer at an unknown time must not end a blame.
+    let answered = |WireAnsweredPart(part, age)| {
+        let at = now.checked_sub(Duration::from_millis(age))?;
+        Some(AnsweredPart { part, at })
+    };
     let blamed = |WireBlamedPart(part, age, companions)| BlamedPart {
         part,
         at: time(age, now),
@@ -45,7 +49,7 @@
     };
     PartNews {
         runs: wire.runs.into_iter().take(MAX_ENTRIES).map(run).collect(),
-        answered: wire.answered.into_iter().take(MAX_ENTRIES).map(answered).collect(),
+        answered: wire.answered.into_iter().take(MAX_ENTRIES).filter_map(answered).collect(),
         blamed: wire.blamed.into_iter().take(MAX_ENTRIES).map(blamed).collect(),
     }
 }
--- a/src/router/exchange_loop.rs
+++ b/src/router/exchange_loop.rs
@@ -12,6 +12,7 @@
 
 use crate::events::Code;
 use crate::peers::PeerError;
+use crate::router::blame_store::merge_stored;
 use crate::router::state_change_log::StateChangeLog;
 use crate::router::{Router, Store};
 
@@ -25,7 +26,8 @@
 const FAR_PER_ROUND: usize = 1;
 /// Time between two scans of the store for routers that no other router has reported.
 const SCAN_INTERVAL: Duration = Duration::from_secs(30);
-/// Time between two scans while no other router is alive or this one is not announced.
+/// Time between two scans while no other router is alive, this one is not announced, or the
+/// last scan failed.
 const ISOLATED_SCAN_INTERVAL: Duration = Duration::from_secs(2);
 
 /// Exchanges state with the other routers in rounds, for ever.
@@ -98,18 +100,24 @@
             }
         }
         let now = router.relay.clock().now();
-        match router.store.routers().await {
+        let scanned = match router.store.announcements().await {
             Ok(found) => {
+                merge_stored(&router, found.blamed);
                 let mut peers = router.peers.lock().unwrap();
-                for it in found {
+                for it in found.routers {
                     peers.merge_announced(it, now);
                 }
+                true
             }
-            Err(e) => info!(router.logger, "cannot scan the store for other routers";
-                "event" => Code::LookFailed.number(), "error" => %e),
-        }
+            Err(e) => {
+                info!(router.logger, "cannot scan the store for other routers";
+                    "event" => Code::LookFailed.number(), "error" => %e);
+                false
+            }
+        };
         router.exchange_now.notify_one();
         let alone = router.peers.lock().unwrap().alive_count(now) == 0;
-        sleep(if alone || !announced { ISOLATED_SCAN_INTERVAL } else { SCAN_INTERVAL }).await;
+        let is_complete = announced && scanned && !alone;
+        sleep(if is_complete { SCAN_INTERVAL } else { ISOLATED_SCAN_INTERVAL }).await;
     }
 }
--- a/src/router/lifecycle.rs
+++ b/src/router/lifecycle.rs
@@ -13,6 +13,7 @@
 
 use crate::events::Code;
 use crate::relay::{Relay, serve_connections};
+use crate::router::blame_store::store_blame;
 use crate::router::exchange_loop::{exchange, find_routers};
 use crate::router::rules_watch::follow_rules;
 use crate::router::servers_watch::follow_servers;
@@ -60,6 +61,7 @@
     tokio::spawn(follow_servers(Arc::clone(router)));
     tokio::spawn(find_routers(Arc::clone(router)));
     tokio::spawn(exchange(Arc::clone(router)));
+    tokio::spawn(store_blame(Arc::clone(router)));
     let own = &router.settings;
     info!(router.logger, "started"; "event" => Code::Started.number(), "callers" => %own.callers,
         "ready" => %own.ready, "entry" => %own.entry, "metrics" => %own.metrics,
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -1,5 +1,6 @@
 //! A router process that takes its state from a platform's store.
 
+mod blame_store;
 mod client_protocol;
 mod endpoints;
 mod exchange_loop;
@@ -21,4 +22,4 @@
 pub use router_error::RouterError;
 pub use router_settings::RouterSettings;
 pub use source_health::{SourceHealth, SourceTransition};
-pub use store::{Store, StoreError};
+pub use store::{Announcements, Store, StoreError};
--- a/src/router/router.rs
+++ b/src/router/router.rs
@@ -1,6 +1,7 @@
 //! The state that all tasks of a router share.
 
 use std::cmp::Ordering;
+use std::collections::HashSet;
 use std::sync::atomic::{AtomicU32, Ordering::Relaxed};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant, UNIX_EPOCH};
@@ -52,6 +53,8 @@
     pub(crate) newer_rules: Notify,
     /// Age of the last read of the records of backend servers.
     pub(crate) servers_lease: Lease,
+    /// Blamed prompt parts that the store has, as last read or written.
+    pub(crate) stored_blame: Mutex<HashSet<u64>>,
     /// Client for requests to other routers.
     pub(crate) client: PeerClient,
 }
@@ -95,6 +98,7 @@
             exchange_now,
             newer_rules: Notify::new(),
             servers_lease: Lease::default(),
+            stored_blame: Mutex::default(),
             client: PeerClient::new().change_context(RouterError::SetUp)?,
         })
     }
--- a/src/router/store.rs
+++ b/src/router/store.rs
@@ -6,7 +6,7 @@
 
 use crate::rules::RuleSet;
 use crate::servers::{Page, ServerRecord};
-use crate::wire::WireRouter;
+use crate::wire::{WireRouter, WireStoredBlame};
 
 /// Why a call to the store failed.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -36,6 +36,15 @@
 
 impl std::error::Error for StoreError {}
 
+/// What routers have written to the store.
+#[derive(Debug, Default)]
+pub struct Announcements {
+    /// All routers that ever announced themselves, the latest announcement of each name.
+    pub routers: Vec<WireRouter>,
+    /// Prompt parts that are blamed for crashes.
+    pub blamed: Vec<WireStoredBlame>,
+}
+
 /// The store. A method makes its call once; the router decides when to call and when to
 /// retry.
 pub trait Store: Send + Sync + 'static {
@@ -53,9 +62,18 @@
         from: Option<u64>,
     ) -> impl Future<Output = Result<Page<ServerRecord>, StoreError>> + Send;
 
-    /// All routers that ever announced themselves, the latest announcement of each name.
-    fn routers(&self) -> impl Future<Output = Result<Vec<WireRouter>, StoreError>> + Send;
+    /// All that routers have written.
+    fn announcements(&self) -> impl Future<Output = Result<Announcements, StoreError>> + Send;
 
     /// Announces this router, so that other routers find it. Idempotent.
     fn announce(&self, own: &WireRouter) -> impl Future<Output = Result<(), StoreError>> + Send;
+
+    /// Writes a blamed prompt part. Idempotent.
+    fn put_blame(
+        &self,
+        blame: &WireStoredBlame,
+    ) -> impl Future<Output = Result<(), StoreError>> + Send;
+
+    /// Removes a prompt part that is not blamed any more. Idempotent.
+    fn remove_blame(&self, part: u64) -> impl Future<Output = Result<(), StoreError>> + Send;
 }
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -31,7 +31,7 @@
 pub use once::{KeyAnswer, KeyQuery, NewKey, WireClaims};
 pub use order::{OrderRecord, OrderRequest, WireOrder};
 pub use packed::{PackError, pack_gossip, packed_len, unpack_gossip};
-pub use part_news::{WireAnsweredPart, WireBlamedPart, WireCutRun, WirePartNews};
+pub use part_news::{WireAnsweredPart, WireBlamedPart, WireCutRun, WirePartNews, WireStoredBlame};
 pub use peer::{
     ServerLoad, WireExchange, WireNews, WireObservation, WireRouter, WireServer, WireServers,
     WireServersRequest, pack_loads, unpack_loads,
--- a/src/wire/part_news.rs
+++ b/src/wire/part_news.rs
@@ -12,6 +12,16 @@
     /// in milliseconds, and the parts that all runs had which speak against it.
     pub struct WireBlamedPart(pub u64, pub u64, pub Vec<u64>);
 
+    /// A blamed part as the store keeps it.
+    pub struct WireStoredBlame {
+        /// Its id.
+        pub part: u64,
+        /// When a server crashed under it last, in milliseconds since 1970.
+        pub at_ms: u64,
+        /// Parts that all runs had which speak against it.
+        pub companions: Vec<u64>,
+    }
+
     /// News of parts under suspicion.
     #[derive(Default)]
     #[serde(default)]
--- a/standins/src/platform/store.rs
+++ b/standins/src/platform/store.rs
@@ -128,6 +128,13 @@
         self.append(topic, key, value);
     }
 
+    /// The newest value of a key.
+    pub fn get(&self, topic: &str, key: &str) -> Option<Vec<u8>> {
+        let topics = self.shared.topics();
+        let (value, _) = topics.get(topic)?.newest.get(key)?;
+        Some(value.clone())
+    }
+
     /// Deletes a key.
     pub fn remove(&self, topic: &str, key: &str) {
         self.append(topic, key, &[]);
