Hold crash reports to 32 in a message between routers

Requests that crashed several servers come first, then the latest. Test crash_table::most_relevant_bounded.

--- a/src/fleet/crash_table.rs
+++ b/src/fleet/crash_table.rs
@@ -1,5 +1,6 @@
 //! Backend servers that crashed while running a request, as reported by all routers.
 
+use std::cmp::Reverse;
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -180,6 +181,18 @@
         state.by_request.values().flatten().filter(|it| self.counts(it, now)).copied().collect()
     }
 
+    /// The reports that matter most to other routers, at most `limit`: on requests that
+    /// crashed several servers, then the latest.
+    pub fn most_relevant(&self, limit: usize, now: Instant) -> Vec<CrashReport> {
+        let mut reports = self.current(now);
+        if reports.len() > limit {
+            let count = |it: &CrashReport| self.crash_count(it.crash.fingerprint, 0, now);
+            reports.sort_by_cached_key(|it| Reverse((count(it) > 1, it.at)));
+            reports.truncate(limit);
+        }
+        reports
+    }
+
     /// Number of backend servers that the request crashed. `lift` is the ticket
     /// that lifted the suspicion against it, 0 for none; crashes from before that
     /// ticket do not count.
--- a/src/router/router.rs
+++ b/src/router/router.rs
@@ -26,6 +26,9 @@
 /// Weight of the results at a backend server up to which an idle one is not reported.
 const MIN_REPORTED_RESULTS: f64 = 0.25;
 
+/// Limit of the crash reports in one message to another router.
+const MAX_TOLD_CRASHES: usize = 32;
+
 /// A router: its store, its peers and its relay.
 #[derive(Debug)]
 pub struct Router<S> {
@@ -132,7 +135,8 @@
         let is_reported =
             |it: &ServerLoad| it.in_flight > 0 || it.good + it.bad > MIN_REPORTED_RESULTS;
         let loads = pack_loads(loads.filter(is_reported));
-        let crashes = self.relay.crashes.current(now).iter().map(|it| it.to_wire(now)).collect();
+        let crashes = self.relay.crashes.most_relevant(MAX_TOLD_CRASHES, now);
+        let crashes = crashes.into_iter().map(|it| it.to_wire(now)).collect();
         let version = self.relay.rules.load().map(|it| it.version);
         let age = self.relay.lease.age(self.relay.clock().boot());
         let rules = version.zip(age.map(|it| it.as_millis() as u64));
--- a/tests/it/crash_table.rs
+++ b/tests/it/crash_table.rs
@@ -31,6 +31,24 @@
     assert!(!table.insert(late, start + release));
 }
 
+/// Guards against messages between routers that grow with each request beside a crash.
+#[test]
+fn most_relevant_bounded() {
+    let now = Instant::now();
+    let table = CrashTable::new(Duration::from_secs(60));
+    for server in 0..2 {
+        table.insert(report(7, server, 0, now), now);
+    }
+    for request in 100..400 {
+        let at = now + Duration::from_millis(request);
+        table.insert(report(request, request, 0, at), at);
+    }
+    let told = table.most_relevant(32, now + Duration::from_secs(1));
+    let requests: Vec<u64> = told.iter().map(|it| it.crash.fingerprint).collect();
+    assert_eq!(requests.len(), 32);
+    assert_eq!(requests[..3], [7, 7, 399]);
+}
+
 /// Crashes from before the suspicion was lifted do not count, however late they are
 /// reported; crashes after it do.
 #[test]
