--- a/standins/src/platform/server_standin.rs
+++ b/standins/src/platform/server_standin.rs
@@ -63,6 +63,8 @@
     behaviour: Mutex<ServerBehaviour>,
     /// Time between events, and before other answers.
     delay: Mutex<Duration>,
+    /// Requests a second that it names as its limit.
+    limit: Mutex<Option<f64>>,
     handled: Mutex<Vec<HandledRequest>>,
     /// Ids of requests whose caller closed the connection while they ran.
     abandoned: Mutex<Vec<String>>,
@@ -97,6 +99,7 @@
             id: id.to_owned(),
             behaviour: Mutex::new(ServerBehaviour::Good),
             delay: Mutex::new(Duration::from_millis(1)),
+            limit: Mutex::default(),
             handled: Mutex::default(),
             abandoned: Mutex::default(),
             crashed: Notify::new(),
@@ -131,6 +134,11 @@
         *self.shared.delay.lock().unwrap() = delay;
     }
 
+    /// Sets the limit that all later answers name, in requests a second.
+    pub fn set_limit(&self, limit: Option<f64>) {
+        *self.shared.limit.lock().unwrap() = limit;
+    }
+
     /// All requests that it ran.
     pub fn handled(&self) -> Vec<HandledRequest> {
         self.shared.handled.lock().unwrap().clone()
@@ -223,6 +231,8 @@
     let behaviour = *shared.behaviour.lock().unwrap();
     let delay = *shared.delay.lock().unwrap();
     let id = request.id().to_owned();
+    let limit = shared.limit.lock().unwrap().map(|it| format!("server-limit: {it}\r\n"));
+    let limit = limit.unwrap_or_default();
     let is_addressee = request.header("expect-instance").is_none_or(|it| it == shared.id);
     if !is_addressee {
         let text = format!(
@@ -233,7 +243,9 @@
         return Ok(NextStep::KeepOpen);
     }
     if behaviour == ServerBehaviour::Shed {
-        let text = "HTTP/1.1 503 Service Unavailable\r\nnot-run: 1\r\ncontent-length: 0\r\n\r\n";
+        let text = format!(
+            "HTTP/1.1 503 Service Unavailable\r\nnot-run: 1\r\n{limit}content-length: 0\r\n\r\n"
+        );
         writer.write_all(text.as_bytes()).await?;
         return Ok(NextStep::KeepOpen);
     }
@@ -248,7 +260,7 @@
     shared.handled.lock().unwrap().push(request);
     if is_fatal {
         if stream && behaviour != ServerBehaviour::Crash {
-            writer.write_all(stream_head(&id, behaviour).as_bytes()).await?;
+            writer.write_all(stream_head(&id, &limit, behaviour).as_bytes()).await?;
             sleep(CRASH_PAUSE).await;
         }
         shared.crashed.notify_one();
@@ -260,10 +272,11 @@
         _ => {}
     }
     if stream {
-        return stream_events(writer, &id, after, behaviour, delay).await;
+        writer.write_all(stream_head(&id, &limit, behaviour).as_bytes()).await?;
+        return stream_events(writer, after, behaviour, delay).await;
     }
     sleep(delay).await;
-    let text = full_answer(&id, &body, behaviour);
+    let text = full_answer(&id, &limit, &body, behaviour);
     if let ServerBehaviour::UnframedResetAfter(_) = behaviour {
         let (sent, _) = text.split_at(text.len() - body.len() / 2);
         writer.write_all(sent.as_bytes()).await?;
@@ -283,7 +296,7 @@
     Ok(NextStep::Reset)
 }
 
-fn full_answer(id: &str, body: &str, behaviour: ServerBehaviour) -> String {
+fn full_answer(id: &str, limit: &str, body: &str, behaviour: ServerBehaviour) -> String {
     let status = if behaviour == ServerBehaviour::ServerError { "500 Error" } else { "200 OK" };
     let id = if behaviour == ServerBehaviour::WrongId { "another" } else { id };
     let signature_header =
@@ -291,7 +304,7 @@
     let version = behaviour.version();
     let head = format!(
         "{version} {status}\r\nrequest-id: {id}\r\n{signature_header}: {SIGNATURE}\r\n\
-         content-type: text/plain\r\n"
+         {limit}content-type: text/plain\r\n"
     );
     let length = body.len();
     match behaviour {
@@ -311,7 +324,6 @@
 
 async fn stream_events<W: AsyncWriteExt + Unpin>(
     writer: &mut W,
-    id: &str,
     after: u32,
     behaviour: ServerBehaviour,
     delay: Duration,
@@ -320,7 +332,6 @@
         true => str::to_owned,
         false => chunk,
     };
-    writer.write_all(stream_head(id, behaviour).as_bytes()).await?;
     if behaviour == ServerBehaviour::UnframedEmpty {
         return Ok(NextStep::Close);
     }
@@ -347,12 +358,12 @@
     Ok(NextStep::KeepOpen)
 }
 
-fn stream_head(id: &str, behaviour: ServerBehaviour) -> String {
+fn stream_head(id: &str, limit: &str, behaviour: ServerBehaviour) -> String {
     let version = behaviour.version();
     let framing = if behaviour.is_unframed() { "" } else { "transfer-encoding: chunked\r\n" };
     format!(
         "{version} 200 OK\r\nrequest-id: {id}\r\nserver-seal: {SIGNATURE}\r\n\
-         content-type: text/event-stream\r\n{framing}\r\n"
+         {limit}content-type: text/event-stream\r\n{framing}\r\n"
     )
 }
 
