--- a/src/decide/admission/rate_limit.rs
+++ b/src/decide/admission/rate_limit.rs
@@ -44,9 +44,8 @@
     /// # Errors
     /// If the bucket is empty, returns the time after which the next request may pass.
     pub fn take(&mut self, rate: f64, now: Instant) -> Result<(), Duration> {
-        let passed = now.saturating_duration_since(self.filled).as_secs_f64();
+        self.tokens = self.tokens_at(rate, now);
         self.filled = self.filled.max(now);
-        self.tokens = (self.tokens + passed * rate).min(burst(rate));
         if self.tokens >= 1.0 {
             self.tokens -= 1.0;
             return Ok(());
@@ -54,6 +53,16 @@
         let missing = (1.0 - self.tokens) / rate.max(f64::MIN_POSITIVE);
         Err(Duration::try_from_secs_f64(missing).unwrap_or(Duration::MAX))
     }
+
+    /// Whether a request may pass now.
+    pub fn available(&self, rate: f64, now: Instant) -> bool {
+        self.tokens_at(rate, now) >= 1.0
+    }
+
+    fn tokens_at(&self, rate: f64, now: Instant) -> f64 {
+        let passed = now.saturating_duration_since(self.filled).as_secs_f64();
+        (self.tokens + passed * rate).min(burst(rate))
+    }
 }
 
 /// Returns the size of the bucket, at least one request.
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -12,6 +12,7 @@
 mod failure_point;
 mod hash;
 mod max_in_flight;
+mod named_limit;
 pub mod once;
 pub mod orders;
 mod outlier;
@@ -38,6 +39,7 @@
 pub use failure_point::FailurePoint;
 pub use hash::{chat_key, combine, hash_bytes, weighted_score};
 pub use max_in_flight::max_in_flight;
+pub use named_limit::LimitSenders;
 pub use outlier::{Outliers, ServerResult};
 pub use parts::{
     AnsweredPart, BlamedPart, CutRun, PartChange, PartIds, PartNews, PartPolicy, PartSuspects,
--- a/src/events/code.rs
+++ b/src/events/code.rs
@@ -120,6 +120,9 @@
     514 RetryWithheld "a request was not retried because the retry budget is spent";
     515 ServerSetAside "a backend server fails or is slow and is ejected for a while";
     516 ServerProbed "an ejected backend server gets one request as a probe";
+    517 ServerLimited "a backend server names how many requests a second it takes from all routers";
+    518 ServerUnlimited "a backend server no longer names a limit of requests";
+    519 LimitUnreadable "the limit that a backend server names cannot be read";
     // 6xx: at-most-once calls, idempotency keys and requests that crash backend servers
     600 OnceRun "the owner of an idempotency key ran its call";
     601 OnceRepeated "a repeated at-most-once call got the first response";
--- a/src/peers/peer_table.rs
+++ b/src/peers/peer_table.rs
@@ -19,6 +19,8 @@
 const MEDIUM_FLEET_READERS: usize = 2;
 /// Largest fleet of medium size.
 const MAX_MEDIUM_FLEET: usize = 50;
+/// A router that was last seen this long ago no longer shares the limits of backend servers.
+const SENDER_TIME: Duration = Duration::from_secs(10);
 /// A router that was last seen this long ago is removed and no longer contacted.
 const FORGET_TIME: Duration = Duration::from_secs(60);
 
@@ -153,6 +155,17 @@
         self.peers.get(name).map(|it| (it.last_seen, it.refused))
     }
 
+    /// Hashes of the names of the other routers that may send requests: also those that
+    /// were alive shortly before, so that nobody takes over their share too early.
+    pub fn recent_senders(&self, now: Instant) -> impl Iterator<Item = u64> {
+        let is_recent = move |it: &&Peer| {
+            let was_alive = it.ready || it.loads.is_some();
+            was_alive && now.saturating_duration_since(it.last_seen) < SENDER_TIME
+        };
+        let recent = self.peers.values().filter(is_recent);
+        recent.map(|it| hash_bytes(it.router.name.as_bytes()))
+    }
+
     /// Number of other routers that are alive.
     pub fn alive_count(&self, now: Instant) -> usize {
         self.peers.values().filter(|it| it.is_alive(now)).count()
--- a/src/relay/answer.rs
+++ b/src/relay/answer.rs
@@ -1,6 +1,17 @@
 //! Contents of the head of a backend server's answer.
 
 plain! {
+    /// What an answer says of its server's limit of requests a second.
+    #[derive(Copy)]
+    pub enum StatedLimit {
+        /// Nothing: the server has none.
+        Absent,
+        /// Requests a second that it takes from all routers together; finite, not negative.
+        Named(f64),
+        /// It cannot be read.
+        Unreadable,
+    }
+
     /// Head of an answer, without its status.
     pub struct AnswerHead {
         /// Id of the request that it answers, where the server names it.
@@ -13,6 +24,8 @@
         pub encoded: bool,
         /// Requests at the server, running and waiting.
         pub load: Option<u32>,
+        /// The limit that the server names.
+        pub limit: StatedLimit,
         /// How long the server keeps the idle connection open, in whole seconds.
         pub keep_alive: Option<u64>,
     }
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -42,6 +42,7 @@
         let now = self.clock.now();
         let server = &attempt.server;
         self.record_reached(server);
+        self.record_stated_limit(server, reply.head.limit);
         if let Some(load) = reply.head.load {
             server.set_reported_load(load, now);
         }
--- a/src/relay/attempt_loop.rs
+++ b/src/relay/attempt_loop.rs
@@ -196,7 +196,12 @@
                     Err(error) => (error, RunProgress::Begun),
                 }
             }
-            Err(error) => (error, RunProgress::Unanswered),
+            Err(failed) => {
+                if let Some(limit) = failed.limit {
+                    self.record_stated_limit(&attempt.server, limit);
+                }
+                (failed.error, RunProgress::Unanswered)
+            }
         };
         if error == AttemptError::Unsent {
             pending.sends -= 1;
--- a/src/relay/choose.rs
+++ b/src/relay/choose.rs
@@ -53,11 +53,10 @@
             it.record_selection(picked.is_some());
             (picked.is_none() && any_open).then(|| it.retry_after(remaining, rand::random()))
         });
-        picked.map(|at| Arc::clone(&servers[at])).ok_or(if any_open {
-            Refusal::NoRoom
-        } else {
-            Refusal::NoServer
-        })
+        let refusal = if any_open { Refusal::NoRoom } else { Refusal::NoServer };
+        let server = picked.map(|at| Arc::clone(&servers[at])).ok_or(refusal)?;
+        // Another request may have spent the allowance in the meantime.
+        if server.take_allowance(now) { Ok(server) } else { Err(Refusal::NoRoom) }
     }
 
     /// A server that can hand over the prefix `key` to `server`: a known holder, or else
@@ -114,5 +113,6 @@
 fn candidate(server: &Server, excluded: &[u64], max_load: u32, now: Instant) -> Candidate {
     let open = server.is_reachable(now) && !server.is_ejected();
     let closed = !open || excluded.contains(&server.hash);
+    let max_load = if server.has_allowance(now) { max_load } else { 0 };
     Candidate { hash: server.hash, load: server.load(now), slots: server.slots, max_load, closed }
 }
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -11,7 +11,9 @@
 use crate::relay::body::MAX_BODY_BYTES;
 use crate::relay::connection::SendError;
 use crate::relay::request_trace::RequestTrace;
-use crate::relay::{AnswerHead, AttemptError, BodyEnd, Connection, Framing, drop_hop_headers};
+use crate::relay::{
+    AnswerHead, AttemptError, BodyEnd, Connection, Framing, StatedLimit, drop_hop_headers,
+};
 use crate::servers::InFlight;
 
 /// A request as it goes to a backend server.
@@ -44,6 +46,27 @@
     pub in_flight: InFlight,
 }
 
+/// Why there is no valid answer.
+#[derive(Debug)]
+pub(crate) struct ExchangeError {
+    pub error: AttemptError,
+    /// The limit that the server named as it shed the request.
+    pub limit: Option<StatedLimit>,
+}
+
+impl ExchangeError {
+    fn new(error: AttemptError, head: &AnswerHead) -> ExchangeError {
+        let is_named = error == AttemptError::Shed && head.limit != StatedLimit::Absent;
+        ExchangeError { error, limit: is_named.then_some(head.limit) }
+    }
+}
+
+impl From<AttemptError> for ExchangeError {
+    fn from(error: AttemptError) -> ExchangeError {
+        ExchangeError { error, limit: None }
+    }
+}
+
 /// Sends `request` and validates the head of the answer. Headers and version that concern
 /// the connection to the server only are removed.
 ///
@@ -56,19 +79,19 @@
     id: &str,
     read: fn(&HeaderMap) -> AnswerHead,
     deadline: Instant,
-) -> Result<Reply, AttemptError> {
+) -> Result<Reply, ExchangeError> {
     let sent = timeout_at(deadline, connection.send(request.to_request())).await;
     let response = match sent {
-        Err(_) => return Err(AttemptError::TimedOut),
-        Ok(Err(SendError::Unsent(_))) => return Err(AttemptError::Unsent),
-        Ok(Err(SendError::Lost(e))) if e.is_parse() => return Err(AttemptError::Garbled),
-        Ok(Err(SendError::Lost(_))) => return Err(AttemptError::Lost),
+        Err(_) => return Err(AttemptError::TimedOut.into()),
+        Ok(Err(SendError::Unsent(_))) => return Err(AttemptError::Unsent.into()),
+        Ok(Err(SendError::Lost(e))) if e.is_parse() => return Err(AttemptError::Garbled.into()),
+        Ok(Err(SendError::Lost(_))) => return Err(AttemptError::Lost.into()),
         Ok(Ok(response)) => response,
     };
     let framing = Framing::of(&response);
     let (mut parts, body) = response.into_parts();
     let head = read(&parts.headers);
-    validate(parts.status, &head, id)?;
+    validate(parts.status, &head, id).map_err(|error| ExchangeError::new(error, &head))?;
     drop_hop_headers(&mut parts.headers);
     parts.version = Version::HTTP_11;
     Ok(Reply { parts, head, framing, body, connection, in_flight })
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -22,6 +22,7 @@
 mod framing;
 mod headers;
 mod limits;
+mod named_limits;
 mod outcome;
 mod part_trial;
 mod pending_request;
@@ -36,7 +37,7 @@
 mod suspect;
 mod suspect_parts;
 
-pub use answer::AnswerHead;
+pub use answer::{AnswerHead, StatedLimit};
 pub use attempt_error::AttemptError;
 pub use body::{RelayBody, RelayError, full_body};
 pub use body_end::BodyEnd;
--- a/src/relay/relay.rs
+++ b/src/relay/relay.rs
@@ -14,7 +14,7 @@
 use tokio::sync::Notify;
 
 use crate::clock::SharedClock;
-use crate::decide::{PartSuspects, ServiceLoad, Verdict};
+use crate::decide::{LimitSenders, PartSuspects, ServiceLoad, Verdict};
 use crate::events::Code;
 use crate::fleet::CrashTable;
 use crate::relay::attempt_loop::Answer;
@@ -58,6 +58,8 @@
     pub crashes: Arc<CrashTable>,
     /// Parts of prompts that may crash backend servers, as seen by all routers.
     pub parts: Arc<Mutex<PartSuspects>>,
+    /// The routers that share the limits that backend servers name.
+    pub(crate) limit_senders: ArcSwap<LimitSenders>,
     /// Notified of an urgent update, which must be sent to the other routers at once.
     pub urgent_update: Arc<Notify>,
 }
@@ -86,6 +88,7 @@
             leaving: AtomicBool::new(false),
             crashes: Arc::new(CrashTable::new(CRASH_RETENTION)),
             parts: Arc::default(),
+            limit_senders: ArcSwap::default(),
             urgent_update: Arc::default(),
         }
     }
--- a/src/relay/suspect_parts.rs
+++ b/src/relay/suspect_parts.rs
@@ -2,7 +2,7 @@
 
 use slog::{info, warn};
 
-use crate::decide::{CutRun, PartChange, PartIds, PartNews, PartPolicy, RunProgress, combine};
+use crate::decide::{CutRun, PartChange, PartIds, PartNews, PartPolicy, RunProgress};
 use crate::events::Code;
 use crate::relay::part_trial::PartTrial;
 use crate::relay::pending_request::PendingRequest;
@@ -37,7 +37,7 @@
         progress: RunProgress,
     ) -> CutRun {
         CutRun {
-            server: combine(server.hash, server.born),
+            server: server.incarnation(),
             points: progress.points(),
             at: self.clock.now(),
             parts: shared_parts(pending),
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -5,6 +5,7 @@
 mod endpoints;
 mod exchange_loop;
 mod lifecycle;
+mod limit_news;
 mod listeners;
 mod router;
 mod router_error;
--- a/src/router/router.rs
+++ b/src/router/router.rs
@@ -12,13 +12,14 @@
 use tokio::sync::{Notify, watch};
 
 use crate::clock::SharedClock;
-use crate::decide::Results;
+use crate::decide::{LimitSenders, Results, hash_bytes};
 use crate::events::Code;
 use crate::fleet::CrashReport;
 use crate::peers::{
     Message, PeerClient, PeerLoad, PeerTable, part_news_from_wire, part_news_to_wire,
 };
 use crate::relay::{ConnectionContext, Relay, RequestLog};
+use crate::router::limit_news::{limit_news, merge_limits};
 use crate::router::{ClientProtocol, RouterError, RouterSettings, Store};
 use crate::rules::Lease;
 use crate::wire::{ServerLoad, WireNews, WireRouter, WireServers, WireServersRequest, pack_loads};
@@ -126,15 +127,7 @@
     /// The current message to other routers.
     pub(crate) fn message(&self) -> Message {
         let now = self.relay.clock().now();
-        let servers = self.relay.servers.lock().unwrap();
-        let loads = servers.all().map(|it| {
-            let in_flight = it.own().min(u8::MAX.into()) as u8;
-            let Results { good, bad } = it.local_results(now);
-            ServerLoad { server: it.hash as u32, in_flight, good, bad }
-        });
-        let is_reported =
-            |it: &ServerLoad| it.in_flight > 0 || it.good + it.bad > MIN_REPORTED_RESULTS;
-        let loads = pack_loads(loads.filter(is_reported));
+        let loads = self.loads(now);
         let crashes = self.relay.crashes.most_relevant(MAX_TOLD_CRASHES, now);
         let crashes = crashes.into_iter().map(|it| it.to_wire(now)).collect();
         let version = self.relay.rules.load().map(|it| it.version);
@@ -146,9 +139,22 @@
         Message { exchange, news: self.news(now) }
     }
 
+    /// The loads of this router at all backend servers, packed.
+    fn loads(&self, now: Instant) -> Vec<u8> {
+        let servers = self.relay.servers.lock().unwrap();
+        let loads = servers.all().map(|it| {
+            let in_flight = it.own().min(u8::MAX.into()) as u8;
+            let Results { good, bad } = it.local_results(now);
+            ServerLoad { server: it.hash as u32, in_flight, good, bad }
+        });
+        let is_reported =
+            |it: &ServerLoad| it.in_flight > 0 || it.good + it.bad > MIN_REPORTED_RESULTS;
+        pack_loads(loads.filter(is_reported))
+    }
+
     fn news(&self, now: Instant) -> WireNews {
         let parts = self.relay.parts.lock().unwrap().news(now);
-        WireNews { parts: part_news_to_wire(&parts, now) }
+        WireNews { parts: part_news_to_wire(&parts, now), limits: limit_news(&self.relay, now) }
     }
 
     /// Handles the reply to a message that was sent at `sent`, as time since boot. If the
@@ -189,14 +195,18 @@
         let now = self.relay.clock().now();
         let Message { exchange, news } = message;
         self.relay.merge_part_news(part_news_from_wire(news.parts, now));
+        merge_limits(&self.relay, &news.limits, now);
         for crash in &exchange.crashes {
             self.relay.crashes.insert(CrashReport::from_wire(crash, now), now);
         }
         let mut peers = self.peers.lock().unwrap();
         peers.merge_message(exchange, now);
         self.relay.routers.store(peers.alive_count(now) + 1, Relaxed);
+        let own = hash_bytes(self.settings.name.as_bytes());
+        let senders = LimitSenders { own, others: peers.recent_senders(now).collect() };
         let loads = peers.loads(now);
         drop(peers);
+        self.relay.set_limit_senders(senders);
         let servers = self.relay.servers.lock().unwrap();
         for server in servers.all() {
             let PeerLoad { in_flight, results } =
--- a/src/servers/mod.rs
+++ b/src/servers/mod.rs
@@ -5,9 +5,11 @@
 mod record;
 mod result_window;
 mod server;
+mod server_limit;
 mod table;
 
 pub use change::{Change, Page};
 pub use record::{ServerRecord, ServerState};
 pub use server::{InFlight, Server};
+pub use server_limit::{LimitChange, LimitStatement};
 pub use table::{Effect, ServerTable};
--- a/src/servers/server.rs
+++ b/src/servers/server.rs
@@ -5,9 +5,10 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use crate::decide::{Results, hash_bytes};
+use crate::decide::{LimitSenders, Results, combine, hash_bytes};
 use crate::servers::result_window::ResultWindow;
-use crate::servers::{ServerRecord, ServerState};
+use crate::servers::server_limit::ServerLimit;
+use crate::servers::{LimitChange, LimitStatement, ServerRecord, ServerState};
 
 /// Pause after the first failed connection.
 const FIRST_PAUSE: Duration = Duration::from_millis(200);
@@ -62,6 +63,7 @@
     /// Results at the other routers, as they last reported.
     peer_results: Mutex<Results>,
     ejected: AtomicBool,
+    limit: Mutex<ServerLimit>,
 }
 
 impl Server {
@@ -82,6 +84,7 @@
             window: Mutex::default(),
             peer_results: Mutex::default(),
             ejected: AtomicBool::new(false),
+            limit: Mutex::default(),
         }
     }
 
@@ -92,6 +95,49 @@
         same && self.slots == record.slots && !is_ready_again
     }
 
+    /// Hash of this incarnation, equal at all routers.
+    pub fn incarnation(&self) -> u64 {
+        combine(self.hash, self.born)
+    }
+
+    /// Takes in what the server said of its limit; `senders` share it.
+    pub fn state_limit(
+        &self,
+        statement: LimitStatement,
+        senders: &LimitSenders,
+        now: Instant,
+    ) -> LimitChange {
+        let mut limit = self.limit.lock().unwrap();
+        let former = limit.limit();
+        let change = limit.update(statement, now);
+        if limit.limit() != former {
+            limit.set_senders(self.hash, senders);
+        }
+        change
+    }
+
+    /// Sets the routers that share its limit.
+    pub fn set_limit_senders(&self, senders: &LimitSenders) {
+        self.limit.lock().unwrap().set_senders(self.hash, senders);
+    }
+
+    /// What it last said of its limit, if it ever named one, and whether other routers are
+    /// told at once.
+    pub fn limit_statement(&self, now: Instant) -> Option<(LimitStatement, bool)> {
+        let limit = self.limit.lock().unwrap();
+        Some((limit.statement()?, limit.is_news(now)))
+    }
+
+    /// Whether this router may send a request within its share of the limit.
+    pub fn has_allowance(&self, now: Instant) -> bool {
+        self.limit.lock().unwrap().has_allowance(now)
+    }
+
+    /// Counts a request against this router's share of the limit; false if it is spent.
+    pub fn take_allowance(&self, now: Instant) -> bool {
+        self.limit.lock().unwrap().take(now)
+    }
+
     /// Whether it takes no new work.
     pub fn is_leaving(&self) -> bool {
         self.leaving.load(Ordering::Relaxed)
--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -21,6 +21,7 @@
 mod membership;
 mod metrics;
 mod model;
+mod named_limits;
 mod once;
 mod once_storm;
 mod orders;
