Search only new bytes for the end of an event

Cause: with each piece the whole incomplete event was searched again, quadratic in its length. Now only what is new is searched. The stand-in sends heads and bodies without end.

--- a/src/relay/event_framer.rs
+++ b/src/relay/event_framer.rs
@@ -5,6 +5,9 @@
 /// Limit on the size of one event; real ones are far smaller.
 const MAX_EVENT_BYTES: usize = 1 << 20;
 
+/// Bytes of the longest boundary between two events.
+const BOUNDARY_BYTES: usize = b"\r\n\r\n".len();
+
 /// Splits a stream into complete events and remembers the last event id.
 #[derive(Debug, Default)]
 pub struct EventFramer {
@@ -44,9 +47,13 @@
             self.partial.extend_from_slice(&bytes);
             return complete;
         }
+        // No boundary ends before the last bytes of the incomplete event.
+        let searched = self.partial.len().saturating_sub(BOUNDARY_BYTES - 1);
         self.partial.extend_from_slice(&bytes);
-        let end = last_boundary(&self.partial);
-        self.partial.split_to(end).freeze()
+        match last_boundary(&self.partial[searched..]) {
+            0 => Bytes::new(),
+            end => self.partial.split_to(searched + end).freeze(),
+        }
     }
 
     /// Discards an incomplete event, before the stream resumes at another server.
--- a/standins/src/platform/server_behaviour.rs
+++ b/standins/src/platform/server_behaviour.rs
@@ -42,6 +42,17 @@
     ShortBody,
     /// Sends bytes that are not an HTTP response.
     Garbage,
+    /// Sends a head that never ends, until the caller closes: one line.
+    EndlessLine,
+    /// Sends a head that never ends: ever more headers.
+    EndlessHeaders,
+    /// Sends interim responses (status 100) without end.
+    EndlessInterim,
+    /// Sends a head with neither a length nor chunks, and then bytes without end that are no
+    /// events.
+    EndlessBody,
+    /// Like `EndlessBody`, in chunks.
+    EndlessChunks,
     /// Closes the port and all connections.
     Crash,
     /// Like `Crash`, once it begins to answer a request with this part in its prompt; answers
@@ -55,6 +66,7 @@
         matches!(
             self,
             ServerBehaviour::Unframed
+                | ServerBehaviour::EndlessBody
                 | ServerBehaviour::UnframedBreakAfter(_)
                 | ServerBehaviour::UnframedEmpty
                 | ServerBehaviour::UnframedResetAfter(_)
@@ -62,6 +74,20 @@
         )
     }
 
+    /// What an answer without end begins with, before any head, and what it then repeats.
+    pub fn endless(self) -> Option<(&'static str, &'static str)> {
+        match self {
+            ServerBehaviour::EndlessLine => Some(("", "0123456789abcdef")),
+            ServerBehaviour::EndlessHeaders => {
+                Some(("HTTP/1.1 200 OK\r\n", "x-fill: 0123456789\r\n"))
+            }
+            ServerBehaviour::EndlessInterim => Some(("", "HTTP/1.1 100 Continue\r\n\r\n")),
+            ServerBehaviour::EndlessBody => Some(("", "0123456789abcdef")),
+            ServerBehaviour::EndlessChunks => Some(("", "10\r\n0123456789abcdef\r\n")),
+            _ => None,
+        }
+    }
+
     /// Number of events after which a stream breaks off in the middle of the next one.
     pub fn breaks_after(self) -> Option<u32> {
         match self {
--- a/standins/src/platform/server_standin.rs
+++ b/standins/src/platform/server_standin.rs
@@ -3,6 +3,7 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -20,6 +21,8 @@
 const RESET_PAUSE: Duration = Duration::from_millis(20);
 /// Pause between the head of an answer and the crash of its server.
 const CRASH_PAUSE: Duration = Duration::from_millis(20);
+/// Bytes that an answer without end writes at once, at least.
+const ENDLESS_PIECE_BYTES: usize = 8 * 1024;
 /// Number of events in a complete stream.
 const STREAM_EVENTS: u32 = 6;
 /// Signature of all answers.
@@ -65,6 +68,8 @@
     delay: Mutex<Duration>,
     /// Requests a second that it names as its limit.
     limit: Mutex<Option<f64>>,
+    /// Bytes of answers without end that callers took.
+    endless_bytes: AtomicUsize,
     handled: Mutex<Vec<HandledRequest>>,
     /// Ids of requests whose caller closed the connection while they ran.
     abandoned: Mutex<Vec<String>>,
@@ -100,6 +105,7 @@
             behaviour: Mutex::new(ServerBehaviour::Good),
             delay: Mutex::new(Duration::from_millis(1)),
             limit: Mutex::default(),
+            endless_bytes: AtomicUsize::new(0),
             handled: Mutex::default(),
             abandoned: Mutex::default(),
             crashed: Notify::new(),
@@ -139,6 +145,11 @@
         *self.shared.limit.lock().unwrap() = limit;
     }
 
+    /// Bytes of answers without end that callers took.
+    pub fn endless_bytes(&self) -> usize {
+        self.shared.endless_bytes.load(Ordering::Relaxed)
+    }
+
     /// All requests that it ran.
     pub fn handled(&self) -> Vec<HandledRequest> {
         self.shared.handled.lock().unwrap().clone()
@@ -271,6 +282,14 @@
         ServerBehaviour::Hang => sleep(HANG_TIME).await,
         _ => {}
     }
+    if let Some((start, piece)) = behaviour.endless() {
+        let is_body =
+            matches!(behaviour, ServerBehaviour::EndlessBody | ServerBehaviour::EndlessChunks);
+        let head = stream_head(&id, &limit, behaviour);
+        let start = if is_body { &head } else { start };
+        writer.write_all(start.as_bytes()).await?;
+        return write_without_end(writer, piece, shared).await;
+    }
     if stream {
         writer.write_all(stream_head(&id, &limit, behaviour).as_bytes()).await?;
         return stream_events(writer, after, behaviour, delay).await;
@@ -290,6 +309,19 @@
     })
 }
 
+/// Repeats `piece` until the caller closes the connection.
+async fn write_without_end<W: AsyncWriteExt + Unpin>(
+    writer: &mut W,
+    piece: &str,
+    shared: &Shared,
+) -> io::Result<NextStep> {
+    let pieces = piece.repeat(ENDLESS_PIECE_BYTES.div_ceil(piece.len()));
+    loop {
+        writer.write_all(pieces.as_bytes()).await?;
+        shared.endless_bytes.fetch_add(pieces.len(), Ordering::Relaxed);
+    }
+}
+
 /// Lets the peer read what was sent, as a reset discards what it has not read yet.
 async fn pause_before_reset() -> io::Result<NextStep> {
     sleep(RESET_PAUSE).await;
--- a/tests/it/relay_parts.rs
+++ b/tests/it/relay_parts.rs
@@ -44,6 +44,18 @@
     assert!(framer.is_at_boundary());
 }
 
+/// Guards against boundaries that are missed where they arrive in pieces.
+#[rstest]
+#[case::line_feeds("id: 1\n\n")]
+#[case::with_returns("id: 1\r\n\r\n")]
+fn push_boundary_in_pieces(#[case] event: &'static str, #[values(1, 2, 3, 5)] size: usize) {
+    let mut framer = EventFramer::default();
+    let pieces = event.as_bytes().chunks(size).map(Bytes::from_static);
+    let complete: Vec<Bytes> = pieces.map(|it| framer.push(it).unwrap()).collect();
+    assert_eq!(complete.concat(), event.as_bytes());
+    assert!(framer.is_at_boundary());
+}
+
 /// Guards against broken-off streams that are taken for complete.
 #[rstest]
 #[case::chunked_whole(Framing::Chunked, "id: 1\n\n", BodyEnd::Complete)]
