End answers whose head never ends, interim responses included

What callers would see: nothing but a late 504; a server that sends interim responses without end made the router read 25 to 38 MB until the deadline. Cause: the HTTP library limits a head (400 KB), but skips interim responses without a limit. A connection now reads 1 MiB at most from the request to the end of the head; then the answer is garbled and the connection closed. Test endless_answers::endless_answer_ended, both cases of EndlessInterim red before.

--- a/src/relay/connection.rs
+++ b/src/relay/connection.rs
@@ -15,6 +15,8 @@
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
+use crate::relay::head_budget::{BudgetedStream, HeadBudget};
+
 /// Time within which a new connection must be established.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
 /// Time within which the peer must acknowledge sent data, else the connection is closed.
@@ -45,14 +47,17 @@
 pub enum SendError {
     /// Not a byte of it was sent; the request is handed back.
     Unsent(Box<Request<Full<Bytes>>>),
+    /// It may have reached the peer, whose bytes are no answer.
+    Garbled,
     /// It may have reached the peer.
-    Lost(hyper::Error),
+    Lost,
 }
 
 /// An open connection. Dropping it closes it, even with a request in flight.
 #[derive(Debug)]
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
+    budget: HeadBudget,
     driver: JoinHandle<()>,
     /// When it was last used.
     pub last_used: Instant,
@@ -70,13 +75,15 @@
         let stream = stream.await.map_err(|_| ConnectError::TimedOut)?;
         let stream = stream.map_err(|_| ConnectError::Refused)?;
         set_socket_options(&stream);
+        let budget = HeadBudget::new();
+        let stream = BudgetedStream::new(stream, budget.clone());
         let handshake = Builder::new().handshake(TokioIo::new(stream)).await;
         let (sender, driver) = handshake.map_err(|_| ConnectError::Refused)?;
         // The request in flight gets the error, if there is one.
         let driver = tokio::spawn(async move {
             let _ = driver.await;
         });
-        Ok(Connection { sender, driver, last_used: now, is_reused: false })
+        Ok(Connection { sender, budget, driver, last_used: now, is_reused: false })
     }
 
     /// Whether a request can be sent on it now.
@@ -92,9 +99,14 @@
         &mut self,
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, SendError> {
-        self.sender.try_send_request(request).await.map_err(|mut e| match e.take_message() {
+        self.budget.begin();
+        let sent = self.sender.try_send_request(request).await;
+        let is_endless = self.budget.is_spent();
+        self.budget.end();
+        sent.map_err(|mut e| match e.take_message() {
             Some(unsent) => SendError::Unsent(Box::new(unsent)),
-            None => SendError::Lost(e.into_error()),
+            None if is_endless || e.error().is_parse() => SendError::Garbled,
+            None => SendError::Lost,
         })
     }
 }
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -84,8 +84,8 @@
     let response = match sent {
         Err(_) => return Err(AttemptError::TimedOut.into()),
         Ok(Err(SendError::Unsent(_))) => return Err(AttemptError::Unsent.into()),
-        Ok(Err(SendError::Lost(e))) if e.is_parse() => return Err(AttemptError::Garbled.into()),
-        Ok(Err(SendError::Lost(_))) => return Err(AttemptError::Lost.into()),
+        Ok(Err(SendError::Garbled)) => return Err(AttemptError::Garbled.into()),
+        Ok(Err(SendError::Lost)) => return Err(AttemptError::Lost.into()),
         Ok(Ok(response)) => response,
     };
     let framing = Framing::of(&response);
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -20,6 +20,7 @@
 mod event_framer;
 mod exchange;
 mod framing;
+mod head_budget;
 mod headers;
 mod limits;
 mod named_limits;
