Revert "Send what a limited server does not take to servers without a limit"

Prompt memory is moved because the servers without a limit now hold the prefixes of all; which server gets them matters little.

--- a/src/decide/pick.rs
+++ b/src/decide/pick.rs
@@ -15,8 +15,6 @@
         pub slots: u32,
         /// Maximum number of requests in flight there, including those that wait.
         pub max_load: u32,
-        /// It takes only some requests a second, whatever its load.
-        pub limited: bool,
         /// It must not be used: already attempted, unreachable or failing.
         pub closed: bool,
     }
@@ -34,8 +32,7 @@
 
 /// Chooses among `candidates`, by index. With a `key`, this is the first candidate in
 /// the key's rendezvous order whose load is within the bound, so that all routers send
-/// one key to the same server. A limited server gets only the keys that it is the first for:
-/// what it does not take goes to servers without a limit, so that it is cached at few. Without a key, or if no candidate is within the bound, it
+/// one key to the same server. Without a key, or if no candidate is within the bound, it
 /// is the least loaded one; `seed` breaks ties. Returns `None` when all are closed or full.
 ///
 /// Rendezvous hashing after Thaler and Ravishankar (1998), with bounded loads
@@ -52,13 +49,7 @@
     let mean = f64::from(total) / count.max(1) as f64;
     let limit = mean * bound.factor + bound.extra;
     let within = |it: &Candidate| open(it) && f64::from(it.load) < limit;
-    let home = key.and_then(|key| {
-        let rank = |it: &Candidate| combine(key, it.hash);
-        let first = best(candidates, |it| !it.closed, rank).filter(|it| within(&candidates[*it]));
-        first
-            .or_else(|| best(candidates, |it| within(it) && !it.limited, rank))
-            .or_else(|| best(candidates, within, rank))
-    });
+    let home = key.and_then(|key| best(candidates, within, |it| combine(key, it.hash)));
     home.or_else(|| {
         best(candidates, open, |it| {
             let idleness = -f64::from(it.load) / f64::from(it.slots.max(1));
--- a/src/relay/choose.rs
+++ b/src/relay/choose.rs
@@ -114,12 +114,5 @@
     let open = server.is_reachable(now) && !server.is_ejected();
     let closed = !open || excluded.contains(&server.hash);
     let max_load = if server.has_allowance(now) { max_load } else { 0 };
-    Candidate {
-        hash: server.hash,
-        load: server.load(now),
-        slots: server.slots,
-        max_load,
-        limited: server.is_limited(),
-        closed,
-    }
+    Candidate { hash: server.hash, load: server.load(now), slots: server.slots, max_load, closed }
 }
--- a/src/servers/server.rs
+++ b/src/servers/server.rs
@@ -128,11 +128,6 @@
         Some((limit.statement()?, limit.is_news(now)))
     }
 
-    /// Whether it names a limit.
-    pub fn is_limited(&self) -> bool {
-        self.limit.lock().unwrap().limit().is_some()
-    }
-
     /// Whether this router may send a request within its share of the limit.
     pub fn has_allowance(&self, now: Instant) -> bool {
         self.limit.lock().unwrap().has_allowance(now)
