Soak: heads and bodies without end, and named limits, from seed 3000

The faults run in series and overlapping with all others; what callers and servers see is checked as before. Whether limits are kept is left to the tests.

--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -40,6 +40,8 @@
     StoreLink(LinkFault),
     ServerLink(LinkFault),
     Behaviour(ServerBehaviour),
+    /// A server names a limit of requests a second.
+    NamedLimit(f64),
     Replace,
     Rules,
     RevokeKey,
@@ -59,7 +61,12 @@
 /// Number of faults in `FAULTS` before those of answers that end with their connection.
 const FAULTS_WITHOUT_UNFRAMED: usize = 29;
 
-const FAULTS: [Fault; 34] = [
+/// Seeds below this run without answers that never end and limits that servers name.
+const FIRST_ENDLESS_SEED: u64 = 3_000;
+/// Number of faults in `FAULTS` before these.
+const FAULTS_WITHOUT_ENDLESS: usize = 34;
+
+const FAULTS: [Fault; 41] = [
     Fault::Kill,
     Fault::Pause,
     Fault::Stop,
@@ -94,6 +101,13 @@
     Fault::Behaviour(ServerBehaviour::UnframedEmpty),
     Fault::Behaviour(ServerBehaviour::UnframedResetAfter(2)),
     Fault::Behaviour(ServerBehaviour::Http10BreakAfter(2)),
+    Fault::Behaviour(ServerBehaviour::EndlessLine),
+    Fault::Behaviour(ServerBehaviour::EndlessHeaders),
+    Fault::Behaviour(ServerBehaviour::EndlessInterim),
+    Fault::Behaviour(ServerBehaviour::EndlessBody),
+    Fault::Behaviour(ServerBehaviour::EndlessChunks),
+    Fault::NamedLimit(0.5),
+    Fault::NamedLimit(10.0),
 ];
 
 /// The faults that `seed` draws from.
@@ -101,6 +115,7 @@
     match seed {
         ..FIRST_CLOCK_SEED => &FAULTS[..FAULTS_WITHOUT_CLOCKS],
         FIRST_CLOCK_SEED..FIRST_UNFRAMED_SEED => &FAULTS[..FAULTS_WITHOUT_UNFRAMED],
+        FIRST_UNFRAMED_SEED..FIRST_ENDLESS_SEED => &FAULTS[..FAULTS_WITHOUT_ENDLESS],
         _ => &FAULTS,
     }
 }
@@ -159,6 +174,11 @@
             sleep(time).await;
             with_backend(&fleet, choice, |it| it.server.set_behaviour(ServerBehaviour::Good));
         }
+        Fault::NamedLimit(limit) => {
+            with_backend(&fleet, choice, |it| it.server.set_limit(Some(limit)));
+            sleep(time).await;
+            with_backend(&fleet, choice, |it| it.server.set_limit(None));
+        }
         Fault::Replace => return replace(&fleet, choice).await,
         Fault::Rules => fleet.put_rules(),
         Fault::RevokeKey => fleet.revoke_key(choice),
