--- a/standins/src/platform/mod.rs
+++ b/standins/src/platform/mod.rs
@@ -1,10 +1,12 @@
 //! The users' platform: its metadata store, and backend servers that speak its protocol.
 
 pub mod fixture;
+mod handled_request;
 mod server_behaviour;
 mod server_standin;
 mod store;
 
+pub use handled_request::HandledRequest;
 pub use server_behaviour::ServerBehaviour;
-pub use server_standin::{HandledRequest, ServerStandin};
+pub use server_standin::ServerStandin;
 pub use store::{MetaStore, StoreFault};
--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -32,6 +32,7 @@
 mod outlier;
 mod overload;
 mod overview;
+mod part_suspects;
 mod path;
 mod paused;
 mod peers;
