Log answers in which a backend server says that it leaves

Event 326 names server and request, 327 a value that cannot be read (each once for an incarnation). What a head says of its server is now read at one place (record_statements), of refusals too; heads with another id, without signature, or of another server at the address do not count. No decision depends on the statement yet. Stand-in: set_leaving.

--- a/src/events/code.rs
+++ b/src/events/code.rs
@@ -89,6 +89,8 @@
     323 RecordUnreadable "a record does not describe a backend server";
     324 ServerUnreached "a backend server cannot be reached and gets no requests for a while";
     325 ServerReached "a backend server is reachable again";
+    326 LeavingStated "an answer says that its backend server leaves";
+    327 LeavingUnreadable "what an answer says of its backend server leaving cannot be read";
     // 4xx: placement and admission
     400 Placed "a request was assigned to a backend server";
     401 NoRoom "no backend server can take the request at present";
--- a/src/relay/answer.rs
+++ b/src/relay/answer.rs
@@ -6,12 +6,36 @@
     pub enum StatedLimit {
         /// Nothing: the server has none.
         Absent,
+        /// Nothing that ends a limit: refusals need not name it.
+        Unstated,
         /// Requests a second that it takes from all routers together; finite, not negative.
         Named(f64),
         /// It cannot be read.
         Unreadable,
     }
 
+    /// Whether an answer says that its server leaves.
+    #[derive(Copy)]
+    pub enum StatedLeaving {
+        /// It does not say so.
+        Absent,
+        /// The server takes no new work.
+        Leaving,
+        /// It cannot be read.
+        Unreadable,
+    }
+
+    /// What an answer says of the server that sent it.
+    #[derive(Copy)]
+    pub struct ServerStatements {
+        /// Requests at the server, running and waiting.
+        pub load: Option<u32>,
+        /// The limit that the server names.
+        pub limit: StatedLimit,
+        /// Whether the server leaves.
+        pub leaving: StatedLeaving,
+    }
+
     /// Head of an answer, without its status.
     pub struct AnswerHead {
         /// Id of the request that it answers, where the server names it.
@@ -22,11 +46,20 @@
         pub not_run: bool,
         /// Its body has a content encoding, which no backend server uses.
         pub encoded: bool,
-        /// Requests at the server, running and waiting.
-        pub load: Option<u32>,
-        /// The limit that the server names.
-        pub limit: StatedLimit,
+        /// What it says of the server itself.
+        pub stated: ServerStatements,
         /// How long the server keeps the idle connection open, in whole seconds.
         pub keep_alive: Option<u64>,
     }
 }
+
+impl ServerStatements {
+    /// The part of them that counts in a refusal.
+    pub fn of_refusal(self) -> ServerStatements {
+        let limit = match self.limit {
+            StatedLimit::Absent => StatedLimit::Unstated,
+            limit => limit,
+        };
+        ServerStatements { load: None, limit, ..self }
+    }
+}
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -8,7 +8,6 @@
 
 use crate::decide::{RunProgress, ServiceLoad, Verdict};
 use crate::events::Code;
-use crate::relay::exchange::Reply;
 use crate::relay::pending_request::{Grant, PendingRequest};
 use crate::relay::{AttemptError, Connection, ConnectionPool, Relay};
 use crate::servers::Server;
@@ -31,21 +30,16 @@
 }
 
 impl Relay {
-    /// Records the head of an answer.
+    /// Records that the head of an answer has arrived.
     pub(crate) fn record_answer_head(
         &self,
         pending: &PendingRequest,
         grant: &Grant,
         attempt: &Attempt,
-        reply: &Reply,
     ) {
         let now = self.clock.now();
         let server = &attempt.server;
         self.record_reached(server);
-        self.record_stated_limit(server, reply.head.limit);
-        if let Some(load) = reply.head.load {
-            server.set_reported_load(load, now);
-        }
         let is_late = now.saturating_duration_since(attempt.began) > grant.route.objective;
         let record = |it: &mut ServiceLoad| it.record_response(is_late, attempt.load, server.slots);
         self.service_loads.with(&pending.trace.service, ServiceLoad::default, record);
--- a/src/relay/attempt_loop.rs
+++ b/src/relay/attempt_loop.rs
@@ -188,20 +188,22 @@
             pending.excluded.push(attempt.server.hash);
             return AttemptResult::Abandoned;
         };
+        let stated = match &result {
+            Ok(reply) => Some(reply.head.stated),
+            Err(failed) => failed.stated,
+        };
+        if let Some(stated) = stated {
+            self.record_statements(&attempt.server, stated, &pending.meta.id);
+        }
         let (error, progress) = match result {
             Ok(reply) => {
-                self.record_answer_head(pending, &grant, attempt, &reply);
+                self.record_answer_head(pending, &grant, attempt);
                 match self.take_answer(pending, &grant, attempt, reply).await {
                     Ok(taken) => return taken.with(grant),
                     Err(error) => (error, RunProgress::Begun),
                 }
             }
-            Err(failed) => {
-                if let Some(limit) = failed.limit {
-                    self.record_stated_limit(&attempt.server, limit);
-                }
-                (failed.error, RunProgress::Unanswered)
-            }
+            Err(failed) => (failed.error, RunProgress::Unanswered),
         };
         if error == AttemptError::Unsent {
             pending.sends -= 1;
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -12,7 +12,7 @@
 use crate::relay::connection::SendError;
 use crate::relay::request_trace::RequestTrace;
 use crate::relay::{
-    AnswerHead, AttemptError, BodyEnd, Connection, Framing, StatedLimit, drop_hop_headers,
+    AnswerHead, AttemptError, BodyEnd, Connection, Framing, ServerStatements, drop_hop_headers,
 };
 use crate::servers::InFlight;
 
@@ -50,20 +50,21 @@
 #[derive(Debug)]
 pub(crate) struct ExchangeError {
     pub error: AttemptError,
-    /// The limit that the server named as it shed the request.
-    pub limit: Option<StatedLimit>,
+    /// What the server said of itself as it shed the request.
+    pub stated: Option<ServerStatements>,
 }
 
 impl ExchangeError {
     fn new(error: AttemptError, head: &AnswerHead) -> ExchangeError {
-        let is_named = error == AttemptError::Shed && head.limit != StatedLimit::Absent;
-        ExchangeError { error, limit: is_named.then_some(head.limit) }
+        // Any other head may come from another server.
+        let stated = (error == AttemptError::Shed).then(|| head.stated.of_refusal());
+        ExchangeError { error, stated }
     }
 }
 
 impl From<AttemptError> for ExchangeError {
     fn from(error: AttemptError) -> ExchangeError {
-        ExchangeError { error, limit: None }
+        ExchangeError { error, stated: None }
     }
 }
 
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -34,11 +34,12 @@
 mod request_meta;
 mod request_trace;
 mod retry_budgets;
+mod statements;
 mod stream;
 mod suspect;
 mod suspect_parts;
 
-pub use answer::{AnswerHead, StatedLimit};
+pub use answer::{AnswerHead, ServerStatements, StatedLeaving, StatedLimit};
 pub use attempt_error::AttemptError;
 pub use body::{RelayBody, RelayError, full_body};
 pub use body_end::BodyEnd;
--- a/src/relay/named_limits.rs
+++ b/src/relay/named_limits.rs
@@ -14,6 +14,7 @@
     pub(crate) fn record_stated_limit(&self, server: &Server, stated: StatedLimit) {
         let limit = match stated {
             StatedLimit::Absent => None,
+            StatedLimit::Unstated => return,
             StatedLimit::Named(limit) => Some(limit),
             StatedLimit::Unreadable => {
                 let code = Code::LimitUnreadable;
--- /dev/null
+++ b/src/relay/statements.rs
@@ -0,0 +1,39 @@
+//! What the heads of answers say of their servers.
+
+use slog::{info, warn};
+
+use crate::events::Code;
+use crate::relay::{Relay, ServerStatements, StatedLeaving};
+use crate::servers::Server;
+
+impl Relay {
+    /// Records what the answer to `request` says of `server`, which sent it.
+    pub(crate) fn record_statements(
+        &self,
+        server: &Server,
+        stated: ServerStatements,
+        request: &str,
+    ) {
+        self.record_stated_limit(server, stated.limit);
+        if let Some(load) = stated.load {
+            server.set_reported_load(load, self.clock.now());
+        }
+        self.record_stated_leaving(server, stated.leaving, request);
+    }
+
+    fn record_stated_leaving(&self, server: &Server, stated: StatedLeaving, request: &str) {
+        match stated {
+            StatedLeaving::Leaving if server.mark_stated_leaving() => {
+                let code = Code::LeavingStated;
+                info!(self.request_log.logger(), "{}", code.text();
+                    "event" => code.number(), "server" => &*server.id, "request" => request);
+            }
+            StatedLeaving::Unreadable if server.note_unreadable() => {
+                let code = Code::LeavingUnreadable;
+                warn!(self.request_log.logger(), "{}", code.text();
+                    "event" => code.number(), "server" => &*server.id, "request" => request);
+            }
+            StatedLeaving::Absent | StatedLeaving::Leaving | StatedLeaving::Unreadable => {}
+        }
+    }
+}
--- a/src/servers/server.rs
+++ b/src/servers/server.rs
@@ -50,6 +50,10 @@
     /// When it started, in milliseconds since 1970.
     pub born: u64,
     leaving: AtomicBool,
+    /// An answer said that it leaves.
+    stated_leaving: AtomicBool,
+    /// It was logged that an answer's word on its leaving cannot be read.
+    unreadable_logged: AtomicBool,
     gone: AtomicBool,
     /// Requests of this router in flight there.
     own: AtomicU32,
@@ -76,6 +80,8 @@
             slots: record.slots,
             born: record.born,
             leaving: AtomicBool::new(false),
+            stated_leaving: AtomicBool::new(false),
+            unreadable_logged: AtomicBool::new(false),
             gone: AtomicBool::new(false),
             own: AtomicU32::new(0),
             others: AtomicU32::new(0),
@@ -148,6 +154,17 @@
         self.leaving.store(true, Ordering::Relaxed);
     }
 
+    /// Marks that an answer said that it leaves; false if it is marked already.
+    pub fn mark_stated_leaving(&self) -> bool {
+        !self.stated_leaving.swap(true, Ordering::Relaxed)
+    }
+
+    /// Notes that it is logged once that an answer's word on its leaving cannot be read; false
+    /// if it was logged before.
+    pub fn note_unreadable(&self) -> bool {
+        !self.unreadable_logged.swap(true, Ordering::Relaxed)
+    }
+
     /// Whether its process has likely ended.
     pub fn is_gone(&self) -> bool {
         self.gone.load(Ordering::Relaxed)
--- a/standins/src/platform/server_standin.rs
+++ b/standins/src/platform/server_standin.rs
@@ -36,6 +36,8 @@
     delay: Mutex<Duration>,
     /// Requests a second that it names as its limit.
     limit: Mutex<Option<f64>>,
+    /// What it says of its leaving.
+    leaving: Mutex<Option<String>>,
     /// Bytes of answers without end that callers took.
     endless_bytes: AtomicUsize,
     handled: Mutex<Vec<HandledRequest>>,
@@ -44,6 +46,16 @@
     crashed: Notify,
 }
 
+impl Shared {
+    /// Headers of all answers in which it states its condition.
+    fn statements(&self) -> String {
+        let limit = self.limit.lock().unwrap().map(|it| format!("server-limit: {it}\r\n"));
+        let leaving = self.leaving.lock().unwrap().clone();
+        let leaving = leaving.map(|it| format!("server-leaving: {it}\r\n"));
+        limit.unwrap_or_default() + &leaving.unwrap_or_default()
+    }
+}
+
 /// What happens to a connection after an answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum NextStep {
@@ -73,6 +85,7 @@
             behaviour: Mutex::new(ServerBehaviour::Good),
             delay: Mutex::new(Duration::from_millis(1)),
             limit: Mutex::default(),
+            leaving: Mutex::default(),
             endless_bytes: AtomicUsize::new(0),
             handled: Mutex::default(),
             abandoned: Mutex::default(),
@@ -113,6 +126,11 @@
         *self.shared.limit.lock().unwrap() = limit;
     }
 
+    /// Sets what all later answers say of its leaving; `1` says that it leaves.
+    pub fn set_leaving(&self, value: Option<&str>) {
+        *self.shared.leaving.lock().unwrap() = value.map(str::to_owned);
+    }
+
     /// Bytes of answers without end that callers took.
     pub fn endless_bytes(&self) -> usize {
         self.shared.endless_bytes.load(Ordering::Relaxed)
@@ -210,12 +228,11 @@
     let behaviour = *shared.behaviour.lock().unwrap();
     let delay = *shared.delay.lock().unwrap();
     let id = request.id().to_owned();
-    let limit = shared.limit.lock().unwrap().map(|it| format!("server-limit: {it}\r\n"));
-    let limit = limit.unwrap_or_default();
+    let stated = shared.statements();
     let is_addressee = request.header("expect-instance").is_none_or(|it| it == shared.id);
     if !is_addressee {
         let text = format!(
-            "HTTP/1.1 421 Misdirected Request\r\nnot-run: 1\r\ninstance-id: {}\r\ncontent-length: 0\r\n\r\n",
+            "HTTP/1.1 421 Misdirected Request\r\nnot-run: 1\r\ninstance-id: {}\r\n{stated}content-length: 0\r\n\r\n",
             shared.id
         );
         writer.write_all(text.as_bytes()).await?;
@@ -223,7 +240,7 @@
     }
     if behaviour == ServerBehaviour::Shed {
         let text = format!(
-            "HTTP/1.1 503 Service Unavailable\r\nnot-run: 1\r\n{limit}content-length: 0\r\n\r\n"
+            "HTTP/1.1 503 Service Unavailable\r\nnot-run: 1\r\n{stated}content-length: 0\r\n\r\n"
         );
         writer.write_all(text.as_bytes()).await?;
         return Ok(NextStep::KeepOpen);
@@ -239,7 +256,7 @@
     shared.handled.lock().unwrap().push(request);
     if is_fatal {
         if stream && behaviour != ServerBehaviour::Crash {
-            writer.write_all(stream_head(&id, &limit, behaviour).as_bytes()).await?;
+            writer.write_all(stream_head(&id, &stated, behaviour).as_bytes()).await?;
             sleep(CRASH_PAUSE).await;
         }
         shared.crashed.notify_one();
@@ -253,17 +270,17 @@
     if let Some((start, piece)) = behaviour.endless() {
         let is_body =
             matches!(behaviour, ServerBehaviour::EndlessBody | ServerBehaviour::EndlessChunks);
-        let head = stream_head(&id, &limit, behaviour);
+        let head = stream_head(&id, &stated, behaviour);
         let start = if is_body { &head } else { start };
         writer.write_all(start.as_bytes()).await?;
         return write_without_end(writer, piece, shared).await;
     }
     if stream {
-        writer.write_all(stream_head(&id, &limit, behaviour).as_bytes()).await?;
+        writer.write_all(stream_head(&id, &stated, behaviour).as_bytes()).await?;
         return stream_events(writer, after, behaviour, delay).await;
     }
     sleep(delay).await;
-    let text = full_answer(&id, &limit, &body, behaviour);
+    let text = full_answer(&id, &stated, &body, behaviour);
     if let ServerBehaviour::UnframedResetAfter(_) = behaviour {
         let (sent, _) = text.split_at(text.len() - body.len() / 2);
         writer.write_all(sent.as_bytes()).await?;
@@ -296,7 +313,7 @@
     Ok(NextStep::Reset)
 }
 
-fn full_answer(id: &str, limit: &str, body: &str, behaviour: ServerBehaviour) -> String {
+fn full_answer(id: &str, stated: &str, body: &str, behaviour: ServerBehaviour) -> String {
     let status = if behaviour == ServerBehaviour::ServerError { "500 Error" } else { "200 OK" };
     let id = if behaviour == ServerBehaviour::WrongId { "another" } else { id };
     let signature_header =
@@ -304,7 +321,7 @@
     let version = behaviour.version();
     let head = format!(
         "{version} {status}\r\nrequest-id: {id}\r\n{signature_header}: {SIGNATURE}\r\n\
-         {limit}content-type: text/plain\r\n"
+         {stated}content-type: text/plain\r\n"
     );
     let length = body.len();
     match behaviour {
@@ -358,12 +375,12 @@
     Ok(NextStep::KeepOpen)
 }
 
-fn stream_head(id: &str, limit: &str, behaviour: ServerBehaviour) -> String {
+fn stream_head(id: &str, stated: &str, behaviour: ServerBehaviour) -> String {
     let version = behaviour.version();
     let framing = if behaviour.is_unframed() { "" } else { "transfer-encoding: chunked\r\n" };
     format!(
         "{version} 200 OK\r\nrequest-id: {id}\r\nserver-seal: {SIGNATURE}\r\n\
-         {limit}content-type: text/event-stream\r\n{framing}\r\n"
+         {stated}content-type: text/event-stream\r\n{framing}\r\n"
     )
 }
 
