Send nothing to a backend server that says in an answer that it leaves (DRAIN)

Callers saw requests run at servers that had said they were leaving, which cuts them off when the server exits. Cause: no code read the statement; servers left by their records alone, which come later or never, and not at all without the store.

The statement marks the incarnation in the table of servers before the answer is passed on, so that every path that selects a server is bound. It survives changes of the record and of the value that stands for the server; only the next incarnation ends it. Other routers learn of it by the exchanges. The selection of what a message tells is shared with named limits (router/news.rs).

--- a/src/events/code.rs
+++ b/src/events/code.rs
@@ -89,7 +89,7 @@
     323 RecordUnreadable "a record does not describe a backend server";
     324 ServerUnreached "a backend server cannot be reached and gets no requests for a while";
     325 ServerReached "a backend server is reachable again";
-    326 LeavingStated "an answer says that its backend server leaves";
+    326 LeavingStated "a backend server says in an answer that it leaves, it gets no new requests";
     327 LeavingUnreadable "what an answer says of its backend server leaving cannot be read";
     // 4xx: placement and admission
     400 Placed "a request was assigned to a backend server";
--- a/src/relay/statements.rs
+++ b/src/relay/statements.rs
@@ -1,5 +1,7 @@
 //! What the heads of answers say of their servers.
 
+use std::time::Instant;
+
 use slog::{info, warn};
 
 use crate::events::Code;
@@ -21,12 +23,28 @@
         self.record_stated_leaving(server, stated.leaving, request);
     }
 
+    /// Merges that another router knows of a server that said at `at` that it leaves.
+    pub(crate) fn merge_stated_leaving(&self, incarnation: u64, at: Instant, now: Instant) {
+        let left = self.servers.lock().unwrap().state_leaving(incarnation, at, now);
+        if let Some(server) = left {
+            let code = Code::LeavingStated;
+            info!(self.request_log.logger(), "{}", code.text();
+                "event" => code.number(), "server" => &*server.id, "source" => "router",
+                "age_ms" => now.saturating_duration_since(at).as_millis() as u64);
+            self.pool.close_idle(&server);
+        }
+    }
+
     fn record_stated_leaving(&self, server: &Server, stated: StatedLeaving, request: &str) {
         match stated {
             StatedLeaving::Leaving if server.mark_stated_leaving() => {
+                let now = self.clock.now();
+                self.servers.lock().unwrap().state_leaving(server.incarnation(), now, now);
                 let code = Code::LeavingStated;
                 info!(self.request_log.logger(), "{}", code.text();
-                    "event" => code.number(), "server" => &*server.id, "request" => request);
+                    "event" => code.number(), "server" => &*server.id, "source" => "own",
+                    "request" => request);
+                self.pool.close_idle(server);
             }
             StatedLeaving::Unreadable if server.note_unreadable() => {
                 let code = Code::LeavingUnreadable;
--- a/src/router/limit_news.rs
+++ b/src/router/limit_news.rs
@@ -3,31 +3,20 @@
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
-use rand::seq::IndexedRandom;
-
 use crate::relay::Relay;
+use crate::router::news::select_news;
 use crate::servers::LimitStatement;
 use crate::wire::WireServerLimit;
 
-/// Limits of one message: of changes just learnt, and of others, a random selection.
-const MAX_NEWS: usize = 32;
-const MAX_REPEATED: usize = 8;
-
 /// The limits that this router tells others.
 pub(crate) fn limit_news(relay: &Relay, now: Instant) -> Vec<WireServerLimit> {
     let servers = relay.servers.lock().unwrap();
-    let (mut news, mut others) = (Vec::new(), Vec::new());
-    for it in servers.all() {
-        let Some((statement, is_news)) = it.limit_statement(now) else {
-            continue;
-        };
+    let rows = servers.all().filter_map(|it| {
+        let (statement, is_news) = it.limit_statement(now)?;
         let age = now.saturating_duration_since(statement.at).as_millis() as u64;
-        let row = WireServerLimit(it.incarnation(), statement.limit, age);
-        if is_news { news.push(row) } else { others.push(row) }
-    }
-    news.truncate(MAX_NEWS);
-    let repeated = others.choose_multiple(&mut rand::rng(), MAX_REPEATED).cloned();
-    news.into_iter().chain(repeated).collect()
+        Some((WireServerLimit(it.incarnation(), statement.limit, age), is_news))
+    });
+    select_news(rows)
 }
 
 /// Merges the limits that another router tells.
--- a/src/router/router.rs
+++ b/src/router/router.rs
@@ -19,6 +19,7 @@
     Message, PeerClient, PeerLoad, PeerTable, part_news_from_wire, part_news_to_wire,
 };
 use crate::relay::{ConnectionContext, Relay, RequestLog};
+use crate::router::leaving_news::{leaving_news, merge_leaving};
 use crate::router::limit_news::{limit_news, merge_limits};
 use crate::router::{ClientProtocol, RouterError, RouterSettings, Store};
 use crate::rules::Lease;
@@ -154,7 +155,11 @@
 
     fn news(&self, now: Instant) -> WireNews {
         let parts = self.relay.parts.lock().unwrap().news(now);
-        WireNews { parts: part_news_to_wire(&parts, now), limits: limit_news(&self.relay, now) }
+        WireNews {
+            parts: part_news_to_wire(&parts, now),
+            limits: limit_news(&self.relay, now),
+            leaving: leaving_news(&self.relay, now),
+        }
     }
 
     /// Handles the reply to a message that was sent at `sent`, as time since boot. If the
@@ -196,6 +201,7 @@
         let Message { exchange, news } = message;
         self.relay.merge_part_news(part_news_from_wire(news.parts, now));
         merge_limits(&self.relay, &news.limits, now);
+        merge_leaving(&self.relay, &news.leaving, now);
         for crash in &exchange.crashes {
             self.relay.crashes.insert(CrashReport::from_wire(crash, now), now);
         }
--- a/src/servers/mod.rs
+++ b/src/servers/mod.rs
@@ -2,6 +2,7 @@
 //! reachability and results.
 
 mod change;
+mod leaving_statements;
 mod record;
 mod result_window;
 mod server;
--- a/src/servers/server.rs
+++ b/src/servers/server.rs
@@ -49,8 +49,10 @@
     pub slots: u32,
     /// When it started, in milliseconds since 1970.
     pub born: u64,
+    /// Its record says that it leaves, or is gone.
     leaving: AtomicBool,
-    /// An answer said that it leaves.
+    /// It said in an answer that it leaves. Never reset: only the next incarnation, which is
+    /// another value, takes work again.
     stated_leaving: AtomicBool,
     /// It was logged that an answer's word on its leaving cannot be read.
     unreadable_logged: AtomicBool,
@@ -97,7 +99,8 @@
     /// Whether `record` describes this server, unchanged except that it may be leaving.
     pub fn matches(&self, record: &ServerRecord) -> bool {
         let same = self.born == record.born && self.address == record.address;
-        let is_ready_again = self.is_leaving() && record.state == ServerState::Ready;
+        let is_ready_again =
+            self.leaving.load(Ordering::Relaxed) && record.state == ServerState::Ready;
         same && self.slots == record.slots && !is_ready_again
     }
 
@@ -144,17 +147,17 @@
         self.limit.lock().unwrap().take(now)
     }
 
-    /// Whether it takes no new work.
+    /// Whether it takes no new work, by its record or by what it said itself.
     pub fn is_leaving(&self) -> bool {
-        self.leaving.load(Ordering::Relaxed)
+        self.leaving.load(Ordering::Relaxed) || self.stated_leaving.load(Ordering::Relaxed)
     }
 
-    /// Marks that it takes no new work from now on.
+    /// Marks that its record says that it takes no new work.
     pub fn mark_leaving(&self) {
         self.leaving.store(true, Ordering::Relaxed);
     }
 
-    /// Marks that an answer said that it leaves; false if it is marked already.
+    /// Marks that it said that it leaves; false if it is marked already.
     pub fn mark_stated_leaving(&self) -> bool {
         !self.stated_leaving.swap(true, Ordering::Relaxed)
     }
--- a/src/servers/table.rs
+++ b/src/servers/table.rs
@@ -4,7 +4,8 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use crate::decide::{Results, is_failing, max_avoided};
+use crate::decide::{Results, combine, hash_bytes, is_failing, max_avoided};
+use crate::servers::leaving_statements::LeavingStatements;
 use crate::servers::{Change, Page, Server, ServerRecord, ServerState};
 use crate::wire::WireServer;
 
@@ -49,6 +50,8 @@
     entries: HashMap<String, Entry>,
     /// Servers that take work. Invariant: consistent with `entries`.
     services: HashMap<String, Arc<[Arc<Server>]>>,
+    /// Incarnations that said that they leave, whatever their records say.
+    leaving: LeavingStatements,
     /// Records that go before then may reappear.
     reappear_until: Option<Instant>,
     /// Number of the last change; each change increases it.
@@ -158,11 +161,50 @@
         let removed = self.entries.values().filter(|it| is_expired(it)).map(|it| it.revision).max();
         self.removed_revision = self.removed_revision.max(removed.unwrap_or(0));
         self.entries.retain(|_, it| !is_expired(it));
+        if !self.leaving.is_empty() {
+            let known: HashSet<u64> = self.incarnations(|_| true).collect();
+            self.leaving.remove_expired(now, |it| known.contains(&it));
+        }
         if has_changed {
             self.rebuild();
         }
     }
 
+    /// Takes in that the incarnation `incarnation` of a server said at `at` that it leaves.
+    /// Returns the server that takes no new work from now on; `None` if this was known, or
+    /// while the server itself is not.
+    pub fn state_leaving(
+        &mut self,
+        incarnation: u64,
+        at: Instant,
+        now: Instant,
+    ) -> Option<Arc<Server>> {
+        if !self.leaving.insert(incarnation, at, now) {
+            return None;
+        }
+        let mut servers = self.entries.values().filter_map(|it| it.server.as_ref());
+        let server = servers.find(|it| it.incarnation() == incarnation).cloned()?;
+        server.mark_stated_leaving();
+        self.rebuild();
+        Some(server)
+    }
+
+    /// Servers that said that they leave, as long as they have records, and shortly after this
+    /// router learnt of it: the incarnation, when it said so, and whether it is news.
+    pub fn leaving_statements(&self, now: Instant) -> impl Iterator<Item = (u64, Instant, bool)> {
+        let present: HashSet<u64> = match self.leaving.is_empty() {
+            true => HashSet::new(),
+            false => self.incarnations(|it| it.gone.is_none()).collect(),
+        };
+        let all = self.leaving.all(now);
+        all.filter(move |(incarnation, _, is_news)| *is_news || present.contains(incarnation))
+    }
+
+    fn incarnations(&self, filter: impl Fn(&Entry) -> bool) -> impl Iterator<Item = u64> {
+        let entries = self.entries.iter().filter(move |(_, it)| filter(it));
+        entries.map(|(id, it)| combine(hash_bytes(id.as_bytes()), it.record.born))
+    }
+
     fn missing(&self, present: &[Change<ServerRecord>]) -> Vec<String> {
         let listed: HashSet<&str> = present.iter().map(|it| it.key.as_str()).collect();
         let existing = self.entries.iter().filter(|(_, it)| it.gone.is_none());
@@ -185,10 +227,14 @@
         let server = former.and_then(|it| it.server).filter(|it| it.matches(&record));
         let is_new = server.is_none();
         let server = server.unwrap_or_else(|| Arc::new(Server::new(id, &record)));
-        let has_left = record.state == ServerState::Leaving && !server.is_leaving();
-        if has_left {
+        let was_leaving = server.is_leaving();
+        if record.state == ServerState::Leaving {
             server.mark_leaving();
         }
+        if self.leaving.contains(server.incarnation()) {
+            server.mark_stated_leaving();
+        }
+        let has_left = server.is_leaving() && !was_leaving;
         let entry =
             Entry { record, server: Some(server), gone: None, retained_until: None, revision };
         self.entries.insert(id.to_owned(), entry);
--- a/src/wire/peer.rs
+++ b/src/wire/peer.rs
@@ -102,12 +102,18 @@
         pub parts: WirePartNews,
         /// Limits of requests that backend servers named, or named no longer.
         pub limits: Vec<WireServerLimit>,
+        /// Backend servers that say that they leave.
+        pub leaving: Vec<WireServerLeaving>,
     }
 
     /// What a backend server last said of its limit: hash of its incarnation, requests a
     /// second if it has a limit, and how long ago in milliseconds.
     pub struct WireServerLimit(pub u64, pub Option<f64>, pub u64);
 
+    /// A backend server that said that it leaves: hash of its incarnation, and how long ago in
+    /// milliseconds.
+    pub struct WireServerLeaving(pub u64, pub u64);
+
     /// Request for changes of backend servers.
     pub struct WireServersRequest {
         /// Process that counted `stamp`; another process answers with all servers.
@@ -155,6 +161,6 @@
 impl WireNews {
     /// Whether there is nothing to tell.
     pub fn is_empty(&self) -> bool {
-        self.parts.is_empty() && self.limits.is_empty()
+        self.parts.is_empty() && self.limits.is_empty() && self.leaving.is_empty()
     }
 }
