Soak: servers that say in their answers that they leave, from seed 4000

Their records say that they are ready meanwhile. Checked for each router from the moment at which it passed such an answer on, whatever other faults there are.

--- a/soak/src/callers.rs
+++ b/soak/src/callers.rs
@@ -70,6 +70,8 @@
     pub body: Option<String>,
     /// Whether the answer had a signature.
     pub is_signed: bool,
+    /// Whether the answer said that its server leaves.
+    pub says_leaving: bool,
     /// Request id in the answer.
     pub answer_id: Option<String>,
 }
@@ -158,11 +160,13 @@
         status: None,
         body: None,
         is_signed: false,
+        says_leaving: false,
         answer_id: None,
     };
     if let Ok(answer) = call.body("words").send().await {
         result.status = Some(answer.status().as_u16());
         result.is_signed = answer.headers().contains_key("server-seal");
+        result.says_leaving = answer.headers().contains_key("server-leaving");
         let id = answer.headers().get("request-id");
         result.answer_id = id.and_then(|it| it.to_str().ok()).map(str::to_owned);
         result.body = answer.text().await.ok();
--- a/soak/src/checks.rs
+++ b/soak/src/checks.rs
@@ -61,6 +61,7 @@
     }
     violations.extend(key_violations(fleet, results, &runs));
     violations.extend(drain_violations(fleet, &runs, faults_ended));
+    violations.extend(leaving_violations(results, &runs));
     violations.extend(shutdown_violations(fleet, results, &runs));
     violations.extend(served_violation(fleet, results, faults_ended));
     violations
@@ -129,6 +130,28 @@
     violations
 }
 
+/// Requests sent more than `DRAIN_LIMIT` after a router has passed on an answer whose server says
+/// that it leaves do not reach this server from this router, whatever faults there are.
+fn leaving_violations(results: &[RequestResult], runs: &Runs) -> Vec<String> {
+    let mut told: HashMap<(SocketAddr, &str), Instant> = HashMap::new();
+    for it in results.iter().filter(|it| it.says_leaving) {
+        let last = runs.0.get(&it.id).and_then(|all| all.iter().max_by_key(|run| run.at));
+        if let Some(run) = last {
+            let at = told.entry((it.router, &run.server)).or_insert(it.ended);
+            *at = it.ended.min(*at);
+        }
+    }
+    let late = |it: &&RequestResult| {
+        let mut ran = runs.0.get(&it.id).into_iter().flatten();
+        ran.any(|run| {
+            let at = told.get(&(it.router, run.server.as_str()));
+            at.is_some_and(|at| it.sent > *at + DRAIN_LIMIT)
+        })
+    };
+    let late = results.iter().filter(late);
+    late.map(|it| format!("ran at a server that had said that it leaves: {it:?}")).collect()
+}
+
 /// A graceful shutdown cuts off no request that only servers without faults ran. A
 /// suspension during the shutdown takes from the time until the kill, so it is no graceful one.
 fn shutdown_violations(fleet: &Fleet, results: &[RequestResult], runs: &Runs) -> Vec<String> {
--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -42,6 +42,8 @@
     Behaviour(ServerBehaviour),
     /// A server names a limit of requests a second.
     NamedLimit(f64),
+    /// A server says that it leaves while its record says that it is ready; another one starts.
+    StatedLeaving,
     Replace,
     Rules,
     RevokeKey,
@@ -65,8 +67,12 @@
 const FIRST_ENDLESS_SEED: u64 = 3_000;
 /// Number of faults in `FAULTS` before these.
 const FAULTS_WITHOUT_ENDLESS: usize = 34;
+/// Seeds below this run without servers that say in their answers that they leave.
+const FIRST_LEAVING_SEED: u64 = 4_000;
+/// Number of faults in `FAULTS` before these.
+const FAULTS_WITHOUT_LEAVING: usize = 41;
 
-const FAULTS: [Fault; 41] = [
+const FAULTS: [Fault; 43] = [
     Fault::Kill,
     Fault::Pause,
     Fault::Stop,
@@ -108,6 +114,8 @@
     Fault::Behaviour(ServerBehaviour::EndlessChunks),
     Fault::NamedLimit(0.5),
     Fault::NamedLimit(10.0),
+    Fault::StatedLeaving,
+    Fault::StatedLeaving,
 ];
 
 /// The faults that `seed` draws from.
@@ -116,6 +124,7 @@
         ..FIRST_CLOCK_SEED => &FAULTS[..FAULTS_WITHOUT_CLOCKS],
         FIRST_CLOCK_SEED..FIRST_UNFRAMED_SEED => &FAULTS[..FAULTS_WITHOUT_UNFRAMED],
         FIRST_UNFRAMED_SEED..FIRST_ENDLESS_SEED => &FAULTS[..FAULTS_WITHOUT_ENDLESS],
+        FIRST_ENDLESS_SEED..FIRST_LEAVING_SEED => &FAULTS[..FAULTS_WITHOUT_LEAVING],
         _ => &FAULTS,
     }
 }
@@ -179,7 +188,10 @@
             sleep(time).await;
             with_backend(&fleet, choice, |it| it.server.set_limit(None));
         }
-        Fault::Replace => return replace(&fleet, choice).await,
+        Fault::Replace => return replace(&fleet, choice, start_draining).await,
+        Fault::StatedLeaving => {
+            return replace(&fleet, choice, |_, it| it.server.set_leaving(Some("1"))).await;
+        }
         Fault::Rules => fleet.put_rules(),
         Fault::RevokeKey => fleet.revoke_key(choice),
         Fault::WallStep(by) => return wall_step(&fleet, choice, by, time).await,
@@ -263,20 +275,29 @@
     failures.or(failed)
 }
 
-/// Starts a backend server and drains another one.
-async fn replace(fleet: &Fleet, choice: usize) -> Option<String> {
+/// Starts a backend server, and makes another one leave by `leave`.
+async fn replace(
+    fleet: &Fleet,
+    choice: usize,
+    leave: impl FnOnce(&Fleet, &mut Backend),
+) -> Option<String> {
     if let Err(e) = fleet.add_backend().await {
         return Some(format!("a backend server did not start: {e}"));
     }
     let mut backends = fleet.backends.lock().unwrap();
     let all = backends.len();
-    // Servers that get faults are never drained.
+    // Servers that get faults never leave.
     let at = FAULTY_BACKENDS + choice % (all - FAULTY_BACKENDS);
-    let staying =
-        backends.iter().skip(FAULTY_BACKENDS).filter(|it| it.draining_since.is_none()).count();
-    if staying > 3 && backends[at].draining_since.is_none() {
-        fleet.put_record(&backends[at], "draining");
-        backends[at].draining_since = Some(Instant::now());
+    let staying = backends.iter().skip(FAULTY_BACKENDS).filter(|it| !it.is_leaving).count();
+    if staying > 3 && !backends[at].is_leaving {
+        backends[at].is_leaving = true;
+        leave(fleet, &mut backends[at]);
     }
     None
 }
+
+/// Writes in the record of a backend server that it drains.
+fn start_draining(fleet: &Fleet, backend: &mut Backend) {
+    fleet.put_record(backend, "draining");
+    backend.draining_since = Some(Instant::now());
+}
--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -22,6 +22,8 @@
 pub struct Backend {
     pub server: ServerStandin,
     pub link: Link,
+    /// It drains, or says in its answers that it leaves.
+    pub is_leaving: bool,
     /// When its record changed to draining.
     pub draining_since: Option<Instant>,
 }
@@ -160,7 +162,7 @@
         let server = ServerStandin::start(&id).await?;
         server.set_delay(Duration::from_millis(15));
         let link = Link::start(server.address()).await?;
-        let backend = Backend { server, link, draining_since: None };
+        let backend = Backend { server, link, is_leaving: false, draining_since: None };
         self.put_record(&backend, "ready");
         self.backends.lock().unwrap().push(backend);
         Ok(())
--- a/soak/tests/short.rs
+++ b/soak/tests/short.rs
@@ -30,6 +30,8 @@
 #[case::closed_inside_event(2_005)]
 // The check counted a shutdown as graceful although its router was suspended during it.
 #[case::suspended_in_shutdown(2_102)]
+// Routers sent requests to servers that had said in their answers that they leave.
+#[case::stated_leaving(4_001)]
 // The check once counted a shutdown as graceful although the router had been paused for 3 s
 // and its streams had timed out.
 #[case::paused_before_stop(333)]
