Log the software versions that wrote a stream, and the attempt that a caller resumes

The line of a request has software and resumes now. The version comes from the record of a server (it was decoded and dropped) and reaches routers that poll a reader as a second value of the reply, which routers of earlier versions do not read; a reader of an earlier version, which sends none, is not polled. One pair of functions encodes a message with an addition. No decision depends on the version yet. Tests: software_versions::versions_logged, two decoders.

--- a/src/peers/client.rs
+++ b/src/peers/client.rs
@@ -1,4 +1,4 @@
-//! Client for requests to other routers, and the encoding of their bodies.
+//! Client for requests to other routers.
 
 use std::fmt;
 use std::net::SocketAddr;
@@ -6,11 +6,10 @@
 
 use bytes::Bytes;
 use reqwest::Client;
-use serde::Serialize;
-use serde::de::DeserializeOwned;
 
-use crate::peers::Message;
-use crate::wire::{WireServers, WireServersRequest};
+use crate::peers::encoding::decode_with;
+use crate::peers::{Message, encode};
+use crate::wire::{WireServerVersions, WireServers, WireServersRequest};
 
 /// Path for the exchange of state between routers.
 pub(crate) const EXCHANGE_PATH: &str = "/exchange";
@@ -73,7 +72,8 @@
         Message::decode(&reply).map_err(undecodable)
     }
 
-    /// Requests changes of backend servers from the router at `peer`.
+    /// Requests changes of backend servers from the router at `peer`, with the software
+    /// versions of the servers that it replies with; routers that do not know versions send none.
     ///
     /// # Errors
     /// `Refused` when no process listens there, `Failed` for any other failure.
@@ -81,10 +81,10 @@
         &self,
         peer: SocketAddr,
         request: &WireServersRequest,
-    ) -> Result<WireServers, PeerError> {
+    ) -> Result<(WireServers, Option<WireServerVersions>), PeerError> {
         let body = encode(request).map_err(|e| PeerError::Failed(e.to_string()))?;
         let reply = self.post(peer, SERVERS_PATH, body).await?;
-        decode(&reply).map_err(undecodable)
+        decode_with(&reply).map_err(undecodable)
     }
 
     async fn post(&self, peer: SocketAddr, path: &str, body: Bytes) -> Result<Bytes, PeerError> {
@@ -104,19 +104,3 @@
         .any(|it| it.kind() == std::io::ErrorKind::ConnectionRefused);
     if refused { PeerError::Refused } else { PeerError::Failed(e.to_string()) }
 }
-
-/// Encodes a message as MessagePack.
-///
-/// # Errors
-/// Fails when the message cannot be serialised.
-pub fn encode<T: Serialize>(message: &T) -> Result<Bytes, rmp_serde::encode::Error> {
-    rmp_serde::to_vec(message).map(Bytes::from)
-}
-
-/// Decodes a message from MessagePack.
-///
-/// # Errors
-/// Fails when the bytes are not a valid message of the type.
-pub fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, rmp_serde::decode::Error> {
-    rmp_serde::from_slice(bytes)
-}
--- a/src/peers/message.rs
+++ b/src/peers/message.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 
-use crate::peers::encode;
+use crate::peers::encoding::{decode_with, encode, encode_with};
 use crate::wire::{WireExchange, WireNews};
 
 /// An exchange between two routers.
@@ -21,25 +21,18 @@
     /// # Errors
     /// Fails when it cannot be serialised.
     pub fn encode(&self) -> Result<Bytes, rmp_serde::encode::Error> {
-        let exchange = encode(&self.exchange)?;
-        if self.news.is_empty() {
-            return Ok(exchange);
+        match self.news.is_empty() {
+            true => encode(&self.exchange),
+            false => encode_with(&self.exchange, &self.news),
         }
-        let mut bytes = exchange.to_vec();
-        bytes.extend(rmp_serde::to_vec_named(&self.news)?);
-        Ok(bytes.into())
     }
 
     /// Decodes a message. News that are missing are empty.
     ///
     /// # Errors
     /// Fails when one of the values is malformed.
-    pub fn decode(mut bytes: &[u8]) -> Result<Message, rmp_serde::decode::Error> {
-        let exchange = rmp_serde::from_read(&mut bytes)?;
-        let news = match bytes.is_empty() {
-            true => WireNews::default(),
-            false => rmp_serde::from_slice(bytes)?,
-        };
-        Ok(Message { exchange, news })
+    pub fn decode(bytes: &[u8]) -> Result<Message, rmp_serde::decode::Error> {
+        let (exchange, news) = decode_with(bytes)?;
+        Ok(Message { exchange, news: news.unwrap_or_default() })
     }
 }
--- a/src/peers/mod.rs
+++ b/src/peers/mod.rs
@@ -1,13 +1,16 @@
 //! The other routers: which of them are alive, and how many requests each has in flight.
 
 mod client;
+mod encoding;
 mod message;
 mod part_news;
 mod peer;
 mod peer_table;
 
 pub(crate) use client::{EXCHANGE_PATH, SERVERS_PATH};
-pub use client::{PeerClient, PeerError, decode, encode};
+pub use client::{PeerClient, PeerError};
+pub(crate) use encoding::encode_with;
+pub use encoding::{decode, encode};
 pub use message::Message;
 pub(crate) use part_news::{part_news_from_wire, part_news_to_wire};
 pub use peer_table::{PeerLoad, PeerTable, Reader};
--- a/src/relay/relay.rs
+++ b/src/relay/relay.rs
@@ -145,6 +145,7 @@
     ) -> Result<Admitted, Refusal> {
         let meta = (self.codec.request_meta)(&head).map_err(|_| Refusal::Malformed)?;
         trace.request.clone_from(&meta.id);
+        trace.resumes.clone_from(&meta.resumes);
         if is_closed {
             return Err(Refusal::Leaving);
         }
--- a/src/relay/request_log.rs
+++ b/src/relay/request_log.rs
@@ -10,6 +10,7 @@
 use crate::events::Code;
 use crate::relay::request_trace::RequestTrace;
 use crate::relay::{BodyEnd, Framing, Outcome};
+use crate::servers::SoftwareVersion;
 
 /// Limit on the log lines a second for completed requests; lines beyond it are only counted.
 const MAX_DONE_LINES: u32 = 100;
@@ -104,6 +105,8 @@
             return;
         }
         let code = outcome.code();
+        let software = trace.software.iter().map(SoftwareVersion::as_str).collect::<Vec<_>>();
+        let software = (!software.is_empty()).then(|| software.join(" "));
         let head = trace.head_time.map(|it| it.as_millis() as u64);
         info!(self.logger, "request";
             "event" => code.number(), "outcome" => outcome.as_str(), "reason" => reason,
@@ -114,7 +117,8 @@
             "framing" => trace.framing.map(Framing::as_str),
             "body_end" => trace.body_end.map(BodyEnd::as_str),
             "last_event" => trace.last_event.as_deref(),
-            "resumed" => trace.resumed,
+            "resumed" => trace.resumed, "resumes" => trace.resumes.as_deref(),
+            "software" => software,
             "blamed_part" => trace.blamed_part.map(|it| format!("{it:x}")),
             "retry_after_ms" => trace.retry_after.map(|it| it.as_millis() as u64),
             "took_ms" => took.as_millis() as u64);
--- a/src/relay/request_meta.rs
+++ b/src/relay/request_meta.rs
@@ -34,6 +34,8 @@
         pub parts: SmallVec<[PromptPart; 4]>,
         /// Id of the last event that the caller received of a broken stream.
         pub last_event: Option<String>,
+        /// Id of the attempt of the caller that brought the first event of that stream.
+        pub resumes: Option<String>,
     }
 }
 
--- a/src/relay/request_trace.rs
+++ b/src/relay/request_trace.rs
@@ -4,8 +4,11 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use smallvec::SmallVec;
+
 use crate::decide::Verdict;
 use crate::relay::{BodyEnd, Framing, Outcome, RequestLog};
+use crate::servers::SoftwareVersion;
 
 /// The decisions on one request. Dropping it unfinished means that the caller
 /// disconnected.
@@ -40,6 +43,10 @@
     pub body_end: Option<BodyEnd>,
     /// Id of the last complete event of a stream.
     pub last_event: Option<String>,
+    /// Id of the caller's attempt that began the stream, where the caller resumes one.
+    pub resumes: Option<String>,
+    /// Software versions of the servers whose events were relayed, in order.
+    pub software: SmallVec<[SoftwareVersion; 1]>,
     /// Time to the head of the answer.
     pub head_time: Option<Duration>,
     /// Time after which the caller should retry, where no server had free capacity.
@@ -70,6 +77,8 @@
             framing: None,
             body_end: None,
             last_event: None,
+            resumes: None,
+            software: SmallVec::new(),
             head_time: None,
             retry_after: None,
             blamed_part: None,
@@ -90,6 +99,13 @@
         let _ = write!(self.attempts, "{gap}{server}:load={load}:{result}:{took}ms");
     }
 
+    /// Records that events of a server with the version `software` are relayed.
+    pub fn record_software(&mut self, software: &SoftwareVersion) {
+        if self.software.last() != Some(software) {
+            self.software.push(software.clone());
+        }
+    }
+
     /// Records the head of the answer.
     pub fn record_answer(&mut self, status: u16) {
         let took = self.request_log.clock.now().saturating_duration_since(self.received);
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -146,10 +146,19 @@
             Err(_) => Next::TimedOut,
             Ok(None) => self.end(BodyEnd::of_events(self.framing, &self.events)),
             Ok(Some(Err(e))) => self.end(BodyEnd::of_error(&e)),
-            Ok(Some(Ok(frame))) => match self.events.push(frame.into_data().unwrap_or_default()) {
-                Some(events) => Next::Bytes(events),
-                None => self.end(BodyEnd::Failed),
-            },
+            Ok(Some(Ok(frame))) => self.take(frame.into_data().unwrap_or_default()),
+        }
+    }
+
+    fn take(&mut self, bytes: Bytes) -> Next {
+        match self.events.push(bytes) {
+            Some(events) if events.is_empty() => Next::Bytes(events),
+            Some(events) => {
+                let software = &self.in_flight.server().software;
+                self.pending.trace.record_software(software);
+                Next::Bytes(events)
+            }
+            None => self.end(BodyEnd::Failed),
         }
     }
 
--- a/src/router/endpoints.rs
+++ b/src/router/endpoints.rs
@@ -12,7 +12,7 @@
 use slog::warn;
 
 use crate::events::Code;
-use crate::peers::{EXCHANGE_PATH, Message, SERVERS_PATH, decode, encode};
+use crate::peers::{EXCHANGE_PATH, Message, SERVERS_PATH, decode, encode_with};
 use crate::relay::{RelayBody, full_body};
 use crate::router::{Router, Store};
 
@@ -87,9 +87,10 @@
             router.receive(message);
             router.message().encode()
         }),
-        SERVERS_PATH => {
-            reply_to(router, decode(&body), |request| encode(&router.servers_since(&request)))
-        }
+        SERVERS_PATH => reply_to(router, decode(&body), |request| {
+            let (servers, versions) = router.servers_since(&request);
+            encode_with(&servers, &versions)
+        }),
         _ => response(StatusCode::NOT_FOUND, Vec::new()),
     }
 }
--- a/src/router/router.rs
+++ b/src/router/router.rs
@@ -23,7 +23,11 @@
 use crate::router::limit_news::{limit_news, merge_limits};
 use crate::router::{ClientProtocol, RouterError, RouterSettings, Store};
 use crate::rules::Lease;
-use crate::wire::{ServerLoad, WireNews, WireRouter, WireServers, WireServersRequest, pack_loads};
+use crate::servers::ServerRecord;
+use crate::wire::{
+    ServerLoad, WireNews, WireRouter, WireServer, WireServerVersions, WireServers,
+    WireServersRequest, pack_loads,
+};
 
 /// Weight of the results at a backend server up to which an idle one is not reported.
 const MIN_REPORTED_RESULTS: f64 = 0.25;
@@ -183,15 +187,28 @@
         self.peers.lock().unwrap().is_reader(now)
     }
 
-    /// The changes of backend servers that another router requests.
-    pub(crate) fn servers_since(&self, request: &WireServersRequest) -> WireServers {
+    /// The changes of backend servers that another router requests, and the software versions
+    /// of the changed servers.
+    pub(crate) fn servers_since(
+        &self,
+        request: &WireServersRequest,
+    ) -> (WireServers, WireServerVersions) {
         let epoch = self.peers.lock().unwrap().own().born;
         let age = self.servers_lease.age(self.relay.clock().boot());
         let servers = self.relay.servers.lock().unwrap();
         let revision = if request.epoch == epoch { request.stamp } else { u64::MAX };
-        let (whole, rows) = servers.since(revision);
+        let (whole, changes) = servers.since(revision);
+        let version = |(id, record): &(String, Option<ServerRecord>)| {
+            Some((id.clone(), record.as_ref()?.software.to_string()))
+        };
+        let versions = changes.iter().filter_map(version).collect();
+        let row = |(id, record): (String, Option<ServerRecord>)| {
+            (id, record.map(|it| WireServer::from(&it)))
+        };
+        let rows = changes.into_iter().map(row).collect();
         let age_ms = age.map(|it| it.as_millis() as u64);
-        WireServers { epoch, stamp: servers.revision(), whole, age_ms, rows }
+        let servers = WireServers { epoch, stamp: servers.revision(), whole, age_ms, rows };
+        (servers, WireServerVersions { versions })
     }
 
     /// Handles a message of another router: merges it, and updates the loads and the
--- a/src/router/servers_watch.rs
+++ b/src/router/servers_watch.rs
@@ -9,7 +9,7 @@
 
 use crate::events::Code;
 use crate::router::{Router, SourceHealth, SourceTransition, Store, StoreError};
-use crate::servers::{Change, Effect, Page, ServerRecord};
+use crate::servers::{Change, Effect, Page, ServerRecord, SoftwareVersion};
 use crate::wire::{WireServer, WireServersRequest};
 
 /// Pause between two reads of the store. Many records are written per second, so a read
@@ -93,8 +93,13 @@
 ) -> bool {
     let clock = router.relay.clock();
     let sent = clock.boot();
-    let reply = match router.client.servers(peer, known).await {
-        Ok(it) => it,
+    let (reply, versions) = match router.client.servers(peer, known).await {
+        Ok((reply, Some(it))) => (reply, it.versions),
+        Ok((_, None)) => {
+            info!(router.logger, "a router of an earlier version knows no software versions";
+                "event" => Code::PeerUnhelpful.number(), "peer" => %peer);
+            return false;
+        }
         Err(e) => {
             info!(router.logger, "cannot poll a router for backend servers";
                 "event" => Code::PeerUnhelpful.number(), "peer" => %peer, "error" => %e);
@@ -108,7 +113,11 @@
     router.servers_lease.renew(read);
     *known = WireServersRequest { epoch: reply.epoch, stamp: reply.stamp };
     let change = |(key, row): (String, Option<WireServer>)| {
-        let value = row.map(|it| Ok(ServerRecord::from(it)));
+        let record = |it: WireServer| {
+            let software = versions.get(&key).ok_or("the software version is missing")?;
+            Ok(ServerRecord::from((it, SoftwareVersion::from(software.as_str()))))
+        };
+        let value = row.map(|it| record(it).map_err(str::to_owned));
         Change { key, value }
     };
     let changes = reply.rows.into_iter().map(change).collect();
--- a/src/servers/mod.rs
+++ b/src/servers/mod.rs
@@ -7,10 +7,12 @@
 mod result_window;
 mod server;
 mod server_limit;
+mod software_version;
 mod table;
 
 pub use change::{Change, Page};
 pub use record::{ServerRecord, ServerState};
 pub use server::{InFlight, Server};
 pub use server_limit::{LimitChange, LimitStatement};
+pub use software_version::SoftwareVersion;
 pub use table::{Effect, ServerTable};
--- a/src/servers/record.rs
+++ b/src/servers/record.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use crate::servers::SoftwareVersion;
 use crate::wire::WireServer;
 
 key! {
@@ -20,6 +21,8 @@
     pub struct ServerRecord {
         /// Service that it belongs to.
         pub service: String,
+        /// Version of its software.
+        pub software: SoftwareVersion,
         /// Where it listens.
         pub address: SocketAddr,
         /// Failure domain.
@@ -52,9 +55,11 @@
     }
 }
 
-impl From<WireServer> for ServerRecord {
-    fn from(it: WireServer) -> ServerRecord {
+/// A record and the software version, which follows separately on the wire.
+impl From<(WireServer, SoftwareVersion)> for ServerRecord {
+    fn from((it, software): (WireServer, SoftwareVersion)) -> ServerRecord {
         ServerRecord {
+            software,
             service: it.service,
             address: it.address,
             domain: it.domain,
--- a/src/servers/server.rs
+++ b/src/servers/server.rs
@@ -8,7 +8,7 @@
 use crate::decide::{LimitSenders, Results, combine, hash_bytes};
 use crate::servers::result_window::ResultWindow;
 use crate::servers::server_limit::ServerLimit;
-use crate::servers::{LimitChange, LimitStatement, ServerRecord, ServerState};
+use crate::servers::{LimitChange, LimitStatement, ServerRecord, ServerState, SoftwareVersion};
 
 /// Pause after the first failed connection.
 const FIRST_PAUSE: Duration = Duration::from_millis(200);
@@ -43,6 +43,8 @@
     pub id: Arc<str>,
     /// Hash of its id, equal at all routers.
     pub hash: u64,
+    /// Version of its software.
+    pub software: SoftwareVersion,
     /// Where it listens.
     pub address: SocketAddr,
     /// Requests that run at once.
@@ -78,6 +80,7 @@
         Server {
             id: id.into(),
             hash: hash_bytes(id.as_bytes()),
+            software: record.software.clone(),
             address: record.address,
             slots: record.slots,
             born: record.born,
@@ -98,7 +101,9 @@
 
     /// Whether `record` describes this server, unchanged except that it may be leaving.
     pub fn matches(&self, record: &ServerRecord) -> bool {
-        let same = self.born == record.born && self.address == record.address;
+        let same = self.born == record.born
+            && self.address == record.address
+            && self.software == record.software;
         let is_ready_again =
             self.leaving.load(Ordering::Relaxed) && record.state == ServerState::Ready;
         same && self.slots == record.slots && !is_ready_again
--- a/src/servers/table.rs
+++ b/src/servers/table.rs
@@ -7,7 +7,6 @@
 use crate::decide::{Results, combine, hash_bytes, is_failing, max_avoided};
 use crate::servers::leaving_statements::LeavingStatements;
 use crate::servers::{Change, Page, Server, ServerRecord, ServerState};
-use crate::wire::WireServer;
 
 /// How long records may be missing after an outage of the store that supplies them.
 const REAPPEAR_TIME: Duration = Duration::from_millis(2_000);
@@ -101,11 +100,11 @@
     }
 
     /// The changes after `revision`; all servers, and true, when those are no longer known.
-    pub fn since(&self, revision: u64) -> (bool, Vec<(String, Option<WireServer>)>) {
+    pub fn since(&self, revision: u64) -> (bool, Vec<(String, Option<ServerRecord>)>) {
         let is_complete = revision < self.removed_revision || revision > self.revision;
         let changed = self.entries.iter().filter(|(_, it)| is_complete || it.revision > revision);
         let entry = |(id, it): (&String, &Entry)| {
-            let record = it.server.as_ref().map(|_| WireServer::from(&it.record));
+            let record = it.server.as_ref().map(|_| it.record.clone());
             (id.clone(), record)
         };
         let entries = changed.map(entry).filter(|(_, record)| !is_complete || record.is_some());
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -34,7 +34,7 @@
 pub use part_news::{WireAnsweredPart, WireBlamedPart, WireCutRun, WirePartNews, WireStoredBlame};
 pub use peer::{
     ServerLoad, WireExchange, WireNews, WireObservation, WireRouter, WireServer, WireServerLeaving,
-    WireServerLimit, WireServers, WireServersRequest, pack_loads, unpack_loads,
+    WireServerLimit, WireServerVersions, WireServers, WireServersRequest, pack_loads, unpack_loads,
 };
 pub use status::{WireEngine, WireRequestCount, WireStatus, WireWantedItem};
 pub use ticket::{WireObject, WireTicket, parse_ticket};
--- a/src/wire/peer.rs
+++ b/src/wire/peer.rs
@@ -1,6 +1,7 @@
 //! Messages between routers of the platform: liveness, requests in flight at backend
 //! servers, and changes of backend servers.
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
 
 use crate::wire::{WireCrash, WirePartNews};
@@ -137,7 +138,14 @@
         pub rows: Vec<(String, Option<WireServer>)>,
     }
 
-    /// Record of a backend server.
+    /// Software versions of the servers in a [`WireServers`], by their ids.
+    #[derive(Default)]
+    #[serde(default)]
+    pub struct WireServerVersions {
+        pub versions: HashMap<String, String>,
+    }
+
+    /// Record of a backend server, without its software version.
     pub struct WireServer {
         /// Service that it belongs to.
         pub service: String,
--- a/tests/it/failing.rs
+++ b/tests/it/failing.rs
@@ -31,6 +31,7 @@
 fn table(count: u64) -> ServerTable {
     let record = |sequence| ServerRecord {
         service: "s".to_owned(),
+        software: "v1".into(),
         address: "127.0.0.1:80".parse().unwrap(),
         domain: "a".to_owned(),
         slots: 64,
--- a/tests/it/hot_key.rs
+++ b/tests/it/hot_key.rs
@@ -50,6 +50,7 @@
 fn router() -> Router {
     let record = ServerRecord {
         service: "pool".to_owned(),
+        software: "v1".into(),
         address: "127.0.0.1:80".parse().unwrap(),
         domain: "a".to_owned(),
         slots: SLOTS,
--- a/tests/it/named_limits.rs
+++ b/tests/it/named_limits.rs
@@ -21,6 +21,7 @@
 fn server() -> Server {
     let record = ServerRecord {
         service: "pool".to_owned(),
+        software: "v1".into(),
         address: "127.0.0.1:80".parse().unwrap(),
         domain: "a".to_owned(),
         slots: 16,
--- a/tests/it/relay_parts.rs
+++ b/tests/it/relay_parts.rs
@@ -167,6 +167,7 @@
 fn server(name: &str) -> Arc<Server> {
     let record = ServerRecord {
         service: "s".to_owned(),
+        software: "v1".into(),
         address: "127.0.0.1:80".parse().unwrap(),
         domain: "a".to_owned(),
         slots: 4,
--- a/tests/it/servers.rs
+++ b/tests/it/servers.rs
@@ -5,11 +5,13 @@
 
 use filberttiller::decide::Results;
 use filberttiller::servers::{Change, Effect, Page, ServerRecord, ServerState, ServerTable};
+use filberttiller::wire::WireServer;
 use rstest::rstest;
 
 fn record(born: u64, sequence: u64, state: ServerState) -> ServerRecord {
     ServerRecord {
         service: "s".to_owned(),
+        software: "v1".into(),
         address: "127.0.0.1:80".parse().unwrap(),
         domain: "a".to_owned(),
         slots: 4,
@@ -219,9 +221,9 @@
     let (is_complete, entries) = from.since(*known);
     *known = from.revision();
     let count = entries.len();
-    let change = |(key, server): (String, Option<filberttiller::wire::WireServer>)| Change {
+    let change = |(key, record): (String, Option<ServerRecord>)| Change {
         key,
-        value: server.map(|it| Ok(ServerRecord::from(it))),
+        value: record.map(|it| Ok(ServerRecord::from((WireServer::from(&it), it.software)))),
     };
     apply(to, entries.into_iter().map(change).collect(), is_complete, now);
     count
