--- a/src/relay/choose.rs
+++ b/src/relay/choose.rs
@@ -1,7 +1,7 @@
 //! Selects the backend server for a request, and builds the request for it.
 
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use smallvec::SmallVec;
 
@@ -36,16 +36,10 @@
         let rules = self.rules.load();
         let min_objective = rules.and_then(|it| it.min_objective(service, grant.rank()));
         let objective = min_objective.unwrap_or(grant.route.objective);
-        let max_loads = |load: &mut ServiceLoad| {
-            servers.iter().map(|it| load.max_in_flight(it.slots, objective)).collect()
-        };
-        let max_loads: SmallVec<[u32; 32]> =
-            self.service_loads.with(service, ServiceLoad::default, max_loads);
-        let candidates: SmallVec<[Candidate; 32]> = servers
-            .iter()
-            .zip(max_loads)
-            .map(|(it, max_load)| candidate(it, &pending.excluded, max_load, now))
-            .collect();
+        if !has_software(&servers, pending.software) {
+            return Err(Refusal::NoVersion);
+        }
+        let candidates = self.candidates(pending, &servers, objective, now);
         let any_open = candidates.iter().any(|it| !it.closed);
         let picked = pick(&candidates, key, &self.limits().bound, seed);
         let remaining = pending.deadline.saturating_duration_since(now);
@@ -59,6 +53,34 @@
         if server.take_allowance(now) { Ok(server) } else { Err(Refusal::NoRoom) }
     }
 
+    fn candidates(
+        &self,
+        pending: &PendingRequest,
+        servers: &[Arc<Server>],
+        objective: Duration,
+        now: Instant,
+    ) -> SmallVec<[Candidate; 32]> {
+        let max_loads = |load: &mut ServiceLoad| {
+            servers.iter().map(|it| load.max_in_flight(it.slots, objective)).collect()
+        };
+        let service = &pending.trace.service;
+        let max_loads: SmallVec<[u32; 32]> =
+            self.service_loads.with(service, ServiceLoad::default, max_loads);
+        let all = servers.iter().zip(max_loads);
+        all.map(|(it, max_load)| candidate(it, pending, max_load, now)).collect()
+    }
+
+    /// Whether a stream may go on at another server than `from`, as far as servers are known.
+    pub(crate) fn has_successor(&self, pending: &PendingRequest, from: &Server) -> bool {
+        let servers = self.servers.lock().unwrap().of_service(&pending.trace.service);
+        let now = self.clock.now();
+        let may_follow = |it: &Arc<Server>| {
+            let is_other = it.hash != from.hash && !pending.excluded.contains(&it.hash);
+            is_other && it.fits_software(pending.software) && it.is_reachable(now)
+        };
+        servers.is_some_and(|all| all.iter().any(may_follow))
+    }
+
     /// A server that can hand over the prefix `key` to `server`: a known holder, or else
     /// the first other server in the hash order, which other routers prefer for the prefix.
     fn prefix_source(
@@ -110,9 +132,15 @@
     }
 }
 
-fn candidate(server: &Server, excluded: &[u64], max_load: u32, now: Instant) -> Candidate {
+/// Whether one of `servers` may take a stream that the version `software` began.
+fn has_software(servers: &[Arc<Server>], software: Option<u64>) -> bool {
+    software.is_none() || servers.iter().any(|it| it.fits_software(software))
+}
+
+fn candidate(server: &Server, pending: &PendingRequest, max_load: u32, now: Instant) -> Candidate {
     let open = server.is_reachable(now) && !server.is_ejected();
-    let closed = !open || excluded.contains(&server.hash);
+    let excluded = pending.excluded.contains(&server.hash);
+    let closed = !open || excluded || !server.fits_software(pending.software);
     let max_load = if server.has_allowance(now) { max_load } else { 0 };
     Candidate { hash: server.hash, load: server.load(now), slots: server.slots, max_load, closed }
 }
--- a/src/relay/pending_request.rs
+++ b/src/relay/pending_request.rs
@@ -42,6 +42,9 @@
     pub deadline: Instant,
     /// Id of the event after which the stream resumes.
     pub last_event: Option<String>,
+    /// Key of the software version that began the stream, once an event was relayed: what two
+    /// versions write does not fit together.
+    pub software: Option<u64>,
     /// Hashes of the servers that get no further attempt.
     pub excluded: SmallVec<[u64; 4]>,
     /// Held while it is the only run of this request, which may crash servers.
@@ -75,6 +78,7 @@
             meta: self.meta,
             body: self.body,
             deadline: self.deadline,
+            software: None,
             excluded: SmallVec::new(),
             isolated_run: None,
             part_trial: None,
--- a/src/relay/refusal.rs
+++ b/src/relay/refusal.rs
@@ -27,6 +27,8 @@
         Leaving,
         /// No backend server is available.
         NoServer,
+        /// No backend server has the software version that began the stream.
+        NoVersion,
         /// All backend servers are at capacity.
         NoRoom,
         /// Backend servers that ran it crashed.
@@ -58,6 +60,7 @@
             Refusal::NoRules
             | Refusal::Leaving
             | Refusal::NoServer
+            | Refusal::NoVersion
             | Refusal::NoRoom
             | Refusal::Crashes
             | Refusal::PartCrashes
@@ -79,7 +82,8 @@
         match self {
             // Another router can most likely serve it.
             Refusal::NoRules | Refusal::Leaving => Some(Duration::from_millis(100)),
-            Refusal::NoServer => Some(Duration::from_millis(500)),
+            // A server that crashed may start again with its version.
+            Refusal::NoServer | Refusal::NoVersion => Some(Duration::from_millis(500)),
             Refusal::NoRoom | Refusal::Shed => Some(Duration::from_millis(300)),
             Refusal::Crashes | Refusal::PartCrashes => Some(Duration::from_secs(10)),
             _ => None,
@@ -97,6 +101,7 @@
             Refusal::NoRules => "no_rules",
             Refusal::Leaving => "leaving",
             Refusal::NoServer => "no_server",
+            Refusal::NoVersion => "no_version",
             Refusal::NoRoom => "no_room",
             Refusal::Crashes => "crashes",
             Refusal::PartCrashes => "part_crashes",
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -156,6 +156,7 @@
             Some(events) => {
                 let software = &self.in_flight.server().software;
                 self.pending.trace.record_software(software);
+                self.pending.software = Some(software.key());
                 Next::Bytes(events)
             }
             None => self.end(BodyEnd::Failed),
@@ -193,7 +194,9 @@
 
     /// Whether the stream may resume at another server; if so, spends a retry.
     fn may_resume(&mut self) -> bool {
-        self.resumable && self.relay.may_resume(&mut self.pending)
+        self.resumable
+            && self.relay.has_successor(&self.pending, self.in_flight.server())
+            && self.relay.may_resume(&mut self.pending)
     }
 
     /// Resumes the stream at another backend server; false when none took it.
--- a/src/servers/server.rs
+++ b/src/servers/server.rs
@@ -109,6 +109,12 @@
         same && self.slots == record.slots && !is_ready_again
     }
 
+    /// Whether it may go on with a stream that the version with the key `software` began; any
+    /// server may begin one.
+    pub fn fits_software(&self, software: Option<u64>) -> bool {
+        software.is_none_or(|it| it == self.software.key())
+    }
+
     /// Hash of this incarnation, equal at all routers.
     pub fn incarnation(&self) -> u64 {
         combine(self.hash, self.born)
