--- a/src/events/code.rs
+++ b/src/events/code.rs
@@ -91,6 +91,9 @@
     325 ServerReached "a backend server is reachable again";
     326 LeavingStated "a backend server says in an answer that it leaves, it gets no new requests";
     327 LeavingUnreadable "what an answer says of its backend server leaving cannot be read";
+    328 OriginsUntold "another router could not be told of streams, or their number is too large";
+    329 SoftwareMixed "several software versions serve in a service, streams stay at theirs";
+    330 SoftwareUniform "one software version serves in a service";
     // 4xx: placement and admission
     400 Placed "a request was assigned to a backend server";
     401 NoRoom "no backend server can take the request at present";
--- a/src/peers/client.rs
+++ b/src/peers/client.rs
@@ -8,13 +8,20 @@
 use reqwest::Client;
 
 use crate::peers::encoding::decode_with;
-use crate::peers::{Message, encode};
-use crate::wire::{WireServerVersions, WireServers, WireServersRequest};
+use crate::peers::{Message, decode, encode};
+use crate::wire::{
+    WireOriginQuery, WireOriginReply, WireServerVersions, WireServers, WireServersRequest,
+    WireStreamOrigins,
+};
 
 /// Path for the exchange of state between routers.
 pub(crate) const EXCHANGE_PATH: &str = "/exchange";
 /// Path for requests for changes of backend servers.
 pub(crate) const SERVERS_PATH: &str = "/servers";
+/// Path for telling which software versions began streams.
+pub(crate) const ORIGINS_PATH: &str = "/origins";
+/// Path for asking which software version began a stream.
+pub(crate) const ORIGIN_PATH: &str = "/origin";
 /// Limit on establishing a connection to another router.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Limit on a request and its response.
@@ -87,6 +94,33 @@
         decode_with(&reply).map_err(undecodable)
     }
 
+    /// Tells the router at `peer` which software versions began streams.
+    ///
+    /// # Errors
+    /// `Refused` when no process listens there, `Failed` for any other failure.
+    pub async fn tell_origins(
+        &self,
+        peer: SocketAddr,
+        message: &WireStreamOrigins,
+    ) -> Result<(), PeerError> {
+        let body = encode(message).map_err(|e| PeerError::Failed(e.to_string()))?;
+        self.post(peer, ORIGINS_PATH, body).await.map(drop)
+    }
+
+    /// Asks the router at `peer` which software version began a stream.
+    ///
+    /// # Errors
+    /// `Refused` when no process listens there, `Failed` for any other failure.
+    pub async fn origin(
+        &self,
+        peer: SocketAddr,
+        query: &WireOriginQuery,
+    ) -> Result<WireOriginReply, PeerError> {
+        let body = encode(query).map_err(|e| PeerError::Failed(e.to_string()))?;
+        let reply = self.post(peer, ORIGIN_PATH, body).await?;
+        decode(&reply).map_err(undecodable)
+    }
+
     async fn post(&self, peer: SocketAddr, path: &str, body: Bytes) -> Result<Bytes, PeerError> {
         let sent = self.http.post(format!("http://{peer}{path}")).body(body).send().await;
         let response = sent.and_then(reqwest::Response::error_for_status).map_err(peer_error)?;
--- a/src/peers/mod.rs
+++ b/src/peers/mod.rs
@@ -7,7 +7,7 @@
 mod peer;
 mod peer_table;
 
-pub(crate) use client::{EXCHANGE_PATH, SERVERS_PATH};
+pub(crate) use client::{EXCHANGE_PATH, ORIGIN_PATH, ORIGINS_PATH, SERVERS_PATH};
 pub use client::{PeerClient, PeerError};
 pub(crate) use encoding::encode_with;
 pub use encoding::{decode, encode};
--- a/src/peers/peer_table.rs
+++ b/src/peers/peer_table.rs
@@ -7,7 +7,7 @@
 use rand::seq::IteratorRandom;
 use smallvec::SmallVec;
 
-use crate::decide::{Results, hash_bytes};
+use crate::decide::{Results, combine, hash_bytes};
 use crate::peers::peer::{PEER_TIMEOUT, Peer, ReportSource};
 use crate::wire::{WireCrash, WireExchange, WireObservation, WireRouter, unpack_loads};
 
@@ -150,6 +150,16 @@
         alive.map(|(name, _)| name.as_str())
     }
 
+    /// Addresses of the other routers, and whether each is alive: first those that are, each
+    /// group in the rendezvous order of `key`.
+    pub fn ranked(&self, key: u64, now: Instant) -> impl Iterator<Item = (SocketAddr, bool)> {
+        let rank = |it: &Peer| combine(key, hash_bytes(it.router.name.as_bytes()));
+        let ranked = |it: &Peer| (it.is_alive(now), rank(it), it.router.peers);
+        let mut all: Vec<_> = self.peers.values().map(ranked).collect();
+        all.sort_unstable_by(|a, b| b.cmp(a));
+        all.into_iter().map(|(is_alive, _, address)| (address, is_alive))
+    }
+
     /// When the router `name` was last seen, and whether it refused a connection since.
     pub fn last_seen(&self, name: &str) -> Option<(Instant, bool)> {
         self.peers.get(name).map(|it| (it.last_seen, it.refused))
--- a/src/relay/attempt_loop.rs
+++ b/src/relay/attempt_loop.rs
@@ -143,6 +143,7 @@
         let grant = self.allow(&pending.meta, pending.head.uri.path(), &mut pending.trace)?;
         self.apply_part_policy(pending)?;
         self.apply_suspect_policy(pending)?;
+        self.find_origin(pending, &grant).await?;
         let server = self.select_server(pending, &grant)?;
         let load = server.load(now);
         let in_flight = server.begin_request();
--- a/src/relay/choose.rs
+++ b/src/relay/choose.rs
@@ -28,7 +28,7 @@
         pending.selections += 1;
         let key = pending.meta.prefix_key();
         let seed = hash_bytes(pending.meta.id.as_bytes());
-        let service = grant.route.target(key.unwrap_or(seed)).ok_or(Refusal::NoServer)?;
+        let service = pending.target_service(grant).ok_or(Refusal::NoServer)?;
         pending.trace.service.clear();
         pending.trace.service.push_str(service);
         let servers = self.servers.lock().unwrap().of_service(service).ok_or(Refusal::NoServer)?;
--- a/src/relay/pending_request.rs
+++ b/src/relay/pending_request.rs
@@ -7,10 +7,11 @@
 use hyper::http::request::Parts;
 use smallvec::SmallVec;
 
+use crate::decide::hash_bytes;
 use crate::fleet::RunningSuspect;
-use crate::relay::RequestMeta;
 use crate::relay::part_trial::PartTrial;
 use crate::relay::request_trace::RequestTrace;
+use crate::relay::{RequestMeta, StreamOrigin};
 use crate::rules::{Organisation, Route};
 use crate::servers::Server;
 
@@ -45,6 +46,8 @@
     /// Key of the software version that began the stream, once an event was relayed: what two
     /// versions write does not fit together.
     pub software: Option<u64>,
+    /// Whether that version is recorded for later attempts of the caller.
+    pub is_origin_recorded: bool,
     /// Hashes of the servers that get no further attempt.
     pub excluded: SmallVec<[u64; 4]>,
     /// Held while it is the only run of this request, which may crash servers.
@@ -79,6 +82,7 @@
             body: self.body,
             deadline: self.deadline,
             software: None,
+            is_origin_recorded: false,
             excluded: SmallVec::new(),
             isolated_run: None,
             part_trial: None,
@@ -96,6 +100,32 @@
         self.trace.resumed
     }
 
+    /// Service that `grant` selects for it.
+    pub fn target_service<'a>(&self, grant: &'a Grant) -> Option<&'a str> {
+        let seed = hash_bytes(self.meta.id.as_bytes());
+        grant.route.target(self.meta.prefix_key().unwrap_or(seed))
+    }
+
+    /// Hash of the id of the caller's attempt that brought the first event of its stream: this
+    /// one, unless it takes a stream up.
+    pub fn stream_hash(&self) -> u64 {
+        let resumed = self.meta.resumes.as_ref().filter(|_| self.meta.last_event.is_some());
+        hash_bytes(resumed.unwrap_or(&self.meta.id).as_bytes())
+    }
+
+    /// The record that the version with the key `software` began its stream.
+    pub fn origin(&self, software: u64) -> StreamOrigin {
+        let time = self.meta.deadline.map(|it| it.min(StreamOrigin::MAX_TIME));
+        let deadline = time.map_or(self.deadline, |it| self.trace.received() + it);
+        StreamOrigin { stream: self.stream_hash(), software, deadline: deadline.max(self.deadline) }
+    }
+
+    /// Sets the software version that began the stream, and how it is known.
+    pub fn set_origin(&mut self, software: u64, source: &'static str) {
+        self.software = Some(software);
+        self.trace.origin = Some(source);
+    }
+
     /// Prepares the request to resume, after the event `last`, a stream that broke at `server`.
     pub fn prepare_resume(&mut self, server: &Server, last: Option<&str>) {
         self.excluded.push(server.hash);
--- a/src/relay/refusal.rs
+++ b/src/relay/refusal.rs
@@ -29,6 +29,8 @@
         NoServer,
         /// No backend server has the software version that began the stream.
         NoVersion,
+        /// It takes a stream up, and no router knows the software version that began it.
+        UnknownOrigin,
         /// All backend servers are at capacity.
         NoRoom,
         /// Backend servers that ran it crashed.
@@ -61,6 +63,7 @@
             | Refusal::Leaving
             | Refusal::NoServer
             | Refusal::NoVersion
+            | Refusal::UnknownOrigin
             | Refusal::NoRoom
             | Refusal::Crashes
             | Refusal::PartCrashes
@@ -84,7 +87,9 @@
             Refusal::NoRules | Refusal::Leaving => Some(Duration::from_millis(100)),
             // A server that crashed may start again with its version.
             Refusal::NoServer | Refusal::NoVersion => Some(Duration::from_millis(500)),
-            Refusal::NoRoom | Refusal::Shed => Some(Duration::from_millis(300)),
+            Refusal::NoRoom | Refusal::Shed | Refusal::UnknownOrigin => {
+                Some(Duration::from_millis(300))
+            }
             Refusal::Crashes | Refusal::PartCrashes => Some(Duration::from_secs(10)),
             _ => None,
         }
@@ -102,6 +107,7 @@
             Refusal::Leaving => "leaving",
             Refusal::NoServer => "no_server",
             Refusal::NoVersion => "no_version",
+            Refusal::UnknownOrigin => "unknown_origin",
             Refusal::NoRoom => "no_room",
             Refusal::Crashes => "crashes",
             Refusal::PartCrashes => "part_crashes",
--- a/src/relay/relay.rs
+++ b/src/relay/relay.rs
@@ -2,7 +2,7 @@
 
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use arc_swap::{ArcSwap, Guard};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
@@ -11,7 +11,7 @@
 use hyper::http::request::Parts;
 use hyper::{Request, Response, Version};
 use slog::warn;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, mpsc};
 
 use crate::clock::SharedClock;
 use crate::decide::{LimitSenders, PartSuspects, ServiceLoad, Verdict};
@@ -24,8 +24,8 @@
 use crate::relay::request_trace::RequestTrace;
 use crate::relay::stream::relay_stream;
 use crate::relay::{
-    Codec, ConnectionPool, Outcome, PrefixHolders, Refusal, RelayBody, RelayLimits, RequestLog,
-    RequestMeta, RetryBudgets, full_body,
+    Codec, ConnectionPool, OriginQuery, Outcome, PrefixHolders, Refusal, RelayBody, RelayLimits,
+    RequestLog, RequestMeta, RetryBudgets, StreamOrigins, full_body,
 };
 use crate::rules::{Denied, Lease, RouteKind, RulesCell};
 use crate::servers::ServerTable;
@@ -50,6 +50,14 @@
     pub lease: Lease,
     /// The backend servers.
     pub servers: Mutex<ServerTable>,
+    /// The time up to which their records are confirmed.
+    pub servers_lease: Lease,
+    /// Software versions that began streams.
+    pub origins: Mutex<StreamOrigins>,
+    /// Questions about streams that this router does not know.
+    pub(crate) origin_queries: mpsc::Sender<OriginQuery>,
+    /// When this router started.
+    pub(crate) started: Instant,
     /// Number of routers alive, including this one; they share the retry budget.
     pub routers: AtomicUsize,
     /// This router is shutting down.
@@ -65,14 +73,17 @@
 }
 
 impl Relay {
-    /// A relay without rules or servers.
+    /// A relay without rules or servers. It sends its questions to other routers to
+    /// `origin_queries`.
     pub fn new(
         codec: Codec,
         limits: RelayLimits,
         clock: SharedClock,
         request_log: Arc<RequestLog>,
+        origin_queries: mpsc::Sender<OriginQuery>,
     ) -> Relay {
         Relay {
+            started: clock.now(),
             codec,
             limits: ArcSwap::from_pointee(limits),
             clock,
@@ -84,6 +95,9 @@
             rules: RulesCell::default(),
             lease: Lease::default(),
             servers: Mutex::default(),
+            servers_lease: Lease::default(),
+            origins: Mutex::default(),
+            origin_queries,
             routers: AtomicUsize::new(1),
             leaving: AtomicBool::new(false),
             crashes: Arc::new(CrashTable::new(CRASH_RETENTION)),
--- a/src/relay/request_log.rs
+++ b/src/relay/request_log.rs
@@ -118,7 +118,7 @@
             "body_end" => trace.body_end.map(BodyEnd::as_str),
             "last_event" => trace.last_event.as_deref(),
             "resumed" => trace.resumed, "resumes" => trace.resumes.as_deref(),
-            "software" => software,
+            "origin" => trace.origin, "software" => software,
             "blamed_part" => trace.blamed_part.map(|it| format!("{it:x}")),
             "retry_after_ms" => trace.retry_after.map(|it| it.as_millis() as u64),
             "took_ms" => took.as_millis() as u64);
--- a/src/relay/request_trace.rs
+++ b/src/relay/request_trace.rs
@@ -45,6 +45,8 @@
     pub last_event: Option<String>,
     /// Id of the caller's attempt that began the stream, where the caller resumes one.
     pub resumes: Option<String>,
+    /// How the software version is known that began that stream.
+    pub origin: Option<&'static str>,
     /// Software versions of the servers whose events were relayed, in order.
     pub software: SmallVec<[SoftwareVersion; 1]>,
     /// Time to the head of the answer.
@@ -78,6 +80,7 @@
             body_end: None,
             last_event: None,
             resumes: None,
+            origin: None,
             software: SmallVec::new(),
             head_time: None,
             retry_after: None,
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -156,7 +156,9 @@
             Some(events) => {
                 let software = &self.in_flight.server().software;
                 self.pending.trace.record_software(software);
-                self.pending.software = Some(software.key());
+                if self.resumable {
+                    self.relay.record_origin(&mut self.pending, software);
+                }
                 Next::Bytes(events)
             }
             None => self.end(BodyEnd::Failed),
@@ -176,6 +178,7 @@
         self.pending.trace.last_event = self.events.last_id().map(str::to_owned);
         self.relay.record_service_time(&mut self.pending);
         self.relay.record_answered_parts(&self.pending);
+        self.relay.origins.lock().unwrap().end(self.pending.stream_hash());
         self.pending.trace.verdict = Verdict::Ran;
         self.pending.trace.finish(Outcome::Done, "streamed");
         if let Some(connection) = self.connection.take() {
--- a/src/router/endpoints.rs
+++ b/src/router/endpoints.rs
@@ -12,8 +12,11 @@
 use slog::warn;
 
 use crate::events::Code;
-use crate::peers::{EXCHANGE_PATH, Message, SERVERS_PATH, decode, encode_with};
+use crate::peers::{
+    EXCHANGE_PATH, Message, ORIGIN_PATH, ORIGINS_PATH, SERVERS_PATH, decode, encode, encode_with,
+};
 use crate::relay::{RelayBody, full_body};
+use crate::router::origins::{merge_origins, reply_to_query};
 use crate::router::{Router, Store};
 
 /// Most addresses in one entry response.
@@ -91,6 +94,13 @@
             let (servers, versions) = router.servers_since(&request);
             encode_with(&servers, &versions)
         }),
+        ORIGINS_PATH => reply_to(router, decode(&body), |message| {
+            merge_origins(router, &message);
+            Ok(Bytes::new())
+        }),
+        ORIGIN_PATH => {
+            reply_to(router, decode(&body), |query| encode(&reply_to_query(router, &query)))
+        }
         _ => response(StatusCode::NOT_FOUND, Vec::new()),
     }
 }
--- a/src/router/exchange_loop.rs
+++ b/src/router/exchange_loop.rs
@@ -47,6 +47,7 @@
         let now = router.relay.clock().now();
         router.peers.lock().unwrap().remove_expired(now);
         router.relay.parts.lock().unwrap().remove_expired(now);
+        router.relay.origins.lock().unwrap().remove_expired(now);
         // Ends early on a change to report; the next round begins in either case.
         let _ = timeout(ROUND_INTERVAL, router.exchange_now.notified()).await;
     }
--- a/src/router/lifecycle.rs
+++ b/src/router/lifecycle.rs
@@ -15,6 +15,7 @@
 use crate::relay::{Relay, serve_connections};
 use crate::router::blame_store::store_blame;
 use crate::router::exchange_loop::{exchange, find_routers};
+use crate::router::origins::{answer_queries, tell_origins};
 use crate::router::rules_watch::follow_rules;
 use crate::router::servers_watch::follow_servers;
 use crate::router::{Listeners, Router, RouterError, Store, endpoints};
@@ -62,6 +63,10 @@
     tokio::spawn(find_routers(Arc::clone(router)));
     tokio::spawn(exchange(Arc::clone(router)));
     tokio::spawn(store_blame(Arc::clone(router)));
+    tokio::spawn(tell_origins(Arc::clone(router)));
+    if let Some(queries) = router.origin_queries.lock().unwrap().take() {
+        tokio::spawn(answer_queries(Arc::clone(router), queries));
+    }
     let own = &router.settings;
     info!(router.logger, "started"; "event" => Code::Started.number(), "callers" => %own.callers,
         "ready" => %own.ready, "entry" => %own.entry, "metrics" => %own.metrics,
--- a/src/router/router.rs
+++ b/src/router/router.rs
@@ -9,7 +9,7 @@
 use error_stack::{Report, ResultExt};
 use prometheus::Registry;
 use slog::{Logger, info};
-use tokio::sync::{Notify, watch};
+use tokio::sync::{Notify, mpsc, watch};
 
 use crate::clock::SharedClock;
 use crate::decide::{LimitSenders, Results, hash_bytes};
@@ -18,11 +18,11 @@
 use crate::peers::{
     Message, PeerClient, PeerLoad, PeerTable, part_news_from_wire, part_news_to_wire,
 };
-use crate::relay::{ConnectionContext, Relay, RequestLog};
+use crate::relay::{ConnectionContext, MAX_WAITING_QUERIES, OriginQuery, Relay, RequestLog};
 use crate::router::leaving_news::{leaving_news, merge_leaving};
 use crate::router::limit_news::{limit_news, merge_limits};
+use crate::router::software_news::{merge_software, software_news};
 use crate::router::{ClientProtocol, RouterError, RouterSettings, Store};
-use crate::rules::Lease;
 use crate::servers::ServerRecord;
 use crate::wire::{
     ServerLoad, WireNews, WireRouter, WireServer, WireServerVersions, WireServers,
@@ -60,8 +60,8 @@
     pub(crate) exchange_now: Arc<Notify>,
     /// Signals that another router has newer rules.
     pub(crate) newer_rules: Notify,
-    /// Age of the last read of the records of backend servers.
-    pub(crate) servers_lease: Lease,
+    /// Questions of the relay to other routers; taken when the router starts.
+    pub(crate) origin_queries: Mutex<Option<mpsc::Receiver<OriginQuery>>>,
     /// Blamed prompt parts that the store has, as last read or written.
     pub(crate) stored_blame: Mutex<HashSet<u64>>,
     /// Client for requests to other routers.
@@ -92,7 +92,8 @@
             born: born.as_millis() as u64,
         };
         let limits = settings.limits.clone();
-        let relay = Relay::new(protocol.codec, limits, clock, Arc::new(request_log));
+        let (queries, origin_queries) = mpsc::channel(MAX_WAITING_QUERIES);
+        let relay = Relay::new(protocol.codec, limits, clock, Arc::new(request_log), queries);
         let exchange_now = Arc::clone(&relay.urgent_update);
         Ok(Router {
             settings,
@@ -106,7 +107,7 @@
             closed: watch::Sender::new(false),
             exchange_now,
             newer_rules: Notify::new(),
-            servers_lease: Lease::default(),
+            origin_queries: Mutex::new(Some(origin_queries)),
             stored_blame: Mutex::default(),
             client: PeerClient::new().change_context(RouterError::SetUp)?,
         })
@@ -163,6 +164,7 @@
             parts: part_news_to_wire(&parts, now),
             limits: limit_news(&self.relay, now),
             leaving: leaving_news(&self.relay, now),
+            software: software_news(&self.relay, now),
         }
     }
 
@@ -194,7 +196,7 @@
         request: &WireServersRequest,
     ) -> (WireServers, WireServerVersions) {
         let epoch = self.peers.lock().unwrap().own().born;
-        let age = self.servers_lease.age(self.relay.clock().boot());
+        let age = self.relay.servers_lease.age(self.relay.clock().boot());
         let servers = self.relay.servers.lock().unwrap();
         let revision = if request.epoch == epoch { request.stamp } else { u64::MAX };
         let (whole, changes) = servers.since(revision);
@@ -219,6 +221,7 @@
         self.relay.merge_part_news(part_news_from_wire(news.parts, now));
         merge_limits(&self.relay, &news.limits, now);
         merge_leaving(&self.relay, &news.leaving, now);
+        merge_software(&self.relay, news.software, now);
         for crash in &exchange.crashes {
             self.relay.crashes.insert(CrashReport::from_wire(crash, now), now);
         }
--- a/src/router/servers_watch.rs
+++ b/src/router/servers_watch.rs
@@ -57,7 +57,7 @@
                     }
                 }
                 from = Some(page.next);
-                router.servers_lease.renew(sent);
+                router.relay.servers_lease.renew(sent);
                 apply(&router, page);
                 let has_followers = router.peers.lock().unwrap().has_followers(clock.now());
                 if has_followers { FOLLOWED_READ_PAUSE } else { READ_PAUSE }
@@ -110,7 +110,7 @@
     let Some(read) = age.and_then(|it| sent.checked_sub(it)) else {
         return false;
     };
-    router.servers_lease.renew(read);
+    router.relay.servers_lease.renew(read);
     *known = WireServersRequest { epoch: reply.epoch, stamp: reply.stamp };
     let change = |(key, row): (String, Option<WireServer>)| {
         let record = |it: WireServer| {
@@ -135,6 +135,10 @@
     }
     let mut servers = router.relay.servers.lock().unwrap();
     servers.apply(page, now, |id, effect| log_effect(router, id, effect));
+    if servers.record_software(now) {
+        // Other routers must not take the former version for the only one.
+        router.relay.urgent_update.notify_one();
+    }
 }
 
 /// Waits before the next read, and expires entries of the table when they are due.
@@ -155,6 +159,7 @@
     let now = router.relay.clock().now();
     let mut servers = router.relay.servers.lock().unwrap();
     servers.expire(now, |id, effect| log_effect(router, id, effect));
+    servers.record_software(now);
     drop(servers);
     router.relay.pool.remove_expired(now);
 }
--- a/src/router/state_change_log.rs
+++ b/src/router/state_change_log.rs
@@ -15,6 +15,8 @@
     reader: bool,
     /// Names of the other routers that are alive.
     alive: BTreeSet<String>,
+    /// Names of the services in which several software versions serve.
+    mixed: BTreeSet<String>,
 }
 
 impl StateChangeLog {
@@ -24,6 +26,19 @@
         self.log_readiness(router);
         self.log_peers(router, now);
         self.log_reader_role(router, now);
+        self.log_software(router);
+    }
+
+    fn log_software<S: Store>(&mut self, router: &Router<S>) {
+        let servers = router.relay.servers.lock().unwrap();
+        let mixed: BTreeSet<String> = servers.mixed_services().map(str::to_owned).collect();
+        drop(servers);
+        let begun = mixed.difference(&self.mixed).map(|it| (Code::SoftwareMixed, it));
+        let ended = self.mixed.difference(&mixed).map(|it| (Code::SoftwareUniform, it));
+        for (code, service) in begun.chain(ended) {
+            info!(router.logger, "{}", code.text(); "event" => code.number(), "service" => service);
+        }
+        self.mixed = mixed;
     }
 
     fn log_readiness<S: Store>(&mut self, router: &Router<S>) {
--- a/src/servers/mod.rs
+++ b/src/servers/mod.rs
@@ -7,6 +7,7 @@
 mod result_window;
 mod server;
 mod server_limit;
+mod software_history;
 mod software_version;
 mod table;
 
@@ -14,5 +15,6 @@
 pub use record::{ServerRecord, ServerState};
 pub use server::{InFlight, Server};
 pub use server_limit::{LimitChange, LimitStatement};
+pub use software_history::{SeenSoftware, ServiceSoftware};
 pub use software_version::SoftwareVersion;
 pub use table::{Effect, ServerTable};
--- a/src/servers/table.rs
+++ b/src/servers/table.rs
@@ -6,7 +6,10 @@
 
 use crate::decide::{Results, combine, hash_bytes, is_failing, max_avoided};
 use crate::servers::leaving_statements::LeavingStatements;
-use crate::servers::{Change, Page, Server, ServerRecord, ServerState};
+use crate::servers::software_history::SoftwareHistory;
+use crate::servers::{
+    Change, Page, SeenSoftware, Server, ServerRecord, ServerState, ServiceSoftware,
+};
 
 /// How long records may be missing after an outage of the store that supplies them.
 const REAPPEAR_TIME: Duration = Duration::from_millis(2_000);
@@ -51,6 +54,8 @@
     services: HashMap<String, Arc<[Arc<Server>]>>,
     /// Incarnations that said that they leave, whatever their records say.
     leaving: LeavingStatements,
+    /// Software versions that served lately, of servers that are gone too.
+    software: SoftwareHistory,
     /// Records that go before then may reappear.
     reappear_until: Option<Instant>,
     /// Number of the last change; each change increases it.
@@ -199,6 +204,37 @@
         all.filter(move |(incarnation, _, is_news)| *is_news || present.contains(incarnation))
     }
 
+    /// Notes which software versions serve; true if a service has several and had one before.
+    pub fn record_software(&mut self, now: Instant) -> bool {
+        let before = self.software.mixed().count();
+        for it in self.entries.values().filter(|it| it.gone.is_none()) {
+            self.software.record(&it.record.service, it.record.software.key(), now);
+        }
+        self.software.remove_expired(now);
+        self.software.mixed().count() > before
+    }
+
+    /// Notes that another router has seen a software version.
+    pub fn merge_software(&mut self, seen: &SeenSoftware, now: Instant) {
+        self.software.record(&seen.service, seen.software, seen.at);
+        self.software.remove_expired(now);
+    }
+
+    /// The software versions that served in `service` lately.
+    pub fn software(&self, service: &str) -> ServiceSoftware {
+        self.software.of_service(service)
+    }
+
+    /// Services in which several software versions served lately.
+    pub fn mixed_services(&self) -> impl Iterator<Item = &str> {
+        self.software.mixed()
+    }
+
+    /// The software versions of the services that have several.
+    pub fn seen_software(&self) -> impl Iterator<Item = SeenSoftware> {
+        self.software.seen()
+    }
+
     fn incarnations(&self, filter: impl Fn(&Entry) -> bool) -> impl Iterator<Item = u64> {
         let entries = self.entries.iter().filter(move |(_, it)| filter(it));
         entries.map(|(id, it)| combine(hash_bytes(id.as_bytes()), it.record.born))
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -33,8 +33,10 @@
 pub use packed::{PackError, pack_gossip, packed_len, unpack_gossip};
 pub use part_news::{WireAnsweredPart, WireBlamedPart, WireCutRun, WirePartNews, WireStoredBlame};
 pub use peer::{
-    ServerLoad, WireExchange, WireNews, WireObservation, WireRouter, WireServer, WireServerLeaving,
-    WireServerLimit, WireServerVersions, WireServers, WireServersRequest, pack_loads, unpack_loads,
+    ServerLoad, WireExchange, WireNews, WireObservation, WireOriginQuery, WireOriginReply,
+    WireRouter, WireSeenSoftware, WireServer, WireServerLeaving, WireServerLimit,
+    WireServerVersions, WireServers, WireServersRequest, WireServiceSoftware, WireStreamOrigin,
+    WireStreamOrigins, pack_loads, unpack_loads,
 };
 pub use status::{WireEngine, WireRequestCount, WireStatus, WireWantedItem};
 pub use ticket::{WireObject, WireTicket, parse_ticket};
--- a/src/wire/peer.rs
+++ b/src/wire/peer.rs
@@ -105,6 +105,8 @@
         pub limits: Vec<WireServerLimit>,
         /// Backend servers that say that they leave.
         pub leaving: Vec<WireServerLeaving>,
+        /// Software versions of the services that have several.
+        pub software: Vec<WireSeenSoftware>,
     }
 
     /// What a backend server last said of its limit: hash of its incarnation, requests a
@@ -115,6 +117,41 @@
     /// milliseconds.
     pub struct WireServerLeaving(pub u64, pub u64);
 
+    /// A software version that served: name of the service, key of the version, and how long ago
+    /// in milliseconds.
+    pub struct WireSeenSoftware(pub String, pub u64, pub u64);
+
+    /// The software versions that began streams.
+    pub struct WireStreamOrigins {
+        pub origins: Vec<WireStreamOrigin>,
+    }
+
+    /// Hash of the id of the attempt that brought the first event of a stream, key of the software
+    /// version, and how long the caller still waits in milliseconds.
+    pub struct WireStreamOrigin(pub u64, pub u64, pub u32);
+
+    /// Question about a stream: hash of the id of the attempt that brought the first event, and
+    /// name of the service.
+    pub struct WireOriginQuery(pub u64, pub String);
+
+    /// Reply to a [`WireOriginQuery`].
+    pub struct WireOriginReply {
+        /// Key of the software version that began the stream, if it is known.
+        pub software: Option<u64>,
+        /// Software versions of the service.
+        pub service: WireServiceSoftware,
+    }
+
+    /// Software versions that served in a service lately.
+    pub enum WireServiceSoftware {
+        /// None was seen.
+        None,
+        /// Key of the only one.
+        One(u64),
+        /// Several.
+        Several,
+    }
+
     /// Request for changes of backend servers.
     pub struct WireServersRequest {
         /// Process that counted `stamp`; another process answers with all servers.
@@ -169,6 +206,9 @@
 impl WireNews {
     /// Whether there is nothing to tell.
     pub fn is_empty(&self) -> bool {
-        self.parts.is_empty() && self.limits.is_empty() && self.leaving.is_empty()
+        self.parts.is_empty()
+            && self.limits.is_empty()
+            && self.leaving.is_empty()
+            && self.software.is_empty()
     }
 }
--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -49,6 +49,7 @@
 mod spread;
 mod state;
 mod storm;
+mod stream_origins;
 mod support;
 mod suspect;
 mod timeline;
--- a/tests/it/peers.rs
+++ b/tests/it/peers.rs
@@ -273,3 +273,29 @@
         let _ = decode::<WireServers>(&bytes);
     }
 }
+
+/// Other routers are asked in an order that all routers share, those that are alive first.
+#[test]
+fn ranked_alive_first() {
+    let now = Instant::now();
+    let mut peers = PeerTable::new(router("own", 1));
+    for name in ["a", "b", "c"] {
+        peers.merge_message(message(report(router(name, 1), 0), Vec::new(), Vec::new()), now);
+    }
+    peers.merge_announced(router("silent", 1), now);
+    for key in 0..50 {
+        let ranked: Vec<_> = peers.ranked(key, now).collect();
+        assert_eq!(ranked.len(), 4);
+        assert_eq!(ranked[3], (router("silent", 1).peers, false));
+        let mut other = PeerTable::new(router("a", 1));
+        for name in ["own", "b", "c"] {
+            other.merge_message(message(report(router(name, 1), 0), Vec::new(), Vec::new()), now);
+        }
+        let common = |all: &PeerTable| {
+            let shared = [router("b", 1).peers, router("c", 1).peers];
+            let ranked = all.ranked(key, now).map(|(peer, _)| peer);
+            ranked.filter(|it| shared.contains(it)).collect::<Vec<_>>()
+        };
+        assert_eq!(common(&peers), common(&other), "all routers agree");
+    }
+}
