--- a/soak/src/callers.rs
+++ b/soak/src/callers.rs
@@ -8,7 +8,7 @@
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use reqwest::{Client, Version};
+use reqwest::{Client, Response, Version};
 use serde_json::Value;
 use standins::platform::fixture::HOST;
 use tokio::time::sleep;
@@ -25,6 +25,8 @@
 const HTTP_10_EVERY: u64 = 5;
 /// Timeout of a request.
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(6);
+/// How often a caller takes a stream up.
+const MAX_TAKE_UPS: usize = 2;
 /// Maximum pause between two requests of one caller.
 const MAX_PAUSE_MS: u64 = 60;
 
@@ -55,6 +57,15 @@
     }
 }
 
+/// A stream that broke off and is taken up.
+#[derive(Debug, Clone)]
+pub struct TakenUp {
+    /// Id of the attempt that brought the first event.
+    pub first: String,
+    /// Number of the last event that was received.
+    pub last: u32,
+}
+
 /// One request as its caller saw it.
 #[derive(Debug, Clone)]
 pub struct RequestResult {
@@ -68,6 +79,10 @@
     pub status: Option<u16>,
     /// Complete body; `None` when it broke off.
     pub body: Option<String>,
+    /// The body as far as it was received.
+    pub received: String,
+    /// The stream that it takes up.
+    pub taken_up: Option<TakenUp>,
     /// Whether the answer had a signature.
     pub is_signed: bool,
     /// Whether the answer said that its server leaves.
@@ -76,6 +91,25 @@
     pub answer_id: Option<String>,
 }
 
+impl RequestResult {
+    /// Numbers of the events received, and the texts after them.
+    pub fn events(&self) -> impl Iterator<Item = (u32, &str)> {
+        let events = self.received.split("\n\n").filter_map(|it| it.split_once("\ndata: "));
+        events.filter_map(|(id, data)| Some((id.strip_prefix("id: ")?.parse().ok()?, data)))
+    }
+
+    /// How its stream can be taken up, if it broke off after an event.
+    fn to_take_up(&self) -> Option<TakenUp> {
+        if self.kind != Kind::Restream || self.body.is_some() {
+            return None;
+        }
+        let former = self.taken_up.as_ref();
+        let last = self.events().last().map(|(number, _)| number).or(former.map(|it| it.last))?;
+        let first = former.map_or(&self.id, |it| &it.first).clone();
+        Some(TakenUp { first, last })
+    }
+}
+
 /// Results of all finished requests, and the flag that stops the callers.
 #[derive(Debug, Default)]
 pub struct ResultLog {
@@ -102,10 +136,20 @@
             known = (Instant::now(), found);
         }
         if let Some(router) = known.1.choose(&mut random).copied() {
-            let result = send(&fleet, &log, &http, version, router, &mut random).await;
+            let mut result = send(&fleet, &log, &http, version, router, &mut random, None).await;
             if result.status.is_none() {
                 known.1.retain(|it| *it != router);
             }
+            for _ in 0..MAX_TAKE_UPS {
+                let taken_up = result.to_take_up().filter(|_| fleet.has_versions);
+                let next = known.1.choose(&mut random).copied();
+                let Some((taken_up, router)) = taken_up.zip(next) else {
+                    break;
+                };
+                log.results.lock().unwrap().push(result);
+                let taken_up = Some(taken_up);
+                result = send(&fleet, &log, &http, version, router, &mut random, taken_up).await;
+            }
             log.results.lock().unwrap().push(result);
         }
         sleep(Duration::from_millis(random.random_range(0..MAX_PAUSE_MS))).await;
@@ -136,8 +180,12 @@
     version: Version,
     router: SocketAddr,
     random: &mut ChaCha8Rng,
+    taken_up: Option<TakenUp>,
 ) -> RequestResult {
-    let kind = *Kind::ALL.choose(random).expect("there are kinds");
+    let kind = match taken_up {
+        Some(_) => Kind::Restream,
+        None => *Kind::ALL.choose(random).expect("there are kinds"),
+    };
     let id = format!("r-{}", log.next_id.fetch_add(1, Ordering::Relaxed));
     let key = {
         let operator = fleet.operator.lock().unwrap();
@@ -149,6 +197,10 @@
     let call = call.header("authorization", format!("Token {key}"));
     let part = random.random_range(0..20);
     let call = call.header("prompt-prefix", format!("a:100,{part:x}:900,{id}:10"));
+    let call = match &taken_up {
+        Some(it) => call.header("resumes", &it.first).header("last-event-id", it.last),
+        None => call,
+    };
     let sent = Instant::now();
     let mut result = RequestResult {
         id,
@@ -159,18 +211,32 @@
         ended: sent,
         status: None,
         body: None,
+        received: String::new(),
+        taken_up,
         is_signed: false,
         says_leaving: false,
         answer_id: None,
     };
-    if let Ok(answer) = call.body("words").send().await {
+    if let Ok(mut answer) = call.body("words").send().await {
         result.status = Some(answer.status().as_u16());
         result.is_signed = answer.headers().contains_key("server-seal");
         result.says_leaving = answer.headers().contains_key("server-leaving");
         let id = answer.headers().get("request-id");
         result.answer_id = id.and_then(|it| it.to_str().ok()).map(str::to_owned);
-        result.body = answer.text().await.ok();
+        let is_complete = receive(&mut answer, &mut result.received).await;
+        result.body = is_complete.then(|| result.received.clone());
     }
     result.ended = Instant::now();
     result
 }
+
+/// Receives a body; false if it breaks off.
+async fn receive(answer: &mut Response, received: &mut String) -> bool {
+    loop {
+        match answer.chunk().await {
+            Ok(Some(bytes)) => received.push_str(&String::from_utf8_lossy(&bytes)),
+            Ok(None) => return true,
+            Err(_) => return false,
+        }
+    }
+}
--- a/soak/src/checks.rs
+++ b/soak/src/checks.rs
@@ -61,14 +61,38 @@
     }
     violations.extend(key_violations(fleet, results, &runs));
     violations.extend(drain_violations(fleet, &runs, faults_ended));
+    violations.extend(version_violations(results));
     violations.extend(leaving_violations(results, &runs));
     violations.extend(shutdown_violations(fleet, results, &runs));
     violations.extend(served_violation(fleet, results, faults_ended));
     violations
 }
 
-fn complete_stream() -> String {
-    (1..=STREAM_EVENTS).map(|it| format!("id: {it}\ndata: token-{it}\n\n")).collect()
+/// Whether a stream has all events, of one software version.
+fn is_complete_stream(it: &RequestResult, body: &str) -> bool {
+    let suffix = it.events().find_map(|(_, data)| version(data)).unwrap_or_default();
+    let begin = it.taken_up.as_ref().map_or(0, |it| it.last) + 1;
+    let event = |it| format!("id: {it}\ndata: token-{it}{suffix}\n\n");
+    body == (begin..=STREAM_EVENTS).map(event).collect::<String>()
+}
+
+/// The software version that an event names, with the space before it.
+fn version(data: &str) -> Option<&str> {
+    Some(&data[data.find(' ')?..])
+}
+
+/// A stream holds events of one software version, over all attempts of its caller.
+fn version_violations(results: &[RequestResult]) -> Vec<String> {
+    let mut versions: HashMap<&str, &str> = HashMap::new();
+    let mut violations = Vec::new();
+    for it in results.iter().filter(|it| it.kind == Kind::Restream) {
+        let first = it.taken_up.as_ref().map_or(&it.id, |it| &it.first);
+        let mut named = it.events().filter_map(|(_, data)| version(data));
+        if named.any(|it| *versions.entry(first).or_insert(it) != it) {
+            violations.push(format!("events of two software versions: {it:?}"));
+        }
+    }
+    violations
 }
 
 /// A successful answer is the server's complete answer to the same request.
@@ -80,7 +104,7 @@
     let is_complete = match it.kind {
         Kind::Read => body.starts_with("POST /read/x HTTP/1.1 of i-"),
         Kind::Once => body.starts_with("POST /once/x HTTP/1.1 of i-"),
-        Kind::Stream | Kind::Restream => *body == complete_stream(),
+        Kind::Stream | Kind::Restream => is_complete_stream(it, body),
     };
     let has_own_id = it.answer_id.as_deref() == Some(it.id.as_str());
     (!is_complete || !has_own_id || !it.is_signed).then(|| format!("wrong answer: {it:?}"))
@@ -201,7 +225,8 @@
     violations
 }
 
-/// After the last fault, nearly all requests with valid keys are served.
+/// After the last fault, nearly all requests with valid keys are served. Streams that are taken
+/// up do not count: none may be left of their version.
 fn served_violation(
     fleet: &Fleet,
     results: &[RequestResult],
@@ -213,7 +238,8 @@
         valid.map(|it| it.text.clone()).collect()
     };
     let settled = faults_ended + SETTLE_TIME;
-    let sent = results.iter().filter(|it| it.sent > settled && valid.contains(&it.key));
+    let is_new = |it: &&RequestResult| it.sent > settled && it.taken_up.is_none();
+    let sent = results.iter().filter(is_new).filter(|it| valid.contains(&it.key));
     let sent: Vec<&RequestResult> = sent.collect();
     let served = sent.iter().filter(|it| it.status == Some(200) && it.body.is_some()).count();
     let too_few = (served as f64) < SERVED_SHARE * sent.len() as f64 || sent.is_empty();
--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -17,11 +17,18 @@
 /// served.
 pub const FAULTY_BACKENDS: usize = 3;
 
+/// Time between two events of a stream, and before other answers.
+const DELAY: Duration = Duration::from_millis(15);
+/// The same where callers take streams up: streams last longer, so that more of them break off.
+const LONG_DELAY: Duration = Duration::from_millis(60);
+
 /// A backend server behind its link.
 #[derive(Debug)]
 pub struct Backend {
     pub server: ServerStandin,
     pub link: Link,
+    /// Version of its software.
+    pub version: &'static str,
     /// It drains, or says in its answers that it leaves.
     pub is_leaving: bool,
     /// When its record changed to draining.
@@ -75,6 +82,8 @@
     pub operator: Mutex<Operator>,
     pub shutdowns: Mutex<Vec<Shutdown>>,
     pub suspensions: Mutex<Vec<Suspension>>,
+    /// Servers have one of two software versions, and callers take streams up.
+    pub has_versions: bool,
     /// Clock offsets of each router.
     clocks: Mutex<Vec<Steps>>,
     program: PathBuf,
@@ -91,6 +100,7 @@
         folder: &Path,
         routers: usize,
         backends: usize,
+        has_versions: bool,
     ) -> io::Result<Fleet> {
         std::fs::create_dir_all(folder)?;
         let store = MetaStore::start().await?;
@@ -107,6 +117,7 @@
             operator: Mutex::new(Operator { version: 0, keys, sequence: 0 }),
             shutdowns: Mutex::default(),
             suspensions: Mutex::default(),
+            has_versions,
             clocks: Mutex::new(vec![Steps::default(); routers]),
             program: program.to_owned(),
             folder: folder.to_owned(),
@@ -153,16 +164,21 @@
         clocks[number].write(&self.settings_path(number))
     }
 
-    /// Starts one more backend server.
+    /// Starts one more backend server; software versions alternate, if there are two.
     ///
     /// # Errors
     /// Fails when no port can be bound.
     pub async fn add_backend(&self) -> io::Result<()> {
         let id = format!("i-{}", self.next_sequence());
         let server = ServerStandin::start(&id).await?;
-        server.set_delay(Duration::from_millis(15));
+        let number = self.backends.lock().unwrap().len();
+        let version = if self.has_versions && number % 2 == 1 { "v2" } else { "v1" };
+        if self.has_versions {
+            server.set_version(version);
+        }
+        server.set_delay(if self.has_versions { LONG_DELAY } else { DELAY });
         let link = Link::start(server.address()).await?;
-        let backend = Backend { server, link, is_leaving: false, draining_since: None };
+        let backend = Backend { server, link, version, is_leaving: false, draining_since: None };
         self.put_record(&backend, "ready");
         self.backends.lock().unwrap().push(backend);
         Ok(())
@@ -171,7 +187,8 @@
     /// Writes the record of a backend server.
     pub fn put_record(&self, backend: &Backend, state: &str) {
         let sequence = self.next_sequence();
-        let record = server_record(backend.link.address(), state, sequence);
+        let mut record = server_record(backend.link.address(), state, sequence);
+        record["version"] = backend.version.into();
         self.store.put("keyed.servers", backend.server.id(), record.to_string().as_bytes());
     }
 
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -20,6 +20,9 @@
 /// Time between the start of the routers and the first requests and faults.
 const WARM_UP_TIME: Duration = Duration::from_millis(1_500);
 
+/// From this seed on, servers have one of two software versions, and callers take streams up.
+const FIRST_VERSIONS_SEED: u64 = 5_000;
+
 /// Size of a soak.
 #[derive(Debug, Clone)]
 pub struct Options {
@@ -43,7 +46,9 @@
 /// Fails when something cannot be started.
 pub async fn run(options: &Options, seed: u64) -> io::Result<Report> {
     let folder = options.folder.join(format!("seed-{seed}"));
-    let start = Fleet::start(&options.program, &folder, options.routers, options.backends);
+    let has_versions = seed >= FIRST_VERSIONS_SEED;
+    let (routers, backends) = (options.routers, options.backends);
+    let start = Fleet::start(&options.program, &folder, routers, backends, has_versions);
     let fleet = Arc::new(start.await?);
     let log = Arc::new(ResultLog::default());
     sleep(WARM_UP_TIME).await;
@@ -68,5 +73,13 @@
     all_violations.extend(violations(&fleet, &results, faults_ended));
     let is_served = |it: &&RequestResult| it.status == Some(200) && it.body.is_some();
     let served = results.iter().filter(is_served).count();
-    Ok(Report { seed, requests: results.len(), served, violations: all_violations })
+    let taken_up = || results.iter().filter(|it| it.taken_up.is_some());
+    Ok(Report {
+        seed,
+        requests: results.len(),
+        served,
+        taken_up: taken_up().count(),
+        went_on: taken_up().filter(is_served).count(),
+        violations: all_violations,
+    })
 }
--- a/standins/src/platform/server_standin.rs
+++ b/standins/src/platform/server_standin.rs
@@ -38,6 +38,8 @@
     limit: Mutex<Option<f64>>,
     /// What it says of its leaving.
     leaving: Mutex<Option<String>>,
+    /// Software version that its events name.
+    version: Mutex<Option<String>>,
     /// Bytes of answers without end that callers took.
     endless_bytes: AtomicUsize,
     handled: Mutex<Vec<HandledRequest>>,
@@ -86,6 +88,7 @@
             delay: Mutex::new(Duration::from_millis(1)),
             limit: Mutex::default(),
             leaving: Mutex::default(),
+            version: Mutex::default(),
             endless_bytes: AtomicUsize::new(0),
             handled: Mutex::default(),
             abandoned: Mutex::default(),
@@ -131,6 +134,11 @@
         *self.shared.leaving.lock().unwrap() = value.map(str::to_owned);
     }
 
+    /// Sets the software version that the events of later streams name.
+    pub fn set_version(&self, version: &str) {
+        *self.shared.version.lock().unwrap() = Some(version.to_owned());
+    }
+
     /// Bytes of answers without end that callers took.
     pub fn endless_bytes(&self) -> usize {
         self.shared.endless_bytes.load(Ordering::Relaxed)
@@ -277,7 +285,9 @@
     }
     if stream {
         writer.write_all(stream_head(&id, &stated, behaviour).as_bytes()).await?;
-        return stream_events(writer, after, behaviour, delay).await;
+        let version = shared.version.lock().unwrap().clone();
+        let suffix = version.map(|it| format!(" {it}")).unwrap_or_default();
+        return stream_events(writer, after, &suffix, behaviour, delay).await;
     }
     sleep(delay).await;
     let text = full_answer(&id, &stated, &body, behaviour);
@@ -342,6 +352,7 @@
 async fn stream_events<W: AsyncWriteExt + Unpin>(
     writer: &mut W,
     after: u32,
+    suffix: &str,
     behaviour: ServerBehaviour,
     delay: Duration,
 ) -> io::Result<NextStep> {
@@ -354,7 +365,7 @@
     }
     for number in after + 1..=STREAM_EVENTS {
         sleep(delay).await;
-        let event = format!("id: {number}\ndata: token-{number}\n\n");
+        let event = format!("id: {number}\ndata: token-{number}{suffix}\n\n");
         if behaviour.breaks_after() == Some(number - 1) {
             let half = &event[..event.len() / 2];
             writer.write_all(encode(half).as_bytes()).await?;
