--- a/tests/it/stream_origins.rs
+++ b/tests/it/stream_origins.rs
@@ -8,7 +8,7 @@
 use filberttiller::servers::{
     Change, Page, SeenSoftware, ServerRecord, ServerState, ServerTable, ServiceSoftware,
 };
-use filberttiller::wire::{WireOriginQuery, WireOriginReply, WireStreamOrigins};
+use filberttiller::wire::{WireOriginQuery, WireOriginReply, WireStreamOrigin, WireStreamOrigins};
 use proptest::collection::vec;
 use proptest::prelude::{any, proptest};
 use rstest::rstest;
@@ -207,6 +207,14 @@
     assert_eq!(OriginReply::from(decode::<WireOriginReply>(&bytes).unwrap()), reply);
 }
 
+/// docs/CAPACITY.md counts with this size.
+#[test]
+fn message_size_bounded() {
+    let origins = vec![WireStreamOrigin(u64::MAX, u64::MAX, u32::MAX); 1_000];
+    let bytes = encode(&WireStreamOrigins { origins }).unwrap();
+    assert!(bytes.len() <= 24 * 1_000 + 8, "{}", bytes.len());
+}
+
 proptest! {
     #[test]
     fn decode_any_bytes(bytes in vec(any::<u8>(), 0..300)) {
