--- a/src/relay/answer.rs
+++ b/src/relay/answer.rs
@@ -1,5 +1,7 @@
 //! Contents of the head of a backend server's answer.
 
+use std::time::Duration;
+
 plain! {
     /// What an answer says of its server's limit of requests a second.
     #[derive(Copy)]
@@ -25,6 +27,17 @@
         Unreadable,
     }
 
+    /// For how long a server that turns a request away wants no others.
+    #[derive(Copy)]
+    pub enum StatedDelay {
+        /// It names no time, or the answer turns nothing away.
+        Absent,
+        /// For so long.
+        Named(Duration),
+        /// It cannot be read.
+        Unreadable,
+    }
+
     /// What an answer says of the server that sent it.
     #[derive(Copy)]
     pub struct ServerStatements {
@@ -34,6 +47,8 @@
         pub limit: StatedLimit,
         /// Whether the server leaves.
         pub leaving: StatedLeaving,
+        /// For how long it wants no requests; counts with status 503 alone.
+        pub delay: StatedDelay,
     }
 
     /// Head of an answer, without its status.
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -12,7 +12,8 @@
 use crate::relay::connection::SendError;
 use crate::relay::request_trace::RequestTrace;
 use crate::relay::{
-    AnswerHead, AttemptError, BodyEnd, Connection, Framing, ServerStatements, drop_hop_headers,
+    AnswerHead, AttemptError, BodyEnd, Connection, Framing, ServerStatements, StatedDelay,
+    drop_hop_headers,
 };
 use crate::servers::InFlight;
 
@@ -91,7 +92,10 @@
     };
     let framing = Framing::of(&response);
     let (mut parts, body) = response.into_parts();
-    let head = read(&parts.headers);
+    let mut head = read(&parts.headers);
+    if parts.status != StatusCode::SERVICE_UNAVAILABLE {
+        head.stated.delay = StatedDelay::Absent;
+    }
     validate(parts.status, &head, id).map_err(|error| ExchangeError::new(error, &head))?;
     drop_hop_headers(&mut parts.headers);
     parts.version = Version::HTTP_11;
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -42,7 +42,7 @@
 mod suspect;
 mod suspect_parts;
 
-pub use answer::{AnswerHead, ServerStatements, StatedLeaving, StatedLimit};
+pub use answer::{AnswerHead, ServerStatements, StatedDelay, StatedLeaving, StatedLimit};
 pub use attempt_error::AttemptError;
 pub use body::{RelayBody, RelayError, full_body};
 pub use body_end::BodyEnd;
--- a/src/relay/statements.rs
+++ b/src/relay/statements.rs
@@ -5,7 +5,7 @@
 use slog::{info, warn};
 
 use crate::events::Code;
-use crate::relay::{Relay, ServerStatements, StatedLeaving};
+use crate::relay::{Relay, ServerStatements, StatedDelay, StatedLeaving};
 use crate::servers::Server;
 
 impl Relay {
@@ -21,6 +21,7 @@
             server.set_reported_load(load, self.clock.now());
         }
         self.record_stated_leaving(server, stated.leaving, request);
+        self.record_stated_delay(server, stated.delay, request);
     }
 
     /// Merges that another router knows of a server that said at `at` that it leaves.
@@ -35,6 +36,27 @@
         }
     }
 
+    fn record_stated_delay(&self, server: &Server, stated: StatedDelay, request: &str) {
+        let log = self.request_log.logger();
+        match stated {
+            StatedDelay::Absent => {}
+            StatedDelay::Named(time) => {
+                let Some(time) = server.backoff.begin(time, self.clock.now()) else {
+                    return;
+                };
+                let code = Code::ServerBacksOff;
+                info!(log, "{}", code.text(); "event" => code.number(), "server" => &*server.id,
+                    "request" => request, "time_ms" => time.as_millis() as u64);
+            }
+            StatedDelay::Unreadable if server.backoff.note_unreadable() => {
+                let code = Code::DelayUnreadable;
+                warn!(log, "{}", code.text(); "event" => code.number(), "server" => &*server.id,
+                    "request" => request);
+            }
+            StatedDelay::Unreadable => {}
+        }
+    }
+
     fn record_stated_leaving(&self, server: &Server, stated: StatedLeaving, request: &str) {
         match stated {
             StatedLeaving::Leaving if server.mark_stated_leaving() => {
--- a/src/servers/mod.rs
+++ b/src/servers/mod.rs
@@ -1,6 +1,7 @@
 //! The backend servers that requests are relayed to: their records, load,
 //! reachability and results.
 
+mod backoff;
 mod change;
 mod leaving_statements;
 mod record;
@@ -11,6 +12,7 @@
 mod software_version;
 mod table;
 
+pub use backoff::Backoff;
 pub use change::{Change, Page};
 pub use record::{ServerRecord, ServerState};
 pub use server::{InFlight, Server};
--- a/src/servers/server.rs
+++ b/src/servers/server.rs
@@ -8,7 +8,9 @@
 use crate::decide::{LimitSenders, Results, combine, hash_bytes};
 use crate::servers::result_window::ResultWindow;
 use crate::servers::server_limit::ServerLimit;
-use crate::servers::{LimitChange, LimitStatement, ServerRecord, ServerState, SoftwareVersion};
+use crate::servers::{
+    Backoff, LimitChange, LimitStatement, ServerRecord, ServerState, SoftwareVersion,
+};
 
 /// Pause after the first failed connection.
 const FIRST_PAUSE: Duration = Duration::from_millis(200);
@@ -72,6 +74,8 @@
     peer_results: Mutex<Results>,
     ejected: AtomicBool,
     limit: Mutex<ServerLimit>,
+    /// Times for which it wants no requests, shared with other values of the same incarnation.
+    pub backoff: Arc<Backoff>,
 }
 
 impl Server {
@@ -96,6 +100,15 @@
             peer_results: Mutex::default(),
             ejected: AtomicBool::new(false),
             limit: Mutex::default(),
+            backoff: Arc::default(),
+        }
+    }
+
+    /// The same server as `former` stood for, with what outlives changes of its record.
+    pub fn after(self, former: &ServerRecord, backoff: &Arc<Backoff>) -> Server {
+        match former.born == self.born {
+            true => Server { backoff: Arc::clone(backoff), ..self },
+            false => self,
         }
     }
 
@@ -148,9 +161,10 @@
         Some((limit.statement()?, limit.is_news(now)))
     }
 
-    /// Whether this router may send a request within its share of the limit.
+    /// Whether this router may send a request within its share of the limit, and the server
+    /// has not asked for time.
     pub fn has_allowance(&self, now: Instant) -> bool {
-        self.limit.lock().unwrap().has_allowance(now)
+        !self.backoff.holds(now) && self.limit.lock().unwrap().has_allowance(now)
     }
 
     /// Counts a request against this router's share of the limit; false if it is spent.
--- a/src/servers/table.rs
+++ b/src/servers/table.rs
@@ -8,7 +8,7 @@
 use crate::servers::leaving_statements::LeavingStatements;
 use crate::servers::software_history::SoftwareHistory;
 use crate::servers::{
-    Change, Page, SeenSoftware, Server, ServerRecord, ServerState, ServiceSoftware,
+    Backoff, Change, Page, SeenSoftware, Server, ServerRecord, ServerState, ServiceSoftware,
 };
 
 /// How long records may be missing after an outage of the store that supplies them.
@@ -20,6 +20,8 @@
 #[derive(Debug)]
 struct Entry {
     record: ServerRecord,
+    /// What outlives changes of the record within an incarnation.
+    backoff: Arc<Backoff>,
     /// Absent when its newest record cannot be used or is gone.
     server: Option<Arc<Server>>,
     /// When its record went; absent while the record exists.
@@ -259,9 +261,16 @@
             Some(it) if it.server.is_some() && record.is_heartbeat_after(&it.record) => it.revision,
             _ => self.next_revision(),
         };
-        let server = former.and_then(|it| it.server).filter(|it| it.matches(&record));
+        let known = former.as_ref().and_then(|it| it.server.clone());
+        let server = known.filter(|it| it.matches(&record));
         let is_new = server.is_none();
-        let server = server.unwrap_or_else(|| Arc::new(Server::new(id, &record)));
+        let server = server.unwrap_or_else(|| {
+            let server = Server::new(id, &record);
+            Arc::new(match &former {
+                Some(it) => server.after(&it.record, &it.backoff),
+                None => server,
+            })
+        });
         let was_leaving = server.is_leaving();
         if record.state == ServerState::Leaving {
             server.mark_leaving();
@@ -270,8 +279,15 @@
             server.mark_stated_leaving();
         }
         let has_left = server.is_leaving() && !was_leaving;
-        let entry =
-            Entry { record, server: Some(server), gone: None, retained_until: None, revision };
+        let backoff = Arc::clone(&server.backoff);
+        let entry = Entry {
+            record,
+            backoff,
+            server: Some(server),
+            gone: None,
+            retained_until: None,
+            revision,
+        };
         self.entries.insert(id.to_owned(), entry);
         match (has_left, is_new) {
             (true, _) => Effect::Left,
--- a/standins/src/platform/server_standin.rs
+++ b/standins/src/platform/server_standin.rs
@@ -38,11 +38,14 @@
     limit: Mutex<Option<f64>>,
     /// What it says of its leaving.
     leaving: Mutex<Option<String>>,
+    /// `retry-after` of requests that it turns away.
+    delay_asked: Mutex<Option<String>>,
     /// Software version that its events name.
     version: Mutex<Option<String>>,
     /// Bytes of answers without end that callers took.
     endless_bytes: AtomicUsize,
     handled: Mutex<Vec<HandledRequest>>,
+    turned_away: Mutex<Vec<Instant>>,
     /// Ids of requests whose caller closed the connection while they ran.
     abandoned: Mutex<Vec<String>>,
     crashed: Notify,
@@ -88,9 +91,11 @@
             delay: Mutex::new(Duration::from_millis(1)),
             limit: Mutex::default(),
             leaving: Mutex::default(),
+            delay_asked: Mutex::default(),
             version: Mutex::default(),
             endless_bytes: AtomicUsize::new(0),
             handled: Mutex::default(),
+            turned_away: Mutex::default(),
             abandoned: Mutex::default(),
             crashed: Notify::new(),
         });
@@ -134,6 +139,17 @@
         *self.shared.leaving.lock().unwrap() = value.map(str::to_owned);
     }
 
+    /// Sets for how long it wants no requests, in seconds, when it turns one away
+    /// (`ServerBehaviour::Shed`).
+    pub fn set_retry_after(&self, value: Option<&str>) {
+        *self.shared.delay_asked.lock().unwrap() = value.map(str::to_owned);
+    }
+
+    /// When requests arrived that it turned away.
+    pub fn turned_away(&self) -> Vec<Instant> {
+        self.shared.turned_away.lock().unwrap().clone()
+    }
+
     /// Sets the software version that the events of later streams name.
     pub fn set_version(&self, version: &str) {
         *self.shared.version.lock().unwrap() = Some(version.to_owned());
@@ -247,8 +263,11 @@
         return Ok(NextStep::KeepOpen);
     }
     if behaviour == ServerBehaviour::Shed {
+        shared.turned_away.lock().unwrap().push(request.at);
+        let delay = shared.delay_asked.lock().unwrap().clone();
+        let delay = delay.map(|it| format!("retry-after: {it}\r\n")).unwrap_or_default();
         let text = format!(
-            "HTTP/1.1 503 Service Unavailable\r\nnot-run: 1\r\n{stated}content-length: 0\r\n\r\n"
+            "HTTP/1.1 503 Service Unavailable\r\nnot-run: 1\r\n{stated}{delay}content-length: 0\r\n\r\n"
         );
         writer.write_all(text.as_bytes()).await?;
         return Ok(NextStep::KeepOpen);
