Notice a store that was restored from a copy (Store-Era)

Operators and servers saw routers miss records: after a restoration offsets are given out again, so that a read from an old offset skips what was written between; servers that the copy lacks were dropped at once, and lost announcements never written again. Cause: the era in the store's answers was not read, and a position was a bare offset.

A position carries its era; a page of another era is dropped and everything read again.

--- a/src/events/code.rs
+++ b/src/events/code.rs
@@ -66,6 +66,8 @@
     226 LookFailed "other routers could not be looked up in the store";
     227 BlameNotStored "blamed prompt parts cannot be written to the store";
     228 BlameStored "a blamed prompt part was written to the store";
+    229 StoreRestored "the store was restored from a copy, what this router keeps there is written again";
+    230 EraUnreadable "what the store says of its restorations cannot be read";
     // 3xx: membership
     300 ListUnreachable "the instance list is unreachable";
     301 ListReachable "the instance list is reachable again";
--- a/src/router/exchange_loop.rs
+++ b/src/router/exchange_loop.rs
@@ -8,7 +8,7 @@
 use rand::seq::IndexedRandom;
 use slog::{debug, info, warn};
 use smallvec::SmallVec;
-use tokio::time::{sleep, timeout};
+use tokio::time::timeout;
 
 use crate::events::Code;
 use crate::peers::PeerError;
@@ -91,11 +91,16 @@
 /// Announces this router in the store and scans it for other routers, for ever.
 pub(crate) async fn find_routers<S: Store>(router: Arc<Router<S>>) {
     let own = router.peers.lock().unwrap().own().clone();
-    let mut announced = false;
+    // The state of the store that holds the announcement.
+    let mut announced_in = None;
     loop {
-        if !announced {
+        let era = *router.store_era.lock().unwrap();
+        if announced_in.is_none_or(|it| era.follows(it)) {
             match router.store.announce(&own).await {
-                Ok(()) => announced = true,
+                Ok(era) => {
+                    announced_in = Some(era);
+                    router.note_era(era);
+                }
                 Err(e) => warn!(router.logger, "cannot announce this router in the store";
                     "event" => Code::AnnounceFailed.number(), "error" => %e),
             }
@@ -103,6 +108,7 @@
         let now = router.relay.clock().now();
         let scanned = match router.store.announcements().await {
             Ok(found) => {
+                router.note_era(found.era);
                 merge_stored(&router, found.blamed);
                 let mut peers = router.peers.lock().unwrap();
                 for it in found.routers {
@@ -118,7 +124,10 @@
         };
         router.exchange_now.notify_one();
         let alone = router.peers.lock().unwrap().alive_count(now) == 0;
-        let is_complete = announced && scanned && !alone;
-        sleep(if is_complete { SCAN_INTERVAL } else { ISOLATED_SCAN_INTERVAL }).await;
+        let is_complete = announced_in.is_some() && scanned && !alone;
+        let pause = if is_complete { SCAN_INTERVAL } else { ISOLATED_SCAN_INTERVAL };
+        // Ends early when the store was restored, and may lack the announcement; the next round
+        // begins in either case.
+        let _ = timeout(pause, router.restored.notified()).await;
     }
 }
--- a/src/router/router.rs
+++ b/src/router/router.rs
@@ -8,7 +8,7 @@
 
 use error_stack::{Report, ResultExt};
 use prometheus::Registry;
-use slog::{Logger, info};
+use slog::{Logger, info, warn};
 use tokio::sync::{Notify, mpsc, watch};
 
 use crate::clock::SharedClock;
@@ -23,7 +23,7 @@
 use crate::router::limit_news::{limit_news, merge_limits};
 use crate::router::software_news::{merge_software, software_news};
 use crate::router::{ClientProtocol, RouterError, RouterSettings, Store};
-use crate::servers::ServerRecord;
+use crate::servers::{ServerRecord, StoreEra};
 use crate::wire::{
     ServerLoad, WireNews, WireRouter, WireServer, WireServerVersions, WireServers,
     WireServersRequest, pack_loads,
@@ -62,6 +62,10 @@
     pub(crate) newer_rules: Notify,
     /// Questions of the relay to other routers; taken when the router starts.
     pub(crate) origin_queries: Mutex<Option<mpsc::Receiver<OriginQuery>>>,
+    /// The state of the store, as it last named it.
+    pub(crate) store_era: Mutex<StoreEra>,
+    /// Notified when the store was restored from a copy, so that what it lost is written again.
+    pub(crate) restored: Notify,
     /// Blamed prompt parts that the store has, as last read or written.
     pub(crate) stored_blame: Mutex<HashSet<u64>>,
     /// Client for requests to other routers.
@@ -108,6 +112,8 @@
             exchange_now,
             newer_rules: Notify::new(),
             origin_queries: Mutex::new(Some(origin_queries)),
+            store_era: Mutex::default(),
+            restored: Notify::new(),
             stored_blame: Mutex::default(),
             client: PeerClient::new().change_context(RouterError::SetUp)?,
         })
@@ -183,6 +189,23 @@
         self.receive(message);
     }
 
+    /// Notes the state of the store that an answer named. After a restoration, what this router
+    /// keeps in the store counts as lost.
+    pub(crate) fn note_era(&self, era: StoreEra) {
+        let former = std::mem::replace(&mut *self.store_era.lock().unwrap(), era);
+        if era == StoreEra::Unreadable && former != era {
+            let code = Code::EraUnreadable;
+            warn!(self.logger, "{}", code.text(); "event" => code.number());
+        }
+        if era.follows(former) {
+            let code = Code::StoreRestored;
+            warn!(self.logger, "{}", code.text(); "event" => code.number(),
+                "former" => format!("{former:?}"), "era" => format!("{era:?}"));
+            self.stored_blame.lock().unwrap().clear();
+            self.restored.notify_one();
+        }
+    }
+
     /// Whether this router reads the store itself.
     pub(crate) fn is_reader(&self) -> bool {
         let now = self.relay.clock().now();
--- a/src/router/rules_watch.rs
+++ b/src/router/rules_watch.rs
@@ -9,7 +9,7 @@
 use crate::events::Code;
 use crate::router::{Router, SourceHealth, SourceTransition, Store, StoreError};
 use crate::rules::RuleSet;
-use crate::servers::Page;
+use crate::servers::{Page, Position};
 
 /// How long the store delays its answer to a read while nothing changes. A read confirms
 /// the rules as of the moment it was sent, so the age of the lease reaches two waits.
@@ -24,14 +24,19 @@
 pub(crate) async fn follow_rules<S: Store>(router: Arc<Router<S>>) {
     let clock = router.relay.clock();
     let mut health = SourceHealth::default();
-    let mut from = None;
+    let mut from: Option<Position> = None;
     loop {
         let wait = next_read(&router).await;
         let sent = clock.boot();
         let began = clock.now();
-        match router.store.rules(from, wait).await {
+        match router.store.rules(from.map(|it| it.offset), wait).await {
+            Ok(page) if from.is_some_and(|it| page.next.era.follows(it.era)) => {
+                router.note_era(page.next.era);
+                from = None;
+            }
             Ok(page) => {
                 let next = page.next;
+                router.note_era(next.era);
                 if apply(&router, page) {
                     router.relay.lease.renew(sent);
                 }
--- a/src/router/servers_watch.rs
+++ b/src/router/servers_watch.rs
@@ -9,7 +9,7 @@
 
 use crate::events::Code;
 use crate::router::{Router, SourceHealth, SourceTransition, Store, StoreError};
-use crate::servers::{Change, Effect, Page, ServerRecord, SoftwareVersion};
+use crate::servers::{Change, Effect, Page, Position, ServerRecord, SoftwareVersion, StoreEra};
 use crate::wire::{WireServer, WireServersRequest};
 
 /// Pause between two reads of the store. Many records are written per second, so a read
@@ -29,7 +29,8 @@
 pub(crate) async fn follow_servers<S: Store>(router: Arc<Router<S>>) {
     let clock = router.relay.clock();
     let mut health = SourceHealth::default();
-    let mut from = None;
+    let mut from: Option<Position> = None;
+    let mut era = StoreEra::default();
     let mut known = WireServersRequest { epoch: 0, stamp: 0 };
     loop {
         if let Some(peer) = reader(&router)
@@ -41,8 +42,20 @@
         }
         let began = clock.now();
         let sent = clock.boot();
-        let pause = match router.store.servers(from).await {
+        let pause = match router.store.servers(from.map(|it| it.offset)).await {
+            Ok(page) if from.is_some_and(|it| page.next.era.follows(it.era)) => {
+                router.note_era(page.next.era);
+                from = None;
+                Duration::ZERO
+            }
             Ok(page) => {
+                router.note_era(page.next.era);
+                if page.next.era.follows(era) {
+                    // Servers that the copy lacks write their records again.
+                    let mut servers = router.relay.servers.lock().unwrap();
+                    servers.source_recovered(clock.now(), clock.now() + SETTLE_TIME);
+                }
+                era = page.next.era;
                 let transition = health.record_success(clock.now());
                 if let SourceTransition::Restored(long, last) = transition {
                     info!(router.logger, "the store supplies the backend servers again";
@@ -121,7 +134,7 @@
         Change { key, value }
     };
     let changes = reply.rows.into_iter().map(change).collect();
-    apply(router, Page { changes, next: reply.stamp, is_complete: reply.whole });
+    apply(router, Page { changes, next: Position::default(), is_complete: reply.whole });
     true
 }
 
--- a/src/router/store.rs
+++ b/src/router/store.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use crate::rules::RuleSet;
-use crate::servers::{Page, ServerRecord};
+use crate::servers::{Page, ServerRecord, StoreEra};
 use crate::wire::{WireRouter, WireStoredBlame};
 
 /// Why a call to the store failed.
@@ -39,6 +39,8 @@
 /// What routers have written to the store.
 #[derive(Debug, Default)]
 pub struct Announcements {
+    /// The state of the store that they were read from.
+    pub era: StoreEra,
     /// All routers that ever announced themselves, the latest announcement of each name.
     pub routers: Vec<WireRouter>,
     /// Prompt parts that are blamed for crashes.
@@ -65,8 +67,12 @@
     /// All that routers have written.
     fn announcements(&self) -> impl Future<Output = Result<Announcements, StoreError>> + Send;
 
-    /// Announces this router, so that other routers find it. Idempotent.
-    fn announce(&self, own: &WireRouter) -> impl Future<Output = Result<(), StoreError>> + Send;
+    /// Announces this router, so that other routers find it; returns the state of the store that
+    /// holds it. Idempotent.
+    fn announce(
+        &self,
+        own: &WireRouter,
+    ) -> impl Future<Output = Result<StoreEra, StoreError>> + Send;
 
     /// Writes a blamed prompt part. Idempotent.
     fn put_blame(
--- a/src/servers/change.rs
+++ b/src/servers/change.rs
@@ -9,13 +9,45 @@
     pub value: Option<Result<T, String>>,
 }
 
+key! {
+    /// The state that a store's positions refer to: after it was restored from a copy, positions
+    /// are given out again.
+    #[derive(Default)]
+    pub enum StoreEra {
+        /// The store does not name it.
+        #[default]
+        Unnamed,
+        /// Counted by the store.
+        Number(u64),
+        /// What the store says cannot be read.
+        Unreadable,
+    }
+
+    /// A position in the records of a store.
+    #[derive(Default)]
+    pub struct Position {
+        /// The state that it refers to.
+        pub era: StoreEra,
+        /// Number of the record.
+        pub offset: u64,
+    }
+}
+
+impl StoreEra {
+    /// Whether the store was restored between `former` and this era.
+    pub fn follows(self, former: StoreEra) -> bool {
+        // Any other number counts: the answer may also be a late one of an earlier era.
+        matches!((former, self), (StoreEra::Number(a), StoreEra::Number(b)) if a != b)
+    }
+}
+
 /// A sequence of changes.
 #[derive(Debug, Clone)]
 pub struct Page<T> {
     /// The changes in order.
     pub changes: Vec<Change<T>>,
     /// Position at which the next read continues.
-    pub next: u64,
+    pub next: Position,
     /// It lists all records: keys that are not listed do not exist.
     pub is_complete: bool,
 }
--- a/src/servers/mod.rs
+++ b/src/servers/mod.rs
@@ -13,7 +13,7 @@
 mod table;
 
 pub use backoff::Backoff;
-pub use change::{Change, Page};
+pub use change::{Change, Page, Position, StoreEra};
 pub use record::{ServerRecord, ServerState};
 pub use server::{InFlight, Server};
 pub use server_limit::{LimitChange, LimitStatement};
--- a/standins/src/platform/mod.rs
+++ b/standins/src/platform/mod.rs
@@ -9,4 +9,4 @@
 pub use handled_request::HandledRequest;
 pub use server_behaviour::ServerBehaviour;
 pub use server_standin::ServerStandin;
-pub use store::{MetaStore, StoreFault};
+pub use store::{MetaStore, StoreCopy, StoreFault};
--- a/standins/src/platform/store.rs
+++ b/standins/src/platform/store.rs
@@ -14,7 +14,7 @@
 use tokio::sync::Notify;
 use tokio::time::{sleep, timeout};
 use warp::Filter;
-use warp::http::{Response, StatusCode};
+use warp::http::{HeaderValue, Response, StatusCode};
 
 use crate::server::{Server, Switch, json_reply, not_found, status_reply};
 
@@ -38,7 +38,7 @@
     LoseAnswer,
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug, Default, Clone)]
 struct Topic {
     /// Offset of the first retained record.
     first: u64,
@@ -70,8 +70,14 @@
     fault: Mutex<StoreFault>,
     written: Notify,
     calls: AtomicU64,
+    /// What all answers say of the store's restorations.
+    era: Mutex<String>,
 }
 
+/// A copy of all that a store holds.
+#[derive(Debug, Clone)]
+pub struct StoreCopy(HashMap<String, Topic>);
+
 /// A running store; it stops when dropped.
 #[derive(Debug)]
 pub struct MetaStore {
@@ -102,6 +108,7 @@
             fault: Mutex::new(StoreFault::None),
             written: Notify::new(),
             calls: AtomicU64::new(0),
+            era: Mutex::new("1".to_owned()),
         });
         let it = Arc::clone(&shared);
         let routes = warp::any()
@@ -148,6 +155,23 @@
         topic.records.clear();
     }
 
+    /// Copies all that it holds.
+    pub fn copy(&self) -> StoreCopy {
+        StoreCopy(self.shared.topics().clone())
+    }
+
+    /// Restores it from a copy; `era` is what all later answers say.
+    pub fn restore(&self, copy: &StoreCopy, era: &str) {
+        *self.shared.topics() = copy.0.clone();
+        self.set_era(era);
+        self.shared.written.notify_waiters();
+    }
+
+    /// Sets what all later answers say of its restorations.
+    pub fn set_era(&self, era: &str) {
+        *self.shared.era.lock().unwrap() = era.to_owned();
+    }
+
     /// Sets the fault for all later calls.
     pub fn set_fault(&self, fault: StoreFault) {
         *self.shared.fault.lock().unwrap() = fault;
@@ -190,12 +214,15 @@
             StoreFault::Silent => sleep(HANG_TIME).await,
             StoreFault::Slow(time) => sleep(time).await,
         }
-        let response = match call {
+        let mut response = match call {
             "log-append" => self.log_append(query, body),
             "log-read" => self.log_read(query).await,
             "log-newest" => self.log_newest(query),
             _ => status_reply(StatusCode::NOT_FOUND, "no such call"),
         };
+        if let Ok(era) = HeaderValue::from_str(&self.era.lock().unwrap()) {
+            response.headers_mut().insert("store-era", era);
+        }
         if fault == StoreFault::LoseAnswer {
             sleep(HANG_TIME).await;
         }
@@ -240,7 +267,7 @@
     fn records(&self, query: &Query, empty: bool) -> Option<Response<Bytes>> {
         let mut topics = self.topics();
         let topic = topics.entry(query.topic.clone()).or_default();
-        if query.from < topic.first {
+        if query.from < topic.first || query.from > topic.end() {
             return Some(status_reply(StatusCode::GONE, "no longer kept"));
         }
         let known = (query.from - topic.first) as usize;
--- a/tests/it/failing.rs
+++ b/tests/it/failing.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use filberttiller::decide::{Results, is_failing, max_avoided};
-use filberttiller::servers::{Change, Page, ServerRecord, ServerState, ServerTable};
+use filberttiller::servers::{Change, Page, Position, ServerRecord, ServerState, ServerTable};
 use rstest::rstest;
 
 const fn results(good: f64, bad: f64) -> Results {
@@ -42,7 +42,11 @@
     };
     let change = |it: u64| Change { key: format!("i-{it}"), value: Some(Ok(record(it))) };
     let mut table = ServerTable::default();
-    let page = Page { changes: (0..count).map(change).collect(), next: 0, is_complete: true };
+    let page = Page {
+        changes: (0..count).map(change).collect(),
+        next: Position::default(),
+        is_complete: true,
+    };
     table.apply(page, Instant::now(), |_, _| {});
     table
 }
--- a/tests/it/servers.rs
+++ b/tests/it/servers.rs
@@ -4,7 +4,9 @@
 use std::time::{Duration, Instant};
 
 use filberttiller::decide::Results;
-use filberttiller::servers::{Change, Effect, Page, ServerRecord, ServerState, ServerTable};
+use filberttiller::servers::{
+    Change, Effect, Page, Position, ServerRecord, ServerState, ServerTable,
+};
 use filberttiller::wire::WireServer;
 use rstest::rstest;
 
@@ -41,7 +43,7 @@
     now: Instant,
 ) -> Vec<(String, Effect)> {
     let mut effects = Vec::new();
-    let page = Page { changes, next: 0, is_complete };
+    let page = Page { changes, next: Position::default(), is_complete };
     table.apply(page, now, |id, effect| effects.push((id.to_owned(), effect)));
     effects
 }
--- a/tests/it/stream_origins.rs
+++ b/tests/it/stream_origins.rs
@@ -6,7 +6,7 @@
 use filberttiller::peers::{decode, encode};
 use filberttiller::relay::{OriginReplies, OriginReply, StreamOrigin, StreamOrigins};
 use filberttiller::servers::{
-    Change, Page, SeenSoftware, ServerRecord, ServerState, ServerTable, ServiceSoftware,
+    Change, Page, Position, SeenSoftware, ServerRecord, ServerState, ServerTable, ServiceSoftware,
 };
 use filberttiller::wire::{WireOriginQuery, WireOriginReply, WireStreamOrigin, WireStreamOrigins};
 use proptest::collection::vec;
@@ -109,7 +109,7 @@
 
 /// Applies changes; true if a service has several versions now and had one before.
 fn apply(table: &mut ServerTable, changes: Vec<Change<ServerRecord>>, now: Instant) -> bool {
-    table.apply(Page { changes, next: 0, is_complete: false }, now, |_, _| {});
+    table.apply(Page { changes, next: Position::default(), is_complete: false }, now, |_, _| {});
     table.record_software(now)
 }
 
