Share a hot prefix over the servers that have room for what other routers send unseen (LIMIT)

Cause: between two reports (0.5 s) all routers fill the prefix's first server that has room, each counting its own requests alone.

Each router takes the others to send a prefix as often as itself, and spreads it over the first servers in its rank whose room together is enough for half a second of that, weighted by room (key_rates, pick_shared). Without a hot prefix the choice is as before. The harness of the test now passes the rate on, its bound and load are unchanged.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -11,6 +11,7 @@
 mod failing;
 mod failure_point;
 mod hash;
+mod key_rates;
 mod max_in_flight;
 mod named_limit;
 pub mod once;
@@ -38,13 +39,14 @@
 pub use failing::{Results, is_failing, max_avoided};
 pub use failure_point::FailurePoint;
 pub use hash::{chat_key, combine, hash_bytes, weighted_score};
+pub use key_rates::{KeyRates, UNSEEN_TIME};
 pub use max_in_flight::max_in_flight;
 pub use named_limit::LimitSenders;
 pub use outlier::{Outliers, ServerResult};
 pub use parts::{
     AnsweredPart, BlamedPart, CutRun, PartChange, PartIds, PartNews, PartPolicy, PartSuspects,
 };
-pub use pick::{Candidate, LoadBound, pick};
+pub use pick::{Candidate, LoadBound, pick, pick_shared};
 pub use place::{PlaceQuery, Placement, place};
 pub use retry_budget::{RetryBudget, RetryRate};
 pub use run_progress::RunProgress;
--- a/src/decide/pick.rs
+++ b/src/decide/pick.rs
@@ -1,6 +1,8 @@
 //! The choice of a backend server for a relayed request.
 
-use std::cmp::Ordering;
+use std::cmp::{Ordering, Reverse};
+
+use smallvec::SmallVec;
 
 use crate::decide::combine;
 
@@ -42,14 +44,34 @@
     key: Option<u64>,
     bound: &LoadBound,
     seed: u64,
+) -> Option<usize> {
+    pick_shared(candidates, key, 0.0, bound, seed)
+}
+
+/// Like [`pick`], while other routers send `competing` requests with the key between two of
+/// their reports. The first candidates in the key's order whose room within the bound is enough
+/// for these share them, each in proportion to its room: otherwise all routers would fill the
+/// first one at once, unaware of each other.
+pub fn pick_shared(
+    candidates: &[Candidate],
+    key: Option<u64>,
+    competing: f64,
+    bound: &LoadBound,
+    seed: u64,
 ) -> Option<usize> {
     let open = |it: &Candidate| !it.closed && it.load < it.max_load;
     let count = candidates.iter().filter(|it| !it.closed).count();
     let total: u32 = candidates.iter().filter(|it| !it.closed).map(|it| it.load).sum();
     let mean = f64::from(total) / count.max(1) as f64;
     let limit = mean * bound.factor + bound.extra;
-    let within = |it: &Candidate| open(it) && f64::from(it.load) < limit;
-    let home = key.and_then(|key| best(candidates, within, |it| combine(key, it.hash)));
+    let room = |it: &Candidate| if open(it) { limit - f64::from(it.load) } else { 0.0 };
+    let home = key.and_then(|key| {
+        let first = best(candidates, |it| room(it) > 0.0, |it| combine(key, it.hash))?;
+        if room(&candidates[first]) >= competing {
+            return Some(first);
+        }
+        Some(share(candidates, key, competing, room, seed).unwrap_or(first))
+    });
     home.or_else(|| {
         best(candidates, open, |it| {
             let idleness = -f64::from(it.load) / f64::from(it.slots.max(1));
@@ -58,6 +80,38 @@
     })
 }
 
+/// Chooses one of the first candidates in the order of `key` whose `room` is enough for
+/// `competing` requests, at random, weighted by room.
+fn share(
+    candidates: &[Candidate],
+    key: u64,
+    competing: f64,
+    room: impl Fn(&Candidate) -> f64,
+    seed: u64,
+) -> Option<usize> {
+    let rooms = candidates.iter().enumerate().map(|(at, it)| (combine(key, it.hash), at, room(it)));
+    let mut ranked: SmallVec<[(u64, usize, f64); 32]> =
+        rooms.filter(|(_, _, room)| *room > 0.0).collect();
+    ranked.sort_unstable_by_key(|(rank, _, _)| Reverse(*rank));
+    let mut total = 0.0;
+    let mut count = 0;
+    while count < ranked.len() && total < competing {
+        total += ranked[count].2;
+        count += 1;
+    }
+    let mut rest = uniform(combine(seed, key)) * total;
+    let chosen = ranked[..count].iter().find(|(_, _, room)| {
+        rest -= room;
+        rest <= 0.0
+    });
+    chosen.map(|(_, at, _)| *at)
+}
+
+/// A number from 0 to 1, as random as `hash`.
+fn uniform(hash: u64) -> f64 {
+    hash as f64 / u64::MAX as f64
+}
+
 fn best<S: PartialOrd>(
     candidates: &[Candidate],
     open: impl Fn(&Candidate) -> bool,
--- a/src/relay/choose.rs
+++ b/src/relay/choose.rs
@@ -1,11 +1,12 @@
 //! Selects the backend server for a request, and builds the request for it.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 use smallvec::SmallVec;
 
-use crate::decide::{Candidate, ServiceLoad, combine, hash_bytes, pick};
+use crate::decide::{Candidate, ServiceLoad, UNSEEN_TIME, combine, hash_bytes, pick_shared};
 use crate::relay::exchange::UpstreamRequest;
 use crate::relay::pending_request::{Grant, PendingRequest};
 use crate::relay::{OutgoingMeta, Refusal, Relay, drop_hop_headers};
@@ -41,7 +42,8 @@
         }
         let candidates = self.candidates(pending, &servers, objective, now);
         let any_open = candidates.iter().any(|it| !it.closed);
-        let picked = pick(&candidates, key, &self.limits().bound, seed);
+        let competing = key.map_or(0.0, |key| self.competing(key, now));
+        let picked = pick_shared(&candidates, key, competing, &self.limits().bound, seed);
         let remaining = pending.deadline.saturating_duration_since(now);
         pending.trace.retry_after = self.service_loads.with(service, ServiceLoad::default, |it| {
             it.record_selection(picked.is_some());
@@ -53,6 +55,14 @@
         if server.take_allowance(now) { Ok(server) } else { Err(Refusal::NoRoom) }
     }
 
+    /// Requests with the prefix `key` that the other routers send between two of their reports,
+    /// as many each as this one.
+    fn competing(&self, key: u64, now: Instant) -> f64 {
+        let rate = self.key_rates.lock().unwrap().record(key, now);
+        let others = self.routers.load(Ordering::Relaxed).saturating_sub(1);
+        rate * UNSEEN_TIME.as_secs_f64() * others as f64
+    }
+
     fn candidates(
         &self,
         pending: &PendingRequest,
--- a/src/relay/relay.rs
+++ b/src/relay/relay.rs
@@ -14,7 +14,7 @@
 use tokio::sync::{Notify, mpsc};
 
 use crate::clock::SharedClock;
-use crate::decide::{LimitSenders, PartSuspects, ServiceLoad, Verdict};
+use crate::decide::{KeyRates, LimitSenders, PartSuspects, ServiceLoad, Verdict};
 use crate::events::Code;
 use crate::fleet::CrashTable;
 use crate::relay::attempt_loop::Answer;
@@ -43,6 +43,8 @@
     pub(crate) pool: ConnectionPool,
     pub(crate) retry_budgets: RetryBudgets,
     pub(crate) prefix_holders: PrefixHolders,
+    /// How often prompt prefixes arrive at this router.
+    pub(crate) key_rates: Mutex<KeyRates>,
     pub(crate) service_loads: ByService<ServiceLoad>,
     /// The rules in force.
     pub rules: RulesCell,
@@ -91,6 +93,7 @@
             pool: ConnectionPool::default(),
             retry_budgets: RetryBudgets::new(),
             prefix_holders: PrefixHolders::default(),
+            key_rates: Mutex::default(),
             service_loads: ByService::default(),
             rules: RulesCell::default(),
             lease: Lease::default(),
--- a/tests/it/hot_key.rs
+++ b/tests/it/hot_key.rs
@@ -5,7 +5,9 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use filberttiller::decide::{Candidate, LoadBound, Results, hash_bytes, pick};
+use filberttiller::decide::{
+    Candidate, KeyRates, LoadBound, Results, UNSEEN_TIME, hash_bytes, pick_shared,
+};
 use filberttiller::servers::{InFlight, Server, ServerRecord, ServerState};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -88,6 +90,7 @@
     let routers: Vec<Router> = (0..ROUTERS).map(|_| router()).collect();
     let mut servers: Vec<VecDeque<Run>> = (0..SERVERS).map(|_| VecDeque::new()).collect();
     let start = Instant::now();
+    let mut rates: Vec<KeyRates> = (0..ROUTERS).map(|_| KeyRates::default()).collect();
     let (mut sent, mut above) = (0u32, 0u32);
     for ms in 0..2 * WINDOW_MS {
         let now = start + Duration::from_millis(ms);
@@ -110,7 +113,10 @@
             };
             let all: Vec<Candidate> = routers[router].iter().map(candidate).collect();
             let key = hash_bytes(&prefix.to_be_bytes());
-            let at = pick(&all, Some(key), &BOUND, random.random()).expect("there is room");
+            let competing = rates[router].record(key, now) * UNSEEN_TIME.as_secs_f64();
+            let competing = competing * (ROUTERS - 1) as f64;
+            let at = pick_shared(&all, Some(key), competing, &BOUND, random.random());
+            let at = at.expect("there is room");
             let total: usize = servers.iter().map(VecDeque::len).sum();
             let limit = total as f64 / SERVERS as f64 * MAX_FACTOR + MAX_EXTRA;
             if ms >= WINDOW_MS {
