--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -44,6 +44,10 @@
     NamedLimit(f64),
     /// A server says that it leaves while its record says that it is ready; another one starts.
     StatedLeaving,
+    /// The store is restored from a copy; its other writers write again.
+    StoreRestored,
+    /// A server turns requests away and asks for a second.
+    AskedTime,
     Replace,
     Rules,
     RevokeKey,
@@ -71,8 +75,12 @@
 const FIRST_LEAVING_SEED: u64 = 4_000;
 /// Number of faults in `FAULTS` before these.
 const FAULTS_WITHOUT_LEAVING: usize = 41;
+/// Seeds below this run without restorations of the store and servers that ask for time.
+const FIRST_RESTORE_SEED: u64 = 6_000;
+/// Number of faults in `FAULTS` before these.
+const FAULTS_WITHOUT_RESTORE: usize = 43;
 
-const FAULTS: [Fault; 43] = [
+const FAULTS: [Fault; 46] = [
     Fault::Kill,
     Fault::Pause,
     Fault::Stop,
@@ -116,6 +124,9 @@
     Fault::NamedLimit(10.0),
     Fault::StatedLeaving,
     Fault::StatedLeaving,
+    Fault::StoreRestored,
+    Fault::StoreRestored,
+    Fault::AskedTime,
 ];
 
 /// The faults that `seed` draws from.
@@ -125,6 +136,7 @@
         FIRST_CLOCK_SEED..FIRST_UNFRAMED_SEED => &FAULTS[..FAULTS_WITHOUT_UNFRAMED],
         FIRST_UNFRAMED_SEED..FIRST_ENDLESS_SEED => &FAULTS[..FAULTS_WITHOUT_ENDLESS],
         FIRST_ENDLESS_SEED..FIRST_LEAVING_SEED => &FAULTS[..FAULTS_WITHOUT_LEAVING],
+        FIRST_LEAVING_SEED..FIRST_RESTORE_SEED => &FAULTS[..FAULTS_WITHOUT_RESTORE],
         _ => &FAULTS,
     }
 }
@@ -192,6 +204,20 @@
         Fault::StatedLeaving => {
             return replace(&fleet, choice, |_, it| it.server.set_leaving(Some("1"))).await;
         }
+        Fault::StoreRestored => {
+            let copy = fleet.store.copy();
+            sleep(time).await;
+            fleet.restore(&copy);
+        }
+        Fault::AskedTime => {
+            let asks = |it: &Backend| {
+                it.server.set_retry_after(Some("1"));
+                it.server.set_behaviour(ServerBehaviour::Shed);
+            };
+            with_backend(&fleet, choice, asks);
+            sleep(time).await;
+            with_backend(&fleet, choice, |it| it.server.set_behaviour(ServerBehaviour::Good));
+        }
         Fault::Rules => fleet.put_rules(),
         Fault::RevokeKey => fleet.revoke_key(choice),
         Fault::WallStep(by) => return wall_step(&fleet, choice, by, time).await,
--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use standins::platform::fixture::{rules, server_record, settings};
-use standins::platform::{MetaStore, ServerStandin};
+use standins::platform::{MetaStore, ServerStandin, StoreCopy};
 
 use crate::Steps;
 use crate::link::Link;
@@ -192,6 +192,18 @@
         self.store.put("keyed.servers", backend.server.id(), record.to_string().as_bytes());
     }
 
+    /// Restores the store from `copy`; the operator and the backend servers write again what
+    /// they had written since.
+    pub fn restore(&self, copy: &StoreCopy) {
+        let era = self.next_sequence();
+        self.store.restore(copy, &era.to_string());
+        self.put_rules();
+        for it in self.backends.lock().unwrap().iter() {
+            let state = if it.draining_since.is_some() { "draining" } else { "ready" };
+            self.put_record(it, state);
+        }
+    }
+
     /// Writes the next version of the configuration.
     pub fn put_rules(&self) {
         let mut operator = self.operator.lock().unwrap();
--- a/soak/tests/short.rs
+++ b/soak/tests/short.rs
@@ -32,8 +32,10 @@
 #[case::suspended_in_shutdown(2_102)]
 // Routers sent requests to servers that had said in their answers that they leave.
 #[case::stated_leaving(4_001)]
-// Streams went on at another software version than the one that began them.
+// Two software versions serve, and callers take streams up at other routers.
 #[case::software_versions(5_001)]
+// The store is restored from copies, and gives positions out again.
+#[case::restored_store(6_001)]
 // The check once counted a shutdown as graceful although the router had been paused for 3 s
 // and its streams had timed out.
 #[case::paused_before_stop(333)]
