Keep the store's last known era over answers that do not tell it

A restoration went unnoticed if the answers before it named no era or one that cannot be read: the unreadable value replaced the known one. Found in reading; restored_store::restoration_after_unreadable_era_noticed guards against it. The table of servers builds the value of a new server in a function of its own.

--- a/src/router/router.rs
+++ b/src/router/router.rs
@@ -2,7 +2,7 @@
 
 use std::cmp::Ordering;
 use std::collections::HashSet;
-use std::sync::atomic::{AtomicU32, Ordering::Relaxed};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering::Relaxed};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant, UNIX_EPOCH};
 
@@ -62,8 +62,10 @@
     pub(crate) newer_rules: Notify,
     /// Questions of the relay to other routers; taken when the router starts.
     pub(crate) origin_queries: Mutex<Option<mpsc::Receiver<OriginQuery>>>,
-    /// The state of the store, as it last named it.
+    /// The state of the store that it last named.
     pub(crate) store_era: Mutex<StoreEra>,
+    /// It was logged that the store's era cannot be read.
+    era_unreadable: AtomicBool,
     /// Notified when the store was restored from a copy, so that what it lost is written again.
     pub(crate) restored: Notify,
     /// Blamed prompt parts that the store has, as last read or written.
@@ -113,6 +115,7 @@
             newer_rules: Notify::new(),
             origin_queries: Mutex::new(Some(origin_queries)),
             store_era: Mutex::default(),
+            era_unreadable: AtomicBool::new(false),
             restored: Notify::new(),
             stored_blame: Mutex::default(),
             client: PeerClient::new().change_context(RouterError::SetUp)?,
@@ -192,8 +195,13 @@
     /// Notes the state of the store that an answer named. After a restoration, what this router
     /// keeps in the store counts as lost.
     pub(crate) fn note_era(&self, era: StoreEra) {
-        let former = std::mem::replace(&mut *self.store_era.lock().unwrap(), era);
-        if era == StoreEra::Unreadable && former != era {
+        let former = {
+            let mut known = self.store_era.lock().unwrap();
+            let former = *known;
+            *known = era.or(former);
+            former
+        };
+        if era == StoreEra::Unreadable && !self.era_unreadable.swap(true, Relaxed) {
             let code = Code::EraUnreadable;
             warn!(self.logger, "{}", code.text(); "event" => code.number());
         }
--- a/src/router/rules_watch.rs
+++ b/src/router/rules_watch.rs
@@ -40,7 +40,8 @@
                 if apply(&router, page) {
                     router.relay.lease.renew(sent);
                 }
-                from = Some(next);
+                let era = next.era.or(from.map_or(next.era, |it| it.era));
+                from = Some(Position { era, ..next });
                 if let SourceTransition::Restored(..) = health.record_success(clock.now()) {
                     info!(router.logger, "the store supplies the rules again";
                         "event" => Code::RulesBack.number());
--- a/src/router/servers_watch.rs
+++ b/src/router/servers_watch.rs
@@ -55,7 +55,7 @@
                     let mut servers = router.relay.servers.lock().unwrap();
                     servers.source_recovered(clock.now(), clock.now() + SETTLE_TIME);
                 }
-                era = page.next.era;
+                era = page.next.era.or(era);
                 let transition = health.record_success(clock.now());
                 if let SourceTransition::Restored(long, last) = transition {
                     info!(router.logger, "the store supplies the backend servers again";
@@ -69,7 +69,7 @@
                             .source_recovered(clock.now(), last + SETTLE_TIME);
                     }
                 }
-                from = Some(page.next);
+                from = Some(Position { era, ..page.next });
                 router.relay.servers_lease.renew(sent);
                 apply(&router, page);
                 let has_followers = router.peers.lock().unwrap().has_followers(clock.now());
--- a/src/servers/change.rs
+++ b/src/servers/change.rs
@@ -34,6 +34,14 @@
 }
 
 impl StoreEra {
+    /// This era, or `former` if the store does not tell it.
+    pub fn or(self, former: StoreEra) -> StoreEra {
+        match self {
+            StoreEra::Number(_) => self,
+            StoreEra::Unnamed | StoreEra::Unreadable => former,
+        }
+    }
+
     /// Whether the store was restored between `former` and this era.
     pub fn follows(self, former: StoreEra) -> bool {
         // Any other number counts: the answer may also be a late one of an earlier era.
--- a/src/servers/table.rs
+++ b/src/servers/table.rs
@@ -262,15 +262,9 @@
             _ => self.next_revision(),
         };
         let known = former.as_ref().and_then(|it| it.server.clone());
-        let server = known.filter(|it| it.matches(&record));
-        let is_new = server.is_none();
-        let server = server.unwrap_or_else(|| {
-            let server = Server::new(id, &record);
-            Arc::new(match &former {
-                Some(it) => server.after(&it.record, &it.backoff),
-                None => server,
-            })
-        });
+        let known = known.filter(|it| it.matches(&record));
+        let is_new = known.is_none();
+        let server = known.unwrap_or_else(|| new_server(id, &record, former.as_ref()));
         let was_leaving = server.is_leaving();
         if record.state == ServerState::Leaving {
             server.mark_leaving();
@@ -345,3 +339,12 @@
         self.services = services.into_iter().map(|(name, it)| (name, it.into())).collect();
     }
 }
+
+/// The server that `record` describes, with what is known of its incarnation from `former`.
+fn new_server(id: &str, record: &ServerRecord, former: Option<&Entry>) -> Arc<Server> {
+    let server = Server::new(id, record);
+    Arc::new(match former {
+        Some(it) => server.after(&it.record, &it.backoff),
+        None => server,
+    })
+}
