Count unseen requests of a hot prefix for their service time only

Cause: rate times the time between reports, where the requests in flight are rate times the service time, if that is less (Little's law).

--- a/src/decide/pick.rs
+++ b/src/decide/pick.rs
@@ -48,8 +48,8 @@
     pick_shared(candidates, key, 0.0, bound, seed)
 }
 
-/// Like [`pick`], while other routers send `competing` requests with the key between two of
-/// their reports. The first candidates in the key's order whose room within the bound is enough
+/// Like [`pick`], while other routers have `competing` requests with the key in flight that
+/// they have not reported yet. The first candidates in the key's order whose room within the bound is enough
 /// for these share them, each in proportion to its room: otherwise all routers would fill the
 /// first one at once, unaware of each other.
 pub fn pick_shared(
--- a/src/decide/service_load.rs
+++ b/src/decide/service_load.rs
@@ -71,11 +71,15 @@
         self.refused += (refused - self.refused) * REFUSED_WEIGHT;
     }
 
+    /// Mean service time of requests that did not wait; absent before the first one.
+    pub fn service_time(&self) -> Option<Duration> {
+        (self.samples > 0).then(|| Duration::from_secs_f64(self.service_time))
+    }
+
     /// Returns how many requests may be in flight at a server with `slots` so that responses
     /// begin within `objective`.
     pub fn max_in_flight(&self, slots: u32, objective: Duration) -> u32 {
-        let time = (self.samples > 0).then(|| Duration::from_secs_f64(self.service_time));
-        let max = f64::from(max_in_flight(slots, objective, time));
+        let max = f64::from(max_in_flight(slots, objective, self.service_time()));
         (max * self.share).ceil() as u32
     }
 
--- a/src/relay/choose.rs
+++ b/src/relay/choose.rs
@@ -42,7 +42,7 @@
         }
         let candidates = self.candidates(pending, &servers, objective, now);
         let any_open = candidates.iter().any(|it| !it.closed);
-        let competing = key.map_or(0.0, |key| self.competing(key, now));
+        let competing = key.map_or(0.0, |key| self.competing(service, key, now));
         let picked = pick_shared(&candidates, key, competing, &self.limits().bound, seed);
         let remaining = pending.deadline.saturating_duration_since(now);
         pending.trace.retry_after = self.service_loads.with(service, ServiceLoad::default, |it| {
@@ -55,12 +55,14 @@
         if server.take_allowance(now) { Ok(server) } else { Err(Refusal::NoRoom) }
     }
 
-    /// Requests with the prefix `key` that the other routers send between two of their reports,
-    /// as many each as this one.
-    fn competing(&self, key: u64, now: Instant) -> f64 {
+    /// Requests with the prefix `key` of the other routers that are in flight at `service` and
+    /// not reported yet, if each sends as many as this one.
+    fn competing(&self, service: &str, key: u64, now: Instant) -> f64 {
         let rate = self.key_rates.lock().unwrap().record(key, now);
         let others = self.routers.load(Ordering::Relaxed).saturating_sub(1);
-        rate * UNSEEN_TIME.as_secs_f64() * others as f64
+        let time = self.service_loads.with(service, ServiceLoad::default, |it| it.service_time());
+        let unseen = time.map_or(UNSEEN_TIME, |it| it.min(UNSEEN_TIME));
+        rate * unseen.as_secs_f64() * others as f64
     }
 
     fn candidates(
--- a/tests/it/hot_key.rs
+++ b/tests/it/hot_key.rs
@@ -113,7 +113,8 @@
             };
             let all: Vec<Candidate> = routers[router].iter().map(candidate).collect();
             let key = hash_bytes(&prefix.to_be_bytes());
-            let competing = rates[router].record(key, now) * UNSEEN_TIME.as_secs_f64();
+            let competing =
+                rates[router].record(key, now) * UNSEEN_TIME.min(SERVICE_TIME).as_secs_f64();
             let competing = competing * (ROUTERS - 1) as f64;
             let at = pick_shared(&all, Some(key), competing, &BOUND, random.random());
             let at = at.expect("there is room");
