--- a/src/controllers/exchange.rs
+++ b/src/controllers/exchange.rs
@@ -14,7 +14,7 @@
 use crate::decide::hash_bytes;
 use crate::events::Code;
 use crate::fleet::Purpose;
-use crate::wire::{GOSSIP_VERSION, Gossip, MemberStatus, WireCrash, WireMember};
+use crate::wire::{GOSSIP_VERSION, Gossip, MemberStatus, WireCrash, WireMember, age_ms};
 
 /// Limit of the compressed records in a message that nobody requested, in bytes. More
 /// records are announced by their offset and then fetched.
@@ -43,7 +43,7 @@
     /// marks only if `marks` is set.
     pub(super) fn compose(&mut self, peer: &str, marks: bool) -> Gossip {
         let now = self.now();
-        let log_age = self.log_seen.map(|it| now.saturating_duration_since(it).as_millis() as u64);
+        let log_age = self.log_seen.map(|it| age_ms(it, now));
         let mut message = Gossip {
             version: GOSSIP_VERSION,
             from: self.members.own().clone(),
--- a/src/controllers/gossip_merge.rs
+++ b/src/controllers/gossip_merge.rs
@@ -1,13 +1,11 @@
 //! Merges the message of a peer into this router's state.
 
-use std::time::Duration;
-
 use crate::controllers::Publisher;
 use crate::controllers::pull::Pull;
 use crate::controllers::ticket_tail::read_text;
 use crate::events::Code;
 use crate::fleet::CrashReport;
-use crate::wire::{Gossip, WireInstanceEntry, WireMember};
+use crate::wire::{Gossip, WireInstanceEntry, WireMember, time_of_age};
 
 impl Publisher {
     /// Merges `message`, then publishes the view and passes changes on as needed.
@@ -110,7 +108,7 @@
     /// other records up to the same offset, and starts to fetch what it is ahead by.
     fn compare_state(&mut self, peer: &str, message: &Gossip) {
         if let Some(age) = message.log_age {
-            let seen = self.now().checked_sub(Duration::from_millis(age));
+            let seen = time_of_age(age, self.now());
             self.log_seen = self.log_seen.max(seen);
         }
         let is_new = self.peer_offsets.get(peer) != Some(&message.next);
--- a/src/fleet/crash_table.rs
+++ b/src/fleet/crash_table.rs
@@ -9,7 +9,7 @@
 use smallvec::SmallVec;
 
 use crate::decide::Engine;
-use crate::wire::WireCrash;
+use crate::wire::{WireCrash, age_ms, time_of_age};
 
 /// Limit of stored reports; above it the oldest are dropped.
 const MAX_REPORTS: usize = 4_096;
@@ -49,16 +49,14 @@
     /// Converts the report for peers, with its age in place of its time.
     pub(crate) fn to_wire(self, now: Instant) -> WireCrash {
         let Crash { fingerprint, server, incarnation, lift } = self.crash;
-        let age = now.saturating_duration_since(self.at).as_millis() as u64;
-        WireCrash(fingerprint, server, incarnation, lift, age)
+        WireCrash(fingerprint, server, incarnation, lift, age_ms(self.at, now))
     }
 
     /// Converts a report received from a peer.
     pub(crate) fn from_wire(wire: &WireCrash, now: Instant) -> CrashReport {
         let WireCrash(fingerprint, server, incarnation, lift, age) = *wire;
         let crash = Crash { fingerprint, server, incarnation, lift };
-        let at = now.checked_sub(Duration::from_millis(age));
-        CrashReport { crash, at: at.unwrap_or(now) }
+        CrashReport { crash, at: time_of_age(age, now).unwrap_or(now) }
     }
 }
 
--- a/src/peers/part_news.rs
+++ b/src/peers/part_news.rs
@@ -1,9 +1,11 @@
 //! Conversions of the news of prompt parts: times become ages between routers.
 
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use crate::decide::{AnsweredPart, BlamedPart, CutRun, PartIds, PartNews};
-use crate::wire::{WireAnsweredPart, WireBlamedPart, WireCutRun, WirePartNews};
+use crate::wire::{
+    WireAnsweredPart, WireBlamedPart, WireCutRun, WirePartNews, age_ms, time_of_age,
+};
 
 /// Limit of the parts of one run that are taken from another router.
 const MAX_PARTS: usize = 32;
@@ -12,18 +14,18 @@
 
 /// The form of `news` for other routers.
 pub(crate) fn part_news_to_wire(news: &PartNews, now: Instant) -> WirePartNews {
-    let run = |it: &CutRun| WireCutRun(it.server, it.points, age(it.at, now), it.parts.to_vec());
+    let run = |it: &CutRun| WireCutRun(it.server, it.points, age_ms(it.at, now), it.parts.to_vec());
     WirePartNews {
         runs: news.runs.iter().map(run).collect(),
         answered: news
             .answered
             .iter()
-            .map(|it| WireAnsweredPart(it.part, age(it.at, now)))
+            .map(|it| WireAnsweredPart(it.part, age_ms(it.at, now)))
             .collect(),
         blamed: news
             .blamed
             .iter()
-            .map(|it| WireBlamedPart(it.part, age(it.at, now), it.companions.to_vec()))
+            .map(|it| WireBlamedPart(it.part, age_ms(it.at, now), it.companions.to_vec()))
             .collect(),
     }
 }
@@ -34,17 +36,17 @@
     let run = |WireCutRun(server, points, age, parts)| CutRun {
         server,
         points,
-        at: time(age, now),
+        at: time_of_age(age, now).unwrap_or(now),
         parts: bounded(parts),
     };
     // An answer at an unknown time must not end a blame.
     let answered = |WireAnsweredPart(part, age)| {
-        let at = now.checked_sub(Duration::from_millis(age))?;
+        let at = time_of_age(age, now)?;
         Some(AnsweredPart { part, at })
     };
     let blamed = |WireBlamedPart(part, age, companions)| BlamedPart {
         part,
-        at: time(age, now),
+        at: time_of_age(age, now).unwrap_or(now),
         companions: bounded(companions),
     };
     PartNews {
@@ -57,13 +59,3 @@
 fn bounded(parts: Vec<u64>) -> PartIds {
     parts.into_iter().take(MAX_PARTS).collect()
 }
-
-/// Milliseconds from `at` to `now`.
-fn age(at: Instant, now: Instant) -> u64 {
-    now.saturating_duration_since(at).as_millis() as u64
-}
-
-/// The time `age` milliseconds before `now`; `now` if this process cannot tell it.
-fn time(age: u64, now: Instant) -> Instant {
-    now.checked_sub(Duration::from_millis(age)).unwrap_or(now)
-}
--- a/src/peers/peer_table.rs
+++ b/src/peers/peer_table.rs
@@ -9,7 +9,7 @@
 
 use crate::decide::{Results, combine, hash_bytes};
 use crate::peers::peer::{PEER_TIMEOUT, Peer, ReportSource};
-use crate::wire::{WireCrash, WireExchange, WireObservation, WireRouter, unpack_loads};
+use crate::wire::{WireCrash, WireExchange, WireObservation, WireRouter, age_ms, unpack_loads};
 
 /// Most routers that one message reports on besides its sender.
 const MAX_FORWARDED_REPORTS: usize = 8;
@@ -126,7 +126,7 @@
             router: it.router.clone(),
             ready: it.ready,
             leaving: it.leaving,
-            age_ms: now.saturating_duration_since(it.last_seen).as_millis() as u64,
+            age_ms: age_ms(it.last_seen, now),
         });
         WireExchange { own, others: others.collect(), loads, crashes, rules }
     }
--- a/src/relay/named_limits.rs
+++ b/src/relay/named_limits.rs
@@ -8,6 +8,7 @@
 use crate::events::Code;
 use crate::relay::{Relay, StatedLimit};
 use crate::servers::{LimitChange, LimitStatement, Server};
+use crate::wire::age_ms;
 
 impl Relay {
     /// Records what an answer says of the limit of its server.
@@ -59,6 +60,6 @@
         info!(self.request_log.logger(), "{}", code.text();
             "event" => code.number(), "server" => &*server.id, "limit" => statement.limit,
             "source" => source,
-            "age_ms" => now.saturating_duration_since(statement.at).as_millis() as u64);
+            "age_ms" => age_ms(statement.at, now));
     }
 }
--- a/src/relay/statements.rs
+++ b/src/relay/statements.rs
@@ -7,6 +7,7 @@
 use crate::events::Code;
 use crate::relay::{Relay, ServerStatements, StatedDelay, StatedLeaving};
 use crate::servers::Server;
+use crate::wire::age_ms;
 
 impl Relay {
     /// Records what the answer to `request` says of `server`, which sent it.
@@ -31,7 +32,7 @@
             let code = Code::LeavingStated;
             info!(self.request_log.logger(), "{}", code.text();
                 "event" => code.number(), "server" => &*server.id, "source" => "router",
-                "age_ms" => now.saturating_duration_since(at).as_millis() as u64);
+                "age_ms" => age_ms(at, now));
             self.pool.close_idle(&server);
         }
     }
--- a/src/router/limit_news.rs
+++ b/src/router/limit_news.rs
@@ -1,19 +1,19 @@
 //! What routers tell each other of the limits that backend servers name.
 
 use std::collections::HashMap;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use crate::relay::Relay;
 use crate::router::news::select_news;
 use crate::servers::LimitStatement;
-use crate::wire::WireServerLimit;
+use crate::wire::{WireServerLimit, age_ms, time_of_age};
 
 /// The limits that this router tells others.
 pub(crate) fn limit_news(relay: &Relay, now: Instant) -> Vec<WireServerLimit> {
     let servers = relay.servers.lock().unwrap();
     let rows = servers.all().filter_map(|it| {
         let (statement, is_news) = it.limit_statement(now)?;
-        let age = now.saturating_duration_since(statement.at).as_millis() as u64;
+        let age = age_ms(statement.at, now);
         Some((WireServerLimit(it.incarnation(), statement.limit, age), is_news))
     });
     select_news(rows)
@@ -28,7 +28,7 @@
     let by_incarnation: HashMap<u64, _> = servers.iter().map(|it| (it.incarnation(), it)).collect();
     for WireServerLimit(incarnation, limit, age) in limits {
         let is_valid = limit.is_none_or(|it| it.is_finite() && it >= 0.0);
-        let at = now.checked_sub(Duration::from_millis(*age)).filter(|_| is_valid);
+        let at = time_of_age(*age, now).filter(|_| is_valid);
         if let (Some(server), Some(at)) = (by_incarnation.get(incarnation), at) {
             relay.merge_limit(server, LimitStatement { limit: *limit, at }, now);
         }
--- a/src/router/state_change_log.rs
+++ b/src/router/state_change_log.rs
@@ -7,6 +7,7 @@
 
 use crate::events::Code;
 use crate::router::{Router, Store};
+use crate::wire::age_ms;
 
 /// The state as last logged, so that each change is logged once.
 #[derive(Debug, Default)]
@@ -66,7 +67,7 @@
         for name in self.alive.difference(&alive) {
             let code = Code::RouterSilent;
             let seen = peers.last_seen(name);
-            let silent = seen.map(|(at, _)| now.saturating_duration_since(at).as_millis() as u64);
+            let silent = seen.map(|(at, _)| age_ms(at, now));
             info!(router.logger, "{}", code.text();
                 "event" => code.number(), "router" => name, "silent_ms" => silent,
                 "refused" => seen.map(|(_, refused)| refused), "alive" => alive.len());
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -1,6 +1,7 @@
 //! Types of messages to and from other processes, kept apart from the types that the
 //! code works with.
 
+mod age;
 mod api_error;
 mod chat;
 mod entry;
@@ -17,6 +18,7 @@
 mod status;
 mod ticket;
 
+pub(crate) use age::{age_ms, time_of_age};
 pub use api_error::{ApiError, ApiErrorBody};
 pub use chat::{ChatAnswer, ChatChunk, ChatMessage, ChatRequest, PromptDetails, Usage};
 pub use entry::{EntryAddress, EntryAnswer};
