Keep what was learnt, and for how long it is news, in one type

Limits and leaving servers each had the 3 s and the test of decide/parts/learnt.rs again, and leaving servers its eviction of the oldest. Learnt now lies beside the parts and serves all. No change of behaviour.

--- a/src/decide/parts/learnt.rs
+++ b/src/decide/learnt.rs
@@ -1,5 +1,6 @@
 //! Things that a router passes on for a while after it has learnt them.
 
+use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
 /// How long a router passes on what it has learnt.
@@ -23,3 +24,11 @@
         now.saturating_duration_since(self.at) < NEWS_TIME
     }
 }
+
+/// Removes the entry with the earliest time.
+pub(crate) fn remove_oldest(times: &mut HashMap<u64, Learnt<Instant>>) {
+    let oldest = times.iter().min_by_key(|(_, it)| it.value);
+    if let Some(oldest) = oldest.map(|(key, _)| *key) {
+        times.remove(&oldest);
+    }
+}
--- a/src/decide/parts/answered_parts.rs
+++ b/src/decide/parts/answered_parts.rs
@@ -3,9 +3,8 @@
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
-use crate::decide::AnsweredPart;
-use crate::decide::parts::learnt::Learnt;
 use crate::decide::parts::recent_parts::RecentParts;
+use crate::decide::{AnsweredPart, Learnt, remove_oldest};
 
 /// A part that was answered in full this long before a crash is not suspected of it.
 const TRUST_TIME: Duration = Duration::from_secs(5);
@@ -46,8 +45,7 @@
     pub fn add_suspected(&mut self, part: u64, at: Instant, learnt: Instant) {
         let former = self.suspected.get(&part).map(|it| it.value);
         if former.is_none() && self.suspected.len() >= MAX_SUSPECTED {
-            let oldest = self.suspected.iter().min_by_key(|(_, it)| it.value);
-            oldest.map(|(it, _)| *it).and_then(|it| self.suspected.remove(&it));
+            remove_oldest(&mut self.suspected);
         }
         let at = former.map_or(at, |it| it.max(at));
         self.suspected.insert(part, Learnt::new(at, learnt));
--- a/src/decide/parts/blamed_parts.rs
+++ b/src/decide/parts/blamed_parts.rs
@@ -3,8 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Instant;
 
-use crate::decide::BlamedPart;
-use crate::decide::parts::learnt::Learnt;
+use crate::decide::{BlamedPart, Learnt};
 
 /// Limit of blamed parts; above it the one without crashes for longest is dropped.
 const MAX_BLAMED: usize = 256;
--- a/src/decide/parts/cut_runs.rs
+++ b/src/decide/parts/cut_runs.rs
@@ -5,8 +5,7 @@
 
 use smallvec::SmallVec;
 
-use crate::decide::CutRun;
-use crate::decide::parts::learnt::Learnt;
+use crate::decide::{CutRun, Learnt};
 
 /// How long a cut run counts.
 const RUN_TIME: Duration = Duration::from_secs(600);
--- a/src/decide/parts/mod.rs
+++ b/src/decide/parts/mod.rs
@@ -10,7 +10,6 @@
 mod blamed_parts;
 mod cut_run;
 mod cut_runs;
-mod learnt;
 mod part_news;
 mod part_suspects;
 mod recent_parts;
--- a/src/servers/leaving_statements.rs
+++ b/src/servers/leaving_statements.rs
@@ -3,26 +3,19 @@
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
+use crate::decide::{Learnt, remove_oldest};
+
 /// Limit on the statements; beyond it, the oldest is dropped.
 const MAX_STATEMENTS: usize = 4_096;
 /// How long a statement is kept without a record of its server.
 const RETENTION_TIME: Duration = Duration::from_secs(600);
-/// How long other routers are told of a statement at once.
-const NEWS_TIME: Duration = Duration::from_secs(3);
-
-#[derive(Debug, Clone, Copy)]
-struct Statement {
-    /// When the server said so.
-    at: Instant,
-    /// When this router learnt of it.
-    learnt: Instant,
-}
 
 /// Statements by incarnation. They outlive the records of their servers, as a record may be
 /// removed, unreadable or ready again within one incarnation.
 #[derive(Debug, Default)]
 pub(crate) struct LeavingStatements {
-    by_incarnation: HashMap<u64, Statement>,
+    /// When each incarnation said so.
+    by_incarnation: HashMap<u64, Learnt<Instant>>,
 }
 
 impl LeavingStatements {
@@ -32,12 +25,9 @@
             return false;
         }
         if self.by_incarnation.len() >= MAX_STATEMENTS {
-            let oldest = self.by_incarnation.iter().min_by_key(|(_, it)| it.at);
-            if let Some(oldest) = oldest.map(|(key, _)| *key) {
-                self.by_incarnation.remove(&oldest);
-            }
+            remove_oldest(&mut self.by_incarnation);
         }
-        self.by_incarnation.insert(incarnation, Statement { at, learnt: now });
+        self.by_incarnation.insert(incarnation, Learnt::new(at, now));
         true
     }
 
@@ -53,13 +43,12 @@
 
     /// All statements: the incarnation, when it said so, and whether other routers are told at once.
     pub fn all(&self, now: Instant) -> impl Iterator<Item = (u64, Instant, bool)> {
-        let is_news = move |it: &Statement| now.saturating_duration_since(it.learnt) < NEWS_TIME;
-        self.by_incarnation.iter().map(move |(key, it)| (*key, it.at, is_news(it)))
+        self.by_incarnation.iter().map(move |(key, it)| (*key, it.value, it.is_news(now)))
     }
 
     /// Removes old statements of incarnations for which `has_record` is false.
     pub fn remove_expired(&mut self, now: Instant, has_record: impl Fn(u64) -> bool) {
-        let is_recent = |it: &Statement| now.saturating_duration_since(it.at) < RETENTION_TIME;
-        self.by_incarnation.retain(|key, it| is_recent(it) || has_record(*key));
+        let is_recent = |at: Instant| now.saturating_duration_since(at) < RETENTION_TIME;
+        self.by_incarnation.retain(|key, it| is_recent(it.value) || has_record(*key));
     }
 }
--- a/src/servers/server_limit.rs
+++ b/src/servers/server_limit.rs
@@ -1,11 +1,9 @@
 //! The limit of requests a second that a backend server names.
 
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
-use crate::decide::{LimitSenders, RateLimit};
+use crate::decide::{Learnt, LimitSenders, RateLimit};
 
-/// How long other routers are told of a change.
-const NEWS_TIME: Duration = Duration::from_secs(3);
 /// Other limits within this share of the last one that was told are no change.
 const SMALL_CHANGE: f64 = 0.1;
 
@@ -36,8 +34,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct ServerLimit {
     statement: Option<LimitStatement>,
-    /// The limit after the last change, and when this router learnt of it.
-    changed: Option<(Option<f64>, Instant)>,
+    /// The limit after the last change.
+    changed: Option<Learnt<Option<f64>>>,
     /// This router's share in requests a second, for `senders` and the limit stated.
     share: f64,
     bucket: Option<RateLimit>,
@@ -49,7 +47,7 @@
         if self.statement.is_some_and(|it| it.at >= statement.at) {
             return LimitChange::None;
         }
-        let former = self.changed.and_then(|(limit, _)| limit);
+        let former = self.changed.as_ref().and_then(|it| it.value);
         self.statement = Some(statement);
         let change = match (former, statement.limit) {
             (None, None) => LimitChange::None,
@@ -59,7 +57,7 @@
             (Some(_), Some(_)) => LimitChange::Changed,
         };
         if change != LimitChange::None {
-            self.changed = Some((statement.limit, now));
+            self.changed = Some(Learnt::new(statement.limit, now));
         }
         if matches!(change, LimitChange::Begun | LimitChange::Ended) {
             self.bucket = None;
@@ -74,12 +72,12 @@
 
     /// The last statement, if there ever was a limit.
     pub fn statement(&self) -> Option<LimitStatement> {
-        self.changed.and(self.statement)
+        self.changed.as_ref().and(self.statement)
     }
 
     /// Whether other routers are told of the last change at once.
     pub fn is_news(&self, now: Instant) -> bool {
-        self.changed.is_some_and(|(_, at)| now.saturating_duration_since(at) < NEWS_TIME)
+        self.changed.as_ref().is_some_and(|it| it.is_news(now))
     }
 
     /// Sets the share of this router; `server` is the hash of the server's id.
