--- a/src/relay/statements.rs
+++ b/src/relay/statements.rs
@@ -49,7 +49,7 @@
                 info!(log, "{}", code.text(); "event" => code.number(), "server" => &*server.id,
                     "request" => request, "time_ms" => time.as_millis() as u64);
             }
-            StatedDelay::Unreadable if server.backoff.note_unreadable() => {
+            StatedDelay::Unreadable if server.backoff.unreadable.is_first() => {
                 let code = Code::DelayUnreadable;
                 warn!(log, "{}", code.text(); "event" => code.number(), "server" => &*server.id,
                     "request" => request);
@@ -69,7 +69,7 @@
                     "request" => request);
                 self.pool.close_idle(server);
             }
-            StatedLeaving::Unreadable if server.note_unreadable() => {
+            StatedLeaving::Unreadable if server.unreadable_leaving.is_first() => {
                 let code = Code::LeavingUnreadable;
                 warn!(self.request_log.logger(), "{}", code.text();
                     "event" => code.number(), "server" => &*server.id, "request" => request);
--- a/src/router/router.rs
+++ b/src/router/router.rs
@@ -2,7 +2,7 @@
 
 use std::cmp::Ordering;
 use std::collections::HashSet;
-use std::sync::atomic::{AtomicBool, AtomicU32, Ordering::Relaxed};
+use std::sync::atomic::{AtomicU32, Ordering::Relaxed};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant, UNIX_EPOCH};
 
@@ -13,7 +13,7 @@
 
 use crate::clock::SharedClock;
 use crate::decide::{LimitSenders, Results, hash_bytes};
-use crate::events::Code;
+use crate::events::{Code, LogOnce};
 use crate::fleet::CrashReport;
 use crate::peers::{
     Message, PeerClient, PeerLoad, PeerTable, part_news_from_wire, part_news_to_wire,
@@ -64,8 +64,8 @@
     pub(crate) origin_queries: Mutex<Option<mpsc::Receiver<OriginQuery>>>,
     /// The state of the store that it last named.
     pub(crate) store_era: Mutex<StoreEra>,
-    /// It was logged that the store's era cannot be read.
-    era_unreadable: AtomicBool,
+    /// For the line that the store's era cannot be read.
+    unreadable_era: LogOnce,
     /// Notified when the store was restored from a copy, so that what it lost is written again.
     pub(crate) restored: Notify,
     /// Blamed prompt parts that the store has, as last read or written.
@@ -115,7 +115,7 @@
             newer_rules: Notify::new(),
             origin_queries: Mutex::new(Some(origin_queries)),
             store_era: Mutex::default(),
-            era_unreadable: AtomicBool::new(false),
+            unreadable_era: LogOnce::default(),
             restored: Notify::new(),
             stored_blame: Mutex::default(),
             client: PeerClient::new().change_context(RouterError::SetUp)?,
@@ -201,7 +201,7 @@
             *known = era.or(former);
             former
         };
-        if era == StoreEra::Unreadable && !self.era_unreadable.swap(true, Relaxed) {
+        if era == StoreEra::Unreadable && self.unreadable_era.is_first() {
             let code = Code::EraUnreadable;
             warn!(self.logger, "{}", code.text(); "event" => code.number());
         }
--- a/src/servers/backoff.rs
+++ b/src/servers/backoff.rs
@@ -1,9 +1,10 @@
 //! Times for which a backend server wants no requests.
 
 use std::sync::Mutex;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
+use crate::events::LogOnce;
+
 /// Limit on the time that counts.
 const MAX_TIME: Duration = Duration::from_secs(300);
 
@@ -12,8 +13,8 @@
 #[derive(Debug, Default)]
 pub struct Backoff {
     until: Mutex<Option<Instant>>,
-    /// It was logged that a time cannot be read.
-    unreadable_logged: AtomicBool,
+    /// For the line that a time cannot be read.
+    pub(crate) unreadable: LogOnce,
 }
 
 impl Backoff {
@@ -27,11 +28,6 @@
         is_new.then_some(time)
     }
 
-    /// Notes that it is logged once that a time cannot be read; false if it was logged before.
-    pub fn note_unreadable(&self) -> bool {
-        !self.unreadable_logged.swap(true, Ordering::Relaxed)
-    }
-
     /// Whether the server wants no requests now.
     pub fn holds(&self, now: Instant) -> bool {
         self.until.lock().unwrap().is_some_and(|it| now < it)
--- a/src/servers/server.rs
+++ b/src/servers/server.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant};
 
 use crate::decide::{LimitSenders, Results, combine, hash_bytes};
+use crate::events::LogOnce;
 use crate::servers::result_window::ResultWindow;
 use crate::servers::server_limit::ServerLimit;
 use crate::servers::{
@@ -58,8 +59,8 @@
     /// It said in an answer that it leaves. Never reset: only the next incarnation, which is
     /// another value, takes work again.
     stated_leaving: AtomicBool,
-    /// It was logged that an answer's word on its leaving cannot be read.
-    unreadable_logged: AtomicBool,
+    /// For the line that an answer's word on its leaving cannot be read.
+    pub(crate) unreadable_leaving: LogOnce,
     gone: AtomicBool,
     /// Requests of this router in flight there.
     own: AtomicU32,
@@ -90,7 +91,7 @@
             born: record.born,
             leaving: AtomicBool::new(false),
             stated_leaving: AtomicBool::new(false),
-            unreadable_logged: AtomicBool::new(false),
+            unreadable_leaving: LogOnce::default(),
             gone: AtomicBool::new(false),
             own: AtomicU32::new(0),
             others: AtomicU32::new(0),
@@ -187,12 +188,6 @@
         !self.stated_leaving.swap(true, Ordering::Relaxed)
     }
 
-    /// Notes that it is logged once that an answer's word on its leaving cannot be read; false
-    /// if it was logged before.
-    pub fn note_unreadable(&self) -> bool {
-        !self.unreadable_logged.swap(true, Ordering::Relaxed)
-    }
-
     /// Whether its process has likely ended.
     pub fn is_gone(&self) -> bool {
         self.gone.load(Ordering::Relaxed)
