Read the store's records by one kind of cursor

Both watches kept an offset, an era, and the rule when the two are outdated, each in its own way; the watch of servers kept the era twice. Cursor has them once. One case changes, to the better: the watch of rules keeps the last known era when it reads everything after a gap, as that of servers did.

--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -2,6 +2,7 @@
 
 mod blame_store;
 mod client_protocol;
+mod cursor;
 mod endpoints;
 mod exchange_loop;
 mod leaving_news;
--- a/src/router/rules_watch.rs
+++ b/src/router/rules_watch.rs
@@ -7,9 +7,10 @@
 use tokio::time::{sleep, timeout};
 
 use crate::events::Code;
+use crate::router::cursor::Cursor;
 use crate::router::{Router, SourceHealth, SourceTransition, Store, StoreError};
 use crate::rules::RuleSet;
-use crate::servers::{Page, Position};
+use crate::servers::Page;
 
 /// How long the store delays its answer to a read while nothing changes. A read confirms
 /// the rules as of the moment it was sent, so the age of the lease reaches two waits.
@@ -24,15 +25,15 @@
 pub(crate) async fn follow_rules<S: Store>(router: Arc<Router<S>>) {
     let clock = router.relay.clock();
     let mut health = SourceHealth::default();
-    let mut from: Option<Position> = None;
+    let mut cursor = Cursor::default();
     loop {
         let wait = next_read(&router).await;
         let sent = clock.boot();
         let began = clock.now();
-        match router.store.rules(from.map(|it| it.offset), wait).await {
-            Ok(page) if from.is_some_and(|it| page.next.era.follows(it.era)) => {
+        match router.store.rules(cursor.offset(), wait).await {
+            Ok(page) if cursor.is_outdated(page.next) => {
                 router.note_era(page.next.era);
-                from = None;
+                cursor.reset();
             }
             Ok(page) => {
                 let next = page.next;
@@ -40,8 +41,7 @@
                 if apply(&router, page) {
                     router.relay.lease.renew(sent);
                 }
-                let era = next.era.or(from.map_or(next.era, |it| it.era));
-                from = Some(Position { era, ..next });
+                cursor.advance(next);
                 if let SourceTransition::Restored(..) = health.record_success(clock.now()) {
                     info!(router.logger, "the store supplies the rules again";
                         "event" => Code::RulesBack.number());
@@ -50,7 +50,7 @@
             Err(StoreError::Gap) => {
                 info!(router.logger, "next changes of the rules are no longer stored; reading all";
                     "event" => Code::ReadWhole.number());
-                from = None;
+                cursor.reset();
             }
             Err(e) => {
                 if health.record_failure(began) == SourceTransition::Lost {
--- a/src/router/servers_watch.rs
+++ b/src/router/servers_watch.rs
@@ -2,14 +2,15 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use slog::{info, warn};
 use tokio::time::sleep_until;
 
 use crate::events::Code;
+use crate::router::cursor::Cursor;
 use crate::router::{Router, SourceHealth, SourceTransition, Store, StoreError};
-use crate::servers::{Change, Effect, Page, Position, ServerRecord, SoftwareVersion, StoreEra};
+use crate::servers::{Change, Effect, Page, Position, ServerRecord, SoftwareVersion};
 use crate::wire::{WireServer, WireServersRequest};
 
 /// Pause between two reads of the store. Many records are written per second, so a read
@@ -29,47 +30,39 @@
 pub(crate) async fn follow_servers<S: Store>(router: Arc<Router<S>>) {
     let clock = router.relay.clock();
     let mut health = SourceHealth::default();
-    let mut from: Option<Position> = None;
-    let mut era = StoreEra::default();
+    let mut cursor = Cursor::default();
     let mut known = WireServersRequest { epoch: 0, stamp: 0 };
     loop {
         if let Some(peer) = reader(&router)
             && poll(&router, peer, &mut known).await
         {
-            from = None;
+            cursor.reset();
             wait(&router, POLL_PAUSE).await;
             continue;
         }
         let began = clock.now();
         let sent = clock.boot();
-        let pause = match router.store.servers(from.map(|it| it.offset)).await {
-            Ok(page) if from.is_some_and(|it| page.next.era.follows(it.era)) => {
+        let pause = match router.store.servers(cursor.offset()).await {
+            Ok(page) if cursor.is_outdated(page.next) => {
                 router.note_era(page.next.era);
-                from = None;
+                cursor.reset();
                 Duration::ZERO
             }
             Ok(page) => {
                 router.note_era(page.next.era);
-                if page.next.era.follows(era) {
+                if cursor.is_restored(page.next) {
                     // Servers that the copy lacks write their records again.
-                    let mut servers = router.relay.servers.lock().unwrap();
-                    servers.source_recovered(clock.now(), clock.now() + SETTLE_TIME);
+                    expect_records(&router, clock.now() + SETTLE_TIME);
                 }
-                era = page.next.era.or(era);
                 let transition = health.record_success(clock.now());
                 if let SourceTransition::Restored(long, last) = transition {
                     info!(router.logger, "the store supplies the backend servers again";
                         "event" => Code::ServersBack.number());
                     if long {
-                        router
-                            .relay
-                            .servers
-                            .lock()
-                            .unwrap()
-                            .source_recovered(clock.now(), last + SETTLE_TIME);
+                        expect_records(&router, last + SETTLE_TIME);
                     }
                 }
-                from = Some(Position { era, ..page.next });
+                cursor.advance(page.next);
                 router.relay.servers_lease.renew(sent);
                 apply(&router, page);
                 let has_followers = router.peers.lock().unwrap().has_followers(clock.now());
@@ -78,7 +71,7 @@
             Err(StoreError::Gap) => {
                 info!(router.logger, "next changes of servers are no longer stored; reading all";
                     "event" => Code::ReadWhole.number());
-                from = None;
+                cursor.reset();
                 Duration::ZERO
             }
             Err(e) => {
@@ -93,6 +86,12 @@
     }
 }
 
+/// Lets records that go from now on reappear for a while, until `latest` at most.
+fn expect_records<S: Store>(router: &Router<S>, latest: Instant) {
+    let now = router.relay.clock().now();
+    router.relay.servers.lock().unwrap().source_recovered(now, latest);
+}
+
 /// The reader to poll for backend servers; `None` if this router reads the store itself.
 fn reader<S: Store>(router: &Router<S>) -> Option<SocketAddr> {
     router.peers.lock().unwrap().reader(router.relay.clock().now())
