Drop the second function that picks a server, and work done twice for each request

The key of a software version is hashed once, not for each heartbeat and candidate; the hash of a request's id is written once; a router without others asks for no service time, and streams whose origin was not recorded do not look for it as they end. Tests pass one argument more, their assertions are unchanged.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -48,7 +48,7 @@
 pub use parts::{
     AnsweredPart, BlamedPart, CutRun, PartChange, PartIds, PartNews, PartPolicy, PartSuspects,
 };
-pub use pick::{Candidate, LoadBound, pick, pick_shared};
+pub use pick::{Candidate, LoadBound, pick};
 pub use place::{PlaceQuery, Placement, place};
 pub use retry_budget::{RetryBudget, RetryRate};
 pub use run_progress::RunProgress;
--- a/src/decide/pick.rs
+++ b/src/decide/pick.rs
@@ -37,22 +37,14 @@
 /// one key to the same server. Without a key, or if no candidate is within the bound, it
 /// is the least loaded one; `seed` breaks ties. Returns `None` when all are closed or full.
 ///
+/// Other routers have `competing` requests with the key in flight that they have not reported
+/// yet. If these are more than the first candidate has room for, the first candidates whose room
+/// is enough share them, each in proportion to its room: otherwise all routers would fill the
+/// first one at once, unaware of each other.
+///
 /// Rendezvous hashing after Thaler and Ravishankar (1998), with bounded loads
 /// after Mirrokni, Thorup and Zadimoghaddam (2018).
 pub fn pick(
-    candidates: &[Candidate],
-    key: Option<u64>,
-    bound: &LoadBound,
-    seed: u64,
-) -> Option<usize> {
-    pick_shared(candidates, key, 0.0, bound, seed)
-}
-
-/// Like [`pick`], while other routers have `competing` requests with the key in flight that
-/// they have not reported yet. The first candidates in the key's order whose room within the bound is enough
-/// for these share them, each in proportion to its room: otherwise all routers would fill the
-/// first one at once, unaware of each other.
-pub fn pick_shared(
     candidates: &[Candidate],
     key: Option<u64>,
     competing: f64,
--- a/src/relay/choose.rs
+++ b/src/relay/choose.rs
@@ -6,7 +6,7 @@
 
 use smallvec::SmallVec;
 
-use crate::decide::{Candidate, ServiceLoad, UNSEEN_TIME, combine, hash_bytes, pick_shared};
+use crate::decide::{Candidate, ServiceLoad, UNSEEN_TIME, combine, pick};
 use crate::relay::exchange::UpstreamRequest;
 use crate::relay::pending_request::{Grant, PendingRequest};
 use crate::relay::{OutgoingMeta, Refusal, Relay, drop_hop_headers};
@@ -28,7 +28,7 @@
         }
         pending.selections += 1;
         let key = pending.meta.prefix_key();
-        let seed = hash_bytes(pending.meta.id.as_bytes());
+        let seed = pending.id_hash();
         let service = pending.target_service(grant).ok_or(Refusal::NoServer)?;
         pending.trace.service.clear();
         pending.trace.service.push_str(service);
@@ -43,7 +43,7 @@
         let candidates = self.candidates(pending, &servers, objective, now);
         let any_open = candidates.iter().any(|it| !it.closed);
         let competing = key.map_or(0.0, |key| self.competing(service, key, now));
-        let picked = pick_shared(&candidates, key, competing, &self.limits().bound, seed);
+        let picked = pick(&candidates, key, competing, &self.limits().bound, seed);
         let remaining = pending.deadline.saturating_duration_since(now);
         pending.trace.retry_after = self.service_loads.with(service, ServiceLoad::default, |it| {
             it.record_selection(picked.is_some());
@@ -60,6 +60,9 @@
     fn competing(&self, service: &str, key: u64, now: Instant) -> f64 {
         let rate = self.key_rates.lock().unwrap().record(key, now);
         let others = self.routers.load(Ordering::Relaxed).saturating_sub(1);
+        if others == 0 {
+            return 0.0;
+        }
         let time = self.service_loads.with(service, ServiceLoad::default, |it| it.service_time());
         let unseen = time.map_or(UNSEEN_TIME, |it| it.min(UNSEEN_TIME));
         rate * unseen.as_secs_f64() * others as f64
--- a/src/relay/pending_request.rs
+++ b/src/relay/pending_request.rs
@@ -100,17 +100,21 @@
         self.trace.resumed
     }
 
+    /// Hash of its id.
+    pub fn id_hash(&self) -> u64 {
+        hash_bytes(self.meta.id.as_bytes())
+    }
+
     /// Service that `grant` selects for it.
     pub fn target_service<'a>(&self, grant: &'a Grant) -> Option<&'a str> {
-        let seed = hash_bytes(self.meta.id.as_bytes());
-        grant.route.target(self.meta.prefix_key().unwrap_or(seed))
+        grant.route.target(self.meta.prefix_key().unwrap_or_else(|| self.id_hash()))
     }
 
     /// Hash of the id of the caller's attempt that brought the first event of its stream: this
     /// one, unless it takes a stream up.
     pub fn stream_hash(&self) -> u64 {
         let resumed = self.meta.resumes.as_ref().filter(|_| self.meta.last_event.is_some());
-        hash_bytes(resumed.unwrap_or(&self.meta.id).as_bytes())
+        resumed.map_or_else(|| self.id_hash(), |it| hash_bytes(it.as_bytes()))
     }
 
     /// The record that the version with the key `software` began its stream.
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -178,7 +178,9 @@
         self.pending.trace.last_event = self.events.last_id().map(str::to_owned);
         self.relay.record_service_time(&mut self.pending);
         self.relay.record_answered_parts(&self.pending);
-        self.relay.origins.lock().unwrap().end(self.pending.stream_hash());
+        if self.pending.is_origin_recorded {
+            self.relay.origins.lock().unwrap().end(self.pending.stream_hash());
+        }
         self.pending.trace.verdict = Verdict::Ran;
         self.pending.trace.finish(Outcome::Done, "streamed");
         if let Some(connection) = self.connection.take() {
--- a/src/servers/software_version.rs
+++ b/src/servers/software_version.rs
@@ -7,28 +7,32 @@
 
 /// Version of a backend server's software. Versions have no order.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
-pub struct SoftwareVersion(Arc<str>);
+pub struct SoftwareVersion {
+    text: Arc<str>,
+    /// Hash of `text`.
+    key: u64,
+}
 
 impl SoftwareVersion {
     /// Hash of the version, equal at all routers.
     pub fn key(&self) -> u64 {
-        hash_bytes(self.0.as_bytes())
+        self.key
     }
 
     /// Its text.
     pub fn as_str(&self) -> &str {
-        &self.0
+        &self.text
     }
 }
 
 impl From<&str> for SoftwareVersion {
     fn from(text: &str) -> SoftwareVersion {
-        SoftwareVersion(text.into())
+        SoftwareVersion { text: text.into(), key: hash_bytes(text.as_bytes()) }
     }
 }
 
 impl fmt::Display for SoftwareVersion {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(&self.0)
+        f.write_str(&self.text)
     }
 }
--- a/tests/it/hot_key.rs
+++ b/tests/it/hot_key.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use filberttiller::decide::{
-    Candidate, KeyRates, LoadBound, Results, UNSEEN_TIME, hash_bytes, pick_shared,
+    Candidate, KeyRates, LoadBound, Results, UNSEEN_TIME, hash_bytes, pick,
 };
 use filberttiller::servers::{InFlight, Server, ServerRecord, ServerState};
 use rand::{Rng, SeedableRng};
@@ -116,7 +116,7 @@
             let competing =
                 rates[router].record(key, now) * UNSEEN_TIME.min(SERVICE_TIME).as_secs_f64();
             let competing = competing * (ROUTERS - 1) as f64;
-            let at = pick_shared(&all, Some(key), competing, &BOUND, random.random());
+            let at = pick(&all, Some(key), competing, &BOUND, random.random());
             let at = at.expect("there is room");
             let total: usize = servers.iter().map(VecDeque::len).sum();
             let limit = total as f64 / SERVERS as f64 * MAX_FACTOR + MAX_EXTRA;
--- a/tests/it/overload.rs
+++ b/tests/it/overload.rs
@@ -88,7 +88,7 @@
         };
         let all: Vec<Candidate> = ends.iter().enumerate().map(candidate).collect();
         let key = random.random_range(0..50);
-        let chosen = pick(&all, Some(key), &BOUND, now);
+        let chosen = pick(&all, Some(key), 0.0, &BOUND, now);
         load.record_selection(chosen.is_some());
         let Some(at) = chosen else {
             refused += 1;
--- a/tests/it/pick.rs
+++ b/tests/it/pick.rs
@@ -20,20 +20,24 @@
 #[test]
 fn pick_same_key_same_server() {
     let all = servers(&[3; 18]);
-    let first = pick(&all, Some(42), &BOUND, 0).unwrap();
-    assert!((1..50).all(|seed| pick(&all, Some(42), &BOUND, seed) == Some(first)));
-    let spread: HashSet<_> = (0..500).map(|key| pick(&all, Some(key), &BOUND, 0)).collect();
+    let first = pick(&all, Some(42), 0.0, &BOUND, 0).unwrap();
+    assert!((1..50).all(|seed| pick(&all, Some(42), 0.0, &BOUND, seed) == Some(first)));
+    let spread: HashSet<_> = (0..500).map(|key| pick(&all, Some(key), 0.0, &BOUND, 0)).collect();
     assert_eq!(spread.len(), 18);
 }
 
 #[test]
 fn pick_busy_home_spills_to_same_server() {
     let mut all = servers(&[4; 18]);
-    let home = pick(&all, Some(42), &BOUND, 0).unwrap();
+    let home = pick(&all, Some(42), 0.0, &BOUND, 0).unwrap();
     all[home].load = 30;
-    let next = pick(&all, Some(42), &BOUND, 0).unwrap();
+    let next = pick(&all, Some(42), 0.0, &BOUND, 0).unwrap();
     assert_ne!(next, home);
-    assert_eq!(pick(&all, Some(42), &BOUND, 9), Some(next), "all routers spill to the same server");
+    assert_eq!(
+        pick(&all, Some(42), 0.0, &BOUND, 9),
+        Some(next),
+        "all routers spill to the same server"
+    );
 }
 
 /// When a server is added, only the keys that it takes over move.
@@ -41,8 +45,9 @@
 fn pick_join_moves_few() {
     let before = servers(&[3; 18]);
     let after = servers(&[3; 19]);
-    let moved = (0..1_900)
-        .filter(|key| pick(&before, Some(*key), &BOUND, 0) != pick(&after, Some(*key), &BOUND, 0));
+    let moved = (0..1_900).filter(|key| {
+        pick(&before, Some(*key), 0.0, &BOUND, 0) != pick(&after, Some(*key), 0.0, &BOUND, 0)
+    });
     let count = moved.count();
     assert!((50..150).contains(&count), "one in 19 is expected: {count} of 1,900");
 }
@@ -50,9 +55,9 @@
 #[test]
 fn pick_least_loaded_without_key() {
     let all = servers(&[5, 2, 4]);
-    assert!((0..20).all(|seed| pick(&all, None, &BOUND, seed) == Some(1)));
+    assert!((0..20).all(|seed| pick(&all, None, 0.0, &BOUND, seed) == Some(1)));
     let even = servers(&[2, 2, 2]);
-    let spread: HashSet<_> = (0..50).map(|seed| pick(&even, None, &BOUND, seed)).collect();
+    let spread: HashSet<_> = (0..50).map(|seed| pick(&even, None, 0.0, &BOUND, seed)).collect();
     assert_eq!(spread.len(), 3, "ties are spread");
 }
 
@@ -60,10 +65,10 @@
 fn pick_none_when_closed_or_full() {
     let mut all = servers(&[0, 0]);
     all.iter_mut().for_each(|it| it.closed = true);
-    assert_eq!(pick(&all, Some(1), &BOUND, 0), None);
-    assert_eq!(pick(&servers(&[96, 96]), Some(1), &BOUND, 0), None);
-    assert_eq!(pick(&servers(&[96, 95]), Some(1), &BOUND, 0), Some(1));
-    assert_eq!(pick(&[], Some(1), &BOUND, 0), None);
+    assert_eq!(pick(&all, Some(1), 0.0, &BOUND, 0), None);
+    assert_eq!(pick(&servers(&[96, 96]), Some(1), 0.0, &BOUND, 0), None);
+    assert_eq!(pick(&servers(&[96, 95]), Some(1), 0.0, &BOUND, 0), Some(1));
+    assert_eq!(pick(&[], Some(1), 0.0, &BOUND, 0), None);
 }
 
 /// Guards against a burst on one key overloading its home server (day `hot_key`): 28 of
@@ -74,7 +79,7 @@
     let mut all = servers(&[0; 18]);
     for request in 0..160u64 {
         let key = if request % 100 < 28 { 7 } else { request };
-        let at = pick(&all, Some(key), &BOUND, request).unwrap();
+        let at = pick(&all, Some(key), 0.0, &BOUND, request).unwrap();
         let mean = all.iter().map(|it| it.load).sum::<u32>() as f64 / 18.0;
         assert!(f64::from(all[at].load) <= 2.0 * mean + 3.0);
         all[at].load += 1;
