--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -57,28 +57,21 @@
     BootJump(Duration),
 }
 
-/// Seeds below this run without clock faults, which were added later, so that these seeds
-/// still produce the same faults.
-const FIRST_CLOCK_SEED: u64 = 1_000;
-/// Number of faults in `FAULTS` before the clock faults.
-const FAULTS_WITHOUT_CLOCKS: usize = 26;
-/// Seeds below this run without answers that end with their connection, for the same reason.
-const FIRST_UNFRAMED_SEED: u64 = 2_000;
-/// Number of faults in `FAULTS` before those of answers that end with their connection.
-const FAULTS_WITHOUT_UNFRAMED: usize = 29;
-
-/// Seeds below this run without answers that never end and limits that servers name.
-const FIRST_ENDLESS_SEED: u64 = 3_000;
-/// Number of faults in `FAULTS` before these.
-const FAULTS_WITHOUT_ENDLESS: usize = 34;
-/// Seeds below this run without servers that say in their answers that they leave.
-const FIRST_LEAVING_SEED: u64 = 4_000;
-/// Number of faults in `FAULTS` before these.
-const FAULTS_WITHOUT_LEAVING: usize = 41;
-/// Seeds below this run without restorations of the store and servers that ask for time.
-const FIRST_RESTORE_SEED: u64 = 6_000;
-/// Number of faults in `FAULTS` before these.
-const FAULTS_WITHOUT_RESTORE: usize = 43;
+/// First seeds, and how many of `FAULTS` are drawn from those seeds on: later faults are left
+/// out for earlier seeds, so that these still produce the same ones.
+const STAGES: [(u64, usize); 6] = [
+    (0, 26),
+    // Clocks.
+    (1_000, 29),
+    // Answers that end with their connection.
+    (2_000, 34),
+    // Answers that never end, and limits that servers name.
+    (3_000, 41),
+    // Servers that say in their answers that they leave.
+    (4_000, 43),
+    // Restorations of the store, and servers that ask for time.
+    (6_000, FAULTS.len()),
+];
 
 const FAULTS: [Fault; 46] = [
     Fault::Kill,
@@ -131,14 +124,9 @@
 
 /// The faults that `seed` draws from.
 fn faults(seed: u64) -> &'static [Fault] {
-    match seed {
-        ..FIRST_CLOCK_SEED => &FAULTS[..FAULTS_WITHOUT_CLOCKS],
-        FIRST_CLOCK_SEED..FIRST_UNFRAMED_SEED => &FAULTS[..FAULTS_WITHOUT_UNFRAMED],
-        FIRST_UNFRAMED_SEED..FIRST_ENDLESS_SEED => &FAULTS[..FAULTS_WITHOUT_ENDLESS],
-        FIRST_ENDLESS_SEED..FIRST_LEAVING_SEED => &FAULTS[..FAULTS_WITHOUT_LEAVING],
-        FIRST_LEAVING_SEED..FIRST_RESTORE_SEED => &FAULTS[..FAULTS_WITHOUT_RESTORE],
-        _ => &FAULTS,
-    }
+    let stage = STAGES.iter().rfind(|(first, _)| *first <= seed);
+    let (_, count) = stage.expect("the first stage begins at 0");
+    &FAULTS[..*count]
 }
 
 /// Injects random faults for the time `length`; all have ended when it returns.
