--- a/src/router/origins.rs
+++ b/src/router/origins.rs
@@ -127,13 +127,12 @@
 
 /// Asks other routers, until one knows the stream.
 async fn ask<S: Store>(router: &Router<S>, stream: u64, service: &str) -> OriginReplies {
-    let (has_others, asked) = {
+    let asked: SmallVec<[SocketAddr; MAX_ASKED]> = {
         let peers = router.peers.lock().unwrap();
         let ranked = peers.ranked(stream, router.relay.clock().now());
-        let asked: SmallVec<[SocketAddr; MAX_ASKED]> =
-            ranked.take(MAX_ASKED).map(|(peer, _)| peer).collect();
-        (!asked.is_empty(), asked)
+        ranked.take(MAX_ASKED).map(|(peer, _)| peer).collect()
     };
+    let has_others = !asked.is_empty();
     let question = WireOriginQuery(stream, service.to_owned());
     let calls = asked.into_iter().map(|peer| {
         let call = router.client.origin(peer, &question);
