Stand-in: move answers and the reading of requests to files of their own

Code is moved, not changed; the writer of endless answers gets the counter in place of all shared state.

--- a/standins/src/platform/handled_request.rs
+++ b/standins/src/platform/handled_request.rs
@@ -1,7 +1,11 @@
 //! A request that a backend server ran.
 
+use std::io;
 use std::time::Instant;
 
+use tokio::io::{AsyncBufReadExt, AsyncReadExt, BufReader};
+use tokio::net::TcpStream;
+
 /// One request that the server ran.
 #[derive(Debug, Clone)]
 pub struct HandledRequest {
@@ -16,6 +20,34 @@
 }
 
 impl HandledRequest {
+    /// Reads a request; `None` if the connection ends before one.
+    ///
+    /// # Errors
+    /// Fails when the connection breaks off inside a request.
+    pub(crate) async fn read(
+        stream: &mut BufReader<TcpStream>,
+    ) -> io::Result<Option<HandledRequest>> {
+        let mut line = String::new();
+        if stream.read_line(&mut line).await? == 0 {
+            return Ok(None);
+        }
+        let mut request =
+            HandledRequest { at: Instant::now(), line, head: String::new(), body: Vec::new() };
+        loop {
+            let mut line = String::new();
+            stream.read_line(&mut line).await?;
+            if line.trim().is_empty() {
+                break;
+            }
+            request.head.push_str(line.trim_end());
+            request.head.push('\n');
+        }
+        let length = request.header("content-length").and_then(|it| it.parse().ok()).unwrap_or(0);
+        request.body = vec![0; length];
+        stream.read_exact(&mut request.body).await?;
+        Ok(Some(request))
+    }
+
     /// Value of a header; `name` is in lower case.
     pub fn header(&self, name: &str) -> Option<&str> {
         self.head.lines().find_map(|it| it.strip_prefix(name)?.strip_prefix(": "))
--- a/standins/src/platform/mod.rs
+++ b/standins/src/platform/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod fixture;
 mod handled_request;
+mod server_answer;
 mod server_behaviour;
 mod server_standin;
 mod store;
--- a/standins/src/platform/server_standin.rs
+++ b/standins/src/platform/server_standin.rs
@@ -7,26 +7,20 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
+use tokio::io::{AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 use tokio::task::JoinHandle;
 use tokio::time::sleep;
 
+use crate::platform::server_answer::{
+    HANG_TIME, NextStep, full_answer, pause_before_reset, stream_events, stream_head,
+    write_without_end,
+};
 use crate::platform::{HandledRequest, ServerBehaviour};
 
-/// Delay of an answer that never comes; longer than any caller's timeout.
-const HANG_TIME: Duration = Duration::from_secs(3_600);
-/// Pause between the last bytes of an answer and the reset of its connection.
-const RESET_PAUSE: Duration = Duration::from_millis(20);
 /// Pause between the head of an answer and the crash of its server.
 const CRASH_PAUSE: Duration = Duration::from_millis(20);
-/// Bytes that an answer without end writes at once, at least.
-const ENDLESS_PIECE_BYTES: usize = 8 * 1024;
-/// Number of events in a complete stream.
-const STREAM_EVENTS: u32 = 6;
-/// Signature of all answers.
-const SIGNATURE: &str = "seal-1";
 
 #[derive(Debug)]
 struct Shared {
@@ -61,14 +55,6 @@
     }
 }
 
-/// What happens to a connection after an answer.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum NextStep {
-    KeepOpen,
-    Close,
-    Reset,
-}
-
 /// A running backend server; it stops when dropped.
 #[derive(Debug)]
 pub struct ServerStandin {
@@ -196,7 +182,7 @@
 async fn serve(stream: TcpStream, shared: &Shared) -> io::Result<()> {
     let mut stream = BufReader::new(stream);
     let mut reused = false;
-    while let Some(request) = read_request(&mut stream).await? {
+    while let Some(request) = HandledRequest::read(&mut stream).await? {
         if reused && *shared.behaviour.lock().unwrap() == ServerBehaviour::SilentWhenReused {
             sleep(HANG_TIME).await;
         }
@@ -221,28 +207,6 @@
     Ok(())
 }
 
-async fn read_request(stream: &mut BufReader<TcpStream>) -> io::Result<Option<HandledRequest>> {
-    let mut line = String::new();
-    if stream.read_line(&mut line).await? == 0 {
-        return Ok(None);
-    }
-    let mut request =
-        HandledRequest { at: Instant::now(), line, head: String::new(), body: Vec::new() };
-    loop {
-        let mut line = String::new();
-        stream.read_line(&mut line).await?;
-        if line.trim().is_empty() {
-            break;
-        }
-        request.head.push_str(line.trim_end());
-        request.head.push('\n');
-    }
-    let length = request.header("content-length").and_then(|it| it.parse().ok()).unwrap_or(0);
-    request.body = vec![0; length];
-    stream.read_exact(&mut request.body).await?;
-    Ok(Some(request))
-}
-
 /// Answers a request.
 async fn respond<W: AsyncWriteExt + Unpin>(
     writer: &mut W,
@@ -300,7 +264,7 @@
         let head = stream_head(&id, &stated, behaviour);
         let start = if is_body { &head } else { start };
         writer.write_all(start.as_bytes()).await?;
-        return write_without_end(writer, piece, shared).await;
+        return write_without_end(writer, piece, &shared.endless_bytes).await;
     }
     if stream {
         writer.write_all(stream_head(&id, &stated, behaviour).as_bytes()).await?;
@@ -322,98 +286,3 @@
         _ => NextStep::KeepOpen,
     })
 }
-
-/// Repeats `piece` until the caller closes the connection.
-async fn write_without_end<W: AsyncWriteExt + Unpin>(
-    writer: &mut W,
-    piece: &str,
-    shared: &Shared,
-) -> io::Result<NextStep> {
-    let pieces = piece.repeat(ENDLESS_PIECE_BYTES.div_ceil(piece.len()));
-    loop {
-        writer.write_all(pieces.as_bytes()).await?;
-        shared.endless_bytes.fetch_add(pieces.len(), Ordering::Relaxed);
-    }
-}
-
-/// Lets the peer read what was sent, as a reset discards what it has not read yet.
-async fn pause_before_reset() -> io::Result<NextStep> {
-    sleep(RESET_PAUSE).await;
-    Ok(NextStep::Reset)
-}
-
-fn full_answer(id: &str, stated: &str, body: &str, behaviour: ServerBehaviour) -> String {
-    let status = if behaviour == ServerBehaviour::ServerError { "500 Error" } else { "200 OK" };
-    let id = if behaviour == ServerBehaviour::WrongId { "another" } else { id };
-    let signature_header =
-        if behaviour == ServerBehaviour::Unsigned { "x-none" } else { "server-seal" };
-    let version = behaviour.version();
-    let head = format!(
-        "{version} {status}\r\nrequest-id: {id}\r\n{signature_header}: {SIGNATURE}\r\n\
-         {stated}content-type: text/plain\r\n"
-    );
-    let length = body.len();
-    match behaviour {
-        ServerBehaviour::Garbage => "no answer at all\r\n\r\n".to_owned(),
-        ServerBehaviour::ShortBody => format!("{head}content-length: {}\r\n\r\n{body}", length + 5),
-        ServerBehaviour::Encoded => {
-            format!("{head}content-encoding: gzip\r\ncontent-length: {length}\r\n\r\n{body}")
-        }
-        ServerBehaviour::ExtraAnswer => {
-            let one = format!("{head}content-length: {length}\r\n\r\n{body}");
-            format!("{one}{one}")
-        }
-        _ if behaviour.is_unframed() => format!("{head}\r\n{body}"),
-        _ => format!("{head}content-length: {length}\r\n\r\n{body}"),
-    }
-}
-
-async fn stream_events<W: AsyncWriteExt + Unpin>(
-    writer: &mut W,
-    after: u32,
-    suffix: &str,
-    behaviour: ServerBehaviour,
-    delay: Duration,
-) -> io::Result<NextStep> {
-    let encode: fn(&str) -> String = match behaviour.is_unframed() {
-        true => str::to_owned,
-        false => chunk,
-    };
-    if behaviour == ServerBehaviour::UnframedEmpty {
-        return Ok(NextStep::Close);
-    }
-    for number in after + 1..=STREAM_EVENTS {
-        sleep(delay).await;
-        let event = format!("id: {number}\ndata: token-{number}{suffix}\n\n");
-        if behaviour.breaks_after() == Some(number - 1) {
-            let half = &event[..event.len() / 2];
-            writer.write_all(encode(half).as_bytes()).await?;
-            return Ok(NextStep::Close);
-        }
-        if behaviour == ServerBehaviour::UnframedResetAfter(number - 1) {
-            return pause_before_reset().await;
-        }
-        if behaviour == ServerBehaviour::StallAfter(number - 1) {
-            sleep(HANG_TIME).await;
-        }
-        writer.write_all(encode(&event).as_bytes()).await?;
-    }
-    if behaviour.is_unframed() {
-        return Ok(NextStep::Close);
-    }
-    writer.write_all(b"0\r\n\r\n").await?;
-    Ok(NextStep::KeepOpen)
-}
-
-fn stream_head(id: &str, stated: &str, behaviour: ServerBehaviour) -> String {
-    let version = behaviour.version();
-    let framing = if behaviour.is_unframed() { "" } else { "transfer-encoding: chunked\r\n" };
-    format!(
-        "{version} 200 OK\r\nrequest-id: {id}\r\nserver-seal: {SIGNATURE}\r\n\
-         {stated}content-type: text/event-stream\r\n{framing}\r\n"
-    )
-}
-
-fn chunk(text: &str) -> String {
-    format!("{:x}\r\n{text}\r\n", text.len())
-}
