--- a/tests/it/failing.rs
+++ b/tests/it/failing.rs
@@ -4,9 +4,11 @@
 use std::time::{Duration, Instant};
 
 use filberttiller::decide::{Results, is_failing, max_avoided};
-use filberttiller::servers::{Change, Page, Position, ServerRecord, ServerState, ServerTable};
+use filberttiller::servers::{Change, Page, Position, ServerRecord, ServerTable};
 use rstest::rstest;
 
+use crate::support::server_record;
+
 const fn results(good: f64, bad: f64) -> Results {
     Results { good, bad }
 }
@@ -29,17 +31,7 @@
 }
 
 fn table(count: u64) -> ServerTable {
-    let record = |sequence| ServerRecord {
-        service: "s".to_owned(),
-        software: "v1".into(),
-        address: "127.0.0.1:80".parse().unwrap(),
-        domain: "a".to_owned(),
-        slots: 64,
-        state: ServerState::Ready,
-        warm_up: Duration::ZERO,
-        born: 1,
-        sequence,
-    };
+    let record = |sequence| ServerRecord { slots: 64, sequence, ..server_record() };
     let change = |it: u64| Change { key: format!("i-{it}"), value: Some(Ok(record(it))) };
     let mut table = ServerTable::default();
     let page = Page {
--- a/tests/it/hot_key.rs
+++ b/tests/it/hot_key.rs
@@ -8,11 +8,13 @@
 use filberttiller::decide::{
     Candidate, KeyRates, LoadBound, Results, UNSEEN_TIME, hash_bytes, pick,
 };
-use filberttiller::servers::{InFlight, Server, ServerRecord, ServerState};
+use filberttiller::servers::{InFlight, Server, ServerRecord};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use rstest::rstest;
 
+use crate::support::server_record;
+
 const ROUTERS: usize = 33;
 const SERVERS: usize = 140;
 /// Requests that a server runs at the same time.
@@ -50,17 +52,7 @@
 type Router = Vec<Arc<Server>>;
 
 fn router() -> Router {
-    let record = ServerRecord {
-        service: "pool".to_owned(),
-        software: "v1".into(),
-        address: "127.0.0.1:80".parse().unwrap(),
-        domain: "a".to_owned(),
-        slots: SLOTS,
-        state: ServerState::Ready,
-        warm_up: Duration::ZERO,
-        born: 1,
-        sequence: 1,
-    };
+    let record = ServerRecord { slots: SLOTS, ..server_record() };
     (0..SERVERS).map(|it| Arc::new(Server::new(&format!("i-{it}"), &record))).collect()
 }
 
--- a/tests/it/named_limits.rs
+++ b/tests/it/named_limits.rs
@@ -4,12 +4,14 @@
 use std::time::{Duration, Instant};
 
 use filberttiller::decide::{LimitSenders, hash_bytes};
-use filberttiller::servers::{LimitChange, LimitStatement, Server, ServerRecord, ServerState};
+use filberttiller::servers::{LimitChange, LimitStatement, Server, ServerRecord};
 use rand::seq::index::sample;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use rstest::rstest;
 
+use crate::support::server_record;
+
 /// The promise: in any `WINDOW_MS` at most `limit * MAX_FACTOR * window + MAX_EXTRA` requests.
 const WINDOW_MS: u64 = 4_000;
 const MAX_FACTOR: f64 = 1.5;
@@ -19,17 +21,7 @@
 const VIEW_MS: u64 = 1_500;
 
 fn server() -> Server {
-    let record = ServerRecord {
-        service: "pool".to_owned(),
-        software: "v1".into(),
-        address: "127.0.0.1:80".parse().unwrap(),
-        domain: "a".to_owned(),
-        slots: 16,
-        state: ServerState::Ready,
-        warm_up: Duration::ZERO,
-        born: 1,
-        sequence: 1,
-    };
+    let record = ServerRecord { slots: 16, ..server_record() };
     Server::new("i-1", &record)
 }
 
--- a/tests/it/relay_parts.rs
+++ b/tests/it/relay_parts.rs
@@ -10,12 +10,14 @@
     BodyEnd, ConnectionPool, EventFramer, Framing, PrefixHolders, Refusal, RelayLimits,
     RetryBudgets, drop_hop_headers, may_be_events,
 };
-use filberttiller::servers::{Server, ServerRecord, ServerState};
+use filberttiller::servers::Server;
 use hyper::header::HeaderValue;
 use hyper::{HeaderMap, StatusCode};
 use proptest::prelude::{any, proptest};
 use rstest::rstest;
 
+use crate::support::server_record;
+
 fn limits() -> RelayLimits {
     RelayLimits {
         key_age: Duration::from_secs(5),
@@ -165,18 +167,7 @@
 }
 
 fn server(name: &str) -> Arc<Server> {
-    let record = ServerRecord {
-        service: "s".to_owned(),
-        software: "v1".into(),
-        address: "127.0.0.1:80".parse().unwrap(),
-        domain: "a".to_owned(),
-        slots: 4,
-        state: ServerState::Ready,
-        warm_up: Duration::ZERO,
-        born: 1,
-        sequence: 1,
-    };
-    Arc::new(Server::new(name, &record))
+    Arc::new(Server::new(name, &server_record()))
 }
 
 /// When the servers of a service are replaced by a release, the new server fetches the
--- a/tests/it/servers.rs
+++ b/tests/it/servers.rs
@@ -10,18 +10,10 @@
 use filberttiller::wire::WireServer;
 use rstest::rstest;
 
+use crate::support::server_record;
+
 fn record(born: u64, sequence: u64, state: ServerState) -> ServerRecord {
-    ServerRecord {
-        service: "s".to_owned(),
-        software: "v1".into(),
-        address: "127.0.0.1:80".parse().unwrap(),
-        domain: "a".to_owned(),
-        slots: 4,
-        state,
-        warm_up: Duration::ZERO,
-        born,
-        sequence,
-    }
+    ServerRecord { state, born, sequence, ..server_record() }
 }
 
 fn ready(born: u64, sequence: u64) -> ServerRecord {
--- a/tests/it/stream_origins.rs
+++ b/tests/it/stream_origins.rs
@@ -6,7 +6,7 @@
 use filberttiller::peers::{decode, encode};
 use filberttiller::relay::{OriginReplies, OriginReply, StreamOrigin, StreamOrigins};
 use filberttiller::servers::{
-    Change, Page, Position, SeenSoftware, ServerRecord, ServerState, ServerTable, ServiceSoftware,
+    Change, Page, Position, SeenSoftware, ServerRecord, ServerTable, ServiceSoftware,
 };
 use filberttiller::wire::{WireOriginQuery, WireOriginReply, WireStreamOrigin, WireStreamOrigins};
 use proptest::collection::vec;
@@ -14,6 +14,8 @@
 use rstest::rstest;
 use smallvec::SmallVec;
 
+use crate::support::server_record;
+
 const SERVICE: &str = "s";
 const SECOND: Duration = Duration::from_secs(1);
 
@@ -96,13 +98,8 @@
     let record = ServerRecord {
         service: SERVICE.to_owned(),
         software: software.into(),
-        address: "127.0.0.1:80".parse().unwrap(),
-        domain: "a".to_owned(),
-        slots: 4,
-        state: ServerState::Ready,
-        warm_up: Duration::ZERO,
         born,
-        sequence: 1,
+        ..server_record()
     };
     Change { key: key.to_owned(), value: Some(Ok(record)) }
 }
--- a/tests/it/support.rs
+++ b/tests/it/support.rs
@@ -1,7 +1,10 @@
-//! Fleets and requests shared by several tests.
+//! Fleets, requests and records shared by several tests.
+
+use std::time::Duration;
 
 use filberttiller::demo::{Fleet, FleetOptions};
 use filberttiller::filters::CHAT_HEADER;
+use filberttiller::servers::{ServerRecord, ServerState};
 use filberttiller::wire::{GOSSIP_VERSION, Gossip, WireMember};
 use reqwest::Response;
 use reqwest::header::{HeaderMap, HeaderName, HeaderValue};
@@ -25,6 +28,21 @@
     fleet
 }
 
+/// The first record of a backend server.
+pub(crate) fn server_record() -> ServerRecord {
+    ServerRecord {
+        service: "s".to_owned(),
+        software: "v1".into(),
+        address: "127.0.0.1:80".parse().unwrap(),
+        domain: "a".to_owned(),
+        slots: 4,
+        state: ServerState::Ready,
+        warm_up: Duration::ZERO,
+        born: 1,
+        sequence: 1,
+    }
+}
+
 /// A conversation of one message.
 pub(crate) fn question(text: &str) -> Vec<Value> {
     vec![json!({ "role": "user", "content": text })]
