Ask a server that restarted under its id for its condition before it gets requests (DRAIN, BUDGET)

Callers' requests reached a server that had said that it leaves, or had asked for time, where it had restarted under its id and said so before this router had read its new record. Cause: the router books a statement on the incarnation that it knows, the former one, and drops it with it when the new record comes. Class: a statement tied to a belief that was older than the statement.

Which of the two incarnations spoke cannot be told from the answer. So a new incarnation whose former one had made such a statement gets no requests until it has answered one health check; all answers of a server state its condition. Costs nothing unless a server restarts under its id after such a statement. Event 331 tells the outcome.

--- a/src/events/code.rs
+++ b/src/events/code.rs
@@ -96,6 +96,7 @@
     328 OriginsUntold "another router could not be told of streams, or their number is too large";
     329 SoftwareMixed "several software versions serve in a service, streams stay at theirs";
     330 SoftwareUniform "one software version serves in a service";
+    331 ServerConfirmed "a backend server that restarted has been asked whether it takes work";
     // 4xx: placement and admission
     400 Placed "a request was assigned to a backend server";
     401 NoRoom "no backend server can take the request at present";
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -92,16 +92,22 @@
     };
     let framing = Framing::of(&response);
     let (mut parts, body) = response.into_parts();
-    let mut head = read(&parts.headers);
-    if parts.status != StatusCode::SERVICE_UNAVAILABLE {
-        head.stated.delay = StatedDelay::Absent;
-    }
+    let head = read_head(&parts, read);
     validate(parts.status, &head, id).map_err(|error| ExchangeError::new(error, &head))?;
     drop_hop_headers(&mut parts.headers);
     parts.version = Version::HTTP_11;
     Ok(Reply { parts, head, framing, body, connection, in_flight })
 }
 
+/// Reads the head of an answer.
+pub(crate) fn read_head(parts: &Parts, read: fn(&HeaderMap) -> AnswerHead) -> AnswerHead {
+    let mut head = read(&parts.headers);
+    if parts.status != StatusCode::SERVICE_UNAVAILABLE {
+        head.stated.delay = StatedDelay::Absent;
+    }
+    head
+}
+
 fn validate(status: StatusCode, head: &AnswerHead, id: &str) -> Result<(), AttemptError> {
     if head.request.as_deref().is_some_and(|it| it != id) {
         return Err(AttemptError::Garbled);
--- a/src/router/servers_watch.rs
+++ b/src/router/servers_watch.rs
@@ -8,6 +8,7 @@
 use tokio::time::sleep_until;
 
 use crate::events::Code;
+use crate::relay::confirm_server;
 use crate::router::cursor::Cursor;
 use crate::router::{Router, SourceHealth, SourceTransition, Store, StoreError};
 use crate::servers::{Change, Effect, Page, Position, ServerRecord, SoftwareVersion};
@@ -151,6 +152,13 @@
         // Other routers must not take the former version for the only one.
         router.relay.urgent_update.notify_one();
     }
+    let unconfirmed = servers.take_unconfirmed();
+    drop(servers);
+    for (server, service) in unconfirmed {
+        let rules = router.relay.rules.load();
+        let health = rules.and_then(|it| it.service(&service)?.health.clone());
+        tokio::spawn(confirm_server(Arc::clone(&router.relay), server, health));
+    }
 }
 
 /// Waits before the next read, and expires entries of the table when they are due.
--- a/src/rules/service.rs
+++ b/src/rules/service.rs
@@ -7,6 +7,8 @@
         pub name: String,
         /// Connections that one backend server accepts from all routers together.
         pub max_connections: Option<u32>,
+        /// Path of the health check of its backend servers, if there is one.
+        pub health: Option<String>,
         /// Present where the backend servers are model engines.
         pub engine: Option<EngineLimits>,
     }
--- a/src/servers/server.rs
+++ b/src/servers/server.rs
@@ -62,6 +62,9 @@
     /// For the line that an answer's word on its leaving cannot be read.
     pub(crate) unreadable_leaving: LogOnce,
     gone: AtomicBool,
+    /// A former incarnation stated that it leaves or wants time, or this one did before its record
+    /// was read: it gets no requests until it has answered a health check.
+    unconfirmed: AtomicBool,
     /// Requests of this router in flight there.
     own: AtomicU32,
     /// Requests of the other routers in flight there, as they last reported.
@@ -93,6 +96,7 @@
             stated_leaving: AtomicBool::new(false),
             unreadable_leaving: LogOnce::default(),
             gone: AtomicBool::new(false),
+            unconfirmed: AtomicBool::new(false),
             own: AtomicU32::new(0),
             others: AtomicU32::new(0),
             reported_load: Mutex::default(),
@@ -105,12 +109,9 @@
         }
     }
 
-    /// The same server as `former` stood for, with what outlives changes of its record.
-    pub fn after(self, former: &ServerRecord, backoff: &Arc<Backoff>) -> Server {
-        match former.born == self.born {
-            true => Server { backoff: Arc::clone(backoff), ..self },
-            false => self,
-        }
+    /// The same incarnation after a change of its record, with what outlives the change.
+    pub fn after(self, backoff: &Arc<Backoff>) -> Server {
+        Server { backoff: Arc::clone(backoff), ..self }
     }
 
     /// Whether `record` describes this server, unchanged except that it may be leaving.
@@ -163,9 +164,25 @@
     }
 
     /// Whether this router may send a request within its share of the limit, and the server
-    /// has not asked for time.
+    /// has not asked for time, as far as is known.
     pub fn has_allowance(&self, now: Instant) -> bool {
-        !self.backoff.holds(now) && self.limit.lock().unwrap().has_allowance(now)
+        let takes_work = !self.is_unconfirmed() && !self.backoff.holds(now);
+        takes_work && self.limit.lock().unwrap().has_allowance(now)
+    }
+
+    /// Whether it is unclear which incarnation stated that it leaves or wants time.
+    pub fn is_unconfirmed(&self) -> bool {
+        self.unconfirmed.load(Ordering::Relaxed)
+    }
+
+    /// Marks that it has answered a health check, so that what it states is known.
+    pub fn confirm(&self) {
+        self.unconfirmed.store(false, Ordering::Relaxed);
+    }
+
+    /// This server, to be confirmed before it gets requests.
+    pub fn unconfirmed(self) -> Server {
+        Server { unconfirmed: AtomicBool::new(true), ..self }
     }
 
     /// Counts a request against this router's share of the limit; false if it is spent.
--- a/src/servers/table.rs
+++ b/src/servers/table.rs
@@ -58,6 +58,8 @@
     leaving: LeavingStatements,
     /// Software versions that served lately, of servers that are gone too.
     software: SoftwareHistory,
+    /// New incarnations that are to be confirmed by a health check, and their services.
+    unconfirmed: Vec<(Arc<Server>, String)>,
     /// Records that go before then may reappear.
     reappear_until: Option<Instant>,
     /// Number of the last change; each change increases it.
@@ -133,7 +135,7 @@
         }
         for change in page.changes {
             let effect = match change.value {
-                Some(Ok(record)) => self.update(&change.key, record),
+                Some(Ok(record)) => self.update(&change.key, record, now),
                 Some(Err(_)) => self.mark_unreadable(&change.key),
                 None => self.remove(&change.key, now),
             };
@@ -142,6 +144,11 @@
         self.rebuild();
     }
 
+    /// Takes the new incarnations that are to be confirmed by a health check, with their services.
+    pub fn take_unconfirmed(&mut self) -> Vec<(Arc<Server>, String)> {
+        std::mem::take(&mut self.unconfirmed)
+    }
+
     /// When the next server whose record went during an outage is removed.
     pub fn next_expiry(&self) -> Option<Instant> {
         self.entries.values().filter_map(|it| it.retained_until).min()
@@ -248,7 +255,7 @@
         existing.filter(|(id, _)| !listed.contains(id.as_str())).map(|(id, _)| id.clone()).collect()
     }
 
-    fn update(&mut self, id: &str, record: ServerRecord) -> Effect {
+    fn update(&mut self, id: &str, record: ServerRecord, now: Instant) -> Effect {
         let former = self.entries.get(id);
         if former.is_some_and(|it| !record.is_newer_than(&it.record) && it.gone.is_some()) {
             return Effect::None;
@@ -264,7 +271,7 @@
         let known = former.as_ref().and_then(|it| it.server.clone());
         let known = known.filter(|it| it.matches(&record));
         let is_new = known.is_none();
-        let server = known.unwrap_or_else(|| new_server(id, &record, former.as_ref()));
+        let server = known.unwrap_or_else(|| self.new_server(id, &record, former.as_ref(), now));
         let was_leaving = server.is_leaving();
         if record.state == ServerState::Leaving {
             server.mark_leaving();
@@ -290,6 +297,30 @@
         }
     }
 
+    /// The server that `record` describes, with what is known of its incarnation from `former`.
+    fn new_server(
+        &mut self,
+        id: &str,
+        record: &ServerRecord,
+        former: Option<&Entry>,
+        now: Instant,
+    ) -> Arc<Server> {
+        let server = Server::new(id, record);
+        let Some(former) = former else {
+            return Arc::new(server);
+        };
+        if former.record.born == record.born {
+            return Arc::new(server.after(&former.backoff));
+        }
+        let last = combine(server.hash, former.record.born);
+        if !self.leaving.contains(last) && !former.backoff.holds(now) {
+            return Arc::new(server);
+        }
+        let server = Arc::new(server.unconfirmed());
+        self.unconfirmed.push((Arc::clone(&server), record.service.clone()));
+        server
+    }
+
     fn next_revision(&mut self) -> u64 {
         self.revision += 1;
         self.revision
@@ -339,12 +370,3 @@
         self.services = services.into_iter().map(|(name, it)| (name, it.into())).collect();
     }
 }
-
-/// The server that `record` describes, with what is known of its incarnation from `former`.
-fn new_server(id: &str, record: &ServerRecord, former: Option<&Entry>) -> Arc<Server> {
-    let server = Server::new(id, record);
-    Arc::new(match former {
-        Some(it) => server.after(&it.record, &it.backoff),
-        None => server,
-    })
-}
