Keep the time that a server asked for while its record is away for more than a minute (BUDGET)

A server may ask for up to 300 s; its entry was dropped 60 s after its record went, and the time with it, so that requests reached the server if the record came back within the time. servers::asked_time_outlives_removed_record failed before and passes now. The entry stays until the time is over.

--- a/src/servers/table.rs
+++ b/src/servers/table.rs
@@ -170,7 +170,8 @@
                 on_effect(id, Effect::Left);
             }
         }
-        let is_expired = |it: &Entry| it.gone.is_some_and(|at| now >= at + RETENTION_TIME);
+        let is_old = |it: &Entry| it.gone.is_some_and(|at| now >= at + RETENTION_TIME);
+        let is_expired = |it: &Entry| is_old(it) && !it.backoff.holds(now);
         let removed = self.entries.values().filter(|it| is_expired(it)).map(|it| it.revision).max();
         self.removed_revision = self.removed_revision.max(removed.unwrap_or(0));
         self.entries.retain(|_, it| !is_expired(it));
--- a/tests/it/servers.rs
+++ b/tests/it/servers.rs
@@ -155,6 +155,22 @@
     assert_eq!(ids(&table), ["b"]);
 }
 
+/// Guards against a time that a server asked for and that is forgotten as its record is away for
+/// more than a minute (BUDGET).
+#[test]
+fn asked_time_outlives_removed_record() {
+    let (mut table, now) = (ServerTable::default(), Instant::now());
+    apply(&mut table, vec![put("a", ready(1, 1))], true, now);
+    table.all().next().unwrap().backoff.begin(Duration::from_secs(200), now);
+    apply(&mut table, vec![gone("a")], false, now);
+    let back = now + Duration::from_secs(90);
+    table.expire(back, |_, _| {});
+    apply(&mut table, vec![put("a", ready(1, 2))], false, back);
+    let server = table.all().next().unwrap();
+    assert!(!server.has_allowance(back));
+    assert!(server.has_allowance(now + Duration::from_secs(201)));
+}
+
 #[test]
 fn record_unreached_pause_grows() {
     let (mut table, now) = (ServerTable::default(), Instant::now());
