--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -12,7 +12,7 @@
 use tokio::time::sleep;
 
 use crate::fleet::{Backend, FAULTY_BACKENDS, Fleet, Shutdown, Suspension};
-use crate::link::LinkFault;
+use standins::LinkFault;
 
 /// Maximum pause between two faults.
 const MAX_PAUSE_MS: u64 = 700;
--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -10,8 +10,8 @@
 use standins::platform::{MetaStore, ServerStandin, StoreCopy};
 
 use crate::Steps;
-use crate::link::Link;
 use crate::router_process::RouterProcess;
+use standins::Link;
 
 /// Number of backend servers that get faults; the others get none, so that callers can be
 /// served.
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -6,7 +6,6 @@
 mod checks;
 mod faults;
 mod fleet;
-mod link;
 mod report;
 mod router_process;
 mod run;
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -5,8 +5,11 @@
 //! faults through a `set_faults` method or `POST /faults`.
 
 pub mod engine;
+mod link;
 pub mod list;
 pub mod log;
 pub mod platform;
 pub mod server;
 pub mod service;
+
+pub use link::{Link, LinkFault};
--- a/soak/src/link.rs
+++ b/standins/src/link.rs
@@ -7,11 +7,16 @@
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{ReadHalf, WriteHalf};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::watch;
-use tokio::task::JoinHandle;
+use tokio::task::{JoinHandle, JoinSet};
 use tokio::time::sleep;
 
+/// Connections that fill the queue of a port that accepts none.
+const QUEUE_FILLERS: usize = 3;
+/// Time for these to reach the queue.
+const FILL_TIME: Duration = Duration::from_millis(20);
+
 /// Fault of a link.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum LinkFault {
@@ -25,6 +30,30 @@
     CutOneWay,
     /// Open connections are reset, and new ones closed at once.
     Reset,
+    /// Open connections are reset, and new ones refused.
+    Down,
+    /// New connections are refused; open ones live on.
+    Refuse,
+    /// New connections are not established; no bytes arrive on open ones.
+    Hang,
+}
+
+impl LinkFault {
+    fn blocks(self, to_target: bool) -> bool {
+        match self {
+            LinkFault::Silence | LinkFault::Hang => true,
+            LinkFault::CutOneWay => to_target,
+            _ => false,
+        }
+    }
+
+    fn resets(self) -> bool {
+        matches!(self, LinkFault::Reset | LinkFault::Down)
+    }
+
+    fn closes_port(self) -> bool {
+        matches!(self, LinkFault::Down | LinkFault::Refuse | LinkFault::Hang)
+    }
 }
 
 /// A running proxy; it stops when dropped.
@@ -46,10 +75,8 @@
         let fault = Arc::new(watch::Sender::new(LinkFault::None));
         let it = Arc::clone(&fault);
         let task = tokio::spawn(async move {
-            let mut connections = tokio::task::JoinSet::new();
-            while let Ok((stream, _)) = listener.accept().await {
-                connections.spawn(forward(stream, target, it.subscribe()));
-            }
+            // Callers see a port that cannot be bound again as a link that stays cut.
+            let _ = accept(listener, target, &it).await;
         });
         Ok(Link { address, fault, task })
     }
@@ -71,8 +98,57 @@
     }
 }
 
+/// Accepts connections; the port is closed while the fault demands it.
+async fn accept(
+    mut listener: TcpListener,
+    target: SocketAddr,
+    fault: &watch::Sender<LinkFault>,
+) -> io::Result<()> {
+    let address = listener.local_addr()?;
+    let mut changes = fault.subscribe();
+    let mut connections = JoinSet::new();
+    loop {
+        let closing = changes.wait_for(|it| it.closes_port());
+        let accepted = tokio::select! {
+            accepted = listener.accept() => Some(accepted?),
+            _ = closing => None,
+        };
+        if let Some((stream, _)) = accepted {
+            connections.spawn(forward(stream, target, fault.subscribe()));
+            continue;
+        }
+        drop(listener);
+        let is_hanging = *fault.borrow() == LinkFault::Hang;
+        let full_port = if is_hanging { Some(FullPort::bind(address).await?) } else { None };
+        let _ = changes.wait_for(|it| !it.closes_port()).await;
+        drop(full_port);
+        listener = TcpListener::bind(address).await?;
+    }
+}
+
+/// A port whose queue of new connections is full, so that the system ignores further ones.
+struct FullPort {
+    _listener: TcpListener,
+    _waiting: JoinSet<io::Result<TcpStream>>,
+}
+
+impl FullPort {
+    async fn bind(address: SocketAddr) -> io::Result<FullPort> {
+        let socket = TcpSocket::new_v4()?;
+        socket.set_reuseaddr(true)?;
+        socket.bind(address)?;
+        let listener = socket.listen(0)?;
+        let mut waiting = JoinSet::new();
+        for _ in 0..QUEUE_FILLERS {
+            waiting.spawn(TcpStream::connect(address));
+        }
+        sleep(FILL_TIME).await;
+        Ok(FullPort { _listener: listener, _waiting: waiting })
+    }
+}
+
 async fn forward(mut stream: TcpStream, target: SocketAddr, fault: watch::Receiver<LinkFault>) {
-    if *fault.borrow() == LinkFault::Reset {
+    if fault.borrow().resets() {
         return;
     }
     let Ok(mut peer) = TcpStream::connect(target).await else {
@@ -81,7 +157,7 @@
     let mut reset = fault.clone();
     let is_reset = tokio::select! {
         result = copy_both_ways(&mut stream, &mut peer, fault) => result.is_err(),
-        _ = reset.wait_for(|it| *it == LinkFault::Reset) => true,
+        _ = reset.wait_for(|it| it.resets()) => true,
     };
     if is_reset {
         // Both ends must see a reset, not an orderly close.
@@ -122,10 +198,7 @@
         if count == 0 {
             return Ok(());
         }
-        let is_blocked = |it: &LinkFault| {
-            *it == LinkFault::Silence || (to_target && *it == LinkFault::CutOneWay)
-        };
-        if fault.wait_for(|it| !is_blocked(it)).await.is_err() {
+        if fault.wait_for(|it| !it.blocks(to_target)).await.is_err() {
             // The link itself is gone.
             return Ok(());
         }
