--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -25,6 +25,7 @@
 mod run_progress;
 mod sent_tokens;
 mod service_load;
+mod service_reach;
 mod suspect;
 mod verdict;
 
@@ -54,5 +55,6 @@
 pub use run_progress::RunProgress;
 pub use sent_tokens::SentTokens;
 pub use service_load::ServiceLoad;
+pub use service_reach::ServiceReach;
 pub use suspect::{SuspectPolicy, suspect_policy};
 pub use verdict::Verdict;
--- a/src/events/code.rs
+++ b/src/events/code.rs
@@ -97,6 +97,8 @@
     329 SoftwareMixed "several software versions serve in a service, streams stay at theirs";
     330 SoftwareUniform "one software version serves in a service";
     331 ServerConfirmed "a backend server that restarted has been asked whether it takes work";
+    332 CutOff "no backend server of a service can be reached from here, other routers get its requests";
+    333 CutOffEnded "a backend server of the service can be reached from here again";
     // 4xx: placement and admission
     400 Placed "a request was assigned to a backend server";
     401 NoRoom "no backend server can take the request at present";
--- a/src/peers/mod.rs
+++ b/src/peers/mod.rs
@@ -13,4 +13,5 @@
 pub use encoding::{decode, encode};
 pub use message::Message;
 pub(crate) use part_news::{part_news_from_wire, part_news_to_wire};
+pub(crate) use peer::Peer;
 pub use peer_table::{PeerLoad, PeerTable, Reader};
--- a/src/peers/peer.rs
+++ b/src/peers/peer.rs
@@ -3,6 +3,8 @@
 use std::cmp::Ordering;
 use std::time::{Duration, Instant};
 
+use smallvec::SmallVec;
+
 use crate::wire::{ServerLoad, WireRouter};
 
 /// A router that was last seen this long ago counts as dead: three exchanges.
@@ -23,6 +25,8 @@
     /// Requests in flight by backend server, from its own last message, and when that
     /// message was received.
     pub loads: Option<(Instant, Vec<ServerLoad>)>,
+    /// Hashes of the names of services whose backend servers it does not reach, as it last said.
+    pub cut_off: SmallVec<[u64; 2]>,
 }
 
 impl Peer {
--- a/src/peers/peer_table.rs
+++ b/src/peers/peer_table.rs
@@ -100,6 +100,13 @@
         }
     }
 
+    /// Sets the services whose backend servers the router `name` does not reach.
+    pub fn set_cut_off(&mut self, name: &str, services: SmallVec<[u64; 2]>) {
+        if let Some(peer) = self.peers.get_mut(name) {
+            peer.cut_off = services;
+        }
+    }
+
     /// Records that `address` refused a connection: the process there is gone.
     pub fn record_refused(&mut self, address: SocketAddr) {
         for peer in self.peers.values_mut().filter(|it| it.router.peers == address) {
@@ -140,8 +147,13 @@
 
     /// Other routers that are alive, ready and not leaving.
     pub fn ready(&self, now: Instant) -> impl Iterator<Item = &WireRouter> {
+        self.available(now).map(|it| &it.router)
+    }
+
+    /// The same, with all that is known of them.
+    pub(crate) fn available(&self, now: Instant) -> impl Iterator<Item = &Peer> {
         let is_available = move |it: &&Peer| it.is_alive(now) && it.ready && !it.leaving;
-        self.peers.values().filter(is_available).map(|it| &it.router)
+        self.peers.values().filter(is_available)
     }
 
     /// Names of the other routers that are alive.
@@ -276,6 +288,7 @@
             leaving: report.leaving || former.as_ref().is_some_and(|it| it.leaving),
             last_seen: seen_at,
             refused: false,
+            cut_off: former.as_ref().map(|it| it.cut_off.clone()).unwrap_or_default(),
             loads: former.and_then(|it| it.loads),
         };
         self.peers.insert(router.name.clone(), peer);
--- a/src/relay/attempt_loop.rs
+++ b/src/relay/attempt_loop.rs
@@ -8,9 +8,10 @@
 use hyper::Response;
 use tokio::time::timeout;
 
-use crate::decide::{RetryRate, RunProgress, Verdict};
+use crate::decide::{RetryRate, RunProgress, Verdict, hash_bytes};
 use crate::relay::attempt::Attempt;
 use crate::relay::exchange::{Reply, exchange};
+use crate::relay::forward::name_server;
 use crate::relay::pending_request::{Grant, PendingRequest};
 use crate::relay::{AttemptError, Connection, Refusal, Relay, RetryBudgets, may_be_events};
 use crate::rules::{Route, RouteKind};
@@ -22,7 +23,7 @@
 /// Shortest time after which an attempt may be abandoned.
 const MIN_PATIENCE: Duration = Duration::from_millis(500);
 /// Remaining time below which a request is no longer sent.
-const MIN_REMAINING: Duration = Duration::from_millis(10);
+pub(crate) const MIN_REMAINING: Duration = Duration::from_millis(10);
 
 /// An answer for the caller.
 pub(crate) enum Answer {
@@ -33,7 +34,7 @@
 }
 
 /// The result of one attempt.
-enum AttemptResult {
+pub(crate) enum AttemptResult {
     Answer(Answer),
     /// An answer with a server error, to a request that may be retried.
     ServerError(Response<Bytes>, Grant),
@@ -141,6 +142,15 @@
             return Err(Refusal::TooLate);
         }
         let grant = self.allow(&pending.meta, pending.head.uri.path(), &mut pending.trace)?;
+        if let Some(service) = self.service_to_forward(pending, &grant) {
+            pending.trace.service.clear();
+            pending.trace.service.push_str(service);
+            let service = hash_bytes(service.as_bytes());
+            return self.forward(pending, grant, service).await;
+        }
+        if pending.is_forwarded && self.is_cut_off(pending.target_service(&grant).unwrap_or("")) {
+            return Err(Refusal::NoServer);
+        }
         self.apply_part_policy(pending)?;
         self.apply_suspect_policy(pending)?;
         self.find_origin(pending, &grant).await?;
@@ -154,6 +164,11 @@
             grant.route.kind == RouteKind::NonIdempotent || pending.sends + pending.resumes() > 0;
         let opened = self.pool.open(&server, force_new, now).await;
         let is_first_use = !opened.as_ref().is_ok_and(|it| it.is_reused);
+        match &opened {
+            Ok(_) if is_first_use => self.record_connected(&pending.trace.service),
+            Ok(_) => {}
+            Err(_) => self.record_unconnected(&pending.trace.service, &server),
+        }
         let attempt = Attempt { server, load, began: now, is_first_use };
         match opened {
             Ok(connection) => Ok(self.send(pending, grant, &attempt, connection, in_flight).await),
@@ -242,9 +257,12 @@
         pending: &mut PendingRequest,
         grant: &Grant,
         attempt: &Attempt,
-        reply: Reply,
+        mut reply: Reply,
     ) -> Result<TakenAnswer, AttemptError> {
         let server = &attempt.server;
+        if pending.is_forwarded {
+            name_server(&mut reply.parts, server);
+        }
         let status = reply.parts.status;
         pending.trace.framing = Some(reply.framing);
         let is_stream = grant.route.kind == RouteKind::Streaming
--- a/src/relay/by_service.rs
+++ b/src/relay/by_service.rs
@@ -29,4 +29,10 @@
             None => act(values.entry(service.to_owned()).or_insert_with(make)),
         }
     }
+
+    /// Names of the services whose values fulfil `filter`.
+    pub fn names(&self, filter: impl Fn(&T) -> bool) -> Vec<String> {
+        let values = self.values.lock().unwrap();
+        values.iter().filter(|(_, it)| filter(it)).map(|(name, _)| name.clone()).collect()
+    }
 }
--- a/src/relay/choose.rs
+++ b/src/relay/choose.rs
@@ -85,12 +85,17 @@
         all.map(|(it, max_load)| candidate(it, pending, max_load, now)).collect()
     }
 
-    /// Whether a stream may go on at another server than `from`, as far as servers are known.
-    pub(crate) fn has_successor(&self, pending: &PendingRequest, from: &Server) -> bool {
+    /// Whether a stream may go on at another server than `from`, as far as servers are known, or
+    /// at one that another router reaches.
+    pub(crate) fn has_successor(&self, pending: &PendingRequest, from: Option<&Server>) -> bool {
+        if self.is_cut_off(&pending.trace.service) {
+            return self.has_forwarder(pending, &pending.trace.service);
+        }
         let servers = self.servers.lock().unwrap().of_service(&pending.trace.service);
         let now = self.clock.now();
         let may_follow = |it: &Arc<Server>| {
-            let is_other = it.hash != from.hash && !pending.excluded.contains(&it.hash);
+            let is_other = from.is_none_or(|from| it.hash != from.hash)
+                && !pending.excluded.contains(&it.hash);
             is_other && it.fits_software(pending.software) && it.is_reachable(now)
         };
         servers.is_some_and(|all| all.iter().any(may_follow))
--- a/src/relay/codec.rs
+++ b/src/relay/codec.rs
@@ -33,6 +33,9 @@
     pub request_meta: fn(&Parts) -> Result<RequestMeta, RequestMetaError>,
     /// Turns the caller's headers into those for a backend server.
     pub outgoing: fn(&mut HeaderMap, &OutgoingMeta<'_>),
+    /// Sets, in the caller's headers, the time until the deadline and the id of the event after
+    /// which a broken stream resumes, for a router that handles the request in place of this one.
+    pub forwarded: fn(&mut HeaderMap, Duration, Option<&str>),
     /// Reads the head of an answer.
     pub answer: fn(&HeaderMap) -> AnswerHead,
 }
--- a/src/relay/connection_context.rs
+++ b/src/relay/connection_context.rs
@@ -18,9 +18,9 @@
 
 use crate::clock::SharedClock;
 use crate::events::Code;
-use crate::relay::RelayBody;
 use crate::relay::active_request::{ActiveRequest, Activity};
 use crate::relay::connection::set_socket_options;
+use crate::relay::{FORWARDED, RelayBody};
 
 /// Pause after accepting a connection failed, most likely for lack of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
@@ -38,6 +38,8 @@
     pub clock: SharedClock,
     /// Number of requests whose answers are not complete.
     pub active_requests: Arc<AtomicU32>,
+    /// The same for requests that another router sent on.
+    pub forwarded_requests: Arc<AtomicU32>,
     /// True once no new request is accepted: the port and idle connections close.
     pub closed: watch::Receiver<bool>,
 }
@@ -89,8 +91,12 @@
     set_socket_options(&stream);
     let accepted = context.clock.now();
     let activity = Arc::new(Activity::new(accepted));
-    let service = service_fn(|request| {
-        let active = ActiveRequest::begin(&context.clock, &context.active_requests, &activity);
+    let service = service_fn(|request: Request<Incoming>| {
+        let total = match request.headers().contains_key(FORWARDED) {
+            true => &context.forwarded_requests,
+            false => &context.active_requests,
+        };
+        let active = ActiveRequest::begin(&context.clock, total, &activity);
         let answer = handle(request);
         async move {
             let response = answer.await;
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -44,7 +44,8 @@
     pub framing: Framing,
     pub body: Incoming,
     pub connection: Connection,
-    pub in_flight: InFlight,
+    /// Absent where another router sent the request to the server.
+    pub in_flight: Option<InFlight>,
 }
 
 /// Why there is no valid answer.
@@ -82,14 +83,38 @@
     read: fn(&HeaderMap) -> AnswerHead,
     deadline: Instant,
 ) -> Result<Reply, ExchangeError> {
-    let sent = timeout_at(deadline, connection.send(request.to_request())).await;
-    let response = match sent {
-        Err(_) => return Err(AttemptError::TimedOut.into()),
-        Ok(Err(SendError::Unsent(_))) => return Err(AttemptError::Unsent.into()),
-        Ok(Err(SendError::Garbled)) => return Err(AttemptError::Garbled.into()),
-        Ok(Err(SendError::Lost)) => return Err(AttemptError::Lost.into()),
-        Ok(Ok(response)) => response,
-    };
+    let sent = timeout_at(deadline, send_request(request, &mut connection)).await;
+    let response = sent.map_err(|_| AttemptError::TimedOut)??;
+    validate_reply(response, id, read, connection, Some(in_flight))
+}
+
+/// Sends `request` and reads the head of the answer.
+///
+/// # Errors
+/// Fails when no head arrives; the error states whether the request may have run.
+pub(crate) async fn send_request(
+    request: &UpstreamRequest,
+    connection: &mut Connection,
+) -> Result<Response<Incoming>, AttemptError> {
+    connection.send(request.to_request()).await.map_err(|e| match e {
+        SendError::Unsent(_) => AttemptError::Unsent,
+        SendError::Garbled => AttemptError::Garbled,
+        SendError::Lost => AttemptError::Lost,
+    })
+}
+
+/// Validates the head of an answer to the request `id`, and removes what concerns the connection
+/// only.
+///
+/// # Errors
+/// Fails when the answer is not valid.
+pub(crate) fn validate_reply(
+    response: Response<Incoming>,
+    id: &str,
+    read: fn(&HeaderMap) -> AnswerHead,
+    connection: Connection,
+    in_flight: Option<InFlight>,
+) -> Result<Reply, ExchangeError> {
     let framing = Framing::of(&response);
     let (mut parts, body) = response.into_parts();
     let head = read_head(&parts, read);
@@ -132,7 +157,7 @@
         self,
         deadline: Instant,
         trace: &mut RequestTrace,
-    ) -> Result<(Response<Bytes>, AnswerHead, Connection, InFlight), AttemptError> {
+    ) -> Result<(Response<Bytes>, AnswerHead, Connection, Option<InFlight>), AttemptError> {
         let body = Limited::new(self.body, MAX_BODY_BYTES).collect();
         let body = timeout_at(deadline, body).await.map_err(|_| AttemptError::TimedOut)?;
         trace.body_end = Some(match &body {
--- /dev/null
+++ b/src/relay/forward.rs
@@ -0,0 +1,212 @@
+//! Sends requests on to another router, while this one is cut off from all backend servers.
+//!
+//! The other router handles such a request like one of its own callers: it selects the server,
+//! counts attempts against its limits and retry budget, and keeps what the server states. It
+//! never sends the request on again. This router relays the answer.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use hyper::header::{HeaderMap, HeaderName, HeaderValue, RETRY_AFTER};
+use hyper::http::response::Parts;
+use tokio::time::timeout_at;
+
+use crate::decide::{Verdict, hash_bytes};
+use crate::relay::attempt_loop::{Answer, AttemptResult, MIN_REMAINING};
+use crate::relay::exchange::{Reply, UpstreamRequest, send_request, validate_reply};
+use crate::relay::forwarder::pick_forwarder;
+use crate::relay::pending_request::{Grant, PendingRequest};
+use crate::relay::{
+    AttemptError, Connection, Forwarder, Refusal, Relay, StatedLeaving, drop_hop_headers,
+    may_be_events,
+};
+use crate::rules::RouteKind;
+use crate::servers::Server;
+
+/// On a request that another router sends on.
+pub(crate) const FORWARDED: HeaderName = HeaderName::from_static("filberttiller-forwarded");
+/// On a refusal of such a request: its name.
+const REFUSAL: HeaderName = HeaderName::from_static("filberttiller-refusal");
+/// On the answer to such a request: hash of the incarnation of the backend server.
+const SERVER: HeaderName = HeaderName::from_static("filberttiller-server");
+/// Limit on the routers that one attempt is offered to.
+const MAX_OFFERS: usize = 2;
+
+/// What another router made of a request.
+enum Forwarded {
+    Reply(Box<Reply>),
+    /// It refused the request, with a time to come back.
+    Refused(Refusal, Option<Duration>),
+}
+
+impl Relay {
+    /// The service of a request that is to be sent on to another router.
+    pub(crate) fn service_to_forward<'a>(
+        &self,
+        pending: &PendingRequest,
+        grant: &'a Grant,
+    ) -> Option<&'a str> {
+        let service = pending.target_service(grant)?;
+        (!pending.is_forwarded && self.is_cut_off(service)).then_some(service)
+    }
+
+    /// Whether another router may take a request for `service`.
+    pub(crate) fn has_forwarder(&self, pending: &PendingRequest, service: &str) -> bool {
+        let service = hash_bytes(service.as_bytes());
+        let all = self.forwarders.load();
+        !pending.is_forwarded && pick_forwarder(&all, service, &pending.excluded).is_some()
+    }
+
+    /// Sends a request on to another router. What it could not serve itself is offered to one
+    /// more.
+    ///
+    /// # Errors
+    /// Fails when no router took it; it did not run then, unless the refusal says otherwise.
+    pub(crate) async fn forward(
+        self: &Arc<Relay>,
+        pending: &mut PendingRequest,
+        grant: Grant,
+        service: u64,
+    ) -> Result<AttemptResult, Refusal> {
+        let verdict = pending.trace.verdict;
+        let mut refusal = Refusal::NoServer;
+        for _ in 0..MAX_OFFERS {
+            let picked =
+                pick_forwarder(&self.forwarders.load(), service, &pending.excluded).cloned();
+            let Some(target) = picked else {
+                break;
+            };
+            pending.excluded.push(target.hash);
+            let began = self.clock.now();
+            let record = |pending: &mut PendingRequest, result: &str| {
+                pending.trace.record_attempt(&target.name, 0, result, began);
+            };
+            let connection = match Connection::open(target.address, began).await {
+                Ok(it) => it,
+                Err(e) => {
+                    record(pending, AttemptError::Connect(e).as_str());
+                    continue;
+                }
+            };
+            if pending.deadline.saturating_duration_since(self.clock.now()) < MIN_REMAINING {
+                return Err(Refusal::TooLate);
+            }
+            pending.trace.verdict = Verdict::MayHaveRun;
+            match self.offer(pending, &target, connection).await {
+                Ok(Forwarded::Reply(reply)) => {
+                    pending.sends += 1;
+                    record(pending, "forwarded");
+                    return self.take_forwarded(pending, grant, *reply).await;
+                }
+                Ok(Forwarded::Refused(it, retry_after)) => {
+                    record(pending, "refused");
+                    pending.trace.verdict = verdict.and(it.verdict());
+                    pending.trace.retry_after = retry_after;
+                    refusal = it;
+                    if !it.is_of_router() {
+                        break;
+                    }
+                }
+                Err(error) => {
+                    pending.sends += 1;
+                    record(pending, error.as_str());
+                    return Ok(AttemptResult::Failed(error, grant));
+                }
+            }
+        }
+        Err(refusal)
+    }
+
+    async fn offer(
+        &self,
+        pending: &PendingRequest,
+        target: &Forwarder,
+        mut connection: Connection,
+    ) -> Result<Forwarded, AttemptError> {
+        let request = self.forwarded_request(pending);
+        let sent = send_request(&request, &mut connection);
+        let sent = timeout_at(pending.deadline.into(), sent).await;
+        let response = sent.map_err(|_| AttemptError::TimedOut)??;
+        if let Some(refusal) = read_refusal(response.headers()) {
+            return Ok(Forwarded::Refused(refusal, read_retry_after(response.headers())));
+        }
+        let reply = validate_reply(response, &pending.meta.id, self.codec.answer, connection, None);
+        let mut reply = reply.map_err(|it| it.error)?;
+        self.merge_statement(&mut reply, target);
+        Ok(Forwarded::Reply(Box::new(reply)))
+    }
+
+    /// The request as the caller sent it, with the time that is left.
+    fn forwarded_request(&self, pending: &PendingRequest) -> UpstreamRequest {
+        let mut headers = pending.head.headers.clone();
+        drop_hop_headers(&mut headers);
+        let remaining = pending.deadline.saturating_duration_since(self.clock.now());
+        (self.codec.forwarded)(&mut headers, remaining, pending.last_event.as_deref());
+        headers.insert(FORWARDED, HeaderValue::from_static("1"));
+        UpstreamRequest {
+            method: pending.head.method.clone(),
+            uri: pending.head.uri.clone(),
+            headers,
+            body: pending.body.clone(),
+        }
+    }
+
+    /// Takes in that the server which answered leaves, before the answer is passed on.
+    fn merge_statement(&self, reply: &mut Reply, target: &Forwarder) {
+        let incarnation = reply.parts.headers.remove(SERVER);
+        let incarnation = incarnation.and_then(|it| it.to_str().ok()?.parse().ok());
+        if reply.head.stated.leaving != StatedLeaving::Leaving {
+            return;
+        }
+        match incarnation {
+            Some(it) => {
+                let now = self.clock.now();
+                self.merge_stated_leaving(it, now, now);
+            }
+            None => slog::warn!(self.request_log.logger(),
+                "a router does not name the leaving server of its answer"; "peer" => &target.name),
+        }
+    }
+
+    async fn take_forwarded(
+        &self,
+        pending: &mut PendingRequest,
+        grant: Grant,
+        reply: Reply,
+    ) -> Result<AttemptResult, Refusal> {
+        let status = reply.parts.status;
+        pending.trace.framing = Some(reply.framing);
+        pending.trace.record_answer(status.as_u16());
+        let is_stream = grant.route.kind == RouteKind::Streaming
+            && status.is_success()
+            && may_be_events(&reply.parts.headers);
+        if is_stream {
+            return Ok(AttemptResult::Answer(Answer::Stream(Box::new(reply), grant.route)));
+        }
+        let deadline = pending.deadline.into();
+        match reply.read_full(deadline, &mut pending.trace).await {
+            Ok((response, ..)) => Ok(AttemptResult::Answer(Answer::Full(response))),
+            Err(error) => Ok(AttemptResult::Failed(error, grant)),
+        }
+    }
+}
+
+/// Names the server that answered a request of another router.
+pub(crate) fn name_server(parts: &mut Parts, server: &Server) {
+    parts.headers.insert(SERVER, HeaderValue::from(server.incarnation()));
+}
+
+/// Names the refusal of a request of another router.
+pub(crate) fn name_refusal(headers: &mut HeaderMap, refusal: Refusal) {
+    headers.insert(REFUSAL, HeaderValue::from_static(refusal.as_str()));
+}
+
+fn read_refusal(headers: &HeaderMap) -> Option<Refusal> {
+    let name = headers.get(REFUSAL)?.to_str().ok()?;
+    Refusal::ALL.iter().copied().find(|it| it.as_str() == name)
+}
+
+fn read_retry_after(headers: &HeaderMap) -> Option<Duration> {
+    let seconds = headers.get(RETRY_AFTER)?.to_str().ok()?.parse().ok()?;
+    Duration::try_from_secs_f64(seconds).ok()
+}
--- a/src/relay/pending_request.rs
+++ b/src/relay/pending_request.rs
@@ -50,6 +50,8 @@
     pub is_origin_recorded: bool,
     /// Hashes of the servers that get no further attempt.
     pub excluded: SmallVec<[u64; 4]>,
+    /// Another router sent it on, so this one does not.
+    pub is_forwarded: bool,
     /// Held while it is the only run of this request, which may crash servers.
     pub isolated_run: Option<RunningSuspect>,
     /// Held while it is the only run with a part of its prompt that is under suspicion.
@@ -70,6 +72,8 @@
     pub meta: RequestMeta,
     pub body: Bytes,
     pub deadline: Instant,
+    /// Another router sent it on.
+    pub is_forwarded: bool,
 }
 
 impl Admitted {
@@ -84,6 +88,7 @@
             software: None,
             is_origin_recorded: false,
             excluded: SmallVec::new(),
+            is_forwarded: self.is_forwarded,
             isolated_run: None,
             part_trial: None,
             sends: 0,
@@ -130,9 +135,10 @@
         self.trace.origin = Some(source);
     }
 
-    /// Prepares the request to resume, after the event `last`, a stream that broke at `server`.
-    pub fn prepare_resume(&mut self, server: &Server, last: Option<&str>) {
-        self.excluded.push(server.hash);
+    /// Prepares the request to resume, after the event `last`, a stream that broke at `server`; `None`
+    /// if another router sent it there.
+    pub fn prepare_resume(&mut self, server: Option<&Server>, last: Option<&str>) {
+        self.excluded.extend(server.map(|it| it.hash));
         self.selections = 0;
         self.last_event = last.map(str::to_owned);
         self.trace.resumed += 1;
--- a/src/relay/refusal.rs
+++ b/src/relay/refusal.rs
@@ -49,6 +49,32 @@
 }
 
 impl Refusal {
+    /// All refusals.
+    pub const ALL: &[Refusal] = &[
+        Refusal::Malformed,
+        Refusal::HeadTooLarge,
+        Refusal::TooLarge,
+        Refusal::NoOrganisation,
+        Refusal::NoRoute,
+        Refusal::NoRules,
+        Refusal::Leaving,
+        Refusal::NoServer,
+        Refusal::NoVersion,
+        Refusal::UnknownOrigin,
+        Refusal::NoRoom,
+        Refusal::Crashes,
+        Refusal::PartCrashes,
+        Refusal::ServerFailed,
+        Refusal::TimedOut,
+        Refusal::TooLate,
+        Refusal::Shed,
+    ];
+
+    /// Whether the reason lies with the router, so that another one may serve the request.
+    pub fn is_of_router(self) -> bool {
+        matches!(self, Refusal::NoRules | Refusal::Leaving | Refusal::NoServer)
+    }
+
     /// Status of the answer. 503 guarantees that the request did not run.
     pub fn status(self) -> StatusCode {
         match self {
--- a/src/relay/relay.rs
+++ b/src/relay/relay.rs
@@ -14,18 +14,19 @@
 use tokio::sync::{Notify, mpsc};
 
 use crate::clock::SharedClock;
-use crate::decide::{KeyRates, LimitSenders, PartSuspects, ServiceLoad, Verdict};
+use crate::decide::{KeyRates, LimitSenders, PartSuspects, ServiceLoad, ServiceReach, Verdict};
 use crate::events::Code;
 use crate::fleet::CrashTable;
 use crate::relay::attempt_loop::Answer;
 use crate::relay::body::MAX_BODY_BYTES;
 use crate::relay::by_service::ByService;
+use crate::relay::forward::name_refusal;
 use crate::relay::pending_request::{Admitted, Grant, PendingRequest};
 use crate::relay::request_trace::RequestTrace;
 use crate::relay::stream::relay_stream;
 use crate::relay::{
-    Codec, ConnectionPool, OriginQuery, Outcome, PrefixHolders, Refusal, RelayBody, RelayLimits,
-    RequestLog, RequestMeta, RetryBudgets, StreamOrigins, full_body,
+    Codec, ConnectionPool, FORWARDED, Forwarder, OriginQuery, Outcome, PrefixHolders, Refusal,
+    RelayBody, RelayLimits, RequestLog, RequestMeta, RetryBudgets, StreamOrigins, full_body,
 };
 use crate::rules::{Denied, Lease, RouteKind, RulesCell};
 use crate::servers::ServerTable;
@@ -33,6 +34,16 @@
 /// How long the crash of a backend server counts against a request.
 const CRASH_RETENTION: Duration = Duration::from_secs(60);
 
+key! {
+    /// Who sent a request.
+    pub enum Sender {
+        /// A caller.
+        Caller,
+        /// Another router, in place of a caller.
+        Router,
+    }
+}
+
 /// State shared by the request path and the tasks that update it.
 #[derive(Debug)]
 pub struct Relay {
@@ -46,6 +57,14 @@
     /// How often prompt prefixes arrive at this router.
     pub(crate) key_rates: Mutex<KeyRates>,
     pub(crate) service_loads: ByService<ServiceLoad>,
+    /// Whether new connections to the servers of each service are established.
+    pub(crate) reaches: ByService<ServiceReach>,
+    /// Number of services from whose servers this router is cut off.
+    pub(crate) cut_services: AtomicUsize,
+    /// Notified when this router is cut off from the servers of a service.
+    pub(crate) cut_off: Notify,
+    /// The other routers that may take requests meanwhile.
+    pub(crate) forwarders: ArcSwap<Vec<Forwarder>>,
     /// The rules in force.
     pub rules: RulesCell,
     /// The time up to which the rules are confirmed.
@@ -95,6 +114,10 @@
             prefix_holders: PrefixHolders::default(),
             key_rates: Mutex::default(),
             service_loads: ByService::default(),
+            reaches: ByService::default(),
+            cut_services: AtomicUsize::new(0),
+            cut_off: Notify::new(),
+            forwarders: ArcSwap::default(),
             rules: RulesCell::default(),
             lease: Lease::default(),
             servers: Mutex::default(),
@@ -135,10 +158,13 @@
     pub async fn handle(
         self: Arc<Relay>,
         request: Request<Incoming>,
+        sender: Sender,
         is_closed: bool,
     ) -> Response<RelayBody> {
         let mut trace = RequestTrace::new(&self.request_log);
-        let (head, body) = request.into_parts();
+        trace.is_forwarded = sender == Sender::Router;
+        let (mut head, body) = request.into_parts();
+        head.headers.remove(FORWARDED);
         let version = head.version;
         let mut response = match self.admit(head, body, is_closed, &mut trace).await {
             Ok(admitted) => self.answer(admitted.with_trace(trace)).await,
@@ -179,7 +205,8 @@
         })?;
         let timeout = meta.deadline.map_or(grant.route.timeout, |it| it.min(grant.route.timeout));
         let deadline = trace.received() + timeout;
-        Ok(Admitted { head, meta, body: body.to_bytes(), deadline })
+        let is_forwarded = trace.is_forwarded;
+        Ok(Admitted { head, meta, body: body.to_bytes(), deadline, is_forwarded })
     }
 
     /// Checks a request against the rules in force. Called again before each attempt, as
@@ -263,5 +290,9 @@
         _ => Outcome::Failed,
     };
     trace.finish(outcome, refusal.as_str());
-    refusal.response(trace.retry_after)
+    let mut response = refusal.response(trace.retry_after);
+    if trace.is_forwarded {
+        name_refusal(response.headers_mut(), refusal);
+    }
+    response
 }
--- a/src/relay/request_trace.rs
+++ b/src/relay/request_trace.rs
@@ -19,6 +19,8 @@
     finished: bool,
     /// Id of the request.
     pub request: String,
+    /// Another router sent it on.
+    pub is_forwarded: bool,
     /// Name of the route.
     pub route: String,
     /// Kind of the route.
@@ -67,6 +69,7 @@
             request_log: Arc::clone(request_log),
             finished: false,
             request: String::new(),
+            is_forwarded: false,
             route: String::new(),
             kind: "unknown",
             service: String::new(),
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -20,7 +20,7 @@
     AnswerHead, BodyEnd, Connection, EventFramer, Framing, Outcome, Relay, RelayBody, RelayError,
 };
 use crate::rules::Route;
-use crate::servers::InFlight;
+use crate::servers::{InFlight, Server};
 
 /// A silent stream counts as stalled after this many times its route's `max_pause`.
 const STALL_FACTOR: u32 = 4;
@@ -37,7 +37,8 @@
     body: Incoming,
     head: AnswerHead,
     connection: Option<Connection>,
-    in_flight: InFlight,
+    /// Absent where another router sends to the server.
+    in_flight: Option<InFlight>,
     framing: Framing,
     /// When the answer of the current server began.
     began: std::time::Instant,
@@ -108,8 +109,10 @@
                     return Ok(None);
                 }
                 Next::Stalled => {
-                    self.relay.pool.close_idle(self.in_flight.server());
-                    self.in_flight.server().record_result(false, self.relay.clock.now());
+                    if let Some(server) = self.server() {
+                        self.relay.pool.close_idle(server);
+                        server.record_result(false, self.relay.clock.now());
+                    }
                     if !self.may_resume() {
                         // No retry is allowed, so wait for this server until the deadline.
                         self.stall = FOREVER;
@@ -119,9 +122,10 @@
                 }
                 Next::TimedOut => return self.cut("timed_out"),
                 Next::Broken => {
-                    self.in_flight.server().record_result(false, self.relay.clock.now());
-                    let progress = self.progress();
-                    self.relay.check_for_crash(&self.pending, self.in_flight.server(), progress);
+                    if let Some(server) = self.server() {
+                        server.record_result(false, self.relay.clock.now());
+                        self.relay.check_for_crash(&self.pending, server, self.progress());
+                    }
                     if !self.may_resume() || !self.resume().await {
                         return self.cut("broken");
                     }
@@ -130,6 +134,11 @@
         }
     }
 
+    /// The server, where this router sends to it itself.
+    fn server(&self) -> Option<&Arc<Server>> {
+        self.in_flight.as_ref().map(InFlight::server)
+    }
+
     fn progress(&self) -> RunProgress {
         let age = self.relay.clock.now().saturating_duration_since(self.began);
         RunProgress::of_answer(age, self.events.has_event())
@@ -137,7 +146,8 @@
 
     async fn read(&mut self) -> Next {
         let deadline: Instant = self.pending.deadline.into();
-        let read_until = match self.resumable {
+        // Another router notices a stall itself.
+        let read_until = match self.resumable && self.in_flight.is_some() {
             true => deadline.min(Instant::now() + self.stall),
             false => deadline,
         };
@@ -154,10 +164,11 @@
         match self.events.push(bytes) {
             Some(events) if events.is_empty() => Next::Bytes(events),
             Some(events) => {
-                let software = &self.in_flight.server().software;
-                self.pending.trace.record_software(software);
-                if self.resumable {
-                    self.relay.record_origin(&mut self.pending, software);
+                if let Some(server) = self.in_flight.as_ref().map(InFlight::server) {
+                    self.pending.trace.record_software(&server.software);
+                    if self.resumable {
+                        self.relay.record_origin(&mut self.pending, &server.software);
+                    }
                 }
                 Next::Bytes(events)
             }
@@ -183,8 +194,8 @@
         }
         self.pending.trace.verdict = Verdict::Ran;
         self.pending.trace.finish(Outcome::Done, "streamed");
-        if let Some(connection) = self.connection.take() {
-            let server = self.in_flight.server();
+        let connection = self.connection.take();
+        if let Some((connection, server)) = connection.zip(self.server()) {
             let service = &self.pending.trace.service;
             self.relay.pool_connection(service, server, connection, self.head.keep_alive);
         }
@@ -200,7 +211,7 @@
     /// Whether the stream may resume at another server; if so, spends a retry.
     fn may_resume(&mut self) -> bool {
         self.resumable
-            && self.relay.has_successor(&self.pending, self.in_flight.server())
+            && self.relay.has_successor(&self.pending, self.server().map(|it| &**it))
             && self.relay.may_resume(&mut self.pending)
     }
 
@@ -211,7 +222,8 @@
         self.events.resume();
         self.pending.trace.body_end = None;
         let last = self.events.last_id().map(str::to_owned);
-        self.pending.prepare_resume(self.in_flight.server(), last.as_deref());
+        let server = self.in_flight.as_ref().map(|it| &**it.server());
+        self.pending.prepare_resume(server, last.as_deref());
         match self.relay.run_attempts(&mut self.pending).await {
             Ok(Answer::Stream(reply, _)) => {
                 self.body = reply.body;
--- a/src/router/endpoints.rs
+++ b/src/router/endpoints.rs
@@ -1,6 +1,7 @@
 //! The requests that a router answers itself instead of relaying them.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
@@ -15,7 +16,7 @@
 use crate::peers::{
     EXCHANGE_PATH, Message, ORIGIN_PATH, ORIGINS_PATH, SERVERS_PATH, decode, encode, encode_with,
 };
-use crate::relay::{RelayBody, full_body};
+use crate::relay::{FORWARDED, RelayBody, Sender, full_body};
 use crate::router::origins::{merge_origins, reply_to_query};
 use crate::router::{Router, Store};
 
@@ -71,6 +72,20 @@
     all
 }
 
+/// Whether a request to this router was sent on by another router.
+pub(crate) fn is_forwarded(request: &Request<Incoming>) -> bool {
+    request.headers().contains_key(FORWARDED)
+}
+
+/// Relays a request of a caller that another router sent on.
+pub(crate) async fn relay_forwarded<S: Store>(
+    router: &Router<S>,
+    request: Request<Incoming>,
+) -> Response<RelayBody> {
+    let is_closed = *router.closed.borrow();
+    Arc::clone(&router.relay).handle(request, Sender::Router, is_closed).await
+}
+
 /// Answers a message of another router.
 pub(crate) async fn receive_message<S: Store>(
     router: &Router<S>,
--- a/src/router/exchange_loop.rs
+++ b/src/router/exchange_loop.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use rand::seq::IndexedRandom;
@@ -45,7 +45,7 @@
                 "event" => Code::MessageUnreadable.number(), "error" => %e),
         }
         let now = router.relay.clock().now();
-        router.peers.lock().unwrap().remove_expired(now);
+        expire_peers(&router, now);
         router.relay.parts.lock().unwrap().remove_expired(now);
         router.relay.origins.lock().unwrap().remove_expired(now);
         // Ends early on a change to report; the next round begins in either case.
@@ -53,6 +53,12 @@
     }
 }
 
+fn expire_peers<S: Store>(router: &Router<S>, now: Instant) {
+    let mut peers = router.peers.lock().unwrap();
+    peers.remove_expired(now);
+    router.update_forwarders(&peers, now);
+}
+
 /// Routers to exchange with in this round: all of a small fleet; otherwise the reader
 /// that this router polls, and a few random ones. Fewer of these are in other failure
 /// domains, as traffic between failure domains costs more.
--- a/src/router/lifecycle.rs
+++ b/src/router/lifecycle.rs
@@ -12,10 +12,11 @@
 use tokio::time::sleep;
 
 use crate::events::Code;
-use crate::relay::{Relay, serve_connections};
+use crate::relay::{Relay, Sender, serve_connections};
 use crate::router::blame_store::store_blame;
 use crate::router::exchange_loop::{exchange, find_routers};
 use crate::router::origins::{answer_queries, tell_origins};
+use crate::router::reach_watch::watch_reach;
 use crate::router::rules_watch::follow_rules;
 use crate::router::servers_watch::follow_servers;
 use crate::router::{Listeners, Router, RouterError, Store, endpoints};
@@ -64,6 +65,7 @@
     tokio::spawn(exchange(Arc::clone(router)));
     tokio::spawn(store_blame(Arc::clone(router)));
     tokio::spawn(tell_origins(Arc::clone(router)));
+    tokio::spawn(watch_reach(Arc::clone(router)));
     if let Some(queries) = router.origin_queries.lock().unwrap().take() {
         tokio::spawn(answer_queries(Arc::clone(router), queries));
     }
@@ -84,7 +86,7 @@
     };
     let it = Arc::clone(&router.relay);
     let closed = router.closed.subscribe();
-    let handler = move |request| Arc::clone(&it).handle(request, *closed.borrow());
+    let handler = move |request| Arc::clone(&it).handle(request, Sender::Caller, *closed.borrow());
     let it = Arc::clone(&router.relay);
     let idle = move || caller_idle_timeout(&it);
     tokio::spawn(serve_connections(listeners.callers, router.connection_context(), handler, idle));
@@ -97,7 +99,12 @@
     let it = Arc::clone(router);
     let handler = move |request| {
         let it = Arc::clone(&it);
-        async move { endpoints::receive_message(&it, request).await }
+        async move {
+            match endpoints::is_forwarded(&request) {
+                true => endpoints::relay_forwarded(&it, request).await,
+                false => endpoints::receive_message(&it, request).await,
+            }
+        }
     };
     tokio::spawn(serve_connections(listeners.peers, internal(), handler, internal_idle));
     let it = Arc::clone(router);
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -11,6 +11,7 @@
 mod listeners;
 mod news;
 mod origins;
+mod reach_watch;
 mod router;
 mod router_error;
 mod router_settings;
--- /dev/null
+++ b/src/router/reach_watch.rs
@@ -0,0 +1,41 @@
+//! Probes the backend servers of services from which this router is cut off.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures_util::future::join_all;
+use rand::seq::IndexedRandom;
+use tokio::time::sleep;
+
+use crate::relay::Connection;
+use crate::router::{Router, Store};
+
+/// Pause between two probes of a service.
+const PROBE_PAUSE: Duration = Duration::from_millis(250);
+/// Servers that are probed at the same time.
+const PROBED_SERVERS: usize = 2;
+
+/// Opens connections to servers of services from which this router is cut off, for ever. No
+/// request is sent there before one succeeds.
+pub(crate) async fn watch_reach<S: Store>(router: Arc<Router<S>>) {
+    loop {
+        let services = router.relay.cut_off_services();
+        if services.is_empty() {
+            router.relay.cut_off.notified().await;
+            continue;
+        }
+        join_all(services.iter().map(|it| probe(&router, it))).await;
+        sleep(PROBE_PAUSE).await;
+    }
+}
+
+async fn probe<S: Store>(router: &Router<S>, service: &str) {
+    let servers = router.relay.of_service(service);
+    let now = router.relay.clock().now();
+    let probed: Vec<_> =
+        servers.choose_multiple(&mut rand::rng(), PROBED_SERVERS).map(|it| it.address).collect();
+    let opened = join_all(probed.into_iter().map(|it| Connection::open(it, now))).await;
+    if servers.is_empty() || opened.iter().any(Result::is_ok) {
+        router.relay.record_connected(service);
+    }
+}
--- a/src/router/router.rs
+++ b/src/router/router.rs
@@ -16,9 +16,11 @@
 use crate::events::{Code, LogOnce};
 use crate::fleet::CrashReport;
 use crate::peers::{
-    Message, PeerClient, PeerLoad, PeerTable, part_news_from_wire, part_news_to_wire,
+    Message, Peer, PeerClient, PeerLoad, PeerTable, part_news_from_wire, part_news_to_wire,
+};
+use crate::relay::{
+    ConnectionContext, Forwarder, MAX_WAITING_QUERIES, OriginQuery, Relay, RequestLog,
 };
-use crate::relay::{ConnectionContext, MAX_WAITING_QUERIES, OriginQuery, Relay, RequestLog};
 use crate::router::leaving_news::{leaving_news, merge_leaving};
 use crate::router::limit_news::{limit_news, merge_limits};
 use crate::router::software_news::{merge_software, software_news};
@@ -130,6 +132,7 @@
             logger: self.logger.clone(),
             clock,
             active_requests: Arc::clone(&self.in_flight),
+            forwarded_requests: Arc::clone(&self.in_flight),
             closed,
         }
     }
@@ -154,6 +157,19 @@
         Message { exchange, news: self.news(now) }
     }
 
+    /// Sets which routers may take requests of this one.
+    pub(crate) fn update_forwarders(&self, peers: &PeerTable, now: Instant) {
+        let forwarder = |it: &Peer| Forwarder {
+            name: it.router.name.clone(),
+            hash: hash_bytes(it.router.name.as_bytes()),
+            address: it.router.peers,
+            is_near: it.router.domain == self.settings.domain,
+            cut_off: it.cut_off.clone(),
+        };
+        let all = peers.available(now).map(forwarder).collect();
+        self.relay.forwarders.store(Arc::new(all));
+    }
+
     /// The loads of this router at all backend servers, packed.
     fn loads(&self, now: Instant) -> Vec<u8> {
         let servers = self.relay.servers.lock().unwrap();
@@ -174,6 +190,7 @@
             limits: limit_news(&self.relay, now),
             leaving: leaving_news(&self.relay, now),
             software: software_news(&self.relay, now),
+            cut_off: self.relay.cut_off_hashes().into_vec(),
         }
     }
 
@@ -257,7 +274,12 @@
             self.relay.crashes.insert(CrashReport::from_wire(crash, now), now);
         }
         let mut peers = self.peers.lock().unwrap();
+        let sender = exchange.own.router.name.clone();
         peers.merge_message(exchange, now);
+        peers.set_cut_off(&sender, news.cut_off.into());
+        if self.relay.cut_services.load(Relaxed) > 0 {
+            self.update_forwarders(&peers, now);
+        }
         self.relay.routers.store(peers.alive_count(now) + 1, Relaxed);
         let own = hash_bytes(self.settings.name.as_bytes());
         let senders = LimitSenders { own, others: peers.recent_senders(now).collect() };
--- a/src/wire/peer.rs
+++ b/src/wire/peer.rs
@@ -107,6 +107,8 @@
         pub leaving: Vec<WireServerLeaving>,
         /// Software versions of the services that have several.
         pub software: Vec<WireSeenSoftware>,
+        /// Hashes of the names of services whose backend servers the sender does not reach.
+        pub cut_off: Vec<u64>,
     }
 
     /// What a backend server last said of its limit: hash of its incarnation, requests a
@@ -210,5 +212,6 @@
             && self.limits.is_empty()
             && self.leaving.is_empty()
             && self.software.is_empty()
+            && self.cut_off.is_empty()
     }
 }
--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -43,6 +43,7 @@
 mod rules;
 mod scripted_server;
 mod servers;
+mod service_reach;
 mod settings;
 mod single_router;
 mod source_health;
