Abandon a silent server only where another one has room (a sound server silent for a second)

Callers got 502 after 900 ms from a sound server that was silent for 1.2 s and then went on. Cause: an attempt was abandoned when a retry was allowed, whether or not another server could take the request; none could, and what may have run cannot be refused as not run. Streams that stall ask the same question now, with the room of the servers.

--- a/src/relay/attempt_loop.rs
+++ b/src/relay/attempt_loop.rs
@@ -125,12 +125,15 @@
         RetryBudgets::rate(&self.limits(), self.routers.load(Ordering::Relaxed))
     }
 
-    /// Whether a broken stream may resume at another server; if so, spends a retry.
-    pub(crate) fn may_resume(&self, pending: &mut PendingRequest) -> bool {
+    /// Whether a stream that broke at `from` may resume at another server; if so, spends a retry.
+    pub(crate) fn may_resume(&self, pending: &mut PendingRequest, from: Option<&Server>) -> bool {
         let path = pending.head.uri.path().to_owned();
         let grant = self.allow(&pending.meta, &path, &mut pending.trace);
-        grant
-            .is_ok_and(|it| it.route.resumable && self.may_retry(pending, &it, Verdict::MayHaveRun))
+        grant.is_ok_and(|it| {
+            it.route.resumable
+                && self.has_successor(pending, &it, from)
+                && self.may_retry(pending, &it, Verdict::MayHaveRun)
+        })
     }
 
     async fn attempt_once(
@@ -229,7 +232,8 @@
     }
 
     /// Waits for `reply`. If the server stays silent for far longer than the request's
-    /// objective and a retry is allowed, the attempt is abandoned: the result is `None`.
+    /// objective, another one has room and a retry is allowed, the attempt is abandoned: the
+    /// result is `None`.
     async fn wait_with_patience<T>(
         &self,
         reply: impl Future<Output = T>,
@@ -245,7 +249,8 @@
         server.record_result(false, self.clock.now());
         // All idle connections to the server may have gone silent at the same moment.
         self.pool.close_idle(server);
-        if self.may_retry(pending, grant, Verdict::MayHaveRun) {
+        let has_successor = self.has_successor(pending, grant, Some(server));
+        if has_successor && self.may_retry(pending, grant, Verdict::MayHaveRun) {
             return None;
         }
         Some(reply.await)
--- a/src/relay/choose.rs
+++ b/src/relay/choose.rs
@@ -34,9 +34,7 @@
         pending.trace.service.push_str(service);
         let servers = self.servers.lock().unwrap().of_service(service).ok_or(Refusal::NoServer)?;
         let now = self.clock.now();
-        let rules = self.rules.load();
-        let min_objective = rules.and_then(|it| it.min_objective(service, grant.rank()));
-        let objective = min_objective.unwrap_or(grant.route.objective);
+        let objective = self.min_objective(service, grant);
         if !has_software(&servers, pending.software) {
             return Err(Refusal::NoVersion);
         }
@@ -85,20 +83,30 @@
         all.map(|(it, max_load)| candidate(it, pending, max_load, now)).collect()
     }
 
-    /// Whether a stream may go on at another server than `from`, as far as servers are known, or
-    /// at one that another router reaches.
-    pub(crate) fn has_successor(&self, pending: &PendingRequest, from: Option<&Server>) -> bool {
-        if self.is_cut_off(&pending.trace.service) {
-            return self.has_forwarder(pending, &pending.trace.service);
+    /// The shortest objective of the routes of `service` that are as urgent or more.
+    fn min_objective(&self, service: &str, grant: &Grant) -> Duration {
+        let rules = self.rules.load();
+        let min_objective = rules.and_then(|it| it.min_objective(service, grant.rank()));
+        min_objective.unwrap_or(grant.route.objective)
+    }
+
+    /// Whether another server than `from` has room for a request, as far as is known, or another
+    /// router may take it.
+    pub(crate) fn has_successor(
+        &self,
+        pending: &PendingRequest,
+        grant: &Grant,
+        from: Option<&Server>,
+    ) -> bool {
+        let service = &pending.trace.service;
+        if self.is_cut_off(service) {
+            return self.has_forwarder(pending, service);
         }
-        let servers = self.servers.lock().unwrap().of_service(&pending.trace.service);
-        let now = self.clock.now();
-        let may_follow = |it: &Arc<Server>| {
-            let is_other = from.is_none_or(|from| it.hash != from.hash)
-                && !pending.excluded.contains(&it.hash);
-            is_other && it.fits_software(pending.software) && it.is_reachable(now)
-        };
-        servers.is_some_and(|all| all.iter().any(may_follow))
+        let servers = self.of_service(service);
+        let objective = self.min_objective(service, grant);
+        let candidates = self.candidates(pending, &servers, objective, self.clock.now());
+        let is_other = |it: &Candidate| from.is_none_or(|from| it.hash != from.hash);
+        candidates.iter().any(|it| is_other(it) && !it.closed && it.load < it.max_load)
     }
 
     /// A server that can hand over the prefix `key` to `server`: a known holder, or else
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -210,9 +210,8 @@
 
     /// Whether the stream may resume at another server; if so, spends a retry.
     fn may_resume(&mut self) -> bool {
-        self.resumable
-            && self.relay.has_successor(&self.pending, self.server().map(|it| &**it))
-            && self.relay.may_resume(&mut self.pending)
+        let server = self.in_flight.as_ref().map(|it| &**it.server());
+        self.resumable && self.relay.may_resume(&mut self.pending, server)
     }
 
     /// Resumes the stream at another backend server; false when none took it.
--- a/standins/src/link.rs
+++ b/standins/src/link.rs
@@ -119,13 +119,32 @@
         }
         drop(listener);
         let is_hanging = *fault.borrow() == LinkFault::Hang;
-        let full_port = if is_hanging { Some(FullPort::bind(address).await?) } else { None };
+        let closed_port = match is_hanging {
+            true => ClosedPort::Full(FullPort::bind(address).await?),
+            false => ClosedPort::Refusing(refusing_port(address)?),
+        };
         let _ = changes.wait_for(|it| !it.closes_port()).await;
-        drop(full_port);
+        drop(closed_port);
         listener = TcpListener::bind(address).await?;
     }
 }
 
+/// A port that accepts no connections; it is kept until this is dropped.
+enum ClosedPort {
+    Full(#[expect(dead_code, reason = "held")] FullPort),
+    Refusing(#[expect(dead_code, reason = "held")] TcpSocket),
+}
+
+/// Binds a port without listening there. The system gives it to nobody else meanwhile.
+fn refusing_port(address: SocketAddr) -> io::Result<TcpSocket> {
+    let socket = TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    // A port that is bound for reuse could be given away.
+    socket.set_reuseaddr(false)?;
+    Ok(socket)
+}
+
 /// A port whose queue of new connections is full, so that the system ignores further ones.
 struct FullPort {
     _listener: TcpListener,
