Send no request that would wait to servers that say that they are brittle (LIMIT)

No code read the header; callers' requests that would wait were sent as before, and the servers fell one after the other. Class of fault: a signal of a server that nobody takes up, as with leaving servers.

While a service is brittle, three quarters of a server's slots are used by all routers, each with an equal part of these, and a server that turned a request away is left alone for a second. What no server takes is refused at once. Read where all statements are; events 334 to 336.

--- a/src/decide/max_in_flight.rs
+++ b/src/decide/max_in_flight.rs
@@ -12,6 +12,18 @@
 /// Maximum number of requests that may wait for each slot.
 const MAX_QUEUE: f64 = 3.0;
 
+/// Share of the slots of a brittle server that are used. The rest is for requests of other
+/// routers that are not known yet.
+const BRITTLE_SHARE: f64 = 0.75;
+
+/// Returns how many requests of all routers, and of one of `routers`, may be in flight at a
+/// brittle server with `slots`: it falls over if it has to turn too many away.
+pub fn max_at_brittle(slots: u32, routers: usize) -> (u32, u32) {
+    let all = ((f64::from(slots) * BRITTLE_SHARE) as u32).max(1);
+    let routers = u32::try_from(routers.max(1)).unwrap_or(u32::MAX);
+    (all, all.div_ceil(routers))
+}
+
 /// Returns how many requests may be in flight at a server with `slots` so that the last of
 /// them begins within half of `objective`. Each occupies a slot for `service_time`, so that
 /// a slot becomes free every `service_time / slots` (Little, 1961).
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -43,7 +43,7 @@
 pub use hash::{chat_key, combine, hash_bytes, weighted_score};
 pub use key_rates::{KeyRates, UNSEEN_TIME};
 pub(crate) use learnt::{Learnt, remove_oldest};
-pub use max_in_flight::max_in_flight;
+pub use max_in_flight::{max_at_brittle, max_in_flight};
 pub use named_limit::LimitSenders;
 pub use outlier::{Outliers, ServerResult};
 pub use parts::{
--- a/src/events/code.rs
+++ b/src/events/code.rs
@@ -99,6 +99,9 @@
     331 ServerConfirmed "a backend server that restarted has been asked whether it takes work";
     332 CutOff "no backend server of a service can be reached from here, other routers get its requests";
     333 CutOffEnded "a backend server of the service can be reached from here again";
+    334 ServiceBrittle "backend servers of a service say that they are brittle, they get no requests that would wait";
+    335 ServiceSound "backend servers of the service no longer say that they are brittle";
+    336 BrittleUnreadable "what an answer says of its backend server being brittle cannot be read";
     // 4xx: placement and admission
     400 Placed "a request was assigned to a backend server";
     401 NoRoom "no backend server can take the request at present";
--- a/src/relay/answer.rs
+++ b/src/relay/answer.rs
@@ -27,6 +27,18 @@
         Unreadable,
     }
 
+    /// Whether an answer says that its server is brittle: that it falls over if it has to turn many
+    /// requests away.
+    #[derive(Copy)]
+    pub enum StatedBrittle {
+        /// It does not say so.
+        Absent,
+        /// It bears so many in a second.
+        Named(f64),
+        /// It cannot be read.
+        Unreadable,
+    }
+
     /// For how long a server that turns a request away wants no others.
     #[derive(Copy)]
     pub enum StatedDelay {
@@ -47,6 +59,8 @@
         pub limit: StatedLimit,
         /// Whether the server leaves.
         pub leaving: StatedLeaving,
+        /// Whether the server is brittle.
+        pub brittle: StatedBrittle,
         /// For how long it wants no requests; counts with status 503 alone.
         pub delay: StatedDelay,
     }
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -87,6 +87,9 @@
         if error.verdict() == Verdict::MayHaveRun {
             server.record_result(false, self.clock.now());
         }
+        if error == AttemptError::Shed {
+            self.spare_brittle(&pending.trace.service, server);
+        }
         if error == AttemptError::Lost {
             self.check_for_crash(pending, server, progress);
         }
--- a/src/relay/attempt_loop.rs
+++ b/src/relay/attempt_loop.rs
@@ -212,7 +212,8 @@
             Err(failed) => failed.stated,
         };
         if let Some(stated) = stated {
-            self.record_statements(&attempt.server, stated, &pending.meta.id);
+            let service = &pending.trace.service;
+            self.record_statements(service, &attempt.server, stated, &pending.meta.id);
         }
         let (error, progress) = match result {
             Ok(reply) => {
--- a/src/relay/choose.rs
+++ b/src/relay/choose.rs
@@ -6,7 +6,7 @@
 
 use smallvec::SmallVec;
 
-use crate::decide::{Candidate, ServiceLoad, UNSEEN_TIME, combine, pick};
+use crate::decide::{Candidate, ServiceLoad, UNSEEN_TIME, combine, max_at_brittle, pick};
 use crate::relay::exchange::UpstreamRequest;
 use crate::relay::pending_request::{Grant, PendingRequest};
 use crate::relay::{OutgoingMeta, Refusal, Relay, drop_hop_headers};
@@ -79,8 +79,13 @@
         let service = &pending.trace.service;
         let max_loads: SmallVec<[u32; 32]> =
             self.service_loads.with(service, ServiceLoad::default, max_loads);
-        let all = servers.iter().zip(max_loads);
-        all.map(|(it, max_load)| candidate(it, pending, max_load, now)).collect()
+        let is_brittle = self.is_brittle(service);
+        let routers = self.routers.load(Ordering::Relaxed);
+        let all = servers.iter().zip(max_loads).map(|(it, max_load)| {
+            let max_load = if is_brittle { brittle_load(it, routers) } else { max_load };
+            candidate(it, pending, max_load, now)
+        });
+        all.collect()
     }
 
     /// The shortest objective of the routes of `service` that are as urgent or more.
@@ -165,6 +170,12 @@
     software.is_none() || servers.iter().any(|it| it.fits_software(software))
 }
 
+/// Requests that may be in flight at a brittle server, before another one of this router.
+fn brittle_load(server: &Server, routers: usize) -> u32 {
+    let (all, own) = max_at_brittle(server.slots, routers);
+    if server.own() < own { all } else { 0 }
+}
+
 fn candidate(server: &Server, pending: &PendingRequest, max_load: u32, now: Instant) -> Candidate {
     let open = server.is_reachable(now) && !server.is_ejected();
     let excluded = pending.excluded.contains(&server.hash);
--- a/src/relay/health_check.rs
+++ b/src/relay/health_check.rs
@@ -27,8 +27,10 @@
 /// Stands for the id of a request in log lines.
 const HEALTH_CHECK: &str = "health_check";
 
-/// Asks `server` at `path` for its condition until it answers, and then lets it get requests.
-pub(crate) async fn confirm_server(relay: Arc<Relay>, server: Arc<Server>, path: Option<String>) {
+/// Asks `server` of `service` for its condition until it answers, and then lets it get requests.
+pub(crate) async fn confirm_server(relay: Arc<Relay>, server: Arc<Server>, service: String) {
+    let rules = relay.rules.load();
+    let path = rules.and_then(|it| it.service(&service)?.health.clone());
     let uri = path.and_then(|it| it.parse::<Uri>().ok());
     let mut is_answered = false;
     for _ in 0..MAX_CHECKS {
@@ -37,7 +39,7 @@
         };
         let check = relay.check_health(&server, uri);
         if let Some(stated) = timeout(CHECK_TIMEOUT, check).await.ok().flatten() {
-            relay.record_statements(&server, stated, HEALTH_CHECK);
+            relay.record_statements(&service, &server, stated, HEALTH_CHECK);
             is_answered = true;
             break;
         }
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -11,6 +11,7 @@
 mod attempt_loop;
 mod body;
 mod body_end;
+mod brittle_services;
 mod by_service;
 mod choose;
 mod codec;
@@ -46,7 +47,9 @@
 mod suspect;
 mod suspect_parts;
 
-pub use answer::{AnswerHead, ServerStatements, StatedDelay, StatedLeaving, StatedLimit};
+pub use answer::{
+    AnswerHead, ServerStatements, StatedBrittle, StatedDelay, StatedLeaving, StatedLimit,
+};
 pub use attempt_error::AttemptError;
 pub use body::{RelayBody, RelayError, full_body};
 pub use body_end::BodyEnd;
--- a/src/relay/relay.rs
+++ b/src/relay/relay.rs
@@ -19,6 +19,7 @@
 use crate::fleet::CrashTable;
 use crate::relay::attempt_loop::Answer;
 use crate::relay::body::MAX_BODY_BYTES;
+use crate::relay::brittle_services::BrittleState;
 use crate::relay::by_service::ByService;
 use crate::relay::forward::name_refusal;
 use crate::relay::pending_request::{Admitted, Grant, PendingRequest};
@@ -57,6 +58,8 @@
     /// How often prompt prefixes arrive at this router.
     pub(crate) key_rates: Mutex<KeyRates>,
     pub(crate) service_loads: ByService<ServiceLoad>,
+    /// Which services have brittle servers.
+    pub(crate) brittle: ByService<BrittleState>,
     /// Whether new connections to the servers of each service are established.
     pub(crate) reaches: ByService<ServiceReach>,
     /// Number of services from whose servers this router is cut off.
@@ -114,6 +117,7 @@
             prefix_holders: PrefixHolders::default(),
             key_rates: Mutex::default(),
             service_loads: ByService::default(),
+            brittle: ByService::default(),
             reaches: ByService::default(),
             cut_services: AtomicUsize::new(0),
             cut_off: Notify::new(),
--- a/src/relay/statements.rs
+++ b/src/relay/statements.rs
@@ -10,9 +10,10 @@
 use crate::wire::age_ms;
 
 impl Relay {
-    /// Records what the answer to `request` says of `server`, which sent it.
+    /// Records what the answer to `request` says of `server` of `service`, which sent it.
     pub(crate) fn record_statements(
         &self,
+        service: &str,
         server: &Server,
         stated: ServerStatements,
         request: &str,
@@ -22,6 +23,7 @@
             server.set_reported_load(load, self.clock.now());
         }
         self.record_stated_leaving(server, stated.leaving, request);
+        self.record_stated_brittle(service, server, stated.brittle);
         self.record_stated_delay(server, stated.delay, request);
     }
 
--- a/src/router/servers_watch.rs
+++ b/src/router/servers_watch.rs
@@ -155,9 +155,7 @@
     let unconfirmed = servers.take_unconfirmed();
     drop(servers);
     for (server, service) in unconfirmed {
-        let rules = router.relay.rules.load();
-        let health = rules.and_then(|it| it.service(&service)?.health.clone());
-        tokio::spawn(confirm_server(Arc::clone(&router.relay), server, health));
+        tokio::spawn(confirm_server(Arc::clone(&router.relay), server, service));
     }
 }
 
--- a/src/servers/server.rs
+++ b/src/servers/server.rs
@@ -61,6 +61,8 @@
     stated_leaving: AtomicBool,
     /// For the line that an answer's word on its leaving cannot be read.
     pub(crate) unreadable_leaving: LogOnce,
+    /// For the line that an answer's word on its being brittle cannot be read.
+    pub(crate) unreadable_brittle: LogOnce,
     gone: AtomicBool,
     /// A former incarnation stated that it leaves or wants time, or this one did before its record
     /// was read: it gets no requests until it has answered a health check.
@@ -95,6 +97,7 @@
             leaving: AtomicBool::new(false),
             stated_leaving: AtomicBool::new(false),
             unreadable_leaving: LogOnce::default(),
+            unreadable_brittle: LogOnce::default(),
             gone: AtomicBool::new(false),
             unconfirmed: AtomicBool::new(false),
             own: AtomicU32::new(0),
--- a/standins/src/platform/server_standin.rs
+++ b/standins/src/platform/server_standin.rs
@@ -34,6 +34,11 @@
     leaving: Mutex<Option<String>>,
     /// `retry-after` of requests that it turns away.
     delay_asked: Mutex<Option<String>>,
+    /// Requests that it runs at once; it turns others away.
+    room: Mutex<Option<usize>>,
+    running: AtomicUsize,
+    /// It says that it is brittle: it crashes once it turns more requests away in a second.
+    brittle: Mutex<Option<usize>>,
     /// Software version that its events name.
     version: Mutex<Option<String>>,
     /// Bytes of answers without end that callers took.
@@ -52,7 +57,34 @@
         let limit = self.limit.lock().unwrap().map(|it| format!("server-limit: {it}\r\n"));
         let leaving = self.leaving.lock().unwrap().clone();
         let leaving = leaving.map(|it| format!("server-leaving: {it}\r\n"));
-        id + &limit.unwrap_or_default() + &leaving.unwrap_or_default()
+        let brittle = self.brittle.lock().unwrap().map(|it| format!("server-brittle: {it}\r\n"));
+        let stated = [limit, leaving, brittle].into_iter().flatten();
+        id + &stated.collect::<String>()
+    }
+
+    /// Takes a place for a request; `None` if there is no room.
+    fn take_place(&self) -> Option<Place<'_>> {
+        let running = self.running.fetch_add(1, Ordering::Relaxed);
+        let place = Place(&self.running);
+        let has_room = self.room.lock().unwrap().is_none_or(|room| running < room);
+        has_room.then_some(place)
+    }
+
+    /// Whether it has turned more requests away in the last second than it bears.
+    fn has_fallen(&self) -> bool {
+        let turned_away = self.turned_away.lock().unwrap();
+        let recent =
+            turned_away.iter().rev().take_while(|it| it.elapsed() < Duration::from_secs(1));
+        self.brittle.lock().unwrap().is_some_and(|limit| recent.count() > limit)
+    }
+}
+
+/// The place of a request that runs.
+struct Place<'a>(&'a AtomicUsize);
+
+impl Drop for Place<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
     }
 }
 
@@ -79,6 +111,9 @@
             limit: Mutex::default(),
             leaving: Mutex::default(),
             delay_asked: Mutex::default(),
+            room: Mutex::default(),
+            running: AtomicUsize::new(0),
+            brittle: Mutex::default(),
             version: Mutex::default(),
             endless_bytes: AtomicUsize::new(0),
             handled: Mutex::default(),
@@ -132,6 +167,17 @@
         *self.shared.delay_asked.lock().unwrap() = value.map(str::to_owned);
     }
 
+    /// Sets how many requests it runs at once.
+    pub fn set_room(&self, room: Option<usize>) {
+        *self.shared.room.lock().unwrap() = room;
+    }
+
+    /// Makes it say that it is brittle: it crashes once it turns more than `limit` requests away
+    /// in a second.
+    pub fn set_brittle(&self, limit: Option<usize>) {
+        *self.shared.brittle.lock().unwrap() = limit;
+    }
+
     /// When requests arrived that it turned away.
     pub fn turned_away(&self) -> Vec<Instant> {
         self.shared.turned_away.lock().unwrap().clone()
@@ -226,7 +272,8 @@
         writer.write_all(text.as_bytes()).await?;
         return Ok(NextStep::KeepOpen);
     }
-    if behaviour == ServerBehaviour::Shed {
+    let place = shared.take_place();
+    if behaviour == ServerBehaviour::Shed || place.is_none() {
         shared.turned_away.lock().unwrap().push(request.at);
         let delay = shared.delay_asked.lock().unwrap().clone();
         let delay = delay.map(|it| format!("retry-after: {it}\r\n")).unwrap_or_default();
@@ -234,6 +281,9 @@
             "HTTP/1.1 503 Service Unavailable\r\nnot-run: 1\r\n{stated}{delay}content-length: 0\r\n\r\n"
         );
         writer.write_all(text.as_bytes()).await?;
+        if shared.has_fallen() {
+            shared.crashed.notify_one();
+        }
         return Ok(NextStep::KeepOpen);
     }
     let after = request.header("last-event-id").and_then(|it| it.parse().ok()).unwrap_or(0);
