--- a/src/relay/forward.rs
+++ b/src/relay/forward.rs
@@ -69,7 +69,6 @@
         service: u64,
     ) -> Result<AttemptResult, Refusal> {
         let verdict = pending.trace.verdict;
-        let mut refusal = Refusal::NoServer;
         for _ in 0..MAX_OFFERS {
             let picked =
                 pick_forwarder(&self.forwarders.load(), service, &pending.excluded).cloned();
@@ -101,10 +100,9 @@
                 Ok(Forwarded::Refused(it, retry_after)) => {
                     record(pending, "refused");
                     pending.trace.verdict = verdict.and(it.verdict());
-                    pending.trace.retry_after = retry_after;
-                    refusal = it;
                     if !it.is_of_router() {
-                        break;
+                        pending.trace.retry_after = retry_after;
+                        return Err(it);
                     }
                 }
                 Err(error) => {
@@ -114,7 +112,7 @@
                 }
             }
         }
-        Err(refusal)
+        Err(Refusal::NoServer)
     }
 
     async fn offer(
--- a/src/relay/refusal.rs
+++ b/src/relay/refusal.rs
@@ -70,9 +70,17 @@
         Refusal::Shed,
     ];
 
-    /// Whether the reason lies with the router, so that another one may serve the request.
+    /// Whether the reason lies with the router, so that another one may serve a request that the
+    /// rules allow: it reaches no server, is about to end, or has no rules or older ones.
     pub fn is_of_router(self) -> bool {
-        matches!(self, Refusal::NoRules | Refusal::Leaving | Refusal::NoServer)
+        matches!(
+            self,
+            Refusal::NoRules
+                | Refusal::NoRoute
+                | Refusal::NoOrganisation
+                | Refusal::Leaving
+                | Refusal::NoServer
+        )
     }
 
     /// Status of the answer. 503 guarantees that the request did not run.
--- a/src/router/reach_watch.rs
+++ b/src/router/reach_watch.rs
@@ -12,8 +12,9 @@
 
 /// Pause between two probes of a service.
 const PROBE_PAUSE: Duration = Duration::from_millis(250);
-/// Servers that are probed at the same time.
-const PROBED_SERVERS: usize = 2;
+/// Servers that are probed at the same time. Most of them must be reached, as a single one may
+/// be reached throughout.
+const PROBED_SERVERS: usize = 3;
 
 /// Opens connections to servers of services from which this router is cut off, for ever. No
 /// request is sent there before one succeeds.
@@ -35,7 +36,8 @@
     let probed: Vec<_> =
         servers.choose_multiple(&mut rand::rng(), PROBED_SERVERS).map(|it| it.address).collect();
     let opened = join_all(probed.into_iter().map(|it| Connection::open(it, now))).await;
-    if servers.is_empty() || opened.iter().any(Result::is_ok) {
+    let reached = opened.iter().filter(|it| it.is_ok()).count();
+    if servers.is_empty() || reached * 2 > opened.len() {
         router.relay.record_connected(service);
     }
 }
