--- a/src/relay/suspect.rs
+++ b/src/relay/suspect.rs
@@ -3,6 +3,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
+use rand::seq::IteratorRandom;
 use slog::warn;
 use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout};
@@ -20,6 +23,8 @@
 const PROBE_PAUSE: Duration = Duration::from_millis(20);
 /// Time within which a probed server must accept or refuse the connection.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
+/// Other servers that are probed to compare.
+const COMPARED_SERVERS: usize = 3;
 
 impl Relay {
     /// Refuses a request that has crashed backend servers. A suspect, which may have
@@ -41,7 +46,8 @@
     }
 
     /// Checks by a probe whether `server`, which cut off the run of a request at `progress`,
-    /// has crashed: it has if a new connection fails before the timeout.
+    /// has crashed: it has if a new connection fails before the timeout, while one to another
+    /// server of its service is established. Otherwise this router may be cut off from all.
     pub(crate) fn check_for_crash(
         self: &Arc<Relay>,
         pending: &PendingRequest,
@@ -60,12 +66,14 @@
         let crash = Crash { fingerprint, server: server.hash, incarnation: server.born, lift: 0 };
         let (address, id) = (server.address, Arc::clone(&server.id));
         let relay = Arc::clone(self);
+        let service = pending.trace.service.clone();
         let request = pending.meta.id.clone();
         let parts = pending.meta.shared_parts_text();
         tokio::spawn(async move {
             sleep(PROBE_PAUSE).await;
             let probe = timeout(PROBE_TIMEOUT, TcpStream::connect(address)).await;
-            if !matches!(probe, Ok(Err(_))) {
+            if !matches!(probe, Ok(Err(_))) || !relay.reaches_another(&service, crash.server).await
+            {
                 return;
             }
             let now = relay.clock.now();
@@ -81,6 +89,33 @@
     }
 }
 
+impl Relay {
+    /// Whether a connection to a server of `service` other than `server` is established. True
+    /// if there is none, as nothing can be compared then.
+    async fn reaches_another(&self, service: &str, server: u64) -> bool {
+        if self.is_cut_off(service) {
+            return false;
+        }
+        let servers = self.of_service(service);
+        let others = servers.iter().filter(|it| it.hash != server);
+        let compared = others.choose_multiple(&mut rand::rng(), COMPARED_SERVERS);
+        if compared.is_empty() {
+            return true;
+        }
+        let probes = compared.iter().map(|it| {
+            let probe = timeout(PROBE_TIMEOUT, TcpStream::connect(it.address));
+            Box::pin(async move { probe.await.ok()?.ok() })
+        });
+        let mut probes: FuturesUnordered<_> = probes.collect();
+        while let Some(connected) = probes.next().await {
+            if connected.is_some() {
+                return true;
+            }
+        }
+        false
+    }
+}
+
 /// Hash of the path, key and body, equal each time a caller repeats the request.
 fn fingerprint(pending: &PendingRequest) -> u64 {
     let path = hash_bytes(pending.head.uri.path().as_bytes());
