--- a/src/relay/forward.rs
+++ b/src/relay/forward.rs
@@ -2,7 +2,8 @@
 //!
 //! The other router handles such a request like one of its own callers: it selects the server,
 //! counts attempts against its limits and retry budget, and keeps what the server states. It
-//! never sends the request on again. This router relays the answer.
+//! never sends the request on again. This router relays the answer, and makes no attempts of its
+//! own any more, as it does not know how many the other one made.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -25,6 +26,8 @@
 
 /// On a request that another router sends on: how often that one sent it to servers.
 pub(crate) const FORWARDED: HeaderName = HeaderName::from_static("filberttiller-forwarded");
+/// On such a request: key of the software version that began its stream, where it is known.
+const SOFTWARE: HeaderName = HeaderName::from_static("filberttiller-software");
 /// On a refusal of such a request: its name.
 const REFUSAL: HeaderName = HeaderName::from_static("filberttiller-refusal");
 /// On the answer to such a request: hash of the incarnation of the backend server.
@@ -93,7 +96,7 @@
             pending.trace.verdict = Verdict::MayHaveRun;
             match self.offer(pending, &target, connection).await {
                 Ok(Forwarded::Reply(reply)) => {
-                    pending.sends += 1;
+                    pending.sends = pending.sends.max(grant.route.attempts);
                     record(pending, "forwarded");
                     return self.take_forwarded(pending, grant, *reply).await;
                 }
@@ -105,8 +108,12 @@
                         return Err(it);
                     }
                 }
+                Err(AttemptError::Unsent) => {
+                    record(pending, AttemptError::Unsent.as_str());
+                    pending.trace.verdict = verdict;
+                }
                 Err(error) => {
-                    pending.sends += 1;
+                    pending.sends = pending.sends.max(grant.route.attempts);
                     record(pending, error.as_str());
                     return Ok(AttemptResult::Failed(error, grant));
                 }
@@ -141,6 +148,10 @@
         let remaining = pending.deadline.saturating_duration_since(self.clock.now());
         (self.codec.forwarded)(&mut headers, remaining, pending.last_event.as_deref());
         headers.insert(FORWARDED, HeaderValue::from(pending.sends));
+        headers.remove(SOFTWARE);
+        if let Some(software) = pending.software {
+            headers.insert(SOFTWARE, HeaderValue::from(software));
+        }
         UpstreamRequest {
             method: pending.head.method.clone(),
             uri: pending.head.uri.clone(),
@@ -199,11 +210,24 @@
     headers.insert(REFUSAL, HeaderValue::from_static(refusal.as_str()));
 }
 
-/// How often the router that sent a request on had sent it to servers; `None` if a caller sent it.
-pub(crate) fn take_forwarded_sends(headers: &mut HeaderMap) -> Option<u32> {
+plain! {
+    /// What the router that sent a request on did with it before.
+    pub(crate) struct Forwarding {
+        /// How often it sent the request to servers.
+        pub sends: u32,
+        /// Key of the software version that began the stream, where it is known.
+        pub software: Option<u64>,
+    }
+}
+
+/// What a request says that another router sent on; `None` if a caller sent it.
+pub(crate) fn take_forwarding(headers: &mut HeaderMap) -> Option<Forwarding> {
+    let software = headers.remove(SOFTWARE);
     let sends = headers.remove(FORWARDED)?;
     // What cannot be read counts as spent, so that nothing is repeated once too often.
-    Some(sends.to_str().ok().and_then(|it| it.parse().ok()).unwrap_or(u32::MAX))
+    let sends = sends.to_str().ok().and_then(|it| it.parse().ok()).unwrap_or(u32::MAX);
+    let software = software.and_then(|it| it.to_str().ok()?.parse().ok());
+    Some(Forwarding { sends, software })
 }
 
 fn read_refusal(headers: &HeaderMap) -> Option<Refusal> {
--- a/src/relay/pending_request.rs
+++ b/src/relay/pending_request.rs
@@ -77,19 +77,20 @@
 impl Admitted {
     /// Starts the request, with the trace of its decisions.
     pub fn with_trace(self, trace: RequestTrace) -> Box<PendingRequest> {
+        let forwarding = &trace.forwarding;
         Box::new(PendingRequest {
             head: self.head,
             last_event: self.meta.last_event.clone(),
             meta: self.meta,
             body: self.body,
             deadline: self.deadline,
-            software: None,
+            software: forwarding.as_ref().and_then(|it| it.software),
             is_origin_recorded: false,
             excluded: SmallVec::new(),
-            is_forwarded: trace.is_forwarded,
+            is_forwarded: forwarding.is_some(),
             isolated_run: None,
             part_trial: None,
-            sends: trace.sends_before,
+            sends: forwarding.as_ref().map_or(0, |it| it.sends),
             selections: 0,
             slot_since: None,
             trace,
--- a/src/relay/relay.rs
+++ b/src/relay/relay.rs
@@ -21,7 +21,7 @@
 use crate::relay::body::MAX_BODY_BYTES;
 use crate::relay::brittle_services::BrittleState;
 use crate::relay::by_service::ByService;
-use crate::relay::forward::{name_refusal, take_forwarded_sends};
+use crate::relay::forward::{name_refusal, take_forwarding};
 use crate::relay::pending_request::{Admitted, Grant, PendingRequest};
 use crate::relay::request_trace::RequestTrace;
 use crate::relay::stream::relay_stream;
@@ -167,9 +167,8 @@
     ) -> Response<RelayBody> {
         let mut trace = RequestTrace::new(&self.request_log);
         let (mut head, body) = request.into_parts();
-        let sends = take_forwarded_sends(&mut head.headers).filter(|_| sender == Sender::Router);
-        trace.is_forwarded = sends.is_some();
-        trace.sends_before = sends.unwrap_or(0);
+        let forwarding = take_forwarding(&mut head.headers);
+        trace.forwarding = forwarding.filter(|_| sender == Sender::Router);
         let version = head.version;
         let mut response = match self.admit(head, body, is_closed, &mut trace).await {
             Ok(admitted) => self.answer(admitted.with_trace(trace)).await,
@@ -295,7 +294,7 @@
     };
     trace.finish(outcome, refusal.as_str());
     let mut response = refusal.response(trace.retry_after);
-    if trace.is_forwarded {
+    if trace.forwarding.is_some() {
         name_refusal(response.headers_mut(), refusal);
     }
     response
--- a/src/relay/request_log.rs
+++ b/src/relay/request_log.rs
@@ -117,7 +117,7 @@
             "framing" => trace.framing.map(Framing::as_str),
             "body_end" => trace.body_end.map(BodyEnd::as_str),
             "last_event" => trace.last_event.as_deref(),
-            "forwarded" => trace.is_forwarded, "resumed" => trace.resumed, "resumes" => trace.resumes.as_deref(),
+            "forwarded" => trace.forwarding.is_some(), "resumed" => trace.resumed, "resumes" => trace.resumes.as_deref(),
             "origin" => trace.origin, "software" => software,
             "blamed_part" => trace.blamed_part.map(|it| format!("{it:x}")),
             "retry_after_ms" => trace.retry_after.map(|it| it.as_millis() as u64),
--- a/src/relay/request_trace.rs
+++ b/src/relay/request_trace.rs
@@ -7,6 +7,7 @@
 use smallvec::SmallVec;
 
 use crate::decide::Verdict;
+use crate::relay::forward::Forwarding;
 use crate::relay::{BodyEnd, Framing, Outcome, RequestLog};
 use crate::servers::SoftwareVersion;
 
@@ -19,10 +20,8 @@
     finished: bool,
     /// Id of the request.
     pub request: String,
-    /// Another router sent it on.
-    pub is_forwarded: bool,
-    /// How often that one had sent it to servers.
-    pub sends_before: u32,
+    /// Present if another router sent it on.
+    pub forwarding: Option<Forwarding>,
     /// Name of the route.
     pub route: String,
     /// Kind of the route.
@@ -71,8 +70,7 @@
             request_log: Arc::clone(request_log),
             finished: false,
             request: String::new(),
-            is_forwarded: false,
-            sends_before: 0,
+            forwarding: None,
             route: String::new(),
             kind: "unknown",
             service: String::new(),
