Soak: routers that are cut off from all servers, from seed 7000

Each router of a fleet of four or fewer has links of its own to the servers, by a view of the store in which records name the links; cuts refuse, reset, hang or silence them. Shutdowns of a router that was cut off do not count as graceful: r-49 of seed 7007 reached its route's 3 s while its server could not be reached (traced in the log: timed_out after 3,001 ms, cut off 400 ms after the signal).

--- a/soak/src/checks.rs
+++ b/soak/src/checks.rs
@@ -7,7 +7,7 @@
 use reqwest::Client;
 
 use crate::callers::{Kind, RequestResult, resolve_at};
-use crate::fleet::{FAULTY_BACKENDS, Fleet, Key, Shutdown};
+use crate::fleet::{FAULTY_BACKENDS, Fleet, Key, RouterCut, Shutdown};
 
 /// Maximum time until a revoked key is refused, from the settings.
 const REVOKE_LIMIT: Duration = Duration::from_millis(5_000);
@@ -17,6 +17,8 @@
 const ACCEPT_TIME: Duration = Duration::from_secs(3);
 /// Time from SIGTERM to SIGKILL, from the settings.
 const GRACE: Duration = Duration::from_secs(8);
+/// Timeout of all routes.
+const ROUTE_TIMEOUT: Duration = Duration::from_secs(3);
 /// Share of requests that must be served after the last fault.
 const SERVED_SHARE: f64 = 0.99;
 /// Recovery time after the last fault, before the share of served requests counts.
@@ -183,9 +185,18 @@
         let grace = stop.at..stop.at + GRACE;
         suspensions.iter().any(|it| it.router == stop.router && grace.contains(&it.at))
     };
+    let cuts = fleet.cuts.lock().unwrap();
+    // Requests that were at a server when their router was cut off reach their timeout.
+    let is_cut_off = |stop: &Shutdown| {
+        let of_router = |it: &&RouterCut| it.router == stop.router;
+        cuts.iter().filter(of_router).any(|it| {
+            let has_ended = it.ended.is_some_and(|at| at + ROUTE_TIMEOUT < stop.at);
+            it.began < stop.at + GRACE && !has_ended
+        })
+    };
     let stops: Vec<Shutdown> = {
         let stops = fleet.shutdowns.lock().unwrap();
-        stops.iter().filter(|it| !is_suspended(it)).copied().collect()
+        stops.iter().filter(|it| !is_suspended(it) && !is_cut_off(it)).copied().collect()
     };
     let faultless: Vec<String> = {
         let backends = fleet.backends.lock().unwrap();
--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -7,19 +7,19 @@
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use standins::LinkFault;
 use standins::platform::{ServerBehaviour, StoreFault};
 use tokio::task::JoinSet;
 use tokio::time::sleep;
 
-use crate::fleet::{Backend, FAULTY_BACKENDS, Fleet, Shutdown, Suspension};
-use standins::LinkFault;
+use crate::fleet::{Backend, FAULTY_BACKENDS, Fleet, RouterCut, Shutdown, Suspension};
 
 /// Maximum pause between two faults.
 const MAX_PAUSE_MS: u64 = 700;
 /// A shutdown counts as graceful if its router had no fault for this long.
 const FAULT_FREE_TIME: Duration = Duration::from_secs(3);
-/// How much longer faults of a router's link to the store last than other faults, so
-/// that its rules exceed their maximum age.
+/// How much longer faults of a router's links to the store or to all servers last than other
+/// faults, so that its rules exceed their maximum age.
 const STORE_LINK_FACTOR: u32 = 3;
 /// Step of a wall clock, in milliseconds.
 const WALL_STEP_MS: i64 = 30_000;
@@ -39,6 +39,8 @@
     StoreHistory,
     StoreLink(LinkFault),
     ServerLink(LinkFault),
+    /// A router is cut off from all servers.
+    RouterCut(LinkFault),
     Behaviour(ServerBehaviour),
     /// A server names a limit of requests a second.
     NamedLimit(f64),
@@ -59,7 +61,7 @@
 
 /// First seeds, and how many of `FAULTS` are drawn from those seeds on: later faults are left
 /// out for earlier seeds, so that these still produce the same ones.
-const STAGES: [(u64, usize); 6] = [
+const STAGES: [(u64, usize); 7] = [
     (0, 26),
     // Clocks.
     (1_000, 29),
@@ -70,10 +72,12 @@
     // Servers that say in their answers that they leave.
     (4_000, 43),
     // Restorations of the store, and servers that ask for time.
-    (6_000, FAULTS.len()),
+    (6_000, 46),
+    // Routers that are cut off from all servers.
+    (7_000, FAULTS.len()),
 ];
 
-const FAULTS: [Fault; 46] = [
+const FAULTS: [Fault; 52] = [
     Fault::Kill,
     Fault::Pause,
     Fault::Stop,
@@ -120,6 +124,12 @@
     Fault::StoreRestored,
     Fault::StoreRestored,
     Fault::AskedTime,
+    Fault::RouterCut(LinkFault::Hang),
+    Fault::RouterCut(LinkFault::Hang),
+    Fault::RouterCut(LinkFault::Down),
+    Fault::RouterCut(LinkFault::Down),
+    Fault::RouterCut(LinkFault::Refuse),
+    Fault::RouterCut(LinkFault::Silence),
 ];
 
 /// The faults that `seed` draws from.
@@ -178,6 +188,9 @@
             sleep(time).await;
             with_backend(&fleet, choice, |it| it.link.set_fault(LinkFault::None));
         }
+        Fault::RouterCut(fault) => {
+            cut_router(&fleet, choice, fault, time * STORE_LINK_FACTOR).await
+        }
         Fault::Behaviour(behaviour) => {
             with_backend(&fleet, choice, |it| it.server.set_behaviour(behaviour));
             sleep(time).await;
@@ -234,6 +247,22 @@
     }
 }
 
+/// Cuts a router off from all servers for `time`.
+async fn cut_router(fleet: &Fleet, choice: usize, fault: LinkFault, time: Duration) {
+    let router = choice % fleet.router_links.len();
+    let links = &fleet.router_links[router].links;
+    let set = |fault| links.lock().unwrap().iter().for_each(|it| it.set_fault(fault));
+    let index = {
+        let mut cuts = fleet.cuts.lock().unwrap();
+        cuts.push(RouterCut { router, began: Instant::now(), ended: None });
+        cuts.len() - 1
+    };
+    set(fault);
+    sleep(time).await;
+    set(LinkFault::None);
+    fleet.cuts.lock().unwrap()[index].ended = Some(Instant::now());
+}
+
 async fn pause(fleet: &Fleet, choice: usize, time: Duration) {
     signal(fleet, choice, Signal::SIGSTOP).await;
     sleep(time).await;
--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -6,17 +6,20 @@
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
+use standins::Link;
 use standins::platform::fixture::{rules, server_record, settings};
-use standins::platform::{MetaStore, ServerStandin, StoreCopy};
+use standins::platform::{MetaStore, ServerStandin, StoreCopy, StoreView};
 
 use crate::Steps;
 use crate::router_process::RouterProcess;
-use standins::Link;
 
 /// Number of backend servers that get faults; the others get none, so that callers can be
 /// served.
 pub const FAULTY_BACKENDS: usize = 3;
 
+/// Largest fleet in which all routers read the store.
+const MAX_LINKED_ROUTERS: usize = 4;
+
 /// Time between two events of a stream, and before other answers.
 const DELAY: Duration = Duration::from_millis(15);
 /// The same where callers take streams up: streams last longer, so that more of them break off.
@@ -63,6 +66,16 @@
     pub at: Instant,
 }
 
+/// A time in which a router was cut off from all servers.
+#[derive(Debug, Clone, Copy)]
+pub struct RouterCut {
+    /// Number of the router.
+    pub router: usize,
+    pub began: Instant,
+    /// Absent while it lasts.
+    pub ended: Option<Instant>,
+}
+
 /// State of the operator: configuration version and API keys.
 #[derive(Debug)]
 pub struct Operator {
@@ -71,19 +84,30 @@
     sequence: u64,
 }
 
+/// The links of one router to the backend servers. They lead to the links of the servers.
+#[derive(Debug)]
+pub struct RouterLinks {
+    view: StoreView,
+    pub links: Mutex<Vec<Link>>,
+}
+
 /// A running deployment.
 #[derive(Debug)]
 pub struct Fleet {
     pub store: MetaStore,
     /// One link to the store for each router.
     pub store_links: Vec<Link>,
+    /// The store as each router sees it, with the router's links to the backend servers.
+    pub router_links: Vec<RouterLinks>,
     pub backends: Mutex<Vec<Backend>>,
     pub routers: tokio::sync::Mutex<Vec<Option<RouterProcess>>>,
     pub operator: Mutex<Operator>,
     pub shutdowns: Mutex<Vec<Shutdown>>,
     pub suspensions: Mutex<Vec<Suspension>>,
+    pub cuts: Mutex<Vec<RouterCut>>,
     /// Servers have one of two software versions, and callers take streams up.
     pub has_versions: bool,
+    has_router_links: bool,
     /// Clock offsets of each router.
     clocks: Mutex<Vec<Steps>>,
     program: PathBuf,
@@ -101,23 +125,30 @@
         routers: usize,
         backends: usize,
         has_versions: bool,
+        has_router_links: bool,
     ) -> io::Result<Fleet> {
         std::fs::create_dir_all(folder)?;
         let store = MetaStore::start().await?;
         let mut links = Vec::new();
+        let mut router_links = Vec::new();
         for _ in 0..routers {
-            links.push(Link::start(store.address()).await?);
+            let view = store.view().await?;
+            links.push(Link::start(view.address()).await?);
+            router_links.push(RouterLinks { view, links: Mutex::default() });
         }
         let keys = (0..4).map(|it| Key { text: format!("key-{it}"), revoked: None }).collect();
         let fleet = Fleet {
             store,
             store_links: links,
+            router_links,
             backends: Mutex::default(),
             routers: tokio::sync::Mutex::new((0..routers).map(|_| None).collect()),
             operator: Mutex::new(Operator { version: 0, keys, sequence: 0 }),
             shutdowns: Mutex::default(),
             suspensions: Mutex::default(),
+            cuts: Mutex::default(),
             has_versions,
+            has_router_links,
             clocks: Mutex::new(vec![Steps::default(); routers]),
             program: program.to_owned(),
             folder: folder.to_owned(),
@@ -150,6 +181,12 @@
         Ok(())
     }
 
+    /// Whether each router has links of its own. Larger fleets take the addresses of servers from
+    /// each other.
+    pub fn has_cuts(&self) -> bool {
+        self.has_router_links && self.router_links.len() <= MAX_LINKED_ROUTERS
+    }
+
     fn settings_path(&self, number: usize) -> PathBuf {
         self.folder.join(format!("front-{number}.conf"))
     }
@@ -178,6 +215,11 @@
         }
         server.set_delay(if self.has_versions { LONG_DELAY } else { DELAY });
         let link = Link::start(server.address()).await?;
+        for it in self.router_links.iter().filter(|_| self.has_cuts()) {
+            let own = Link::start(link.address()).await?;
+            it.view.set_server(server.id(), own.address());
+            it.links.lock().unwrap().push(own);
+        }
         let backend = Backend { server, link, version, is_leaving: false, draining_since: None };
         self.put_record(&backend, "ready");
         self.backends.lock().unwrap().push(backend);
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -23,6 +23,9 @@
 /// From this seed on, servers have one of two software versions, and callers take streams up.
 const FIRST_VERSIONS_SEED: u64 = 5_000;
 
+/// From this seed on, each router has links of its own to the servers, which are cut.
+const FIRST_ROUTER_CUTS_SEED: u64 = 7_000;
+
 /// Size of a soak.
 #[derive(Debug, Clone)]
 pub struct Options {
@@ -48,7 +51,8 @@
     let folder = options.folder.join(format!("seed-{seed}"));
     let has_versions = seed >= FIRST_VERSIONS_SEED;
     let (routers, backends) = (options.routers, options.backends);
-    let start = Fleet::start(&options.program, &folder, routers, backends, has_versions);
+    let has_cuts = seed >= FIRST_ROUTER_CUTS_SEED;
+    let start = Fleet::start(&options.program, &folder, routers, backends, has_versions, has_cuts);
     let fleet = Arc::new(start.await?);
     let log = Arc::new(ResultLog::default());
     sleep(WARM_UP_TIME).await;
--- a/soak/tests/short.rs
+++ b/soak/tests/short.rs
@@ -36,6 +36,8 @@
 #[case::software_versions(5_001)]
 // The store is restored from copies, and gives positions out again.
 #[case::restored_store(6_001)]
+// Routers are cut off from all servers.
+#[case::router_cuts(7_001)]
 // The check took the server that a request reached last for the one that answered: a request
 // that was retried after a silence reached the silent server later.
 #[case::retried_after_silence(6_008)]
--- a/standins/src/platform/mod.rs
+++ b/standins/src/platform/mod.rs
@@ -6,8 +6,10 @@
 mod server_behaviour;
 mod server_standin;
 mod store;
+mod store_view;
 
 pub use handled_request::HandledRequest;
 pub use server_behaviour::ServerBehaviour;
 pub use server_standin::ServerStandin;
 pub use store::{MetaStore, StoreCopy, StoreFault};
+pub use store_view::StoreView;
