--- a/src/relay/forward.rs
+++ b/src/relay/forward.rs
@@ -35,11 +35,17 @@
 /// Limit on the routers that one attempt is offered to.
 const MAX_OFFERS: usize = 2;
 
-/// What another router made of a request.
-enum Forwarded {
-    Reply(Box<Reply>),
-    /// It refused the request, with a time to come back.
-    Refused(Refusal, Option<Duration>),
+/// Why another router has no answer to a request.
+enum OfferError {
+    /// It refused the request.
+    Refused(Refusal),
+    Failed(AttemptError),
+}
+
+impl From<AttemptError> for OfferError {
+    fn from(error: AttemptError) -> OfferError {
+        OfferError::Failed(error)
+    }
 }
 
 impl Relay {
@@ -71,7 +77,6 @@
         grant: Grant,
         service: u64,
     ) -> Result<AttemptResult, Refusal> {
-        let verdict = pending.trace.verdict;
         for _ in 0..MAX_OFFERS {
             let picked =
                 pick_forwarder(&self.forwarders.load(), service, &pending.excluded).cloned();
@@ -79,42 +84,19 @@
                 break;
             };
             pending.excluded.push(target.hash);
-            let began = self.clock.now();
-            let record = |pending: &mut PendingRequest, result: &str| {
-                pending.trace.record_attempt(&target.name, 0, result, began);
-            };
-            let connection = match Connection::open(target.address, began).await {
-                Ok(it) => it,
-                Err(e) => {
-                    record(pending, AttemptError::Connect(e).as_str());
-                    continue;
-                }
-            };
-            if pending.deadline.saturating_duration_since(self.clock.now()) < MIN_REMAINING {
-                return Err(Refusal::TooLate);
-            }
-            pending.trace.verdict = Verdict::MayHaveRun;
-            match self.offer(pending, &target, connection).await {
-                Ok(Forwarded::Reply(reply)) => {
+            match self.offer(pending, &target).await {
+                Ok(reply) => {
+                    // The attempts that are left are those of the other router.
                     pending.sends = pending.sends.max(grant.route.attempts);
-                    record(pending, "forwarded");
                     return self.take_forwarded(pending, grant, *reply).await;
                 }
-                Ok(Forwarded::Refused(it, retry_after)) => {
-                    record(pending, "refused");
-                    pending.trace.verdict = verdict.and(it.verdict());
-                    if !it.is_of_router() {
-                        pending.trace.retry_after = retry_after;
-                        return Err(it);
-                    }
-                }
-                Err(AttemptError::Unsent) => {
-                    record(pending, AttemptError::Unsent.as_str());
-                    pending.trace.verdict = verdict;
+                Err(OfferError::Refused(refusal)) if refusal.is_of_router() => {
+                    pending.trace.retry_after = None;
                 }
-                Err(error) => {
+                Err(OfferError::Refused(refusal)) => return Err(refusal),
+                Err(OfferError::Failed(error)) if !error.has_arrived() => {}
+                Err(OfferError::Failed(error)) => {
                     pending.sends = pending.sends.max(grant.route.attempts);
-                    record(pending, error.as_str());
                     return Ok(AttemptResult::Failed(error, grant));
                 }
             }
@@ -122,23 +104,49 @@
         Err(Refusal::NoServer)
     }
 
+    /// Offers a request to `target`, and records in its trace what became of it.
     async fn offer(
         &self,
-        pending: &PendingRequest,
+        pending: &mut PendingRequest,
+        target: &Forwarder,
+    ) -> Result<Box<Reply>, OfferError> {
+        let began = self.clock.now();
+        let before = pending.trace.verdict;
+        let offered = self.send_to_router(pending, target).await;
+        let (result, verdict) = match &offered {
+            Ok(_) => ("forwarded", Verdict::MayHaveRun),
+            Err(OfferError::Refused(it)) => ("refused", before.and(it.verdict())),
+            Err(OfferError::Failed(it)) => (it.as_str(), before.and(it.verdict())),
+        };
+        pending.trace.verdict = verdict;
+        pending.trace.record_attempt(&target.name, 0, result, began);
+        offered
+    }
+
+    async fn send_to_router(
+        &self,
+        pending: &mut PendingRequest,
         target: &Forwarder,
-        mut connection: Connection,
-    ) -> Result<Forwarded, AttemptError> {
+    ) -> Result<Box<Reply>, OfferError> {
+        let opened = Connection::open(target.address, self.clock.now()).await;
+        let mut connection = opened.map_err(AttemptError::Connect)?;
+        if pending.deadline.saturating_duration_since(self.clock.now()) < MIN_REMAINING {
+            return Err(OfferError::Refused(Refusal::TooLate));
+        }
+        // The caller may leave while the other router has it.
+        pending.trace.verdict = Verdict::MayHaveRun;
         let request = self.forwarded_request(pending);
         let sent = send_request(&request, &mut connection);
         let sent = timeout_at(pending.deadline.into(), sent).await;
         let response = sent.map_err(|_| AttemptError::TimedOut)??;
         if let Some(refusal) = read_refusal(response.headers()) {
-            return Ok(Forwarded::Refused(refusal, read_retry_after(response.headers())));
+            pending.trace.retry_after = read_retry_after(response.headers());
+            return Err(OfferError::Refused(refusal));
         }
         let reply = validate_reply(response, &pending.meta.id, self.codec.answer, connection, None);
         let mut reply = reply.map_err(|it| it.error)?;
         self.merge_statement(&mut reply, target);
-        Ok(Forwarded::Reply(Box::new(reply)))
+        Ok(Box::new(reply))
     }
 
     /// The request as the caller sent it, with the time that is left.
