--- a/src/peers/client.rs
+++ b/src/peers/client.rs
@@ -10,7 +10,7 @@
 use crate::peers::encoding::decode_with;
 use crate::peers::{Message, decode, encode};
 use crate::wire::{
-    WireOriginQuery, WireOriginReply, WireServerVersions, WireServers, WireServersRequest,
+    WireOriginQuery, WireOriginReply, WireServers, WireServersAddition, WireServersRequest,
     WireStreamOrigins,
 };
 
@@ -88,7 +88,7 @@
         &self,
         peer: SocketAddr,
         request: &WireServersRequest,
-    ) -> Result<(WireServers, Option<WireServerVersions>), PeerError> {
+    ) -> Result<(WireServers, Option<WireServersAddition>), PeerError> {
         let body = encode(request).map_err(|e| PeerError::Failed(e.to_string()))?;
         let reply = self.post(peer, SERVERS_PATH, body).await?;
         decode_with(&reply).map_err(undecodable)
--- a/src/router/router.rs
+++ b/src/router/router.rs
@@ -25,9 +25,9 @@
 use crate::router::limit_news::{limit_news, merge_limits};
 use crate::router::software_news::{merge_software, software_news};
 use crate::router::{ClientProtocol, RouterError, RouterSettings, Store};
-use crate::servers::{ServerRecord, StoreEra};
+use crate::servers::{ServerRecord, StoreEra, TableRevision};
 use crate::wire::{
-    ServerLoad, WireNews, WireRouter, WireServer, WireServerVersions, WireServers,
+    ServerLoad, WireNews, WireRouter, WireServer, WireServers, WireServersAddition,
     WireServersRequest, pack_loads,
 };
 
@@ -237,28 +237,32 @@
         self.peers.lock().unwrap().is_reader(now)
     }
 
-    /// The changes of backend servers that another router requests, and the software versions
-    /// of the changed servers.
+    /// The changes of backend servers that another router requests, and what follows them.
     pub(crate) fn servers_since(
         &self,
         request: &WireServersRequest,
-    ) -> (WireServers, WireServerVersions) {
-        let epoch = self.peers.lock().unwrap().own().born;
+    ) -> (WireServers, WireServersAddition) {
         let age = self.relay.servers_lease.age(self.relay.clock().boot());
-        let servers = self.relay.servers.lock().unwrap();
-        let revision = if request.epoch == epoch { request.stamp } else { u64::MAX };
-        let (whole, changes) = servers.since(revision);
+        let known = TableRevision { table: request.epoch, number: request.stamp };
+        let changes = self.relay.servers.lock().unwrap().since(known);
         let version = |(id, record): &(String, Option<ServerRecord>)| {
             Some((id.clone(), record.as_ref()?.software.to_string()))
         };
-        let versions = changes.iter().filter_map(version).collect();
+        let addition = WireServersAddition {
+            versions: changes.entries.iter().filter_map(version).collect(),
+            position: Some(changes.position.into()),
+        };
         let row = |(id, record): (String, Option<ServerRecord>)| {
             (id, record.map(|it| WireServer::from(&it)))
         };
-        let rows = changes.into_iter().map(row).collect();
-        let age_ms = age.map(|it| it.as_millis() as u64);
-        let servers = WireServers { epoch, stamp: servers.revision(), whole, age_ms, rows };
-        (servers, WireServerVersions { versions })
+        let servers = WireServers {
+            epoch: changes.revision.table,
+            stamp: changes.revision.number,
+            whole: changes.is_complete,
+            age_ms: age.map(|it| it.as_millis() as u64),
+            rows: changes.entries.into_iter().map(row).collect(),
+        };
+        (servers, addition)
     }
 
     /// Handles a message of another router: merges it, and updates the loads and the
--- a/src/router/servers_watch.rs
+++ b/src/router/servers_watch.rs
@@ -11,7 +11,9 @@
 use crate::relay::confirm_server;
 use crate::router::cursor::Cursor;
 use crate::router::{Router, SourceHealth, SourceTransition, Store, StoreError};
-use crate::servers::{Change, Effect, Page, Position, ServerRecord, SoftwareVersion};
+use crate::servers::{
+    Change, Effect, ListCursor, Page, Position, ServerRecord, SoftwareVersion, TableRevision,
+};
 use crate::wire::{WireServer, WireServersRequest};
 
 /// Pause between two reads of the store. Many records are written per second, so a read
@@ -32,10 +34,10 @@
     let clock = router.relay.clock();
     let mut health = SourceHealth::default();
     let mut cursor = Cursor::default();
-    let mut known = WireServersRequest { epoch: 0, stamp: 0 };
+    let mut list = ListCursor::default();
     loop {
         if let Some(peer) = reader(&router)
-            && poll(&router, peer, &mut known).await
+            && poll(&router, peer, &mut list).await
         {
             cursor.reset();
             wait(&router, POLL_PAUSE).await;
@@ -99,15 +101,13 @@
 }
 
 /// Polls a reader for changes. Returns false if it fails or if its last read is too old.
-async fn poll<S: Store>(
-    router: &Router<S>,
-    peer: SocketAddr,
-    known: &mut WireServersRequest,
-) -> bool {
+async fn poll<S: Store>(router: &Router<S>, peer: SocketAddr, list: &mut ListCursor) -> bool {
     let clock = router.relay.clock();
     let sent = clock.boot();
-    let (reply, versions) = match router.client.servers(peer, known).await {
-        Ok((reply, Some(it))) => (reply, it.versions),
+    let TableRevision { table, number } = list.known(peer);
+    let request = WireServersRequest { epoch: table, stamp: number };
+    let (reply, addition) = match router.client.servers(peer, &request).await {
+        Ok((reply, Some(it))) => (reply, it),
         Ok((_, None)) => {
             info!(router.logger, "a router of an earlier version knows no software versions";
                 "event" => Code::PeerUnhelpful.number(), "peer" => %peer);
@@ -124,7 +124,7 @@
         return false;
     };
     router.relay.servers_lease.renew(read);
-    *known = WireServersRequest { epoch: reply.epoch, stamp: reply.stamp };
+    let versions = addition.versions;
     let change = |(key, row): (String, Option<WireServer>)| {
         let record = |it: WireServer| {
             let software = versions.get(&key).ok_or("the software version is missing")?;
@@ -134,11 +134,16 @@
         Change { key, value }
     };
     let changes = reply.rows.into_iter().map(change).collect();
-    apply(router, Page { changes, next: Position::default(), is_complete: reply.whole });
+    let next = addition.position.map(Position::from).unwrap_or_default();
+    // What a lagging reader supplies is asked for again.
+    if apply(router, Page { changes, next, is_complete: reply.whole }) {
+        list.advance(peer, TableRevision { table: reply.epoch, number: reply.stamp });
+    }
     true
 }
 
-fn apply<S: Store>(router: &Router<S>, page: Page<ServerRecord>) {
+/// Returns false if the page is older than what is known.
+fn apply<S: Store>(router: &Router<S>, page: Page<ServerRecord>) -> bool {
     let now = router.relay.clock().now();
     for it in &page.changes {
         if let Some(Err(e)) = &it.value {
@@ -147,7 +152,7 @@
         }
     }
     let mut servers = router.relay.servers.lock().unwrap();
-    servers.apply(page, now, |id, effect| log_effect(router, id, effect));
+    let is_current = servers.apply(page, now, |id, effect| log_effect(router, id, effect));
     if servers.record_software(now) {
         // Other routers must not take the former version for the only one.
         router.relay.urgent_update.notify_one();
@@ -157,6 +162,7 @@
     for (server, service) in unconfirmed {
         tokio::spawn(confirm_server(Arc::clone(&router.relay), server, service));
     }
+    is_current
 }
 
 /// Waits before the next read, and expires entries of the table when they are due.
--- a/src/servers/change.rs
+++ b/src/servers/change.rs
@@ -1,5 +1,7 @@
 //! Changes of keyed records, as read from a store.
 
+use crate::wire::WirePosition;
+
 /// A change of the record of one key.
 #[derive(Debug, Clone)]
 pub struct Change<T> {
@@ -49,12 +51,38 @@
     }
 }
 
+impl Position {
+    /// Whether what is known up to here is older than what is known up to `other`. Positions of
+    /// which one does not tell the state of the store cannot be compared; nor can the default.
+    pub fn is_before(self, other: Position) -> bool {
+        match (self.era, other.era) {
+            (StoreEra::Number(a), StoreEra::Number(b)) if a != b => a < b,
+            (a, b) => a == b && self != Position::default() && self.offset < other.offset,
+        }
+    }
+}
+
+impl From<Position> for WirePosition {
+    fn from(it: Position) -> WirePosition {
+        match it.era {
+            StoreEra::Number(era) => WirePosition(Some(era), it.offset),
+            StoreEra::Unnamed | StoreEra::Unreadable => WirePosition(None, it.offset),
+        }
+    }
+}
+
+impl From<WirePosition> for Position {
+    fn from(WirePosition(era, offset): WirePosition) -> Position {
+        Position { era: era.map_or(StoreEra::Unnamed, StoreEra::Number), offset }
+    }
+}
+
 /// A sequence of changes.
 #[derive(Debug, Clone)]
 pub struct Page<T> {
     /// The changes in order.
     pub changes: Vec<Change<T>>,
-    /// Position at which the next read continues.
+    /// Position at which the next read continues; the default if it is not known.
     pub next: Position,
     /// It lists all records: keys that are not listed do not exist.
     pub is_complete: bool,
--- a/src/servers/mod.rs
+++ b/src/servers/mod.rs
@@ -4,6 +4,7 @@
 mod backoff;
 mod change;
 mod leaving_statements;
+mod list_cursor;
 mod record;
 mod result_window;
 mod server;
@@ -11,12 +12,14 @@
 mod software_history;
 mod software_version;
 mod table;
+mod table_id;
 
 pub use backoff::Backoff;
 pub use change::{Change, Page, Position, StoreEra};
+pub use list_cursor::{ListCursor, TableRevision};
 pub use record::{ServerRecord, ServerState};
 pub use server::{InFlight, Server};
 pub use server_limit::{LimitChange, LimitStatement};
 pub use software_history::{SeenSoftware, ServiceSoftware};
 pub use software_version::SoftwareVersion;
-pub use table::{Effect, ServerTable};
+pub use table::{Effect, ServerTable, TableChanges};
--- a/src/servers/table.rs
+++ b/src/servers/table.rs
@@ -7,8 +7,10 @@
 use crate::decide::{Results, combine, hash_bytes, is_failing, max_avoided};
 use crate::servers::leaving_statements::LeavingStatements;
 use crate::servers::software_history::SoftwareHistory;
+use crate::servers::table_id::TableId;
 use crate::servers::{
-    Backoff, Change, Page, SeenSoftware, Server, ServerRecord, ServerState, ServiceSoftware,
+    Backoff, Change, Page, Position, SeenSoftware, Server, ServerRecord, ServerState,
+    ServiceSoftware, TableRevision,
 };
 
 /// How long records may be missing after an outage of the store that supplies them.
@@ -48,9 +50,26 @@
     }
 }
 
+/// The changes of a table after a revision.
+#[derive(Debug, Clone, PartialEq)]
+pub struct TableChanges {
+    /// The last change.
+    pub revision: TableRevision,
+    /// What the table was read up to in the store.
+    pub position: Position,
+    /// All servers are listed: those that are not do not exist.
+    pub is_complete: bool,
+    /// Changed servers by id; those without a record are gone or cannot be used.
+    pub entries: Vec<(String, Option<ServerRecord>)>,
+}
+
 /// The backend servers by id and by service.
 #[derive(Debug, Default)]
 pub struct ServerTable {
+    id: TableId,
+    /// What was read of the store, by this router or by the one that supplied it. Never goes
+    /// back: a reader that lags must not undo what is known.
+    position: Position,
     entries: HashMap<String, Entry>,
     /// Servers that take work. Invariant: consistent with `entries`.
     services: HashMap<String, Arc<[Arc<Server>]>>,
@@ -103,30 +122,41 @@
         }
     }
 
-    /// Revision of the last change.
-    pub fn revision(&self) -> u64 {
-        self.revision
-    }
-
-    /// The changes after `revision`; all servers, and true, when those are no longer known.
-    pub fn since(&self, revision: u64) -> (bool, Vec<(String, Option<ServerRecord>)>) {
-        let is_complete = revision < self.removed_revision || revision > self.revision;
-        let changed = self.entries.iter().filter(|(_, it)| is_complete || it.revision > revision);
+    /// The changes after `known`; all servers when those are not known, or if it is a revision
+    /// of another table.
+    pub fn since(&self, known: TableRevision) -> TableChanges {
+        let is_complete = known.table != self.id.0
+            || known.number < self.removed_revision
+            || known.number > self.revision;
+        let is_changed = |it: &Entry| is_complete || it.revision > known.number;
+        let changed = self.entries.iter().filter(|(_, it)| is_changed(it));
         let entry = |(id, it): (&String, &Entry)| {
             let record = it.server.as_ref().map(|_| it.record.clone());
             (id.clone(), record)
         };
         let entries = changed.map(entry).filter(|(_, record)| !is_complete || record.is_some());
-        (is_complete, entries.collect())
+        TableChanges {
+            revision: TableRevision { table: self.id.0, number: self.revision },
+            position: self.position,
+            is_complete,
+            entries: entries.collect(),
+        }
     }
 
     /// Applies changes from the store; `on_effect` is called with the effect of each change.
+    /// Returns false, and changes nothing, if the page is older than what is known.
     pub fn apply(
         &mut self,
         page: Page<ServerRecord>,
         now: Instant,
         mut on_effect: impl FnMut(&str, Effect),
-    ) {
+    ) -> bool {
+        if page.next.is_before(self.position) {
+            return false;
+        }
+        if page.next != Position::default() {
+            self.position = page.next;
+        }
         if page.is_complete {
             for id in self.missing(&page.changes) {
                 let effect = self.remove(&id, now);
@@ -142,6 +172,7 @@
             on_effect(&change.key, effect);
         }
         self.rebuild();
+        true
     }
 
     /// Takes the new incarnations that are to be confirmed by a health check, with their services.
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -36,8 +36,8 @@
 pub use part_news::{WireAnsweredPart, WireBlamedPart, WireCutRun, WirePartNews, WireStoredBlame};
 pub use peer::{
     ServerLoad, WireExchange, WireNews, WireObservation, WireOriginQuery, WireOriginReply,
-    WireRouter, WireSeenSoftware, WireServer, WireServerLeaving, WireServerLimit,
-    WireServerVersions, WireServers, WireServersRequest, WireServiceSoftware, WireStreamOrigin,
+    WirePosition, WireRouter, WireSeenSoftware, WireServer, WireServerLeaving, WireServerLimit,
+    WireServers, WireServersAddition, WireServersRequest, WireServiceSoftware, WireStreamOrigin,
     WireStreamOrigins, pack_loads, unpack_loads,
 };
 pub use status::{WireEngine, WireRequestCount, WireStatus, WireWantedItem};
--- a/src/wire/peer.rs
+++ b/src/wire/peer.rs
@@ -156,7 +156,7 @@
 
     /// Request for changes of backend servers.
     pub struct WireServersRequest {
-        /// Process that counted `stamp`; another process answers with all servers.
+        /// Table whose revision `stamp` is; another table answers with all servers.
         pub epoch: u64,
         /// Revision up to which changes are known.
         pub stamp: u64,
@@ -164,7 +164,7 @@
 
     /// Changes of backend servers.
     pub struct WireServers {
-        /// Process that counted `stamp`.
+        /// Table whose revision `stamp` is.
         pub epoch: u64,
         /// Revision of the last change.
         pub stamp: u64,
@@ -177,13 +177,20 @@
         pub rows: Vec<(String, Option<WireServer>)>,
     }
 
-    /// Software versions of the servers in a [`WireServers`], by their ids.
+    /// What follows a [`WireServers`]. Fields that a router does not know are skipped.
     #[derive(Default)]
     #[serde(default)]
-    pub struct WireServerVersions {
+    pub struct WireServersAddition {
+        /// Software versions of the servers, by their ids.
         pub versions: HashMap<String, String>,
+        /// What the list was read up to in the store; absent from routers of earlier versions.
+        pub position: Option<WirePosition>,
     }
 
+    /// Position in the records of the store: how often the store was restored, if it tells, and
+    /// the number of the next record.
+    pub struct WirePosition(pub Option<u64>, pub u64);
+
     /// Record of a backend server, without its software version.
     pub struct WireServer {
         /// Service that it belongs to.
--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -42,6 +42,7 @@
 mod reservation;
 mod rules;
 mod scripted_server;
+mod server_lists;
 mod servers;
 mod service_reach;
 mod settings;
--- a/tests/it/servers.rs
+++ b/tests/it/servers.rs
@@ -5,9 +5,9 @@
 
 use filberttiller::decide::Results;
 use filberttiller::servers::{
-    Change, Effect, Page, Position, ServerRecord, ServerState, ServerTable,
+    Change, Effect, Page, Position, ServerRecord, ServerState, ServerTable, TableRevision,
 };
-use filberttiller::wire::WireServer;
+use filberttiller::wire::{WirePosition, WireServer};
 use rstest::rstest;
 
 use crate::support::server_record;
@@ -227,15 +227,26 @@
 }
 
 /// Applies the changes of one table to another, as routers do that do not read the store.
-fn sync(from: &ServerTable, to: &mut ServerTable, known: &mut u64, now: Instant) -> usize {
-    let (is_complete, entries) = from.since(*known);
-    *known = from.revision();
-    let count = entries.len();
+fn sync(
+    from: &ServerTable,
+    to: &mut ServerTable,
+    known: &mut TableRevision,
+    now: Instant,
+) -> usize {
+    let changes = from.since(*known);
+    let count = changes.entries.len();
     let change = |(key, record): (String, Option<ServerRecord>)| Change {
         key,
         value: record.map(|it| Ok(ServerRecord::from((WireServer::from(&it), it.software)))),
     };
-    apply(to, entries.into_iter().map(change).collect(), is_complete, now);
+    let page = Page {
+        changes: changes.entries.into_iter().map(change).collect(),
+        next: Position::from(WirePosition::from(changes.position)),
+        is_complete: changes.is_complete,
+    };
+    if to.apply(page, now, |_, _| {}) {
+        *known = changes.revision;
+    }
     count
 }
 
@@ -243,7 +254,7 @@
 fn since_changes_only() {
     let (mut table, mut other, now) =
         (ServerTable::default(), ServerTable::default(), Instant::now());
-    let mut known = u64::MAX;
+    let mut known = TableRevision::default();
     apply(&mut table, vec![put("a", ready(1, 1)), put("b", ready(1, 1))], true, now);
     assert_eq!(sync(&table, &mut other, &mut known, now), 2);
     apply(&mut table, vec![put("a", ready(1, 2)), put("b", ready(1, 2))], false, now);
@@ -260,7 +271,7 @@
 fn since_removed_revision_complete() {
     let (mut table, mut other, now) =
         (ServerTable::default(), ServerTable::default(), Instant::now());
-    let mut known = u64::MAX;
+    let mut known = TableRevision::default();
     apply(&mut table, vec![put("a", ready(1, 1)), put("b", ready(1, 1))], true, now);
     sync(&table, &mut other, &mut known, now);
     apply(&mut table, vec![gone("a")], false, now);
