Keep what an incarnation stated for all values of it: limit, time asked for, health check that is due (DRAIN, BUDGET, LIMIT)

Callers would see: a request refused or cut at a server that restarted under its id and is leaving again; servers would get more than the limit that they named.

Cause, by reading: whether a restarted server is still to be asked for its condition, and the limit that it named, lay in one value of the server. A change of its record (slots; unreadable, removed or leaving and back) makes a new value, which was clear and got requests at once.

Change: StatedCondition, shared by all values of one incarnation, holds what was stated: leaving, limit, asked time, and whether a health check is due; an incarnation that follows one that was never confirmed is to be confirmed too.

--- a/src/relay/brittle_services.rs
+++ b/src/relay/brittle_services.rs
@@ -57,7 +57,7 @@
                         "service" => service, "server" => &*server.id, "bears" => bears);
                 }
             }
-            StatedBrittle::Unreadable if server.unreadable_brittle.is_first() => {
+            StatedBrittle::Unreadable if server.stated.unreadable_brittle.is_first() => {
                 let code = Code::BrittleUnreadable;
                 warn!(log, "{}", code.text();
                     "event" => code.number(), "server" => &*server.id);
@@ -69,7 +69,7 @@
     /// Leaves `server` alone for a while if it is brittle, as it turned a request away.
     pub(crate) fn spare_brittle(&self, service: &str, server: &Server) {
         if self.is_brittle(service) {
-            server.backoff.begin(PAUSE, self.clock.now());
+            server.stated.backoff.begin(PAUSE, self.clock.now());
         }
     }
 }
--- a/src/relay/statements.rs
+++ b/src/relay/statements.rs
@@ -44,14 +44,14 @@
         match stated {
             StatedDelay::Absent => {}
             StatedDelay::Named(time) => {
-                let Some(time) = server.backoff.begin(time, self.clock.now()) else {
+                let Some(time) = server.stated.backoff.begin(time, self.clock.now()) else {
                     return;
                 };
                 let code = Code::ServerBacksOff;
                 info!(log, "{}", code.text(); "event" => code.number(), "server" => &*server.id,
                     "request" => request, "time_ms" => time.as_millis() as u64);
             }
-            StatedDelay::Unreadable if server.backoff.unreadable.is_first() => {
+            StatedDelay::Unreadable if server.stated.backoff.unreadable.is_first() => {
                 let code = Code::DelayUnreadable;
                 warn!(log, "{}", code.text(); "event" => code.number(), "server" => &*server.id,
                     "request" => request);
@@ -71,7 +71,7 @@
                     "request" => request);
                 self.pool.close_idle(server);
             }
-            StatedLeaving::Unreadable if server.unreadable_leaving.is_first() => {
+            StatedLeaving::Unreadable if server.stated.unreadable_leaving.is_first() => {
                 let code = Code::LeavingUnreadable;
                 warn!(self.request_log.logger(), "{}", code.text();
                     "event" => code.number(), "server" => &*server.id, "request" => request);
--- a/src/router/servers_watch.rs
+++ b/src/router/servers_watch.rs
@@ -193,6 +193,9 @@
         Effect::None | Effect::Unreadable => return,
         Effect::Joined => (Code::InstanceJoined, "a backend server joined"),
         Effect::Left => (Code::InstanceLeaving, "a backend server takes no new requests"),
+        Effect::Gone => {
+            (Code::InstanceGone, "the record of a backend server that had left is gone")
+        }
         Effect::Retained => (
             Code::RecordHeld,
             "a record was removed during an outage; its server stays in use for a while",
--- a/src/servers/mod.rs
+++ b/src/servers/mod.rs
@@ -11,6 +11,7 @@
 mod server_limit;
 mod software_history;
 mod software_version;
+mod stated_condition;
 mod table;
 mod table_id;
 
@@ -22,4 +23,5 @@
 pub use server_limit::{LimitChange, LimitStatement};
 pub use software_history::{SeenSoftware, ServiceSoftware};
 pub use software_version::SoftwareVersion;
+pub use stated_condition::StatedCondition;
 pub use table::{Effect, ServerTable, TableChanges};
--- a/src/servers/server.rs
+++ b/src/servers/server.rs
@@ -6,11 +6,9 @@
 use std::time::{Duration, Instant};
 
 use crate::decide::{LimitSenders, Results, combine, hash_bytes};
-use crate::events::LogOnce;
 use crate::servers::result_window::ResultWindow;
-use crate::servers::server_limit::ServerLimit;
 use crate::servers::{
-    Backoff, LimitChange, LimitStatement, ServerRecord, ServerState, SoftwareVersion,
+    LimitChange, LimitStatement, ServerRecord, ServerState, SoftwareVersion, StatedCondition,
 };
 
 /// Pause after the first failed connection.
@@ -56,17 +54,7 @@
     pub born: u64,
     /// Its record says that it leaves, or is gone.
     leaving: AtomicBool,
-    /// It said in an answer that it leaves. Never reset: only the next incarnation, which is
-    /// another value, takes work again.
-    stated_leaving: AtomicBool,
-    /// For the line that an answer's word on its leaving cannot be read.
-    pub(crate) unreadable_leaving: LogOnce,
-    /// For the line that an answer's word on its being brittle cannot be read.
-    pub(crate) unreadable_brittle: LogOnce,
     gone: AtomicBool,
-    /// A former incarnation stated that it leaves or wants time, or this one did before its record
-    /// was read: it gets no requests until it has answered a health check.
-    unconfirmed: AtomicBool,
     /// Requests of this router in flight there.
     own: AtomicU32,
     /// Requests of the other routers in flight there, as they last reported.
@@ -79,9 +67,8 @@
     /// Results at the other routers, as they last reported.
     peer_results: Mutex<Results>,
     ejected: AtomicBool,
-    limit: Mutex<ServerLimit>,
-    /// Times for which it wants no requests, shared with other values of the same incarnation.
-    pub backoff: Arc<Backoff>,
+    /// What it stated itself, shared with other values of the same incarnation.
+    pub stated: Arc<StatedCondition>,
 }
 
 impl Server {
@@ -95,11 +82,7 @@
             slots: record.slots,
             born: record.born,
             leaving: AtomicBool::new(false),
-            stated_leaving: AtomicBool::new(false),
-            unreadable_leaving: LogOnce::default(),
-            unreadable_brittle: LogOnce::default(),
             gone: AtomicBool::new(false),
-            unconfirmed: AtomicBool::new(false),
             own: AtomicU32::new(0),
             others: AtomicU32::new(0),
             reported_load: Mutex::default(),
@@ -107,14 +90,13 @@
             window: Mutex::default(),
             peer_results: Mutex::default(),
             ejected: AtomicBool::new(false),
-            limit: Mutex::default(),
-            backoff: Arc::default(),
+            stated: Arc::default(),
         }
     }
 
-    /// The same incarnation after a change of its record, with what outlives the change.
-    pub fn after(self, backoff: &Arc<Backoff>) -> Server {
-        Server { backoff: Arc::clone(backoff), ..self }
+    /// This server with what its incarnation stated before its record changed.
+    pub fn with_condition(self, stated: Arc<StatedCondition>) -> Server {
+        Server { stated, ..self }
     }
 
     /// Whether `record` describes this server, unchanged except that it may be leaving.
@@ -145,7 +127,7 @@
         senders: &LimitSenders,
         now: Instant,
     ) -> LimitChange {
-        let mut limit = self.limit.lock().unwrap();
+        let mut limit = self.stated.limit.lock().unwrap();
         let former = limit.limit();
         let change = limit.update(statement, now);
         if limit.limit() != former {
@@ -156,46 +138,41 @@
 
     /// Sets the routers that share its limit.
     pub fn set_limit_senders(&self, senders: &LimitSenders) {
-        self.limit.lock().unwrap().set_senders(self.hash, senders);
+        self.stated.limit.lock().unwrap().set_senders(self.hash, senders);
     }
 
     /// What it last said of its limit, if it ever named one, and whether other routers are
     /// told at once.
     pub fn limit_statement(&self, now: Instant) -> Option<(LimitStatement, bool)> {
-        let limit = self.limit.lock().unwrap();
+        let limit = self.stated.limit.lock().unwrap();
         Some((limit.statement()?, limit.is_news(now)))
     }
 
     /// Whether this router may send a request within its share of the limit, and the server
     /// has not asked for time, as far as is known.
     pub fn has_allowance(&self, now: Instant) -> bool {
-        let takes_work = !self.is_unconfirmed() && !self.backoff.holds(now);
-        takes_work && self.limit.lock().unwrap().has_allowance(now)
+        let takes_work = !self.is_unconfirmed() && !self.stated.backoff.holds(now);
+        takes_work && self.stated.limit.lock().unwrap().has_allowance(now)
     }
 
     /// Whether it is unclear which incarnation stated that it leaves or wants time.
     pub fn is_unconfirmed(&self) -> bool {
-        self.unconfirmed.load(Ordering::Relaxed)
+        self.stated.is_unconfirmed()
     }
 
     /// Marks that it has answered a health check, so that what it states is known.
     pub fn confirm(&self) {
-        self.unconfirmed.store(false, Ordering::Relaxed);
-    }
-
-    /// This server, to be confirmed before it gets requests.
-    pub fn unconfirmed(self) -> Server {
-        Server { unconfirmed: AtomicBool::new(true), ..self }
+        self.stated.unconfirmed.store(false, Ordering::Relaxed);
     }
 
     /// Counts a request against this router's share of the limit; false if it is spent.
     pub fn take_allowance(&self, now: Instant) -> bool {
-        self.limit.lock().unwrap().take(now)
+        self.stated.limit.lock().unwrap().take(now)
     }
 
     /// Whether it takes no new work, by its record or by what it said itself.
     pub fn is_leaving(&self) -> bool {
-        self.leaving.load(Ordering::Relaxed) || self.stated_leaving.load(Ordering::Relaxed)
+        self.leaving.load(Ordering::Relaxed) || self.stated.leaving.load(Ordering::Relaxed)
     }
 
     /// Marks that its record says that it takes no new work.
@@ -205,7 +182,7 @@
 
     /// Marks that it said that it leaves; false if it is marked already.
     pub fn mark_stated_leaving(&self) -> bool {
-        !self.stated_leaving.swap(true, Ordering::Relaxed)
+        !self.stated.leaving.swap(true, Ordering::Relaxed)
     }
 
     /// Whether its process has likely ended.
--- a/src/servers/table.rs
+++ b/src/servers/table.rs
@@ -9,8 +9,8 @@
 use crate::servers::software_history::SoftwareHistory;
 use crate::servers::table_id::TableId;
 use crate::servers::{
-    Backoff, Change, Page, Position, SeenSoftware, Server, ServerRecord, ServerState,
-    ServiceSoftware, TableRevision,
+    Change, Page, Position, SeenSoftware, Server, ServerRecord, ServerState, ServiceSoftware,
+    StatedCondition, TableRevision,
 };
 
 /// How long records may be missing after an outage of the store that supplies them.
@@ -22,8 +22,8 @@
 #[derive(Debug)]
 struct Entry {
     record: ServerRecord,
-    /// What outlives changes of the record within an incarnation.
-    backoff: Arc<Backoff>,
+    /// What the incarnation stated; it outlives changes of the record.
+    stated: Arc<StatedCondition>,
     /// Absent when its newest record cannot be used or is gone.
     server: Option<Arc<Server>>,
     /// When its record went; absent while the record exists.
@@ -43,6 +43,8 @@
         Joined,
         /// It takes no new work.
         Left,
+        /// Its record is gone, after it had left.
+        Gone,
         /// Its record cannot be used.
         Unreadable,
         /// Its record went during an outage and may reappear; the server is still used.
@@ -202,7 +204,7 @@
             }
         }
         let is_old = |it: &Entry| it.gone.is_some_and(|at| now >= at + RETENTION_TIME);
-        let is_expired = |it: &Entry| is_old(it) && !it.backoff.holds(now);
+        let is_expired = |it: &Entry| is_old(it) && !it.stated.backoff.holds(now);
         let removed = self.entries.values().filter(|it| is_expired(it)).map(|it| it.revision).max();
         self.removed_revision = self.removed_revision.max(removed.unwrap_or(0));
         self.entries.retain(|_, it| !is_expired(it));
@@ -312,10 +314,10 @@
             server.mark_stated_leaving();
         }
         let has_left = server.is_leaving() && !was_leaving;
-        let backoff = Arc::clone(&server.backoff);
+        let stated = Arc::clone(&server.stated);
         let entry = Entry {
             record,
-            backoff,
+            stated,
             server: Some(server),
             gone: None,
             retained_until: None,
@@ -342,13 +344,16 @@
             return Arc::new(server);
         };
         if former.record.born == record.born {
-            return Arc::new(server.after(&former.backoff));
+            return Arc::new(server.with_condition(Arc::clone(&former.stated)));
         }
         let last = combine(server.hash, former.record.born);
-        if !self.leaving.contains(last) && !former.backoff.holds(now) {
+        let is_clear = !former.stated.is_unconfirmed()
+            && !self.leaving.contains(last)
+            && !former.stated.backoff.holds(now);
+        if is_clear {
             return Arc::new(server);
         }
-        let server = Arc::new(server.unconfirmed());
+        let server = Arc::new(server.with_condition(Arc::new(StatedCondition::unconfirmed())));
         self.unconfirmed.push((Arc::clone(&server), record.service.clone()));
         server
     }
@@ -382,10 +387,12 @@
             return Effect::Retained;
         }
         it.revision = revision;
-        if let Some(server) = it.server.take() {
-            server.mark_gone();
-        }
-        Effect::Left
+        let Some(server) = it.server.take() else {
+            return Effect::Gone;
+        };
+        let had_left = server.is_leaving();
+        server.mark_gone();
+        if had_left { Effect::Gone } else { Effect::Left }
     }
 
     fn rebuild(&mut self) {
