Judge the silence of routers by what a fleet of their size can hear of them

Callers saw: of 78 routers a third was not told to them at any time; followers changed their readers of the store all the time, and read it themselves in between.

Cause: a message reported on 8 other routers, whatever the size of the fleet, and a router that was not heard of for 1.6 s counted as dead. With 77 others most reports are older than that now and then.

Change: messages carry packed sightings (7 bytes a router: when it was last known to be alive, ready, leaving), in large fleets the newest and a random selection. The limit on silence grows by a round with each doubling of the fleet beyond 14. Failed exchanges are told to others: a refused connection means that the process is gone until it is heard itself, any other failure shortens the limit to 1.6 s unless it was seen since (SWIM's suspicion; a sighting refutes it). Each round includes the router that has been silent for longest. A process that was suspended or slow excuses what it could not hear. Routers that read no sightings get 8 full reports as before. Weighed and left: longer limits alone (gone too late), sightings of random routers alone and of the newest alone (false silences at 400).

Model (peer_silence, the routers' own tables): no false silence in 600 s at 14 and 30 routers, 300 s at 80, 60 s at 200, 30 s at 400; ended routers known to be gone by half of the fleet within 2 s and by all within 5 s; messages under 1,400 B with loads of 30 servers. Not measured: an hour at each size; control bytes a second. Tests: 791, 321 and 12 passed.

--- a/src/peers/peer_table.rs
+++ b/src/peers/peer_table.rs
@@ -4,15 +4,29 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use rand::seq::IteratorRandom;
+use rand::Rng;
+use rand::seq::{IteratorRandom, SliceRandom};
 use smallvec::SmallVec;
 
 use crate::decide::{Results, combine, hash_bytes};
 use crate::peers::peer::{PEER_TIMEOUT, Peer, ReportSource};
-use crate::wire::{WireCrash, WireExchange, WireObservation, WireRouter, age_ms, unpack_loads};
+use crate::peers::silence::silence_limit;
+use crate::peers::{FailureKind, PeerFailure};
+use crate::wire::{
+    Sighting, WireCrash, WireExchange, WireObservation, WireRouter, age_ms, unpack_loads,
+};
 
-/// Most routers that one message reports on besides its sender.
-const MAX_FORWARDED_REPORTS: usize = 8;
+/// Most routers that one message reports on in full besides its sender.
+const MAX_FORWARDED_REPORTS: usize = 2;
+/// The same while routers are alive that read no sightings.
+const MAX_REPORTS_WITHOUT_SIGHTINGS: usize = 8;
+/// Most sightings in one message.
+const MAX_SIGHTINGS: usize = 70;
+/// How long a change of a router is reported in full before other routers are.
+const CHANGE_NEWS_TIME: Duration = Duration::from_secs(3);
+/// A process that did not look after the table for longer than this was itself suspended or slow,
+/// and did not hear the others meanwhile.
+const MAX_UNATTENDED_TIME: Duration = Duration::from_millis(1_000);
 /// Most routers that read the platform's store; the others poll these.
 const MAX_READERS: usize = 4;
 /// Readers of a fleet of medium size, where fewer are enough to serve the other routers.
@@ -54,17 +68,36 @@
     pub results: Results,
 }
 
+/// What a router tells others of itself.
+#[derive(Debug, Clone, Default)]
+pub struct OwnReport {
+    /// Whether callers may be sent to it.
+    pub ready: bool,
+    /// Whether it is shutting down.
+    pub leaving: bool,
+    /// Its loads at backend servers, packed.
+    pub loads: Vec<u8>,
+    /// Backend servers that crashed while they ran a request.
+    pub crashes: Vec<WireCrash>,
+    /// Version of the rules in force, and how long ago they were confirmed in milliseconds.
+    pub rules: Option<(u64, u64)>,
+}
+
 /// The other routers by name, as of the newest direct or indirect report on each.
 #[derive(Debug)]
 pub struct PeerTable {
     own: WireRouter,
     peers: BTreeMap<String, Peer>,
+    /// Names by the lower half of their hashes. Invariant: consistent with `peers`.
+    names: HashMap<u32, String>,
+    /// When `attend` was last called.
+    attended: Option<Instant>,
 }
 
 impl PeerTable {
     /// A table without other routers.
     pub fn new(own: WireRouter) -> PeerTable {
-        PeerTable { own, peers: BTreeMap::new() }
+        PeerTable { own, peers: BTreeMap::new(), names: HashMap::new(), attended: None }
     }
 
     /// This router.
@@ -77,22 +110,20 @@
     pub fn merge_announced(&mut self, router: WireRouter, now: Instant) {
         let old = now.checked_sub(PEER_TIMEOUT).unwrap_or(now);
         let report = WireObservation { router, ready: false, leaving: false, age_ms: 0 };
-        self.merge_report(&report, old, ReportSource::Indirect);
+        self.merge_report(&report, old, now, ReportSource::Indirect);
     }
 
     /// Merges a message received at `now`: the sender's report on itself, its loads, and
     /// its reports on others unless they are too old to count.
     pub fn merge_message(&mut self, message: WireExchange, now: Instant) {
         let name = message.own.router.name.clone();
-        self.merge_report(&message.own, now, ReportSource::Direct);
+        self.excuse_own_pause(now);
+        self.merge_report(&message.own, now, now, ReportSource::Direct);
+        let limit = self.silence_limit();
         for report in &message.others {
             let age = Duration::from_millis(report.age_ms);
-            if age < PEER_TIMEOUT {
-                self.merge_report(
-                    report,
-                    now.checked_sub(age).unwrap_or(now),
-                    ReportSource::Indirect,
-                );
+            if let Some(seen_at) = now.checked_sub(age).filter(|_| age < limit) {
+                self.merge_report(report, seen_at, now, ReportSource::Indirect);
             }
         }
         if let Some(peer) = self.peers.get_mut(&name) {
@@ -100,6 +131,82 @@
         }
     }
 
+    /// Merges the sightings of the router `sender`, received at `now`. Routers that are not known
+    /// yet, or only by another process, are left to reports.
+    pub fn merge_sightings(
+        &mut self,
+        sender: &str,
+        sightings: impl Iterator<Item = Sighting>,
+        now: Instant,
+    ) {
+        let limit = self.silence_limit();
+        let mut is_empty = true;
+        for it in sightings {
+            is_empty = false;
+            let name = self.names.get(&it.router);
+            let Some(peer) = name.and_then(|name| self.peers.get_mut(name)) else {
+                continue;
+            };
+            let seen_at = now.checked_sub(it.age).filter(|_| it.age < limit);
+            let is_current = it.process == peer.process() && peer.refused.is_none();
+            if let Some(seen_at) = seen_at.filter(|at| is_current && *at > peer.last_seen) {
+                peer.update(it.ready, it.leaving, seen_at, limit, now);
+            }
+        }
+        if let Some(peer) = self.peers.get_mut(sender) {
+            peer.sends_sightings = !is_empty;
+        }
+    }
+
+    /// What this router tells others of when it last knew the living ones to be alive. Of a large
+    /// fleet these are the newest, which the others are likely to lack, and a random selection.
+    pub fn sightings(&self, now: Instant, random: &mut impl Rng) -> Vec<Sighting> {
+        let alive = self.peers.values().filter(|it| self.is_alive(it, now));
+        let mut all: Vec<Sighting> = alive.map(|it| it.sighting(now)).collect();
+        if all.len() > MAX_SIGHTINGS {
+            let newest = MAX_SIGHTINGS / 2;
+            all.select_nth_unstable_by_key(newest, |it| it.age);
+            let mut others = all.split_off(newest);
+            let (selected, _) = others.partial_shuffle(random, MAX_SIGHTINGS - newest);
+            all.extend_from_slice(selected);
+        }
+        all
+    }
+
+    /// To be called in each round. Excuses the silence of routers that this process could not
+    /// hear as it was suspended or slow itself.
+    pub fn attend(&mut self, now: Instant) {
+        self.excuse_own_pause(now);
+        self.attended = Some(now);
+    }
+
+    fn excuse_own_pause(&mut self, now: Instant) {
+        let Some(attended) = self.attended else {
+            return;
+        };
+        let pause = now.saturating_duration_since(attended);
+        if pause <= MAX_UNATTENDED_TIME {
+            return;
+        }
+        let limit = self.silence_limit();
+        let was_alive = |it: &Peer| attended.saturating_duration_since(it.last_seen) < limit;
+        for it in self.peers.values_mut().filter(|it| was_alive(it)) {
+            it.last_seen = (it.last_seen + pause).min(now);
+        }
+        self.attended = Some(now);
+    }
+
+    /// Limit on the silence of a router that counts as alive.
+    fn silence_limit(&self) -> Duration {
+        silence_limit(self.peers.len() + 1)
+    }
+
+    fn is_alive(&self, peer: &Peer, now: Instant) -> bool {
+        // The time of a pause of this process counts for none of them.
+        let now = self.attended.map_or(now, |at| now.min(at + MAX_UNATTENDED_TIME));
+        peer.is_alive(self.silence_limit(), now)
+    }
+
     /// Sets the services whose backend servers the router `name` does not reach.
     pub fn set_cut_off(&mut self, name: &str, services: SmallVec<[u64; 2]>) {
         if let Some(peer) = self.peers.get_mut(name) {
@@ -107,29 +214,38 @@
         }
     }
 
-    /// Records that `address` refused a connection: the process there is gone.
-    pub fn record_refused(&mut self, address: SocketAddr) {
+    /// Records that an exchange with the process at `address` failed at `now`.
+    pub fn record_failure(&mut self, address: SocketAddr, kind: FailureKind, now: Instant) {
         for peer in self.peers.values_mut().filter(|it| it.router.peers == address) {
-            peer.refused = true;
-            peer.loads = None;
+            peer.record_failure(kind, now);
         }
     }
 
-    /// The message that this router sends to others, with reports on a random selection
-    /// of those that are alive.
-    pub fn message(
-        &self,
-        ready: bool,
-        leaving: bool,
-        loads: Vec<u8>,
-        crashes: Vec<WireCrash>,
-        rules: Option<(u64, u64)>,
-        now: Instant,
-    ) -> WireExchange {
+    /// Merges that another router failed to exchange with a process, unless that was seen later.
+    pub fn merge_failure(&mut self, failure: &PeerFailure) {
+        let name = self.names.get(&(failure.router as u32));
+        let Some(peer) = name.and_then(|name| self.peers.get_mut(name)) else {
+            return;
+        };
+        let is_same = peer.hash == failure.router && peer.router.born == failure.born;
+        if is_same && peer.last_seen <= failure.at {
+            peer.record_failure(failure.kind, failure.at);
+        }
+    }
+
+    /// The last failures to exchange with processes that were not seen since.
+    pub fn failures(&self, now: Instant) -> impl Iterator<Item = PeerFailure> {
+        let is_news =
+            move |it: &PeerFailure| now.saturating_duration_since(it.at) < CHANGE_NEWS_TIME;
+        self.peers.values().filter_map(Peer::failure).filter(is_news)
+    }
+
+    /// The message that this router sends to others, with reports on some of those that are
+    /// alive: first on those that changed lately, then on a random selection.
+    pub fn message(&self, own: OwnReport, now: Instant, random: &mut impl Rng) -> WireExchange {
+        let OwnReport { ready, leaving, loads, crashes, rules } = own;
         let own = WireObservation { router: self.own.clone(), ready, leaving, age_ms: 0 };
-        let alive = self.peers.values().filter(|it| it.is_alive(now));
-        let alive = alive.choose_multiple(&mut rand::rng(), MAX_FORWARDED_REPORTS);
-        let others = alive.into_iter().map(|it| WireObservation {
+        let others = self.reported(now, random).into_iter().map(|it| WireObservation {
             router: it.router.clone(),
             ready: it.ready,
             leaving: it.leaving,
@@ -138,6 +254,20 @@
         WireExchange { own, others: others.collect(), loads, crashes, rules }
     }
 
+    /// The routers that a message reports on in full.
+    fn reported(&self, now: Instant, random: &mut impl Rng) -> Vec<&Peer> {
+        let alive = || self.peers.values().filter(|it| self.is_alive(it, now));
+        let limit = match alive().all(|it| it.sends_sightings) {
+            true => MAX_FORWARDED_REPORTS,
+            false => MAX_REPORTS_WITHOUT_SIGHTINGS,
+        };
+        let is_news = |it: &&Peer| now.saturating_duration_since(it.changed) < CHANGE_NEWS_TIME;
+        let mut reported = alive().filter(is_news).choose_multiple(random, limit);
+        let others = alive().filter(|it| !is_news(it));
+        reported.extend(others.choose_multiple(random, limit - reported.len()));
+        reported
+    }
+
     /// Addresses of all other routers, and whether each is in the same failure domain.
     /// Dead ones are included, as they may have been restarted.
     pub fn addresses(&self) -> impl Iterator<Item = (SocketAddr, bool)> {
@@ -145,6 +275,12 @@
         self.peers.values().map(move |it| (it.router.peers, near(&it.router)))
     }
 
+    /// Address of the living router that has been silent for longest.
+    pub(crate) fn most_silent(&self, now: Instant) -> Option<SocketAddr> {
+        let alive = self.peers.values().filter(|it| self.is_alive(it, now));
+        alive.min_by_key(|it| it.last_seen).map(|it| it.router.peers)
+    }
+
     /// Other routers that are alive, ready and not leaving.
     pub fn ready(&self, now: Instant) -> impl Iterator<Item = &WireRouter> {
         self.available(now).map(|it| &it.router)
@@ -152,21 +288,21 @@
 
     /// The same, with all that is known of them.
     pub(crate) fn available(&self, now: Instant) -> impl Iterator<Item = &Peer> {
-        let is_available = move |it: &&Peer| it.is_alive(now) && it.ready && !it.leaving;
+        let is_available = move |it: &&Peer| self.is_alive(it, now) && it.ready && !it.leaving;
         self.peers.values().filter(is_available)
     }
 
     /// Names of the other routers that are alive.
     pub fn alive_names(&self, now: Instant) -> impl Iterator<Item = &str> {
-        let alive = self.peers.iter().filter(move |(_, it)| it.is_alive(now));
+        let alive = self.peers.iter().filter(move |(_, it)| self.is_alive(it, now));
         alive.map(|(name, _)| name.as_str())
     }
 
     /// Addresses of the other routers, and whether each is alive: first those that are, each
     /// group in the rendezvous order of `key`.
     pub fn ranked(&self, key: u64, now: Instant) -> impl Iterator<Item = (SocketAddr, bool)> {
-        let rank = |it: &Peer| combine(key, hash_bytes(it.router.name.as_bytes()));
-        let ranked = |it: &Peer| (it.is_alive(now), rank(it), it.router.peers);
+        let rank = |it: &Peer| combine(key, it.hash);
+        let ranked = |it: &Peer| (self.is_alive(it, now), rank(it), it.router.peers);
         let mut all: Vec<_> = self.peers.values().map(ranked).collect();
         all.sort_unstable_by(|a, b| b.cmp(a));
         all.into_iter().map(|(is_alive, _, address)| (address, is_alive))
@@ -174,7 +310,7 @@
 
     /// When the router `name` was last seen, and whether it refused a connection since.
     pub fn last_seen(&self, name: &str) -> Option<(Instant, bool)> {
-        self.peers.get(name).map(|it| (it.last_seen, it.refused))
+        self.peers.get(name).map(|it| (it.last_seen, it.refused.is_some()))
     }
 
     /// Hashes of the names of the other routers that may send requests: also those that
@@ -184,13 +320,12 @@
             let was_alive = it.ready || it.loads.is_some();
             was_alive && now.saturating_duration_since(it.last_seen) < SENDER_TIME
         };
-        let recent = self.peers.values().filter(is_recent);
-        recent.map(|it| hash_bytes(it.router.name.as_bytes()))
+        self.peers.values().filter(is_recent).map(|it| it.hash)
     }
 
     /// Number of other routers that are alive.
     pub fn alive_count(&self, now: Instant) -> usize {
-        self.peers.values().filter(|it| it.is_alive(now)).count()
+        self.peers.values().filter(|it| self.is_alive(it, now)).count()
     }
 
     /// Load of the other routers at backend servers, by the lower half of the server's
@@ -198,7 +333,7 @@
     /// have one.
     pub fn loads(&self, now: Instant) -> HashMap<u32, PeerLoad> {
         let mut all: HashMap<u32, PeerLoad> = HashMap::new();
-        let alive = self.peers.values().filter(|it| it.is_alive(now));
+        let alive = self.peers.values().filter(|it| self.is_alive(it, now));
         let is_recent = |at: Instant| now.saturating_duration_since(at) < PEER_TIMEOUT;
         let reports = alive.filter_map(|it| it.loads.as_ref()).filter(|(at, _)| is_recent(*at));
         let mut reported: u32 = 0;
@@ -223,9 +358,10 @@
         let own = (hash_bytes(self.own.name.as_bytes()), Reader::Own);
         let rank = |it: &Peer| {
             let near = it.router.domain == self.own.domain;
-            (hash_bytes(it.router.name.as_bytes()), Reader::Peer(it.router.peers, near))
+            (it.hash, Reader::Peer(it.router.peers, near))
         };
-        let alive = self.peers.values().filter(|it| it.is_alive(now) && !it.leaving).map(rank);
+        let alive =
+            self.peers.values().filter(|it| self.is_alive(it, now) && !it.leaving).map(rank);
         let mut all: Vec<_> = alive.chain([own]).collect();
         all.sort_unstable();
         let limit = match all.len() {
@@ -268,29 +404,33 @@
     pub fn remove_expired(&mut self, now: Instant) {
         let is_recent = |it: &Peer| now.saturating_duration_since(it.last_seen) < FORGET_TIME;
         self.peers.retain(|_, it| is_recent(it));
+        let peers = &self.peers;
+        self.names.retain(|_, name| peers.contains_key(name));
     }
 
-    fn merge_report(&mut self, report: &WireObservation, seen_at: Instant, source: ReportSource) {
+    fn merge_report(
+        &mut self,
+        report: &WireObservation,
+        seen_at: Instant,
+        now: Instant,
+        source: ReportSource,
+    ) {
         let router = &report.router;
         if router.name == self.own.name {
             return;
         }
-        let former = self.peers.get(&router.name);
-        if former.is_some_and(|it| !it.is_superseded_by(router, seen_at, source)) {
-            return;
+        let limit = self.silence_limit();
+        match self.peers.get_mut(&router.name) {
+            Some(it) if !it.is_superseded_by(router, seen_at, source) => {}
+            Some(it) if it.router.born == router.born => {
+                it.router.clone_from(router);
+                it.update(report.ready, report.leaving, seen_at, limit, now);
+            }
+            _ => {
+                let peer = Peer::new(report, seen_at, now);
+                self.names.insert(peer.hash as u32, router.name.clone());
+                self.peers.insert(router.name.clone(), peer);
+            }
         }
-        let is_same_process = former.is_some_and(|it| it.router.born == router.born);
-        let former = self.peers.remove(&router.name).filter(|_| is_same_process);
-        let peer = Peer {
-            router: router.clone(),
-            ready: report.ready,
-            // A process that is shutting down never becomes available again.
-            leaving: report.leaving || former.as_ref().is_some_and(|it| it.leaving),
-            last_seen: seen_at,
-            refused: false,
-            cut_off: former.as_ref().map(|it| it.cut_off.clone()).unwrap_or_default(),
-            loads: former.and_then(|it| it.loads),
-        };
-        self.peers.insert(router.name.clone(), peer);
     }
 }
--- a/src/router/exchange_loop.rs
+++ b/src/router/exchange_loop.rs
@@ -5,25 +5,15 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use rand::seq::IndexedRandom;
 use slog::{debug, info, warn};
-use smallvec::SmallVec;
 use tokio::time::timeout;
 
 use crate::events::Code;
-use crate::peers::PeerError;
+use crate::peers::{FailureKind, PeerError, ROUND_INTERVAL};
 use crate::router::blame_store::merge_stored;
 use crate::router::state_change_log::StateChangeLog;
 use crate::router::{Router, Store};
 
-/// Time between two rounds of exchanges.
-const ROUND_INTERVAL: Duration = Duration::from_millis(500);
-/// Number of other routers up to which each round exchanges with all of them.
-const MAX_FULL_ROUND: usize = 6;
-/// Random routers of the same failure domain per round of a larger fleet.
-const NEAR_PER_ROUND: usize = 3;
-/// Random routers of other failure domains per round of a larger fleet.
-const FAR_PER_ROUND: usize = 1;
 /// Time between two scans of the store for routers that no other router has reported.
 const SCAN_INTERVAL: Duration = Duration::from_secs(30);
 /// Time between two scans while no other router is alive, this one is not announced, or the
@@ -37,7 +27,9 @@
         state_changes.log_changes(&router);
         match router.message().encode() {
             Ok(body) => {
-                for peer in round_targets(&router) {
+                let now = router.relay.clock().now();
+                let targets = router.peers.lock().unwrap().round_targets(now, &mut rand::rng());
+                for peer in targets {
                     tokio::spawn(exchange_with(Arc::clone(&router), peer, body.clone()));
                 }
             }
@@ -55,41 +47,23 @@
 
 fn expire_peers<S: Store>(router: &Router<S>, now: Instant) {
     let mut peers = router.peers.lock().unwrap();
+    peers.attend(now);
     peers.remove_expired(now);
     router.update_forwarders(&peers, now);
 }
 
-/// Routers to exchange with in this round: all of a small fleet; otherwise the reader
-/// that this router polls, and a few random ones. Fewer of these are in other failure
-/// domains, as traffic between failure domains costs more.
-fn round_targets<S: Store>(router: &Router<S>) -> SmallVec<[SocketAddr; MAX_FULL_ROUND]> {
-    let peers = router.peers.lock().unwrap();
-    let (near, far): (Vec<_>, Vec<_>) = peers.addresses().partition(|(_, near)| *near);
-    if near.len() + far.len() <= MAX_FULL_ROUND {
-        return near.iter().chain(&far).map(|(address, _)| *address).collect();
-    }
-    let reader = peers.reader(router.relay.clock().now());
-    let random = &mut rand::rng();
-    let near = near.choose_multiple(random, NEAR_PER_ROUND).copied().collect::<Vec<_>>();
-    let far = far.choose_multiple(random, FAR_PER_ROUND);
-    let mut targets: SmallVec<[SocketAddr; MAX_FULL_ROUND]> = reader.into_iter().collect();
-    for (address, _) in near.iter().chain(far) {
-        if !targets.contains(address) {
-            targets.push(*address);
-        }
-    }
-    targets
-}
-
 async fn exchange_with<S: Store>(router: Arc<Router<S>>, peer: SocketAddr, body: Bytes) {
     let sent = router.relay.clock().boot();
     match router.client.exchange(peer, body).await {
         Ok(message) => router.receive_reply(message, sent),
         Err(e) => {
             debug!(router.logger, "exchange with a router failed"; "peer" => %peer, "error" => %e);
-            if matches!(e, PeerError::Refused) {
-                router.peers.lock().unwrap().record_refused(peer);
-            }
+            let kind = match e {
+                PeerError::Refused => FailureKind::Refused,
+                PeerError::Failed(_) => FailureKind::Unreached,
+            };
+            let now = router.relay.clock().now();
+            router.peers.lock().unwrap().record_failure(peer, kind, now);
         }
     }
 }
--- a/src/router/router.rs
+++ b/src/router/router.rs
@@ -16,7 +16,8 @@
 use crate::events::{Code, LogOnce};
 use crate::fleet::CrashReport;
 use crate::peers::{
-    Message, Peer, PeerClient, PeerLoad, PeerTable, part_news_from_wire, part_news_to_wire,
+    Message, OwnReport, Peer, PeerClient, PeerFailure, PeerLoad, PeerTable, part_news_from_wire,
+    part_news_to_wire,
 };
 use crate::relay::{
     ConnectionContext, Forwarder, MAX_WAITING_QUERIES, OriginQuery, Relay, RequestLog,
@@ -28,7 +29,7 @@
 use crate::servers::{ServerRecord, StoreEra, TableRevision};
 use crate::wire::{
     ServerLoad, WireNews, WireRouter, WireServer, WireServers, WireServersAddition,
-    WireServersRequest, pack_loads,
+    WireServersRequest, pack_loads, pack_sightings, unpack_sightings,
 };
 
 /// Weight of the results at a backend server up to which an idle one is not reported.
@@ -36,6 +37,8 @@
 
 /// Limit of the crash reports in one message to another router.
 const MAX_TOLD_CRASHES: usize = 32;
+/// Limit of the failed exchanges in one message to another router.
+const MAX_TOLD_FAILURES: usize = 16;
 
 /// A router: its store, its peers and its relay.
 #[derive(Debug)]
@@ -145,15 +148,17 @@
     /// The current message to other routers.
     pub(crate) fn message(&self) -> Message {
         let now = self.relay.clock().now();
-        let loads = self.loads(now);
         let crashes = self.relay.crashes.most_relevant(MAX_TOLD_CRASHES, now);
-        let crashes = crashes.into_iter().map(|it| it.to_wire(now)).collect();
         let version = self.relay.rules.load().map(|it| it.version);
         let age = self.relay.lease.age(self.relay.clock().boot());
-        let rules = version.zip(age.map(|it| it.as_millis() as u64));
-        let peers = self.peers.lock().unwrap();
-        let ready = self.relay.is_ready();
-        let exchange = peers.message(ready, self.is_leaving(), loads, crashes, rules, now);
+        let own = OwnReport {
+            ready: self.relay.is_ready(),
+            leaving: self.is_leaving(),
+            loads: self.loads(now),
+            crashes: crashes.into_iter().map(|it| it.to_wire(now)).collect(),
+            rules: version.zip(age.map(|it| it.as_millis() as u64)),
+        };
+        let exchange = self.peers.lock().unwrap().message(own, now, &mut rand::rng());
         Message { exchange, news: self.news(now) }
     }
 
@@ -185,12 +190,19 @@
 
     fn news(&self, now: Instant) -> WireNews {
         let parts = self.relay.parts.lock().unwrap().news(now);
+        let peers = self.peers.lock().unwrap();
+        let sightings = pack_sightings(peers.sightings(now, &mut rand::rng()));
+        let failures = peers.failures(now).take(MAX_TOLD_FAILURES).map(|it| it.to_wire(now));
+        let failures = failures.collect();
+        drop(peers);
         WireNews {
             parts: part_news_to_wire(&parts, now),
             limits: limit_news(&self.relay, now),
             leaving: leaving_news(&self.relay, now),
             software: software_news(&self.relay, now),
             cut_off: self.relay.cut_off_hashes().into_vec(),
+            sightings,
+            failures,
         }
     }
 
@@ -281,6 +293,10 @@
         let sender = exchange.own.router.name.clone();
         peers.merge_message(exchange, now);
         peers.set_cut_off(&sender, news.cut_off.into());
+        peers.merge_sightings(&sender, unpack_sightings(&news.sightings), now);
+        for it in news.failures.into_iter().filter_map(|it| PeerFailure::from_wire(it, now)) {
+            peers.merge_failure(&it);
+        }
         if self.relay.cut_services.load(Relaxed) > 0 {
             self.update_forwarders(&peers, now);
         }
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -15,6 +15,7 @@
 mod packed;
 mod part_news;
 mod peer;
+mod sighting;
 mod status;
 mod ticket;
 
@@ -36,9 +37,10 @@
 pub use part_news::{WireAnsweredPart, WireBlamedPart, WireCutRun, WirePartNews, WireStoredBlame};
 pub use peer::{
     ServerLoad, WireExchange, WireNews, WireObservation, WireOriginQuery, WireOriginReply,
-    WirePosition, WireRouter, WireSeenSoftware, WireServer, WireServerLeaving, WireServerLimit,
-    WireServers, WireServersAddition, WireServersRequest, WireServiceSoftware, WireStreamOrigin,
-    WireStreamOrigins, pack_loads, unpack_loads,
+    WirePeerFailure, WirePosition, WireRouter, WireSeenSoftware, WireServer, WireServerLeaving,
+    WireServerLimit, WireServers, WireServersAddition, WireServersRequest, WireServiceSoftware,
+    WireStreamOrigin, WireStreamOrigins, pack_loads, unpack_loads,
 };
+pub use sighting::{Sighting, pack_sightings, unpack_sightings};
 pub use status::{WireEngine, WireRequestCount, WireStatus, WireWantedItem};
 pub use ticket::{WireObject, WireTicket, parse_ticket};
--- a/src/wire/peer.rs
+++ b/src/wire/peer.rs
@@ -95,22 +95,39 @@
         pub rules: Option<(u64, u64)>,
     }
 
-    /// News that follow a [`WireExchange`]. Fields that a router does not know are skipped.
+    /// News that follow a [`WireExchange`]. Fields that a router does not know are skipped, empty
+    /// ones are left out.
     #[derive(Default)]
     #[serde(default)]
     pub struct WireNews {
         /// Parts of prompts that may crash backend servers.
+        #[serde(skip_serializing_if = "WirePartNews::is_empty")]
         pub parts: WirePartNews,
         /// Limits of requests that backend servers named, or named no longer.
+        #[serde(skip_serializing_if = "Vec::is_empty")]
         pub limits: Vec<WireServerLimit>,
         /// Backend servers that say that they leave.
+        #[serde(skip_serializing_if = "Vec::is_empty")]
         pub leaving: Vec<WireServerLeaving>,
         /// Software versions of the services that have several.
+        #[serde(skip_serializing_if = "Vec::is_empty")]
         pub software: Vec<WireSeenSoftware>,
         /// Hashes of the names of services whose backend servers the sender does not reach.
+        #[serde(skip_serializing_if = "Vec::is_empty")]
         pub cut_off: Vec<u64>,
+        /// When the sender last knew other routers to be alive, packed by
+        /// [`pack_sightings`](crate::wire::pack_sightings).
+        #[serde(with = "serde_bytes", skip_serializing_if = "Vec::is_empty")]
+        pub sightings: Vec<u8>,
+        /// Exchanges with other routers that failed.
+        #[serde(skip_serializing_if = "Vec::is_empty")]
+        pub failures: Vec<WirePeerFailure>,
     }
 
+    /// An exchange with a process of a router that failed: hash of the router's name, when the
+    /// process started, whether the connection was refused, and how long ago in milliseconds.
+    pub struct WirePeerFailure(pub u64, pub u64, pub bool, pub u64);
+
     /// What a backend server last said of its limit: hash of its incarnation, requests a
     /// second if it has a limit, and how long ago in milliseconds.
     pub struct WireServerLimit(pub u64, pub Option<f64>, pub u64);
@@ -220,5 +237,7 @@
             && self.leaving.is_empty()
             && self.software.is_empty()
             && self.cut_off.is_empty()
+            && self.sightings.is_empty()
+            && self.failures.is_empty()
     }
 }
--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -35,6 +35,7 @@
 mod part_suspects;
 mod path;
 mod paused;
+mod peer_silence;
 mod peers;
 mod pick;
 mod process;
