Soak: an earlier build of the routers beside the current one

--former PROGRAM: processes are started from both builds in turn, so that each restart upgrades a router or rolls one back.

--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -4,14 +4,15 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::sync::Mutex;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
 use standins::Link;
 use standins::platform::fixture::{rules, server_record, settings};
 use standins::platform::{MetaStore, ServerStandin, StoreCopy, StoreView};
 
-use crate::Steps;
 use crate::router_process::RouterProcess;
+use crate::{Programs, Steps};
 
 /// Number of backend servers that get faults; the others get none, so that callers can be
 /// served.
@@ -110,7 +111,9 @@
     has_router_links: bool,
     /// Clock offsets of each router.
     clocks: Mutex<Vec<Steps>>,
-    program: PathBuf,
+    programs: Programs,
+    /// Number of router processes that were started.
+    starts: AtomicUsize,
     folder: PathBuf,
 }
 
@@ -120,7 +123,7 @@
     /// # Errors
     /// Fails when a port cannot be bound or a router does not start.
     pub async fn start(
-        program: &Path,
+        programs: &Programs,
         folder: &Path,
         routers: usize,
         backends: usize,
@@ -150,7 +153,8 @@
             has_versions,
             has_router_links,
             clocks: Mutex::new(vec![Steps::default(); routers]),
-            program: program.to_owned(),
+            programs: programs.clone(),
+            starts: AtomicUsize::new(0),
             folder: folder.to_owned(),
         };
         fleet.put_rules();
@@ -176,7 +180,8 @@
         std::fs::write(&path, text)?;
         let start = self.next_sequence();
         let log = self.folder.join(format!("front-{number}-{start}.log"));
-        let process = RouterProcess::start(&self.program, &path, log).await?;
+        let program = self.programs.of_start(self.starts.fetch_add(1, Ordering::Relaxed));
+        let process = RouterProcess::start(program, &path, log).await?;
         self.routers.lock().await[number] = Some(process);
         Ok(())
     }
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -6,11 +6,13 @@
 mod checks;
 mod faults;
 mod fleet;
+mod programs;
 mod report;
 mod router_process;
 mod run;
 mod stepped_clock;
 
+pub use programs::Programs;
 pub use report::Report;
 pub use run::{Options, run};
 pub use stepped_clock::{SteppedClock, Steps};
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bpaf::Bpaf;
-use soak::{Options, run};
+use soak::{Options, Programs, run};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::task::JoinSet;
 
@@ -35,6 +35,9 @@
     /// Concurrent runs must not share a folder.
     #[bpaf(argument("FOLDER"), fallback(own_folder()))]
     folder: PathBuf,
+    /// An earlier build of the router's program; processes of both builds run side by side.
+    #[bpaf(argument("PROGRAM"), optional)]
+    former: Option<PathBuf>,
     /// The router's program.
     #[bpaf(positional("PROGRAM"))]
     program: PathBuf,
@@ -68,7 +71,7 @@
 /// Runs all seeds, at most `jobs` at a time.
 async fn run_seeds(arguments: Arguments) -> ExitCode {
     let options = Options {
-        program: arguments.program,
+        programs: Programs { current: arguments.program, former: arguments.former },
         folder: arguments.folder,
         routers: arguments.routers,
         backends: 7,
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -9,6 +9,7 @@
 use tokio::task::JoinSet;
 use tokio::time::sleep;
 
+use crate::Programs;
 use crate::callers::{RequestResult, ResultLog, call};
 use crate::checks::{resolve_violations, violations};
 use crate::faults::inject_faults;
@@ -29,8 +30,8 @@
 /// Size of a soak.
 #[derive(Debug, Clone)]
 pub struct Options {
-    /// The router's program.
-    pub program: PathBuf,
+    /// The router's builds.
+    pub programs: Programs,
     /// Where settings and logs go.
     pub folder: PathBuf,
     /// Number of router processes.
@@ -52,7 +53,7 @@
     let has_versions = seed >= FIRST_VERSIONS_SEED;
     let (routers, backends) = (options.routers, options.backends);
     let has_cuts = seed >= FIRST_ROUTER_CUTS_SEED;
-    let start = Fleet::start(&options.program, &folder, routers, backends, has_versions, has_cuts);
+    let start = Fleet::start(&options.programs, &folder, routers, backends, has_versions, has_cuts);
     let fleet = Arc::new(start.await?);
     let log = Arc::new(ResultLog::default());
     sleep(WARM_UP_TIME).await;
--- a/soak/tests/short.rs
+++ b/soak/tests/short.rs
@@ -7,13 +7,13 @@
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
 use rstest::rstest;
-use soak::{Options, run};
+use soak::{Options, Programs, run};
 use tokio::process::Command;
 use tokio::time::sleep;
 
 fn options() -> Options {
     Options {
-        program: PathBuf::from(env!("CARGO_BIN_EXE_stepped-router")),
+        programs: Programs { current: env!("CARGO_BIN_EXE_stepped-router").into(), former: None },
         folder: PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("soak"),
         routers: 3,
         backends: 7,
