--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -39,6 +39,7 @@
 mod peers;
 mod pick;
 mod process;
+mod recorded_messages;
 mod relay_parts;
 mod reservation;
 mod rules;
