Take streams that send bytes now and then, but no event, for stalled

Callers saw: nothing more on a stream until their deadline, though another server could have gone on with it.

Cause: each byte from the server began the wait for a stall anew, also one that completed no event.

Change: the time waited for the next event counts; only an event ends it. Time in which the caller does not read is not counted, so that a slow caller or a large event in many pieces is not cut.

--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -46,8 +46,11 @@
     events: EventFramer,
     /// The stream may be resumed at another server.
     resumable: bool,
-    /// Silence after which a stream that may be resumed counts as stalled.
+    /// Wait for an event after which a stream that may be resumed counts as stalled.
     stall: Duration,
+    /// How long it was waited for the next event so far. Bytes that complete no event do not
+    /// reset it.
+    waited: Duration,
 }
 
 /// The answer to the caller, for a stream whose head has arrived.
@@ -75,6 +78,7 @@
         events,
         resumable: route.resumable,
         stall,
+        waited: Duration::ZERO,
     });
     let events = stream::try_unfold(state, |mut state| async move {
         let bytes = state.next().await?;
@@ -147,11 +151,14 @@
     async fn read(&mut self) -> Next {
         let deadline: Instant = self.pending.deadline.into();
         // Another router notices a stall itself.
+        let began = Instant::now();
         let read_until = match self.resumable && self.in_flight.is_some() {
-            true => deadline.min(Instant::now() + self.stall),
+            true => deadline.min(began + self.stall.saturating_sub(self.waited)),
             false => deadline,
         };
-        match timeout_at(read_until, self.body.frame()).await {
+        let read = timeout_at(read_until, self.body.frame()).await;
+        self.waited += began.elapsed();
+        match read {
             Err(_) if read_until < deadline => Next::Stalled,
             Err(_) => Next::TimedOut,
             Ok(None) => self.end(BodyEnd::of_events(self.framing, &self.events)),
@@ -164,6 +171,7 @@
         match self.events.push(bytes) {
             Some(events) if events.is_empty() => Next::Bytes(events),
             Some(events) => {
+                self.waited = Duration::ZERO;
                 if let Some(server) = self.in_flight.as_ref().map(InFlight::server) {
                     self.pending.trace.record_software(&server.software);
                     if self.resumable {
@@ -229,6 +237,7 @@
                 self.head = reply.head;
                 self.framing = reply.framing;
                 self.began = self.relay.clock.now();
+                self.waited = Duration::ZERO;
                 self.connection = Some(reply.connection);
                 self.in_flight = reply.in_flight;
                 true
--- a/standins/src/platform/server_answer.rs
+++ b/standins/src/platform/server_answer.rs
@@ -11,6 +11,8 @@
 
 /// Delay of an answer that never comes; longer than any caller's timeout.
 pub(crate) const HANG_TIME: Duration = Duration::from_secs(3_600);
+/// Pause between two bytes of an event that does not end.
+const TRICKLE_INTERVAL: Duration = Duration::from_millis(100);
 /// Pause between the last bytes of an answer and the reset of its connection.
 const RESET_PAUSE: Duration = Duration::from_millis(20);
 /// Bytes that an answer without end writes at once, at least.
@@ -108,6 +110,9 @@
         if behaviour == ServerBehaviour::StallAfter(number - 1) {
             sleep(HANG_TIME).await;
         }
+        if behaviour == ServerBehaviour::TrickleAfter(number - 1) {
+            trickle(writer, encode).await?;
+        }
         writer.write_all(encode(&event).as_bytes()).await?;
     }
     if behaviour.is_unframed() {
@@ -117,6 +122,20 @@
     Ok(NextStep::KeepOpen)
 }
 
+/// Sends bytes of an event that does not end, for `HANG_TIME`.
+async fn trickle<W: AsyncWriteExt + Unpin>(
+    writer: &mut W,
+    encode: fn(&str) -> String,
+) -> io::Result<()> {
+    let bytes = HANG_TIME.as_millis() / TRICKLE_INTERVAL.as_millis();
+    for _ in 0..bytes {
+        writer.write_all(encode(":").as_bytes()).await?;
+        writer.flush().await?;
+        sleep(TRICKLE_INTERVAL).await;
+    }
+    Ok(())
+}
+
 /// The head of a stream that answers the request `id`.
 pub(crate) fn stream_head(id: &str, stated: &str, behaviour: ServerBehaviour) -> String {
     let version = behaviour.version();
--- a/standins/src/platform/server_behaviour.rs
+++ b/standins/src/platform/server_behaviour.rs
@@ -17,6 +17,8 @@
     BreakAfter(u32),
     /// Stalls a stream after this many events.
     StallAfter(u32),
+    /// Sends a byte of the next event now and then after this many events, and never all of it.
+    TrickleAfter(u32),
     /// Never answers requests on a reused connection.
     SilentWhenReused,
     /// Sends the answer twice.
