Derive whether a request was sent on from its trace; name the server of a stream at one place

A flag of PendingRequest repeated what its trace says, and the server in flight was written out three times in StreamRelay. No behaviour changes.

--- a/src/relay/attempt_loop.rs
+++ b/src/relay/attempt_loop.rs
@@ -151,7 +151,7 @@
             let service = hash_bytes(service.as_bytes());
             return self.forward(pending, grant, service).await;
         }
-        if pending.is_forwarded && self.is_cut_off(pending.target_service(&grant).unwrap_or("")) {
+        if pending.is_forwarded() && self.is_cut_off(pending.target_service(&grant).unwrap_or("")) {
             return Err(Refusal::NoServer);
         }
         self.apply_part_policy(pending)?;
@@ -266,7 +266,7 @@
         mut reply: Reply,
     ) -> Result<TakenAnswer, AttemptError> {
         let server = &attempt.server;
-        if pending.is_forwarded {
+        if pending.is_forwarded() {
             name_server(&mut reply.parts, server);
         }
         let status = reply.parts.status;
--- a/src/relay/forward.rs
+++ b/src/relay/forward.rs
@@ -56,14 +56,14 @@
         grant: &'a Grant,
     ) -> Option<&'a str> {
         let service = pending.target_service(grant)?;
-        (!pending.is_forwarded && self.is_cut_off(service)).then_some(service)
+        (!pending.is_forwarded() && self.is_cut_off(service)).then_some(service)
     }
 
     /// Whether another router may take a request for `service`.
     pub(crate) fn has_forwarder(&self, pending: &PendingRequest, service: &str) -> bool {
         let service = hash_bytes(service.as_bytes());
         let all = self.forwarders.load();
-        !pending.is_forwarded && pick_forwarder(&all, service, &pending.excluded).is_some()
+        !pending.is_forwarded() && pick_forwarder(&all, service, &pending.excluded).is_some()
     }
 
     /// Sends a request on to another router. What it could not serve itself is offered to one
--- a/src/relay/pending_request.rs
+++ b/src/relay/pending_request.rs
@@ -50,8 +50,6 @@
     pub is_origin_recorded: bool,
     /// Hashes of the servers that get no further attempt.
     pub excluded: SmallVec<[u64; 4]>,
-    /// Another router sent it on, so this one does not.
-    pub is_forwarded: bool,
     /// Held while it is the only run of this request, which may crash servers.
     pub isolated_run: Option<RunningSuspect>,
     /// Held while it is the only run with a part of its prompt that is under suspicion.
@@ -87,7 +85,6 @@
             software: forwarding.as_ref().and_then(|it| it.software),
             is_origin_recorded: false,
             excluded: SmallVec::new(),
-            is_forwarded: forwarding.is_some(),
             isolated_run: None,
             part_trial: None,
             sends: forwarding.as_ref().map_or(0, |it| it.sends),
@@ -104,6 +101,11 @@
         self.trace.resumed
     }
 
+    /// Another router sent it on, so this one does not.
+    pub fn is_forwarded(&self) -> bool {
+        self.trace.forwarding.is_some()
+    }
+
     /// Hash of its id.
     pub fn id_hash(&self) -> u64 {
         hash_bytes(self.meta.id.as_bytes())
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -140,7 +140,7 @@
 
     /// The server, where this router sends to it itself.
     fn server(&self) -> Option<&Arc<Server>> {
-        self.in_flight.as_ref().map(InFlight::server)
+        server_of(&self.in_flight)
     }
 
     fn progress(&self) -> RunProgress {
@@ -172,7 +172,7 @@
             Some(events) if events.is_empty() => Next::Bytes(events),
             Some(events) => {
                 self.waited = Duration::ZERO;
-                if let Some(server) = self.in_flight.as_ref().map(InFlight::server) {
+                if let Some(server) = server_of(&self.in_flight) {
                     self.pending.trace.record_software(&server.software);
                     if self.resumable {
                         self.relay.record_origin(&mut self.pending, &server.software);
@@ -218,7 +218,7 @@
 
     /// Whether the stream may resume at another server; if so, spends a retry.
     fn may_resume(&mut self) -> bool {
-        let server = self.in_flight.as_ref().map(|it| &**it.server());
+        let server = server_of(&self.in_flight).map(Arc::as_ref);
         self.resumable && self.relay.may_resume(&mut self.pending, server)
     }
 
@@ -229,7 +229,7 @@
         self.events.resume();
         self.pending.trace.body_end = None;
         let last = self.events.last_id().map(str::to_owned);
-        let server = self.in_flight.as_ref().map(|it| &**it.server());
+        let server = server_of(&self.in_flight).map(Arc::as_ref);
         self.pending.prepare_resume(server, last.as_deref());
         match self.relay.run_attempts(&mut self.pending).await {
             Ok(Answer::Stream(reply, _)) => {
@@ -246,3 +246,8 @@
         }
     }
 }
+
+/// The server of a request in flight. Borrows no more of a stream than this.
+fn server_of(in_flight: &Option<InFlight>) -> Option<&Arc<Server>> {
+    in_flight.as_ref().map(InFlight::server)
+}
