Peers: one iterator over living routers, one limit on news, files of their own for readers and news

The limit on how long news are passed on stood beside that of Learnt; is_news serves both. No behaviour changes. Not measured: what it saves.

--- a/src/decide/learnt.rs
+++ b/src/decide/learnt.rs
@@ -21,10 +21,15 @@
 
     /// Whether it is still passed on.
     pub fn is_news(&self, now: Instant) -> bool {
-        now.saturating_duration_since(self.at) < NEWS_TIME
+        is_news(self.at, now)
     }
 }
 
+/// Whether what was learnt at `at` is still passed on.
+pub(crate) fn is_news(at: Instant, now: Instant) -> bool {
+    now.saturating_duration_since(at) < NEWS_TIME
+}
+
 /// Removes the entry with the earliest time.
 pub(crate) fn remove_oldest(times: &mut HashMap<u64, Learnt<Instant>>) {
     let oldest = times.iter().min_by_key(|(_, it)| it.value);
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -42,7 +42,7 @@
 pub use failure_point::FailurePoint;
 pub use hash::{chat_key, combine, hash_bytes, weighted_score};
 pub use key_rates::{KeyRates, UNSEEN_TIME};
-pub(crate) use learnt::{Learnt, remove_oldest};
+pub(crate) use learnt::{Learnt, is_news, remove_oldest};
 pub use max_in_flight::{max_at_brittle, max_in_flight};
 pub use named_limit::LimitSenders;
 pub use outlier::{Outliers, ServerResult};
--- a/src/peers/mod.rs
+++ b/src/peers/mod.rs
@@ -3,10 +3,13 @@
 mod client;
 mod encoding;
 mod message;
+mod own_report;
 mod part_news;
 mod peer;
 mod peer_failure;
+mod peer_news;
 mod peer_table;
+mod readers;
 mod round;
 mod silence;
 
@@ -15,9 +18,12 @@
 pub(crate) use encoding::encode_with;
 pub use encoding::{decode, encode};
 pub use message::Message;
+pub use own_report::OwnReport;
 pub(crate) use part_news::{part_news_from_wire, part_news_to_wire};
 pub(crate) use peer::Peer;
-pub use peer_failure::{FailureKind, PeerFailure};
-pub use peer_table::{OwnReport, PeerLoad, PeerTable, Reader};
+pub use peer_failure::FailureKind;
+pub(crate) use peer_failure::PeerFailure;
+pub use peer_table::{PeerLoad, PeerTable};
+pub use readers::Reader;
 pub(crate) use round::ROUND_INTERVAL;
 pub use round::RoundTargets;
--- a/src/router/router.rs
+++ b/src/router/router.rs
@@ -16,7 +16,7 @@
 use crate::events::{Code, LogOnce};
 use crate::fleet::CrashReport;
 use crate::peers::{
-    Message, OwnReport, Peer, PeerClient, PeerFailure, PeerLoad, PeerTable, part_news_from_wire,
+    Message, OwnReport, Peer, PeerClient, PeerLoad, PeerTable, part_news_from_wire,
     part_news_to_wire,
 };
 use crate::relay::{
@@ -29,7 +29,7 @@
 use crate::servers::{ServerRecord, StoreEra, TableRevision};
 use crate::wire::{
     ServerLoad, WireNews, WireRouter, WireServer, WireServers, WireServersAddition,
-    WireServersRequest, pack_loads, pack_sightings, unpack_sightings,
+    WireServersRequest, pack_loads,
 };
 
 /// Weight of the results at a backend server up to which an idle one is not reported.
@@ -37,8 +37,6 @@
 
 /// Limit of the crash reports in one message to another router.
 const MAX_TOLD_CRASHES: usize = 32;
-/// Limit of the failed exchanges in one message to another router.
-const MAX_TOLD_FAILURES: usize = 16;
 
 /// A router: its store, its peers and its relay.
 #[derive(Debug)]
@@ -191,9 +189,8 @@
     fn news(&self, now: Instant) -> WireNews {
         let parts = self.relay.parts.lock().unwrap().news(now);
         let peers = self.peers.lock().unwrap();
-        let sightings = pack_sightings(peers.sightings(now, &mut rand::rng()));
-        let failures = peers.failures(now).take(MAX_TOLD_FAILURES).map(|it| it.to_wire(now));
-        let failures = failures.collect();
+        let sightings = peers.sightings(now, &mut rand::rng());
+        let failures = peers.failures(now);
         drop(peers);
         WireNews {
             parts: part_news_to_wire(&parts, now),
@@ -293,10 +290,8 @@
         let sender = exchange.own.router.name.clone();
         peers.merge_message(exchange, now);
         peers.set_cut_off(&sender, news.cut_off.into());
-        peers.merge_sightings(&sender, unpack_sightings(&news.sightings), now);
-        for it in news.failures.into_iter().filter_map(|it| PeerFailure::from_wire(it, now)) {
-            peers.merge_failure(&it);
-        }
+        peers.merge_sightings(&sender, &news.sightings, now);
+        peers.merge_failures(news.failures, now);
         if self.relay.cut_services.load(Relaxed) > 0 {
             self.update_forwarders(&peers, now);
         }
--- a/tests/it/peer_silence.rs
+++ b/tests/it/peer_silence.rs
@@ -5,10 +5,8 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use filberttiller::peers::{FailureKind, Message, OwnReport, PeerFailure, PeerTable};
-use filberttiller::wire::{
-    ServerLoad, WireNews, WireRouter, pack_loads, pack_sightings, unpack_sightings,
-};
+use filberttiller::peers::{FailureKind, Message, OwnReport, PeerTable};
+use filberttiller::wire::{ServerLoad, WireNews, WireRouter, pack_loads};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use rstest::rstest;
@@ -132,8 +130,8 @@
             OwnReport { ready: true, loads: pack_loads((0..30).map(load)), ..OwnReport::default() };
         let table = &self.tables[router];
         let news = WireNews {
-            sightings: pack_sightings(table.sightings(now, &mut self.random)),
-            failures: table.failures(now).map(|it| it.to_wire(now)).collect(),
+            sightings: table.sightings(now, &mut self.random),
+            failures: table.failures(now),
             ..WireNews::default()
         };
         let message = Message { exchange: table.message(own, now, &mut self.random), news };
@@ -179,10 +177,8 @@
     let Message { exchange, news } = message;
     let sender = exchange.own.router.name.clone();
     table.merge_message(exchange, now);
-    table.merge_sightings(&sender, unpack_sightings(&news.sightings), now);
-    for it in news.failures.into_iter().filter_map(|it| PeerFailure::from_wire(it, now)) {
-        table.merge_failure(&it);
-    }
+    table.merge_sightings(&sender, &news.sightings, now);
+    table.merge_failures(news.failures, now);
 }
 
 /// Guards against living routers of a large fleet that count as dead as little is heard of them in
