--- a/src/servers/mod.rs
+++ b/src/servers/mod.rs
@@ -3,6 +3,7 @@
 
 mod backoff;
 mod change;
+mod effect;
 mod leaving_statements;
 mod list_cursor;
 mod record;
@@ -13,10 +14,12 @@
 mod software_version;
 mod stated_condition;
 mod table;
+mod table_changes;
 mod table_id;
 
 pub use backoff::Backoff;
 pub use change::{Change, Page, Position, StoreEra};
+pub use effect::Effect;
 pub use list_cursor::{ListCursor, TableRevision};
 pub use record::{ServerRecord, ServerState};
 pub use server::{InFlight, Server};
@@ -24,4 +27,5 @@
 pub use software_history::{SeenSoftware, ServiceSoftware};
 pub use software_version::SoftwareVersion;
 pub use stated_condition::StatedCondition;
-pub use table::{Effect, ServerTable, TableChanges};
+pub use table::ServerTable;
+pub use table_changes::TableChanges;
--- a/src/servers/table.rs
+++ b/src/servers/table.rs
@@ -9,8 +9,8 @@
 use crate::servers::software_history::SoftwareHistory;
 use crate::servers::table_id::TableId;
 use crate::servers::{
-    Change, Page, Position, SeenSoftware, Server, ServerRecord, ServerState, ServiceSoftware,
-    StatedCondition, TableRevision,
+    Change, Effect, Page, Position, SeenSoftware, Server, ServerRecord, ServerState,
+    ServiceSoftware, StatedCondition, TableChanges, TableRevision,
 };
 
 /// How long records may be missing after an outage of the store that supplies them.
@@ -34,37 +34,6 @@
     revision: u64,
 }
 
-key! {
-    /// The effect of a change on a server.
-    pub enum Effect {
-        /// Nothing.
-        None,
-        /// A new incarnation takes work.
-        Joined,
-        /// It takes no new work.
-        Left,
-        /// Its record is gone, after it had left.
-        Gone,
-        /// Its record cannot be used.
-        Unreadable,
-        /// Its record went during an outage and may reappear; the server is still used.
-        Retained,
-    }
-}
-
-/// The changes of a table after a revision.
-#[derive(Debug, Clone, PartialEq)]
-pub struct TableChanges {
-    /// The last change.
-    pub revision: TableRevision,
-    /// What the table was read up to in the store.
-    pub position: Position,
-    /// All servers are listed: those that are not do not exist.
-    pub is_complete: bool,
-    /// Changed servers by id; those without a record are gone or cannot be used.
-    pub entries: Vec<(String, Option<ServerRecord>)>,
-}
-
 /// The backend servers by id and by service.
 #[derive(Debug, Default)]
 pub struct ServerTable {
--- a/tests/it/server_lists.rs
+++ b/tests/it/server_lists.rs
@@ -10,30 +10,12 @@
 };
 use rstest::rstest;
 
-use crate::support::server_record;
-
-fn record(born: u64, sequence: u64, state: ServerState) -> ServerRecord {
-    ServerRecord { state, born, sequence, ..server_record() }
-}
-
-fn put(key: &str, born: u64, sequence: u64, state: ServerState) -> Change<ServerRecord> {
-    Change { key: key.to_owned(), value: Some(Ok(record(born, sequence, state))) }
-}
-
-fn gone(key: &str) -> Change<ServerRecord> {
-    Change { key: key.to_owned(), value: None }
-}
+use crate::server_records::{gone, ids, put, ready, record};
 
 fn at(era: u64, offset: u64) -> Position {
     Position { era: StoreEra::Number(era), offset }
 }
 
-fn ids(table: &ServerTable) -> Vec<String> {
-    let mut ids: Vec<String> = table.all().map(|it| it.id.to_string()).collect();
-    ids.sort();
-    ids
-}
-
 /// A router that reads the store, and its address.
 struct Reader {
     address: SocketAddr,
@@ -78,22 +60,23 @@
     }
 }
 
-const READY: ServerState = ServerState::Ready;
-const LEAVING: ServerState = ServerState::Leaving;
+fn leaving(born: u64, sequence: u64) -> ServerRecord {
+    record(born, sequence, ServerState::Leaving)
+}
 
 /// Guards against a leaving that is skipped as the follower changes to another reader, which
 /// started in the same millisecond and has counted more changes (DRAIN).
 #[test]
 fn poll_other_reader_lists_all() {
     let (mut first, mut second) = (Reader::new(1), Reader::new(2));
-    first.read(vec![put("a", 1, 1, READY), put("b", 1, 1, READY)], at(0, 2), true);
+    first.read(vec![put("a", ready(1, 1)), put("b", ready(1, 1))], at(0, 2), true);
     // It has seen more changes of the same servers.
-    second.read(vec![put("a", 1, 0, LEAVING), put("b", 1, 0, READY)], at(0, 0), true);
-    second.read(vec![put("a", 1, 1, READY), put("b", 1, 1, READY)], at(0, 2), false);
+    second.read(vec![put("a", leaving(1, 0)), put("b", ready(1, 0))], at(0, 0), true);
+    second.read(vec![put("a", ready(1, 1)), put("b", ready(1, 1))], at(0, 2), false);
     let mut follower = Follower::default();
     follower.poll(&second);
-    first.read(vec![put("a", 1, 2, LEAVING)], at(0, 3), false);
-    second.read(vec![put("a", 1, 2, LEAVING)], at(0, 3), false);
+    first.read(vec![put("a", leaving(1, 2))], at(0, 3), false);
+    second.read(vec![put("a", leaving(1, 2))], at(0, 3), false);
     follower.poll(&first);
     assert_eq!(ids(&follower.table), ["b"]);
 }
@@ -103,7 +86,7 @@
 fn since_revision_of_other_table() {
     let (mut first, mut second) = (Reader::new(1), Reader::new(2));
     for it in [&mut first, &mut second] {
-        it.read(vec![put("a", 1, 1, READY)], at(0, 1), true);
+        it.read(vec![put("a", ready(1, 1))], at(0, 1), true);
     }
     let known = first.table.since(TableRevision::default()).revision;
     assert!(!first.table.since(known).is_complete);
@@ -123,17 +106,17 @@
 
 /// Guards against a reader that lags behind another one and undoes what the follower knows.
 #[rstest]
-#[case::server_joined(vec![put("b", 1, 1, READY)], &["a", "b"])]
-#[case::server_left(vec![put("a", 1, 2, LEAVING)], &[])]
+#[case::server_joined(vec![put("b", ready(1, 1))], &["a", "b"])]
+#[case::server_left(vec![put("a", leaving(1, 2))], &[])]
 #[case::server_removed(vec![gone("a")], &[])]
-#[case::server_restarted(vec![gone("a"), put("a", 2, 1, READY)], &["a"])]
+#[case::server_restarted(vec![gone("a"), put("a", ready(2, 1))], &["a"])]
 fn poll_lagging_reader_undoes_nothing(
     #[case] changes: Vec<Change<ServerRecord>>,
     #[case] expected: &[&str],
 ) {
     let (mut first, mut second) = (Reader::new(1), Reader::new(2));
-    first.read(vec![put("a", 1, 1, READY)], at(0, 1), true);
-    second.read(vec![put("a", 1, 1, READY)], at(0, 1), true);
+    first.read(vec![put("a", ready(1, 1))], at(0, 1), true);
+    second.read(vec![put("a", ready(1, 1))], at(0, 1), true);
     first.read(changes.clone(), at(0, 3), false);
     let mut follower = Follower::default();
     follower.poll(&first);
@@ -149,11 +132,11 @@
 #[test]
 fn poll_removal_before_own_read() {
     let mut reader = Reader::new(1);
-    reader.read(vec![put("a", 1, 1, READY)], at(0, 1), true);
+    reader.read(vec![put("a", ready(1, 1))], at(0, 1), true);
     let mut follower = Follower::default();
     follower.poll(&reader);
     reader.read(vec![gone("a")], at(0, 2), false);
-    let restarted = vec![put("a", 2, 1, READY)];
+    let restarted = vec![put("a", ready(2, 1))];
     let page = Page { changes: restarted.clone(), next: at(0, 3), is_complete: true };
     follower.table.apply(page, Instant::now(), |_, _| {});
     assert!(!follower.poll(&reader));
@@ -173,7 +156,7 @@
 #[case::era_not_told(Position { era: StoreEra::Unnamed, offset: 2 }, true)]
 fn apply_position(#[case] next: Position, #[case] is_applied: bool) {
     let mut reader = Reader::new(1);
-    reader.read(vec![put("a", 1, 1, READY)], at(0, 5), true);
+    reader.read(vec![put("a", ready(1, 1))], at(0, 5), true);
     let page = Page { changes: vec![gone("a")], next, is_complete: false };
     assert_eq!(reader.table.apply(page, Instant::now(), |_, _| {}), is_applied);
     assert_eq!(ids(&reader.table).is_empty(), is_applied);
@@ -183,7 +166,7 @@
 #[test]
 fn apply_position_former_era() {
     let mut reader = Reader::new(1);
-    reader.read(vec![put("a", 1, 1, READY)], at(2, 5), true);
+    reader.read(vec![put("a", ready(1, 1))], at(2, 5), true);
     let page = Page { changes: vec![gone("a")], next: at(1, 90), is_complete: false };
     assert!(!reader.table.apply(page, Instant::now(), |_, _| {}));
 }
