--- a/src/router/router.rs
+++ b/src/router/router.rs
@@ -164,7 +164,7 @@
     pub(crate) fn update_forwarders(&self, peers: &PeerTable, now: Instant) {
         let forwarder = |it: &Peer| Forwarder {
             name: it.router.name.clone(),
-            hash: hash_bytes(it.router.name.as_bytes()),
+            hash: it.hash,
             address: it.router.peers,
             is_near: it.router.domain == self.settings.domain,
             cut_off: it.cut_off.clone(),
