--- /dev/null
+++ b/review/run-case.sh
@@ -0,0 +1,23 @@
+#!/bin/sh
+# Runs the case in review/$1 under the name $2: `review/N/run.sh` calls it. Ends all processes that the case started.
+cd "$(dirname "$0")/.."
+case_dir="review/$1"
+program=target/review/standin
+[ -x "$program" ] && [ -x target/release/filberttiller-platform ] || {
+    echo "run review/build.sh and the build of deploy/system.toml first" >&2
+    exit 2
+}
+work=$(mktemp -d) || exit 2
+clean() {
+    [ -z "$child" ] || kill -KILL "$child" 2>/dev/null
+    for pid in $(cat "$work/pids" 2>/dev/null); do kill -KILL "$pid" 2>/dev/null; done
+    rm -rf "$work"
+}
+trap clean EXIT
+trap 'exit 2' INT TERM HUP
+timeout -k 1 110 "$program" "$2" "$work" "$case_dir/record.txt" &
+child=$!
+wait "$child"
+code=$?
+child=
+case $code in 0 | 1) exit $code ;; *) exit 2 ;; esac
--- /dev/null
+++ b/review/standin/client.rs
@@ -0,0 +1,138 @@
+//! Stand-in of a client: one attempt on a connection of its own.
+
+use std::io::{self, BufReader, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::time::{Duration, Instant};
+
+use crate::http::{Head, read_body, read_chunk, read_head};
+
+/// Limit on establishing a connection.
+const CONNECT_LIMIT: Duration = Duration::from_secs(1);
+
+#[derive(Debug, Clone)]
+pub struct Attempt {
+    pub router: SocketAddr,
+    pub id: String,
+    pub path: String,
+    pub deadline: Duration,
+    /// Last event that the client has of the stream, and the attempt that brought its first event.
+    pub resumes: Option<(u64, String)>,
+    pub body: Vec<u8>,
+}
+
+/// An event that the client got.
+#[derive(Debug, Clone)]
+pub struct Event {
+    pub number: u64,
+    pub version: String,
+}
+
+#[derive(Debug, Default)]
+pub struct Outcome {
+    pub status: Option<u16>,
+    pub retry_after: Option<Duration>,
+    pub events: Vec<Event>,
+    /// The answer came to its end.
+    pub complete: bool,
+    /// Why it did not.
+    pub error: String,
+}
+
+impl Outcome {
+    pub fn text(&self) -> String {
+        let status = self.status.map_or("none".to_owned(), |it| it.to_string());
+        let numbers = match (self.events.first(), self.events.last()) {
+            (Some(a), Some(b)) => format!(", events {} to {}", a.number, b.number),
+            _ => String::new(),
+        };
+        let end = if self.complete { "complete" } else { self.error.as_str() };
+        format!("status {status}{numbers}, {end}")
+    }
+}
+
+impl Attempt {
+    pub fn send(&self) -> Outcome {
+        let mut outcome = Outcome::default();
+        match self.exchange(&mut outcome) {
+            Ok(()) => outcome.complete = true,
+            Err(e) => outcome.error = e.to_string(),
+        }
+        outcome
+    }
+
+    fn exchange(&self, outcome: &mut Outcome) -> io::Result<()> {
+        let until = Instant::now() + self.deadline;
+        let stream = TcpStream::connect_timeout(&self.router, CONNECT_LIMIT)?;
+        stream.set_nodelay(true)?;
+        let mut stream = BufReader::new(stream);
+        stream.get_mut().write_all(&self.head())?;
+        stream.get_mut().write_all(&self.body)?;
+        let head = self.within(until, &mut stream, |it| read_head(it))?;
+        let head = head.ok_or(io::ErrorKind::UnexpectedEof)?;
+        outcome.status = head.status();
+        outcome.retry_after = retry_after(&head);
+        if !head.is_chunked() {
+            return self.within(until, &mut stream, |it| read_body(it, &head)).map(drop);
+        }
+        let mut partial = String::new();
+        loop {
+            let chunk = self.within(until, &mut stream, |it| read_chunk(it))?;
+            if chunk.is_empty() {
+                return Ok(());
+            }
+            partial.push_str(&String::from_utf8_lossy(&chunk));
+            while let Some((event, rest)) = partial.split_once("\n\n") {
+                outcome.events.extend(parse(event));
+                partial = rest.to_owned();
+            }
+        }
+    }
+
+    fn within<T>(
+        &self,
+        until: Instant,
+        stream: &mut BufReader<TcpStream>,
+        read: impl FnOnce(&mut BufReader<TcpStream>) -> io::Result<T>,
+    ) -> io::Result<T> {
+        let left = until.saturating_duration_since(Instant::now()).max(Duration::from_millis(1));
+        stream.get_ref().set_read_timeout(Some(left))?;
+        read(stream)
+    }
+
+    fn head(&self) -> Vec<u8> {
+        let mut text = format!(
+            "POST {} HTTP/1.1\r\nHost: calls.example\r\nRequest-Id: {}\r\nModel: m\r\n\
+             Token-Counts: 540,400\r\nPrompt-Prefix: {:x}:500,{:x}:40\r\nDeadline-Ms: {}\r\n\
+             Authorization: Token key-1\r\nContent-Length: {}\r\n",
+            self.path,
+            self.id,
+            hash(&self.id),
+            hash(&self.id) ^ 1,
+            self.deadline.as_millis(),
+            self.body.len()
+        );
+        if let Some((last, first)) = &self.resumes {
+            text.push_str(&format!("Last-Event-Id: {last}\r\nResumes: {first}\r\n"));
+        }
+        text.push_str("\r\n");
+        text.into_bytes()
+    }
+}
+
+/// Prompts differ, so that requests spread over all servers.
+fn hash(text: &str) -> u64 {
+    text.bytes()
+        .fold(0xcbf2_9ce4_8422_2325, |sum, it| (sum ^ u64::from(it)).wrapping_mul(0x0100_0000_01b3))
+}
+
+fn retry_after(head: &Head) -> Option<Duration> {
+    let seconds = head.get("retry-after")?.parse().ok()?;
+    Duration::try_from_secs_f64(seconds).ok()
+}
+
+fn parse(event: &str) -> Option<Event> {
+    let field = |name: &str| event.lines().find_map(|it| it.strip_prefix(name));
+    let number = field("id: ")?.parse().ok()?;
+    let version = field("data: ")?.split(' ').next()?.to_owned();
+    Some(Event { number, version })
+}
