--- a/review/standin/client.rs
+++ b/review/standin/client.rs
@@ -1,10 +1,13 @@
 //! Stand-in of a client: one attempt on a connection of its own.
 
-use std::io::{self, BufReader, Write};
+use std::io::{self, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpStream};
+use std::os::fd::AsRawFd;
+use std::sync::Arc;
+use std::thread::sleep;
 use std::time::{Duration, Instant};
 
-use crate::http::{Head, read_body, read_chunk, read_head};
+use crate::http::{Head, read_chunk, read_head};
 
 /// Limit on establishing a connection.
 const CONNECT_LIMIT: Duration = Duration::from_secs(1);
@@ -17,7 +20,9 @@
     pub deadline: Duration,
     /// Last event that the client has of the stream, and the attempt that brought its first event.
     pub resumes: Option<(u64, String)>,
-    pub body: Vec<u8>,
+    pub body: Arc<[u8]>,
+    /// Bytes a second that the client's link takes; absent if it is fast.
+    pub rate: Option<usize>,
 }
 
 /// An event that the client got.
@@ -32,6 +37,8 @@
     pub status: Option<u16>,
     pub retry_after: Option<Duration>,
     pub events: Vec<Event>,
+    /// Bytes of the body that have come, where it is no stream, and the length that it announces.
+    pub body: (usize, usize),
     /// The answer came to its end.
     pub complete: bool,
     /// Why it did not.
@@ -45,6 +52,8 @@
             (Some(a), Some(b)) => format!(", events {} to {}", a.number, b.number),
             _ => String::new(),
         };
+        let (got, all) = self.body;
+        let numbers = if all > 0 { format!(", {got} of {all} bytes") } else { numbers };
         let end = if self.complete { "complete" } else { self.error.as_str() };
         format!("status {status}{numbers}, {end}")
     }
@@ -64,6 +73,9 @@
         let until = Instant::now() + self.deadline;
         let stream = TcpStream::connect_timeout(&self.router, CONNECT_LIMIT)?;
         stream.set_nodelay(true)?;
+        if self.rate.is_some() {
+            limit_window(&stream);
+        }
         let mut stream = BufReader::new(stream);
         stream.get_mut().write_all(&self.head())?;
         stream.get_mut().write_all(&self.body)?;
@@ -72,7 +84,7 @@
         outcome.status = head.status();
         outcome.retry_after = retry_after(&head);
         if !head.is_chunked() {
-            return self.within(until, &mut stream, |it| read_body(it, &head)).map(drop);
+            return self.read_body(until, &mut stream, &head, outcome);
         }
         let mut partial = String::new();
         loop {
@@ -88,6 +100,30 @@
         }
     }
 
+    /// Reads a body at the rate of the client's link.
+    fn read_body(
+        &self,
+        until: Instant,
+        stream: &mut BufReader<TcpStream>,
+        head: &Head,
+        outcome: &mut Outcome,
+    ) -> io::Result<()> {
+        outcome.body.1 = head.get("content-length").and_then(|it| it.parse().ok()).unwrap_or(0);
+        let mut buffer = vec![0; 16 * 1024];
+        while outcome.body.0 < outcome.body.1 {
+            let part = buffer.len().min(outcome.body.1 - outcome.body.0);
+            let read = self.within(until, stream, |it| it.read(&mut buffer[..part]))?;
+            if read == 0 {
+                return Err(io::ErrorKind::UnexpectedEof.into());
+            }
+            outcome.body.0 += read;
+            if let Some(rate) = self.rate {
+                sleep(Duration::from_secs_f64(read as f64 / rate as f64));
+            }
+        }
+        Ok(())
+    }
+
     fn within<T>(
         &self,
         until: Instant,
@@ -119,6 +155,19 @@
     }
 }
 
+/// Keeps the receive window as small as those of the platform's links.
+fn limit_window(stream: &TcpStream) {
+    const SOL_SOCKET: i32 = 1;
+    const SO_RCVBUF: i32 = 8;
+    let bytes: i32 = 64 * 1024;
+    // SAFETY: the descriptor is open, and the option is an `int` that lives through the call.
+    unsafe { setsockopt(stream.as_raw_fd(), SOL_SOCKET, SO_RCVBUF, &bytes, 4) };
+}
+
+unsafe extern "C" {
+    fn setsockopt(socket: i32, level: i32, name: i32, value: *const i32, length: u32) -> i32;
+}
+
 /// Prompts differ, so that requests spread over all servers.
 fn hash(text: &str) -> u64 {
     text.bytes()
--- a/review/standin/config.rs
+++ b/review/standin/config.rs
@@ -16,6 +16,7 @@
     let routes = [
         route("stream", "streaming", 12_000, 600, 2, true),
         route("read", "idempotent", 4_000, 300, 2, false),
+        route("fetch", "idempotent", 12_000, 600, 2, false),
         route("once", "non_idempotent", 4_000, 300, 1, false),
     ];
     let config = format!(
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -4,12 +4,14 @@
 //! Arguments: the case, a temporary folder, the path of the record. Exit codes: 0 the rule held,
 //! 1 it was broken, 2 the case could not run. With `TROUBLE=0` the disruption is left out.
 
+mod bodies;
 mod client;
 mod config;
 mod http;
 mod record;
 mod router;
 mod silence;
+mod stop;
 mod store;
 mod streams;
 mod take_up;
@@ -50,6 +52,8 @@
     let verdict: io::Result<Verdict> = match name.as_str() {
         "versions" => versions::run(&setting),
         "take-up" => take_up::run(&setting),
+        "bodies" => bodies::run(&setting),
+        "stop" => stop::run(&setting),
         "silence" => silence::run(&setting),
         _ => Ok(Verdict::Void(format!("there is no case {name}"))),
     };
--- a/review/standin/silence.rs
+++ b/review/standin/silence.rs
@@ -3,6 +3,7 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::sync::mpsc::channel;
 use std::thread::{self, sleep};
 use std::time::{Duration, Instant};
@@ -31,6 +32,7 @@
         events: 16,
         gap: Duration::from_millis(200),
         work: Duration::from_millis(60),
+        answer_bytes: 800,
     }
 }
 
@@ -99,7 +101,8 @@
                     path: "/read/x".to_owned(),
                     deadline: Duration::from_secs(4),
                     resumes: None,
-                    body: b"words".to_vec(),
+                    body: Arc::from(*b"words"),
+                    rate: None,
                 };
                 let _: Outcome = attempt.send();
             }
--- a/review/standin/streams.rs
+++ b/review/standin/streams.rs
@@ -1,6 +1,7 @@
 //! Clients that read a stream to its end, over several attempts if need be.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::sync::mpsc::{Receiver, channel};
 use std::thread::{self, sleep};
 use std::time::{Duration, Instant};
@@ -89,7 +90,8 @@
             path: "/stream/x".to_owned(),
             deadline: left,
             resumes: resumes.clone(),
-            body: b"words".to_vec(),
+            body: Arc::from(*b"words"),
+            rate: None,
         };
         let after =
             resumes.as_ref().map(|(last, first)| format!(", after event {last} of {first}"));
--- a/review/standin/take_up.rs
+++ b/review/standin/take_up.rs
@@ -37,6 +37,7 @@
                 events: 40,
                 gap: Duration::from_millis(200),
                 work: Duration::from_millis(60),
+                answer_bytes: 800,
             };
             Worker::start(options, record)
         })
--- a/review/standin/versions.rs
+++ b/review/standin/versions.rs
@@ -30,6 +30,7 @@
         events: 32,
         gap: Duration::from_millis(200),
         work: Duration::from_millis(60),
+        answer_bytes: 800,
     }
 }
 
--- a/review/standin/worker.rs
+++ b/review/standin/worker.rs
@@ -31,6 +31,8 @@
     pub gap: Duration,
     /// Time of other requests.
     pub work: Duration,
+    /// Length of the answers to them.
+    pub answer_bytes: usize,
 }
 
 struct Shared {
@@ -194,7 +196,8 @@
 
     fn work(&self, stream: &mut TcpStream, id: &str, load: &str) -> io::Result<()> {
         self.pause(stream, self.shared.options.work)?;
-        let body = format!("answer of {} to {id}", self.id());
+        let body = format!("answer of {} to {id} ", self.id());
+        let body = body.repeat(self.shared.options.answer_bytes / body.len() + 1);
         let text = format!(
             "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nServer-Seal: seal\r\n{load}Content-Length: {}\r\n\r\n{body}",
             body.len()
