--- a/review/standin/bodies.rs
+++ b/review/standin/bodies.rs
@@ -47,6 +47,7 @@
             gap: Duration::from_millis(200),
             work: Duration::from_millis(60),
             answer_bytes: 800,
+            drops: true,
         };
         Worker::start(options, record)?.register(&store);
     }
@@ -134,6 +135,7 @@
                 resumes: None,
                 body: Arc::clone(&body),
                 rate: None,
+                key: "key-1",
             };
             let sender = sender.clone();
             thread::spawn(move || sender.send(attempt.send()));
--- a/review/standin/client.rs
+++ b/review/standin/client.rs
@@ -2,7 +2,7 @@
 
 use std::io::{self, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpStream};
-use std::os::fd::AsRawFd;
+use std::os::fd::FromRawFd;
 use std::sync::Arc;
 use std::thread::sleep;
 use std::time::{Duration, Instant};
@@ -23,6 +23,7 @@
     pub body: Arc<[u8]>,
     /// Bytes a second that the client's link takes; absent if it is fast.
     pub rate: Option<usize>,
+    pub key: &'static str,
 }
 
 /// An event that the client got.
@@ -71,11 +72,11 @@
 
     fn exchange(&self, outcome: &mut Outcome) -> io::Result<()> {
         let until = Instant::now() + self.deadline;
-        let stream = TcpStream::connect_timeout(&self.router, CONNECT_LIMIT)?;
+        let stream = match self.rate {
+            None => TcpStream::connect_timeout(&self.router, CONNECT_LIMIT)?,
+            Some(_) => connect_slow(self.router)?,
+        };
         stream.set_nodelay(true)?;
-        if self.rate.is_some() {
-            limit_window(&stream);
-        }
         let mut stream = BufReader::new(stream);
         stream.get_mut().write_all(&self.head())?;
         stream.get_mut().write_all(&self.body)?;
@@ -109,7 +110,7 @@
         outcome: &mut Outcome,
     ) -> io::Result<()> {
         outcome.body.1 = head.get("content-length").and_then(|it| it.parse().ok()).unwrap_or(0);
-        let mut buffer = vec![0; 16 * 1024];
+        let mut buffer = vec![0; 4 * 1024];
         while outcome.body.0 < outcome.body.1 {
             let part = buffer.len().min(outcome.body.1 - outcome.body.0);
             let read = self.within(until, stream, |it| it.read(&mut buffer[..part]))?;
@@ -139,12 +140,13 @@
         let mut text = format!(
             "POST {} HTTP/1.1\r\nHost: calls.example\r\nRequest-Id: {}\r\nModel: m\r\n\
              Token-Counts: 540,400\r\nPrompt-Prefix: {:x}:500,{:x}:40\r\nDeadline-Ms: {}\r\n\
-             Authorization: Token key-1\r\nContent-Length: {}\r\n",
+             Authorization: Token {}\r\nContent-Length: {}\r\n",
             self.path,
             self.id,
             hash(&self.id),
             hash(&self.id) ^ 1,
             self.deadline.as_millis(),
+            self.key,
             self.body.len()
         );
         if let Some((last, first)) = &self.resumes {
@@ -155,17 +157,55 @@
     }
 }
 
-/// Keeps the receive window as small as those of the platform's links.
-fn limit_window(stream: &TcpStream) {
+/// Connects over a link with segments of the usual size and a small window, as the platform's links
+/// have; loopback would take megabytes at once.
+fn connect_slow(to: SocketAddr) -> io::Result<TcpStream> {
+    const AF_INET: i32 = 2;
+    const SOCK_STREAM: i32 = 1;
     const SOL_SOCKET: i32 = 1;
     const SO_RCVBUF: i32 = 8;
-    let bytes: i32 = 64 * 1024;
-    // SAFETY: the descriptor is open, and the option is an `int` that lives through the call.
-    unsafe { setsockopt(stream.as_raw_fd(), SOL_SOCKET, SO_RCVBUF, &bytes, 4) };
+    const IPPROTO_TCP: i32 = 6;
+    const TCP_MAXSEG: i32 = 2;
+    let SocketAddr::V4(to) = to else {
+        return Err(io::ErrorKind::Unsupported.into());
+    };
+    let address = Address {
+        family: AF_INET as u16,
+        port: to.port().to_be(),
+        ip: u32::from(*to.ip()).to_be(),
+        rest: [0; 8],
+    };
+    let (segment, window): (i32, i32) = (1_400, 64 * 1024);
+    // SAFETY: the calls get a socket that was just opened, and values that live through them; the
+    // socket is owned by the stream from then on.
+    unsafe {
+        let socket = socket(AF_INET, SOCK_STREAM, 0);
+        if socket < 0 {
+            return Err(io::Error::last_os_error());
+        }
+        let stream = TcpStream::from_raw_fd(socket);
+        setsockopt(socket, IPPROTO_TCP, TCP_MAXSEG, &segment, 4);
+        setsockopt(socket, SOL_SOCKET, SO_RCVBUF, &window, 4);
+        match connect(socket, &address, 16) {
+            0 => Ok(stream),
+            _ => Err(io::Error::last_os_error()),
+        }
+    }
+}
+
+/// `sockaddr_in` of the C library.
+#[repr(C)]
+struct Address {
+    family: u16,
+    port: u16,
+    ip: u32,
+    rest: [u8; 8],
 }
 
 unsafe extern "C" {
+    fn socket(domain: i32, kind: i32, protocol: i32) -> i32;
     fn setsockopt(socket: i32, level: i32, name: i32, value: *const i32, length: u32) -> i32;
+    fn connect(socket: i32, address: *const Address, length: u32) -> i32;
 }
 
 /// Prompts differ, so that requests spread over all servers.
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -8,7 +8,9 @@
 mod client;
 mod config;
 mod http;
+mod moved;
 mod record;
+mod revoked;
 mod router;
 mod silence;
 mod stop;
@@ -53,6 +55,8 @@
         "versions" => versions::run(&setting),
         "take-up" => take_up::run(&setting),
         "bodies" => bodies::run(&setting),
+        "moved" => moved::run(&setting),
+        "revoked" => revoked::run(&setting),
         "stop" => stop::run(&setting),
         "silence" => silence::run(&setting),
         _ => Ok(Verdict::Void(format!("there is no case {name}"))),
--- a/review/standin/silence.rs
+++ b/review/standin/silence.rs
@@ -33,6 +33,7 @@
         gap: Duration::from_millis(200),
         work: Duration::from_millis(60),
         answer_bytes: 800,
+        drops: true,
     }
 }
 
@@ -103,6 +104,7 @@
                     resumes: None,
                     body: Arc::from(*b"words"),
                     rate: None,
+                    key: "key-1",
                 };
                 let _: Outcome = attempt.send();
             }
--- a/review/standin/stop.rs
+++ b/review/standin/stop.rs
@@ -17,9 +17,9 @@
 const READY_LIMIT: Duration = Duration::from_secs(10);
 const DEADLINE: Duration = Duration::from_secs(12);
 const CLIENTS: usize = 4;
-const ANSWER_BYTES: usize = 7 * 1024 * 1024;
-/// About 11 Mbit a second: an answer takes 5.4 s.
-const LINK_RATE: usize = 1_350_000;
+const ANSWER_BYTES: usize = 3_000_000;
+/// 4.8 Mbit a second: an answer takes 5 s.
+const LINK_RATE: usize = 600_000;
 /// Clients keep the address of a router for `ttlS`, 2 s, and longer.
 const SEND_DELAY: Duration = Duration::from_millis(1_500);
 
@@ -36,6 +36,7 @@
         gap: Duration::ZERO,
         work: Duration::from_millis(60),
         answer_bytes: ANSWER_BYTES,
+        drops: true,
     };
     let worker = Worker::start(options, record)?;
     worker.register(&store);
@@ -59,6 +60,7 @@
             resumes: None,
             body: Arc::from(*b"words"),
             rate: Some(LINK_RATE),
+            key: "key-1",
         };
         let (sender, record) = (sender.clone(), record.clone());
         thread::spawn(move || {
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -3,8 +3,9 @@
 use std::collections::BTreeMap;
 use std::io::{self, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
-use std::thread;
+use std::thread::{self, sleep};
 use std::time::{Duration, Instant};
 
 use crate::http::{Head, read_body, read_head};
@@ -35,17 +36,33 @@
     changed: Condvar,
 }
 
+/// Time of each answer.
+const LATENCY: Duration = Duration::from_millis(4);
+/// `readMbS` of the settings, in bytes.
+const READ_RATE: f64 = 80e6;
+
 /// A running store. Cheap to clone.
 #[derive(Clone)]
 pub struct Store {
     pub address: SocketAddr,
     shared: Arc<Shared>,
+    /// It turns those away that call it at this address.
+    rejects: Arc<AtomicBool>,
 }
 
 impl Store {
     pub fn start() -> io::Result<Store> {
+        Store::listen(Arc::default())
+    }
+
+    /// The same store at another address, for machines that it may turn away.
+    pub fn start_other(&self) -> io::Result<Store> {
+        Store::listen(Arc::clone(&self.shared))
+    }
+
+    fn listen(shared: Arc<Shared>) -> io::Result<Store> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
-        let store = Store { address: listener.local_addr()?, shared: Arc::default() };
+        let store = Store { address: listener.local_addr()?, shared, rejects: Arc::default() };
         let it = store.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
@@ -56,6 +73,11 @@
         Ok(store)
     }
 
+    /// Sets whether it turns those away that call it at this address.
+    pub fn set_rejects(&self, rejects: bool) {
+        self.rejects.store(rejects, Ordering::SeqCst);
+    }
+
     /// Writes the newest value of a key; an empty one removes it.
     pub fn put(&self, topic: &str, key: &str, value: &str) {
         let mut record = vec![key.len() as u8];
@@ -79,7 +101,11 @@
         let mut stream = BufReader::new(stream);
         while let Some(head) = read_head(&mut stream)? {
             let body = read_body(&mut stream, &head)?;
-            let (status, kind, answer) = self.answer(&head, &body);
+            let (status, kind, answer) = match self.rejects.load(Ordering::SeqCst) {
+                true => ("503 Service Unavailable", "application/json", b"{}".to_vec()),
+                false => self.answer(&head, &body),
+            };
+            sleep(LATENCY + Duration::from_secs_f64(answer.len() as f64 / READ_RATE));
             let text = format!(
                 "HTTP/1.1 {status}\r\nStore-Era: 1\r\nContent-Type: {kind}\r\nContent-Length: {}\r\n\r\n",
                 answer.len()
@@ -105,7 +131,8 @@
             "/log-newest" => ("200 OK", json, self.newest(value("topic"), value("after"))),
             "/log-read" => {
                 let wait = Duration::from_millis(value("waitMs").parse().unwrap_or(0));
-                match self.read(value("topic"), value("from").parse().unwrap_or(0), wait) {
+                let limit = value("maxKb").parse().unwrap_or(1_024) * 1_024;
+                match self.read(value("topic"), value("from").parse().unwrap_or(0), wait, limit) {
                     Some(bytes) => ("200 OK", "application/octet-stream", bytes),
                     None => ("410 Gone", json, b"{\"first\":0}".to_vec()),
                 }
@@ -131,7 +158,8 @@
             .into_bytes()
     }
 
-    fn read(&self, topic: &str, from: usize, wait: Duration) -> Option<Vec<u8>> {
+    /// Records from the offset `from` on, at most `limit` bytes but one record at least.
+    fn read(&self, topic: &str, from: usize, wait: Duration, limit: usize) -> Option<Vec<u8>> {
         let until = Instant::now() + wait;
         let mut topics = self.shared.topics.lock().unwrap();
         loop {
@@ -143,7 +171,10 @@
             if from < records.len() || left.is_zero() {
                 let mut bytes = (records.len() as u64).to_be_bytes().to_vec();
                 bytes.extend(0u64.to_be_bytes());
-                for it in &records[from..] {
+                for (number, it) in records[from..].iter().enumerate() {
+                    if number > 0 && bytes.len() + 4 + it.len() > limit {
+                        break;
+                    }
                     bytes.extend((it.len() as u32).to_be_bytes());
                     bytes.extend(it);
                 }
--- a/review/standin/streams.rs
+++ b/review/standin/streams.rs
@@ -92,6 +92,7 @@
             resumes: resumes.clone(),
             body: Arc::from(*b"words"),
             rate: None,
+            key: "key-1",
         };
         let after =
             resumes.as_ref().map(|(last, first)| format!(", after event {last} of {first}"));
--- a/review/standin/take_up.rs
+++ b/review/standin/take_up.rs
@@ -38,6 +38,7 @@
                 gap: Duration::from_millis(200),
                 work: Duration::from_millis(60),
                 answer_bytes: 800,
+                drops: true,
             };
             Worker::start(options, record)
         })
@@ -55,7 +56,7 @@
     }
     sleep(Duration::from_secs(4));
     let addresses = [routers[0].callers, routers[1].callers];
-    let patience = Patience { retries: 12, pause: Duration::from_millis(700) };
+    let patience = Patience { retries: 5, pause: Duration::from_millis(1_500) };
     let start = |name: String, number: usize, patience: &Patience| {
         let own = vec![addresses[number % 2], addresses[(number + 1) % 2]];
         start_chat(name, own, DEADLINE, patience.clone(), record)
--- a/review/standin/versions.rs
+++ b/review/standin/versions.rs
@@ -31,6 +31,7 @@
         gap: Duration::from_millis(200),
         work: Duration::from_millis(60),
         answer_bytes: 800,
+        drops: true,
     }
 }
 
@@ -63,7 +64,7 @@
     // The fleet has been in touch for a while.
     sleep(Duration::from_secs(4));
     let addresses = [routers[0].callers, routers[1].callers];
-    let patience = Patience { retries: 8, pause: Duration::from_millis(500) };
+    let patience = Patience { retries: 4, pause: Duration::from_millis(1_000) };
     let chats: Vec<_> = (0..STREAMS)
         .map(|number| {
             let own = vec![addresses[number % 2], addresses[(number + 1) % 2]];
--- a/review/standin/worker.rs
+++ b/review/standin/worker.rs
@@ -1,7 +1,8 @@
 //! Stand-in of a backend server (a worker in the terms of the pages).
 //!
 //! It runs `slots` requests at once and lets `queue` more wait; it turns others away with 503 and
-//! `Not-Run`. It stops a run when the caller closes the connection. Paths with `/stream/` are
+//! `Not-Run`. It stops a run when the caller closes the connection, unless it is one of the few
+//! workers that do not. Paths with `/stream/` are
 //! answered with events, all others after `work` with a short body.
 
 use std::io::{self, BufReader, Write};
@@ -33,6 +34,17 @@
     pub work: Duration,
     /// Length of the answers to them.
     pub answer_bytes: usize,
+    /// It drops a request when its connection closes.
+    pub drops: bool,
+}
+
+/// A request that the worker runs or ran.
+#[derive(Debug, Clone)]
+pub struct Run {
+    pub request: String,
+    pub began: Instant,
+    /// When the worker no longer worked on it.
+    pub ended: Option<Instant>,
 }
 
 struct Shared {
@@ -40,6 +52,7 @@
     record: Record,
     places: Mutex<(usize, usize)>,
     silent_until: Mutex<Option<Instant>>,
+    runs: Mutex<Vec<Run>>,
     sequence: AtomicU64,
     born: u128,
     is_listed: AtomicBool,
@@ -61,6 +74,7 @@
             record: record.clone(),
             places: Mutex::default(),
             silent_until: Mutex::default(),
+            runs: Mutex::default(),
             sequence: AtomicU64::new(0),
             born,
             is_listed: AtomicBool::new(true),
@@ -80,6 +94,10 @@
         self.shared.options.id
     }
 
+    pub fn runs(&self) -> Vec<Run> {
+        self.shared.runs.lock().unwrap().clone()
+    }
+
     /// Running and waiting requests.
     pub fn load(&self) -> (usize, usize) {
         *self.shared.places.lock().unwrap()
@@ -177,6 +195,7 @@
         };
         let after = head.get("last-event-id").and_then(|it| it.parse().ok()).unwrap_or(0);
         let WorkerOptions { id: own, version, .. } = self.shared.options;
+        let at = self.begin(&id);
         self.shared.record.line(format!(
             "server {own} ({version}) runs {id} {} after event {after}",
             head.path()
@@ -186,6 +205,7 @@
             false => self.work(stream, &id, &load(self)),
         };
         drop(place);
+        self.shared.runs.lock().unwrap()[at].ended = Some(Instant::now());
         let end = match &result {
             Ok(()) => "complete".to_owned(),
             Err(e) => format!("the caller closed the connection ({e})"),
@@ -194,6 +214,13 @@
         result
     }
 
+    /// Notes that a run begins; returns its number.
+    fn begin(&self, id: &str) -> usize {
+        let mut runs = self.shared.runs.lock().unwrap();
+        runs.push(Run { request: id.to_owned(), began: Instant::now(), ended: None });
+        runs.len() - 1
+    }
+
     fn work(&self, stream: &mut TcpStream, id: &str, load: &str) -> io::Result<()> {
         self.pause(stream, self.shared.options.work)?;
         let body = format!("answer of {} to {id} ", self.id());
@@ -216,7 +243,10 @@
             let event = format!("id: {number}\ndata: {version} {} token {number}\n\n", self.id());
             let start = if number == after + 1 { head.as_str() } else { "" };
             let text = format!("{start}{:x}\r\n{event}\r\n", event.len());
-            stream.write_all(text.as_bytes())?;
+            let written = stream.write_all(text.as_bytes());
+            if self.shared.options.drops {
+                written?;
+            }
         }
         stream.write_all(b"0\r\n\r\n")
     }
@@ -226,7 +256,9 @@
         let until = Instant::now() + time;
         while Instant::now() < until || self.is_silent() {
             sleep(TICK);
-            check_caller(stream)?;
+            if self.shared.options.drops {
+                check_caller(stream)?;
+            }
         }
         Ok(())
     }
