--- a/review/n5/run.sh
+++ /dev/null
@@ -1,3 +0,0 @@
-#!/bin/sh
-# Case 4; exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
-exec "$(dirname "$0")/../run-case.sh" 4 stop
