--- a/review/run-case.sh
+++ b/review/run-case.sh
@@ -1,5 +1,6 @@
 #!/bin/sh
-# Runs the case in review/$1 under the name $2: `review/N/run.sh` calls it. Ends all processes that the case started.
+# Runs the case in review/$1 under the name $2: `review/N/run.sh` calls it. Ends all processes that
+# the case started.
 cd "$(dirname "$0")/.."
 case_dir="review/$1"
 program=target/review/standin
@@ -8,9 +9,15 @@
     exit 2
 }
 work=$(mktemp -d) || exit 2
+child=
+# The stand-in ends its routers itself, unless it is killed.
 clean() {
-    [ -z "$child" ] || kill -KILL "$child" 2>/dev/null
-    for pid in $(cat "$work/pids" 2>/dev/null); do kill -KILL "$pid" 2>/dev/null; done
+    if [ -n "$child" ]; then
+        kill -TERM "$child" 2>/dev/null
+        for pid in $(cat "$work/pids" 2>/dev/null); do
+            grep -q filberttiller-platform "/proc/$pid/cmdline" 2>/dev/null && kill -KILL "$pid"
+        done
+    fi
     rm -rf "$work"
 }
 trap clean EXIT
@@ -19,5 +26,8 @@
 child=$!
 wait "$child"
 code=$?
-child=
-case $code in 0 | 1) exit $code ;; *) exit 2 ;; esac
+case $code in
+    0 | 1 | 2) child= ;;
+    *) code=2 ;;
+esac
+exit "$code"
--- a/review/standin/revoked.rs
+++ b/review/standin/revoked.rs
@@ -16,6 +16,7 @@
 use crate::worker::{Worker, WorkerOptions};
 use crate::{Setting, Verdict};
 
+const ROUTERS: [&str; 6] = ["front-1", "front-2", "front-3", "front-4", "front-5", "front-6"];
 const READY_LIMIT: Duration = Duration::from_secs(10);
 /// Routes beside those in use; a configuration stays below `recordBytes`.
 const MORE_ROUTES: usize = 1_000;
@@ -53,13 +54,13 @@
     };
     let worker = Worker::start(options, record)?;
     worker.register(&store);
-    // The store will turn the first of three routers away.
+    // The store will turn the first router away.
     let other = store.start_other()?;
-    let mut routers = vec![
-        RouterMachine::new("front-1", other.address, &setting.work, record)?,
-        RouterMachine::new("front-2", store.address, &setting.work, record)?,
-        RouterMachine::new("front-3", store.address, &setting.work, record)?,
-    ];
+    let mut routers = Vec::new();
+    for (number, name) in ROUTERS.into_iter().enumerate() {
+        let address = if number == 0 { other.address } else { store.address };
+        routers.push(RouterMachine::new(name, address, &setting.work, record)?);
+    }
     for it in &mut routers {
         it.start()?;
     }
