review: run.sh of each case reads TROUBLE; ports outside the range of outgoing connections

Cause: a port that the stand-in had chosen was taken by an outgoing connection before the router listened there.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,3 +1,4 @@
 #!/bin/sh
 # Case 3; exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
-exec "$(dirname "$0")/../run-case.sh" 3 silence
+# With TROUBLE=0 in the environment it does the same without the disruption, and must pass.
+exec "$(dirname "$0")/../run-case.sh" 3 silence "${TROUBLE:-1}"
--- a/review/run-case.sh
+++ b/review/run-case.sh
@@ -1,6 +1,6 @@
 #!/bin/sh
-# Runs the case in review/$1 under the name $2: `review/N/run.sh` calls it. Ends all processes that
-# the case started.
+# Runs the case in review/$1 under the name $2: `review/N/run.sh` calls it. $3 is its TROUBLE: without
+# the disruption if that is 0. Ends all processes that the case started.
 cd "$(dirname "$0")/.."
 case_dir="review/$1"
 program=target/review/standin
@@ -22,7 +22,7 @@
 }
 trap clean EXIT
 trap 'exit 2' INT TERM HUP
-timeout -k 1 110 "$program" "$2" "$work" "$case_dir/record.txt" &
+timeout -k 1 110 "$program" "$2" "$work" "$case_dir/record.txt" "$3" &
 child=$!
 wait "$child"
 code=$?
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -1,8 +1,8 @@
 //! Stand-ins of the platform's store, its backend servers and clients, and the cases of the
 //! review, which run them against the project's own program.
 //!
-//! Arguments: the case, a temporary folder, the path of the record. Exit codes: 0 the rule held,
-//! 1 it was broken, 2 the case could not run. With `TROUBLE=0` the disruption is left out.
+//! Arguments: the case, a temporary folder, the path of the record, and 0 to leave the disruption
+//! out or 1. Exit codes: 0 the rule held, 1 it was broken, 2 the case could not run.
 
 mod bodies;
 mod client;
@@ -43,11 +43,11 @@
 
 fn main() -> ExitCode {
     let arguments: Vec<String> = std::env::args().skip(1).collect();
-    let [name, work, record] = &arguments[..] else {
-        eprintln!("arguments: CASE FOLDER RECORD");
+    let [name, work, record, trouble] = &arguments[..] else {
+        eprintln!("arguments: CASE FOLDER RECORD TROUBLE");
         return ExitCode::from(2);
     };
-    let trouble = std::env::var("TROUBLE").map_or(true, |it| it != "0");
+    let trouble = trouble != "0";
     let record = Record::create(record);
     record.line(format!("case {name}, disruption: {trouble}"));
     let setting = Setting { work: work.clone(), record: record.clone(), trouble };
--- a/review/standin/router.rs
+++ b/review/standin/router.rs
@@ -3,7 +3,8 @@
 use std::fs::{self, File, OpenOptions};
 use std::io::{self, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::process::{Child, Command, Stdio};
+use std::process::{self, Child, Command, Stdio};
+use std::sync::Mutex;
 use std::thread::sleep;
 use std::time::{Duration, Instant};
 
@@ -20,6 +21,35 @@
     fn kill(pid: i32, signal: i32) -> i32;
 }
 
+/// Ports that were chosen from, so that none is chosen twice.
+static NEXT_PORT: Mutex<Option<u16>> = Mutex::new(None);
+/// The first port to choose from.
+const FIRST_PORT: u16 = 10_000;
+/// The last one, unless the system takes ports for outgoing connections from lower on.
+const LAST_PORT: u16 = 32_000;
+
+/// More ports than a case needs.
+const PORTS_OF_CASE: u32 = 64;
+
+/// A free port that no outgoing connection takes before the router listens there.
+fn free_port() -> io::Result<u16> {
+    let range = fs::read_to_string("/proc/sys/net/ipv4/ip_local_port_range").unwrap_or_default();
+    let lowest = range.split_whitespace().next().and_then(|it| it.parse::<u16>().ok());
+    let end = lowest.map_or(LAST_PORT, |it| it.clamp(FIRST_PORT + 1_000, LAST_PORT));
+    let mut next = NEXT_PORT.lock().unwrap();
+    for _ in FIRST_PORT..end {
+        // Cases that run at the same time choose from different ports.
+        let first = process::id() * PORTS_OF_CASE % u32::from(end - FIRST_PORT);
+        let start = || FIRST_PORT + first as u16;
+        let port = next.unwrap_or_else(start);
+        *next = Some(if port + 1 < end { port + 1 } else { FIRST_PORT });
+        if TcpListener::bind(("127.0.0.1", port)).is_ok() {
+            return Ok(port);
+        }
+    }
+    Err(io::ErrorKind::AddrInUse.into())
+}
+
 /// One machine that runs the router.
 pub struct RouterMachine {
     pub name: &'static str,
@@ -39,12 +69,7 @@
         work: &str,
         record: &Record,
     ) -> io::Result<RouterMachine> {
-        let sockets: Vec<TcpListener> =
-            (0..5).map(|_| TcpListener::bind("127.0.0.1:0")).collect::<io::Result<_>>()?;
-        let ports: Vec<u16> = sockets
-            .iter()
-            .map(|it| it.local_addr().map(|it| it.port()))
-            .collect::<io::Result<_>>()?;
+        let ports: Vec<u16> = (0..5).map(|_| free_port()).collect::<io::Result<_>>()?;
         let [callers, ready, directory, first, last] = ports[..] else { unreachable!() };
         let text = format!(
             "nodeName={name}\nrole=router\nmachineClass=frontend\nserves=frontend,directory\n\
