router: only the last page of the store's records renews a lease

Callers saw a revoked key run again, 7 s after it was taken away, for half a second: the store had turned a router away, and served it again (CONFIG).

After an outage the first page of 2 MB ends in the middle of the backlog, at a configuration that still has the key. The answer tells the end of the log, which nobody looked at.

The fix works as a page that is not the last proves nothing about what follows it: Page::is_last is set only when the read reached the end of the log, and without it the lease stays as old as it was, so that requests with keys are refused. The next page is read at once. The lease on the records of backend servers had the same cause.

--- a/src/router/rules_watch.rs
+++ b/src/router/rules_watch.rs
@@ -26,8 +26,9 @@
     let clock = router.relay.clock();
     let mut health = SourceHealth::default();
     let mut cursor = Cursor::default();
+    let mut has_more = false;
     loop {
-        let wait = next_read(&router).await;
+        let wait = if has_more { Duration::ZERO } else { next_read(&router).await };
         let sent = clock.boot();
         let began = clock.now();
         match router.store.rules(cursor.offset(), wait).await {
@@ -38,7 +39,9 @@
             Ok(page) => {
                 let next = page.next;
                 router.note_era(next.era);
-                if apply(&router, page) {
+                has_more = !page.is_last;
+                // Before the last page, newer rules may be known to the store already.
+                if apply(&router, page) && !has_more {
                     router.relay.lease.renew(sent);
                 }
                 cursor.advance(next);
@@ -53,6 +56,7 @@
                 cursor.reset();
             }
             Err(e) => {
+                has_more = false;
                 if health.record_failure(began) == SourceTransition::Lost {
                     warn!(router.logger, "rules cannot be read";
                         "event" => Code::RulesLost.number(), "error" => %e);
--- a/src/router/servers_watch.rs
+++ b/src/router/servers_watch.rs
@@ -66,10 +66,14 @@
                     }
                 }
                 cursor.advance(page.next);
-                router.relay.servers_lease.renew(sent);
+                let is_last = page.is_last;
                 apply(&router, page);
-                let has_followers = router.peers.lock().unwrap().has_followers(clock.now());
-                if has_followers { FOLLOWED_READ_PAUSE } else { READ_PAUSE }
+                if is_last {
+                    router.relay.servers_lease.renew(sent);
+                    read_pause(&router)
+                } else {
+                    Duration::ZERO
+                }
             }
             Err(StoreError::Gap) => {
                 info!(router.logger, "next changes of servers are no longer stored; reading all";
@@ -89,6 +93,12 @@
     }
 }
 
+/// Pause until the next read of the store.
+fn read_pause<S: Store>(router: &Router<S>) -> Duration {
+    let has_followers = router.peers.lock().unwrap().has_followers(router.relay.clock().now());
+    if has_followers { FOLLOWED_READ_PAUSE } else { READ_PAUSE }
+}
+
 /// Lets records that go from now on reappear for a while, until `latest` at most.
 fn expect_records<S: Store>(router: &Router<S>, latest: Instant) {
     let now = router.relay.clock().now();
@@ -136,7 +146,7 @@
     let changes = reply.rows.into_iter().map(change).collect();
     let next = addition.position.map(Position::from).unwrap_or_default();
     // What a lagging reader supplies is asked for again.
-    if apply(router, Page { changes, next, is_complete: reply.whole }) {
+    if apply(router, Page { changes, next, is_complete: reply.whole, is_last: true }) {
         list.advance(peer, TableRevision { table: reply.epoch, number: reply.stamp });
     }
     true
--- a/src/servers/change.rs
+++ b/src/servers/change.rs
@@ -86,4 +86,6 @@
     pub next: Position,
     /// It lists all records: keys that are not listed do not exist.
     pub is_complete: bool,
+    /// No record was left to be read after it when it was read.
+    pub is_last: bool,
 }
--- a/standins/src/platform/store.rs
+++ b/standins/src/platform/store.rs
@@ -97,6 +97,13 @@
     wait_ms: u64,
     #[serde(default)]
     after: String,
+    #[serde(default = "default_max_kb")]
+    max_kb: usize,
+}
+
+/// Limit on the data of one read that names none, in kilobytes.
+fn default_max_kb() -> usize {
+    1_024
 }
 
 impl MetaStore {
@@ -305,7 +312,12 @@
             return None;
         }
         let mut body = [topic.end().to_be_bytes(), topic.first.to_be_bytes()].concat();
-        for record in records.iter().map(|it| addresses.replace_in_record(&query.topic, it)) {
+        let limit = query.max_kb * 1_024;
+        for (number, it) in records.iter().enumerate() {
+            let record = addresses.replace_in_record(&query.topic, it);
+            if number > 0 && body.len() + record.len() > limit {
+                break;
+            }
             body.extend((record.len() as u32).to_be_bytes());
             body.extend(record);
         }
--- a/tests/it/failing.rs
+++ b/tests/it/failing.rs
@@ -38,6 +38,7 @@
         changes: (0..count).map(change).collect(),
         next: Position::default(),
         is_complete: true,
+        is_last: true,
     };
     table.apply(page, Instant::now(), |_, _| {});
     table
--- a/tests/it/server_lists.rs
+++ b/tests/it/server_lists.rs
@@ -29,7 +29,7 @@
     }
 
     fn read(&mut self, changes: Vec<Change<ServerRecord>>, next: Position, is_complete: bool) {
-        let page = Page { changes, next, is_complete };
+        let page = Page { changes, next, is_complete, is_last: true };
         assert!(self.table.apply(page, Instant::now(), |_, _| {}));
     }
 }
@@ -51,6 +51,7 @@
             changes: changes.entries.into_iter().map(change).collect(),
             next: changes.position,
             is_complete: changes.is_complete,
+            is_last: true,
         };
         let is_current = self.table.apply(page, Instant::now(), |_, _| {});
         if is_current {
@@ -137,7 +138,8 @@
     follower.poll(&reader);
     reader.read(vec![gone("a")], at(0, 2), false);
     let restarted = vec![put("a", ready(2, 1))];
-    let page = Page { changes: restarted.clone(), next: at(0, 3), is_complete: true };
+    let page =
+        Page { changes: restarted.clone(), next: at(0, 3), is_complete: true, is_last: true };
     follower.table.apply(page, Instant::now(), |_, _| {});
     assert!(!follower.poll(&reader));
     assert_eq!(ids(&follower.table), ["a"]);
@@ -157,7 +159,7 @@
 fn apply_position(#[case] next: Position, #[case] is_applied: bool) {
     let mut reader = Reader::new(1);
     reader.read(vec![put("a", ready(1, 1))], at(0, 5), true);
-    let page = Page { changes: vec![gone("a")], next, is_complete: false };
+    let page = Page { changes: vec![gone("a")], next, is_complete: false, is_last: true };
     assert_eq!(reader.table.apply(page, Instant::now(), |_, _| {}), is_applied);
     assert_eq!(ids(&reader.table).is_empty(), is_applied);
 }
@@ -167,6 +169,7 @@
 fn apply_position_former_era() {
     let mut reader = Reader::new(1);
     reader.read(vec![put("a", ready(1, 1))], at(2, 5), true);
-    let page = Page { changes: vec![gone("a")], next: at(1, 90), is_complete: false };
+    let page =
+        Page { changes: vec![gone("a")], next: at(1, 90), is_complete: false, is_last: true };
     assert!(!reader.table.apply(page, Instant::now(), |_, _| {}));
 }
--- a/tests/it/server_records.rs
+++ b/tests/it/server_records.rs
@@ -36,7 +36,7 @@
     now: Instant,
 ) -> Vec<(String, Effect)> {
     let mut effects = Vec::new();
-    let page = Page { changes, next: Position::default(), is_complete };
+    let page = Page { changes, next: Position::default(), is_complete, is_last: true };
     table.apply(page, now, |id, effect| effects.push((id.to_owned(), effect)));
     effects
 }
--- a/tests/it/servers.rs
+++ b/tests/it/servers.rs
@@ -201,6 +201,7 @@
         changes: changes.entries.into_iter().map(change).collect(),
         next: Position::from(WirePosition::from(changes.position)),
         is_complete: changes.is_complete,
+        is_last: true,
     };
     if to.apply(page, now, |_, _| {}) {
         *known = changes.revision;
--- a/tests/it/stream_origins.rs
+++ b/tests/it/stream_origins.rs
@@ -106,7 +106,11 @@
 
 /// Applies changes; true if a service has several versions now and had one before.
 fn apply(table: &mut ServerTable, changes: Vec<Change<ServerRecord>>, now: Instant) -> bool {
-    table.apply(Page { changes, next: Position::default(), is_complete: false }, now, |_, _| {});
+    table.apply(
+        Page { changes, next: Position::default(), is_complete: false, is_last: true },
+        now,
+        |_, _| {},
+    );
     table.record_software(now)
 }
 
