router: what began a stream outlives all routers

Cause: which version began a stream was in the memory of routers alone, and "only one version serves" was concluded from what routers had seen, be it before the stream broke off, just after their start, or out of step.

Who takes up an unknown stream reads the store to its end first; so it knows all versions that may have begun the stream, and which processes could. A version is ruled out if all of these run and do not know the stream.

--- a/src/events/code.rs
+++ b/src/events/code.rs
@@ -68,6 +68,10 @@
     228 BlameStored "a blamed prompt part was written to the store";
     229 StoreRestored "the store was restored from a copy, what this router keeps there is written again";
     230 EraUnreadable "what the store says of its restorations cannot be read";
+    231 StreamsUnwritten "streams that began, or software versions, cannot be written to the store";
+    232 StreamsUnread "what the store has of streams and software versions cannot be read";
+    233 StreamRecordUnreadable "a record of streams or of a software version cannot be decoded";
+    234 SoftwareRegistered "a software version was registered in the store, streams may begin at it";
     // 3xx: membership
     300 ListUnreachable "the instance list is unreachable";
     301 ListReachable "the instance list is reachable again";
--- a/src/peers/peer_table.rs
+++ b/src/peers/peer_table.rs
@@ -10,6 +10,7 @@
 use crate::peers::FailureKind;
 use crate::peers::peer::{PEER_TIMEOUT, Peer, ReportSource};
 use crate::peers::silence::silence_limit;
+use crate::servers::RouterProcess;
 use crate::wire::{WireExchange, WireObservation, WireRouter, unpack_loads};
 
 /// A process that did not look after the table for longer than this was itself suspended or slow,
@@ -163,15 +164,35 @@
         self.alive(now).map(|it| it.router.name.as_str())
     }
 
-    /// Addresses of the other routers, and whether each is alive: first those that are, each
-    /// group in the rendezvous order of `key`.
-    pub fn ranked(&self, key: u64, now: Instant) -> impl Iterator<Item = (SocketAddr, bool)> {
-        let rank = |it: &Peer| combine(key, it.hash);
+    /// The other routers, by the hashes of their names: first those that are alive, each group in
+    /// the rendezvous order of `key`.
+    pub fn ranked(&self, key: u64, now: Instant) -> impl Iterator<Item = (u64, SocketAddr)> {
+        self.ranked_by_liveness(key, now).map(|(_, hash, address)| (hash, address))
+    }
+
+    /// The same, only those that are alive.
+    pub fn ranked_alive(&self, key: u64, now: Instant) -> impl Iterator<Item = (u64, SocketAddr)> {
+        let alive = self.ranked_by_liveness(key, now).filter(|(is_alive, ..)| *is_alive);
+        alive.map(|(_, hash, address)| (hash, address))
+    }
+
+    fn ranked_by_liveness(
+        &self,
+        key: u64,
+        now: Instant,
+    ) -> impl Iterator<Item = (bool, u64, SocketAddr)> + use<> {
         let is_alive = self.liveness(now);
-        let ranked = |it: &Peer| (is_alive(&it), rank(it), it.router.peers);
+        let ranked = |it: &Peer| (is_alive(&it), combine(key, it.hash), it.hash, it.router.peers);
         let mut all: Vec<_> = self.peers.values().map(ranked).collect();
         all.sort_unstable_by(|a, b| b.cmp(a));
-        all.into_iter().map(|(is_alive, _, address)| (address, is_alive))
+        all.into_iter().map(|(is_alive, _, hash, address)| (is_alive, hash, address))
+    }
+
+    /// Address for peers of a process, unless it was replaced by another one.
+    pub fn address(&self, process: RouterProcess) -> Option<SocketAddr> {
+        let mut peers = self.peers.values();
+        let peer = peers.find(|it| it.hash == process.router && it.router.born == process.born)?;
+        Some(peer.router.peers)
     }
 
     /// When the router `name` was last seen, and whether it refused a connection since.
--- a/src/relay/choose.rs
+++ b/src/relay/choose.rs
@@ -38,7 +38,7 @@
         if !has_software(&servers, pending.software) {
             return Err(Refusal::NoVersion);
         }
-        let candidates = self.candidates(pending, &servers, objective, now);
+        let candidates = self.candidates(pending, grant, &servers, objective, now);
         let any_open = candidates.iter().any(|it| !it.closed);
         let competing = key.map_or(0.0, |key| self.competing(service, key, now));
         let picked = pick(&candidates, key, competing, &self.limits().bound, seed);
@@ -69,6 +69,7 @@
     fn candidates(
         &self,
         pending: &PendingRequest,
+        grant: &Grant,
         servers: &[Arc<Server>],
         objective: Duration,
         now: Instant,
@@ -81,9 +82,14 @@
             self.service_loads.with(service, ServiceLoad::default, max_loads);
         let is_brittle = self.is_brittle(service);
         let routers = self.routers.load(Ordering::Relaxed);
+        // Without a registered version the store has been out of reach: better any than none.
+        let only_registered = self.begins_resumable_stream(pending, grant)
+            && servers.iter().any(|it| it.is_registered());
         let all = servers.iter().zip(max_loads).map(|(it, max_load)| {
             let max_load = if is_brittle { brittle_load(it, routers) } else { max_load };
-            candidate(it, pending, max_load, now)
+            let mut candidate = candidate(it, pending, max_load, now);
+            candidate.closed |= only_registered && !it.is_registered();
+            candidate
         });
         all.collect()
     }
@@ -109,7 +115,7 @@
         }
         let servers = self.of_service(service);
         let objective = self.min_objective(service, grant);
-        let candidates = self.candidates(pending, &servers, objective, self.clock.now());
+        let candidates = self.candidates(pending, grant, &servers, objective, self.clock.now());
         let is_other = |it: &Candidate| from.is_none_or(|from| it.hash != from.hash);
         candidates.iter().any(|it| is_other(it) && !it.closed && it.load < it.max_load)
     }
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -65,7 +65,7 @@
 pub(crate) use health_check::confirm_server;
 pub use limits::RelayLimits;
 pub(crate) use origin_query::MAX_WAITING_QUERIES;
-pub use origin_query::{OriginQuery, OriginReplies, OriginReply};
+pub use origin_query::{FoundOrigin, OriginQuery, OriginReply};
 pub use outcome::Outcome;
 pub use prefix_holders::PrefixHolders;
 pub use refusal::Refusal;
--- a/src/relay/origin_query.rs
+++ b/src/relay/origin_query.rs
@@ -1,6 +1,5 @@
-//! Questions to other routers about which software version began a stream.
+//! Questions to other routers and the store about which software version began a stream.
 
-use smallvec::SmallVec;
 use tokio::sync::oneshot;
 
 use crate::servers::ServiceSoftware;
@@ -16,8 +15,8 @@
     pub stream: u64,
     /// Name of the service.
     pub service: String,
-    /// Takes the replies.
-    pub replies: oneshot::Sender<OriginReplies>,
+    /// Takes what is found.
+    pub found: oneshot::Sender<FoundOrigin>,
 }
 
 key! {
@@ -27,6 +26,8 @@
         pub software: Option<u64>,
         /// The versions of the service, as far as it knows.
         pub service: ServiceSoftware,
+        /// When its process started, in milliseconds since 1970, if it says so.
+        pub born: Option<u64>,
     }
 }
 
@@ -37,7 +38,7 @@
             ServiceSoftware::One(software) => WireServiceSoftware::One(software),
             ServiceSoftware::Several => WireServiceSoftware::Several,
         };
-        WireOriginReply { software: it.software, service }
+        WireOriginReply { software: it.software, service, born: it.born }
     }
 }
 
@@ -48,37 +49,20 @@
             WireServiceSoftware::One(software) => ServiceSoftware::One(software),
             WireServiceSoftware::Several => ServiceSoftware::Several,
         };
-        OriginReply { software: it.software, service }
+        OriginReply { software: it.software, service, born: it.born }
     }
 }
 
-plain! {
-    /// The replies to a question.
-    pub struct OriginReplies {
-        /// Other routers exist, as far as known.
-        pub has_others: bool,
-        /// The replies of those that were reached.
-        pub replies: SmallVec<[OriginReply; 4]>,
-    }
-}
-
-impl OriginReplies {
-    /// The result if no other router could be asked.
-    pub fn unreached() -> OriginReplies {
-        OriginReplies { has_others: true, replies: SmallVec::new() }
-    }
-
-    /// Key of the software version that began the stream, if a router knows it.
-    pub fn software(&self) -> Option<u64> {
-        self.replies.iter().find_map(|it| it.software)
-    }
-
-    /// Whether they confirm that the service has the versions `own` alone: some of the other
-    /// routers say so and none knows others, or there is no other router.
-    pub fn confirm(&self, own: ServiceSoftware) -> bool {
-        let knows_others =
-            |it: &OriginReply| !matches!(it.service, ServiceSoftware::None) && it.service != own;
-        let is_confirmed = self.replies.iter().any(|it| it.service == own);
-        !self.replies.iter().any(knows_others) && (is_confirmed || !self.has_others)
+key! {
+    /// What the other routers and the store know of a stream.
+    #[derive(Default)]
+    pub enum FoundOrigin {
+        /// The version with this key began it, as a router or the store knows.
+        Known(u64),
+        /// No other version than the one with this key can have begun it.
+        Only(u64),
+        /// Several versions may have begun it, or which may have is not known.
+        #[default]
+        Unknown,
     }
 }
--- a/src/relay/relay.rs
+++ b/src/relay/relay.rs
@@ -2,7 +2,7 @@
 
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use arc_swap::{ArcSwap, Guard};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
@@ -80,8 +80,6 @@
     pub origins: Mutex<StreamOrigins>,
     /// Questions about streams that this router does not know.
     pub(crate) origin_queries: mpsc::Sender<OriginQuery>,
-    /// When this router started.
-    pub(crate) started: Instant,
     /// Number of routers alive, including this one; they share the retry budget.
     pub routers: AtomicUsize,
     /// This router is shutting down.
@@ -107,7 +105,6 @@
         origin_queries: mpsc::Sender<OriginQuery>,
     ) -> Relay {
         Relay {
-            started: clock.now(),
             codec,
             limits: ArcSwap::from_pointee(limits),
             clock,
--- a/src/router/cursor.rs
+++ b/src/router/cursor.rs
@@ -15,6 +15,11 @@
         self.offset
     }
 
+    /// The position of the next read; `None` if everything is to be read.
+    pub fn position(&self) -> Option<Position> {
+        self.offset.map(|offset| Position { era: self.era, offset })
+    }
+
     /// Everything is to be read next.
     pub fn reset(&mut self) {
         self.offset = None;
--- a/src/router/endpoints.rs
+++ b/src/router/endpoints.rs
@@ -19,6 +19,7 @@
 use crate::relay::{FORWARDED, RelayBody, Sender, full_body};
 use crate::router::origins::{merge_origins, reply_to_query};
 use crate::router::{Router, Store};
+use crate::wire::WireStreamOrigins;
 
 /// Most addresses in one entry response.
 const MAX_ADDRESSES: usize = 64;
@@ -109,8 +110,8 @@
             let (servers, versions) = router.servers_since(&request);
             encode_with(&servers, &versions)
         }),
-        ORIGINS_PATH => reply_to(router, decode(&body), |message| {
-            merge_origins(router, &message);
+        ORIGINS_PATH => reply_to(router, decode(&body), |message: WireStreamOrigins| {
+            merge_origins(router, &message.origins);
             Ok(Bytes::new())
         }),
         ORIGIN_PATH => {
--- a/src/router/exchange_loop.rs
+++ b/src/router/exchange_loop.rs
@@ -12,6 +12,7 @@
 use crate::peers::{FailureKind, PeerError, ROUND_INTERVAL};
 use crate::router::blame_store::merge_stored;
 use crate::router::state_change_log::StateChangeLog;
+use crate::router::stream_records::merge_records;
 use crate::router::{Router, Store};
 
 /// Time between two scans of the store for routers that no other router has reported.
@@ -88,8 +89,9 @@
         let now = router.relay.clock().now();
         let scanned = match router.store.announcements().await {
             Ok(found) => {
-                router.note_era(found.era);
+                router.note_era(found.next.era);
                 merge_stored(&router, found.blamed);
+                merge_records(&router, found.streams, found.next);
                 let mut peers = router.peers.lock().unwrap();
                 for it in found.routers {
                     peers.merge_announced(it, now);
@@ -102,6 +104,7 @@
                 false
             }
         };
+        router.stream_records.end_first_read();
         router.exchange_now.notify_one();
         let alone = router.peers.lock().unwrap().alive_count(now) == 0;
         let is_complete = announced_in.is_some() && scanned && !alone;
--- a/src/router/lifecycle.rs
+++ b/src/router/lifecycle.rs
@@ -19,6 +19,8 @@
 use crate::router::reach_watch::watch_reach;
 use crate::router::rules_watch::follow_rules;
 use crate::router::servers_watch::follow_servers;
+use crate::router::stream_records::serve_reads;
+use crate::router::stream_writer::write_streams;
 use crate::router::{Listeners, Router, RouterError, Store, endpoints};
 
 /// How long new requests are accepted after the termination signal, as callers keep the
@@ -65,6 +67,8 @@
     tokio::spawn(exchange(Arc::clone(router)));
     tokio::spawn(store_blame(Arc::clone(router)));
     tokio::spawn(tell_origins(Arc::clone(router)));
+    tokio::spawn(serve_reads(Arc::clone(router)));
+    tokio::spawn(write_streams(Arc::clone(router)));
     tokio::spawn(watch_reach(Arc::clone(router)));
     if let Some(queries) = router.origin_queries.lock().unwrap().take() {
         tokio::spawn(answer_queries(Arc::clone(router), queries));
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -21,6 +21,8 @@
 mod source_health;
 mod state_change_log;
 mod store;
+mod stream_records;
+mod stream_writer;
 
 pub use client_protocol::ClientProtocol;
 pub use lifecycle::{drain, run, start};
--- a/src/router/origins.rs
+++ b/src/router/origins.rs
@@ -2,10 +2,12 @@
 //! goes on at its version after its router is gone.
 
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use futures_util::StreamExt;
+use futures_util::future::{Either, select};
 use futures_util::stream::FuturesUnordered;
 use slog::{info, warn};
 use smallvec::SmallVec;
@@ -14,8 +16,9 @@
 
 use crate::decide::hash_bytes;
 use crate::events::Code;
-use crate::relay::{OriginQuery, OriginReplies, StreamOrigin};
+use crate::relay::{FoundOrigin, OriginQuery, OriginReply, StreamOrigin};
 use crate::router::{Router, Store};
+use crate::servers::{RouterProcess, ServiceSoftware};
 use crate::wire::{WireOriginQuery, WireOriginReply, WireStreamOrigin, WireStreamOrigins};
 
 /// Pause between two times at which other routers are told of streams that began.
@@ -25,8 +28,12 @@
 /// Number of other routers that are asked about a stream, at most: more than are told, as
 /// routers may know different sets of each other.
 const MAX_ASKED: usize = 5;
+/// Limit on the other routers that are asked besides, as they may have begun the stream.
+const MAX_REQUIRED: usize = 128;
 /// Limit on the reply of one router.
 const REPLY_TIMEOUT: Duration = Duration::from_millis(150);
+/// Limit on the wait for the store.
+const STORE_TIMEOUT: Duration = Duration::from_millis(300);
 /// Streams in one message.
 const MAX_ROWS: usize = 1_000;
 
@@ -47,7 +54,7 @@
 }
 
 /// Hashes of the names of the services with several software versions.
-fn mixed_services<S: Store>(router: &Router<S>) -> SmallVec<[u64; 4]> {
+pub(crate) fn mixed_services<S: Store>(router: &Router<S>) -> SmallVec<[u64; 4]> {
     let servers = router.relay.servers.lock().unwrap();
     servers.mixed_services().map(|it| hash_bytes(it.as_bytes())).collect()
 }
@@ -66,8 +73,7 @@
     let peers = router.peers.lock().unwrap();
     let mut all: Vec<(SocketAddr, Vec<StreamOrigin>)> = Vec::new();
     for origin in origins {
-        let alive = peers.ranked(origin.stream, now).filter(|(_, is_alive)| *is_alive);
-        for (peer, _) in alive.take(REPLICAS) {
+        for (_, peer) in peers.ranked_alive(origin.stream, now).take(REPLICAS) {
             match all.iter_mut().find(|(it, rows)| *it == peer && rows.len() < MAX_ROWS) {
                 Some((_, rows)) => rows.push(*origin),
                 None => all.push((peer, vec![*origin])),
@@ -79,11 +85,8 @@
 
 async fn tell<S: Store>(router: Arc<Router<S>>, peer: SocketAddr, origins: Vec<StreamOrigin>) {
     let now = router.relay.clock().now();
-    let rows = origins.iter().map(|it| {
-        let remaining = it.deadline.saturating_duration_since(now).as_millis();
-        WireStreamOrigin(it.stream, it.software, u32::try_from(remaining).unwrap_or(u32::MAX))
-    });
-    let message = WireStreamOrigins { origins: rows.collect() };
+    let rows = origins.iter().map(|it| to_wire(it, now)).collect();
+    let message = WireStreamOrigins { origins: rows };
     if let Err(e) = router.client.tell_origins(peer, &message).await {
         let code = Code::OriginsUntold;
         info!(router.logger, "{}", code.text();
@@ -92,16 +95,26 @@
     }
 }
 
-/// Merges the origins that another router tells.
-pub(crate) fn merge_origins<S: Store>(router: &Router<S>, message: &WireStreamOrigins) {
+/// The stream of a message or record that was received at `now`.
+pub(crate) fn from_wire(wire: &WireStreamOrigin, now: Instant) -> StreamOrigin {
+    let WireStreamOrigin(stream, software, remaining_ms) = *wire;
+    let remaining = Duration::from_millis(remaining_ms.into()).min(StreamOrigin::MAX_TIME);
+    StreamOrigin { stream, software, deadline: now + remaining }
+}
+
+/// The form of a stream in messages and records that are sent at `now`.
+pub(crate) fn to_wire(origin: &StreamOrigin, now: Instant) -> WireStreamOrigin {
+    let remaining = origin.deadline.saturating_duration_since(now).as_millis();
+    WireStreamOrigin(origin.stream, origin.software, remaining.try_into().unwrap_or(u32::MAX))
+}
+
+/// Merges streams that began at another router.
+pub(crate) fn merge_origins<S: Store>(router: &Router<S>, streams: &[WireStreamOrigin]) {
     let now = router.relay.clock().now();
     let mut origins = router.relay.origins.lock().unwrap();
     let mut dropped: usize = 0;
-    for WireStreamOrigin(stream, software, remaining) in &message.origins {
-        let deadline =
-            now + Duration::from_millis(u64::from(*remaining)).min(StreamOrigin::MAX_TIME);
-        let origin = StreamOrigin { stream: *stream, software: *software, deadline };
-        dropped += usize::from(!origins.merge(origin, now));
+    for it in streams {
+        dropped += usize::from(!origins.merge(from_wire(it, now), now));
     }
     if dropped > 0 {
         warn!(router.logger, "streams of other routers are not stored, as there are too many";
@@ -120,36 +133,109 @@
 }
 
 async fn answer_query<S: Store>(router: Arc<Router<S>>, query: OriginQuery) {
-    let replies = ask(&router, query.stream, &query.service).await;
+    let found = find(&router, query.stream, &query.service).await;
     // The request may have ended meanwhile.
-    let _ = query.replies.send(replies);
+    let _ = query.found.send(found);
 }
 
-/// Asks other routers, until one knows the stream.
-async fn ask<S: Store>(router: &Router<S>, stream: u64, service: &str) -> OriginReplies {
-    let asked: SmallVec<[SocketAddr; MAX_ASKED]> = {
-        let peers = router.peers.lock().unwrap();
-        let ranked = peers.ranked(stream, router.relay.clock().now());
-        ranked.take(MAX_ASKED).map(|(peer, _)| peer).collect()
+/// Looks for what began a stream: in the store, and at other routers where several versions may
+/// have begun it.
+async fn find<S: Store>(router: &Router<S>, stream: u64, service: &str) -> FoundOrigin {
+    let refresh = pin!(refresh(router));
+    let is_current = match is_mixed(router, service) {
+        true => {
+            let ask = pin!(ask(router, stream, service));
+            match select(ask, refresh).await {
+                Either::Left((Asked { software: Some(it), .. }, _)) => {
+                    return FoundOrigin::Known(it);
+                }
+                Either::Left((Asked { software: None, .. }, refresh)) => refresh.await,
+                Either::Right((is_current, _)) => is_current,
+            }
+        }
+        false => refresh.await,
     };
-    let has_others = !asked.is_empty();
+    if let Some(software) = router.relay.known_origin(stream) {
+        return FoundOrigin::Known(software);
+    }
+    // The store named who may have begun it: these are asked, the others need not be.
+    let mut asked = Asked::default();
+    if !is_current || is_mixed(router, service) {
+        asked = ask(router, stream, service).await;
+    }
+    if let Some(software) = asked.software {
+        return FoundOrigin::Known(software);
+    }
+    let servers = router.relay.servers.lock().unwrap();
+    match *servers.possible_software(service, &asked.processes) {
+        [software] if is_current => FoundOrigin::Only(software),
+        _ => FoundOrigin::Unknown,
+    }
+}
+
+/// Reads the store; false if it does not answer in time.
+async fn refresh<S: Store>(router: &Router<S>) -> bool {
+    timeout(STORE_TIMEOUT, router.stream_records.refresh()).await.unwrap_or(false)
+}
+
+fn is_mixed<S: Store>(router: &Router<S>, service: &str) -> bool {
+    router.relay.servers.lock().unwrap().software(service) == ServiceSoftware::Several
+}
+
+/// What other routers replied to a question about a stream.
+#[derive(Debug, Default)]
+struct Asked {
+    /// Key of the version that began it, if one knows that.
+    software: Option<u64>,
+    /// The processes that do not know it.
+    processes: Vec<RouterProcess>,
+}
+
+/// Asks other routers, until one knows the version that began the stream, or all have replied that
+/// may have begun streams at versions that are not registered for all.
+async fn ask<S: Store>(router: &Router<S>, stream: u64, service: &str) -> Asked {
+    let required = router.relay.servers.lock().unwrap().registered_processes(service);
+    let targets = targets(router, stream, &required);
     let question = WireOriginQuery(stream, service.to_owned());
-    let calls = asked.into_iter().map(|peer| {
+    let calls = targets.into_iter().map(|(router_hash, peer)| {
         let call = router.client.origin(peer, &question);
-        async move { timeout(REPLY_TIMEOUT, call).await }
+        async move { (router_hash, timeout(REPLY_TIMEOUT, call).await) }
     });
     let mut calls: FuturesUnordered<_> = calls.collect();
-    let mut all = OriginReplies { has_others, replies: SmallVec::new() };
-    while let Some(result) = calls.next().await {
+    let mut asked = Asked::default();
+    while let Some((router, result)) = calls.next().await {
         // A router that does not reply knows nothing that could be used.
-        if let Ok(Ok(reply)) = result {
-            all.replies.push(reply.into());
-        }
-        if all.software().is_some() {
+        let Ok(Ok(reply)) = result else {
+            continue;
+        };
+        let OriginReply { software, born, .. } = reply.into();
+        asked.processes.extend(born.map(|born| RouterProcess { router, born }));
+        asked.software = software;
+        let is_complete =
+            !required.is_empty() && required.iter().all(|it| asked.processes.contains(it));
+        if software.is_some() || is_complete {
             break;
         }
     }
-    all
+    asked
+}
+
+/// The routers that are asked about a stream, by the hashes of their names: the first in its
+/// rendezvous order, and those in `required`.
+fn targets<S: Store>(
+    router: &Router<S>,
+    stream: u64,
+    required: &[RouterProcess],
+) -> Vec<(u64, SocketAddr)> {
+    let peers = router.peers.lock().unwrap();
+    let mut targets: Vec<(u64, SocketAddr)> =
+        peers.ranked(stream, router.relay.clock().now()).take(MAX_ASKED).collect();
+    if required.len() <= MAX_REQUIRED {
+        targets.extend(required.iter().filter_map(|it| Some((it.router, peers.address(*it)?))));
+    }
+    targets.sort_unstable();
+    targets.dedup();
+    targets
 }
 
 /// What this router knows of the stream that another one asks about.
@@ -157,5 +243,7 @@
     router: &Router<S>,
     WireOriginQuery(stream, service): &WireOriginQuery,
 ) -> WireOriginReply {
-    router.relay.origin_reply(*stream, service).into()
+    let software = router.relay.known_origin(*stream);
+    let service = router.relay.servers.lock().unwrap().software(service);
+    OriginReply { software, service, born: Some(router.process().born) }.into()
 }
--- a/src/router/router.rs
+++ b/src/router/router.rs
@@ -25,8 +25,9 @@
 use crate::router::leaving_news::{leaving_news, merge_leaving};
 use crate::router::limit_news::{limit_news, merge_limits};
 use crate::router::software_news::{merge_software, software_news};
+use crate::router::stream_records::StreamRecords;
 use crate::router::{ClientProtocol, RouterError, RouterSettings, Store};
-use crate::servers::{ServerRecord, StoreEra, TableRevision};
+use crate::servers::{RouterProcess, ServerRecord, StoreEra, TableRevision};
 use crate::wire::{
     ServerLoad, WireNews, WireRouter, WireServer, WireServers, WireServersAddition,
     WireServersRequest, pack_loads,
@@ -73,6 +74,8 @@
     pub(crate) restored: Notify,
     /// Blamed prompt parts that the store has, as last read or written.
     pub(crate) stored_blame: Mutex<HashSet<u64>>,
+    /// What the store keeps of streams.
+    pub(crate) stream_records: StreamRecords,
     /// Client for requests to other routers.
     pub(crate) client: PeerClient,
 }
@@ -103,6 +106,8 @@
         let limits = settings.limits.clone();
         let (queries, origin_queries) = mpsc::channel(MAX_WAITING_QUERIES);
         let relay = Relay::new(protocol.codec, limits, clock, Arc::new(request_log), queries);
+        let process = RouterProcess { router: hash_bytes(own.name.as_bytes()), born: own.born };
+        relay.servers.lock().unwrap().set_process(process);
         let exchange_now = Arc::clone(&relay.urgent_update);
         Ok(Router {
             settings,
@@ -121,6 +126,7 @@
             unreadable_era: LogOnce::default(),
             restored: Notify::new(),
             stored_blame: Mutex::default(),
+            stream_records: StreamRecords::default(),
             client: PeerClient::new().change_context(RouterError::SetUp)?,
         })
     }
@@ -236,10 +242,19 @@
             warn!(self.logger, "{}", code.text(); "event" => code.number(),
                 "former" => format!("{former:?}"), "era" => format!("{era:?}"));
             self.stored_blame.lock().unwrap().clear();
+            self.relay.servers.lock().unwrap().clear_registered();
+            self.relay.origins.lock().unwrap().record_all_unwritten();
             self.restored.notify_one();
         }
     }
 
+    /// This process.
+    pub(crate) fn process(&self) -> RouterProcess {
+        let peers = self.peers.lock().unwrap();
+        let own = peers.own();
+        RouterProcess { router: hash_bytes(own.name.as_bytes()), born: own.born }
+    }
+
     /// Whether this router reads the store itself.
     pub(crate) fn is_reader(&self) -> bool {
         let now = self.relay.clock().now();
@@ -253,13 +268,17 @@
     ) -> (WireServers, WireServersAddition) {
         let age = self.relay.servers_lease.age(self.relay.clock().boot());
         let known = TableRevision { table: request.epoch, number: request.stamp };
-        let changes = self.relay.servers.lock().unwrap().since(known);
+        let (changes, registered) = {
+            let servers = self.relay.servers.lock().unwrap();
+            (servers.since(known), servers.registered())
+        };
         let version = |(id, record): &(String, Option<ServerRecord>)| {
             Some((id.clone(), record.as_ref()?.software.to_string()))
         };
         let addition = WireServersAddition {
             versions: changes.entries.iter().filter_map(version).collect(),
             position: Some(changes.position.into()),
+            registered,
         };
         let row = |(id, record): (String, Option<ServerRecord>)| {
             (id, record.map(|it| WireServer::from(&it)))
--- a/src/router/servers_watch.rs
+++ b/src/router/servers_watch.rs
@@ -35,6 +35,8 @@
     let mut health = SourceHealth::default();
     let mut cursor = Cursor::default();
     let mut list = ListCursor::default();
+    // Versions that began streams before this process started are known first.
+    router.stream_records.first_read().await;
     loop {
         if let Some(peer) = reader(&router)
             && poll(&router, peer, &mut list).await
@@ -134,6 +136,7 @@
         return false;
     };
     router.relay.servers_lease.renew(read);
+    router.relay.servers.lock().unwrap().merge_registered(&addition.registered);
     let versions = addition.versions;
     let change = |(key, row): (String, Option<WireServer>)| {
         let record = |it: WireServer| {
--- a/src/router/store.rs
+++ b/src/router/store.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use crate::rules::RuleSet;
-use crate::servers::{Page, ServerRecord, StoreEra};
-use crate::wire::{WireRouter, WireStoredBlame};
+use crate::servers::{Change, Page, Position, ServerRecord, StoreEra};
+use crate::wire::{WireRouter, WireStoredBlame, WireStreamRecord};
 
 /// Why a call to the store failed.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -39,12 +39,14 @@
 /// What routers have written to the store.
 #[derive(Debug, Default)]
 pub struct Announcements {
-    /// The state of the store that they were read from.
-    pub era: StoreEra,
+    /// Where the next read continues.
+    pub next: Position,
     /// All routers that ever announced themselves, the latest announcement of each name.
     pub routers: Vec<WireRouter>,
     /// Prompt parts that are blamed for crashes.
     pub blamed: Vec<WireStoredBlame>,
+    /// Streams and software versions that streams may begin at.
+    pub streams: Vec<Change<WireStreamRecord>>,
 }
 
 /// The store. A method makes its call once; the router decides when to call and when to
@@ -67,6 +69,20 @@
     /// All that routers have written.
     fn announcements(&self) -> impl Future<Output = Result<Announcements, StoreError>> + Send;
 
+    /// The changes of stream records that were written at offset `from` and later.
+    fn stream_records(
+        &self,
+        from: u64,
+    ) -> impl Future<Output = Result<Page<WireStreamRecord>, StoreError>> + Send;
+
+    /// Writes stream records, all or none; those without a value are removed. With `at`, only if
+    /// nothing was written at that position or later. Idempotent without it.
+    fn put_stream_records(
+        &self,
+        records: &[(String, Option<WireStreamRecord>)],
+        at: Option<Position>,
+    ) -> impl Future<Output = Result<StoreEra, StoreError>> + Send;
+
     /// Announces this router, so that other routers find it; returns the state of the store that
     /// holds it. Idempotent.
     fn announce(
--- a/src/servers/server.rs
+++ b/src/servers/server.rs
@@ -67,6 +67,8 @@
     /// Results at the other routers, as they last reported.
     peer_results: Mutex<Results>,
     ejected: AtomicBool,
+    /// Streams that callers may take up can begin at its software version.
+    registered: AtomicBool,
     /// What it stated itself, shared with other values of the same incarnation.
     pub stated: Arc<StatedCondition>,
 }
@@ -90,6 +92,7 @@
             window: Mutex::default(),
             peer_results: Mutex::default(),
             ejected: AtomicBool::new(false),
+            registered: AtomicBool::new(false),
             stated: Arc::default(),
         }
     }
@@ -115,6 +118,17 @@
         software.is_none_or(|it| it == self.software.key())
     }
 
+    /// Whether its software version is registered in the platform's store, so that streams that
+    /// callers may take up can begin at it.
+    pub fn is_registered(&self) -> bool {
+        self.registered.load(Ordering::Relaxed)
+    }
+
+    /// Sets whether its software version is registered.
+    pub fn set_registered(&self, registered: bool) {
+        self.registered.store(registered, Ordering::Relaxed);
+    }
+
     /// Hash of this incarnation, equal at all routers.
     pub fn incarnation(&self) -> u64 {
         combine(self.hash, self.born)
--- a/src/servers/software_history.rs
+++ b/src/servers/software_history.rs
@@ -4,7 +4,10 @@
 use std::time::{Duration, Instant};
 
 /// How long a version counts after it was last seen: longer than callers wait for a stream.
-const HISTORY_TIME: Duration = Duration::from_secs(120);
+pub(crate) const HISTORY_TIME: Duration = Duration::from_secs(120);
+/// A version that was not seen for this long is registered again before it is used, as other
+/// routers may be about to remove its record from the store.
+const MAX_ABSENCE: Duration = Duration::from_secs(60);
 
 key! {
     /// The software versions of a service.
@@ -36,14 +39,28 @@
 }
 
 impl SoftwareHistory {
-    /// Notes that the version `software` was seen in `service` at `at`.
-    pub fn record(&mut self, service: &str, software: u64, at: Instant) {
+    /// Notes that the version `software` was seen in `service` at `at`; false if it was not seen
+    /// for a long time before.
+    pub fn record(&mut self, service: &str, software: u64, at: Instant) -> bool {
         let versions = match self.services.get_mut(service) {
             Some(it) => it,
             None => self.services.entry(service.to_owned()).or_default(),
         };
         let seen = versions.entry(software).or_insert(at);
+        let absence = at.saturating_duration_since(*seen);
         *seen = at.max(*seen);
+        absence < MAX_ABSENCE
+    }
+
+    /// Whether the version `software` was seen in `service` lately.
+    pub fn contains(&self, service: &str, software: u64) -> bool {
+        self.services.get(service).is_some_and(|it| it.contains_key(&software))
+    }
+
+    /// All versions that were seen lately, with their services.
+    pub fn versions(&self) -> impl Iterator<Item = (&str, u64)> {
+        let all = self.services.iter();
+        all.flat_map(|(service, it)| it.keys().map(move |software| (service.as_str(), *software)))
     }
 
     /// The versions of `service`.
@@ -56,6 +73,11 @@
         }
     }
 
+    /// The versions of `service` that were seen lately.
+    pub fn of(&self, service: &str) -> impl Iterator<Item = u64> {
+        self.services.get(service).into_iter().flat_map(|it| it.keys().copied())
+    }
+
     /// Services with several versions.
     pub fn mixed(&self) -> impl Iterator<Item = &str> {
         self.services.iter().filter(|(_, it)| it.len() > 1).map(|(service, _)| service.as_str())
--- a/src/servers/table.rs
+++ b/src/servers/table.rs
@@ -9,8 +9,8 @@
 use crate::servers::software_history::SoftwareHistory;
 use crate::servers::table_id::TableId;
 use crate::servers::{
-    Change, Effect, Page, Position, SeenSoftware, Server, ServerRecord, ServerState,
-    ServiceSoftware, StatedCondition, TableChanges, TableRevision,
+    Change, Effect, Page, Position, RegisteredSoftware, RouterProcess, Server, ServerRecord,
+    ServerState, StatedCondition, TableChanges, TableRevision,
 };
 
 /// How long records may be missing after an outage of the store that supplies them.
@@ -43,11 +43,15 @@
     position: Position,
     entries: HashMap<String, Entry>,
     /// Servers that take work. Invariant: consistent with `entries`.
-    services: HashMap<String, Arc<[Arc<Server>]>>,
+    pub(super) services: HashMap<String, Arc<[Arc<Server>]>>,
     /// Incarnations that said that they leave, whatever their records say.
     leaving: LeavingStatements,
     /// Software versions that served lately, of servers that are gone too.
-    software: SoftwareHistory,
+    pub(super) software: SoftwareHistory,
+    /// Those at which streams may begin.
+    pub(super) registered: RegisteredSoftware,
+    /// The process that this table belongs to.
+    pub(super) process: RouterProcess,
     /// New incarnations that are to be confirmed by a health check, and their services.
     unconfirmed: Vec<(Arc<Server>, String)>,
     /// Records that go before then may reappear.
@@ -216,35 +220,10 @@
         all.filter(move |(incarnation, _, is_news)| *is_news || present.contains(incarnation))
     }
 
-    /// Notes which software versions serve; true if a service has several and had one before.
-    pub fn record_software(&mut self, now: Instant) -> bool {
-        let before = self.software.mixed().count();
-        for it in self.entries.values().filter(|it| it.gone.is_none()) {
-            self.software.record(&it.record.service, it.record.software.key(), now);
-        }
-        self.software.remove_expired(now);
-        self.software.mixed().count() > before
-    }
-
-    /// Notes that another router has seen a software version.
-    pub fn merge_software(&mut self, seen: &SeenSoftware, now: Instant) {
-        self.software.record(&seen.service, seen.software, seen.at);
-        self.software.remove_expired(now);
-    }
-
-    /// The software versions that served in `service` lately.
-    pub fn software(&self, service: &str) -> ServiceSoftware {
-        self.software.of_service(service)
-    }
-
-    /// Services in which several software versions served lately.
-    pub fn mixed_services(&self) -> impl Iterator<Item = &str> {
-        self.software.mixed()
-    }
-
-    /// The software versions of the services that have several.
-    pub fn seen_software(&self) -> impl Iterator<Item = SeenSoftware> {
-        self.software.seen()
+    /// Services and software versions of the servers that have records.
+    pub(super) fn present_software(&self) -> impl Iterator<Item = (&str, u64)> {
+        let present = self.entries.values().filter(|it| it.gone.is_none());
+        present.map(|it| (it.record.service.as_str(), it.record.software.key()))
     }
 
     fn incarnations(&self, filter: impl Fn(&Entry) -> bool) -> impl Iterator<Item = u64> {
@@ -376,5 +355,6 @@
             it.sort_by_key(|it| it.hash);
         }
         self.services = services.into_iter().map(|(name, it)| (name, it.into())).collect();
+        self.mark_registered();
     }
 }
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -17,6 +17,7 @@
 mod peer;
 mod sighting;
 mod status;
+mod stream_record;
 mod ticket;
 
 pub(crate) use age::{age_ms, time_of_age};
@@ -43,4 +44,7 @@
 };
 pub use sighting::{Sighting, pack_sightings, unpack_sightings};
 pub use status::{WireEngine, WireRequestCount, WireStatus, WireWantedItem};
+pub use stream_record::{
+    WireProcess, WireRegisteredSoftware, WireStartedStreams, WireStreamRecord,
+};
 pub use ticket::{WireObject, WireTicket, parse_ticket};
--- a/src/wire/peer.rs
+++ b/src/wire/peer.rs
@@ -159,6 +159,10 @@
         pub software: Option<u64>,
         /// Software versions of the service.
         pub service: WireServiceSoftware,
+        /// When the process that replies started, in milliseconds since 1970; absent from routers
+        /// of earlier versions.
+        #[serde(default)]
+        pub born: Option<u64>,
     }
 
     /// Software versions that served in a service lately.
@@ -202,6 +206,9 @@
         pub versions: HashMap<String, String>,
         /// What the list was read up to in the store; absent from routers of earlier versions.
         pub position: Option<WirePosition>,
+        /// Keys of the software versions of services that are registered in the store.
+        #[serde(skip_serializing_if = "Vec::is_empty")]
+        pub registered: Vec<u64>,
     }
 
     /// Position in the records of the store: how often the store was restored, if it tells, and
--- a/standins/src/platform/store.rs
+++ b/standins/src/platform/store.rs
@@ -99,6 +99,8 @@
     after: String,
     #[serde(default = "default_max_kb")]
     max_kb: usize,
+    /// Appends only if the log ends there.
+    at: Option<u64>,
 }
 
 /// Limit on the data of one read that names none, in kilobytes.
@@ -150,6 +152,12 @@
         Some(value.clone())
     }
 
+    /// All keys that have a value.
+    pub fn keys(&self, topic: &str) -> Vec<String> {
+        let topics = self.shared.topics();
+        topics.get(topic).map_or_else(Vec::new, |it| it.newest.keys().cloned().collect())
+    }
+
     /// Deletes a key.
     pub fn remove(&self, topic: &str, key: &str) {
         self.append(topic, key, &[]);
@@ -268,6 +276,13 @@
             records.push(record.to_vec());
             left = rest;
         }
+        let topics = self.topics();
+        let end = topics.get(&query.topic).map_or(0, Topic::end);
+        if query.at.is_some_and(|it| it != end) {
+            let body = serde_json::json!({ "end": end });
+            return json_reply(StatusCode::PRECONDITION_FAILED, &body);
+        }
+        drop(topics);
         let (offset, end) = self.append(&query.topic, records);
         json_reply(StatusCode::OK, &serde_json::json!({ "offset": offset, "end": end }))
     }
--- a/tests/it/peers.rs
+++ b/tests/it/peers.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, Instant};
 
+use filberttiller::decide::hash_bytes;
 use filberttiller::peers::{FailureKind, Message, OwnReport, PeerTable, Reader, decode, encode};
 use filberttiller::wire::{
     ServerLoad, WireBlamedPart, WireExchange, WireNews, WireObservation, WireRouter, WireServers,
@@ -288,14 +289,16 @@
     for key in 0..50 {
         let ranked: Vec<_> = peers.ranked(key, now).collect();
         assert_eq!(ranked.len(), 4);
-        assert_eq!(ranked[3], (router("silent", 1).peers, false));
+        assert_eq!(ranked[3], (hash_bytes(b"silent"), router("silent", 1).peers));
+        let alive: Vec<_> = peers.ranked_alive(key, now).collect();
+        assert_eq!(alive, ranked[..3]);
         let mut other = PeerTable::new(router("a", 1));
         for name in ["own", "b", "c"] {
             other.merge_message(message(report(router(name, 1), 0), Vec::new(), Vec::new()), now);
         }
         let common = |all: &PeerTable| {
             let shared = [router("b", 1).peers, router("c", 1).peers];
-            let ranked = all.ranked(key, now).map(|(peer, _)| peer);
+            let ranked = all.ranked(key, now).map(|(_, peer)| peer);
             ranked.filter(|it| shared.contains(it)).collect::<Vec<_>>()
         };
         assert_eq!(common(&peers), common(&other), "all routers agree");
--- a/tests/it/recorded_messages.rs
+++ b/tests/it/recorded_messages.rs
@@ -79,7 +79,8 @@
     let query: WireOriginQuery = recorded.read("origin_query.bin");
     assert_eq!(query, WireOriginQuery(11, "models".to_owned()));
     let reply: WireOriginReply = recorded.read("origin_reply.bin");
-    let expected = WireOriginReply { software: Some(22), service: WireServiceSoftware::Several };
+    let service = WireServiceSoftware::Several;
+    let expected = WireOriginReply { software: Some(22), service, born: None };
     assert_eq!(reply, expected);
 }
 
@@ -145,7 +146,11 @@
 #[test]
 fn former_router_reads_list_addition() {
     let versions = [("i-1".to_owned(), "v2".to_owned())].into();
-    let addition = WireServersAddition { versions, position: Some(WirePosition(Some(1), 40)) };
+    let addition = WireServersAddition {
+        versions,
+        position: Some(WirePosition(Some(1), 40)),
+        registered: vec![7],
+    };
     let bytes = rmp_serde::to_vec_named(&addition).unwrap();
     let read: FormerVersions = rmp_serde::from_slice(&bytes).unwrap();
     assert_eq!(read.versions["i-1"], "v2");
--- a/tests/it/stream_origins.rs
+++ b/tests/it/stream_origins.rs
@@ -4,15 +4,15 @@
 
 use filberttiller::decide::hash_bytes;
 use filberttiller::peers::{decode, encode};
-use filberttiller::relay::{OriginReplies, OriginReply, StreamOrigin, StreamOrigins};
+use filberttiller::relay::{OriginReply, StreamOrigin, StreamOrigins};
 use filberttiller::servers::{
-    Change, Page, Position, SeenSoftware, ServerRecord, ServerTable, ServiceSoftware,
+    Change, Page, Position, Registration, RouterProcess, SeenSoftware, ServerRecord, ServerTable,
+    ServiceSoftware,
 };
 use filberttiller::wire::{WireOriginQuery, WireOriginReply, WireStreamOrigin, WireStreamOrigins};
 use proptest::collection::vec;
 use proptest::prelude::{any, proptest};
 use rstest::rstest;
-use smallvec::SmallVec;
 
 use crate::support::server_record;
 
@@ -31,6 +31,14 @@
     taken
 }
 
+/// Streams that are to be written to the store, sorted.
+fn unwritten(origins: &mut StreamOrigins, now: Instant) -> Vec<u64> {
+    let taken = origins.take_unwritten(&[hash_bytes(SERVICE.as_bytes())], 1_000, now);
+    let mut taken: Vec<u64> = taken.iter().map(|it| it.stream).collect();
+    taken.sort_unstable();
+    taken
+}
+
 #[test]
 fn software_known_until_stream_is_over() {
     let (mut origins, now) = (StreamOrigins::default(), Instant::now());
@@ -176,26 +184,167 @@
     assert!(told.contains(&seen(10)), "the age is not renewed by telling");
 }
 
-fn replies(has_others: bool, all: &[ServiceSoftware]) -> OriginReplies {
-    let reply = |service: &ServiceSoftware| OriginReply { software: None, service: *service };
-    OriginReplies { has_others, replies: all.iter().map(reply).collect::<SmallVec<_>>() }
+/// A version that the store has a record of counts like one that was seen, for as long: servers
+/// with it may have gone before this router started.
+#[rstest]
+#[case::one(&["v1"], &["v1"], ServiceSoftware::One(key("v1")))]
+#[case::another_registered(&["v2"], &["v1"], ServiceSoftware::Several)]
+#[case::another_seen(&["v1", "v2"], &["v1"], ServiceSoftware::Several)]
+#[case::none_seen(&[], &["v2"], ServiceSoftware::One(key("v2")))]
+fn registered_software_counts(
+    #[case] seen: &[&str],
+    #[case] registered: &[&str],
+    #[case] expected: ServiceSoftware,
+) {
+    let (mut table, now) = (ServerTable::default(), Instant::now());
+    for it in registered {
+        table.register_software(SERVICE, key(it), Registration::Shared, now);
+    }
+    apply(&mut table, seen.iter().map(|it| put(it, it, 1)).collect(), now);
+    assert_eq!(table.software(SERVICE), expected);
+    table.record_software(now + 119 * SECOND);
+    assert_eq!(table.software(SERVICE), expected);
+}
+
+fn process(router: u64) -> RouterProcess {
+    RouterProcess { router, born: 1 }
 }
 
-/// The only version that a router knows is trusted if other routers say the same.
+/// The table of a process, with servers of the versions `seen`.
+fn table(own: RouterProcess, seen: &[&str], now: Instant) -> ServerTable {
+    let mut table = ServerTable::default();
+    table.set_process(own);
+    apply(&mut table, seen.iter().map(|it| put(it, it, 1)).collect(), now);
+    table
+}
+
+fn due(software: &str, registration: Registration) -> Vec<(String, u64, Registration)> {
+    vec![(SERVICE.to_owned(), key(software), registration)]
+}
+
+/// The only version is registered for all routers; a second one by each process for itself.
+#[test]
+fn unregistered_until_known() {
+    let now = Instant::now();
+    let mut table = table(process(1), &["v1"], now);
+    assert_eq!(table.unregistered(), due("v1", Registration::Shared));
+    table.register_software(SERVICE, key("v1"), Registration::Shared, now);
+    assert!(table.unregistered().is_empty());
+    apply(&mut table, vec![put("v2", "v2", 1), put("b", "v2", 1)], now);
+    let own = Registration::Process(process(1));
+    assert_eq!(table.unregistered(), due("v2", own));
+    let registered = |it: &ServerTable| it.all().filter(|it| it.is_registered()).count();
+    table.register_software(SERVICE, key("v2"), Registration::Process(process(2)), now);
+    assert_eq!(registered(&table), 1, "another process did so for itself");
+    table.register_software(SERVICE, key("v2"), own, now);
+    assert_eq!(registered(&table), 3);
+    table.clear_registered();
+    assert_eq!((table.unregistered().len(), registered(&table)), (2, 0), "lost by the store");
+}
+
+#[test]
+fn merge_registered_of_reader() {
+    let now = Instant::now();
+    let mut reader = table(process(1), &["v1", "v2"], now);
+    reader.register_software(SERVICE, key("v1"), Registration::Shared, now);
+    reader.register_software(SERVICE, key("v2"), Registration::Process(process(1)), now);
+    let mut follower = table(process(2), &["v1", "v2"], now);
+    follower.merge_registered(&reader.registered());
+    assert_eq!(follower.unregistered(), due("v2", Registration::Process(process(2))));
+}
+
+/// A stream that none of the asked processes knows was begun by a version that is registered for
+/// all, or by a process that was not asked.
 #[rstest]
-#[case::no_other_router(false, &[], true)]
-#[case::none_reached(true, &[], false)]
-#[case::agree(true, &[ServiceSoftware::One(1), ServiceSoftware::One(1)], true)]
-#[case::one_just_started(true, &[ServiceSoftware::None, ServiceSoftware::One(1)], true)]
-#[case::all_just_started(true, &[ServiceSoftware::None], false)]
-#[case::another_version(true, &[ServiceSoftware::One(1), ServiceSoftware::One(2)], false)]
-#[case::several(true, &[ServiceSoftware::One(1), ServiceSoftware::Several], false)]
-fn confirm_only_version(
-    #[case] has_others: bool,
-    #[case] all: &[ServiceSoftware],
-    #[case] expected: bool,
-) {
-    assert_eq!(replies(has_others, all).confirm(ServiceSoftware::One(1)), expected);
+#[case::nobody_registered(&[], &[], &["v1"])]
+#[case::registered_by_this_one(&[1], &[], &["v1"])]
+#[case::all_asked(&[1, 2, 3], &[2, 3], &["v1"])]
+#[case::one_silent(&[1, 2, 3], &[2], &["v1", "v2"])]
+fn possible_software(#[case] registered: &[u64], #[case] asked: &[u64], #[case] expected: &[&str]) {
+    let now = Instant::now();
+    let mut table = table(process(1), &["v1", "v2"], now);
+    table.register_software(SERVICE, key("v1"), Registration::Shared, now);
+    for it in registered {
+        table.register_software(SERVICE, key("v2"), Registration::Process(process(*it)), now);
+    }
+    let asked: Vec<RouterProcess> = asked.iter().map(|it| process(*it)).collect();
+    let mut possible = table.possible_software(SERVICE, &asked).to_vec();
+    let mut expected: Vec<u64> = expected.iter().map(|it| key(it)).collect();
+    possible.sort_unstable();
+    expected.sort_unstable();
+    assert_eq!(possible, expected);
+    let others: Vec<u64> = table.registered_processes(SERVICE).iter().map(|it| it.router).collect();
+    let expected: Vec<u64> = registered.iter().copied().filter(|it| *it != 1).collect();
+    assert_eq!(others, expected);
+}
+
+/// Guards against a process that started again under the name of one that registered a version.
+#[test]
+fn possible_software_of_replaced_process() {
+    let now = Instant::now();
+    let mut table = table(process(1), &["v1", "v2"], now);
+    table.register_software(SERVICE, key("v1"), Registration::Shared, now);
+    table.register_software(SERVICE, key("v2"), Registration::Process(process(2)), now);
+    let replaced = RouterProcess { born: 2, ..process(2) };
+    assert_eq!(table.possible_software(SERVICE, &[replaced]).len(), 2);
+}
+
+/// Guards against a version that is back just as other routers remove its record.
+#[test]
+fn unregistered_after_long_absence() {
+    let now = Instant::now();
+    let mut table = table(process(1), &["v1"], now);
+    table.register_software(SERVICE, key("v1"), Registration::Shared, now);
+    apply(&mut table, vec![Change { key: "v1".to_owned(), value: None }], now);
+    apply(&mut table, vec![put("b", "v1", 1)], now + 59 * SECOND);
+    assert!(table.unregistered().is_empty());
+    apply(&mut table, vec![Change { key: "b".to_owned(), value: None }], now + 59 * SECOND);
+    apply(&mut table, vec![put("c", "v1", 1)], now + 120 * SECOND);
+    assert_eq!(table.unregistered(), due("v1", Registration::Shared));
+}
+
+/// Once a version is the only one left, it is to be registered for all, and what is registered of
+/// the others is to be removed.
+#[test]
+fn outdated_registrations_after_streams_are_over() {
+    let now = Instant::now();
+    let mut table = table(process(1), &["v1", "v2"], now);
+    table.register_software(SERVICE, key("v1"), Registration::Shared, now);
+    table.register_software(SERVICE, key("v2"), Registration::Process(process(1)), now);
+    apply(&mut table, vec![Change { key: "v1".to_owned(), value: None }], now);
+    for half in 1..4 {
+        table.record_software(now + 30 * SECOND * half);
+    }
+    table.record_software(now + 119 * SECOND);
+    assert!(table.outdated_registrations().is_empty() && table.unshared().is_empty());
+    table.record_software(now + 121 * SECOND);
+    let outdated = table.outdated_registrations();
+    assert_eq!(outdated.len(), 1);
+    assert_eq!(table.unshared(), [(SERVICE.to_owned(), key("v2"))]);
+    table.unregister_software(outdated[0].0, outdated[0].1);
+    table.register_software(SERVICE, key("v2"), Registration::Shared, now);
+    assert!(table.outdated_registrations().is_empty() && table.unshared().is_empty());
+    assert_eq!(table.software(SERVICE), ServiceSoftware::One(key("v2")));
+}
+
+#[test]
+fn take_unwritten_open_streams_once() {
+    let (mut origins, now) = (StreamOrigins::default(), Instant::now());
+    for stream in 1..=3 {
+        origins.record(origin(stream, now + SECOND), SERVICE);
+    }
+    origins.record(origin(4, now + SECOND), "other");
+    origins.merge(origin(5, now + SECOND), now);
+    origins.end(2);
+    assert_eq!(unwritten(&mut origins, now), [1, 3], "not those that ended or began elsewhere");
+    assert!(unwritten(&mut origins, now).is_empty());
+    origins.record_unwritten(&[origin(3, now + SECOND)]);
+    assert_eq!(unwritten(&mut origins, now), [3], "the write failed");
+    origins.end(1);
+    origins.record_all_unwritten();
+    assert_eq!(unwritten(&mut origins, now), [3], "the store was restored");
+    origins.record_all_unwritten();
+    assert!(unwritten(&mut origins, now + 7 * SECOND).is_empty(), "nobody takes them up");
 }
 
 #[rstest]
@@ -203,7 +352,7 @@
 #[case(ServiceSoftware::One(9), Some(3))]
 #[case(ServiceSoftware::Several, Some(u64::MAX))]
 fn origin_reply_on_wire(#[case] service: ServiceSoftware, #[case] software: Option<u64>) {
-    let reply = OriginReply { software, service };
+    let reply = OriginReply { software, service, born: Some(5) };
     let bytes = encode(&WireOriginReply::from(reply)).unwrap();
     assert_eq!(OriginReply::from(decode::<WireOriginReply>(&bytes).unwrap()), reply);
 }
