relay: keep a silent stream until another server has taken it

Callers saw streams cut by a stopping router after 1.2 s of silence of a sound server, which went on 0.3 s later (LOST).

Cause: resume closed the connection to the silent server before another one had taken the stream. That another server has room is only believed; it answered 503, and nothing was left to go on with. The shutdown has no part in it.

The fix works as the connection stays open while another server is tried. It is closed when that one answers with a stream, so that no two servers work on it; an event of the silent one ends the attempt; without a taker the router waits on. A stream counts as resumed once it was.

--- a/src/relay/pending_request.rs
+++ b/src/relay/pending_request.rs
@@ -142,6 +142,5 @@
         self.excluded.extend(server.map(|it| it.hash));
         self.selections = 0;
         self.last_event = last.map(str::to_owned);
-        self.trace.resumed += 1;
     }
 }
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -1,5 +1,6 @@
 //! Streams of events, relayed as they arrive.
 
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -17,7 +18,8 @@
 use crate::relay::exchange::Reply;
 use crate::relay::pending_request::PendingRequest;
 use crate::relay::{
-    AnswerHead, BodyEnd, Connection, EventFramer, Framing, Outcome, Relay, RelayBody, RelayError,
+    AnswerHead, BodyEnd, Connection, EventFramer, Framing, Outcome, Refusal, Relay, RelayBody,
+    RelayError,
 };
 use crate::rules::Route;
 use crate::servers::{InFlight, Server};
@@ -120,16 +122,23 @@
                     if !self.may_resume() {
                         // No retry is allowed, so wait for this server until the deadline.
                         self.stall = FOREVER;
-                    } else if !self.resume().await {
-                        return self.cut("stalled");
+                    } else if let Some(next) = self.resume_beside().await {
+                        match next {
+                            Next::Bytes(bytes) => return Ok(Some(bytes)),
+                            Next::End => {
+                                self.finish();
+                                return Ok(None);
+                            }
+                            _ => {
+                                self.record_break();
+                                return self.cut("broken");
+                            }
+                        }
                     }
                 }
                 Next::TimedOut => return self.cut("timed_out"),
                 Next::Broken => {
-                    if let Some(server) = self.server() {
-                        server.record_result(false, self.relay.clock.now());
-                        self.relay.check_for_crash(&self.pending, server, self.progress());
-                    }
+                    self.record_break();
                     if !self.may_resume() || !self.resume().await {
                         return self.cut("broken");
                     }
@@ -143,6 +152,14 @@
         server_of(&self.in_flight)
     }
 
+    /// Counts the break of the answer against its server.
+    fn record_break(&self) {
+        if let Some(server) = self.server() {
+            server.record_result(false, self.relay.clock.now());
+            self.relay.check_for_crash(&self.pending, server, self.progress());
+        }
+    }
+
     fn progress(&self) -> RunProgress {
         let age = self.relay.clock.now().saturating_duration_since(self.began);
         RunProgress::of_answer(age, self.events.has_event())
@@ -168,7 +185,13 @@
     }
 
     fn take(&mut self, bytes: Bytes) -> Next {
-        match self.events.push(bytes) {
+        let events = self.events.push(bytes);
+        self.take_events(events)
+    }
+
+    /// Takes the events that are complete; `None` if the stream is malformed.
+    fn take_events(&mut self, events: Option<Bytes>) -> Next {
+        match events {
             Some(events) if events.is_empty() => Next::Bytes(events),
             Some(events) => {
                 self.waited = Duration::ZERO;
@@ -226,25 +249,106 @@
     async fn resume(&mut self) -> bool {
         // Closing the connection ends the first run.
         self.connection = None;
-        self.events.resume();
         self.pending.trace.body_end = None;
-        let last = self.events.last_id().map(str::to_owned);
-        let server = server_of(&self.in_flight).map(Arc::as_ref);
-        self.pending.prepare_resume(server, last.as_deref());
+        self.prepare_resume();
         match self.relay.run_attempts(&mut self.pending).await {
             Ok(Answer::Stream(reply, _)) => {
-                self.body = reply.body;
-                self.head = reply.head;
-                self.framing = reply.framing;
-                self.began = self.relay.clock.now();
-                self.waited = Duration::ZERO;
-                self.connection = Some(reply.connection);
-                self.in_flight = reply.in_flight;
+                self.go_on_with(*reply);
                 true
             }
             _ => false,
         }
     }
+
+    /// Tries to resume the stream at another backend server while the current one is silent. That
+    /// one goes on with it if it sends an event or the end meanwhile, which is returned, or if no
+    /// other takes the stream.
+    async fn resume_beside(&mut self) -> Option<Next> {
+        self.prepare_resume();
+        match self.race_resume().await {
+            Raced::Taken(reply) => {
+                self.go_on_with(*reply);
+                None
+            }
+            Raced::Refused => {
+                self.waited = Duration::ZERO;
+                None
+            }
+            Raced::Events(events) => Some(self.take_events(events)),
+            Raced::End(end) => Some(self.end(end)),
+        }
+    }
+
+    async fn race_resume(&mut self) -> Raced {
+        let StreamRelay { relay, pending, body, events, framing, .. } = self;
+        let mut attempts = pin!(relay.run_attempts(pending));
+        let end = tokio::select! {
+            result = &mut attempts => return Raced::of_attempts(result),
+            sent = next_events(body, events, *framing) => match sent {
+                Raced::End(end) if end != BodyEnd::Complete => end,
+                sent => return sent,
+            },
+        };
+        match Raced::of_attempts(attempts.await) {
+            Raced::Refused => Raced::End(end),
+            raced => raced,
+        }
+    }
+
+    fn prepare_resume(&mut self) {
+        let last = self.events.last_id().map(str::to_owned);
+        let server = server_of(&self.in_flight).map(Arc::as_ref);
+        self.pending.prepare_resume(server, last.as_deref());
+    }
+
+    /// Goes on with the answer of another server. Dropping the former connection ends its run.
+    fn go_on_with(&mut self, reply: Reply) {
+        self.events.resume();
+        self.pending.trace.resumed += 1;
+        self.body = reply.body;
+        self.head = reply.head;
+        self.framing = reply.framing;
+        self.began = self.relay.clock.now();
+        self.waited = Duration::ZERO;
+        self.connection = Some(reply.connection);
+        self.in_flight = reply.in_flight;
+    }
+}
+
+/// What came of a stream whose server was silent, while another one was tried.
+enum Raced {
+    /// Another server goes on with it.
+    Taken(Box<Reply>),
+    /// No other server took it.
+    Refused,
+    /// The silent server sent complete events; `None` if they are malformed.
+    Events(Option<Bytes>),
+    /// The answer of the silent server ended.
+    End(BodyEnd),
+}
+
+impl Raced {
+    fn of_attempts(result: Result<Answer, Refusal>) -> Raced {
+        match result {
+            Ok(Answer::Stream(reply, _)) => Raced::Taken(reply),
+            _ => Raced::Refused,
+        }
+    }
+}
+
+/// Waits for the next complete events of an answer, or its end.
+async fn next_events(body: &mut Incoming, events: &mut EventFramer, framing: Framing) -> Raced {
+    loop {
+        let bytes = match body.frame().await {
+            Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
+            Some(Err(e)) => return Raced::End(BodyEnd::of_error(&e)),
+            None => return Raced::End(BodyEnd::of_events(framing, events)),
+        };
+        let complete = events.push(bytes);
+        if !complete.as_ref().is_some_and(Bytes::is_empty) {
+            return Raced::Events(complete);
+        }
+    }
 }
 
 /// The server of a request in flight. Borrows no more of a stream than this.
