relay: an answer is complete once it is written

Callers with slow links lost the last third of their answers as a router stopped, with 5.1 s of its grace left (LOST).

Cause: a request counted as ended when the HTTP library dropped the body of its answer, which it does once it has buffered all of it. The process ended when no request was left. Besides, a graceful shutdown of the library closes a connection that it takes for idle, with what it has buffered.

The fix works as the stream below the library knows: it is written to, and flushed only when the library has nothing left. Until then the connection counts as active, for the process, the idle limit and the graceful shutdown.

--- a/src/relay/active_request.rs
+++ b/src/relay/active_request.rs
@@ -1,13 +1,14 @@
 //! Counts requests whose answers are not complete.
 
 use std::pin::Pin;
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
 use std::task::{Context, Poll};
 use std::time::Instant;
 
 use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
+use tokio::sync::Notify;
 
 use crate::clock::SharedClock;
 use crate::relay::RelayBody;
@@ -17,19 +18,47 @@
 pub(crate) struct Activity {
     /// Requests whose answers are not complete.
     pub requests: AtomicU32,
-    /// When the last answer was completed, or else the connection was accepted.
+    /// Answers are not written to the caller.
+    unwritten: AtomicBool,
+    /// Notified when all is written.
+    written: Notify,
+    /// When the last answer was completed or written, or else the connection was accepted.
     pub last_active: Mutex<Instant>,
 }
 
 impl Activity {
     /// The activity of a new connection.
     pub fn new(now: Instant) -> Activity {
-        Activity { requests: AtomicU32::new(0), last_active: Mutex::new(now) }
+        Activity {
+            requests: AtomicU32::new(0),
+            unwritten: AtomicBool::new(false),
+            written: Notify::new(),
+            last_active: Mutex::new(now),
+        }
     }
 
-    /// Whether no request is in progress.
+    /// Whether no request is in progress and all answers are written.
     pub fn is_idle(&self) -> bool {
-        self.requests.load(Ordering::Relaxed) == 0
+        self.requests.load(Ordering::Relaxed) == 0 && !self.unwritten.load(Ordering::Relaxed)
+    }
+
+    /// Notes that answers are not written.
+    pub fn begin_write(&self) {
+        self.unwritten.store(true, Ordering::Relaxed);
+    }
+
+    /// Notes that all answers are written.
+    pub fn end_write(&self, now: Instant) {
+        *self.last_active.lock().unwrap() = now;
+        self.unwritten.store(false, Ordering::Relaxed);
+        self.written.notify_one();
+    }
+
+    /// Waits until all answers are written.
+    pub async fn until_written(&self) {
+        while self.unwritten.load(Ordering::Relaxed) {
+            self.written.notified().await;
+        }
     }
 }
 
--- a/src/relay/connection_context.rs
+++ b/src/relay/connection_context.rs
@@ -20,6 +20,7 @@
 use crate::events::Code;
 use crate::relay::active_request::{ActiveRequest, Activity};
 use crate::relay::connection::set_socket_options;
+use crate::relay::tracked_stream::TrackedStream;
 use crate::relay::{FORWARDED, RelayBody};
 
 /// Pause after accepting a connection failed, most likely for lack of file descriptors.
@@ -36,7 +37,8 @@
     pub logger: Logger,
     /// The clock.
     pub clock: SharedClock,
-    /// Number of requests whose answers are not complete.
+    /// Number of requests whose answers are not complete, and of connections with answers that are
+    /// not written.
     pub active_requests: Arc<AtomicU32>,
     /// The same for requests that another router sent on.
     pub forwarded_requests: Arc<AtomicU32>,
@@ -82,6 +84,12 @@
     }
 }
 
+/// Waits until no new request is accepted any more, and all answers of a connection are written.
+async fn until_closable(closed: &mut watch::Receiver<bool>, activity: &Activity) {
+    wait_until_closed(closed).await;
+    activity.until_written().await;
+}
+
 async fn serve<H, F, I>(stream: TcpStream, context: ConnectionContext, handle: H, idle: I)
 where
     H: Fn(Request<Incoming>) -> F + Send + Sync + 'static,
@@ -91,6 +99,7 @@
     set_socket_options(&stream);
     let accepted = context.clock.now();
     let activity = Arc::new(Activity::new(accepted));
+    let stream = TrackedStream::new(stream, &context.clock, &context.active_requests, &activity);
     let service = service_fn(|request: Request<Incoming>| {
         let total = match request.headers().contains_key(FORWARDED) {
             true => &context.forwarded_requests,
@@ -115,7 +124,8 @@
         tokio::select! {
             // The request in progress gets the error, if there is one.
             _ = connection.as_mut() => return,
-            () = wait_until_closed(&mut closed), if !is_ending => {
+            // A shutdown drops answers that the HTTP library has taken over and not written.
+            () = until_closable(&mut closed, &activity), if !is_ending => {
                 connection.as_mut().graceful_shutdown();
                 is_ending = true;
             }
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -46,6 +46,7 @@
 mod stream_origins;
 mod suspect;
 mod suspect_parts;
+mod tracked_stream;
 
 pub use answer::{
     AnswerHead, ServerStatements, StatedBrittle, StatedDelay, StatedLeaving, StatedLimit,
--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -60,4 +60,5 @@
 mod suspect;
 mod timeline;
 mod timeline_check;
+mod unwritten_answers;
 mod verdicts;
--- /dev/null
+++ b/tests/it/unwritten_answers.rs
@@ -0,0 +1,99 @@
+//! Answers that a caller reads slowly, on a connection that closes.
+
+use std::convert::Infallible;
+use std::future::ready;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use filberttiller::clock::SystemClock;
+use filberttiller::events::discard_logger;
+use filberttiller::relay::{ConnectionContext, full_body, serve_connections};
+use hyper::Response;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::sync::watch;
+use tokio::time::{sleep, timeout};
+
+/// More than the kernel buffers on both sides.
+const ANSWER_BYTES: usize = 32 * 1024 * 1024;
+/// Receive buffer of the caller.
+const RECEIVE_BYTES: u32 = 64 * 1024;
+/// Longer than a connection without an active request has to close.
+const CLOSE_TIME: Duration = Duration::from_millis(2_500);
+
+/// Serves a large answer; returns its address and the number of active requests.
+async fn serve(closed: &watch::Sender<bool>) -> (SocketAddr, Arc<AtomicU32>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let active = Arc::new(AtomicU32::new(0));
+    let context = ConnectionContext {
+        logger: discard_logger(),
+        clock: Arc::new(SystemClock),
+        active_requests: Arc::clone(&active),
+        forwarded_requests: Arc::clone(&active),
+        closed: closed.subscribe(),
+    };
+    let body = Bytes::from(vec![b'x'; ANSWER_BYTES]);
+    let handler = move |_| ready(Response::new(full_body(body.clone())));
+    let idle = || Duration::from_secs(15);
+    tokio::spawn(serve_connections(listener, context, handler, idle));
+    (address, active)
+}
+
+/// Sends a request and reads nothing of its answer for a while.
+async fn ask(address: SocketAddr) -> TcpStream {
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.set_recv_buffer_size(RECEIVE_BYTES).unwrap();
+    let mut caller = socket.connect(address).await.unwrap();
+    caller.write_all(b"GET / HTTP/1.1\r\nhost: a\r\n\r\n").await.unwrap();
+    sleep(Duration::from_millis(300)).await;
+    caller
+}
+
+/// Reads a small part of an answer; returns the number of bytes.
+async fn read_slowly(caller: &mut TcpStream, time: Duration) -> usize {
+    let mut received = 0;
+    let mut part = vec![0; RECEIVE_BYTES as usize];
+    let until = Instant::now() + time;
+    while Instant::now() < until {
+        received += caller.read(&mut part).await.unwrap();
+        sleep(Duration::from_millis(20)).await;
+    }
+    received
+}
+
+async fn until_none(active: &AtomicU32) -> Result<(), Infallible> {
+    while active.load(Ordering::Relaxed) > 0 {
+        sleep(Duration::from_millis(10)).await;
+    }
+    Ok(())
+}
+
+/// Guards against answers that are cut as a process stops, since the HTTP library has taken them
+/// over but not written them (LOST).
+#[tokio::test]
+async fn request_active_until_answer_is_written() {
+    let closed = watch::Sender::new(false);
+    let (address, active) = serve(&closed).await;
+    let mut caller = ask(address).await;
+    assert!(active.load(Ordering::Relaxed) > 0, "the answer is not written");
+    closed.send_replace(true);
+    let mut received = read_slowly(&mut caller, CLOSE_TIME).await;
+    assert!(active.load(Ordering::Relaxed) > 0, "the answer is still not written");
+    let mut answer = Vec::new();
+    received += caller.read_to_end(&mut answer).await.unwrap();
+    assert!(received > ANSWER_BYTES, "{received} bytes");
+    timeout(Duration::from_secs(5), until_none(&active)).await.unwrap().unwrap();
+}
+
+/// Guards against a count that never ends when the caller leaves.
+#[tokio::test]
+async fn request_ends_as_caller_leaves() {
+    let closed = watch::Sender::new(false);
+    let (address, active) = serve(&closed).await;
+    drop(ask(address).await);
+    timeout(Duration::from_secs(5), until_none(&active)).await.unwrap().unwrap();
+}
