router: search for origins apart, registrations by name

Origins are told in origins.rs and looked for in origin_search.rs; records and registrations have types in place of tuples. A router that polls a reader no longer waits with its own registration while another version is to be registered for all, and a failed write uses its key again, so that a long outage of the store leaves no keys to remove.

--- a/src/router/endpoints.rs
+++ b/src/router/endpoints.rs
@@ -17,7 +17,8 @@
     EXCHANGE_PATH, Message, ORIGIN_PATH, ORIGINS_PATH, SERVERS_PATH, decode, encode, encode_with,
 };
 use crate::relay::{FORWARDED, RelayBody, Sender, full_body};
-use crate::router::origins::{merge_origins, reply_to_query};
+use crate::router::origin_search::reply_to_query;
+use crate::router::origins::merge_origins;
 use crate::router::{Router, Store};
 use crate::wire::WireStreamOrigins;
 
--- a/src/router/store.rs
+++ b/src/router/store.rs
@@ -49,6 +49,15 @@
     pub streams: Vec<Change<WireStreamRecord>>,
 }
 
+/// A record of streams or of a software version that is written to the store.
+#[derive(Debug, Clone)]
+pub struct StreamRecord {
+    /// Its key.
+    pub key: String,
+    /// Its value; a record without one is removed.
+    pub value: Option<WireStreamRecord>,
+}
+
 /// The store. A method makes its call once; the router decides when to call and when to
 /// retry.
 pub trait Store: Send + Sync + 'static {
@@ -75,11 +84,11 @@
         from: u64,
     ) -> impl Future<Output = Result<Page<WireStreamRecord>, StoreError>> + Send;
 
-    /// Writes stream records, all or none; those without a value are removed. With `at`, only if
-    /// nothing was written at that position or later. Idempotent without it.
+    /// Writes stream records, all or none. With `at`, only if nothing was written at that position
+    /// or later. Idempotent without it.
     fn put_stream_records(
         &self,
-        records: &[(String, Option<WireStreamRecord>)],
+        records: &[StreamRecord],
         at: Option<Position>,
     ) -> impl Future<Output = Result<StoreEra, StoreError>> + Send;
 
--- a/src/router/stream_writer.rs
+++ b/src/router/stream_writer.rs
@@ -11,8 +11,8 @@
 use crate::relay::StreamOrigin;
 use crate::router::origins::{mixed_services, to_wire};
 use crate::router::stream_records::{WrittenRecord, software_key, streams_key};
-use crate::router::{Router, Store, StoreError};
-use crate::servers::{RegisteredSoftware, Registration};
+use crate::router::{Router, Store, StoreError, StreamRecord};
+use crate::servers::{DueRegistration, RegisteredSoftware, Registration};
 use crate::wire::{WireRegisteredSoftware, WireStartedStreams, WireStreamRecord};
 
 /// Shortest pause between two writes.
@@ -28,11 +28,6 @@
 /// The store refuses a write under a condition that does not hold.
 const PRECONDITION_FAILED: u16 = 412;
 
-/// Key and value of a record.
-type StreamRecord = (String, Option<WireStreamRecord>);
-/// A service, a software version of it and how that is registered.
-type Software = (String, u64, Registration);
-
 /// Writes what is due, for ever.
 pub(crate) async fn write_streams<S: Store>(router: Arc<Router<S>>) {
     let mut writer = StreamWriter::default();
@@ -57,7 +52,7 @@
 struct StreamWriter {
     written: Vec<WrittenRecord>,
     next_number: u64,
-    /// Since when servers have versions that are not registered.
+    /// Since when servers have versions that are to be registered for all.
     unregistered_since: Option<Instant>,
     is_failing: bool,
 }
@@ -70,13 +65,14 @@
             let services = mixed_services(router);
             router.relay.origins.lock().unwrap().take_unwritten(&services, MAX_STREAMS, now)
         };
+        self.written.extend(router.stream_records.take_leftovers());
+        let is_write_due = !software.is_empty() || !origins.is_empty();
+        let removed = self.take_expired(is_write_due, now);
         let mut records: Vec<StreamRecord> = software.iter().map(software_record).collect();
+        records.extend(removed.iter().map(|it| removal(it.key.clone())));
         if !origins.is_empty() {
             records.push(self.streams_record(router, &origins, now));
         }
-        self.written.extend(router.stream_records.take_leftovers());
-        let removed = self.take_expired(!records.is_empty(), now);
-        records.extend(removed.iter().map(|it| (it.key.clone(), None)));
         if records.is_empty() {
             return Ok(());
         }
@@ -87,6 +83,9 @@
                 Ok(())
             }
             Err(e) => {
+                if !origins.is_empty() {
+                    self.undo_streams_record();
+                }
                 router.relay.origins.lock().unwrap().record_unwritten(&origins);
                 self.written.extend(removed);
                 Err(e)
@@ -96,22 +95,20 @@
 
     /// Versions at which this process may not begin streams yet. Most routers leave it to those that
     /// read the store to register what all need.
-    async fn due_software<S: Store>(&mut self, router: &Router<S>) -> Vec<Software> {
+    async fn due_software<S: Store>(&mut self, router: &Router<S>) -> Vec<DueRegistration> {
         let unregistered = || router.relay.servers.lock().unwrap().unregistered();
-        let found = unregistered();
-        if found.is_empty() {
+        let (shared, own): (Vec<_>, Vec<_>) =
+            unregistered().into_iter().partition(|it| it.registration == Registration::Shared);
+        if shared.is_empty() {
             self.unregistered_since = None;
-            return found;
-        }
-        if found.iter().all(|(_, _, it)| *it != Registration::Shared) {
-            return found;
+            return own;
         }
         let now = router.relay.clock().now();
         let since = *self.unregistered_since.get_or_insert(now);
         let is_due = router.is_reader() || now.saturating_duration_since(since) >= FOLLOWER_WAIT;
         // Another router may have registered them.
         if !is_due || !router.stream_records.refresh().await {
-            return Vec::new();
+            return own;
         }
         unregistered()
     }
@@ -135,7 +132,13 @@
         let last = origins.iter().map(|it| it.deadline).max().unwrap_or(now);
         let expires = last + StreamOrigin::RETENTION_TIME;
         self.written.push(WrittenRecord { key: key.clone(), expires });
-        (key, Some(WireStreamRecord::Streams(record)))
+        StreamRecord { key, value: Some(WireStreamRecord::Streams(record)) }
+    }
+
+    /// Uses the key of the last record again, so that failed writes leave no keys to remove.
+    fn undo_streams_record(&mut self) {
+        self.written.pop();
+        self.next_number -= 1;
     }
 
     /// Records that are to be removed now: those that have expired, if others are written with
@@ -162,19 +165,26 @@
     }
 }
 
-fn software_record((service, software, registration): &Software) -> StreamRecord {
+fn software_record(due: &DueRegistration) -> StreamRecord {
     let record = WireRegisteredSoftware {
-        service: service.clone(),
-        software: *software,
-        process: (*registration).into(),
+        service: due.service.clone(),
+        software: due.software,
+        process: due.registration.into(),
     };
-    let key = software_key(RegisteredSoftware::key(service, *software), *registration);
-    (key, Some(WireStreamRecord::Software(record)))
+    let software = RegisteredSoftware::key(&due.service, due.software);
+    StreamRecord {
+        key: software_key(software, due.registration),
+        value: Some(WireStreamRecord::Software(record)),
+    }
+}
+
+fn removal(key: String) -> StreamRecord {
+    StreamRecord { key, value: None }
 }
 
-fn register<S: Store>(router: &Router<S>, software: &[Software], now: Instant) {
+fn register<S: Store>(router: &Router<S>, written: &[DueRegistration], now: Instant) {
     let mut servers = router.relay.servers.lock().unwrap();
-    for (service, software, registration) in software {
+    for DueRegistration { service, software, registration } in written {
         servers.register_software(service, *software, *registration, now);
         info!(router.logger, "{}", Code::SoftwareRegistered.text();
             "event" => Code::SoftwareRegistered.number(), "service" => service,
@@ -198,10 +208,8 @@
         return Ok(());
     }
     let ((outdated, unshared), at) = (due(), router.stream_records.position());
-    let shared: Vec<Software> =
-        unshared.into_iter().map(|(service, it)| (service, it, Registration::Shared)).collect();
-    let removed = outdated.iter().map(|(key, it)| (software_key(*key, *it), None));
-    let records: Vec<StreamRecord> = shared.iter().map(software_record).chain(removed).collect();
+    let removed = outdated.iter().map(|(key, it)| removal(software_key(*key, *it)));
+    let records: Vec<StreamRecord> = unshared.iter().map(software_record).chain(removed).collect();
     if records.is_empty() {
         return Ok(());
     }
@@ -211,7 +219,7 @@
         Err(StoreError::Refused(PRECONDITION_FAILED)) => return Ok(()),
         Err(e) => return Err(e),
     }
-    register(router, &shared, router.relay.clock().now());
+    register(router, &unshared, router.relay.clock().now());
     let mut servers = router.relay.servers.lock().unwrap();
     outdated.iter().for_each(|(key, it)| servers.unregister_software(*key, *it));
     Ok(())
--- a/src/servers/mod.rs
+++ b/src/servers/mod.rs
@@ -25,7 +25,7 @@
 pub use list_cursor::{ListCursor, TableRevision};
 pub use record::{ServerRecord, ServerState};
 pub(crate) use registered_software::RegisteredSoftware;
-pub use registered_software::{Registration, RouterProcess};
+pub use registered_software::{DueRegistration, Registration, RouterProcess};
 pub use server::{InFlight, Server};
 pub use server_limit::{LimitChange, LimitStatement};
 pub(crate) use software_history::HISTORY_TIME;
--- a/src/servers/registered_software.rs
+++ b/src/servers/registered_software.rs
@@ -26,6 +26,19 @@
     }
 }
 
+plain! {
+    /// A registration that is to be written to the store.
+    #[derive(Eq, PartialOrd, Ord)]
+    pub struct DueRegistration {
+        /// Name of the service.
+        pub service: String,
+        /// Key of the version.
+        pub software: u64,
+        /// Who may begin streams at it then.
+        pub registration: Registration,
+    }
+}
+
 /// Versions of services that the platform's store has records of.
 ///
 /// A version is registered before a stream begins at it: for all routers where it is the only one
--- a/src/servers/table_software.rs
+++ b/src/servers/table_software.rs
@@ -6,7 +6,8 @@
 use smallvec::{SmallVec, smallvec};
 
 use crate::servers::{
-    RegisteredSoftware, Registration, RouterProcess, SeenSoftware, ServerTable, ServiceSoftware,
+    DueRegistration, RegisteredSoftware, Registration, RouterProcess, SeenSoftware, ServerTable,
+    ServiceSoftware,
 };
 
 impl ServerTable {
@@ -81,14 +82,15 @@
 
     /// Services and versions of servers that take work at which this process may not begin
     /// streams, and what is to be registered for that.
-    pub fn unregistered(&self) -> Vec<(String, u64, Registration)> {
+    pub fn unregistered(&self) -> Vec<DueRegistration> {
         let servers =
             self.services.iter().flat_map(|(name, it)| it.iter().map(move |it| (name, it)));
         let unregistered = servers.filter(|(_, it)| !it.is_registered());
         let mut all: Vec<_> = unregistered
             .map(|(service, it)| {
                 let software = it.software.key();
-                (service.clone(), software, self.due_registration(service, software))
+                let registration = self.due_registration(service, software);
+                DueRegistration { service: service.clone(), software, registration }
             })
             .collect();
         all.sort_unstable();
@@ -140,13 +142,18 @@
     }
 
     /// Versions that are the only ones of their services, but not registered for all yet.
-    pub fn unshared(&self) -> Vec<(String, u64)> {
+    pub fn unshared(&self) -> Vec<DueRegistration> {
         let versions = self.software.versions().filter(|(service, software)| {
             let key = RegisteredSoftware::key(service, *software);
             let is_only = self.software.of_service(service) == ServiceSoftware::One(*software);
             is_only && !self.registered.is_shared(key) && !self.registered.processes(key).is_empty()
         });
-        versions.map(|(service, software)| (service.to_owned(), software)).collect()
+        let due = |(service, software): (&str, u64)| DueRegistration {
+            service: service.to_owned(),
+            software,
+            registration: Registration::Shared,
+        };
+        versions.map(due).collect()
     }
 
     /// Makes the mark of all servers consistent with the registered versions.
--- a/tests/it/stream_origins.rs
+++ b/tests/it/stream_origins.rs
@@ -6,8 +6,8 @@
 use filberttiller::peers::{decode, encode};
 use filberttiller::relay::{OriginReply, StreamOrigin, StreamOrigins};
 use filberttiller::servers::{
-    Change, Page, Position, Registration, RouterProcess, SeenSoftware, ServerRecord, ServerTable,
-    ServiceSoftware,
+    Change, DueRegistration, Page, Position, Registration, RouterProcess, SeenSoftware,
+    ServerRecord, ServerTable, ServiceSoftware,
 };
 use filberttiller::wire::{WireOriginQuery, WireOriginReply, WireStreamOrigin, WireStreamOrigins};
 use proptest::collection::vec;
@@ -218,8 +218,8 @@
     table
 }
 
-fn due(software: &str, registration: Registration) -> Vec<(String, u64, Registration)> {
-    vec![(SERVICE.to_owned(), key(software), registration)]
+fn due(software: &str, registration: Registration) -> Vec<DueRegistration> {
+    vec![DueRegistration { service: SERVICE.to_owned(), software: key(software), registration }]
 }
 
 /// The only version is registered for all routers; a second one by each process for itself.
@@ -320,7 +320,7 @@
     table.record_software(now + 121 * SECOND);
     let outdated = table.outdated_registrations();
     assert_eq!(outdated.len(), 1);
-    assert_eq!(table.unshared(), [(SERVICE.to_owned(), key("v2"))]);
+    assert_eq!(table.unshared(), due("v2", Registration::Shared));
     table.unregister_software(outdated[0].0, outdated[0].1);
     table.register_software(SERVICE, key("v2"), Registration::Shared, now);
     assert!(table.outdated_registrations().is_empty() && table.unshared().is_empty());
