--- a/src/servers/table_software.rs
+++ b/src/servers/table_software.rs
@@ -15,8 +15,9 @@
     pub fn record_software(&mut self, now: Instant) -> bool {
         let before = self.software.mixed().count();
         let mut returned = false;
-        let present: Vec<_> =
-            self.present_software().map(|(service, it)| (service.to_owned(), it)).collect();
+        let present: HashSet<(&str, u64)> = self.present_software().collect();
+        let present: Vec<(String, u64)> =
+            present.into_iter().map(|(service, it)| (service.to_owned(), it)).collect();
         for (service, software) in &present {
             if !self.software.record(service, *software, now) {
                 self.registered.remove_version(RegisteredSoftware::key(service, *software));
