interfaces: what servers state of pace and cold time, tokens of a request, a wait for room

Cause: the parts for evacuation, cold servers, token budgets, pace and admission are built side by side and meet in the selection of a server and in the heads of answers.

Change: the fourth figure of the load and the time for which a server stays cold are decoded; a service names how many requests a cold server takes; a server knows its failure domain and pace; a request in flight bears its tokens; a request that finds no room passes one place where it may wait. Nothing decides by these yet: no request goes elsewhere than before.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -24,9 +24,11 @@
 mod retry_budget;
 mod run_progress;
 mod sent_tokens;
+mod server_pace;
 mod service_load;
 mod service_reach;
 mod suspect;
+mod token_ledger;
 mod verdict;
 
 pub use admission::{
@@ -54,7 +56,9 @@
 pub use retry_budget::{RetryBudget, RetryRate};
 pub use run_progress::RunProgress;
 pub use sent_tokens::SentTokens;
+pub use server_pace::ServerPace;
 pub use service_load::ServiceLoad;
 pub use service_reach::ServiceReach;
 pub use suspect::{SuspectPolicy, suspect_policy};
+pub use token_ledger::RequestTokens;
 pub use verdict::Verdict;
--- a/src/relay/answer.rs
+++ b/src/relay/answer.rs
@@ -50,11 +50,34 @@
         Unreadable,
     }
 
+    /// The load that a server reports with an answer. Invariant: `running + waiting` is a `u32`.
+    #[derive(Copy)]
+    pub struct StatedLoad {
+        /// Requests that run.
+        pub running: u32,
+        /// Requests that wait.
+        pub waiting: u32,
+        /// How long work takes there at present, in hundredths of the usual time; finite and
+        /// positive. Absent from servers that do not report it.
+        pub pace: Option<f64>,
+    }
+
+    /// For how long an answer says that its server stays cold.
+    #[derive(Copy)]
+    pub enum StatedCold {
+        /// It does not say so.
+        Absent,
+        /// For so long; zero once it is warm.
+        Named(Duration),
+        /// It cannot be read.
+        Unreadable,
+    }
+
     /// What an answer says of the server that sent it.
     #[derive(Copy)]
     pub struct ServerStatements {
-        /// Requests at the server, running and waiting.
-        pub load: Option<u32>,
+        /// The load of the server.
+        pub load: Option<StatedLoad>,
         /// The limit that the server names.
         pub limit: StatedLimit,
         /// Whether the server leaves.
@@ -63,6 +86,8 @@
         pub brittle: StatedBrittle,
         /// For how long it wants no requests; counts with status 503 alone.
         pub delay: StatedDelay,
+        /// For how long the server stays cold.
+        pub cold: StatedCold,
     }
 
     /// Head of an answer, without its status.
@@ -82,6 +107,13 @@
     }
 }
 
+impl StatedLoad {
+    /// Requests at the server, running and waiting.
+    pub fn total(&self) -> u32 {
+        self.running + self.waiting
+    }
+}
+
 impl ServerStatements {
     /// The part of them that counts in a refusal.
     pub fn of_refusal(self) -> ServerStatements {
--- a/src/relay/choose.rs
+++ b/src/relay/choose.rs
@@ -6,7 +6,9 @@
 
 use smallvec::SmallVec;
 
-use crate::decide::{Candidate, ServiceLoad, UNSEEN_TIME, combine, max_at_brittle, pick};
+use crate::decide::{
+    Candidate, RequestTokens, ServiceLoad, UNSEEN_TIME, combine, max_at_brittle, pick,
+};
 use crate::relay::exchange::UpstreamRequest;
 use crate::relay::pending_request::{Grant, PendingRequest};
 use crate::relay::{OutgoingMeta, Refusal, Relay, drop_hop_headers};
@@ -120,6 +122,16 @@
         candidates.iter().any(|it| is_other(it) && !it.closed && it.load < it.max_load)
     }
 
+    /// Tokens that `pending` takes at `server`.
+    pub(crate) fn request_tokens(
+        &self,
+        _pending: &PendingRequest,
+        _server: &Arc<Server>,
+        _now: Instant,
+    ) -> RequestTokens {
+        RequestTokens::default()
+    }
+
     /// A server that can hand over the prefix `key` to `server`: a known holder, or else
     /// the first other server in the hash order, which other routers prefer for the prefix.
     fn prefix_source(
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -47,9 +47,11 @@
 mod suspect;
 mod suspect_parts;
 mod tracked_stream;
+mod wait_for_room;
 
 pub use answer::{
-    AnswerHead, ServerStatements, StatedBrittle, StatedDelay, StatedLeaving, StatedLimit,
+    AnswerHead, ServerStatements, StatedBrittle, StatedCold, StatedDelay, StatedLeaving,
+    StatedLimit, StatedLoad,
 };
 pub use attempt_error::AttemptError;
 pub use body::{RelayBody, RelayError, full_body};
--- a/src/rules/service.rs
+++ b/src/rules/service.rs
@@ -11,6 +11,9 @@
         pub health: Option<String>,
         /// Present where the backend servers are model engines.
         pub engine: Option<EngineLimits>,
+        /// Requests a second that a backend server takes from all routers together while it is
+        /// cold; absent where cold servers take as many as others.
+        pub cold_rate: Option<f64>,
     }
 
     /// Capacity of one model engine.
--- a/src/servers/server.rs
+++ b/src/servers/server.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use crate::decide::{LimitSenders, Results, combine, hash_bytes};
+use crate::decide::{LimitSenders, RequestTokens, Results, ServerPace, combine, hash_bytes};
 use crate::servers::result_window::ResultWindow;
 use crate::servers::{
     LimitChange, LimitStatement, ServerRecord, ServerState, SoftwareVersion, StatedCondition,
@@ -48,6 +48,8 @@
     pub software: SoftwareVersion,
     /// Where it listens.
     pub address: SocketAddr,
+    /// Failure domain.
+    pub domain: Arc<str>,
     /// Requests that run at once.
     pub slots: u32,
     /// When it started, in milliseconds since 1970.
@@ -69,6 +71,8 @@
     ejected: AtomicBool,
     /// Streams that callers may take up can begin at its software version.
     registered: AtomicBool,
+    /// How long work takes there at present.
+    pub pace: ServerPace,
     /// What it stated itself, shared with other values of the same incarnation.
     pub stated: Arc<StatedCondition>,
 }
@@ -81,6 +85,7 @@
             hash: hash_bytes(id.as_bytes()),
             software: record.software.clone(),
             address: record.address,
+            domain: record.domain.as_str().into(),
             slots: record.slots,
             born: record.born,
             leaving: AtomicBool::new(false),
@@ -93,6 +98,7 @@
             peer_results: Mutex::default(),
             ejected: AtomicBool::new(false),
             registered: AtomicBool::new(false),
+            pace: ServerPace::default(),
             stated: Arc::default(),
         }
     }
@@ -262,10 +268,10 @@
         self.ejected.store(ejected, Ordering::Relaxed);
     }
 
-    /// Counts a request as in flight until the returned value is dropped.
-    pub fn begin_request(self: &Arc<Server>) -> InFlight {
+    /// Counts a request of `tokens` as in flight until the returned value is dropped.
+    pub fn begin_request(self: &Arc<Server>, tokens: RequestTokens) -> InFlight {
         self.own.fetch_add(1, Ordering::Relaxed);
-        InFlight { server: Arc::clone(self) }
+        InFlight { server: Arc::clone(self), tokens }
     }
 
     /// Whether requests may be sent to it now, judged by connections alone.
@@ -300,6 +306,7 @@
 #[derive(Debug)]
 pub struct InFlight {
     server: Arc<Server>,
+    tokens: RequestTokens,
 }
 
 impl InFlight {
@@ -307,6 +314,11 @@
     pub fn server(&self) -> &Arc<Server> {
         &self.server
     }
+
+    /// Tokens of the request.
+    pub fn tokens(&self) -> RequestTokens {
+        self.tokens
+    }
 }
 
 impl Drop for InFlight {
--- a/tests/it/hot_key.rs
+++ b/tests/it/hot_key.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use filberttiller::decide::{
-    Candidate, KeyRates, LoadBound, Results, UNSEEN_TIME, hash_bytes, pick,
+    Candidate, KeyRates, LoadBound, RequestTokens, Results, UNSEEN_TIME, hash_bytes, pick,
 };
 use filberttiller::servers::{InFlight, Server, ServerRecord};
 use rand::{Rng, SeedableRng};
@@ -118,7 +118,7 @@
             }
             let runs = &mut servers[at];
             let slot_free = runs.len().checked_sub(SLOTS as usize).map_or(now, |it| runs[it].ends);
-            let in_flight = routers[router][at].begin_request();
+            let in_flight = routers[router][at].begin_request(RequestTokens::default());
             let ends = slot_free + SERVICE_TIME;
             runs.push_back(Run { router, begins: slot_free, ends, is_answered: false, in_flight });
         }
--- a/tests/it/servers.rs
+++ b/tests/it/servers.rs
@@ -3,7 +3,7 @@
 
 use std::time::{Duration, Instant};
 
-use filberttiller::decide::Results;
+use filberttiller::decide::{RequestTokens, Results};
 use filberttiller::servers::{
     Change, Effect, Page, Position, ServerRecord, ServerState, ServerTable, TableRevision,
 };
@@ -31,7 +31,7 @@
     let (mut table, now) = (ServerTable::default(), Instant::now());
     apply(&mut table, vec![put("a", ready(1, 1))], true, now);
     let server = table.all().next().unwrap().clone();
-    let _in_flight = server.begin_request();
+    let _in_flight = server.begin_request(RequestTokens::default());
     apply(&mut table, vec![put("a", ready(1, 2))], false, now);
     assert_eq!(table.all().next().unwrap().own(), 1);
 }
@@ -53,7 +53,7 @@
     let (mut table, now) = (ServerTable::default(), Instant::now());
     apply(&mut table, vec![put("a", ready(1, 50))], true, now);
     let former = table.all().next().unwrap().clone();
-    let _in_flight = former.begin_request();
+    let _in_flight = former.begin_request(RequestTokens::default());
     former.record_unreached(now);
     apply(&mut table, vec![put("a", ready(2, 1))], false, now);
     let server = table.all().next().unwrap();
@@ -156,14 +156,14 @@
     let (mut table, now) = (ServerTable::default(), Instant::now());
     apply(&mut table, vec![put("a", ready(1, 1))], true, now);
     let server = table.all().next().unwrap();
-    let in_flight = server.begin_request();
+    let in_flight = server.begin_request(RequestTokens::default());
     server.set_reported_by_peers(2, Results::default());
     assert_eq!(server.load(now), 3);
     server.set_reported_load(9, now);
     assert_eq!(server.load(now), 9, "the report includes this router's request");
     drop(in_flight);
     assert_eq!(server.load(now), 8);
-    let _more = server.begin_request();
+    let _more = server.begin_request(RequestTokens::default());
     assert_eq!(server.load(now + Duration::from_secs(1)), 3, "the report has expired");
     server.set_reported_load(0, now);
     assert_eq!(server.load(now), 1, "this router's request has not reached the server yet");
