reach: a router probes other servers before it takes itself to be cut off

Cause: three refused new connections in a row counted as a cut. While connections to sound servers are pooled, only those that restart get new ones, so that half of the servers restarting at once made 30 routers believe themselves cut off, 95 times in two seconds, and send requests to one another in vain. Change: three such servers are a suspicion; seven others are probed at once, and the router is cut off if one in five or fewer are reached. A service all of whose servers failed is cut off at once, as before.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -58,7 +58,7 @@
 pub use sent_tokens::SentTokens;
 pub use server_pace::ServerPace;
 pub use service_load::ServiceLoad;
-pub use service_reach::ServiceReach;
+pub use service_reach::{ReachState, ServiceReach};
 pub use suspect::{SuspectPolicy, suspect_policy};
 pub use token_ledger::RequestTokens;
 pub use verdict::Verdict;
--- a/src/decide/service_reach.rs
+++ b/src/decide/service_reach.rs
@@ -3,8 +3,27 @@
 use smallvec::SmallVec;
 
 /// Number of servers that cannot be connected to, with no success in between, from which on the
-/// router is taken to be cut off. All servers of a smaller service.
+/// router may be cut off.
 const MIN_FAILED: usize = 3;
+/// Share of the probed servers up to which the router is cut off: a few may be reached throughout.
+const CUT_OFF_SHARE: f64 = 0.2;
+/// Share of the probed servers above which it is not cut off any more.
+const REACHED_SHARE: f64 = 0.5;
+
+key! {
+    /// Whether the servers of a service are reached.
+    #[derive(Default)]
+    pub enum ReachState {
+        /// Some are.
+        #[default]
+        Reached,
+        /// Several could not be connected to, so that others are to be probed: either the router is
+        /// cut off, or these servers went at the same moment.
+        Suspected,
+        /// None is, or so few that other routers serve better.
+        CutOff,
+    }
+}
 
 /// What the new connections of a router to the servers of one service show. Open connections
 /// show nothing, as they may live on while new ones are refused.
@@ -13,29 +32,64 @@
     /// Servers that could not be connected to since the last success. Invariant: distinct, at
     /// most `MIN_FAILED`.
     failed: SmallVec<[u64; MIN_FAILED]>,
-    is_cut_off: bool,
+    state: ReachState,
 }
 
 impl ServiceReach {
-    /// Records that a server was connected to; true if the router was cut off until now.
-    pub fn record_connected(&mut self) -> bool {
+    /// Whether the servers are reached.
+    pub fn state(&self) -> ReachState {
+        self.state
+    }
+
+    /// Whether the router is cut off from all servers of the service.
+    pub fn is_cut_off(&self) -> bool {
+        self.state == ReachState::CutOff
+    }
+
+    /// Whether servers are to be probed.
+    pub fn needs_probe(&self) -> bool {
+        self.state != ReachState::Reached
+    }
+
+    /// Records that a server was connected to; returns the state if it changed.
+    pub fn record_connected(&mut self) -> Option<ReachState> {
         self.failed.clear();
-        std::mem::take(&mut self.is_cut_off)
+        self.set(ReachState::Reached)
     }
 
     /// Records that the server with the hash `server`, one of `count`, could not be connected
-    /// to; true if the router is cut off from now on.
-    pub fn record_unconnected(&mut self, server: u64, count: usize) -> bool {
-        if self.is_cut_off || self.failed.contains(&server) {
-            return false;
+    /// to; returns the state if it changed.
+    pub fn record_unconnected(&mut self, server: u64, count: usize) -> Option<ReachState> {
+        if self.state != ReachState::Reached || self.failed.contains(&server) {
+            return None;
         }
         self.failed.push(server);
-        self.is_cut_off = self.failed.len() >= MIN_FAILED.min(count.max(1));
-        self.is_cut_off
+        match self.failed.len() {
+            failed if failed >= count => self.set(ReachState::CutOff),
+            MIN_FAILED.. => self.set(ReachState::Suspected),
+            _ => None,
+        }
     }
 
-    /// Whether the router is cut off from all servers of the service.
-    pub fn is_cut_off(&self) -> bool {
-        self.is_cut_off
+    /// Records that `reached` of `probed` servers could be connected to; returns the state if it
+    /// changed.
+    pub fn record_probes(&mut self, reached: usize, probed: usize) -> Option<ReachState> {
+        if probed == 0 {
+            // A service without servers cannot be reached from other routers either.
+            return self.record_connected();
+        }
+        let share = reached as f64 / probed as f64;
+        match self.state {
+            ReachState::Reached => None,
+            ReachState::Suspected if share <= CUT_OFF_SHARE => self.set(ReachState::CutOff),
+            ReachState::CutOff if share <= REACHED_SHARE => None,
+            ReachState::Suspected | ReachState::CutOff => self.record_connected(),
+        }
+    }
+
+    fn set(&mut self, state: ReachState) -> Option<ReachState> {
+        let changed = self.state != state;
+        self.state = state;
+        changed.then_some(state)
     }
 }
--- a/src/relay/reach.rs
+++ b/src/relay/reach.rs
@@ -6,7 +6,7 @@
 use slog::{info, warn};
 use smallvec::SmallVec;
 
-use crate::decide::{ServiceReach, hash_bytes};
+use crate::decide::{ReachState, ServiceReach, hash_bytes};
 use crate::events::Code;
 use crate::relay::Relay;
 use crate::servers::Server;
@@ -26,24 +26,22 @@
         self.reaches.names(ServiceReach::is_cut_off)
     }
 
-    /// Hashes of the names of these services, as other routers are told.
+    /// The services whose servers are to be probed.
+    pub(crate) fn probed_services(&self) -> Vec<String> {
+        self.reaches.names(ServiceReach::needs_probe)
+    }
+
+    /// Hashes of the names of the services from whose servers this router is cut off, as other routers are told.
     pub(crate) fn cut_off_hashes(&self) -> SmallVec<[u64; 2]> {
         self.cut_off_services().iter().map(|it| hash_bytes(it.as_bytes())).collect()
     }
 
     /// Records a new connection to a server of `service`.
     pub(crate) fn record_connected(&self, service: &str) {
-        if !self.reaches.with(service, ServiceReach::default, ServiceReach::record_connected) {
-            return;
-        }
-        self.cut_services.fetch_sub(1, Ordering::Relaxed);
-        self.urgent_update.notify_one();
-        let code = Code::CutOffEnded;
-        info!(self.request_log.logger(), "{}", code.text();
-            "event" => code.number(), "service" => service);
-        // Their pauses are from the time when this router was cut off.
-        for it in self.of_service(service).iter() {
-            it.record_reached();
+        let was_cut_off = self.is_cut_off(service);
+        let change = self.reaches.with(service, ServiceReach::default, |it| it.record_connected());
+        if change.is_some() && was_cut_off {
+            self.end_cut_off(service);
         }
     }
 
@@ -51,16 +49,51 @@
     pub(crate) fn record_unconnected(&self, service: &str, server: &Server) {
         let count = self.of_service(service).len();
         let record = |it: &mut ServiceReach| it.record_unconnected(server.hash, count);
-        if !self.reaches.with(service, ServiceReach::default, record) {
-            return;
+        match self.reaches.with(service, ServiceReach::default, record) {
+            Some(ReachState::CutOff) => self.begin_cut_off(service),
+            Some(ReachState::Suspected) => self.probe_now.notify_one(),
+            Some(ReachState::Reached) | None => {}
+        }
+    }
+
+    /// Records that `reached` of `probed` servers of `service` could be connected to.
+    pub(crate) fn record_probes(&self, service: &str, reached: usize, probed: usize) {
+        let was_cut_off = self.is_cut_off(service);
+        let record = |it: &mut ServiceReach| it.record_probes(reached, probed);
+        match self.reaches.with(service, ServiceReach::default, record) {
+            Some(ReachState::CutOff) => self.begin_cut_off(service),
+            Some(ReachState::Reached) if was_cut_off => self.end_cut_off(service),
+            Some(ReachState::Reached) => {
+                let code = Code::CutOffDismissed;
+                info!(self.request_log.logger(), "{}", code.text();
+                    "event" => code.number(), "service" => service, "reached" => reached,
+                    "probed" => probed);
+            }
+            Some(ReachState::Suspected) | None => {}
         }
+    }
+
+    fn begin_cut_off(&self, service: &str) {
         self.cut_services.fetch_add(1, Ordering::Relaxed);
-        self.cut_off.notify_one();
+        self.probe_now.notify_one();
         self.urgent_update.notify_one();
         let code = Code::CutOff;
         warn!(self.request_log.logger(), "{}", code.text();
-            "event" => code.number(), "service" => service, "last" => &*server.id,
-            "servers" => count, "forwarders" => self.forwarders.load().len());
+            "event" => code.number(), "service" => service,
+            "servers" => self.of_service(service).len(),
+            "forwarders" => self.forwarders.load().len());
+    }
+
+    fn end_cut_off(&self, service: &str) {
+        self.cut_services.fetch_sub(1, Ordering::Relaxed);
+        self.urgent_update.notify_one();
+        let code = Code::CutOffEnded;
+        info!(self.request_log.logger(), "{}", code.text();
+            "event" => code.number(), "service" => service);
+        // Their pauses are from the time when this router was cut off.
+        for it in self.of_service(service).iter() {
+            it.record_reached();
+        }
     }
 
     /// Servers of `service` that take work.
--- a/src/relay/relay.rs
+++ b/src/relay/relay.rs
@@ -64,8 +64,8 @@
     pub(crate) reaches: ByService<ServiceReach>,
     /// Number of services from whose servers this router is cut off.
     pub(crate) cut_services: AtomicUsize,
-    /// Notified when this router is cut off from the servers of a service.
-    pub(crate) cut_off: Notify,
+    /// Notified when servers of a service are to be probed.
+    pub(crate) probe_now: Notify,
     /// The other routers that may take requests meanwhile.
     pub(crate) forwarders: ArcSwap<Vec<Forwarder>>,
     /// The rules in force.
@@ -117,7 +117,7 @@
             brittle: ByService::default(),
             reaches: ByService::default(),
             cut_services: AtomicUsize::new(0),
-            cut_off: Notify::new(),
+            probe_now: Notify::new(),
             forwarders: ArcSwap::default(),
             rules: RulesCell::default(),
             lease: Lease::default(),
--- a/src/router/reach_watch.rs
+++ b/src/router/reach_watch.rs
@@ -1,4 +1,4 @@
-//! Probes the backend servers of services from which this router is cut off.
+//! Probes the backend servers of services from which this router is or may be cut off.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -12,17 +12,17 @@
 
 /// Pause between two probes of a service.
 const PROBE_PAUSE: Duration = Duration::from_millis(250);
-/// Servers that are probed at the same time. Most of them must be reached, as a single one may
-/// be reached throughout.
-const PROBED_SERVERS: usize = 3;
+/// Servers that are probed at the same time. Most of them must be reached for a cut to end, as a
+/// single one may be reached throughout, and some while a whole failure domain is gone.
+const PROBED_SERVERS: usize = 7;
 
-/// Opens connections to servers of services from which this router is cut off, for ever. No
-/// request is sent there before one succeeds.
+/// Opens connections to servers of services from which this router is or may be cut off, for
+/// ever. No request of a service that is cut off is sent there before they succeed.
 pub(crate) async fn watch_reach<S: Store>(router: Arc<Router<S>>) {
     loop {
-        let services = router.relay.cut_off_services();
+        let services = router.relay.probed_services();
         if services.is_empty() {
-            router.relay.cut_off.notified().await;
+            router.relay.probe_now.notified().await;
             continue;
         }
         join_all(services.iter().map(|it| probe(&router, it))).await;
@@ -37,7 +37,5 @@
         servers.choose_multiple(&mut rand::rng(), PROBED_SERVERS).map(|it| it.address).collect();
     let opened = join_all(probed.into_iter().map(|it| Connection::open(it, now))).await;
     let reached = opened.iter().filter(|it| it.is_ok()).count();
-    if servers.is_empty() || reached * 2 > opened.len() {
-        router.relay.record_connected(service);
-    }
+    router.relay.record_probes(service, reached, opened.len());
 }
