reach: a request that found no way waits until it is known whether its router is cut off

Cause: with the probe in between, requests of a router that is cut off spent all their selections before the verdict: attempts_of_both_routers_counted and stream_goes_on_at_its_version_over_other_router failed on. Change: after a connection failed, and only while the router may be cut off, the next selection waits for the probe; the probe ends once most servers are reached. Measured: both tests pass again, with the other 31 of router_cut_off.

--- a/src/relay/attempt_loop.rs
+++ b/src/relay/attempt_loop.rs
@@ -179,6 +179,7 @@
             Err(e) => {
                 let error = AttemptError::Connect(e);
                 self.record_failure(pending, &attempt, error, RunProgress::Unanswered);
+                self.until_reach_known(&pending.trace.service).await;
                 Ok(AttemptResult::Failed(AttemptError::Connect(e), grant))
             }
         }
--- a/src/relay/reach.rs
+++ b/src/relay/reach.rs
@@ -1,5 +1,6 @@
 //! Whether this router reaches the backend servers of each service itself.
 
+use std::pin::pin;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
@@ -43,6 +44,9 @@
         if change.is_some() && was_cut_off {
             self.end_cut_off(service);
         }
+        if change.is_some() {
+            self.reach_known.notify_waiters();
+        }
     }
 
     /// Records that `server`, of `service`, could not be connected to.
@@ -71,6 +75,20 @@
             }
             Some(ReachState::Suspected) | None => {}
         }
+        self.reach_known.notify_waiters();
+    }
+
+    /// Waits until it is known whether this router is cut off from the servers of `service`.
+    pub(crate) async fn until_reach_known(&self, service: &str) {
+        loop {
+            let mut known = pin!(self.reach_known.notified());
+            known.as_mut().enable();
+            let state = self.reaches.with(service, ServiceReach::default, |it| it.state());
+            if state != ReachState::Suspected {
+                return;
+            }
+            known.await;
+        }
     }
 
     fn begin_cut_off(&self, service: &str) {
--- a/src/relay/relay.rs
+++ b/src/relay/relay.rs
@@ -66,6 +66,8 @@
     pub(crate) cut_services: AtomicUsize,
     /// Notified when servers of a service are to be probed.
     pub(crate) probe_now: Notify,
+    /// Notified when it is known whether this router is cut off from the servers of a service.
+    pub(crate) reach_known: Notify,
     /// The other routers that may take requests meanwhile.
     pub(crate) forwarders: ArcSwap<Vec<Forwarder>>,
     /// The rules in force.
@@ -118,6 +120,7 @@
             reaches: ByService::default(),
             cut_services: AtomicUsize::new(0),
             probe_now: Notify::new(),
+            reach_known: Notify::new(),
             forwarders: ArcSwap::default(),
             rules: RulesCell::default(),
             lease: Lease::default(),
--- a/src/router/reach_watch.rs
+++ b/src/router/reach_watch.rs
@@ -3,7 +3,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures_util::StreamExt;
 use futures_util::future::join_all;
+use futures_util::stream::FuturesUnordered;
 use rand::seq::IndexedRandom;
 use tokio::time::sleep;
 
@@ -33,9 +35,16 @@
 async fn probe<S: Store>(router: &Router<S>, service: &str) {
     let servers = router.relay.of_service(service);
     let now = router.relay.clock().now();
-    let probed: Vec<_> =
-        servers.choose_multiple(&mut rand::rng(), PROBED_SERVERS).map(|it| it.address).collect();
-    let opened = join_all(probed.into_iter().map(|it| Connection::open(it, now))).await;
-    let reached = opened.iter().filter(|it| it.is_ok()).count();
-    router.relay.record_probes(service, reached, opened.len());
+    let chosen = servers.choose_multiple(&mut rand::rng(), PROBED_SERVERS);
+    let mut opened: FuturesUnordered<_> =
+        chosen.map(|it| Connection::open(it.address, now)).collect();
+    let probed = opened.len();
+    let mut reached = 0;
+    // Servers that are silent need not be awaited once most of the others are reached.
+    while reached * 2 <= probed
+        && let Some(result) = opened.next().await
+    {
+        reached += usize::from(result.is_ok());
+    }
+    router.relay.record_probes(service, reached, probed);
 }
