evacuation: no request reaches servers of a failure domain that operators evacuate

Other routers are told of the set at once and do not renew their leases by one that knows less. A service without servers elsewhere is refused at once (`evacuated`). A record that names another failure domain makes a new server. PrefixHolders::source takes the condition that its tests now pass.

--- a/src/events/code.rs
+++ b/src/events/code.rs
@@ -72,6 +72,10 @@
     232 StreamsUnread "what the store has of streams and software versions cannot be read";
     233 StreamRecordUnreadable "a record of streams or of a software version cannot be decoded";
     234 SoftwareRegistered "a software version was registered in the store, streams may begin at it";
+    235 DomainEvacuated "a failure domain is evacuated, its backend servers get no requests";
+    236 DomainTakenBack "a failure domain is no longer evacuated";
+    237 ServiceEvacuated "all backend servers of a service are in evacuated failure domains";
+    238 ServiceTakenBack "a service has backend servers outside evacuated failure domains again";
     // 3xx: membership
     300 ListUnreachable "the instance list is unreachable";
     301 ListReachable "the instance list is reachable again";
--- a/src/relay/choose.rs
+++ b/src/relay/choose.rs
@@ -34,7 +34,7 @@
         let service = pending.target_service(grant).ok_or(Refusal::NoServer)?;
         pending.trace.service.clear();
         pending.trace.service.push_str(service);
-        let servers = self.servers.lock().unwrap().of_service(service).ok_or(Refusal::NoServer)?;
+        let servers = self.available_servers(service)?;
         let now = self.clock.now();
         let objective = self.min_objective(service, grant);
         if !has_software(&servers, pending.software) {
@@ -55,6 +55,19 @@
         if server.take_allowance(now) { Ok(server) } else { Err(Refusal::NoRoom) }
     }
 
+    /// Servers of `service` that take work.
+    ///
+    /// # Errors
+    /// Says why there are none.
+    fn available_servers(&self, service: &str) -> Result<Arc<[Arc<Server>]>, Refusal> {
+        let servers = self.servers.lock().unwrap();
+        let refusal = || match servers.is_evacuated(service) {
+            true => Refusal::Evacuated,
+            false => Refusal::NoServer,
+        };
+        servers.of_service(service).ok_or_else(refusal)
+    }
+
     /// Requests with the prefix `key` of the other routers that are in flight at `service` and
     /// not reported yet, if each sends as many as this one.
     fn competing(&self, service: &str, key: u64, now: Instant) -> f64 {
@@ -144,7 +157,8 @@
         if self.prefix_holders.holds(key, server, now) {
             return None;
         }
-        self.prefix_holders.source(key, server, now).or_else(|| {
+        let may_send = |it: &Server| !self.is_evacuated(it);
+        self.prefix_holders.source(key, server, now, may_send).or_else(|| {
             let servers = self.servers.lock().unwrap().of_service(&pending.trace.service)?;
             let others = servers.iter().filter(|it| !Arc::ptr_eq(it, server));
             let reachable = others.filter(|it| it.is_reachable(now));
--- a/src/relay/forward.rs
+++ b/src/relay/forward.rs
@@ -56,7 +56,8 @@
         grant: &'a Grant,
     ) -> Option<&'a str> {
         let service = pending.target_service(grant)?;
-        (!pending.is_forwarded() && self.is_cut_off(service)).then_some(service)
+        let is_due = !pending.is_forwarded() && self.is_cut_off(service);
+        (is_due && !self.servers.lock().unwrap().is_evacuated(service)).then_some(service)
     }
 
     /// Whether another router may take a request for `service`.
--- a/src/relay/health_check.rs
+++ b/src/relay/health_check.rs
@@ -34,6 +34,9 @@
     let uri = path.and_then(|it| it.parse::<Uri>().ok());
     let mut is_answered = false;
     for _ in 0..MAX_CHECKS {
+        while relay.is_evacuated(&server) && !server.is_leaving() {
+            sleep(CHECK_PAUSE).await;
+        }
         let Some(uri) = uri.as_ref().filter(|_| !server.is_leaving()) else {
             break;
         };
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -18,6 +18,7 @@
 mod connection;
 mod connection_context;
 mod connection_pool;
+mod evacuation;
 mod event_framer;
 mod exchange;
 mod forward;
--- a/src/relay/prefix_holders.rs
+++ b/src/relay/prefix_holders.rs
@@ -50,13 +50,20 @@
         recent.any(|it| Arc::ptr_eq(&it.server, server))
     }
 
-    /// The latest holder other than `chosen` that can hand over the prefix.
-    pub fn source(&self, key: u64, chosen: &Arc<Server>, now: Instant) -> Option<Arc<Server>> {
+    /// The latest holder other than `chosen` that can hand over the prefix, and `may_send`.
+    pub fn source(
+        &self,
+        key: u64,
+        chosen: &Arc<Server>,
+        now: Instant,
+        may_send: impl Fn(&Server) -> bool,
+    ) -> Option<Arc<Server>> {
         let all = self.holders.lock().unwrap();
         let mut recent = all.get(&key)?.iter().filter(|it| is_recent(it, now));
         let can_serve = |it: &&Holder| {
             let server = &it.server;
-            !Arc::ptr_eq(server, chosen) && !server.is_gone() && server.is_reachable(now)
+            let is_usable = !server.is_gone() && server.is_reachable(now);
+            !Arc::ptr_eq(server, chosen) && is_usable && may_send(server)
         };
         recent.find(can_serve).map(|it| Arc::clone(&it.server))
     }
--- a/src/relay/refusal.rs
+++ b/src/relay/refusal.rs
@@ -27,6 +27,8 @@
         Leaving,
         /// No backend server is available.
         NoServer,
+        /// All backend servers are in failure domains that operators have evacuated.
+        Evacuated,
         /// No backend server has the software version that began the stream.
         NoVersion,
         /// It takes a stream up, and no router knows the software version that began it.
@@ -59,6 +61,7 @@
         Refusal::NoRules,
         Refusal::Leaving,
         Refusal::NoServer,
+        Refusal::Evacuated,
         Refusal::NoVersion,
         Refusal::UnknownOrigin,
         Refusal::NoRoom,
@@ -96,6 +99,7 @@
             Refusal::NoRules
             | Refusal::Leaving
             | Refusal::NoServer
+            | Refusal::Evacuated
             | Refusal::NoVersion
             | Refusal::UnknownOrigin
             | Refusal::NoRoom
@@ -124,6 +128,8 @@
             Refusal::NoRoom | Refusal::Shed | Refusal::UnknownOrigin => {
                 Some(Duration::from_millis(300))
             }
+            // Operators take a domain back by hand.
+            Refusal::Evacuated => Some(Duration::from_secs(1)),
             Refusal::Crashes | Refusal::PartCrashes => Some(Duration::from_secs(10)),
             _ => None,
         }
@@ -140,6 +146,7 @@
             Refusal::NoRules => "no_rules",
             Refusal::Leaving => "leaving",
             Refusal::NoServer => "no_server",
+            Refusal::Evacuated => "evacuated",
             Refusal::NoVersion => "no_version",
             Refusal::UnknownOrigin => "unknown_origin",
             Refusal::NoRoom => "no_room",
--- a/src/relay/relay.rs
+++ b/src/relay/relay.rs
@@ -29,7 +29,7 @@
     Codec, ConnectionPool, Forwarder, OriginQuery, Outcome, PrefixHolders, Refusal, RelayBody,
     RelayLimits, RequestLog, RequestMeta, RetryBudgets, StreamOrigins, full_body,
 };
-use crate::rules::{Denied, Lease, RouteKind, RulesCell};
+use crate::rules::{Denied, Evacuations, Lease, RouteKind, RulesCell};
 use crate::servers::ServerTable;
 
 /// How long the crash of a backend server counts against a request.
@@ -72,6 +72,8 @@
     pub rules: RulesCell,
     /// The time up to which the rules are confirmed.
     pub lease: Lease,
+    /// The failure domains that operators have evacuated. Locked before `servers`.
+    pub evacuations: Mutex<Evacuations>,
     /// The backend servers.
     pub servers: Mutex<ServerTable>,
     /// The time up to which their records are confirmed.
@@ -121,6 +123,7 @@
             forwarders: ArcSwap::default(),
             rules: RulesCell::default(),
             lease: Lease::default(),
+            evacuations: Mutex::default(),
             servers: Mutex::default(),
             servers_lease: Lease::default(),
             origins: Mutex::default(),
--- a/src/router/router.rs
+++ b/src/router/router.rs
@@ -206,17 +206,21 @@
             cut_off: self.relay.cut_off_hashes().into_vec(),
             sightings,
             failures,
+            evacuations: self.relay.evacuation_news(now),
         }
     }
 
     /// Handles the reply to a message that was sent at `sent`, as time since boot. If the
-    /// other router has the same rules, its confirmation of them renews the lease here too.
-    pub(crate) fn receive_reply(&self, message: Message, sent: Duration) {
+    /// other router has the same rules and knows of the same evacuations, its confirmation of them
+    /// renews the lease here too.
+    pub(crate) fn receive_reply(&self, mut message: Message, sent: Duration) {
+        let now = self.relay.clock().now();
+        let is_current = self.relay.merge_evacuations(message.news.evacuations.take(), now);
         let own = self.relay.rules.load().map_or(0, |it| it.version);
         if let Some((version, age_ms)) = message.exchange.rules {
             let confirmed = sent.checked_sub(Duration::from_millis(age_ms));
             match (version.cmp(&own), confirmed) {
-                (Ordering::Equal, Some(at)) => self.relay.lease.renew(at),
+                (Ordering::Equal, Some(at)) if is_current => self.relay.lease.renew(at),
                 (Ordering::Greater, _) => self.newer_rules.notify_one(),
                 _ => {}
             }
@@ -299,6 +303,7 @@
         let now = self.relay.clock().now();
         let Message { exchange, news } = message;
         self.relay.merge_part_news(part_news_from_wire(news.parts, now));
+        self.relay.merge_evacuations(news.evacuations, now);
         merge_limits(&self.relay, &news.limits, now);
         merge_leaving(&self.relay, &news.leaving, now);
         merge_software(&self.relay, news.software, now);
--- a/src/router/rules_watch.rs
+++ b/src/router/rules_watch.rs
@@ -1,4 +1,4 @@
-//! Reads the rules from the store as they change, and renews the lease on them.
+//! Reads the rules and evacuations from the store as they change, and renews the lease on them.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -32,16 +32,18 @@
         let sent = clock.boot();
         let began = clock.now();
         match router.store.rules(cursor.offset(), wait).await {
-            Ok(page) if cursor.is_outdated(page.next) => {
-                router.note_era(page.next.era);
+            Ok(page) if cursor.is_outdated(page.rules.next) => {
+                router.note_era(page.rules.next.era);
                 cursor.reset();
             }
             Ok(page) => {
-                let next = page.next;
+                let next = page.rules.next;
                 router.note_era(next.era);
-                has_more = !page.is_last;
+                has_more = !page.rules.is_last;
+                // First, so that no request is sent to servers of an evacuated domain.
+                router.relay.apply_evacuations(&page, clock.now());
                 // Before the last page, newer rules may be known to the store already.
-                if apply(&router, page) && !has_more {
+                if apply(&router, page.rules) && !has_more {
                     router.relay.lease.renew(sent);
                 }
                 cursor.advance(next);
--- a/src/router/state_change_log.rs
+++ b/src/router/state_change_log.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 use std::time::Instant;
 
-use slog::info;
+use slog::{info, warn};
 
 use crate::events::Code;
 use crate::router::{Router, Store};
@@ -18,6 +18,8 @@
     alive: BTreeSet<String>,
     /// Names of the services in which several software versions serve.
     mixed: BTreeSet<String>,
+    /// Names of the services whose servers are all in evacuated failure domains.
+    evacuated: BTreeSet<String>,
 }
 
 impl StateChangeLog {
@@ -28,6 +30,24 @@
         self.log_peers(router, now);
         self.log_reader_role(router, now);
         self.log_software(router);
+        self.log_evacuated(router);
+    }
+
+    fn log_evacuated<S: Store>(&mut self, router: &Router<S>) {
+        let servers = router.relay.servers.lock().unwrap();
+        let evacuated: BTreeSet<String> = servers.evacuated_services().map(str::to_owned).collect();
+        drop(servers);
+        for service in evacuated.difference(&self.evacuated) {
+            let code = Code::ServiceEvacuated;
+            warn!(router.logger, "{}", code.text();
+                "event" => code.number(), "service" => service);
+        }
+        for service in self.evacuated.difference(&evacuated) {
+            let code = Code::ServiceTakenBack;
+            info!(router.logger, "{}", code.text();
+                "event" => code.number(), "service" => service);
+        }
+        self.evacuated = evacuated;
     }
 
     fn log_software<S: Store>(&mut self, router: &Router<S>) {
--- a/src/router/store.rs
+++ b/src/router/store.rs
@@ -4,7 +4,7 @@
 use std::future::Future;
 use std::time::Duration;
 
-use crate::rules::RuleSet;
+use crate::rules::OperatorPage;
 use crate::servers::{Change, Page, Position, ServerRecord, StoreEra};
 use crate::wire::{WireRouter, WireStoredBlame, WireStreamRecord};
 
@@ -61,13 +61,13 @@
 /// The store. A method makes its call once; the router decides when to call and when to
 /// retry.
 pub trait Store: Send + Sync + 'static {
-    /// Rules: all of them, or what was written at offset `from` and later. The store waits
+    /// Records of operators: all of them, or what was written at offset `from` and later. The store waits
     /// up to `wait` for such a write.
     fn rules(
         &self,
         from: Option<u64>,
         wait: Duration,
-    ) -> impl Future<Output = Result<Page<RuleSet>, StoreError>> + Send;
+    ) -> impl Future<Output = Result<OperatorPage, StoreError>> + Send;
 
     /// Records of backend servers: all, or what was written at offset `from` and later.
     fn servers(
--- a/src/servers/server.rs
+++ b/src/servers/server.rs
@@ -112,6 +112,7 @@
     pub fn matches(&self, record: &ServerRecord) -> bool {
         let same = self.born == record.born
             && self.address == record.address
+            && *self.domain == *record.domain
             && self.software == record.software;
         let is_ready_again =
             self.leaving.load(Ordering::Relaxed) && record.state == ServerState::Ready;
--- a/src/servers/table.rs
+++ b/src/servers/table.rs
@@ -7,6 +7,7 @@
 use crate::decide::{Results, combine, hash_bytes, is_failing, max_avoided};
 use crate::servers::leaving_statements::LeavingStatements;
 use crate::servers::software_history::SoftwareHistory;
+use crate::servers::table_evacuation::EvacuatedServers;
 use crate::servers::table_id::TableId;
 use crate::servers::{
     Change, Effect, Page, Position, RegisteredSoftware, RouterProcess, Server, ServerRecord,
@@ -44,6 +45,9 @@
     entries: HashMap<String, Entry>,
     /// Servers that take work. Invariant: consistent with `entries`.
     pub(super) services: HashMap<String, Arc<[Arc<Server>]>>,
+    /// Those that do not because their failure domains are evacuated. Invariant: consistent with
+    /// `entries`.
+    pub(super) evacuated: EvacuatedServers,
     /// Incarnations that said that they leave, whatever their records say.
     leaving: LeavingStatements,
     /// Software versions that served lately, of servers that are gone too.
@@ -74,9 +78,10 @@
         self.services.get(service).cloned()
     }
 
-    /// All servers that take work.
+    /// All servers that take work, or will once their failure domains are taken back.
     pub fn all(&self) -> impl Iterator<Item = &Arc<Server>> {
-        self.services.values().flat_map(|it| it.iter())
+        let evacuated = self.evacuated.by_service.values();
+        self.services.values().flat_map(|it| it.iter()).chain(evacuated.flatten())
     }
 
     /// Updates which servers are ejected, by their results. `on_change` is called for
@@ -343,13 +348,18 @@
         if had_left { Effect::Gone } else { Effect::Left }
     }
 
-    fn rebuild(&mut self) {
+    pub(super) fn rebuild(&mut self) {
         let mut services: HashMap<String, Vec<Arc<Server>>> = HashMap::new();
+        self.evacuated.by_service.clear();
         for it in self.entries.values() {
             let Some(server) = it.server.as_ref().filter(|it| !it.is_leaving()) else {
                 continue;
             };
-            services.entry(it.record.service.clone()).or_default().push(Arc::clone(server));
+            let by_service = match self.evacuated.contains(server) {
+                true => &mut self.evacuated.by_service,
+                false => &mut services,
+            };
+            by_service.entry(it.record.service.clone()).or_default().push(Arc::clone(server));
         }
         for it in services.values_mut() {
             it.sort_by_key(|it| it.hash);
--- a/src/timeline/diagnosis.rs
+++ b/src/timeline/diagnosis.rs
@@ -75,6 +75,9 @@
             "no_room" => {
                 format!("all backend servers were full; {}", self.similar_requests(reason))
             }
+            "evacuated" => {
+                "operators have evacuated the failure domains of all backend servers".to_owned()
+            }
             "shed" => "the only backend server that the route allows refused it".to_owned(),
             "crashes" => "this request had crashed backend servers before".to_owned(),
             "part_crashes" => {
--- a/src/wire/peer.rs
+++ b/src/wire/peer.rs
@@ -122,6 +122,17 @@
         /// Exchanges with other routers that failed.
         #[serde(skip_serializing_if = "Vec::is_empty")]
         pub failures: Vec<WirePeerFailure>,
+        /// Evacuated failure domains; absent while none is known and none was until lately.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        pub evacuations: Option<WireEvacuations>,
+    }
+
+    /// Failure domains that operators have evacuated, as of a position in their records.
+    pub struct WireEvacuations {
+        /// Names of the domains.
+        pub domains: Vec<String>,
+        /// Position of the next record.
+        pub position: WirePosition,
     }
 
     /// An exchange with a process of a router that failed: hash of the router's name, when the
@@ -246,5 +257,6 @@
             && self.cut_off.is_empty()
             && self.sightings.is_empty()
             && self.failures.is_empty()
+            && self.evacuations.is_none()
     }
 }
--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -10,6 +10,7 @@
 mod crashing_parts;
 mod decide;
 mod decoders;
+mod evacuations;
 mod events;
 mod failing;
 mod fault;
--- a/tests/it/relay_parts.rs
+++ b/tests/it/relay_parts.rs
@@ -176,24 +176,27 @@
 fn source_last_holder() {
     let (holders, now) = (PrefixHolders::default(), Instant::now());
     let (old, new) = (server("old"), server("new"));
-    assert!(holders.source(1, &new, now).is_none());
+    assert!(holders.source(1, &new, now, |_| true).is_none());
     holders.record(1, &old, now);
-    assert_eq!(holders.source(1, &new, now).unwrap().id, old.id);
-    assert!(holders.source(2, &new, now).is_none());
-    assert!(holders.source(1, &old, now).is_none(), "a server is no source for itself");
+    assert_eq!(holders.source(1, &new, now, |_| true).unwrap().id, old.id);
+    assert!(holders.source(2, &new, now, |_| true).is_none());
+    assert!(holders.source(1, &old, now, |_| true).is_none(), "a server is no source for itself");
     holders.record(1, &new, now);
     assert!(holders.holds(1, &new, now) && holders.holds(1, &old, now));
     old.mark_leaving();
-    assert!(holders.source(1, &new, now).is_some(), "a leaving server still hands over the prefix");
+    assert!(
+        holders.source(1, &new, now, |_| true).is_some(),
+        "a leaving server still hands over the prefix"
+    );
     old.mark_gone();
-    assert!(holders.source(1, &new, now).is_none(), "a server that is gone does not");
+    assert!(holders.source(1, &new, now, |_| true).is_none(), "a server that is gone does not");
 }
 
 #[test]
 fn source_expires() {
     let (holders, now) = (PrefixHolders::default(), Instant::now());
     holders.record(1, &server("a"), now);
-    assert!(holders.source(1, &server("b"), now + Duration::from_secs(61)).is_none());
+    assert!(holders.source(1, &server("b"), now + Duration::from_secs(61), |_| true).is_none());
 }
 
 #[test]
