--- a/standins/src/platform/server_standin.rs
+++ b/standins/src/platform/server_standin.rs
@@ -39,6 +39,8 @@
     running: AtomicUsize,
     /// It says that it is brittle: it crashes once it turns more requests away in a second.
     brittle: Mutex<Option<usize>>,
+    /// Length up to which other answers are filled.
+    answer_bytes: AtomicUsize,
     /// Software version that its events name.
     version: Mutex<Option<String>>,
     /// Bytes of answers without end that callers took.
@@ -114,6 +116,7 @@
             room: Mutex::default(),
             running: AtomicUsize::new(0),
             brittle: Mutex::default(),
+            answer_bytes: AtomicUsize::new(0),
             version: Mutex::default(),
             endless_bytes: AtomicUsize::new(0),
             handled: Mutex::default(),
@@ -141,6 +144,11 @@
         self.address
     }
 
+    /// Sets the least length of the bodies of all later answers that are no streams.
+    pub fn set_answer_bytes(&self, bytes: usize) {
+        self.shared.answer_bytes.store(bytes, Ordering::Relaxed);
+    }
+
     /// Sets the behaviour for all later requests.
     pub fn set_behaviour(&self, behaviour: ServerBehaviour) {
         *self.shared.behaviour.lock().unwrap() = behaviour;
@@ -293,7 +301,9 @@
         ServerBehaviour::CrashOnPart(part) => request.has_part(part),
         _ => false,
     };
-    let body = format!("{} of {}", request.line.trim(), shared.id);
+    let mut body = format!("{} of {}", request.line.trim(), shared.id);
+    let fill = shared.answer_bytes.load(Ordering::Relaxed).saturating_sub(body.len());
+    body.push_str(&" ".repeat(fill));
     shared.handled.lock().unwrap().push(request);
     if is_fatal {
         if stream && behaviour != ServerBehaviour::Crash {
