Limit what a process holds for its clients

Change: src/intake counts them for one process. Bodies are read into memory that is reserved first; a request that gets none is refused with 503 (no_memory) and not run. Connections are bounded for each listener. Where room is short, the connection of the slowest client of the address that holds most is closed (decide::client_to_close).

--- a/src/events/code.rs
+++ b/src/events/code.rs
@@ -45,6 +45,9 @@
     108 TurnedUnready "this router is not ready for callers";
     110 LinesDropped "log lines were dropped because there were too many";
     111 AcceptFailed "a connection could not be accepted";
+    112 ConnectionRefused "a connection was not accepted because there are too many";
+    113 MemoryShort "memory for requests and answers is short, a request was refused or an answer cut";
+    114 ClientClosed "the connection of a slow or idle client was closed to make room for others";
     // 2xx: tickets and state
     200 TicketAccepted "a ticket came into force";
     201 TicketRejected "a ticket was rejected";
--- /dev/null
+++ b/src/intake/intake.rs
@@ -0,0 +1,182 @@
+//! All clients of a process, and the limits on what it holds for them.
+
+use std::collections::HashMap;
+use std::net::IpAddr;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use prometheus::{IntCounterVec, Opts, Registry};
+use slog::{Logger, warn};
+use tokio::sync::Notify;
+use tokio::time::timeout;
+
+use crate::clock::SharedClock;
+use crate::decide::{ClientState, Shortage, client_to_close};
+use crate::events::Code;
+use crate::intake::{Client, Door, IntakeLimits, MemoryBudget, OpenClient, Reservation};
+
+/// Longest wait of a new connection for another one to close.
+const OPEN_TIME: Duration = Duration::from_millis(1_500);
+/// Pause after which it is looked again for a connection to close.
+const LOOK_INTERVAL: Duration = Duration::from_millis(50);
+/// Time between two log lines of the same kind.
+const LINE_INTERVAL: Duration = Duration::from_secs(10);
+
+/// Open connections.
+#[derive(Debug, Default)]
+struct Clients {
+    all: HashMap<u64, Arc<Client>>,
+    by_door: HashMap<Door, usize>,
+    next: u64,
+}
+
+/// When the last log line of each kind was written.
+#[derive(Debug, Default)]
+struct Lines(HashMap<Code, Instant>);
+
+/// All clients of a process.
+#[derive(Debug)]
+pub struct Intake {
+    limits: IntakeLimits,
+    callers: Arc<MemoryBudget>,
+    control: Arc<MemoryBudget>,
+    clients: Mutex<Clients>,
+    /// Notified when a connection is closed.
+    removed: Notify,
+    clock: SharedClock,
+    logger: Logger,
+    lines: Mutex<Lines>,
+    closed: IntCounterVec,
+}
+
+impl Intake {
+    /// An intake without clients, with its metrics in `registry`.
+    ///
+    /// # Errors
+    /// Fails when a metric of the same name is registered already.
+    pub fn new(
+        limits: IntakeLimits,
+        clock: SharedClock,
+        logger: Logger,
+        registry: &Registry,
+    ) -> Result<Intake, prometheus::Error> {
+        let help = "Connections closed or not accepted, and requests refused, for lack of room";
+        let opts = Opts::new("filberttiller_intake_closed_total", help);
+        let closed = IntCounterVec::new(opts, &["reason"])?;
+        registry.register(Box::new(closed.clone()))?;
+        Ok(Intake {
+            limits,
+            callers: Arc::new(MemoryBudget::new(limits.callers_bytes)),
+            control: Arc::new(MemoryBudget::new(limits.control_bytes)),
+            clients: Mutex::default(),
+            removed: Notify::new(),
+            clock,
+            logger,
+            lines: Mutex::default(),
+            closed,
+        })
+    }
+
+    /// The budget for what `door` brings in.
+    pub fn budget(&self, door: Door) -> &Arc<MemoryBudget> {
+        match door {
+            Door::Callers => &self.callers,
+            _ => &self.control,
+        }
+    }
+
+    /// Counts a new connection; `None` if there is no room and no other connection can be closed
+    /// for it.
+    pub async fn open(self: &Arc<Self>, door: Door, address: IpAddr) -> Option<OpenClient> {
+        let until = self.clock.now() + OPEN_TIME;
+        loop {
+            if let Some(open) = self.try_open(door, address) {
+                return Some(open);
+            }
+            let now = self.clock.now();
+            self.close_one(Shortage::Connections, |it| it.door == door, now);
+            if now >= until {
+                self.note(Code::ConnectionRefused, "connection_refused", now);
+                return None;
+            }
+            // Another connection may become old enough to be closed meanwhile.
+            let _ = timeout(LOOK_INTERVAL, self.removed.notified()).await;
+        }
+    }
+
+    fn try_open(self: &Arc<Self>, door: Door, address: IpAddr) -> Option<OpenClient> {
+        let mut clients = self.clients.lock().unwrap();
+        let count = clients.by_door.entry(door).or_default();
+        if *count >= self.limits.connections(door) {
+            return None;
+        }
+        *count += 1;
+        let number = clients.next;
+        clients.next += 1;
+        let client = Arc::new(Client::new(self, door, address, self.clock.now()));
+        clients.all.insert(number, Arc::clone(&client));
+        Some(OpenClient { client, number })
+    }
+
+    pub(crate) fn remove(&self, number: u64) {
+        let mut clients = self.clients.lock().unwrap();
+        let Some(client) = clients.all.remove(&number) else { return };
+        if let Some(count) = clients.by_door.get_mut(&client.door) {
+            *count -= 1;
+        }
+        drop(clients);
+        self.removed.notify_one();
+    }
+
+    /// Reserves bytes for `client` by `until`, and closes the connections of others for them
+    /// where that is right. `None` if there is no room.
+    pub async fn reserve(
+        &self,
+        client: &Client,
+        budget: &Arc<MemoryBudget>,
+        bytes: usize,
+        until: Instant,
+    ) -> Option<Reservation> {
+        loop {
+            if let Some(reservation) = budget.reserve(bytes) {
+                return Some(reservation);
+            }
+            let now = self.clock.now();
+            let is_other =
+                |it: &Client| !std::ptr::eq(it, client) && Arc::ptr_eq(it.budget(), budget);
+            self.close_one(Shortage::Memory, is_other, now);
+            if now >= until {
+                self.note(Code::MemoryShort, "memory_short", now);
+                return None;
+            }
+            let pause = LOOK_INTERVAL.min(until.saturating_duration_since(now));
+            let _ = timeout(pause, budget.until_released()).await;
+        }
+    }
+
+    /// Closes one connection for which `is_right` holds, if one may be closed.
+    fn close_one(&self, shortage: Shortage, is_right: impl Fn(&Client) -> bool, now: Instant) {
+        let clients = self.clients.lock().unwrap();
+        let candidates: Vec<&Arc<Client>> =
+            clients.all.values().filter(|it| !it.is_closed() && is_right(it)).collect();
+        let states: Vec<ClientState> = candidates.iter().map(|it| it.state(now)).collect();
+        let Some(place) = client_to_close(&states, shortage, now) else { return };
+        candidates[place].close();
+        drop(clients);
+        self.note(Code::ClientClosed, "client_closed", now);
+    }
+
+    fn note(&self, code: Code, reason: &str, now: Instant) {
+        self.closed.with_label_values(&[reason]).inc();
+        let mut lines = self.lines.lock().unwrap();
+        let last = lines.0.get(&code);
+        if last.is_some_and(|it| now.saturating_duration_since(*it) < LINE_INTERVAL) {
+            return;
+        }
+        lines.0.insert(code, now);
+        drop(lines);
+        let count = self.closed.with_label_values(&[reason]).get();
+        warn!(self.logger, "{}", code.text(); "event" => code.number(), "count" => count,
+            "callers_bytes" => self.callers.used(), "control_bytes" => self.control.used());
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod events;
 pub mod filters;
 pub mod fleet;
+pub mod intake;
 pub mod keys;
 #[cfg(feature = "trial")]
 pub mod load;
--- a/src/relay/active_request.rs
+++ b/src/relay/active_request.rs
@@ -3,14 +3,16 @@
 use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 use std::time::Instant;
 
 use bytes::Bytes;
+use http_body_util::Either;
 use hyper::body::{Body, Frame, SizeHint};
 use tokio::sync::Notify;
 
 use crate::clock::SharedClock;
+use crate::intake::Client;
 use crate::relay::RelayBody;
 
 /// Activity of one connection.
@@ -24,16 +26,19 @@
     written: Notify,
     /// When the last answer was completed or written, or else the connection was accepted.
     pub last_active: Mutex<Instant>,
+    /// What is held for the connection.
+    pub client: Arc<Client>,
 }
 
 impl Activity {
     /// The activity of a new connection.
-    pub fn new(now: Instant) -> Activity {
+    pub fn new(client: Arc<Client>, now: Instant) -> Activity {
         Activity {
             requests: AtomicU32::new(0),
             unwritten: AtomicBool::new(false),
             written: Notify::new(),
             last_active: Mutex::new(now),
+            client,
         }
     }
 
@@ -43,13 +48,15 @@
     }
 
     /// Notes that answers are not written.
-    pub fn begin_write(&self) {
+    pub fn begin_write(&self, now: Instant) {
+        self.client.set_unwritten(true, now);
         self.unwritten.store(true, Ordering::Relaxed);
     }
 
     /// Notes that all answers are written.
     pub fn end_write(&self, now: Instant) {
         *self.last_active.lock().unwrap() = now;
+        self.client.set_unwritten(false, now);
         self.unwritten.store(false, Ordering::Relaxed);
         self.written.notify_one();
     }
@@ -79,6 +86,7 @@
     ) -> ActiveRequest {
         total.fetch_add(1, Ordering::Relaxed);
         activity.requests.fetch_add(1, Ordering::Relaxed);
+        activity.client.begin_request();
         ActiveRequest {
             clock: Arc::clone(clock),
             total: Arc::clone(total),
@@ -88,7 +96,7 @@
 
     /// Ties the request to `body`: it ends when the body is sent or dropped.
     pub fn track(self, body: RelayBody) -> TrackedBody {
-        TrackedBody { body, _request: self }
+        TrackedBody { body, request: self }
     }
 }
 
@@ -96,14 +104,16 @@
     fn drop(&mut self) {
         self.total.fetch_sub(1, Ordering::Relaxed);
         self.activity.requests.fetch_sub(1, Ordering::Relaxed);
-        *self.activity.last_active.lock().unwrap() = self.clock.now();
+        let now = self.clock.now();
+        *self.activity.last_active.lock().unwrap() = now;
+        self.activity.client.end_request(now);
     }
 }
 
 /// A body whose request counts as active until the body is sent or dropped.
 pub(crate) struct TrackedBody {
     body: RelayBody,
-    _request: ActiveRequest,
+    request: ActiveRequest,
 }
 
 impl Body for TrackedBody {
@@ -114,7 +124,13 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Self::Error>>> {
-        Pin::new(&mut self.body).poll_frame(context)
+        let frame = ready!(Pin::new(&mut self.body).poll_frame(context));
+        // An answer that is known in full counts where it is held.
+        if let (Some(Ok(frame)), Either::Right(_)) = (&frame, &self.body) {
+            let bytes = frame.data_ref().map_or(0, Bytes::len);
+            self.request.activity.client.record_queued(bytes);
+        }
+        Poll::Ready(frame.map(|it| it.map_err(Into::into)))
     }
 
     fn is_end_stream(&self) -> bool {
--- a/src/relay/attempt_loop.rs
+++ b/src/relay/attempt_loop.rs
@@ -302,7 +302,8 @@
             return Ok(TakenAnswer::Stream(Box::new(reply)));
         }
         let deadline = pending.deadline.into();
-        let (response, head, connection, _) = reply.read_full(deadline, &mut pending.trace).await?;
+        let (response, head, connection, _) =
+            reply.read_full(deadline, &pending.client, &mut pending.trace).await?;
         self.record_service_time(pending);
         self.pool_connection(&pending.trace.service, server, connection, head.keep_alive);
         let may_repeat = status.is_server_error() && grant.route.is_repeatable();
--- a/src/relay/connection_context.rs
+++ b/src/relay/connection_context.rs
@@ -18,6 +18,7 @@
 
 use crate::clock::SharedClock;
 use crate::events::Code;
+use crate::intake::{Door, Intake, OpenClient};
 use crate::relay::active_request::{ActiveRequest, Activity};
 use crate::relay::connection::set_socket_options;
 use crate::relay::tracked_stream::TrackedStream;
@@ -44,6 +45,10 @@
     pub forwarded_requests: Arc<AtomicU32>,
     /// True once no new request is accepted: the port and idle connections close.
     pub closed: watch::Receiver<bool>,
+    /// Limits the connections, and what is held for them.
+    pub intake: Arc<Intake>,
+    /// The listener.
+    pub door: Door,
 }
 
 /// Accepts connections until `closed` is set and serves their requests with `handle`.
@@ -64,8 +69,14 @@
             () = wait_until_closed(&mut context.closed) => return,
         };
         match accepted {
-            Ok((stream, _)) => {
-                tokio::spawn(serve(stream, context.clone(), handle.clone(), idle.clone()));
+            Ok((stream, address)) => {
+                let open = tokio::select! {
+                    open = context.intake.open(context.door, address.ip()) => open,
+                    () = wait_until_closed(&mut context.closed) => return,
+                };
+                // The intake has noted why it takes no more connections.
+                let Some(client) = open else { continue };
+                tokio::spawn(serve(stream, client, context.clone(), handle.clone(), idle.clone()));
             }
             Err(e) => {
                 warn!(context.logger, "a connection was not accepted";
@@ -90,17 +101,24 @@
     activity.until_written().await;
 }
 
-async fn serve<H, F, I>(stream: TcpStream, context: ConnectionContext, handle: H, idle: I)
-where
+async fn serve<H, F, I>(
+    stream: TcpStream,
+    open: OpenClient,
+    context: ConnectionContext,
+    handle: H,
+    idle: I,
+) where
     H: Fn(Request<Incoming>) -> F + Send + Sync + 'static,
     F: Future<Output = Response<RelayBody>> + Send + 'static,
     I: Fn() -> Duration,
 {
     set_socket_options(&stream);
     let accepted = context.clock.now();
-    let activity = Arc::new(Activity::new(accepted));
+    let client = Arc::clone(&open.client);
+    let activity = Arc::new(Activity::new(Arc::clone(&client), accepted));
     let stream = TrackedStream::new(stream, &context.clock, &context.active_requests, &activity);
-    let service = service_fn(|request: Request<Incoming>| {
+    let service = service_fn(|mut request: Request<Incoming>| {
+        request.extensions_mut().insert(Arc::clone(&client));
         let total = match request.headers().contains_key(FORWARDED) {
             true => &context.forwarded_requests,
             false => &context.active_requests,
@@ -124,6 +142,7 @@
         tokio::select! {
             // The request in progress gets the error, if there is one.
             _ = connection.as_mut() => return,
+            () = client.until_closed() => return,
             // A shutdown drops answers that the HTTP library has taken over and not written.
             () = until_closable(&mut closed, &activity), if !is_ending => {
                 connection.as_mut().graceful_shutdown();
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -1,13 +1,16 @@
 //! Sends a request to one backend server and reads the head of its answer.
 
+use std::sync::Arc;
+
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::header::HeaderMap;
 use hyper::http::response::Parts;
 use hyper::{Method, Request, Response, StatusCode, Uri, Version};
 use tokio::time::{Instant, timeout_at};
 
+use crate::intake::{Client, Door, ReadError, read_body};
 use crate::relay::body::MAX_BODY_BYTES;
 use crate::relay::connection::SendError;
 use crate::relay::request_trace::RequestTrace;
@@ -148,23 +151,27 @@
 }
 
 impl Reply {
-    /// Reads the body to its end, after which the connection can be reused. Records in
-    /// `trace` how it ended.
+    /// Reads the body to its end for `client`, once there is memory for it. The connection can be
+    /// reused then. Records in `trace` how it ended.
     ///
     /// # Errors
     /// Fails when the body is cut off, too large, or not complete by the deadline.
     pub async fn read_full(
         self,
         deadline: Instant,
+        client: &Arc<Client>,
         trace: &mut RequestTrace,
     ) -> Result<(Response<Bytes>, AnswerHead, Connection, Option<InFlight>), AttemptError> {
-        let body = Limited::new(self.body, MAX_BODY_BYTES).collect();
+        let budget = client.intake.budget(Door::Callers);
+        let until = deadline.into_std();
+        let body = read_body(self.body, client, budget, 0, MAX_BODY_BYTES, until);
         let body = timeout_at(deadline, body).await.map_err(|_| AttemptError::TimedOut)?;
         trace.body_end = Some(match &body {
             Ok(_) => BodyEnd::Complete,
-            Err(e) => BodyEnd::of_error(e.as_ref()),
+            Err(ReadError::Broken(e)) => BodyEnd::of_error(e),
+            Err(ReadError::TooLong | ReadError::NoMemory) => BodyEnd::Failed,
         });
-        let body = body.map_err(|_| AttemptError::Lost)?.to_bytes();
+        let body = body.map_err(|_| AttemptError::Lost)?;
         let response = Response::from_parts(self.parts, body);
         Ok((response, self.head, self.connection, self.in_flight))
     }
--- a/src/relay/forward.rs
+++ b/src/relay/forward.rs
@@ -201,7 +201,7 @@
             return Ok(AttemptResult::Answer(Answer::Stream(Box::new(reply), grant.route)));
         }
         let deadline = pending.deadline.into();
-        match reply.read_full(deadline, &mut pending.trace).await {
+        match reply.read_full(deadline, &pending.client, &mut pending.trace).await {
             Ok((response, ..)) => Ok(AttemptResult::Answer(Answer::Full(response))),
             Err(error) => Ok(AttemptResult::Failed(error, grant)),
         }
--- a/src/relay/pending_request.rs
+++ b/src/relay/pending_request.rs
@@ -9,6 +9,7 @@
 
 use crate::decide::hash_bytes;
 use crate::fleet::RunningSuspect;
+use crate::intake::Client;
 use crate::relay::part_trial::PartTrial;
 use crate::relay::request_trace::RequestTrace;
 use crate::relay::{RequestMeta, StreamOrigin};
@@ -36,6 +37,8 @@
 /// A request that waits for its answer.
 #[derive(Debug)]
 pub(crate) struct PendingRequest {
+    /// Who sent it.
+    pub client: Arc<Client>,
     pub head: Parts,
     pub meta: RequestMeta,
     pub body: Bytes,
@@ -66,6 +69,7 @@
 
 /// A request that is allowed and fully read.
 pub(crate) struct Admitted {
+    pub client: Arc<Client>,
     pub head: Parts,
     pub meta: RequestMeta,
     pub body: Bytes,
@@ -77,6 +81,7 @@
     pub fn with_trace(self, trace: RequestTrace) -> Box<PendingRequest> {
         let forwarding = &trace.forwarding;
         Box::new(PendingRequest {
+            client: self.client,
             head: self.head,
             last_event: self.meta.last_event.clone(),
             meta: self.meta,
--- a/src/relay/refusal.rs
+++ b/src/relay/refusal.rs
@@ -33,6 +33,8 @@
         UnknownOrigin,
         /// All backend servers are at capacity.
         NoRoom,
+        /// The router has no memory for its body.
+        NoMemory,
         /// Backend servers that ran it crashed.
         Crashes,
         /// Backend servers crashed that ran requests with a part of its prompt.
@@ -62,6 +64,7 @@
         Refusal::NoVersion,
         Refusal::UnknownOrigin,
         Refusal::NoRoom,
+        Refusal::NoMemory,
         Refusal::Crashes,
         Refusal::PartCrashes,
         Refusal::ServerFailed,
@@ -80,6 +83,7 @@
                 | Refusal::NoOrganisation
                 | Refusal::Leaving
                 | Refusal::NoServer
+                | Refusal::NoMemory
         )
     }
 
@@ -99,6 +103,7 @@
             | Refusal::NoVersion
             | Refusal::UnknownOrigin
             | Refusal::NoRoom
+            | Refusal::NoMemory
             | Refusal::Crashes
             | Refusal::PartCrashes
             | Refusal::TooLate
@@ -121,7 +126,7 @@
             Refusal::NoRules | Refusal::Leaving => Some(Duration::from_millis(100)),
             // A server that crashed may start again with its version.
             Refusal::NoServer | Refusal::NoVersion => Some(Duration::from_millis(500)),
-            Refusal::NoRoom | Refusal::Shed | Refusal::UnknownOrigin => {
+            Refusal::NoRoom | Refusal::NoMemory | Refusal::Shed | Refusal::UnknownOrigin => {
                 Some(Duration::from_millis(300))
             }
             Refusal::Crashes | Refusal::PartCrashes => Some(Duration::from_secs(10)),
@@ -143,6 +148,7 @@
             Refusal::NoVersion => "no_version",
             Refusal::UnknownOrigin => "unknown_origin",
             Refusal::NoRoom => "no_room",
+            Refusal::NoMemory => "no_memory",
             Refusal::Crashes => "crashes",
             Refusal::PartCrashes => "part_crashes",
             Refusal::ServerFailed => "server_failed",
--- a/src/relay/relay.rs
+++ b/src/relay/relay.rs
@@ -2,21 +2,24 @@
 
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use arc_swap::{ArcSwap, Guard};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
+use bytes::Bytes;
+use http_body_util::Either;
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::http::request::Parts;
 use hyper::{Request, Response, Version};
 use slog::warn;
 use tokio::sync::{Notify, mpsc};
+use tokio::time::timeout_at;
 
 use crate::clock::SharedClock;
 use crate::decide::{KeyRates, LimitSenders, PartSuspects, ServiceLoad, ServiceReach, Verdict};
 use crate::events::Code;
 use crate::fleet::CrashTable;
+use crate::intake::{Client, Door, ReadError, read_body};
 use crate::relay::attempt_loop::Answer;
 use crate::relay::body::MAX_BODY_BYTES;
 use crate::relay::brittle_services::BrittleState;
@@ -34,6 +37,10 @@
 
 /// How long the crash of a backend server counts against a request.
 const CRASH_RETENTION: Duration = Duration::from_secs(60);
+/// Longest wait of a request for memory.
+const MEMORY_WAIT: Duration = Duration::from_millis(500);
+/// How often the fields of a head are held: as they came, and as they are sent on.
+const HEAD_COPIES: usize = 2;
 
 key! {
     /// Who sent a request.
@@ -164,15 +171,17 @@
     ) -> Response<RelayBody> {
         let mut trace = RequestTrace::new(&self.request_log);
         let (mut head, body) = request.into_parts();
+        let client = head.extensions.remove::<Arc<Client>>();
+        let client = client.expect("each connection has a client");
         let forwarding = take_forwarding(&mut head.headers);
         trace.forwarding = forwarding.filter(|_| sender == Sender::Router);
         let version = head.version;
-        let mut response = match self.admit(head, body, is_closed, &mut trace).await {
+        let mut response = match self.admit(&client, head, body, is_closed, &mut trace).await {
             Ok(admitted) => self.answer(admitted.with_trace(trace)).await,
             Err(refusal) => refuse(&mut trace, refusal),
         };
         if version < Version::HTTP_11 {
-            response = self.with_length(response).await;
+            response = self.with_length(response, &client).await;
         }
         if self.leaving.load(Ordering::Relaxed) {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
@@ -182,6 +191,7 @@
 
     async fn admit(
         &self,
+        client: &Arc<Client>,
         head: Parts,
         body: Incoming,
         is_closed: bool,
@@ -199,14 +209,34 @@
         }
         let grant = self.allow(&meta, head.uri.path(), trace)?;
         trace.kind = kind_name(grant.route.kind);
-        let body = Limited::new(body, limits.body).collect().await;
-        let body = body.map_err(|e| match e.is::<LengthLimitError>() {
-            true => Refusal::TooLarge,
-            false => Refusal::Malformed,
-        })?;
-        let timeout = meta.deadline.map_or(grant.route.timeout, |it| it.min(grant.route.timeout));
-        let deadline = trace.received() + timeout;
-        Ok(Admitted { head, meta, body: body.to_bytes(), deadline })
+        let time = meta.deadline.map_or(grant.route.timeout, |it| it.min(grant.route.timeout));
+        let deadline = trace.received() + time;
+        let head_bytes = head_bytes(&head) * HEAD_COPIES;
+        let body = self.read_request(client, body, head_bytes, limits.body, deadline).await?;
+        Ok(Admitted { client: Arc::clone(client), head, meta, body, deadline })
+    }
+
+    /// Reads the body of a request by its deadline.
+    async fn read_request(
+        &self,
+        client: &Arc<Client>,
+        body: Incoming,
+        head_bytes: usize,
+        limit: usize,
+        deadline: Instant,
+    ) -> Result<Bytes, Refusal> {
+        let now = self.clock.now();
+        let until = deadline.min(now + MEMORY_WAIT);
+        let _sending = client.begin_body(now);
+        let budget = client.intake.budget(Door::Callers);
+        let body = read_body(body, client, budget, head_bytes, limit, until);
+        match timeout_at(deadline.into(), body).await {
+            Ok(Ok(body)) => Ok(body),
+            Ok(Err(ReadError::TooLong)) => Err(Refusal::TooLarge),
+            Ok(Err(ReadError::NoMemory)) => Err(Refusal::NoMemory),
+            Ok(Err(ReadError::Broken(_))) => Err(Refusal::Malformed),
+            Err(_) => Err(Refusal::TooLate),
+        }
     }
 
     /// Checks a request against the rules in force. Called again before each attempt, as
@@ -251,13 +281,20 @@
 
     /// Reads an answer to its end, so that it is sent with its length. Callers of HTTP/1.0
     /// know no chunks, and a stream that is cut would look complete to them.
-    async fn with_length(&self, response: Response<RelayBody>) -> Response<RelayBody> {
+    async fn with_length(
+        &self,
+        response: Response<RelayBody>,
+        client: &Arc<Client>,
+    ) -> Response<RelayBody> {
         let (parts, body) = response.into_parts();
-        match Limited::new(body, MAX_BODY_BYTES).collect().await {
-            Ok(body) => Response::from_parts(parts, full_body(body.to_bytes())),
+        let Either::Right(events) = body else { return Response::from_parts(parts, body) };
+        let until = self.clock.now() + MEMORY_WAIT;
+        let budget = client.intake.budget(Door::Callers);
+        match read_body(events, client, budget, 0, MAX_BODY_BYTES, until).await {
+            Ok(body) => Response::from_parts(parts, full_body(body)),
             Err(e) => {
-                // Any other error is in the log line of the request.
-                if e.is::<LengthLimitError>() {
+                // Any other error is in the log line of the request, or the intake notes it.
+                if matches!(e, ReadError::TooLong) {
                     let code = Code::TooLarge;
                     warn!(self.request_log.logger(), "an answer to a caller of HTTP/1.0 is too large";
                         "event" => code.number(), "limit_bytes" => MAX_BODY_BYTES);
--- a/src/relay/tracked_stream.rs
+++ b/src/relay/tracked_stream.rs
@@ -47,7 +47,13 @@
         if !self.is_unwritten {
             self.is_unwritten = true;
             self.total.fetch_add(1, Ordering::Relaxed);
-            self.activity.begin_write();
+            self.activity.begin_write(self.clock.now());
+        }
+    }
+
+    fn record_write(&self, result: &io::Result<usize>) {
+        if let Ok(count) = result {
+            self.activity.client.record_write(*count, self.clock.now());
         }
     }
 
@@ -66,7 +72,11 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(context, buffer)
+        let before = buffer.filled().len();
+        let result = ready!(Pin::new(&mut self.stream).poll_read(context, buffer));
+        let count = buffer.filled().len() - before;
+        self.activity.client.record_read(count, self.clock.now());
+        Poll::Ready(result)
     }
 }
 
@@ -77,7 +87,9 @@
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
         self.begin_write();
-        Pin::new(&mut self.stream).poll_write(context, bytes)
+        let result = ready!(Pin::new(&mut self.stream).poll_write(context, bytes));
+        self.record_write(&result);
+        Poll::Ready(result)
     }
 
     fn poll_write_vectored(
@@ -86,7 +98,9 @@
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         self.begin_write();
-        Pin::new(&mut self.stream).poll_write_vectored(context, slices)
+        let result = ready!(Pin::new(&mut self.stream).poll_write_vectored(context, slices));
+        self.record_write(&result);
+        Poll::Ready(result)
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/src/router/endpoints.rs
+++ b/src/router/endpoints.rs
@@ -2,17 +2,19 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_TYPE, HeaderValue};
 use hyper::{Request, Response, StatusCode};
 use prometheus::{Encoder, TextEncoder};
 use rand::seq::IndexedRandom;
 use slog::warn;
+use tokio::time::timeout;
 
 use crate::events::Code;
+use crate::intake::{Client, Door, ReadError, read_body};
 use crate::peers::{
     EXCHANGE_PATH, Message, ORIGIN_PATH, ORIGINS_PATH, SERVERS_PATH, decode, encode, encode_with,
 };
@@ -26,6 +28,10 @@
 const MAX_ADDRESSES: usize = 64;
 /// Limit on the size of a message of another router.
 const MAX_MESSAGE_BYTES: usize = 1024 * 1024;
+/// Time in which a message of another router must arrive.
+const MESSAGE_TIMEOUT: Duration = Duration::from_secs(5);
+/// Longest wait for memory for such a message.
+const MEMORY_WAIT: Duration = Duration::from_secs(2);
 
 /// Answers a readiness probe.
 pub(crate) fn readiness<S: Store>(
@@ -94,11 +100,11 @@
     request: Request<Incoming>,
 ) -> Response<RelayBody> {
     let path = request.uri().path().to_owned();
-    let body = match Limited::new(request.into_body(), MAX_MESSAGE_BYTES).collect().await {
-        Ok(it) => it.to_bytes(),
-        Err(e) => {
+    let body = match timeout(MESSAGE_TIMEOUT, read_message(router, request)).await {
+        Ok(Ok(body)) => body,
+        failed => {
             warn!(router.logger, "cannot receive the complete message of another router";
-                "event" => Code::MessageUnreadable.number(), "error" => %e);
+                "event" => Code::MessageUnreadable.number(), "error" => ?failed);
             return response(StatusCode::BAD_REQUEST, Vec::new());
         }
     };
@@ -122,6 +128,19 @@
     }
 }
 
+async fn read_message<S: Store>(
+    router: &Router<S>,
+    mut request: Request<Incoming>,
+) -> Result<Bytes, ReadError<hyper::Error>> {
+    let client = request.extensions_mut().remove::<Arc<Client>>();
+    let client = client.expect("each connection has a client");
+    let now = router.relay.clock().now();
+    let _sending = client.begin_body(now);
+    let budget = client.intake.budget(Door::Peers);
+    let until = now + MEMORY_WAIT;
+    read_body(request.into_body(), &client, budget, 0, MAX_MESSAGE_BYTES, until).await
+}
+
 fn reply_to<S, T>(
     router: &Router<S>,
     message: Result<T, rmp_serde::decode::Error>,
--- a/src/router/lifecycle.rs
+++ b/src/router/lifecycle.rs
@@ -12,6 +12,7 @@
 use tokio::time::sleep;
 
 use crate::events::Code;
+use crate::intake::Door;
 use crate::relay::{Relay, Sender, serve_connections};
 use crate::router::blame_store::store_blame;
 use crate::router::exchange_loop::{exchange, find_routers};
@@ -82,8 +83,8 @@
 
 fn serve<S: Store>(router: &Arc<Router<S>>, listeners: Listeners) {
     let internal_idle = || INTERNAL_IDLE_TIMEOUT;
-    let internal = || {
-        let mut context = router.connection_context();
+    let internal = |door| {
+        let mut context = router.connection_context(door);
         // A drain waits only for requests of callers, and closes only their port.
         context.active_requests = Arc::default();
         context.closed = watch::Sender::new(false).subscribe();
@@ -94,13 +95,14 @@
     let handler = move |request| Arc::clone(&it).handle(request, Sender::Caller, *closed.borrow());
     let it = Arc::clone(&router.relay);
     let idle = move || caller_idle_timeout(&it);
-    tokio::spawn(serve_connections(listeners.callers, router.connection_context(), handler, idle));
+    let context = router.connection_context(Door::Callers);
+    tokio::spawn(serve_connections(listeners.callers, context, handler, idle));
     let it = Arc::clone(router);
     let handler = move |request| ready(endpoints::readiness(&it, &request));
-    tokio::spawn(serve_connections(listeners.ready, internal(), handler, internal_idle));
+    tokio::spawn(serve_connections(listeners.ready, internal(Door::Ready), handler, internal_idle));
     let it = Arc::clone(router);
     let handler = move |request| ready(endpoints::entry_addresses(&it, &request));
-    tokio::spawn(serve_connections(listeners.entry, internal(), handler, internal_idle));
+    tokio::spawn(serve_connections(listeners.entry, internal(Door::Entry), handler, internal_idle));
     let it = Arc::clone(router);
     let handler = move |request| {
         let it = Arc::clone(&it);
@@ -111,10 +113,15 @@
             }
         }
     };
-    tokio::spawn(serve_connections(listeners.peers, internal(), handler, internal_idle));
+    tokio::spawn(serve_connections(listeners.peers, internal(Door::Peers), handler, internal_idle));
     let it = Arc::clone(router);
     let handler = move |_| ready(endpoints::metrics(&it));
-    tokio::spawn(serve_connections(listeners.metrics, internal(), handler, internal_idle));
+    tokio::spawn(serve_connections(
+        listeners.metrics,
+        internal(Door::Metrics),
+        handler,
+        internal_idle,
+    ));
 }
 
 fn caller_idle_timeout(relay: &Relay) -> Duration {
--- a/src/router/router.rs
+++ b/src/router/router.rs
@@ -15,6 +15,7 @@
 use crate::decide::{LimitSenders, Results, hash_bytes};
 use crate::events::{Code, LogOnce};
 use crate::fleet::CrashReport;
+use crate::intake::{Door, Intake};
 use crate::peers::{
     Message, OwnReport, Peer, PeerClient, PeerLoad, PeerTable, part_news_from_wire,
     part_news_to_wire,
@@ -56,6 +57,8 @@
     pub registry: Registry,
     /// The logger.
     pub logger: Logger,
+    /// What is held for all clients.
+    pub(crate) intake: Arc<Intake>,
     /// Number of requests of callers whose responses are not complete.
     pub in_flight: Arc<AtomicU32>,
     /// Set to true once new requests are refused.
@@ -95,6 +98,8 @@
         let registry = Registry::new();
         let request_log = RequestLog::new(logger.clone(), Arc::clone(&clock), &registry)
             .change_context(RouterError::SetUp)?;
+        let intake = Intake::new(settings.intake, Arc::clone(&clock), logger.clone(), &registry)
+            .change_context(RouterError::SetUp)?;
         let born = clock.wall().duration_since(UNIX_EPOCH).unwrap_or_default();
         let own = WireRouter {
             name: settings.name.clone(),
@@ -117,6 +122,7 @@
             peers: Mutex::new(PeerTable::new(own)),
             registry,
             logger,
+            intake: Arc::new(intake),
             in_flight: Arc::default(),
             closed: watch::Sender::new(false),
             exchange_now,
@@ -131,8 +137,8 @@
         })
     }
 
-    /// The context that all connections of callers share.
-    pub fn connection_context(&self) -> ConnectionContext {
+    /// The context that all connections at `door` share.
+    pub fn connection_context(&self, door: Door) -> ConnectionContext {
         let clock = Arc::clone(self.relay.clock());
         let closed = self.closed.subscribe();
         ConnectionContext {
@@ -141,6 +147,8 @@
             active_requests: Arc::clone(&self.in_flight),
             forwarded_requests: Arc::clone(&self.in_flight),
             closed,
+            intake: Arc::clone(&self.intake),
+            door,
         }
     }
 
--- a/src/router/router_settings.rs
+++ b/src/router/router_settings.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use crate::intake::IntakeLimits;
 use crate::relay::RelayLimits;
 
 plain! {
@@ -28,5 +29,7 @@
         pub entry_ttl: Duration,
         /// Limits of the request path.
         pub limits: RelayLimits,
+        /// Limits on what is held for clients.
+        pub intake: IntakeLimits,
     }
 }
--- a/tests/it/unwritten_answers.rs
+++ b/tests/it/unwritten_answers.rs
@@ -8,10 +8,12 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use filberttiller::clock::SystemClock;
+use filberttiller::clock::{SharedClock, SystemClock};
 use filberttiller::events::discard_logger;
+use filberttiller::intake::{Door, Intake, IntakeLimits};
 use filberttiller::relay::{ConnectionContext, full_body, serve_connections};
 use hyper::Response;
+use prometheus::Registry;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::watch;
@@ -29,12 +31,18 @@
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     let active = Arc::new(AtomicU32::new(0));
+    let clock: SharedClock = Arc::new(SystemClock);
+    let limits = IntakeLimits::default();
+    let registry = Registry::new();
+    let intake = Intake::new(limits, Arc::clone(&clock), discard_logger(), &registry).unwrap();
     let context = ConnectionContext {
         logger: discard_logger(),
-        clock: Arc::new(SystemClock),
+        clock,
         active_requests: Arc::clone(&active),
         forwarded_requests: Arc::clone(&active),
         closed: closed.subscribe(),
+        intake: Arc::new(intake),
+        door: Door::Callers,
     };
     let body = Bytes::from(vec![b'x'; ANSWER_BYTES]);
     let handler = move |_| ready(Response::new(full_body(body.clone())));
