--- a/src/decide/client_to_close.rs
+++ b/src/decide/client_to_close.rs
@@ -11,6 +11,10 @@
 const MIN_AGE: Duration = Duration::from_secs(1);
 /// Time without a write after which an answer counts as unread.
 const UNREAD_TIME: Duration = Duration::from_secs(2);
+/// Part of a limit up to which an address may use what it wants.
+const FREE_PART: f64 = 0.75;
+/// Part of a limit that one address may use beyond that.
+const ADDRESS_PART: f64 = 0.5;
 /// Rate from which on a client that sends keeps its room, in bytes a second.
 const LEAST_RATE: f64 = 16.0 * 1024.0;
 
@@ -67,6 +71,13 @@
     }
 }
 
+/// Whether an address that holds `own` of `used` may hold no more, as `limit` is nearly reached: the
+/// rest is for other addresses.
+pub fn is_over_share(own: usize, used: usize, limit: usize) -> bool {
+    let limit = limit as f64;
+    used as f64 > limit * FREE_PART && own as f64 > limit * ADDRESS_PART
+}
+
 /// Index of the client to close. The address that holds most goes first, of its clients those that
 /// send too slowly, then those that do not read, then idle ones, and of these the slowest and
 /// oldest. A client that waits for an answer is never closed.
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -39,7 +39,7 @@
 pub use arm::takes_part;
 pub use baseline::{least_loaded, place_v1, rendezvous, round_robin};
 pub use chat_table::{ChatPlace, ChatTable};
-pub use client_to_close::{ClientPhase, ClientState, Shortage, client_to_close};
+pub use client_to_close::{ClientPhase, ClientState, Shortage, client_to_close, is_over_share};
 pub use engine::Engine;
 pub use entry::{EntryQuery, EntryRouter, entry_order, home_size, is_home};
 pub use failing::{Results, is_failing, max_avoided};
--- a/src/intake/client.rs
+++ b/src/intake/client.rs
@@ -39,6 +39,17 @@
         }
     }
 
+    /// Where it connected from.
+    pub(crate) fn address(&self) -> IpAddr {
+        self.address
+    }
+
+    /// Bytes that are held for it.
+    pub(crate) fn held(&self) -> usize {
+        let progress = self.progress();
+        self.reserved.load(Ordering::Relaxed) + progress.head_bytes + progress.stream_bytes
+    }
+
     /// Requests that the connection be closed.
     pub(crate) fn close(&self) {
         self.is_closed.store(true, Ordering::Relaxed);
@@ -56,7 +67,7 @@
     }
 
     /// Counts bytes that arrived.
-    pub(crate) fn record_read(&self, bytes: usize, now: Instant) {
+    pub fn record_read(&self, bytes: usize, now: Instant) {
         let mut progress = self.progress();
         if progress.requests == 0 {
             if progress.sending_since.is_none() {
@@ -71,7 +82,7 @@
     }
 
     /// Counts bytes that were written.
-    pub(crate) fn record_write(&self, bytes: usize, now: Instant) {
+    pub fn record_write(&self, bytes: usize, now: Instant) {
         let mut progress = self.progress();
         progress.last_write = now;
         let released = bytes.min(progress.stream_bytes);
@@ -137,14 +148,9 @@
             None if progress.requests > 0 => (ClientPhase::Waiting, progress.idle_since),
             None => (ClientPhase::Idle, progress.idle_since),
         };
-        let reserved = self.reserved.load(Ordering::Relaxed);
-        ClientState {
-            address: self.address,
-            phase,
-            since,
-            rate: progress.rate(now),
-            held: reserved + progress.head_bytes + progress.stream_bytes,
-        }
+        let rate = progress.rate(now);
+        drop(progress);
+        ClientState { address: self.address, phase, since, rate, held: self.held() }
     }
 
     /// The budget for what its door brings in.
@@ -179,8 +185,15 @@
 /// A client that counts against the limit on connections until dropped.
 #[derive(Debug)]
 pub struct OpenClient {
-    pub(crate) client: Arc<Client>,
-    pub(crate) number: u64,
+    pub(in crate::intake) client: Arc<Client>,
+    pub(in crate::intake) number: u64,
+}
+
+impl OpenClient {
+    /// The client.
+    pub fn client(&self) -> &Arc<Client> {
+        &self.client
+    }
 }
 
 impl Drop for OpenClient {
--- a/src/intake/intake.rs
+++ b/src/intake/intake.rs
@@ -11,7 +11,7 @@
 use tokio::time::timeout;
 
 use crate::clock::SharedClock;
-use crate::decide::{ClientState, Shortage, client_to_close};
+use crate::decide::{ClientState, Shortage, client_to_close, is_over_share};
 use crate::events::Code;
 use crate::intake::{Client, Door, IntakeLimits, MemoryBudget, OpenClient, Reservation};
 
@@ -106,11 +106,15 @@
 
     fn try_open(self: &Arc<Self>, door: Door, address: IpAddr) -> Option<OpenClient> {
         let mut clients = self.clients.lock().unwrap();
-        let count = clients.by_door.entry(door).or_default();
-        if *count >= self.limits.connections(door) {
+        let limit = self.limits.connections(door);
+        let count = clients.by_door.get(&door).copied().unwrap_or(0);
+        let is_same = |it: &&Arc<Client>| it.door == door && it.address() == address;
+        let is_over = |own| is_over_share(own, count, limit);
+        if count >= limit || is_over(limit) && is_over(clients.all.values().filter(is_same).count())
+        {
             return None;
         }
-        *count += 1;
+        clients.by_door.insert(door, count + 1);
         let number = clients.next;
         clients.next += 1;
         let client = Arc::new(Client::new(self, door, address, self.clock.now()));
@@ -138,7 +142,9 @@
         until: Instant,
     ) -> Option<Reservation> {
         loop {
-            if let Some(reservation) = budget.reserve(bytes) {
+            if !self.is_share_spent(client, budget)
+                && let Some(reservation) = budget.reserve(bytes)
+            {
                 return Some(reservation);
             }
             let now = self.clock.now();
@@ -154,6 +160,18 @@
         }
     }
 
+    /// Whether the address of `client` holds its share of `budget`.
+    fn is_share_spent(&self, client: &Client, budget: &Arc<MemoryBudget>) -> bool {
+        let (used, limit) = (budget.used(), budget.limit());
+        // Most of the time this alone tells it, without a look at all clients.
+        if !is_over_share(limit, used, limit) {
+            return false;
+        }
+        let clients = self.clients.lock().unwrap();
+        let same = clients.all.values().filter(|it| it.address() == client.address());
+        is_over_share(same.map(|it| it.held()).sum(), used, limit)
+    }
+
     /// Closes one connection for which `is_right` holds, if one may be closed.
     fn close_one(&self, shortage: Shortage, is_right: impl Fn(&Client) -> bool, now: Instant) {
         let clients = self.clients.lock().unwrap();
--- a/src/intake/limits.rs
+++ b/src/intake/limits.rs
@@ -52,8 +52,10 @@
     /// Connections that `door` may have.
     pub fn connections(&self, door: Door) -> usize {
         let parts = match door {
-            Door::Callers => 20,
-            Door::Entry | Door::Peers => 2,
+            Door::Callers => 16,
+            // While a router reaches no server, the others get its requests here.
+            Door::Peers => 4,
+            Door::Entry => 2,
             Door::Ready | Door::Metrics => 1,
         };
         (self.sockets / PARTS).saturating_mul(parts).max(MIN_CONNECTIONS)
--- a/src/intake/memory_budget.rs
+++ b/src/intake/memory_budget.rs
@@ -25,6 +25,11 @@
         self.used.load(Ordering::Relaxed)
     }
 
+    /// Bytes that may be held.
+    pub fn limit(&self) -> usize {
+        self.limit
+    }
+
     /// Reserves bytes; `None` if they exceed what is left.
     pub fn reserve(self: &Arc<Self>, bytes: usize) -> Option<Reservation> {
         let add = |used: usize| used.checked_add(bytes).filter(|it| *it <= self.limit);
--- a/src/relay/connection_context.rs
+++ b/src/relay/connection_context.rs
@@ -114,7 +114,7 @@
 {
     set_socket_options(&stream);
     let accepted = context.clock.now();
-    let client = Arc::clone(&open.client);
+    let client = Arc::clone(open.client());
     let activity = Arc::new(Activity::new(Arc::clone(&client), accepted));
     let stream = TrackedStream::new(stream, &context.clock, &context.active_requests, &activity);
     let service = service_fn(|mut request: Request<Incoming>| {
--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -14,6 +14,7 @@
 mod failing;
 mod fault;
 mod hot_key;
+mod intake;
 mod keys;
 mod leaving;
 mod load;
