--- a/src/relay/refusal.rs
+++ b/src/relay/refusal.rs
@@ -35,6 +35,8 @@
         UnknownOrigin,
         /// All backend servers are at capacity.
         NoRoom,
+        /// The router has no memory for its body.
+        NoMemory,
         /// Backend servers that ran it crashed.
         Crashes,
         /// Backend servers crashed that ran requests with a part of its prompt.
@@ -65,6 +67,7 @@
         Refusal::NoVersion,
         Refusal::UnknownOrigin,
         Refusal::NoRoom,
+        Refusal::NoMemory,
         Refusal::Crashes,
         Refusal::PartCrashes,
         Refusal::ServerFailed,
@@ -83,6 +86,7 @@
                 | Refusal::NoOrganisation
                 | Refusal::Leaving
                 | Refusal::NoServer
+                | Refusal::NoMemory
         )
     }
 
@@ -103,6 +107,7 @@
             | Refusal::NoVersion
             | Refusal::UnknownOrigin
             | Refusal::NoRoom
+            | Refusal::NoMemory
             | Refusal::Crashes
             | Refusal::PartCrashes
             | Refusal::TooLate
@@ -125,7 +130,7 @@
             Refusal::NoRules | Refusal::Leaving => Some(Duration::from_millis(100)),
             // A server that crashed may start again with its version.
             Refusal::NoServer | Refusal::NoVersion => Some(Duration::from_millis(500)),
-            Refusal::NoRoom | Refusal::Shed | Refusal::UnknownOrigin => {
+            Refusal::NoRoom | Refusal::NoMemory | Refusal::Shed | Refusal::UnknownOrigin => {
                 Some(Duration::from_millis(300))
             }
             // Operators take a domain back by hand.
@@ -150,6 +155,7 @@
             Refusal::NoVersion => "no_version",
             Refusal::UnknownOrigin => "unknown_origin",
             Refusal::NoRoom => "no_room",
+            Refusal::NoMemory => "no_memory",
             Refusal::Crashes => "crashes",
             Refusal::PartCrashes => "part_crashes",
             Refusal::ServerFailed => "server_failed",
