servers: registrations of other processes outlive the long absence of a version

Fault: a router that stood still for 60 s or more ruled out a version at which others had begun streams, and let such a stream go on at another version (ORDER).

Cause: record_software forgot all registrations of a version that was not seen for MAX_ABSENCE, where only the right of this process to begin streams there ends. Reads from the cursor do not bring the records again.

Change: withdraw takes the right of this process alone; a registration for all stays, unconfirmed, for what may have begun a stream, and allows none to begin until it is registered anew.

--- a/src/servers/registered_software.rs
+++ b/src/servers/registered_software.rs
@@ -47,6 +47,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct RegisteredSoftware {
     shared: HashSet<u64>,
+    /// Versions in `shared` at which no stream begins until they are registered anew.
+    unconfirmed: HashSet<u64>,
     processes: HashMap<u64, SmallVec<[RouterProcess; 4]>>,
 }
 
@@ -59,7 +61,7 @@
     /// Notes a registration of the version with the key `key`; false if it was known.
     pub fn insert(&mut self, key: u64, registration: Registration) -> bool {
         match registration {
-            Registration::Shared => self.shared.insert(key),
+            Registration::Shared => self.shared.insert(key) | self.unconfirmed.remove(&key),
             Registration::Process(process) => {
                 let processes = self.processes.entry(key).or_default();
                 let is_new = !processes.contains(&process);
@@ -76,6 +78,7 @@
         match registration {
             Registration::Shared => {
                 self.shared.remove(&key);
+                self.unconfirmed.remove(&key);
             }
             Registration::Process(process) => {
                 if let Some(processes) = self.processes.get_mut(&key) {
@@ -85,10 +88,13 @@
         }
     }
 
-    /// Forgets all registrations of the version with the key `key`.
-    pub fn remove_version(&mut self, key: u64) {
-        self.shared.remove(&key);
-        self.processes.remove(&key);
+    /// Withdraws the right of `process` to begin streams at the version with the key `key`, until
+    /// it is registered anew. Others may have begun streams there, so that their registrations stay.
+    pub fn withdraw(&mut self, key: u64, process: RouterProcess) {
+        self.remove(key, Registration::Process(process));
+        if self.shared.contains(&key) {
+            self.unconfirmed.insert(key);
+        }
     }
 
     /// Forgets all, as the store may have lost them.
@@ -96,14 +102,15 @@
         *self = RegisteredSoftware::default();
     }
 
-    /// Whether all routers may begin streams at the version with the key `key`.
+    /// Whether the version with the key `key` is registered for all routers.
     pub fn is_shared(&self, key: u64) -> bool {
         self.shared.contains(&key)
     }
 
     /// Whether `process` may begin streams at the version with the key `key`.
     pub fn allows(&self, key: u64, process: RouterProcess) -> bool {
-        self.shared.contains(&key) || self.processes(key).contains(&process)
+        let is_shared = self.shared.contains(&key) && !self.unconfirmed.contains(&key);
+        is_shared || self.processes(key).contains(&process)
     }
 
     /// The processes that registered the version with the key `key` for themselves.
@@ -113,7 +120,7 @@
 
     /// Keys of the versions at which all routers may begin streams.
     pub fn shared(&self) -> impl Iterator<Item = u64> {
-        self.shared.iter().copied()
+        self.shared.difference(&self.unconfirmed).copied()
     }
 
     /// All registrations, with the keys of the versions.
--- a/src/servers/table_software.rs
+++ b/src/servers/table_software.rs
@@ -20,7 +20,8 @@
             present.into_iter().map(|(service, it)| (service.to_owned(), it)).collect();
         for (service, software) in &present {
             if !self.software.record(service, *software, now) {
-                self.registered.remove_version(RegisteredSoftware::key(service, *software));
+                let key = RegisteredSoftware::key(service, *software);
+                self.registered.withdraw(key, self.process);
                 returned = true;
             }
         }
--- a/tests/it/stream_origins.rs
+++ b/tests/it/stream_origins.rs
@@ -303,6 +303,27 @@
     assert_eq!(table.unregistered(), due("v1", Registration::Shared));
 }
 
+/// Guards against a router that stood still, or whose store was away, while a version served on at
+/// the others: it has to register anew before it begins streams there, but another process that
+/// registered the version may have begun the stream in question.
+#[rstest]
+#[case::for_all(Registration::Shared)]
+#[case::for_another_process(Registration::Process(process(2)))]
+fn possible_software_after_long_absence(#[case] registration: Registration) {
+    let now = Instant::now();
+    let mut table = table(process(1), &["v1", "v2"], now);
+    let own = Registration::Process(process(1));
+    for (software, registration) in [("v1", own), ("v2", own), ("v2", registration)] {
+        table.register_software(SERVICE, key(software), registration, now);
+    }
+    table.record_software(now + 61 * SECOND);
+    assert_eq!(table.possible_software(SERVICE, &[]).to_vec(), [key("v2")]);
+    assert_eq!(table.unregistered().len(), 2, "this process begins no streams");
+    table.register_software(SERVICE, key("v2"), own, now + 62 * SECOND);
+    assert_eq!(table.unregistered(), due("v1", own));
+    assert_eq!(table.possible_software(SERVICE, &[]).to_vec(), [key("v2")]);
+}
+
 /// Once a version is the only one left, it is to be registered for all, and what is registered of
 /// the others is to be removed.
 #[test]
