pace: servers that state that work takes longer there get less of it

Cause: the pace that servers state with their load was read and not used: a slow server looked as roomy as a quick one.

Loads are compared by the time that the work takes, slow servers have a lower bound, quick ones keep that of all; expected waits follow, and a slow server's times do not count for the whole service. A pace that cannot be read counts as usual, logged once a server (522) and counted. Without paces nothing changes.

--- a/src/decide/pick.rs
+++ b/src/decide/pick.rs
@@ -6,6 +6,9 @@
 
 use crate::decide::combine;
 
+/// The pace of a server at which work takes the usual time, in hundredths of that time.
+pub const USUAL_PACE: u32 = 100;
+
 key! {
     /// A backend server that may be chosen.
     pub struct Candidate {
@@ -15,6 +18,8 @@
         pub load: u32,
         /// Requests that it runs at once.
         pub slots: u32,
+        /// How long work takes there, in hundredths of the usual time.
+        pub pace: u32,
         /// Maximum number of requests in flight there, including those that wait.
         pub max_load: u32,
         /// It must not be used: already attempted, unreachable or failing.
@@ -42,6 +47,10 @@
 /// is enough share them, each in proportion to its room: otherwise all routers would fill the
 /// first one at once, unaware of each other.
 ///
+/// Where work takes longer than at the other servers, a request counts for more: such a server has
+/// a lower bound, and is less often the least loaded one. A quick server's bound stays that of all,
+/// so that no server gets far above the mean.
+///
 /// Rendezvous hashing after Thaler and Ravishankar (1998), with bounded loads
 /// after Mirrokni, Thorup and Zadimoghaddam (2018).
 pub fn pick(
@@ -55,8 +64,9 @@
     let count = candidates.iter().filter(|it| !it.closed).count();
     let total: u32 = candidates.iter().filter(|it| !it.closed).map(|it| it.load).sum();
     let mean = f64::from(total) / count.max(1) as f64;
-    let limit = mean * bound.factor + bound.extra;
-    let room = |it: &Candidate| if open(it) { limit - f64::from(it.load) } else { 0.0 };
+    let fair = FairLoads::new(candidates, total, mean);
+    let limit = |it: &Candidate| fair.of(it).min(mean) * bound.factor + bound.extra;
+    let room = |it: &Candidate| if open(it) { limit(it) - f64::from(it.load) } else { 0.0 };
     let home = key.and_then(|key| {
         let first = best(candidates, |it| room(it) > 0.0, |it| combine(key, it.hash))?;
         if room(&candidates[first]) >= competing {
@@ -64,12 +74,52 @@
         }
         Some(share(candidates, key, competing, room, seed).unwrap_or(first))
     });
-    home.or_else(|| {
-        best(candidates, open, |it| {
-            let idleness = -f64::from(it.load) / f64::from(it.slots.max(1));
-            (idleness, combine(seed, it.hash))
-        })
-    })
+    let idleness = |it: &Candidate| {
+        let tie_break = combine(seed, it.hash);
+        // Many routers see the same loads: without a random share of a request in them, all would
+        // choose the same quick server.
+        let work = match fair.are_equal() {
+            true => f64::from(it.load),
+            false => (f64::from(it.load) + uniform(tie_break)) / speed(it),
+        };
+        (-work / f64::from(it.slots.max(1)), tie_break)
+    };
+    let is_within = |it: &Candidate| open(it) && (fair.are_equal() || room(it) > 0.0);
+    home.or_else(|| best(candidates, is_within, idleness))
+        .or_else(|| best(candidates, open, idleness))
+}
+
+/// The loads at which all servers need the same time for what they have.
+struct FairLoads {
+    mean: f64,
+    /// Load at the usual pace; absent where all have the same pace.
+    at_usual: Option<f64>,
+}
+
+impl FairLoads {
+    fn new(candidates: &[Candidate], total: u32, mean: f64) -> FairLoads {
+        let mut open = candidates.iter().filter(|it| !it.closed);
+        let first = open.next().map_or(USUAL_PACE, |it| it.pace);
+        if open.all(|it| it.pace == first) {
+            return FairLoads { mean, at_usual: None };
+        }
+        let open = candidates.iter().filter(|it| !it.closed);
+        let speed: f64 = open.map(speed).sum();
+        FairLoads { mean, at_usual: Some(f64::from(total) / speed) }
+    }
+
+    fn are_equal(&self) -> bool {
+        self.at_usual.is_none()
+    }
+
+    fn of(&self, it: &Candidate) -> f64 {
+        self.at_usual.map_or(self.mean, |load| load * speed(it))
+    }
+}
+
+/// Work that a server does, as a multiple of the usual.
+fn speed(it: &Candidate) -> f64 {
+    f64::from(USUAL_PACE) / f64::from(it.pace.max(1))
 }
 
 /// Chooses one of the first candidates in the order of `key` whose `room` is enough for
@@ -111,6 +161,6 @@
 ) -> Option<usize> {
     let all = candidates.iter().enumerate().filter(|(_, it)| open(it));
     let scored = all.map(|(at, it)| (at, score(it)));
-    // Scores are always comparable: idleness is never NaN.
+    // Scores are always comparable: none is NaN.
     scored.max_by(|a, b| a.1.partial_cmp(&b.1).unwrap_or(Ordering::Equal)).map(|(at, _)| at)
 }
--- a/src/decide/service_load.rs
+++ b/src/decide/service_load.rs
@@ -31,7 +31,7 @@
 /// may be free while prompts that are being read delay all responses.
 #[derive(Debug, Clone, PartialEq)]
 pub struct ServiceLoad {
-    /// Mean service time of requests that did not wait, in seconds.
+    /// Mean service time of requests that did not wait, at the usual pace, in seconds.
     service_time: f64,
     /// Number of requests that `service_time` covers.
     samples: u32,
@@ -48,7 +48,8 @@
 }
 
 impl ServiceLoad {
-    /// Records that a request that did not have to wait occupied its slot for `time`.
+    /// Records that a request that did not have to wait occupied its slot for `time`, as it would
+    /// have at the usual pace.
     pub fn record_service_time(&mut self, time: Duration) {
         self.samples = self.samples.saturating_add(1);
         let weight = SERVICE_TIME_WEIGHT.max(1.0 / f64::from(self.samples));
@@ -79,7 +80,13 @@
     /// Returns how many requests may be in flight at a server with `slots` so that responses
     /// begin within `objective`.
     pub fn max_in_flight(&self, slots: u32, objective: Duration) -> u32 {
-        let max = f64::from(max_in_flight(slots, objective, self.service_time()));
+        self.max_in_flight_at(slots, objective, 1.0)
+    }
+
+    /// The same for a server at which work takes `pace` times the usual time.
+    pub fn max_in_flight_at(&self, slots: u32, objective: Duration, pace: f64) -> u32 {
+        let time = (self.samples > 0).then(|| Duration::from_secs_f64(self.service_time * pace));
+        let max = f64::from(max_in_flight(slots, objective, time));
         (max * self.share).ceil() as u32
     }
 
--- a/src/events/code.rs
+++ b/src/events/code.rs
@@ -142,6 +142,7 @@
     519 LimitUnreadable "the limit that a backend server names cannot be read";
     520 ServerBacksOff "a backend server turned a request away and wants no others for a while";
     521 DelayUnreadable "the time for which a backend server wants no requests cannot be read";
+    522 PaceUnreadable "the pace that a backend server reports cannot be read";
     // 6xx: at-most-once calls, idempotency keys and requests that crash backend servers
     600 OnceRun "the owner of an idempotency key ran its call";
     601 OnceRepeated "a repeated at-most-once call got the first response";
--- a/src/relay/answer.rs
+++ b/src/relay/answer.rs
@@ -50,6 +50,17 @@
         Unreadable,
     }
 
+    /// How long work takes at a server at present, by its answer.
+    #[derive(Copy)]
+    pub enum StatedPace {
+        /// It does not say so.
+        Absent,
+        /// In hundredths of the usual time.
+        Named(f64),
+        /// It cannot be read.
+        Unreadable,
+    }
+
     /// The load that a server reports with an answer. Invariant: `running + waiting` is a `u32`.
     #[derive(Copy)]
     pub struct StatedLoad {
@@ -57,9 +68,8 @@
         pub running: u32,
         /// Requests that wait.
         pub waiting: u32,
-        /// How long work takes there at present, in hundredths of the usual time; finite and
-        /// positive. Absent from servers that do not report it.
-        pub pace: Option<f64>,
+        /// How long work takes there at present.
+        pub pace: StatedPace,
     }
 
     /// For how long an answer says that its server stays cold.
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -6,9 +6,10 @@
 
 use slog::info;
 
-use crate::decide::{RunProgress, ServiceLoad, Verdict};
+use crate::decide::{PaceReading, RunProgress, ServiceLoad, Verdict};
 use crate::events::Code;
 use crate::relay::pending_request::{Grant, PendingRequest};
+use crate::relay::request_trace::KnownLoad;
 use crate::relay::{AttemptError, Connection, ConnectionPool, Relay};
 use crate::servers::Server;
 
@@ -17,6 +18,8 @@
     pub server: Arc<Server>,
     /// Requests at the server, as known when it was selected.
     pub load: u32,
+    /// Its pace, as known then.
+    pub pace: Option<PaceReading>,
     pub began: Instant,
     /// Its connection carried no request before.
     pub is_first_use: bool,
@@ -25,7 +28,8 @@
 impl Attempt {
     /// Adds its result to the trace of the request.
     pub fn record(&self, pending: &mut PendingRequest, result: &str) {
-        pending.trace.record_attempt(&self.server.id, self.load, result, self.began);
+        let known = KnownLoad { load: self.load, pace: self.pace };
+        pending.trace.record_attempt(&self.server.id, known, result, self.began);
     }
 }
 
@@ -40,7 +44,9 @@
         let now = self.clock.now();
         let server = &attempt.server;
         self.record_reached(server);
-        let is_late = now.saturating_duration_since(attempt.began) > grant.route.objective;
+        // Where work takes longer for now, late answers are not due to load.
+        let objective = grant.route.objective.mul_f64(server.pace.factor().max(1.0));
+        let is_late = now.saturating_duration_since(attempt.began) > objective;
         let record = |it: &mut ServiceLoad| it.record_response(is_late, attempt.load, server.slots);
         self.service_loads.with(&pending.trace.service, ServiceLoad::default, record);
     }
@@ -62,7 +68,8 @@
     /// Records how long a request occupied its slot.
     pub(crate) fn record_service_time(&self, pending: &mut PendingRequest) {
         if let Some(since) = pending.slot_since.take() {
-            let time = self.clock.now().saturating_duration_since(since);
+            // At the usual pace: a slow server's requests must not count for the others.
+            let time = self.clock.now().saturating_duration_since(since).div_f64(pending.slot_pace);
             self.service_loads.with(&pending.trace.service, ServiceLoad::default, |it| {
                 it.record_service_time(time)
             });
--- a/src/relay/attempt_loop.rs
+++ b/src/relay/attempt_loop.rs
@@ -161,7 +161,9 @@
         let now = self.clock.now();
         let load = server.load(now);
         let in_flight = server.begin_request(self.request_tokens(pending, &server, now));
+        let pace = server.pace.reading(now);
         pending.slot_since = (load < server.slots).then_some(now);
+        pending.slot_pace = server.pace.factor();
         // A request that may run only once must not use a pooled connection, as the server may
         // be about to close it. Nor must a retry.
         let force_new =
@@ -173,7 +175,7 @@
             Ok(_) => {}
             Err(_) => self.record_unconnected(&pending.trace.service, &server),
         }
-        let attempt = Attempt { server, load, began: now, is_first_use };
+        let attempt = Attempt { server, load, pace, began: now, is_first_use };
         match opened {
             Ok(connection) => Ok(self.send(pending, grant, &attempt, connection, in_flight).await),
             Err(e) => {
--- a/src/relay/choose.rs
+++ b/src/relay/choose.rs
@@ -7,7 +7,7 @@
 use smallvec::SmallVec;
 
 use crate::decide::{
-    Candidate, RequestTokens, ServiceLoad, UNSEEN_TIME, combine, max_at_brittle, pick,
+    Candidate, RequestTokens, ServiceLoad, UNSEEN_TIME, USUAL_PACE, combine, max_at_brittle, pick,
 };
 use crate::relay::exchange::UpstreamRequest;
 use crate::relay::pending_request::{Grant, PendingRequest};
@@ -77,7 +77,9 @@
         now: Instant,
     ) -> SmallVec<[Candidate; 32]> {
         let max_loads = |load: &mut ServiceLoad| {
-            servers.iter().map(|it| load.max_in_flight(it.slots, objective)).collect()
+            let max =
+                |it: &Arc<Server>| load.max_in_flight_at(it.slots, objective, it.pace.factor());
+            servers.iter().map(max).collect()
         };
         let service = &pending.trace.service;
         let max_loads: SmallVec<[u32; 32]> =
@@ -199,5 +201,12 @@
     let excluded = pending.excluded.contains(&server.hash);
     let closed = !open || excluded || !server.fits_software(pending.software);
     let max_load = if server.has_allowance(now) { max_load } else { 0 };
-    Candidate { hash: server.hash, load: server.load(now), slots: server.slots, max_load, closed }
+    Candidate {
+        hash: server.hash,
+        load: server.load(now),
+        slots: server.slots,
+        pace: (server.pace.factor() * f64::from(USUAL_PACE)).round() as u32,
+        max_load,
+        closed,
+    }
 }
--- a/src/relay/forward.rs
+++ b/src/relay/forward.rs
@@ -17,6 +17,7 @@
 use crate::relay::exchange::{Reply, UpstreamRequest, send_request, validate_reply};
 use crate::relay::forwarder::pick_forwarder;
 use crate::relay::pending_request::{Grant, PendingRequest};
+use crate::relay::request_trace::KnownLoad;
 use crate::relay::{
     AttemptError, Connection, Forwarder, Refusal, Relay, StatedLeaving, drop_hop_headers,
     may_be_events,
@@ -119,7 +120,7 @@
             Err(OfferError::Failed(it)) => (it.as_str(), before.and(it.verdict())),
         };
         pending.trace.verdict = verdict;
-        pending.trace.record_attempt(&target.name, 0, result, began);
+        pending.trace.record_attempt(&target.name, KnownLoad::default(), result, began);
         offered
     }
 
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -41,6 +41,7 @@
 mod request_meta;
 mod request_trace;
 mod retry_budgets;
+mod stated_load;
 mod statements;
 mod stream;
 mod stream_origins;
@@ -51,7 +52,7 @@
 
 pub use answer::{
     AnswerHead, ServerStatements, StatedBrittle, StatedCold, StatedDelay, StatedLeaving,
-    StatedLimit, StatedLoad,
+    StatedLimit, StatedLoad, StatedPace,
 };
 pub use attempt_error::AttemptError;
 pub use body::{RelayBody, RelayError, full_body};
--- a/src/relay/pending_request.rs
+++ b/src/relay/pending_request.rs
@@ -60,6 +60,8 @@
     pub selections: usize,
     /// When it took a slot at the current server; absent if none was free.
     pub slot_since: Option<Instant>,
+    /// The pace of the current server when it was selected.
+    pub slot_pace: f64,
     /// The decisions on it, for its log line.
     pub trace: RequestTrace,
 }
@@ -90,6 +92,7 @@
             sends: forwarding.as_ref().map_or(0, |it| it.sends),
             selections: 0,
             slot_since: None,
+            slot_pace: 1.0,
             trace,
         })
     }
--- a/src/relay/request_log.rs
+++ b/src/relay/request_log.rs
@@ -37,6 +37,7 @@
     lines: Mutex<LineCounts>,
     requests: IntCounterVec,
     attempts: IntCounterVec,
+    unreadable: IntCounterVec,
     dropped_lines: IntCounter,
     pub(crate) head_time: HistogramVec,
     total_time: HistogramVec,
@@ -72,6 +73,11 @@
             lines: Mutex::new(lines),
             requests: counters("filberttiller_relay_requests_total", help, &["outcome", "reason"])?,
             attempts: counters("filberttiller_relay_tries_total", "Tries by result", &["result"])?,
+            unreadable: counters(
+                "filberttiller_relay_unreadable_total",
+                "Statements of backend servers that cannot be read",
+                &["statement"],
+            )?,
             dropped_lines,
             head_time: times("filberttiller_relay_head_seconds", "Time to the head of the answer")?,
             total_time: times(
@@ -93,6 +99,11 @@
         self.attempts.with_label_values(&[result]).inc();
     }
 
+    /// Counts a statement of a backend server that cannot be read.
+    pub fn count_unreadable(&self, statement: &str) {
+        self.unreadable.with_label_values(&[statement]).inc();
+    }
+
     /// Counts a request at its end, and logs it within the rate limits.
     pub(crate) fn write(&self, trace: &RequestTrace, outcome: Outcome, reason: &str) {
         self.requests.with_label_values(&[outcome.as_str(), reason]).inc();
--- a/src/relay/request_trace.rs
+++ b/src/relay/request_trace.rs
@@ -1,16 +1,37 @@
 //! Records the decisions on one request, for its log line.
 
-use std::fmt::Write;
+use std::fmt::{self, Display, Formatter, Write};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use smallvec::SmallVec;
 
-use crate::decide::Verdict;
+use crate::decide::{PaceReading, Verdict};
 use crate::relay::forward::Forwarding;
 use crate::relay::{BodyEnd, Framing, Outcome, RequestLog};
 use crate::servers::SoftwareVersion;
 
+/// What was known of a server when it was selected.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct KnownLoad {
+    /// Requests there.
+    pub load: u32,
+    /// How long work takes there, where it is known.
+    pub pace: Option<PaceReading>,
+}
+
+impl Display for KnownLoad {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        write!(f, "load={}", self.load)?;
+        match self.pace {
+            Some(PaceReading { factor, age }) => {
+                write!(f, ":pace={factor:.2}/{}ms", age.as_millis())
+            }
+            None => Ok(()),
+        }
+    }
+}
+
 /// The decisions on one request. Dropping it unfinished means that the caller
 /// disconnected.
 #[derive(Debug)]
@@ -99,11 +120,11 @@
     }
 
     /// Records an attempt with its result.
-    pub fn record_attempt(&mut self, server: &str, load: u32, result: &str, began: Instant) {
+    pub fn record_attempt(&mut self, server: &str, known: KnownLoad, result: &str, began: Instant) {
         self.request_log.count_attempt(result);
         let took = self.request_log.clock.now().saturating_duration_since(began).as_millis();
         let gap = if self.attempts.is_empty() { "" } else { " " };
-        let _ = write!(self.attempts, "{gap}{server}:load={load}:{result}:{took}ms");
+        let _ = write!(self.attempts, "{gap}{server}:{known}:{result}:{took}ms");
     }
 
     /// Records that events of a server with the version `software` are relayed.
--- a/src/relay/statements.rs
+++ b/src/relay/statements.rs
@@ -20,11 +20,7 @@
     ) {
         self.record_stated_limit(server, stated.limit);
         if let Some(load) = stated.load {
-            let now = self.clock.now();
-            server.set_reported_load(load.total(), now);
-            if let Some(pace) = load.pace {
-                server.pace.record(pace, now);
-            }
+            self.record_stated_load(server, load, request);
         }
         self.record_stated_leaving(server, stated.leaving, request);
         self.record_stated_brittle(service, server, stated.brittle);
--- a/src/router/exchange_loop.rs
+++ b/src/router/exchange_loop.rs
@@ -41,6 +41,8 @@
         expire_peers(&router, now);
         router.relay.parts.lock().unwrap().remove_expired(now);
         router.relay.origins.lock().unwrap().remove_expired(now);
+        router.relay.servers.lock().unwrap().follow_paces(now);
+        router.pace_metrics.update(&router.relay);
         // Ends early on a change to report; the next round begins in either case.
         let _ = timeout(ROUND_INTERVAL, router.exchange_now.notified()).await;
     }
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -12,6 +12,8 @@
 mod news;
 mod origin_search;
 mod origins;
+mod pace_metrics;
+mod pace_news;
 mod reach_watch;
 mod router;
 mod router_error;
--- a/src/router/router.rs
+++ b/src/router/router.rs
@@ -24,6 +24,8 @@
 };
 use crate::router::leaving_news::{leaving_news, merge_leaving};
 use crate::router::limit_news::{limit_news, merge_limits};
+use crate::router::pace_metrics::PaceMetrics;
+use crate::router::pace_news::{merge_paces, pace_news};
 use crate::router::software_news::{merge_software, software_news};
 use crate::router::stream_records::StreamRecords;
 use crate::router::{ClientProtocol, RouterError, RouterSettings, Store};
@@ -54,6 +56,8 @@
     pub peers: Mutex<PeerTable>,
     /// Registry of all metrics.
     pub registry: Registry,
+    /// The pace of backend servers in them.
+    pub(crate) pace_metrics: PaceMetrics,
     /// The logger.
     pub logger: Logger,
     /// Number of requests of callers whose responses are not complete.
@@ -95,6 +99,7 @@
         let registry = Registry::new();
         let request_log = RequestLog::new(logger.clone(), Arc::clone(&clock), &registry)
             .change_context(RouterError::SetUp)?;
+        let pace_metrics = PaceMetrics::new(&registry).change_context(RouterError::SetUp)?;
         let born = clock.wall().duration_since(UNIX_EPOCH).unwrap_or_default();
         let own = WireRouter {
             name: settings.name.clone(),
@@ -116,6 +121,7 @@
             relay: Arc::new(relay),
             peers: Mutex::new(PeerTable::new(own)),
             registry,
+            pace_metrics,
             logger,
             in_flight: Arc::default(),
             closed: watch::Sender::new(false),
@@ -206,6 +212,7 @@
             cut_off: self.relay.cut_off_hashes().into_vec(),
             sightings,
             failures,
+            paces: pace_news(&self.relay, now),
         }
     }
 
@@ -302,6 +309,7 @@
         merge_limits(&self.relay, &news.limits, now);
         merge_leaving(&self.relay, &news.leaving, now);
         merge_software(&self.relay, news.software, now);
+        merge_paces(&self.relay, &news.paces, now);
         for crash in &exchange.crashes {
             self.relay.crashes.insert(CrashReport::from_wire(crash, now), now);
         }
--- a/src/servers/stated_condition.rs
+++ b/src/servers/stated_condition.rs
@@ -23,6 +23,8 @@
     pub(crate) unreadable_leaving: LogOnce,
     /// For the line that an answer's word on its being brittle cannot be read.
     pub(crate) unreadable_brittle: LogOnce,
+    /// For the line that the pace that an answer reports cannot be read.
+    pub(crate) unreadable_pace: LogOnce,
 }
 
 impl StatedCondition {
--- a/src/servers/table.rs
+++ b/src/servers/table.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use crate::decide::{Results, combine, hash_bytes, is_failing, max_avoided};
+use crate::decide::{Results, combine, follow_paces, hash_bytes, is_failing, max_avoided};
 use crate::servers::leaving_statements::LeavingStatements;
 use crate::servers::software_history::SoftwareHistory;
 use crate::servers::table_id::TableId;
@@ -97,6 +97,13 @@
         }
     }
 
+    /// Updates how far each server counts as slower or quicker than the others of its service.
+    pub fn follow_paces(&self, now: Instant) {
+        for servers in self.services.values() {
+            follow_paces(servers.iter().map(|it| &it.pace), now);
+        }
+    }
+
     /// The changes after `known`; all servers when those are not known, or if it is a revision
     /// of another table.
     pub fn since(&self, known: TableRevision) -> TableChanges {
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -12,6 +12,7 @@
 mod log;
 mod once;
 mod order;
+mod pace;
 mod packed;
 mod part_news;
 mod peer;
@@ -34,6 +35,7 @@
 pub use log::{Appended, Page, Record};
 pub use once::{KeyAnswer, KeyQuery, NewKey, WireClaims};
 pub use order::{OrderRecord, OrderRequest, WireOrder};
+pub use pace::{ToldPace, pack_paces, unpack_paces};
 pub use packed::{PackError, pack_gossip, packed_len, unpack_gossip};
 pub use part_news::{WireAnsweredPart, WireBlamedPart, WireCutRun, WirePartNews, WireStoredBlame};
 pub use peer::{
--- a/src/wire/peer.rs
+++ b/src/wire/peer.rs
@@ -122,6 +122,10 @@
         /// Exchanges with other routers that failed.
         #[serde(skip_serializing_if = "Vec::is_empty")]
         pub failures: Vec<WirePeerFailure>,
+        /// What backend servers lately reported of their pace to the sender, packed by
+        /// [`pack_paces`](crate::wire::pack_paces).
+        #[serde(with = "serde_bytes", skip_serializing_if = "Vec::is_empty")]
+        pub paces: Vec<u8>,
     }
 
     /// An exchange with a process of a router that failed: hash of the router's name, when the
@@ -246,5 +250,6 @@
             && self.cut_off.is_empty()
             && self.sightings.is_empty()
             && self.failures.is_empty()
+            && self.paces.is_empty()
     }
 }
--- a/tests/it/hot_key.rs
+++ b/tests/it/hot_key.rs
@@ -6,7 +6,8 @@
 use std::time::{Duration, Instant};
 
 use filberttiller::decide::{
-    Candidate, KeyRates, LoadBound, RequestTokens, Results, UNSEEN_TIME, hash_bytes, pick,
+    Candidate, KeyRates, LoadBound, RequestTokens, Results, UNSEEN_TIME, USUAL_PACE, hash_bytes,
+    pick,
 };
 use filberttiller::servers::{InFlight, Server, ServerRecord};
 use rand::{Rng, SeedableRng};
@@ -100,6 +101,7 @@
                 hash: it.hash,
                 load: it.load(now),
                 slots: SLOTS,
+                pace: USUAL_PACE,
                 max_load: 2 * SLOTS,
                 closed: false,
             };
--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -45,6 +45,7 @@
 mod rules;
 mod scripted_server;
 mod server_lists;
+mod server_pace;
 mod server_records;
 mod servers;
 mod service_reach;
--- a/tests/it/overload.rs
+++ b/tests/it/overload.rs
@@ -4,7 +4,7 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use filberttiller::decide::{Candidate, LoadBound, ServiceLoad, max_in_flight, pick};
+use filberttiller::decide::{Candidate, LoadBound, ServiceLoad, USUAL_PACE, max_in_flight, pick};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use rstest::rstest;
@@ -83,6 +83,7 @@
             hash: at as u64 + 1,
             load: in_flight.len() as u32,
             slots: SLOTS,
+            pace: USUAL_PACE,
             max_load,
             closed: false,
         };
--- a/tests/it/pick.rs
+++ b/tests/it/pick.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashSet;
 
-use filberttiller::decide::{Candidate, LoadBound, pick};
+use filberttiller::decide::{Candidate, LoadBound, USUAL_PACE, pick};
 
 const BOUND: LoadBound = LoadBound { factor: 1.5, extra: 2.0 };
 
@@ -11,6 +11,7 @@
         hash: at as u64 * 7_919 + 1,
         load: *load,
         slots: 64,
+        pace: USUAL_PACE,
         max_load: 96,
         closed: false,
     };
