--- a/src/router/router.rs
+++ b/src/router/router.rs
@@ -25,6 +25,8 @@
 };
 use crate::router::leaving_news::{leaving_news, merge_leaving};
 use crate::router::limit_news::{limit_news, merge_limits};
+use crate::router::pace_metrics::PaceMetrics;
+use crate::router::pace_news::{merge_paces, pace_news};
 use crate::router::software_news::{merge_software, software_news};
 use crate::router::stream_records::StreamRecords;
 use crate::router::{ClientProtocol, RouterError, RouterSettings, Store};
@@ -55,6 +57,8 @@
     pub peers: Mutex<PeerTable>,
     /// Registry of all metrics.
     pub registry: Registry,
+    /// The pace of backend servers in them.
+    pub(crate) pace_metrics: PaceMetrics,
     /// The logger.
     pub logger: Logger,
     /// What is held for all clients.
@@ -98,6 +102,7 @@
         let registry = Registry::new();
         let request_log = RequestLog::new(logger.clone(), Arc::clone(&clock), &registry)
             .change_context(RouterError::SetUp)?;
+        let pace_metrics = PaceMetrics::new(&registry).change_context(RouterError::SetUp)?;
         let intake = Intake::new(settings.intake, Arc::clone(&clock), logger.clone(), &registry)
             .change_context(RouterError::SetUp)?;
         let born = clock.wall().duration_since(UNIX_EPOCH).unwrap_or_default();
@@ -121,6 +126,7 @@
             relay: Arc::new(relay),
             peers: Mutex::new(PeerTable::new(own)),
             registry,
+            pace_metrics,
             logger,
             intake: Arc::new(intake),
             in_flight: Arc::default(),
@@ -214,6 +220,7 @@
             cut_off: self.relay.cut_off_hashes().into_vec(),
             sightings,
             failures,
+            paces: pace_news(&self.relay, now),
             evacuations: self.relay.evacuation_news(now),
         }
     }
@@ -315,6 +322,7 @@
         merge_limits(&self.relay, &news.limits, now);
         merge_leaving(&self.relay, &news.leaving, now);
         merge_software(&self.relay, news.software, now);
+        merge_paces(&self.relay, &news.paces, now);
         for crash in &exchange.crashes {
             self.relay.crashes.insert(CrashReport::from_wire(crash, now), now);
         }
--- a/src/wire/peer.rs
+++ b/src/wire/peer.rs
@@ -122,6 +122,10 @@
         /// Exchanges with other routers that failed.
         #[serde(skip_serializing_if = "Vec::is_empty")]
         pub failures: Vec<WirePeerFailure>,
+        /// What backend servers lately reported of their pace to the sender, packed by
+        /// [`pack_paces`](crate::wire::pack_paces).
+        #[serde(with = "serde_bytes", skip_serializing_if = "Vec::is_empty")]
+        pub paces: Vec<u8>,
         /// Evacuated failure domains; absent while none is known and none was until lately.
         #[serde(skip_serializing_if = "Option::is_none")]
         pub evacuations: Option<WireEvacuations>,
@@ -257,6 +261,7 @@
             && self.cut_off.is_empty()
             && self.sightings.is_empty()
             && self.failures.is_empty()
+            && self.paces.is_empty()
             && self.evacuations.is_none()
     }
 }
