token budgets: prompt tokens unread and memory held at each server decide beside the count of requests

Cause: room was counted in requests, so that a prompt of 11,800 tokens counted as one of 830; under shortage prompts scattered, were read again and preempted. Change: a ledger a server (own requests, reports of the other routers packed in WireNews, what the server says itself); parts that prompts share count once. A request stays at the server chosen so far while its prompt is read in time and its memory fits; else the next one in the order of its key within the load bound. One that no server could hold is refused at once (exceeds_memory).

--- a/src/decide/pick.rs
+++ b/src/decide/pick.rs
@@ -52,10 +52,7 @@
     seed: u64,
 ) -> Option<usize> {
     let open = |it: &Candidate| !it.closed && it.load < it.max_load;
-    let count = candidates.iter().filter(|it| !it.closed).count();
-    let total: u32 = candidates.iter().filter(|it| !it.closed).map(|it| it.load).sum();
-    let mean = f64::from(total) / count.max(1) as f64;
-    let limit = mean * bound.factor + bound.extra;
+    let limit = load_limit(candidates, bound);
     let room = |it: &Candidate| if open(it) { limit - f64::from(it.load) } else { 0.0 };
     let home = key.and_then(|key| {
         let first = best(candidates, |it| room(it) > 0.0, |it| combine(key, it.hash))?;
@@ -72,6 +69,14 @@
     })
 }
 
+/// The load up to which a candidate is within `bound`.
+pub(crate) fn load_limit(candidates: &[Candidate], bound: &LoadBound) -> f64 {
+    let count = candidates.iter().filter(|it| !it.closed).count();
+    let total: u32 = candidates.iter().filter(|it| !it.closed).map(|it| it.load).sum();
+    let mean = f64::from(total) / count.max(1) as f64;
+    mean * bound.factor + bound.extra
+}
+
 /// Chooses one of the first candidates in the order of `key` whose `room` is enough for
 /// `competing` requests, at random, weighted by room.
 fn share(
--- a/src/peers/peer.rs
+++ b/src/peers/peer.rs
@@ -5,7 +5,7 @@
 
 use smallvec::SmallVec;
 
-use crate::decide::hash_bytes;
+use crate::decide::{ServerTokens, hash_bytes};
 use crate::peers::{FailureKind, PeerFailure};
 use crate::wire::{ServerLoad, Sighting, WireObservation, WireRouter};
 
@@ -39,6 +39,8 @@
     /// Requests in flight by backend server, from its own last message, and when that
     /// message was received.
     pub loads: Option<(Instant, Vec<ServerLoad>)>,
+    /// Its tokens at the backend servers of `loads` with requests in flight, in the same order.
+    pub tokens: Vec<ServerTokens>,
     /// Hashes of the names of services whose backend servers it does not reach, as it last said.
     pub cut_off: SmallVec<[u64; 2]>,
 }
@@ -57,6 +59,7 @@
             unreached: None,
             sends_sightings: false,
             loads: None,
+            tokens: Vec::new(),
             cut_off: SmallVec::new(),
         }
     }
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -17,6 +17,9 @@
     pub server: Arc<Server>,
     /// Requests at the server, as known when it was selected.
     pub load: u32,
+    /// Tokens of prompts that the server had to read until the answer to this one; absent where
+    /// they are not known.
+    pub unread: Option<u64>,
     pub began: Instant,
     /// Its connection carried no request before.
     pub is_first_use: bool,
@@ -43,6 +46,7 @@
         let is_late = now.saturating_duration_since(attempt.began) > grant.route.objective;
         let record = |it: &mut ServiceLoad| it.record_response(is_late, attempt.load, server.slots);
         self.service_loads.with(&pending.trace.service, ServiceLoad::default, record);
+        self.record_reading(pending, attempt, now);
     }
 
     /// Pools a connection to `server` of `service` for later requests.
--- a/src/relay/attempt_loop.rs
+++ b/src/relay/attempt_loop.rs
@@ -160,7 +160,7 @@
         let server = self.select_with_room(pending, &grant).await?;
         let now = self.clock.now();
         let load = server.load(now);
-        let in_flight = server.begin_request(self.request_tokens(pending, &server, now));
+        let in_flight = server.begin_request(pending.tokens());
         pending.slot_since = (load < server.slots).then_some(now);
         // A request that may run only once must not use a pooled connection, as the server may
         // be about to close it. Nor must a retry.
@@ -173,7 +173,8 @@
             Ok(_) => {}
             Err(_) => self.record_unconnected(&pending.trace.service, &server),
         }
-        let attempt = Attempt { server, load, began: now, is_first_use };
+        let unread = pending.known_unread();
+        let attempt = Attempt { server, load, unread, began: now, is_first_use };
         match opened {
             Ok(connection) => Ok(self.send(pending, grant, &attempt, connection, in_flight).await),
             Err(e) => {
@@ -218,7 +219,8 @@
         pending.trace.verdict = Verdict::MayHaveRun;
         let id = pending.meta.id.clone();
         let (read, deadline) = (self.codec.answer, pending.deadline.into());
-        let reply = exchange(&request, connection, in_flight, &id, read, deadline);
+        let clock = Arc::clone(&self.clock);
+        let reply = exchange(&request, connection, in_flight, &id, read, deadline, &clock);
         let Some(result) = self.wait_with_patience(reply, pending, &grant, &attempt.server).await
         else {
             attempt.record(pending, "abandoned");
--- a/src/relay/choose.rs
+++ b/src/relay/choose.rs
@@ -6,9 +6,7 @@
 
 use smallvec::SmallVec;
 
-use crate::decide::{
-    Candidate, RequestTokens, ServiceLoad, UNSEEN_TIME, combine, max_at_brittle, pick,
-};
+use crate::decide::{Candidate, ServiceLoad, UNSEEN_TIME, combine, max_at_brittle, pick};
 use crate::relay::exchange::UpstreamRequest;
 use crate::relay::pending_request::{Grant, PendingRequest};
 use crate::relay::{OutgoingMeta, Refusal, Relay, drop_hop_headers};
@@ -43,7 +41,14 @@
         let candidates = self.candidates(pending, grant, &servers, objective, now);
         let any_open = candidates.iter().any(|it| !it.closed);
         let competing = key.map_or(0.0, |key| self.competing(service, key, now));
-        let picked = pick(&candidates, key, competing, &self.limits().bound, seed);
+        let budget = self.token_budget(pending, grant, objective, now)?;
+        let bound = self.limits().bound.clone();
+        let picked = pick(&candidates, key, competing, &bound, seed);
+        let picked = match &budget {
+            Some(it) => picked.and_then(|first| it.choose(&candidates, &servers, first, &bound)),
+            None => picked,
+        };
+        pending.trace.place = budget.zip(picked).map(|(it, at)| it.place(&servers[at]));
         let remaining = pending.deadline.saturating_duration_since(now);
         pending.trace.retry_after = self.service_loads.with(service, ServiceLoad::default, |it| {
             it.record_selection(picked.is_some());
@@ -122,16 +127,6 @@
         candidates.iter().any(|it| is_other(it) && !it.closed && it.load < it.max_load)
     }
 
-    /// Tokens that `pending` takes at `server`.
-    pub(crate) fn request_tokens(
-        &self,
-        _pending: &PendingRequest,
-        _server: &Arc<Server>,
-        _now: Instant,
-    ) -> RequestTokens {
-        RequestTokens::default()
-    }
-
     /// A server that can hand over the prefix `key` to `server`: a known holder, or else
     /// the first other server in the hash order, which other routers prefer for the prefix.
     fn prefix_source(
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -8,6 +8,7 @@
 use hyper::{Method, Request, Response, StatusCode, Uri, Version};
 use tokio::time::{Instant, timeout_at};
 
+use crate::clock::SharedClock;
 use crate::relay::body::MAX_BODY_BYTES;
 use crate::relay::connection::SendError;
 use crate::relay::request_trace::RequestTrace;
@@ -78,13 +79,17 @@
 pub(crate) async fn exchange(
     request: &UpstreamRequest,
     mut connection: Connection,
-    in_flight: InFlight,
+    mut in_flight: InFlight,
     id: &str,
     read: fn(&HeaderMap) -> AnswerHead,
     deadline: Instant,
+    clock: &SharedClock,
 ) -> Result<Reply, ExchangeError> {
     let sent = timeout_at(deadline, send_request(request, &mut connection)).await;
     let response = sent.map_err(|_| AttemptError::TimedOut)??;
+    if response.status().is_success() {
+        in_flight.end_reading(clock.now());
+    }
     validate_reply(response, id, read, connection, Some(in_flight))
 }
 
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -46,6 +46,7 @@
 mod stream_origins;
 mod suspect;
 mod suspect_parts;
+mod token_budget;
 mod tracked_stream;
 mod wait_for_room;
 
--- a/src/relay/pending_request.rs
+++ b/src/relay/pending_request.rs
@@ -7,7 +7,7 @@
 use hyper::http::request::Parts;
 use smallvec::SmallVec;
 
-use crate::decide::hash_bytes;
+use crate::decide::{RequestTokens, hash_bytes};
 use crate::fleet::RunningSuspect;
 use crate::relay::part_trial::PartTrial;
 use crate::relay::request_trace::RequestTrace;
@@ -116,6 +116,22 @@
         grant.route.target(self.meta.prefix_key().unwrap_or_else(|| self.id_hash()))
     }
 
+    /// Tokens that it takes at the selected server; none where servers have no budget.
+    pub fn tokens(&self) -> RequestTokens {
+        let place = self.trace.place;
+        place.map_or_else(RequestTokens::default, |it| RequestTokens {
+            unread: it.unread,
+            ..self.meta.request_tokens()
+        })
+    }
+
+    /// Tokens of prompts that the selected server has to read until its answer; absent if its
+    /// prefix may or may not be cached.
+    pub fn known_unread(&self) -> Option<u64> {
+        let place = self.trace.place.filter(|it| it.is_cached);
+        place.map(|it| it.ahead + it.unread)
+    }
+
     /// Hash of the id of the caller's attempt that brought the first event of its stream: this
     /// one, unless it takes a stream up.
     pub fn stream_hash(&self) -> u64 {
--- a/src/relay/prefix_holders.rs
+++ b/src/relay/prefix_holders.rs
@@ -50,6 +50,13 @@
         recent.any(|it| Arc::ptr_eq(&it.server, server))
     }
 
+    /// Whether any server is known to have the prefix cached.
+    pub fn has_any(&self, key: u64, now: Instant) -> bool {
+        let all = self.holders.lock().unwrap();
+        let mut holders = all.get(&key).into_iter().flatten();
+        holders.any(|it| is_recent(it, now) && !it.server.is_gone() && it.server.is_reachable(now))
+    }
+
     /// The latest holder other than `chosen` that can hand over the prefix.
     pub fn source(&self, key: u64, chosen: &Arc<Server>, now: Instant) -> Option<Arc<Server>> {
         let all = self.holders.lock().unwrap();
--- a/src/relay/refusal.rs
+++ b/src/relay/refusal.rs
@@ -33,6 +33,8 @@
         UnknownOrigin,
         /// All backend servers are at capacity.
         NoRoom,
+        /// Its prompt exceeds the memory of every backend server.
+        ExceedsMemory,
         /// Backend servers that ran it crashed.
         Crashes,
         /// Backend servers crashed that ran requests with a part of its prompt.
@@ -62,6 +64,7 @@
         Refusal::NoVersion,
         Refusal::UnknownOrigin,
         Refusal::NoRoom,
+        Refusal::ExceedsMemory,
         Refusal::Crashes,
         Refusal::PartCrashes,
         Refusal::ServerFailed,
@@ -88,7 +91,7 @@
         match self {
             Refusal::Malformed => StatusCode::BAD_REQUEST,
             Refusal::HeadTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
-            Refusal::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Refusal::TooLarge | Refusal::ExceedsMemory => StatusCode::PAYLOAD_TOO_LARGE,
             Refusal::NoOrganisation => StatusCode::UNAUTHORIZED,
             Refusal::NoRoute => StatusCode::NOT_FOUND,
             Refusal::ServerFailed => StatusCode::BAD_GATEWAY,
@@ -143,6 +146,7 @@
             Refusal::NoVersion => "no_version",
             Refusal::UnknownOrigin => "unknown_origin",
             Refusal::NoRoom => "no_room",
+            Refusal::ExceedsMemory => "exceeds_memory",
             Refusal::Crashes => "crashes",
             Refusal::PartCrashes => "part_crashes",
             Refusal::ServerFailed => "server_failed",
--- a/src/relay/relay.rs
+++ b/src/relay/relay.rs
@@ -14,7 +14,9 @@
 use tokio::sync::{Notify, mpsc};
 
 use crate::clock::SharedClock;
-use crate::decide::{KeyRates, LimitSenders, PartSuspects, ServiceLoad, ServiceReach, Verdict};
+use crate::decide::{
+    KeyRates, LimitSenders, PartSuspects, ReadingRate, ServiceLoad, ServiceReach, Verdict,
+};
 use crate::events::Code;
 use crate::fleet::CrashTable;
 use crate::relay::attempt_loop::Answer;
@@ -58,6 +60,8 @@
     /// How often prompt prefixes arrive at this router.
     pub(crate) key_rates: Mutex<KeyRates>,
     pub(crate) service_loads: ByService<ServiceLoad>,
+    /// How fast the servers of each service read prompts.
+    pub(crate) reading_rates: ByService<ReadingRate>,
     /// Which services have brittle servers.
     pub(crate) brittle: ByService<BrittleState>,
     /// Whether new connections to the servers of each service are established.
@@ -114,6 +118,7 @@
             prefix_holders: PrefixHolders::default(),
             key_rates: Mutex::default(),
             service_loads: ByService::default(),
+            reading_rates: ByService::default(),
             brittle: ByService::default(),
             reaches: ByService::default(),
             cut_services: AtomicUsize::new(0),
--- a/src/relay/request_log.rs
+++ b/src/relay/request_log.rs
@@ -107,6 +107,8 @@
         let code = outcome.code();
         let software = trace.software.iter().map(SoftwareVersion::as_str).collect::<Vec<_>>();
         let software = (!software.is_empty()).then(|| software.join(" "));
+        let place = trace.place;
+        let tokens_age = place.and_then(|it| it.age);
         let head = trace.head_time.map(|it| it.as_millis() as u64);
         info!(self.logger, "request";
             "event" => code.number(), "outcome" => outcome.as_str(), "reason" => reason,
@@ -121,6 +123,9 @@
             "origin" => trace.origin, "software" => software,
             "blamed_part" => trace.blamed_part.map(|it| format!("{it:x}")),
             "retry_after_ms" => trace.retry_after.map(|it| it.as_millis() as u64),
+            "unread_ahead" => place.map(|it| it.ahead), "unread" => place.map(|it| it.unread),
+            "held" => place.map(|it| it.held),
+            "tokens_age_ms" => tokens_age.map(|it| it.as_millis() as u64),
             "took_ms" => took.as_millis() as u64);
     }
 
--- a/src/relay/request_meta.rs
+++ b/src/relay/request_meta.rs
@@ -5,7 +5,10 @@
 
 use smallvec::SmallVec;
 
-use crate::decide::combine;
+use crate::decide::{RequestTokens, SharedPart, combine};
+
+/// An answer holds this share of its maximum length on average while it is generated.
+const MEAN_OUTPUT_SHARE: f64 = 0.5;
 
 plain! {
     /// One part of a prompt.
@@ -59,6 +62,25 @@
         self.shared_parts().iter().map(|it| it.tokens).sum()
     }
 
+    /// The tokens of the request at a server that has read nothing of its prompt; none if it
+    /// states none.
+    pub fn request_tokens(&self) -> RequestTokens {
+        let Some((prompt, output)) = self.tokens else {
+            return RequestTokens::default();
+        };
+        let mut key = self.model;
+        let mut rest = u64::from(prompt);
+        let parts = self.shared_parts().iter().map(|it| {
+            key = combine(key, it.id);
+            let tokens = rest.min(it.tokens.into());
+            rest -= tokens;
+            SharedPart { tag: key as u16, tokens }
+        });
+        let parts = parts.collect();
+        let output = (f64::from(output) * MEAN_OUTPUT_SHARE) as u64;
+        RequestTokens { unread: prompt.into(), held: rest + output, parts }
+    }
+
     /// The ids of the shared parts in hexadecimal, separated by commas, for logs.
     pub fn shared_parts_text(&self) -> String {
         let ids: SmallVec<[String; 4]> =
--- a/src/relay/request_trace.rs
+++ b/src/relay/request_trace.rs
@@ -6,7 +6,7 @@
 
 use smallvec::SmallVec;
 
-use crate::decide::Verdict;
+use crate::decide::{TokenPlace, Verdict};
 use crate::relay::forward::Forwarding;
 use crate::relay::{BodyEnd, Framing, Outcome, RequestLog};
 use crate::servers::SoftwareVersion;
@@ -36,6 +36,8 @@
     pub rules_age: Duration,
     /// Each attempt: server, its known load, result and duration.
     pub attempts: String,
+    /// What is known of the tokens at the server selected last, before the request.
+    pub place: Option<TokenPlace>,
     /// Whether the request may have run.
     pub verdict: Verdict,
     /// Status of the answer.
@@ -78,6 +80,7 @@
             rules: 0,
             rules_age: Duration::ZERO,
             attempts: String::new(),
+            place: None,
             verdict: Verdict::NotRun,
             status: 0,
             framing: None,
--- a/src/relay/statements.rs
+++ b/src/relay/statements.rs
@@ -22,6 +22,7 @@
         if let Some(load) = stated.load {
             let now = self.clock.now();
             server.set_reported_load(load.total(), now);
+            server.tokens.record_waiting(load.waiting, now);
             if let Some(pace) = load.pace {
                 server.pace.record(pace, now);
             }
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -24,6 +24,7 @@
 mod store;
 mod stream_records;
 mod stream_writer;
+mod token_news;
 
 pub use client_protocol::ClientProtocol;
 pub use lifecycle::{drain, run, start};
--- a/src/router/router.rs
+++ b/src/router/router.rs
@@ -7,12 +7,12 @@
 use std::time::{Duration, Instant, UNIX_EPOCH};
 
 use error_stack::{Report, ResultExt};
-use prometheus::Registry;
+use prometheus::{IntGaugeVec, Registry};
 use slog::{Logger, info, warn};
 use tokio::sync::{Notify, mpsc, watch};
 
 use crate::clock::SharedClock;
-use crate::decide::{LimitSenders, Results, hash_bytes};
+use crate::decide::{LimitSenders, Results, ServerTokens, hash_bytes};
 use crate::events::{Code, LogOnce};
 use crate::fleet::CrashReport;
 use crate::peers::{
@@ -26,11 +26,12 @@
 use crate::router::limit_news::{limit_news, merge_limits};
 use crate::router::software_news::{merge_software, software_news};
 use crate::router::stream_records::StreamRecords;
+use crate::router::token_news::token_gauge;
 use crate::router::{ClientProtocol, RouterError, RouterSettings, Store};
 use crate::servers::{RouterProcess, ServerRecord, StoreEra, TableRevision};
 use crate::wire::{
     ServerLoad, WireNews, WireRouter, WireServer, WireServers, WireServersAddition,
-    WireServersRequest, pack_loads,
+    WireServersRequest, pack_loads, pack_tokens,
 };
 
 /// Weight of the results at a backend server up to which an idle one is not reported.
@@ -39,6 +40,15 @@
 /// Limit of the crash reports in one message to another router.
 const MAX_TOLD_CRASHES: usize = 32;
 
+/// What a router reports of its requests at backend servers.
+#[derive(Default)]
+struct AtServers {
+    loads: Vec<ServerLoad>,
+    /// Tokens at the servers of `loads` with requests in flight, in the same order; none where no
+    /// servers have token budgets.
+    tokens: Vec<ServerTokens>,
+}
+
 /// A router: its store, its peers and its relay.
 #[derive(Debug)]
 pub struct Router<S> {
@@ -70,6 +80,9 @@
     pub(crate) store_era: Mutex<StoreEra>,
     /// For the line that the store's era cannot be read.
     unreadable_era: LogOnce,
+    /// For the line that tokens told by another router cannot be read.
+    pub(crate) unreadable_tokens: LogOnce,
+    pub(crate) token_gauge: IntGaugeVec,
     /// Notified when the store was restored from a copy, so that what it lost is written again.
     pub(crate) restored: Notify,
     /// Blamed prompt parts that the store has, as last read or written.
@@ -95,6 +108,7 @@
         let registry = Registry::new();
         let request_log = RequestLog::new(logger.clone(), Arc::clone(&clock), &registry)
             .change_context(RouterError::SetUp)?;
+        let token_gauge = token_gauge(&registry).change_context(RouterError::SetUp)?;
         let born = clock.wall().duration_since(UNIX_EPOCH).unwrap_or_default();
         let own = WireRouter {
             name: settings.name.clone(),
@@ -124,6 +138,8 @@
             origin_queries: Mutex::new(Some(origin_queries)),
             store_era: Mutex::default(),
             unreadable_era: LogOnce::default(),
+            unreadable_tokens: LogOnce::default(),
+            token_gauge,
             restored: Notify::new(),
             stored_blame: Mutex::default(),
             stream_records: StreamRecords::default(),
@@ -155,15 +171,17 @@
         let crashes = self.relay.crashes.most_relevant(MAX_TOLD_CRASHES, now);
         let version = self.relay.rules.load().map(|it| it.version);
         let age = self.relay.lease.age(self.relay.clock().boot());
+        let at_servers = self.at_servers(now);
         let own = OwnReport {
             ready: self.relay.is_ready(),
             leaving: self.is_leaving(),
-            loads: self.loads(now),
+            loads: pack_loads(at_servers.loads),
             crashes: crashes.into_iter().map(|it| it.to_wire(now)).collect(),
             rules: version.zip(age.map(|it| it.as_millis() as u64)),
         };
         let exchange = self.peers.lock().unwrap().message(own, now, &mut rand::rng());
-        Message { exchange, news: self.news(now) }
+        let tokens = pack_tokens(&at_servers.tokens);
+        Message { exchange, news: WireNews { tokens, ..self.news(now) } }
     }
 
     /// Sets which routers may take requests of this one.
@@ -179,17 +197,22 @@
         self.relay.forwarders.store(Arc::new(all));
     }
 
-    /// The loads of this router at all backend servers, packed.
-    fn loads(&self, now: Instant) -> Vec<u8> {
+    /// The loads and tokens of this router at all backend servers.
+    fn at_servers(&self, now: Instant) -> AtServers {
+        let has_budgets = self.relay.has_token_budgets();
         let servers = self.relay.servers.lock().unwrap();
-        let loads = servers.all().map(|it| {
+        let mut reported = AtServers::default();
+        for it in servers.all() {
             let in_flight = it.own().min(u8::MAX.into()) as u8;
             let Results { good, bad } = it.local_results(now);
-            ServerLoad { server: it.hash as u32, in_flight, good, bad }
-        });
-        let is_reported =
-            |it: &ServerLoad| it.in_flight > 0 || it.good + it.bad > MIN_REPORTED_RESULTS;
-        pack_loads(loads.filter(is_reported))
+            if in_flight > 0 || good + bad > MIN_REPORTED_RESULTS {
+                reported.loads.push(ServerLoad { server: it.hash as u32, in_flight, good, bad });
+            }
+            if in_flight > 0 && has_budgets {
+                reported.tokens.push(it.tokens.own());
+            }
+        }
+        reported
     }
 
     fn news(&self, now: Instant) -> WireNews {
@@ -206,6 +229,7 @@
             cut_off: self.relay.cut_off_hashes().into_vec(),
             sightings,
             failures,
+            tokens: Vec::new(),
         }
     }
 
@@ -308,6 +332,7 @@
         let mut peers = self.peers.lock().unwrap();
         let sender = exchange.own.router.name.clone();
         peers.merge_message(exchange, now);
+        self.merge_tokens(&mut peers, &sender, &news.tokens);
         peers.set_cut_off(&sender, news.cut_off.into());
         peers.merge_sightings(&sender, &news.sightings, now);
         peers.merge_failures(news.failures, now);
--- a/src/rules/rule_set.rs
+++ b/src/rules/rule_set.rs
@@ -86,6 +86,12 @@
         self.services.get(name)
     }
 
+    /// Names of the services whose backend servers are model engines.
+    pub fn engine_services(&self) -> impl Iterator<Item = &str> {
+        let engines = self.services.values().filter(|it| it.engine.is_some());
+        engines.map(|it| it.name.as_str())
+    }
+
     /// Shortest objective of all routes to `service` that are at least as urgent as
     /// `rank`. Less urgent requests must not find free capacity where a more urgent
     /// one finds none.
--- a/src/servers/server.rs
+++ b/src/servers/server.rs
@@ -5,7 +5,9 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use crate::decide::{LimitSenders, RequestTokens, Results, ServerPace, combine, hash_bytes};
+use crate::decide::{
+    LimitSenders, RequestTokens, Results, ServerPace, TokenLedger, combine, hash_bytes,
+};
 use crate::servers::result_window::ResultWindow;
 use crate::servers::{
     LimitChange, LimitStatement, ServerRecord, ServerState, SoftwareVersion, StatedCondition,
@@ -73,6 +75,8 @@
     registered: AtomicBool,
     /// How long work takes there at present.
     pub pace: ServerPace,
+    /// Tokens of the requests in flight there.
+    pub tokens: TokenLedger,
     /// What it stated itself, shared with other values of the same incarnation.
     pub stated: Arc<StatedCondition>,
 }
@@ -99,6 +103,7 @@
             ejected: AtomicBool::new(false),
             registered: AtomicBool::new(false),
             pace: ServerPace::default(),
+            tokens: TokenLedger::default(),
             stated: Arc::default(),
         }
     }
@@ -271,7 +276,8 @@
     /// Counts a request of `tokens` as in flight until the returned value is dropped.
     pub fn begin_request(self: &Arc<Server>, tokens: RequestTokens) -> InFlight {
         self.own.fetch_add(1, Ordering::Relaxed);
-        InFlight { server: Arc::clone(self), tokens }
+        self.tokens.begin(&tokens);
+        InFlight { server: Arc::clone(self), unread: tokens.unread, tokens }
     }
 
     /// Whether requests may be sent to it now, judged by connections alone.
@@ -307,6 +313,8 @@
 pub struct InFlight {
     server: Arc<Server>,
     tokens: RequestTokens,
+    /// What counts as unread of its prompt.
+    unread: u64,
 }
 
 impl InFlight {
@@ -316,13 +324,20 @@
     }
 
     /// Tokens of the request.
-    pub fn tokens(&self) -> RequestTokens {
-        self.tokens
+    pub fn tokens(&self) -> &RequestTokens {
+        &self.tokens
+    }
+
+    /// Counts its prompt as read, once its answer has begun.
+    pub fn end_reading(&mut self, now: Instant) {
+        self.server.tokens.end_reading(&self.tokens, now);
+        self.unread = 0;
     }
 }
 
 impl Drop for InFlight {
     fn drop(&mut self) {
         self.server.own.fetch_sub(1, Ordering::Relaxed);
+        self.server.tokens.end(&self.tokens, self.unread);
     }
 }
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -15,6 +15,7 @@
 mod packed;
 mod part_news;
 mod peer;
+mod server_tokens;
 mod sighting;
 mod status;
 mod stream_record;
@@ -42,6 +43,7 @@
     WireServerLimit, WireServers, WireServersAddition, WireServersRequest, WireServiceSoftware,
     WireStreamOrigin, WireStreamOrigins, pack_loads, unpack_loads,
 };
+pub use server_tokens::{pack_tokens, unpack_tokens};
 pub use sighting::{Sighting, pack_sightings, unpack_sightings};
 pub use status::{WireEngine, WireRequestCount, WireStatus, WireWantedItem};
 pub use stream_record::{
--- a/src/wire/peer.rs
+++ b/src/wire/peer.rs
@@ -122,6 +122,10 @@
         /// Exchanges with other routers that failed.
         #[serde(skip_serializing_if = "Vec::is_empty")]
         pub failures: Vec<WirePeerFailure>,
+        /// The sender's tokens at the backend servers at which it has requests in flight, packed
+        /// by [`pack_tokens`](crate::wire::pack_tokens).
+        #[serde(with = "serde_bytes", skip_serializing_if = "Vec::is_empty")]
+        pub tokens: Vec<u8>,
     }
 
     /// An exchange with a process of a router that failed: hash of the router's name, when the
@@ -246,5 +250,6 @@
             && self.cut_off.is_empty()
             && self.sightings.is_empty()
             && self.failures.is_empty()
+            && self.tokens.is_empty()
     }
 }
--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -60,5 +60,6 @@
 mod suspect;
 mod timeline;
 mod timeline_check;
+mod token_budgets;
 mod unwritten_answers;
 mod verdicts;
