--- a/src/decide/pick.rs
+++ b/src/decide/pick.rs
@@ -61,9 +61,7 @@
     seed: u64,
 ) -> Option<usize> {
     let open = |it: &Candidate| !it.closed && it.load < it.max_load;
-    let count = candidates.iter().filter(|it| !it.closed).count();
-    let total: u32 = candidates.iter().filter(|it| !it.closed).map(|it| it.load).sum();
-    let mean = f64::from(total) / count.max(1) as f64;
+    let OpenLoads { total, mean } = OpenLoads::of(candidates);
     let fair = FairLoads::new(candidates, total, mean);
     let limit = |it: &Candidate| fair.of(it).min(mean) * bound.factor + bound.extra;
     let room = |it: &Candidate| if open(it) { limit(it) - f64::from(it.load) } else { 0.0 };
@@ -122,6 +120,25 @@
     f64::from(USUAL_PACE) / f64::from(it.pace.max(1))
 }
 
+/// The loads of the candidates that are not closed.
+struct OpenLoads {
+    total: u32,
+    mean: f64,
+}
+
+impl OpenLoads {
+    fn of(candidates: &[Candidate]) -> OpenLoads {
+        let open = candidates.iter().filter(|it| !it.closed);
+        let (total, count) = open.fold((0, 0), |(total, count), it| (total + it.load, count + 1));
+        OpenLoads { total, mean: f64::from(total) / f64::from(count.max(1)) }
+    }
+}
+
+/// The load up to which a candidate is within `bound`.
+pub(crate) fn load_limit(candidates: &[Candidate], bound: &LoadBound) -> f64 {
+    OpenLoads::of(candidates).mean * bound.factor + bound.extra
+}
+
 /// Chooses one of the first candidates in the order of `key` whose `room` is enough for
 /// `competing` requests, at random, weighted by room.
 fn share(
--- a/src/events/code.rs
+++ b/src/events/code.rs
@@ -114,6 +114,7 @@
     335 ServiceSound "backend servers of the service no longer say that they are brittle";
     336 BrittleUnreadable "what an answer says of its backend server being brittle cannot be read";
     337 CutOffDismissed "several backend servers of a service went at once, others can be reached from here";
+    340 TokensUnreadable "what another router tells of tokens at backend servers cannot be read";
     // 4xx: placement and admission
     400 Placed "a request was assigned to a backend server";
     401 NoRoom "no backend server can take the request at present";
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -20,6 +20,9 @@
     pub load: u32,
     /// Its pace, as known then.
     pub pace: Option<PaceReading>,
+    /// Tokens of prompts that the server had to read until the answer to this one; absent where
+    /// they are not known.
+    pub unread: Option<u64>,
     pub began: Instant,
     /// Its connection carried no request before.
     pub is_first_use: bool,
@@ -49,6 +52,7 @@
         let is_late = now.saturating_duration_since(attempt.began) > objective;
         let record = |it: &mut ServiceLoad| it.record_response(is_late, attempt.load, server.slots);
         self.service_loads.with(&pending.trace.service, ServiceLoad::default, record);
+        self.record_reading(pending, attempt, now);
     }
 
     /// Pools a connection to `server` of `service` for later requests.
--- a/src/relay/refusal.rs
+++ b/src/relay/refusal.rs
@@ -37,6 +37,8 @@
         NoRoom,
         /// The router has no memory for its body.
         NoMemory,
+        /// Its prompt exceeds the memory of every backend server.
+        ExceedsMemory,
         /// Backend servers that ran it crashed.
         Crashes,
         /// Backend servers crashed that ran requests with a part of its prompt.
@@ -68,6 +70,7 @@
         Refusal::UnknownOrigin,
         Refusal::NoRoom,
         Refusal::NoMemory,
+        Refusal::ExceedsMemory,
         Refusal::Crashes,
         Refusal::PartCrashes,
         Refusal::ServerFailed,
@@ -95,7 +98,7 @@
         match self {
             Refusal::Malformed => StatusCode::BAD_REQUEST,
             Refusal::HeadTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
-            Refusal::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Refusal::TooLarge | Refusal::ExceedsMemory => StatusCode::PAYLOAD_TOO_LARGE,
             Refusal::NoOrganisation => StatusCode::UNAUTHORIZED,
             Refusal::NoRoute => StatusCode::NOT_FOUND,
             Refusal::ServerFailed => StatusCode::BAD_GATEWAY,
@@ -156,6 +159,7 @@
             Refusal::UnknownOrigin => "unknown_origin",
             Refusal::NoRoom => "no_room",
             Refusal::NoMemory => "no_memory",
+            Refusal::ExceedsMemory => "exceeds_memory",
             Refusal::Crashes => "crashes",
             Refusal::PartCrashes => "part_crashes",
             Refusal::ServerFailed => "server_failed",
--- a/src/relay/relay.rs
+++ b/src/relay/relay.rs
@@ -16,7 +16,9 @@
 use tokio::time::timeout_at;
 
 use crate::clock::SharedClock;
-use crate::decide::{KeyRates, LimitSenders, PartSuspects, ServiceLoad, ServiceReach, Verdict};
+use crate::decide::{
+    KeyRates, LimitSenders, PartSuspects, ReadingRate, ServiceLoad, ServiceReach, Verdict,
+};
 use crate::events::Code;
 use crate::fleet::CrashTable;
 use crate::intake::{Client, Door, ReadError, read_body};
@@ -65,6 +67,8 @@
     /// How often prompt prefixes arrive at this router.
     pub(crate) key_rates: Mutex<KeyRates>,
     pub(crate) service_loads: ByService<ServiceLoad>,
+    /// How fast the servers of each service read prompts.
+    pub(crate) reading_rates: ByService<ReadingRate>,
     /// Which services have brittle servers.
     pub(crate) brittle: ByService<BrittleState>,
     /// Whether new connections to the servers of each service are established.
@@ -125,6 +129,7 @@
             prefix_holders: PrefixHolders::default(),
             key_rates: Mutex::default(),
             service_loads: ByService::default(),
+            reading_rates: ByService::default(),
             brittle: ByService::default(),
             reaches: ByService::default(),
             cut_services: AtomicUsize::new(0),
--- a/src/relay/statements.rs
+++ b/src/relay/statements.rs
@@ -21,6 +21,7 @@
         self.record_stated_limit(server, stated.limit);
         if let Some(load) = stated.load {
             self.record_stated_load(server, load, request);
+            server.tokens.record_waiting(load.waiting, self.clock.now());
         }
         self.record_stated_leaving(server, stated.leaving, request);
         self.record_stated_brittle(service, server, stated.brittle);
