admission: requests wait for room in order of rank, standing and organisation, less urgent ranks yield

Cause: what found no room at that instant was refused, whoever asked, so under a long shortage all callers lost alike. Change: a bounded queue in the router, shares of the room by rank from the demand of all routers, return times that are booked one by one. Nothing changes while room is found.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -27,6 +27,7 @@
 mod server_pace;
 mod service_load;
 mod service_reach;
+mod shortage;
 mod suspect;
 mod token_ledger;
 mod verdict;
@@ -59,6 +60,10 @@
 pub use server_pace::ServerPace;
 pub use service_load::ServiceLoad;
 pub use service_reach::ServiceReach;
+pub use shortage::{
+    Demand, Lane, NoWait, PeerDemand, RankDemand, RankRoom, RefusedCallers, ReturnTimes, Shortage,
+    ShortageView, Standing, UsualDeadline, WaitKey, WaitQuery, WaitQueue, may_wait,
+};
 pub use suspect::{SuspectPolicy, suspect_policy};
 pub use token_ledger::RequestTokens;
 pub use verdict::Verdict;
--- a/src/events/code.rs
+++ b/src/events/code.rs
@@ -106,6 +106,7 @@
     334 ServiceBrittle "backend servers of a service say that they are brittle, they get no requests that would wait";
     335 ServiceSound "backend servers of the service no longer say that they are brittle";
     336 BrittleUnreadable "what an answer says of its backend server being brittle cannot be read";
+    345 DemandUnreadable "the demand that another router tells of makes no sense and does not count";
     // 4xx: placement and admission
     400 Placed "a request was assigned to a backend server";
     401 NoRoom "no backend server can take the request at present";
--- a/src/relay/attempt_loop.rs
+++ b/src/relay/attempt_loop.rs
@@ -161,6 +161,7 @@
         let now = self.clock.now();
         let load = server.load(now);
         let in_flight = server.begin_request(self.request_tokens(pending, &server, now));
+        let in_flight = in_flight.with_signal(self.room_signal(pending));
         pending.slot_since = (load < server.slots).then_some(now);
         // A request that may run only once must not use a pooled connection, as the server may
         // be about to close it. Nor must a retry.
@@ -184,23 +185,6 @@
         }
     }
 
-    /// Selects the server for the next attempt, once one has room for it.
-    async fn select_with_room(
-        &self,
-        pending: &mut PendingRequest,
-        grant: &Grant,
-    ) -> Result<Arc<Server>, Refusal> {
-        loop {
-            match self.select_server(pending, grant) {
-                Err(Refusal::NoRoom) => {
-                    self.wait_for_room(pending, grant, Refusal::NoRoom).await?;
-                    pending.selections -= 1;
-                }
-                selected => return selected,
-            }
-        }
-    }
-
     /// Sends a request on an open connection and processes the answer.
     async fn send(
         self: &Arc<Relay>,
--- a/src/relay/by_service.rs
+++ b/src/relay/by_service.rs
@@ -30,6 +30,12 @@
         }
     }
 
+    /// What `read` makes of the values by the names of their services.
+    pub fn collect<R>(&self, mut read: impl FnMut(&str, &mut T) -> Option<R>) -> Vec<R> {
+        let mut values = self.values.lock().unwrap();
+        values.iter_mut().filter_map(|(name, it)| read(name, it)).collect()
+    }
+
     /// Names of the services whose values fulfil `filter`.
     pub fn names(&self, filter: impl Fn(&T) -> bool) -> Vec<String> {
         let values = self.values.lock().unwrap();
--- a/src/relay/choose.rs
+++ b/src/relay/choose.rs
@@ -80,6 +80,7 @@
             servers.iter().map(|it| load.max_in_flight(it.slots, objective)).collect()
         };
         let service = &pending.trace.service;
+        let share = self.room_share(service, pending.lane, now);
         let max_loads: SmallVec<[u32; 32]> =
             self.service_loads.with(service, ServiceLoad::default, max_loads);
         let is_brittle = self.is_brittle(service);
@@ -89,6 +90,7 @@
             && servers.iter().any(|it| it.is_registered());
         let all = servers.iter().zip(max_loads).map(|(it, max_load)| {
             let max_load = if is_brittle { brittle_load(it, routers) } else { max_load };
+            let max_load = (f64::from(max_load) * share).ceil() as u32;
             let mut candidate = candidate(it, pending, max_load, now);
             candidate.closed |= only_registered && !it.is_registered();
             candidate
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -41,6 +41,7 @@
 mod request_meta;
 mod request_trace;
 mod retry_budgets;
+mod room_state;
 mod statements;
 mod stream;
 mod stream_origins;
@@ -48,6 +49,7 @@
 mod suspect_parts;
 mod tracked_stream;
 mod wait_for_room;
+mod wait_trace;
 
 pub use answer::{
     AnswerHead, ServerStatements, StatedBrittle, StatedCold, StatedDelay, StatedLeaving,
--- a/src/relay/pending_request.rs
+++ b/src/relay/pending_request.rs
@@ -7,7 +7,7 @@
 use hyper::http::request::Parts;
 use smallvec::SmallVec;
 
-use crate::decide::hash_bytes;
+use crate::decide::{Lane, hash_bytes};
 use crate::fleet::RunningSuspect;
 use crate::relay::part_trial::PartTrial;
 use crate::relay::request_trace::RequestTrace;
@@ -58,6 +58,8 @@
     pub sends: u32,
     /// How many servers were selected for it, the current one included.
     pub selections: usize,
+    /// Its place among others where servers are short of room.
+    pub lane: Lane,
     /// When it took a slot at the current server; absent if none was free.
     pub slot_since: Option<Instant>,
     /// The decisions on it, for its log line.
@@ -89,6 +91,7 @@
             part_trial: None,
             sends: forwarding.as_ref().map_or(0, |it| it.sends),
             selections: 0,
+            lane: Lane::default(),
             slot_since: None,
             trace,
         })
--- a/src/relay/relay.rs
+++ b/src/relay/relay.rs
@@ -24,13 +24,14 @@
 use crate::relay::forward::{name_refusal, take_forwarding};
 use crate::relay::pending_request::{Admitted, Grant, PendingRequest};
 use crate::relay::request_trace::RequestTrace;
+use crate::relay::room_state::RoomState;
 use crate::relay::stream::relay_stream;
 use crate::relay::{
     Codec, ConnectionPool, Forwarder, OriginQuery, Outcome, PrefixHolders, Refusal, RelayBody,
     RelayLimits, RequestLog, RequestMeta, RetryBudgets, StreamOrigins, full_body,
 };
 use crate::rules::{Denied, Lease, RouteKind, RulesCell};
-use crate::servers::ServerTable;
+use crate::servers::{RoomWaiters, ServerTable};
 
 /// How long the crash of a backend server counts against a request.
 const CRASH_RETENTION: Duration = Duration::from_secs(60);
@@ -58,6 +59,8 @@
     /// How often prompt prefixes arrive at this router.
     pub(crate) key_rates: Mutex<KeyRates>,
     pub(crate) service_loads: ByService<ServiceLoad>,
+    /// Admission to services that are short of room.
+    pub(crate) room: RoomState,
     /// Which services have brittle servers.
     pub(crate) brittle: ByService<BrittleState>,
     /// Whether new connections to the servers of each service are established.
@@ -104,6 +107,7 @@
         request_log: Arc<RequestLog>,
         origin_queries: mpsc::Sender<OriginQuery>,
     ) -> Relay {
+        let waiters = RoomWaiters::new(request_log.waiting.clone());
         Relay {
             codec,
             limits: ArcSwap::from_pointee(limits),
@@ -114,6 +118,7 @@
             prefix_holders: PrefixHolders::default(),
             key_rates: Mutex::default(),
             service_loads: ByService::default(),
+            room: RoomState::new(waiters),
             brittle: ByService::default(),
             reaches: ByService::default(),
             cut_services: AtomicUsize::new(0),
--- a/src/relay/request_log.rs
+++ b/src/relay/request_log.rs
@@ -3,7 +3,9 @@
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
-use prometheus::{HistogramOpts, HistogramVec, IntCounter, IntCounterVec, Opts, Registry};
+use prometheus::{
+    HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+};
 use slog::{Logger, info, warn};
 
 use crate::clock::SharedClock;
@@ -37,6 +39,9 @@
     lines: Mutex<LineCounts>,
     requests: IntCounterVec,
     attempts: IntCounterVec,
+    /// Requests that wait for room.
+    pub(crate) waiting: IntGauge,
+    waits: IntCounterVec,
     dropped_lines: IntCounter,
     pub(crate) head_time: HistogramVec,
     total_time: HistogramVec,
@@ -66,12 +71,21 @@
         let help = "Log lines left out because there were too many";
         let dropped_lines = IntCounter::new("filberttiller_log_lines_dropped_total", help)?;
         registry.register(Box::new(dropped_lines.clone()))?;
+        let help = "Requests that wait for a backend server with room";
+        let waiting = IntGauge::new("filberttiller_relay_waiting", help)?;
+        registry.register(Box::new(waiting.clone()))?;
         let help = "Requests by outcome and reason";
         let lines = LineCounts { began: clock.now(), done: 0, failed: 0, dropped: 0 };
         Ok(RequestLog {
             lines: Mutex::new(lines),
             requests: counters("filberttiller_relay_requests_total", help, &["outcome", "reason"])?,
             attempts: counters("filberttiller_relay_tries_total", "Tries by result", &["result"])?,
+            waiting,
+            waits: counters(
+                "filberttiller_relay_waits_total",
+                "Requests that found no room at once, by what became of them",
+                &["result"],
+            )?,
             dropped_lines,
             head_time: times("filberttiller_relay_head_seconds", "Time to the head of the answer")?,
             total_time: times(
@@ -93,6 +107,11 @@
         self.attempts.with_label_values(&[result]).inc();
     }
 
+    /// Counts a request that found no room at once, by what became of it.
+    pub(crate) fn count_wait(&self, result: &str) {
+        self.waits.with_label_values(&[result]).inc();
+    }
+
     /// Counts a request at its end, and logs it within the rate limits.
     pub(crate) fn write(&self, trace: &RequestTrace, outcome: Outcome, reason: &str) {
         self.requests.with_label_values(&[outcome.as_str(), reason]).inc();
@@ -120,6 +139,7 @@
             "forwarded" => trace.forwarding.is_some(), "resumed" => trace.resumed, "resumes" => trace.resumes.as_deref(),
             "origin" => trace.origin, "software" => software,
             "blamed_part" => trace.blamed_part.map(|it| format!("{it:x}")),
+            "wait" => trace.wait.as_ref().map(ToString::to_string),
             "retry_after_ms" => trace.retry_after.map(|it| it.as_millis() as u64),
             "took_ms" => took.as_millis() as u64);
     }
--- a/src/relay/request_trace.rs
+++ b/src/relay/request_trace.rs
@@ -8,6 +8,7 @@
 
 use crate::decide::Verdict;
 use crate::relay::forward::Forwarding;
+use crate::relay::wait_trace::WaitTrace;
 use crate::relay::{BodyEnd, Framing, Outcome, RequestLog};
 use crate::servers::SoftwareVersion;
 
@@ -56,6 +57,8 @@
     pub head_time: Option<Duration>,
     /// Time after which the caller should retry, where no server had free capacity.
     pub retry_after: Option<Duration>,
+    /// How it waited for room, if it found none at once.
+    pub wait: Option<WaitTrace>,
     /// The part of its prompt for which it was refused.
     pub blamed_part: Option<u64>,
     /// How often the stream resumed at another server.
@@ -88,6 +91,7 @@
             software: SmallVec::new(),
             head_time: None,
             retry_after: None,
+            wait: None,
             blamed_part: None,
             resumed: 0,
         }
--- a/src/router/lifecycle.rs
+++ b/src/router/lifecycle.rs
@@ -127,6 +127,7 @@
     let clock = router.relay.clock();
     let began = clock.boot();
     router.relay.leaving.store(true, Ordering::Relaxed);
+    router.relay.room.waiters.wake_all();
     router.exchange_now.notify_one();
     let in_flight = || router.in_flight.load(Ordering::Relaxed);
     info!(router.logger, "stopping";
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -3,6 +3,7 @@
 mod blame_store;
 mod client_protocol;
 mod cursor;
+mod demand_news;
 mod endpoints;
 mod exchange_loop;
 mod leaving_news;
--- a/src/router/router.rs
+++ b/src/router/router.rs
@@ -22,6 +22,7 @@
 use crate::relay::{
     ConnectionContext, Forwarder, MAX_WAITING_QUERIES, OriginQuery, Relay, RequestLog,
 };
+use crate::router::demand_news::{demand_news, merge_demand};
 use crate::router::leaving_news::{leaving_news, merge_leaving};
 use crate::router::limit_news::{limit_news, merge_limits};
 use crate::router::software_news::{merge_software, software_news};
@@ -206,6 +207,7 @@
             cut_off: self.relay.cut_off_hashes().into_vec(),
             sightings,
             failures,
+            demand: demand_news(&self.relay, now),
         }
     }
 
@@ -302,6 +304,7 @@
         merge_limits(&self.relay, &news.limits, now);
         merge_leaving(&self.relay, &news.leaving, now);
         merge_software(&self.relay, news.software, now);
+        merge_demand(&self.relay, &exchange.own.router.name, &news.demand, now);
         for crash in &exchange.crashes {
             self.relay.crashes.insert(CrashReport::from_wire(crash, now), now);
         }
@@ -326,6 +329,7 @@
                 loads.get(&(server.hash as u32)).copied().unwrap_or_default();
             server.set_reported_by_peers(in_flight, results);
         }
+        self.relay.room.waiters.wake_services();
         servers.update_ejections(now, |server, all| {
             let ejected = server.is_ejected();
             let code = if ejected { Code::ServerSetAside } else { Code::ServerProbed };
--- a/src/servers/server.rs
+++ b/src/servers/server.rs
@@ -8,7 +8,8 @@
 use crate::decide::{LimitSenders, RequestTokens, Results, ServerPace, combine, hash_bytes};
 use crate::servers::result_window::ResultWindow;
 use crate::servers::{
-    LimitChange, LimitStatement, ServerRecord, ServerState, SoftwareVersion, StatedCondition,
+    LimitChange, LimitStatement, RoomSignal, ServerRecord, ServerState, SoftwareVersion,
+    StatedCondition,
 };
 
 /// Pause after the first failed connection.
@@ -271,7 +272,7 @@
     /// Counts a request of `tokens` as in flight until the returned value is dropped.
     pub fn begin_request(self: &Arc<Server>, tokens: RequestTokens) -> InFlight {
         self.own.fetch_add(1, Ordering::Relaxed);
-        InFlight { server: Arc::clone(self), tokens }
+        InFlight { server: Arc::clone(self), tokens, room: None }
     }
 
     /// Whether requests may be sent to it now, judged by connections alone.
@@ -307,9 +308,17 @@
 pub struct InFlight {
     server: Arc<Server>,
     tokens: RequestTokens,
+    /// Sent once it ends.
+    room: Option<RoomSignal>,
 }
 
 impl InFlight {
+    /// The same request, whose end wakes those that wait for room.
+    pub fn with_signal(mut self, room: RoomSignal) -> InFlight {
+        self.room = Some(room);
+        self
+    }
+
     /// The server that it was sent to.
     pub fn server(&self) -> &Arc<Server> {
         &self.server
@@ -324,5 +333,8 @@
 impl Drop for InFlight {
     fn drop(&mut self) {
         self.server.own.fetch_sub(1, Ordering::Relaxed);
+        if let Some(room) = &self.room {
+            room.send();
+        }
     }
 }
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -37,10 +37,11 @@
 pub use packed::{PackError, pack_gossip, packed_len, unpack_gossip};
 pub use part_news::{WireAnsweredPart, WireBlamedPart, WireCutRun, WirePartNews, WireStoredBlame};
 pub use peer::{
-    ServerLoad, WireExchange, WireNews, WireObservation, WireOriginQuery, WireOriginReply,
-    WirePeerFailure, WirePosition, WireRouter, WireSeenSoftware, WireServer, WireServerLeaving,
-    WireServerLimit, WireServers, WireServersAddition, WireServersRequest, WireServiceSoftware,
-    WireStreamOrigin, WireStreamOrigins, pack_loads, unpack_loads,
+    ServerLoad, WireDemand, WireExchange, WireNews, WireObservation, WireOriginQuery,
+    WireOriginReply, WirePeerFailure, WirePosition, WireRankDemand, WireRouter, WireSeenSoftware,
+    WireServer, WireServerLeaving, WireServerLimit, WireServers, WireServersAddition,
+    WireServersRequest, WireServiceSoftware, WireStreamOrigin, WireStreamOrigins, pack_loads,
+    unpack_loads,
 };
 pub use sighting::{Sighting, pack_sightings, unpack_sightings};
 pub use status::{WireEngine, WireRequestCount, WireStatus, WireWantedItem};
--- a/src/wire/peer.rs
+++ b/src/wire/peer.rs
@@ -122,8 +122,19 @@
         /// Exchanges with other routers that failed.
         #[serde(skip_serializing_if = "Vec::is_empty")]
         pub failures: Vec<WirePeerFailure>,
+        /// Requests for services that are short of room.
+        #[serde(skip_serializing_if = "Vec::is_empty")]
+        pub demand: Vec<WireDemand>,
     }
 
+    /// Requests of the last seconds for a service that is short of room: hash of its name, and
+    /// the requests by rank.
+    pub struct WireDemand(pub u64, pub Vec<WireRankDemand>);
+
+    /// Requests of one rank: the rank, how many asked for room, and how many of them got none,
+    /// older ones weighted less.
+    pub struct WireRankDemand(pub u8, pub f32, pub f32);
+
     /// An exchange with a process of a router that failed: hash of the router's name, when the
     /// process started, whether the connection was refused, and how long ago in milliseconds.
     pub struct WirePeerFailure(pub u64, pub u64, pub bool, pub u64);
@@ -246,5 +257,6 @@
             && self.cut_off.is_empty()
             && self.sightings.is_empty()
             && self.failures.is_empty()
+            && self.demand.is_empty()
     }
 }
--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -49,6 +49,8 @@
 mod servers;
 mod service_reach;
 mod settings;
+mod shortage;
+mod shortage_load;
 mod single_router;
 mod source_health;
 mod spread;
