--- a/src/decide/client_to_close.rs
+++ b/src/decide/client_to_close.rs
@@ -20,7 +20,7 @@
 
 key! {
     /// What is short.
-    pub enum Shortage {
+    pub enum Scarcity {
         /// Memory for what clients send and do not read.
         Memory,
         /// Connections.
@@ -58,9 +58,9 @@
 }
 
 impl ClientState {
-    fn may_close(&self, shortage: Shortage, now: Instant) -> bool {
+    fn may_close(&self, scarcity: Scarcity, now: Instant) -> bool {
         let age = now.saturating_duration_since(self.since);
-        let gives_room = shortage == Shortage::Connections || self.held > 0;
+        let gives_room = scarcity == Scarcity::Connections || self.held > 0;
         gives_room
             && match self.phase {
                 ClientPhase::Sending => age >= MIN_AGE && self.rate < LEAST_RATE,
@@ -81,16 +81,16 @@
 /// Index of the client to close. The address that holds most goes first, of its clients those that
 /// send too slowly, then those that do not read, then idle ones, and of these the slowest and
 /// oldest. A client that waits for an answer is never closed.
-pub fn client_to_close(clients: &[ClientState], shortage: Shortage, now: Instant) -> Option<usize> {
-    let weight = |it: &ClientState| match shortage {
-        Shortage::Memory => it.held,
-        Shortage::Connections => 1,
+pub fn client_to_close(clients: &[ClientState], scarcity: Scarcity, now: Instant) -> Option<usize> {
+    let weight = |it: &ClientState| match scarcity {
+        Scarcity::Memory => it.held,
+        Scarcity::Connections => 1,
     };
     let mut shares: HashMap<IpAddr, usize> = HashMap::new();
     for it in clients {
         *shares.entry(it.address).or_default() += weight(it);
     }
-    let closable = (0..clients.len()).filter(|it| clients[*it].may_close(shortage, now));
+    let closable = (0..clients.len()).filter(|it| clients[*it].may_close(scarcity, now));
     closable.min_by(|a, b| {
         let (a, b) = (&clients[*a], &clients[*b]);
         let by_share = shares[&b.address].cmp(&shares[&a.address]);
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -30,6 +30,7 @@
 mod server_pace;
 mod service_load;
 mod service_reach;
+mod shortage;
 mod suspect;
 mod token_fit;
 mod token_ledger;
@@ -42,7 +43,7 @@
 pub use arm::takes_part;
 pub use baseline::{least_loaded, place_v1, rendezvous, round_robin};
 pub use chat_table::{ChatPlace, ChatTable};
-pub use client_to_close::{ClientPhase, ClientState, Shortage, client_to_close, is_over_share};
+pub use client_to_close::{ClientPhase, ClientState, Scarcity, client_to_close, is_over_share};
 pub use engine::Engine;
 pub use entry::{EntryQuery, EntryRouter, entry_order, home_size, is_home};
 pub use failing::{Results, is_failing, max_avoided};
@@ -66,6 +67,10 @@
 pub use server_pace::{PaceEvidence, PaceReading, PaceReport, ServerPace};
 pub use service_load::ServiceLoad;
 pub use service_reach::{ReachState, ServiceReach};
+pub use shortage::{
+    Demand, Lane, NoWait, PeerDemand, RankDemand, RankRoom, RefusedCallers, ReturnTimes, Shortage,
+    ShortageView, Standing, UsualDeadline, WaitKey, WaitQuery, WaitQueue, may_wait,
+};
 pub use suspect::{SuspectPolicy, suspect_policy};
 pub use token_fit::TokenQuery;
 pub use token_ledger::{RequestTokens, ServerTokens, SharedPart, TokenLedger, TokenPlace};
--- a/src/events/code.rs
+++ b/src/events/code.rs
@@ -115,6 +115,7 @@
     336 BrittleUnreadable "what an answer says of its backend server being brittle cannot be read";
     337 CutOffDismissed "several backend servers of a service went at once, others can be reached from here";
     340 TokensUnreadable "what another router tells of tokens at backend servers cannot be read";
+    345 DemandUnreadable "the demand that another router tells of makes no sense and does not count";
     // 4xx: placement and admission
     400 Placed "a request was assigned to a backend server";
     401 NoRoom "no backend server can take the request at present";
--- a/src/intake/intake.rs
+++ b/src/intake/intake.rs
@@ -11,7 +11,7 @@
 use tokio::time::timeout;
 
 use crate::clock::SharedClock;
-use crate::decide::{ClientState, Shortage, client_to_close, is_over_share};
+use crate::decide::{ClientState, Scarcity, client_to_close, is_over_share};
 use crate::events::Code;
 use crate::intake::{Client, Door, IntakeLimits, MemoryBudget, OpenClient, Reservation};
 
@@ -94,7 +94,7 @@
                 return Some(open);
             }
             let now = self.clock.now();
-            self.close_one(Shortage::Connections, |it| it.door == door, now);
+            self.close_one(Scarcity::Connections, |it| it.door == door, now);
             if now >= until {
                 self.note(Code::ConnectionRefused, "connection_refused", now);
                 return None;
@@ -150,7 +150,7 @@
             let now = self.clock.now();
             let is_other =
                 |it: &Client| !std::ptr::eq(it, client) && Arc::ptr_eq(it.budget(), budget);
-            self.close_one(Shortage::Memory, is_other, now);
+            self.close_one(Scarcity::Memory, is_other, now);
             if now >= until {
                 self.note(Code::MemoryShort, "memory_short", now);
                 return None;
@@ -173,12 +173,12 @@
     }
 
     /// Closes one connection for which `is_right` holds, if one may be closed.
-    fn close_one(&self, shortage: Shortage, is_right: impl Fn(&Client) -> bool, now: Instant) {
+    fn close_one(&self, scarcity: Scarcity, is_right: impl Fn(&Client) -> bool, now: Instant) {
         let clients = self.clients.lock().unwrap();
         let candidates: Vec<&Arc<Client>> =
             clients.all.values().filter(|it| !it.is_closed() && is_right(it)).collect();
         let states: Vec<ClientState> = candidates.iter().map(|it| it.state(now)).collect();
-        let Some(place) = client_to_close(&states, shortage, now) else { return };
+        let Some(place) = client_to_close(&states, scarcity, now) else { return };
         candidates[place].close();
         drop(clients);
         self.note(Code::ClientClosed, "client_closed", now);
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -42,6 +42,7 @@
 mod request_meta;
 mod request_trace;
 mod retry_budgets;
+mod room_state;
 mod stated_load;
 mod statements;
 mod stream;
@@ -51,6 +52,7 @@
 mod token_budget;
 mod tracked_stream;
 mod wait_for_room;
+mod wait_trace;
 
 pub use answer::{
     AnswerHead, ServerStatements, StatedBrittle, StatedCold, StatedDelay, StatedLeaving,
--- a/src/relay/pending_request.rs
+++ b/src/relay/pending_request.rs
@@ -7,7 +7,7 @@
 use hyper::http::request::Parts;
 use smallvec::SmallVec;
 
-use crate::decide::{RequestTokens, hash_bytes};
+use crate::decide::{Lane, RequestTokens, hash_bytes};
 use crate::fleet::RunningSuspect;
 use crate::intake::Client;
 use crate::relay::part_trial::PartTrial;
@@ -61,6 +61,8 @@
     pub sends: u32,
     /// How many servers were selected for it, the current one included.
     pub selections: usize,
+    /// Its place among others where servers are short of room.
+    pub lane: Lane,
     /// When it took a slot at the current server; absent if none was free.
     pub slot_since: Option<Instant>,
     /// The pace of the current server when it was selected.
@@ -96,6 +98,7 @@
             part_trial: None,
             sends: forwarding.as_ref().map_or(0, |it| it.sends),
             selections: 0,
+            lane: Lane::default(),
             slot_since: None,
             slot_pace: 1.0,
             trace,
--- a/src/router/router.rs
+++ b/src/router/router.rs
@@ -23,6 +23,7 @@
 use crate::relay::{
     ConnectionContext, Forwarder, MAX_WAITING_QUERIES, OriginQuery, Relay, RequestLog,
 };
+use crate::router::demand_news::{demand_news, merge_demand};
 use crate::router::leaving_news::{leaving_news, merge_leaving};
 use crate::router::limit_news::{limit_news, merge_limits};
 use crate::router::pace_metrics::PaceMetrics;
@@ -246,6 +247,7 @@
             tokens: Vec::new(),
             paces: pace_news(&self.relay, now),
             evacuations: self.relay.evacuation_news(now),
+            demand: demand_news(&self.relay, now),
         }
     }
 
@@ -347,6 +349,7 @@
         merge_leaving(&self.relay, &news.leaving, now);
         merge_software(&self.relay, news.software, now);
         merge_paces(&self.relay, &news.paces, now);
+        merge_demand(&self.relay, &exchange.own.router.name, &news.demand, now);
         for crash in &exchange.crashes {
             self.relay.crashes.insert(CrashReport::from_wire(crash, now), now);
         }
@@ -372,6 +375,7 @@
                 loads.get(&(server.hash as u32)).copied().unwrap_or_default();
             server.set_reported_by_peers(in_flight, results);
         }
+        self.relay.room.waiters.wake_services();
         servers.update_ejections(now, |server, all| {
             let ejected = server.is_ejected();
             let code = if ejected { Code::ServerSetAside } else { Code::ServerProbed };
--- a/src/servers/server.rs
+++ b/src/servers/server.rs
@@ -10,7 +10,8 @@
 };
 use crate::servers::result_window::ResultWindow;
 use crate::servers::{
-    LimitChange, LimitStatement, ServerRecord, ServerState, SoftwareVersion, StatedCondition,
+    LimitChange, LimitStatement, RoomSignal, ServerRecord, ServerState, SoftwareVersion,
+    StatedCondition,
 };
 
 /// Pause after the first failed connection.
@@ -278,7 +279,7 @@
     pub fn begin_request(self: &Arc<Server>, tokens: RequestTokens) -> InFlight {
         self.own.fetch_add(1, Ordering::Relaxed);
         self.tokens.begin(&tokens);
-        InFlight { server: Arc::clone(self), unread: tokens.unread, tokens }
+        InFlight { server: Arc::clone(self), unread: tokens.unread, tokens, room: None }
     }
 
     /// Whether requests may be sent to it now, judged by connections alone.
@@ -316,9 +317,17 @@
     tokens: RequestTokens,
     /// What counts as unread of its prompt.
     unread: u64,
+    /// Sent once it ends.
+    room: Option<RoomSignal>,
 }
 
 impl InFlight {
+    /// The same request, whose end wakes those that wait for room.
+    pub fn with_signal(mut self, room: RoomSignal) -> InFlight {
+        self.room = Some(room);
+        self
+    }
+
     /// The server that it was sent to.
     pub fn server(&self) -> &Arc<Server> {
         &self.server
@@ -340,5 +349,8 @@
     fn drop(&mut self) {
         self.server.own.fetch_sub(1, Ordering::Relaxed);
         self.server.tokens.end(&self.tokens, self.unread);
+        if let Some(room) = &self.room {
+            room.send();
+        }
     }
 }
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -40,10 +40,11 @@
 pub use packed::{PackError, pack_gossip, packed_len, unpack_gossip};
 pub use part_news::{WireAnsweredPart, WireBlamedPart, WireCutRun, WirePartNews, WireStoredBlame};
 pub use peer::{
-    ServerLoad, WireEvacuations, WireExchange, WireNews, WireObservation, WireOriginQuery,
-    WireOriginReply, WirePeerFailure, WirePosition, WireRouter, WireSeenSoftware, WireServer,
-    WireServerLeaving, WireServerLimit, WireServers, WireServersAddition, WireServersRequest,
-    WireServiceSoftware, WireStreamOrigin, WireStreamOrigins, pack_loads, unpack_loads,
+    ServerLoad, WireDemand, WireEvacuations, WireExchange, WireNews, WireObservation,
+    WireOriginQuery, WireOriginReply, WirePeerFailure, WirePosition, WireRankDemand, WireRouter,
+    WireSeenSoftware, WireServer, WireServerLeaving, WireServerLimit, WireServers,
+    WireServersAddition, WireServersRequest, WireServiceSoftware, WireStreamOrigin,
+    WireStreamOrigins, pack_loads, unpack_loads,
 };
 pub use server_tokens::{pack_tokens, unpack_tokens};
 pub use sighting::{Sighting, pack_sightings, unpack_sightings};
--- a/src/wire/peer.rs
+++ b/src/wire/peer.rs
@@ -122,6 +122,9 @@
         /// Exchanges with other routers that failed.
         #[serde(skip_serializing_if = "Vec::is_empty")]
         pub failures: Vec<WirePeerFailure>,
+        /// Requests for services that are short of room.
+        #[serde(skip_serializing_if = "Vec::is_empty")]
+        pub demand: Vec<WireDemand>,
         /// The sender's tokens at the backend servers at which it has requests in flight, packed
         /// by [`pack_tokens`](crate::wire::pack_tokens).
         #[serde(with = "serde_bytes", skip_serializing_if = "Vec::is_empty")]
@@ -143,6 +146,14 @@
         pub position: WirePosition,
     }
 
+    /// Requests of the last seconds for a service that is short of room: hash of its name, and
+    /// the requests by rank.
+    pub struct WireDemand(pub u64, pub Vec<WireRankDemand>);
+
+    /// Requests of one rank: the rank, how many asked for room, and how many of them got none,
+    /// older ones weighted less.
+    pub struct WireRankDemand(pub u8, pub f32, pub f32);
+
     /// An exchange with a process of a router that failed: hash of the router's name, when the
     /// process started, whether the connection was refused, and how long ago in milliseconds.
     pub struct WirePeerFailure(pub u64, pub u64, pub bool, pub u64);
@@ -265,6 +276,7 @@
             && self.cut_off.is_empty()
             && self.sightings.is_empty()
             && self.failures.is_empty()
+            && self.demand.is_empty()
             && self.tokens.is_empty()
             && self.paces.is_empty()
             && self.evacuations.is_none()
--- a/tests/it/intake.rs
+++ b/tests/it/intake.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use filberttiller::decide::{ClientPhase, ClientState, Shortage, client_to_close, is_over_share};
+use filberttiller::decide::{ClientPhase, ClientState, Scarcity, client_to_close, is_over_share};
 use filberttiller::intake::{Door, IntakeLimits, MemoryBudget};
 use rstest::rstest;
 
@@ -29,37 +29,37 @@
     #[case] held: usize,
 ) {
     let clients = [client(1, phase, age_ms, rate, held)];
-    assert_eq!(client_to_close(&clients, Shortage::Memory, Instant::now()), None);
+    assert_eq!(client_to_close(&clients, Scarcity::Memory, Instant::now()), None);
 }
 
 /// Guards against crowds that stop half-way: the one that holds most, then the slowest, goes first.
 #[rstest]
 #[case::heaviest_address(
     [client(1, ClientPhase::Sending, 9_000, 0.0, MB), client(2, ClientPhase::Reading, 3_000, 0.0, 2 * MB)],
-    Shortage::Memory, 1
+    Scarcity::Memory, 1
 )]
 #[case::sender_before_reader(
     [client(1, ClientPhase::Reading, 9_000, 0.0, MB), client(1, ClientPhase::Sending, 3_000, 9.0, MB)],
-    Shortage::Memory, 1
+    Scarcity::Memory, 1
 )]
 #[case::slowest(
     [client(1, ClientPhase::Sending, 9_000, 9.0, MB), client(1, ClientPhase::Sending, 3_000, 0.0, MB)],
-    Shortage::Memory, 1
+    Scarcity::Memory, 1
 )]
 #[case::oldest(
     [client(1, ClientPhase::Sending, 3_000, 0.0, MB), client(1, ClientPhase::Sending, 9_000, 0.0, MB)],
-    Shortage::Memory, 1
+    Scarcity::Memory, 1
 )]
 #[case::idle_for_connections(
     [client(1, ClientPhase::Waiting, 9_000, 0.0, MB), client(2, ClientPhase::Idle, 3_000, 0.0, 0)],
-    Shortage::Connections, 1
+    Scarcity::Connections, 1
 )]
 fn client_to_close_order(
     #[case] clients: [ClientState; 2],
-    #[case] shortage: Shortage,
+    #[case] scarcity: Scarcity,
     #[case] expected: usize,
 ) {
-    assert_eq!(client_to_close(&clients, shortage, Instant::now()), Some(expected));
+    assert_eq!(client_to_close(&clients, scarcity, Instant::now()), Some(expected));
 }
 
 /// Guards against one address that takes all while others wait.
