Close connections one at a time where room is short, and read the clock once for each write

Cause: each request that waited for memory closed another connection at the same moment. Change: none is closed while another is about to close.

--- a/src/intake/intake.rs
+++ b/src/intake/intake.rs
@@ -172,11 +172,14 @@
         is_over_share(same.map(|it| it.held()).sum(), used, limit)
     }
 
-    /// Closes one connection for which `is_right` holds, if one may be closed.
+    /// Closes one connection for which `is_right` holds, if one may be closed and none is about to.
     fn close_one(&self, shortage: Shortage, is_right: impl Fn(&Client) -> bool, now: Instant) {
         let clients = self.clients.lock().unwrap();
         let candidates: Vec<&Arc<Client>> =
-            clients.all.values().filter(|it| !it.is_closed() && is_right(it)).collect();
+            clients.all.values().filter(|it| is_right(it)).collect();
+        if candidates.iter().any(|it| it.is_closed()) {
+            return;
+        }
         let states: Vec<ClientState> = candidates.iter().map(|it| it.state(now)).collect();
         let Some(place) = client_to_close(&states, shortage, now) else { return };
         candidates[place].close();
--- a/src/relay/tracked_stream.rs
+++ b/src/relay/tracked_stream.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::task::{Context, Poll, ready};
+use std::time::Instant;
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
@@ -43,17 +44,17 @@
         }
     }
 
-    fn begin_write(&mut self) {
+    fn begin_write(&mut self, now: Instant) {
         if !self.is_unwritten {
             self.is_unwritten = true;
             self.total.fetch_add(1, Ordering::Relaxed);
-            self.activity.begin_write(self.clock.now());
+            self.activity.begin_write(now);
         }
     }
 
-    fn record_write(&self, result: &io::Result<usize>) {
+    fn record_write(&self, result: &io::Result<usize>, now: Instant) {
         if let Ok(count) = result {
-            self.activity.client.record_write(*count, self.clock.now());
+            self.activity.client.record_write(*count, now);
         }
     }
 
@@ -86,9 +87,10 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        self.begin_write();
+        let now = self.clock.now();
+        self.begin_write(now);
         let result = ready!(Pin::new(&mut self.stream).poll_write(context, bytes));
-        self.record_write(&result);
+        self.record_write(&result, now);
         Poll::Ready(result)
     }
 
@@ -97,9 +99,10 @@
         context: &mut Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        self.begin_write();
+        let now = self.clock.now();
+        self.begin_write(now);
         let result = ready!(Pin::new(&mut self.stream).poll_write_vectored(context, slices));
-        self.record_write(&result);
+        self.record_write(&result, now);
         Poll::Ready(result)
     }
 
