--- a/tests/it/token_budgets.rs
+++ b/tests/it/token_budgets.rs
@@ -5,7 +5,7 @@
 
 use filberttiller::decide::{
     Candidate, LoadBound, RequestTokens, ServerTokens, SharedPart, TokenLedger, TokenPlace,
-    TokenQuery, hash_bytes,
+    TokenQuery, USUAL_PACE, hash_bytes,
 };
 use filberttiller::peers::PeerTable;
 use filberttiller::servers::Server;
@@ -39,6 +39,7 @@
     let candidate = |(at, load): (usize, &u32)| Candidate {
         hash: hash_bytes(&at.to_be_bytes()),
         load: *load,
+        pace: USUAL_PACE,
         slots: 32,
         max_load: 48,
         closed: false,
