--- a/src/intake/intake.rs
+++ b/src/intake/intake.rs
@@ -172,13 +172,8 @@
         is_over_share(same.map(|it| it.held()).sum(), used, limit)
     }
 
-<<<<<<< HEAD
-    /// Closes one connection for which `is_right` holds, if one may be closed.
-    fn close_one(&self, scarcity: Scarcity, is_right: impl Fn(&Client) -> bool, now: Instant) {
-=======
     /// Closes one connection for which `is_right` holds, if one may be closed and none is about to.
-    fn close_one(&self, shortage: Shortage, is_right: impl Fn(&Client) -> bool, now: Instant) {
->>>>>>> hostile
+    fn close_one(&self, scarcity: Scarcity, is_right: impl Fn(&Client) -> bool, now: Instant) {
         let clients = self.clients.lock().unwrap();
         let candidates: Vec<&Arc<Client>> =
             clients.all.values().filter(|it| is_right(it)).collect();
