--- a/src/relay/active_request.rs
+++ b/src/relay/active_request.rs
@@ -130,7 +130,7 @@
             let bytes = frame.data_ref().map_or(0, Bytes::len);
             self.request.activity.client.record_queued(bytes);
         }
-        Poll::Ready(frame.map(|it| it.map_err(Into::into)))
+        Poll::Ready(frame)
     }
 
     fn is_end_stream(&self) -> bool {
