--- a/benches/decide.rs
+++ b/benches/decide.rs
@@ -4,9 +4,14 @@
 use std::hint::black_box;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, Instant};
 
 use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
-use filberttiller::decide::{Engine, PlaceQuery, SentTokens, combine, place};
+use filberttiller::decide::{
+    Candidate, Engine, LoadBound, PlaceQuery, RequestTokens, SentTokens, SharedPart, TokenLedger,
+    TokenQuery, combine, pick, place,
+};
+use smallvec::smallvec;
 
 /// Number of decisions over which allocations are counted.
 const DECISIONS: u64 = 10_000;
@@ -74,5 +79,46 @@
     group.finish();
 }
 
-criterion_group!(benches, decisions);
+/// Decisions among backend servers by load and tokens: the first choice stands, or another one has
+/// to be found.
+fn token_decisions(c: &mut Criterion) {
+    const BOUND: LoadBound = LoadBound { factor: 1.5, extra: 2.0 };
+    const SERVERS: u64 = 790;
+    let candidate = |it: u64| Candidate {
+        hash: combine(3, it),
+        load: (combine(5, it) % 4) as u32,
+        slots: 32,
+        max_load: 48,
+        closed: false,
+    };
+    let candidates: Vec<Candidate> = (0..SERVERS).map(candidate).collect();
+    let ledgers: Vec<TokenLedger> = (0..SERVERS).map(|_| TokenLedger::default()).collect();
+    let parts = smallvec![SharedPart { tag: 1, tokens: 10_000 }];
+    let request = RequestTokens { unread: 11_800, held: 1_800, parts };
+    let query = |key| TokenQuery {
+        key,
+        objective: Duration::from_millis(500),
+        min_objective: Duration::from_millis(500),
+        memory: 400_000,
+    };
+    let now = Instant::now();
+    let decide = |key: u64, by_tokens: bool| {
+        let first = pick(black_box(&candidates), Some(key), 0.0, &BOUND, key)?;
+        let place = |at: usize| ledgers[at].place(&request, Some(68_000.0), now);
+        if by_tokens { query(key).choose(&candidates, first, &BOUND, place) } else { Some(first) }
+    };
+    let mut group = c.benchmark_group("tokens");
+    let mut key = 0;
+    let mut next = move || {
+        key += 1;
+        combine(key, 1)
+    };
+    group.bench_function("by load alone", |b| b.iter(|| decide(next(), false)));
+    group.bench_function("first choice stands", |b| b.iter(|| decide(next(), true)));
+    ledgers.iter().for_each(|it| (0..3).for_each(|_| it.begin(&request)));
+    group.bench_function("all have to read", |b| b.iter(|| decide(next(), true)));
+    group.finish();
+}
+
+criterion_group!(benches, decisions, token_decisions);
 criterion_main!(benches);
