--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -19,6 +19,7 @@
 mod keys;
 mod leaving;
 mod load;
+mod long_prompts;
 mod measure;
 mod membership;
 mod metrics;
