cold servers: the fleet keeps to the rate that they bear, without a coordinator

Change: a server is cold for the longest time that its record or an answer names; meanwhile the routers share its rate as they share named limits, with fewer senders and smaller buckets, as the bound holds in each second. Routers that died lately keep their shares; one that has just started has none. A record in which the time rises is sent on to followers. Gauges for evacuated domains and cold servers.

--- a/src/decide/admission/rate_limit.rs
+++ b/src/decide/admission/rate_limit.rs
@@ -6,7 +6,7 @@
 
 /// Share of a rate limit that all routers other than the home routers grant together.
 const NON_HOME_SHARE: f64 = 0.1;
-/// Size of the bucket in seconds of the rate.
+/// Size of the bucket in seconds of the rate, unless it is given.
 const BURST_S: f64 = 1.0;
 
 /// Returns the share of an organisation's fleet-wide rate that the router `own` grants.
@@ -31,12 +31,19 @@
     tokens: f64,
     /// Time of the last refill.
     filled: Instant,
+    /// Size of the bucket in seconds of the rate.
+    burst_s: f64,
 }
 
 impl RateLimit {
     /// Returns a full bucket.
     pub fn new(rate: f64, now: Instant) -> RateLimit {
-        RateLimit { tokens: burst(rate), filled: now }
+        RateLimit::with_burst(rate, BURST_S, now)
+    }
+
+    /// Returns a full bucket whose size is the rate of `burst_s` seconds.
+    pub fn with_burst(rate: f64, burst_s: f64, now: Instant) -> RateLimit {
+        RateLimit { tokens: burst(rate, burst_s), filled: now, burst_s }
     }
 
     /// Takes one request from the bucket, which fills at `rate` a second.
@@ -61,11 +68,11 @@
 
     fn tokens_at(&self, rate: f64, now: Instant) -> f64 {
         let passed = now.saturating_duration_since(self.filled).as_secs_f64();
-        (self.tokens + passed * rate).min(burst(rate))
+        (self.tokens + passed * rate).min(burst(rate, self.burst_s))
     }
 }
 
 /// Returns the size of the bucket, at least one request.
-fn burst(rate: f64) -> f64 {
-    (rate * BURST_S).max(1.0)
+fn burst(rate: f64, burst_s: f64) -> f64 {
+    (rate * burst_s).max(1.0)
 }
--- a/src/events/code.rs
+++ b/src/events/code.rs
@@ -110,6 +110,9 @@
     334 ServiceBrittle "backend servers of a service say that they are brittle, they get no requests that would wait";
     335 ServiceSound "backend servers of the service no longer say that they are brittle";
     336 BrittleUnreadable "what an answer says of its backend server being brittle cannot be read";
+    340 ServerCold "a backend server is cold, the fleet sends it few requests for a while";
+    341 ServerWarm "a backend server is no longer cold";
+    342 ColdUnreadable "for how long an answer says that its backend server is cold cannot be read";
     // 4xx: placement and admission
     400 Placed "a request was assigned to a backend server";
     401 NoRoom "no backend server can take the request at present";
--- a/src/peers/peer.rs
+++ b/src/peers/peer.rs
@@ -34,6 +34,8 @@
     /// When an exchange with it last failed in another way, here or at another router. Counts
     /// only while it has not been seen since.
     pub unreached: Option<Instant>,
+    /// A router reported it, or it did so itself: it is more than an announcement.
+    pub seen: bool,
     /// It sends sightings, and so reads them.
     pub sends_sightings: bool,
     /// Requests in flight by backend server, from its own last message, and when that
@@ -55,6 +57,7 @@
             changed: now,
             refused: None,
             unreached: None,
+            seen: false,
             sends_sightings: false,
             loads: None,
             cut_off: SmallVec::new(),
@@ -94,11 +97,15 @@
     ) -> bool {
         let later = seen_at > self.last_seen;
         match (router.born.cmp(&self.router.born), source) {
-            (Ordering::Equal, ReportSource::Indirect) => later && self.refused.is_none(),
+            (Ordering::Equal, ReportSource::Indirect | ReportSource::Announced) => {
+                later && self.refused.is_none()
+            }
             (Ordering::Equal, ReportSource::Direct)
-            | (Ordering::Greater, ReportSource::Indirect) => later,
+            | (Ordering::Greater, ReportSource::Indirect | ReportSource::Announced) => later,
             (_, ReportSource::Direct) => seen_at >= self.last_seen,
-            (Ordering::Less, ReportSource::Indirect) => seen_at > self.last_seen + PEER_TIMEOUT,
+            (Ordering::Less, ReportSource::Indirect | ReportSource::Announced) => {
+                seen_at > self.last_seen + PEER_TIMEOUT
+            }
         }
     }
 
@@ -153,6 +160,8 @@
 pub(crate) enum ReportSource {
     /// The router itself.
     Direct,
-    /// Another router, or the platform's store.
+    /// Another router.
     Indirect,
+    /// The platform's store.
+    Announced,
 }
--- a/src/peers/peer_news.rs
+++ b/src/peers/peer_news.rs
@@ -61,6 +61,7 @@
             let is_current = it.process == peer.process() && peer.refused.is_none();
             if let Some(seen_at) = seen_at.filter(|at| is_current && *at > peer.last_seen) {
                 peer.update(it.ready, it.leaving, seen_at, limit, now);
+                peer.seen = true;
             }
         }
         if let Some(peer) = self.peers.get_mut(sender) {
--- a/src/peers/peer_table.rs
+++ b/src/peers/peer_table.rs
@@ -57,7 +57,7 @@
     pub fn merge_announced(&mut self, router: WireRouter, now: Instant) {
         let old = now.checked_sub(PEER_TIMEOUT).unwrap_or(now);
         let report = WireObservation { router, ready: false, leaving: false, age_ms: 0 };
-        self.merge_report(&report, old, now, ReportSource::Indirect);
+        self.merge_report(&report, old, now, ReportSource::Announced);
     }
 
     /// Merges a message received at `now`: the sender's report on itself, its loads, and
@@ -210,6 +210,15 @@
         self.peers.values().filter(is_recent).map(|it| it.hash)
     }
 
+    /// Hashes of the names of the other routers that may share what cold servers take: all that
+    /// were seen in the last minute, dead ones too. `None` while they are not known: shortly
+    /// after this process started, `age` ago, or as long as it has seen none of those announced.
+    pub fn cold_senders(&self, age: Duration) -> Option<Vec<u64>> {
+        let seen: Vec<u64> = self.peers.values().filter(|it| it.seen).map(|it| it.hash).collect();
+        let is_isolated = seen.is_empty() && !self.peers.is_empty() && age < FORGET_TIME;
+        (age >= SENDER_TIME && !is_isolated).then_some(seen)
+    }
+
     /// Number of other routers that are alive.
     pub fn alive_count(&self, now: Instant) -> usize {
         self.alive(now).count()
@@ -271,5 +280,8 @@
                 self.peers.insert(router.name.clone(), peer);
             }
         }
+        if let Some(it) = self.peers.get_mut(&router.name) {
+            it.seen |= source != ReportSource::Announced;
+        }
     }
 }
--- a/src/relay/choose.rs
+++ b/src/relay/choose.rs
@@ -12,7 +12,7 @@
 use crate::relay::exchange::UpstreamRequest;
 use crate::relay::pending_request::{Grant, PendingRequest};
 use crate::relay::{OutgoingMeta, Refusal, Relay, drop_hop_headers};
-use crate::servers::Server;
+use crate::servers::{ColdTerms, Server};
 
 /// Limit on the servers selected for one request before it is refused. A stream that
 /// resumes starts anew.
@@ -52,7 +52,11 @@
         let refusal = if any_open { Refusal::NoRoom } else { Refusal::NoServer };
         let server = picked.map(|at| Arc::clone(&servers[at])).ok_or(refusal)?;
         // Another request may have spent the allowance in the meantime.
-        if server.take_allowance(now) { Ok(server) } else { Err(Refusal::NoRoom) }
+        if server.take_allowance(&self.cold_terms(service), now) {
+            Ok(server)
+        } else {
+            Err(Refusal::NoRoom)
+        }
     }
 
     /// Servers of `service` that take work.
@@ -97,12 +101,13 @@
             self.service_loads.with(service, ServiceLoad::default, max_loads);
         let is_brittle = self.is_brittle(service);
         let routers = self.routers.load(Ordering::Relaxed);
+        let cold = self.cold_terms(service);
         // Without a registered version the store has been out of reach: better any than none.
         let only_registered = self.begins_resumable_stream(pending, grant)
             && servers.iter().any(|it| it.is_registered());
         let all = servers.iter().zip(max_loads).map(|(it, max_load)| {
             let max_load = if is_brittle { brittle_load(it, routers) } else { max_load };
-            let mut candidate = candidate(it, pending, max_load, now);
+            let mut candidate = candidate(it, pending, max_load, &cold, now);
             candidate.closed |= only_registered && !it.is_registered();
             candidate
         });
@@ -208,10 +213,16 @@
     if server.own() < own { all } else { 0 }
 }
 
-fn candidate(server: &Server, pending: &PendingRequest, max_load: u32, now: Instant) -> Candidate {
+fn candidate(
+    server: &Server,
+    pending: &PendingRequest,
+    max_load: u32,
+    cold: &ColdTerms,
+    now: Instant,
+) -> Candidate {
     let open = server.is_reachable(now) && !server.is_ejected();
     let excluded = pending.excluded.contains(&server.hash);
     let closed = !open || excluded || !server.fits_software(pending.software);
-    let max_load = if server.has_allowance(now) { max_load } else { 0 };
+    let max_load = if server.has_allowance(cold, now) { max_load } else { 0 };
     Candidate { hash: server.hash, load: server.load(now), slots: server.slots, max_load, closed }
 }
--- a/src/relay/health_check.rs
+++ b/src/relay/health_check.rs
@@ -34,7 +34,7 @@
     let uri = path.and_then(|it| it.parse::<Uri>().ok());
     let mut is_answered = false;
     for _ in 0..MAX_CHECKS {
-        while relay.is_evacuated(&server) && !server.is_leaving() {
+        while !server.is_leaving() && !relay.may_check(&server, &service) {
             sleep(CHECK_PAUSE).await;
         }
         let Some(uri) = uri.as_ref().filter(|_| !server.is_leaving()) else {
@@ -55,6 +55,12 @@
 }
 
 impl Relay {
+    /// Whether a health check may be sent to `server` now; it counts as a request.
+    fn may_check(&self, server: &Server, service: &str) -> bool {
+        let cold = self.cold_terms(service);
+        !self.is_evacuated(server) && server.take_cold_allowance(&cold, self.clock.now())
+    }
+
     /// What `server` states of itself in the answer to a health check; `None` without an answer.
     async fn check_health(&self, server: &Server, uri: &Uri) -> Option<ServerStatements> {
         let mut connection = Connection::open(server.address, self.clock.now()).await.ok()?;
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -15,6 +15,7 @@
 mod by_service;
 mod choose;
 mod codec;
+mod cold_servers;
 mod connection;
 mod connection_context;
 mod connection_pool;
--- a/src/relay/relay.rs
+++ b/src/relay/relay.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use arc_swap::{ArcSwap, Guard};
+use arc_swap::{ArcSwap, ArcSwapOption, Guard};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderValue};
@@ -92,6 +92,8 @@
     pub parts: Arc<Mutex<PartSuspects>>,
     /// The routers that share the limits that backend servers name.
     pub(crate) limit_senders: ArcSwap<LimitSenders>,
+    /// The routers that share what cold servers take, once they are known.
+    pub(crate) cold_senders: ArcSwapOption<LimitSenders>,
     /// Notified of an urgent update, which must be sent to the other routers at once.
     pub urgent_update: Arc<Notify>,
 }
@@ -133,6 +135,7 @@
             crashes: Arc::new(CrashTable::new(CRASH_RETENTION)),
             parts: Arc::default(),
             limit_senders: ArcSwap::default(),
+            cold_senders: ArcSwapOption::default(),
             urgent_update: Arc::default(),
         }
     }
--- a/src/relay/statements.rs
+++ b/src/relay/statements.rs
@@ -29,6 +29,7 @@
         self.record_stated_leaving(server, stated.leaving, request);
         self.record_stated_brittle(service, server, stated.brittle);
         self.record_stated_delay(server, stated.delay, request);
+        self.record_stated_cold(server, stated.cold, request);
     }
 
     /// Merges that another router knows of a server that said at `at` that it leaves.
--- a/src/router/endpoints.rs
+++ b/src/router/endpoints.rs
@@ -147,6 +147,7 @@
 
 /// Answers with all metrics in the Prometheus text format.
 pub(crate) fn metrics<S: Store>(router: &Router<S>) -> Response<RelayBody> {
+    router.gauges.update(&router.relay, router.relay.clock().now());
     let mut text = Vec::new();
     match TextEncoder::new().encode(&router.registry.gather(), &mut text) {
         Ok(()) => response(StatusCode::OK, text),
--- a/src/router/exchange_loop.rs
+++ b/src/router/exchange_loop.rs
@@ -51,6 +51,7 @@
     peers.attend(now);
     peers.remove_expired(now);
     router.update_forwarders(&peers, now);
+    router.update_cold_senders(&peers);
 }
 
 async fn exchange_with<S: Store>(router: Arc<Router<S>>, peer: SocketAddr, body: Bytes) {
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -5,6 +5,7 @@
 mod cursor;
 mod endpoints;
 mod exchange_loop;
+mod gauges;
 mod leaving_news;
 mod lifecycle;
 mod limit_news;
--- a/src/router/router.rs
+++ b/src/router/router.rs
@@ -22,6 +22,7 @@
 use crate::relay::{
     ConnectionContext, Forwarder, MAX_WAITING_QUERIES, OriginQuery, Relay, RequestLog,
 };
+use crate::router::gauges::RouterGauges;
 use crate::router::leaving_news::{leaving_news, merge_leaving};
 use crate::router::limit_news::{limit_news, merge_limits};
 use crate::router::software_news::{merge_software, software_news};
@@ -54,8 +55,12 @@
     pub peers: Mutex<PeerTable>,
     /// Registry of all metrics.
     pub registry: Registry,
+    /// Metrics that a scrape computes.
+    pub(crate) gauges: RouterGauges,
     /// The logger.
     pub logger: Logger,
+    /// When it started, as time since boot.
+    started: Duration,
     /// Number of requests of callers whose responses are not complete.
     pub in_flight: Arc<AtomicU32>,
     /// Set to true once new requests are refused.
@@ -95,6 +100,7 @@
         let registry = Registry::new();
         let request_log = RequestLog::new(logger.clone(), Arc::clone(&clock), &registry)
             .change_context(RouterError::SetUp)?;
+        let gauges = RouterGauges::new(&registry).change_context(RouterError::SetUp)?;
         let born = clock.wall().duration_since(UNIX_EPOCH).unwrap_or_default();
         let own = WireRouter {
             name: settings.name.clone(),
@@ -105,6 +111,7 @@
         };
         let limits = settings.limits.clone();
         let (queries, origin_queries) = mpsc::channel(MAX_WAITING_QUERIES);
+        let started = clock.boot();
         let relay = Relay::new(protocol.codec, limits, clock, Arc::new(request_log), queries);
         let process = RouterProcess { router: hash_bytes(own.name.as_bytes()), born: own.born };
         relay.servers.lock().unwrap().set_process(process);
@@ -116,7 +123,9 @@
             relay: Arc::new(relay),
             peers: Mutex::new(PeerTable::new(own)),
             registry,
+            gauges,
             logger,
+            started,
             in_flight: Arc::default(),
             closed: watch::Sender::new(false),
             exchange_now,
@@ -166,6 +175,14 @@
         Message { exchange, news: self.news(now) }
     }
 
+    /// Sets which routers share what cold servers take.
+    pub(crate) fn update_cold_senders(&self, peers: &PeerTable) {
+        let age = self.relay.clock().boot().saturating_sub(self.started);
+        let own = hash_bytes(self.settings.name.as_bytes());
+        let senders = peers.cold_senders(age).map(|others| LimitSenders { own, others });
+        self.relay.set_cold_senders(senders);
+    }
+
     /// Sets which routers may take requests of this one.
     pub(crate) fn update_forwarders(&self, peers: &PeerTable, now: Instant) {
         let forwarder = |it: &Peer| Forwarder {
--- a/src/router/state_change_log.rs
+++ b/src/router/state_change_log.rs
@@ -1,7 +1,8 @@
 //! Log lines on changes of this router's state and of its view of the other routers.
 
-use std::collections::BTreeSet;
-use std::time::Instant;
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
 
 use slog::{info, warn};
 
@@ -20,6 +21,8 @@
     mixed: BTreeSet<String>,
     /// Names of the services whose servers are all in evacuated failure domains.
     evacuated: BTreeSet<String>,
+    /// Ids of the servers that are cold.
+    cold: BTreeSet<Arc<str>>,
 }
 
 impl StateChangeLog {
@@ -31,6 +34,28 @@
         self.log_reader_role(router, now);
         self.log_software(router);
         self.log_evacuated(router);
+        self.log_cold(router, now);
+    }
+
+    fn log_cold<S: Store>(&mut self, router: &Router<S>, now: Instant) {
+        let servers = router.relay.servers.lock().unwrap();
+        let limited = servers.by_service().filter(|(service, it)| {
+            it.cold_share(&router.relay.cold_terms(service), now).is_some()
+        });
+        let times = limited.map(|(_, it)| (Arc::clone(&it.id), it.cold_time(now)));
+        let cold: BTreeMap<Arc<str>, Duration> = times.collect();
+        drop(servers);
+        for (server, time) in cold.iter().filter(|(id, _)| !self.cold.contains(*id)) {
+            let code = Code::ServerCold;
+            info!(router.logger, "{}", code.text(); "event" => code.number(),
+                "server" => &**server, "time_ms" => time.as_millis() as u64);
+        }
+        for server in self.cold.iter().filter(|it| !cold.contains_key(*it)) {
+            let code = Code::ServerWarm;
+            info!(router.logger, "{}", code.text();
+                "event" => code.number(), "server" => &**server);
+        }
+        self.cold = cold.into_keys().collect();
     }
 
     fn log_evacuated<S: Store>(&mut self, router: &Router<S>) {
--- a/src/servers/mod.rs
+++ b/src/servers/mod.rs
@@ -3,8 +3,10 @@
 
 mod backoff;
 mod change;
+mod cold_limit;
 mod effect;
 mod leaving_statements;
+mod limit_share;
 mod list_cursor;
 mod record;
 mod registered_software;
@@ -22,6 +24,7 @@
 
 pub use backoff::Backoff;
 pub use change::{Change, Page, Position, StoreEra};
+pub use cold_limit::ColdTerms;
 pub use effect::Effect;
 pub use list_cursor::{ListCursor, TableRevision};
 pub use record::{ServerRecord, ServerState};
--- a/src/servers/record.rs
+++ b/src/servers/record.rs
@@ -79,10 +79,10 @@
     }
 
     /// Whether `self` equals `other`, a former record of the same incarnation, except
-    /// for the sequence number and the remaining warm-up time.
+    /// for the sequence number and a remaining warm-up time that has decreased.
     pub fn is_heartbeat_after(&self, other: &ServerRecord) -> bool {
         let sequence = self.sequence;
-        // A remaining time that has decreased is no change.
-        *self == ServerRecord { sequence, warm_up: self.warm_up, ..other.clone() }
+        let warm_up = self.warm_up.min(other.warm_up);
+        *self == ServerRecord { sequence, warm_up, ..other.clone() }
     }
 }
--- a/src/servers/server.rs
+++ b/src/servers/server.rs
@@ -8,7 +8,8 @@
 use crate::decide::{LimitSenders, RequestTokens, Results, ServerPace, combine, hash_bytes};
 use crate::servers::result_window::ResultWindow;
 use crate::servers::{
-    LimitChange, LimitStatement, ServerRecord, ServerState, SoftwareVersion, StatedCondition,
+    ColdTerms, LimitChange, LimitStatement, ServerRecord, ServerState, SoftwareVersion,
+    StatedCondition,
 };
 
 /// Pause after the first failed connection.
@@ -162,6 +163,33 @@
         self.stated.limit.lock().unwrap().set_senders(self.hash, senders);
     }
 
+    /// Notes that it stays cold for `time`.
+    pub fn extend_cold(&self, time: Duration, now: Instant) {
+        self.stated.cold.lock().unwrap().extend(time, now);
+    }
+
+    /// How much longer it is cold.
+    pub fn cold_time(&self, now: Instant) -> Duration {
+        self.stated.cold.lock().unwrap().remaining(now)
+    }
+
+    /// To be called when other routers than before share what cold servers take.
+    pub fn forget_cold_share(&self) {
+        self.stated.cold.lock().unwrap().forget_share();
+    }
+
+    /// Requests a second that this router may send to it while it is cold; absent where nothing
+    /// limits them.
+    pub fn cold_share(&self, terms: &ColdTerms, now: Instant) -> Option<f64> {
+        self.stated.cold.lock().unwrap().share(self.hash, terms, now)
+    }
+
+    /// Counts a request against this router's share of what it takes while it is cold; false if
+    /// that is spent.
+    pub fn take_cold_allowance(&self, terms: &ColdTerms, now: Instant) -> bool {
+        self.stated.cold.lock().unwrap().take(self.hash, terms, now)
+    }
+
     /// What it last said of its limit, if it ever named one, and whether other routers are
     /// told at once.
     pub fn limit_statement(&self, now: Instant) -> Option<(LimitStatement, bool)> {
@@ -169,11 +197,13 @@
         Some((limit.statement()?, limit.is_news(now)))
     }
 
-    /// Whether this router may send a request within its share of the limit, and the server
-    /// has not asked for time, as far as is known.
-    pub fn has_allowance(&self, now: Instant) -> bool {
+    /// Whether this router may send a request within its shares of the limit and of what a cold
+    /// server takes, and the server has not asked for time, as far as is known.
+    pub fn has_allowance(&self, terms: &ColdTerms, now: Instant) -> bool {
         let takes_work = !self.is_unconfirmed() && !self.stated.backoff.holds(now);
-        takes_work && self.stated.limit.lock().unwrap().has_allowance(now)
+        takes_work
+            && self.stated.limit.lock().unwrap().has_allowance(now)
+            && self.stated.cold.lock().unwrap().has_allowance(self.hash, terms, now)
     }
 
     /// Whether it is unclear which incarnation stated that it leaves or wants time.
@@ -186,9 +216,9 @@
         self.stated.unconfirmed.store(false, Ordering::Relaxed);
     }
 
-    /// Counts a request against this router's share of the limit; false if it is spent.
-    pub fn take_allowance(&self, now: Instant) -> bool {
-        self.stated.limit.lock().unwrap().take(now)
+    /// Counts a request against this router's shares; false if one is spent.
+    pub fn take_allowance(&self, terms: &ColdTerms, now: Instant) -> bool {
+        self.stated.limit.lock().unwrap().take(now) && self.take_cold_allowance(terms, now)
     }
 
     /// Whether it takes no new work, by its record or by what it said itself.
--- a/src/servers/server_limit.rs
+++ b/src/servers/server_limit.rs
@@ -2,8 +2,11 @@
 
 use std::time::Instant;
 
-use crate::decide::{Learnt, LimitSenders, RateLimit};
+use crate::decide::{Learnt, LimitSenders};
+use crate::servers::limit_share::LimitShare;
 
+/// What a router may save up, in seconds of its share.
+const BURST_S: f64 = 1.0;
 /// Other limits within this share of the last one that was told are no change.
 const SMALL_CHANGE: f64 = 0.1;
 
@@ -36,9 +39,8 @@
     statement: Option<LimitStatement>,
     /// The limit after the last change.
     changed: Option<Learnt<Option<f64>>>,
-    /// This router's share in requests a second, for `senders` and the limit stated.
-    share: f64,
-    bucket: Option<RateLimit>,
+    /// This router's share, for the limit stated.
+    share: LimitShare,
 }
 
 impl ServerLimit {
@@ -60,7 +62,7 @@
             self.changed = Some(Learnt::new(statement.limit, now));
         }
         if matches!(change, LimitChange::Begun | LimitChange::Ended) {
-            self.bucket = None;
+            self.share.refill();
         }
         change
     }
@@ -82,25 +84,16 @@
 
     /// Sets the share of this router; `server` is the hash of the server's id.
     pub fn set_senders(&mut self, server: u64, senders: &LimitSenders) {
-        self.share = self.limit().map_or(0.0, |it| senders.share(server, it));
+        self.share.set(self.limit().map_or(0.0, |it| senders.share(server, it)));
     }
 
     /// Whether this router may send a request now.
     pub fn has_allowance(&self, now: Instant) -> bool {
-        match (self.limit(), &self.bucket) {
-            (None, _) => true,
-            (Some(_), None) => self.share > 0.0,
-            (Some(_), Some(bucket)) => bucket.available(self.share, now),
-        }
+        self.limit().is_none() || self.share.is_left(now)
     }
 
     /// Counts a request of this router; false if its share is spent.
     pub fn take(&mut self, now: Instant) -> bool {
-        if self.limit().is_none() {
-            return true;
-        }
-        let share = self.share;
-        let bucket = self.bucket.get_or_insert_with(|| RateLimit::new(share, now));
-        share > 0.0 && bucket.take(share, now).is_ok()
+        self.limit().is_none() || self.share.take(BURST_S, now)
     }
 }
--- a/src/servers/stated_condition.rs
+++ b/src/servers/stated_condition.rs
@@ -5,6 +5,7 @@
 
 use crate::events::LogOnce;
 use crate::servers::Backoff;
+use crate::servers::cold_limit::ColdLimit;
 use crate::servers::server_limit::ServerLimit;
 
 /// The condition of one incarnation. It is shared by all values that stand for the incarnation,
@@ -17,10 +18,14 @@
     /// time: it gets no requests until it has answered a health check.
     pub(super) unconfirmed: AtomicBool,
     pub(super) limit: Mutex<ServerLimit>,
+    /// For how long it is cold, by its records and answers.
+    pub(super) cold: Mutex<ColdLimit>,
     /// Times for which it wants no requests.
     pub backoff: Backoff,
     /// For the line that an answer's word on its leaving cannot be read.
     pub(crate) unreadable_leaving: LogOnce,
+    /// For the line that an answer's word on its being cold cannot be read.
+    pub(crate) unreadable_cold: LogOnce,
     /// For the line that an answer's word on its being brittle cannot be read.
     pub(crate) unreadable_brittle: LogOnce,
 }
--- a/src/servers/table.rs
+++ b/src/servers/table.rs
@@ -78,6 +78,12 @@
         self.services.get(service).cloned()
     }
 
+    /// Servers that take work, and their services.
+    pub fn by_service(&self) -> impl Iterator<Item = (&str, &Arc<Server>)> {
+        let all = self.services.iter();
+        all.flat_map(|(name, servers)| servers.iter().map(|it| (name.as_str(), it)))
+    }
+
     /// All servers that take work, or will once their failure domains are taken back.
     pub fn all(&self) -> impl Iterator<Item = &Arc<Server>> {
         let evacuated = self.evacuated.by_service.values();
@@ -259,6 +265,9 @@
         let known = known.filter(|it| it.matches(&record));
         let is_new = known.is_none();
         let server = known.unwrap_or_else(|| self.new_server(id, &record, former.as_ref(), now));
+        if former.as_ref().is_none_or(|it| record.is_newer_than(&it.record)) {
+            server.extend_cold(record.warm_up, now);
+        }
         let was_leaving = server.is_leaving();
         if record.state == ServerState::Leaving {
             server.mark_leaving();
--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -5,6 +5,7 @@
 mod append_limiter;
 mod attack;
 mod capacity;
+mod cold_servers;
 mod control;
 mod crash_table;
 mod crashing_parts;
--- a/tests/it/named_limits.rs
+++ b/tests/it/named_limits.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use filberttiller::decide::{LimitSenders, hash_bytes};
-use filberttiller::servers::{LimitChange, LimitStatement, Server, ServerRecord};
+use filberttiller::servers::{ColdTerms, LimitChange, LimitStatement, Server, ServerRecord};
 use rand::seq::index::sample;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -65,7 +65,9 @@
         for _ in 0..if is_quiet { 0 } else { 2 } {
             let server = &fleet[random.random_range(0..routers)];
             let now = start + Duration::from_millis(ms);
-            if server.has_allowance(now) && server.take_allowance(now) {
+            if server.has_allowance(&ColdTerms::default(), now)
+                && server.take_allowance(&ColdTerms::default(), now)
+            {
                 got.push(ms);
             }
         }
@@ -92,7 +94,7 @@
     assert_eq!(say(Some(2.0), 500), LimitChange::Changed);
     assert_eq!(say(None, 600), LimitChange::Ended);
     assert_eq!(it.limit_statement(at(900)), Some((limited(None, at(600)), true)));
-    assert!((0..100).all(|_| it.take_allowance(at(900))));
+    assert!((0..100).all(|_| it.take_allowance(&ColdTerms::default(), at(900))));
 }
 
 /// A server that never named a limit is not told to others.
--- a/tests/it/peers.rs
+++ b/tests/it/peers.rs
@@ -12,7 +12,7 @@
 use proptest::prelude::{any, proptest};
 use rstest::rstest;
 
-fn router(name: &str, born: u64) -> WireRouter {
+pub(crate) fn router(name: &str, born: u64) -> WireRouter {
     let port = 1_000 + name.bytes().map(u16::from).sum::<u16>();
     WireRouter {
         name: name.to_owned(),
@@ -23,11 +23,11 @@
     }
 }
 
-fn report(router: WireRouter, age_ms: u64) -> WireObservation {
+pub(crate) fn report(router: WireRouter, age_ms: u64) -> WireObservation {
     WireObservation { router, ready: true, leaving: false, age_ms }
 }
 
-fn message(
+pub(crate) fn message(
     own: WireObservation,
     others: Vec<WireObservation>,
     loads: Vec<(u32, u8)>,
--- a/tests/it/stated_condition.rs
+++ b/tests/it/stated_condition.rs
@@ -4,7 +4,7 @@
 
 use filberttiller::decide::LimitSenders;
 use filberttiller::servers::{
-    Change, Effect, LimitStatement, ServerRecord, ServerState, ServerTable,
+    Change, ColdTerms, Effect, LimitStatement, ServerRecord, ServerState, ServerTable,
 };
 use rstest::rstest;
 
@@ -22,8 +22,8 @@
     table.expire(back, |_, _| {});
     apply(&mut table, vec![put("a", ready(1, 2))], false, back);
     let server = table.all().next().unwrap();
-    assert!(!server.has_allowance(back));
-    assert!(server.has_allowance(now + Duration::from_secs(201)));
+    assert!(!server.has_allowance(&ColdTerms::default(), back));
+    assert!(server.has_allowance(&ColdTerms::default(), now + Duration::from_secs(201)));
 }
 
 /// Every way in which the record of an incarnation can change, go and come back.
@@ -45,7 +45,7 @@
     server.state_limit(statement, &LimitSenders::default(), now);
     apply(&mut table, changes, false, now);
     let server = table.all().next().unwrap();
-    assert!(!server.has_allowance(now), "it asked for time");
+    assert!(!server.has_allowance(&ColdTerms::default(), now), "it asked for time");
     assert_eq!(server.limit_statement(now).map(|it| it.0), Some(statement));
 }
 
@@ -64,14 +64,14 @@
     apply(&mut table, vec![put("a", ready(1, 1))], true, now);
     table.state_leaving(incarnation(&table), now, now);
     apply(&mut table, vec![put("a", ready(2, 1))], false, now);
-    assert!(!table.all().next().unwrap().has_allowance(now));
+    assert!(!table.all().next().unwrap().has_allowance(&ColdTerms::default(), now));
     let checked = table.take_unconfirmed();
     apply(&mut table, changes, false, now);
     let server = table.all().next().unwrap().clone();
-    assert!(!server.has_allowance(now));
+    assert!(!server.has_allowance(&ColdTerms::default(), now));
     let again = table.take_unconfirmed();
     checked.iter().chain(&again).for_each(|(it, _)| it.confirm());
-    assert!(server.has_allowance(now), "a health check confirms it");
+    assert!(server.has_allowance(&ColdTerms::default(), now), "a health check confirms it");
 }
 
 /// Guards against a server that gets requests again, though it said that it leaves, after a
