--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -6,6 +6,7 @@
 mod demand_news;
 mod endpoints;
 mod exchange_loop;
+mod gauges;
 mod leaving_news;
 mod lifecycle;
 mod limit_news;
--- a/src/router/router.rs
+++ b/src/router/router.rs
@@ -24,6 +24,7 @@
     ConnectionContext, Forwarder, MAX_WAITING_QUERIES, OriginQuery, Relay, RequestLog,
 };
 use crate::router::demand_news::{demand_news, merge_demand};
+use crate::router::gauges::RouterGauges;
 use crate::router::leaving_news::{leaving_news, merge_leaving};
 use crate::router::limit_news::{limit_news, merge_limits};
 use crate::router::pace_metrics::PaceMetrics;
@@ -70,10 +71,14 @@
     pub registry: Registry,
     /// The pace of backend servers in them.
     pub(crate) pace_metrics: PaceMetrics,
+    /// Metrics that a scrape computes.
+    pub(crate) gauges: RouterGauges,
     /// The logger.
     pub logger: Logger,
     /// What is held for all clients.
     pub(crate) intake: Arc<Intake>,
+    /// When it started, as time since boot.
+    started: Duration,
     /// Number of requests of callers whose responses are not complete.
     pub in_flight: Arc<AtomicU32>,
     /// Set to true once new requests are refused.
@@ -120,6 +125,7 @@
         let pace_metrics = PaceMetrics::new(&registry).change_context(RouterError::SetUp)?;
         let intake = Intake::new(settings.intake, Arc::clone(&clock), logger.clone(), &registry)
             .change_context(RouterError::SetUp)?;
+        let gauges = RouterGauges::new(&registry).change_context(RouterError::SetUp)?;
         let born = clock.wall().duration_since(UNIX_EPOCH).unwrap_or_default();
         let own = WireRouter {
             name: settings.name.clone(),
@@ -130,6 +136,7 @@
         };
         let limits = settings.limits.clone();
         let (queries, origin_queries) = mpsc::channel(MAX_WAITING_QUERIES);
+        let started = clock.boot();
         let relay = Relay::new(protocol.codec, limits, clock, Arc::new(request_log), queries);
         let process = RouterProcess { router: hash_bytes(own.name.as_bytes()), born: own.born };
         relay.servers.lock().unwrap().set_process(process);
@@ -142,8 +149,10 @@
             peers: Mutex::new(PeerTable::new(own)),
             registry,
             pace_metrics,
+            gauges,
             logger,
             intake: Arc::new(intake),
+            started,
             in_flight: Arc::default(),
             closed: watch::Sender::new(false),
             exchange_now,
@@ -199,6 +208,14 @@
         Message { exchange, news: WireNews { tokens, ..self.news(now) } }
     }
 
+    /// Sets which routers share what cold servers take.
+    pub(crate) fn update_cold_senders(&self, peers: &PeerTable) {
+        let age = self.relay.clock().boot().saturating_sub(self.started);
+        let own = hash_bytes(self.settings.name.as_bytes());
+        let senders = peers.cold_senders(age).map(|others| LimitSenders { own, others });
+        self.relay.set_cold_senders(senders);
+    }
+
     /// Sets which routers may take requests of this one.
     pub(crate) fn update_forwarders(&self, peers: &PeerTable, now: Instant) {
         let forwarder = |it: &Peer| Forwarder {
