--- a/benches/decide.rs
+++ b/benches/decide.rs
@@ -9,7 +9,7 @@
 use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
 use filberttiller::decide::{
     Candidate, Engine, LoadBound, PlaceQuery, RequestTokens, SentTokens, SharedPart, TokenLedger,
-    TokenQuery, combine, pick, place,
+    TokenQuery, USUAL_PACE, combine, pick, place,
 };
 use smallvec::smallvec;
 
@@ -89,6 +89,7 @@
         load: (combine(5, it) % 4) as u32,
         slots: 32,
         max_load: 48,
+        pace: USUAL_PACE,
         closed: false,
     };
     let candidates: Vec<Candidate> = (0..SERVERS).map(candidate).collect();
--- a/tests/it/long_prompts.rs
+++ b/tests/it/long_prompts.rs
@@ -6,7 +6,7 @@
 
 use filberttiller::decide::{
     Candidate, LoadBound, ReadingRate, RequestTokens, ServerTokens, SharedPart, TokenLedger,
-    TokenPlace, TokenQuery, combine, hash_bytes, pick,
+    TokenPlace, TokenQuery, USUAL_PACE, combine, hash_bytes, pick,
 };
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -148,6 +148,7 @@
             load: it.len() as u32,
             slots: 32,
             max_load: 48,
+            pace: USUAL_PACE,
             closed: false,
         };
         let candidates: Vec<Candidate> = self.queues.iter().enumerate().map(candidate).collect();
