Count open connections against the memory; half of what the process leaves is for callers

Cause: idle connections were not counted, and a machine with much memory held too few bodies. Change: 24 KB for each connection; limits from the memory less 12 MB.

--- a/src/intake/client.rs
+++ b/src/intake/client.rs
@@ -11,6 +11,9 @@
 use crate::intake::progress::Progress;
 use crate::intake::{Door, Intake, MemoryBudget};
 
+/// What an open connection takes before any request.
+const CONNECTION_BYTES: usize = 24 * 1024;
+
 /// The connection of a client.
 #[derive(Debug)]
 pub struct Client {
@@ -28,6 +31,7 @@
 impl Client {
     /// A client that has just connected.
     pub(crate) fn new(intake: &Arc<Intake>, door: Door, address: IpAddr, now: Instant) -> Client {
+        intake.budget(door).add(CONNECTION_BYTES);
         Client {
             intake: Arc::clone(intake),
             door,
@@ -169,7 +173,7 @@
             let progress = self.progress();
             (progress.head_bytes, progress.stream_bytes)
         };
-        self.budget().release(head + stream);
+        self.budget().release(CONNECTION_BYTES + head + stream);
     }
 }
 
--- a/src/intake/limits.rs
+++ b/src/intake/limits.rs
@@ -29,12 +29,14 @@
     }
 }
 
+/// Memory of the process itself.
+const PROCESS_BYTES: usize = 12 * 1024 * 1024;
 /// Parts of a whole in which the limits are set.
 const PARTS: usize = 32;
-/// Parts of the memory for callers. The rest is for the process itself, what servers send, and
-/// what the allocator can't use.
-const CALLERS_PARTS: usize = 10;
-/// Parts of the memory for all other clients.
+/// Parts of the other memory for callers. The rest is for what servers send and what the allocator
+/// can't use.
+const CALLERS_PARTS: usize = 16;
+/// Parts of it for all other clients.
 const CONTROL_PARTS: usize = 4;
 /// Connections that each socket may have, however few the process may have.
 const MIN_CONNECTIONS: usize = 8;
@@ -42,6 +44,7 @@
 impl IntakeLimits {
     /// The limits on a machine with `memory` bytes where a process may have `sockets`.
     pub fn of_machine(memory: usize, sockets: usize) -> IntakeLimits {
+        let memory = memory.saturating_sub(PROCESS_BYTES);
         IntakeLimits {
             callers_bytes: memory / PARTS * CALLERS_PARTS,
             control_bytes: memory / PARTS * CONTROL_PARTS,
--- a/tests/it/intake.rs
+++ b/tests/it/intake.rs
@@ -84,6 +84,13 @@
     assert_eq!(budget.used(), 0);
 }
 
+/// Guards against a small machine that can't hold one request of the largest size.
+#[test]
+fn callers_bytes_hold_largest_body() {
+    let limits = IntakeLimits::of_machine(32 * MB, 200);
+    assert!(limits.callers_bytes >= 2 * 4 * MB, "{} bytes", limits.callers_bytes);
+}
+
 /// Guards against limits that leave no descriptors for servers, other routers and the store.
 #[test]
 fn connections_leave_descriptors() {
