token budgets: a refused request is logged with the tokens at its first choice

Cause: the log line of a request that found no memory had no inputs. Change: the place of the first choice is kept where no other is chosen. Measured: 193 tests of the parts touched pass.

--- a/src/relay/choose.rs
+++ b/src/relay/choose.rs
@@ -43,12 +43,13 @@
         let competing = key.map_or(0.0, |key| self.competing(service, key, now));
         let budget = self.token_budget(pending, grant, objective, now)?;
         let bound = self.limits().bound.clone();
-        let picked = pick(&candidates, key, competing, &bound, seed);
+        let first = pick(&candidates, key, competing, &bound, seed);
         let picked = match &budget {
-            Some(it) => picked.and_then(|first| it.choose(&candidates, &servers, first, &bound)),
-            None => picked,
+            Some(it) => first.and_then(|first| it.choose(&candidates, &servers, first, &bound)),
+            None => first,
         };
-        pending.trace.place = budget.zip(picked).map(|(it, at)| it.place(&servers[at]));
+        // A refusal is logged with what was known of the first choice.
+        pending.trace.place = budget.zip(picked.or(first)).map(|(it, at)| it.place(&servers[at]));
         let remaining = pending.deadline.saturating_duration_since(now);
         pending.trace.retry_after = self.service_loads.with(service, ServiceLoad::default, |it| {
             it.record_selection(picked.is_some());
