router: the first list of servers comes from a reader or the store, whichever answers first

Change: first_read polls the reader and reads the store at the same time. One more call of the store a start.

Test: restart_of_all::first_servers_despite_silent_reader failed before and passes.

--- a/src/router/servers_watch.rs
+++ b/src/router/servers_watch.rs
@@ -1,9 +1,11 @@
 //! Keeps the table of backend servers current, from the store or from a reader.
 
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use futures_util::future::{Either, select};
 use slog::{info, warn};
 use tokio::time::sleep_until;
 
@@ -37,17 +39,25 @@
     let mut list = ListCursor::default();
     // Versions that began streams before this process started are known first.
     router.stream_records.first_read().await;
+    let mut is_first = true;
     loop {
-        if let Some(peer) = reader(&router)
-            && poll(&router, peer, &mut list).await
-        {
+        let mut began = clock.now();
+        let mut sent = clock.boot();
+        let read = match reader(&router) {
+            Some(peer) if is_first => first_read(&router, peer, &mut list).await,
+            Some(peer) if poll(&router, peer, &mut list).await => None,
+            _ => {
+                (began, sent) = (clock.now(), clock.boot());
+                Some(router.store.servers(cursor.offset()).await)
+            }
+        };
+        is_first = false;
+        let Some(read) = read else {
             cursor.reset();
             wait(&router, POLL_PAUSE).await;
             continue;
-        }
-        let began = clock.now();
-        let sent = clock.boot();
-        let pause = match router.store.servers(cursor.offset()).await {
+        };
+        let pause = match read {
             Ok(page) if cursor.is_outdated(page.next) => {
                 router.note_era(page.next.era);
                 cursor.reset();
@@ -95,6 +105,24 @@
     }
 }
 
+/// Polls a reader and reads the store at the same time, as the reader may have no list yet, or not
+/// be back, after a restart of many routers. Returns what the store answered; `None` if the
+/// reader's list was used.
+async fn first_read<S: Store>(
+    router: &Router<S>,
+    peer: SocketAddr,
+    list: &mut ListCursor,
+) -> Option<Result<Page<ServerRecord>, StoreError>> {
+    let poll = pin!(poll(router, peer, list));
+    let read = pin!(router.store.servers(None));
+    match select(poll, read).await {
+        Either::Left((true, _)) => None,
+        Either::Left((false, read)) => Some(read.await),
+        Either::Right((Err(e), poll)) => (!poll.await).then_some(Err(e)),
+        Either::Right((read, _)) => Some(read),
+    }
+}
+
 /// Pause until the next read of the store.
 fn read_pause<S: Store>(router: &Router<S>) -> Duration {
     let has_followers = router.peers.lock().unwrap().has_followers(router.relay.clock().now());
