--- a/benches/decide.rs
+++ b/benches/decide.rs
@@ -6,7 +6,9 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 
 use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
-use filberttiller::decide::{Engine, PlaceQuery, SentTokens, combine, place};
+use filberttiller::decide::{
+    Engine, Lane, PlaceQuery, SentTokens, Standing, WaitQueue, combine, place,
+};
 
 /// Number of decisions over which allocations are counted.
 const DECISIONS: u64 = 10_000;
@@ -74,5 +76,22 @@
     group.finish();
 }
 
-criterion_group!(benches, decisions);
+fn waiting(c: &mut Criterion) {
+    let lane = |at: u64| Lane::new((at % 3) as u8, Standing::New);
+    let mut queue = WaitQueue::default();
+    for at in 0..10_000 {
+        queue.push(lane(at), at % 50, at);
+    }
+    let mut at = 0;
+    c.bench_function("wait queue/push and pop, 10000 waiting", |b| {
+        b.iter(|| {
+            at += 1;
+            queue.push(lane(at), at % 50, at);
+            black_box(queue.ahead(lane(at), at % 50));
+            black_box(queue.pop())
+        });
+    });
+}
+
+criterion_group!(benches, decisions, waiting);
 criterion_main!(benches);
--- a/src/decide/service_load.rs
+++ b/src/decide/service_load.rs
@@ -6,8 +6,6 @@
 
 /// Weight of the newest request in the mean service time.
 const SERVICE_TIME_WEIGHT: f64 = 1.0 / 32.0;
-/// Weight of the newest selection in the share of requests that found no free capacity.
-const REFUSED_WEIGHT: f64 = 1.0 / 64.0;
 /// Factor by which a response that begins late reduces the share of the capacity in use.
 const LATE_FACTOR: f64 = 0.98;
 /// Amount by which a response that begins in time raises that share. With the factor above,
@@ -16,15 +14,9 @@
 /// Minimum share of the capacity in use: most slots stay in use, whatever the reason for
 /// late responses.
 const MIN_SHARE: f64 = 0.6;
-/// Maximum retry delay as a share of the caller's remaining time: callers honour a delay of
-/// at most a third of it.
-const MAX_DELAY_SHARE: f64 = 0.3;
-/// Minimum retry delay.
-const MIN_DELAY: Duration = Duration::from_millis(100);
 
 /// What a router has observed of one service recently. It decides how many requests may
-/// be in flight at a server of the service, and when callers that found no free capacity
-/// should retry.
+/// be in flight at a server of the service.
 ///
 /// The share of the capacity in use follows additive increase and multiplicative decrease
 /// (Chiu and Jain, 1989), because free slots alone do not show that a server keeps up: slots
@@ -37,13 +29,11 @@
     samples: u32,
     /// Share of the capacity in use. Invariant: between `MIN_SHARE` and 1.
     share: f64,
-    /// Share of requests that found no free capacity.
-    refused: f64,
 }
 
 impl Default for ServiceLoad {
     fn default() -> ServiceLoad {
-        ServiceLoad { service_time: 0.0, samples: 0, share: 1.0, refused: 0.0 }
+        ServiceLoad { service_time: 0.0, samples: 0, share: 1.0 }
     }
 }
 
@@ -65,12 +55,6 @@
         self.share = share.clamp(MIN_SHARE, 1.0);
     }
 
-    /// Records whether a request found a server with free capacity.
-    pub fn record_selection(&mut self, found: bool) {
-        let refused = if found { 0.0 } else { 1.0 };
-        self.refused += (refused - self.refused) * REFUSED_WEIGHT;
-    }
-
     /// Mean service time of requests that did not wait; absent before the first one.
     pub fn service_time(&self) -> Option<Duration> {
         (self.samples > 0).then(|| Duration::from_secs_f64(self.service_time))
@@ -82,13 +66,4 @@
         let max = f64::from(max_in_flight(slots, objective, self.service_time()));
         (max * self.share).ceil() as u32
     }
-
-    /// Returns the delay after which a caller that found no free capacity should retry. It
-    /// grows with the share of requests that found none, up to a share of the `remaining`
-    /// time of the caller. `jitter`, from 0 to 1, spreads the retries of callers.
-    pub fn retry_after(&self, remaining: Duration, jitter: f64) -> Duration {
-        let max = remaining.mul_f64(MAX_DELAY_SHARE * self.refused.min(1.0));
-        let delay = max.mul_f64(0.5 + 0.5 * jitter.clamp(0.0, 1.0));
-        delay.max(MIN_DELAY)
-    }
 }
--- a/src/relay/choose.rs
+++ b/src/relay/choose.rs
@@ -44,11 +44,6 @@
         let any_open = candidates.iter().any(|it| !it.closed);
         let competing = key.map_or(0.0, |key| self.competing(service, key, now));
         let picked = pick(&candidates, key, competing, &self.limits().bound, seed);
-        let remaining = pending.deadline.saturating_duration_since(now);
-        pending.trace.retry_after = self.service_loads.with(service, ServiceLoad::default, |it| {
-            it.record_selection(picked.is_some());
-            (picked.is_none() && any_open).then(|| it.retry_after(remaining, rand::random()))
-        });
         let refusal = if any_open { Refusal::NoRoom } else { Refusal::NoServer };
         let server = picked.map(|at| Arc::clone(&servers[at])).ok_or(refusal)?;
         // Another request may have spent the allowance in the meantime.
--- a/src/relay/wait_for_room.rs
+++ b/src/relay/wait_for_room.rs
@@ -15,6 +15,9 @@
 use crate::relay::{Refusal, Relay};
 use crate::servers::{RoomSignal, Server, WaitingPlace};
 
+/// Room in requests a second that refused callers are told to expect while nothing shows it.
+const UNKNOWN_RATE: f64 = 10.0;
+
 /// A request that waits for room.
 struct Wait {
     place: WaitingPlace,
@@ -125,7 +128,10 @@
         let organisation = organisation_hash(grant);
         let make = || Shortage::new(now);
         let view = self.room.shortages.with(&pending.trace.service, make, |it| it.view(lane, now));
-        let rate = self.room_rate(&pending.trace.service, now);
+        let has_allowance =
+            self.of_service(&pending.trace.service).iter().any(|it| it.has_allowance(now));
+        // The end of a request brings no room where servers limit the rate of requests.
+        let rate = self.room_rate(&pending.trace.service, now).filter(|_| has_allowance);
         let query = WaitQuery {
             standing: lane.standing,
             objective: grant.route.objective,
@@ -195,7 +201,7 @@
             return Refusal::Leaving;
         }
         let rank = grant.rank();
-        let rate = self.room_rate(&pending.trace.service, now).unwrap_or(0.0);
+        let rate = self.room_rate(&pending.trace.service, now).unwrap_or(UNKNOWN_RATE);
         let remaining = pending.deadline.saturating_duration_since(now);
         let make = || Shortage::new(now);
         let time = self.room.shortages.with(&pending.trace.service, make, |it| {
--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -42,6 +42,7 @@
 mod recorded_messages;
 mod relay_parts;
 mod reservation;
+mod room_waiters;
 mod rules;
 mod scripted_server;
 mod server_lists;
--- a/tests/it/overload.rs
+++ b/tests/it/overload.rs
@@ -2,9 +2,9 @@
 //! typical load while a third of the servers is lost (`deploy/days/overload.toml`).
 
 use std::collections::VecDeque;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use filberttiller::decide::{Candidate, LoadBound, ServiceLoad, max_in_flight, pick};
+use filberttiller::decide::{Candidate, LoadBound, ReturnTimes, ServiceLoad, max_in_flight, pick};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use rstest::rstest;
@@ -52,15 +52,18 @@
 
 /// The more requests are refused, the longer the retry delay, with jitter.
 #[test]
-fn retry_after_grows_with_refusals() {
-    let (mut load, remaining) = (ServiceLoad::default(), Duration::from_secs(9));
-    assert_eq!(load.retry_after(remaining, 1.0), Duration::from_millis(100), "no refusal so far");
-    (0..1_000).for_each(|_| load.record_selection(false));
-    let (first, last) = (load.retry_after(remaining, 0.0), load.retry_after(remaining, 1.0));
+fn return_times_grow_with_refusals() {
+    let (mut times, remaining) = (ReturnTimes::default(), Duration::from_secs(9));
+    let now = Instant::now();
+    let mut book = |jitter, now| times.book(1, remaining, 10.0, jitter, now);
+    assert_eq!(book(0.0, now), Duration::from_millis(100), "no refusal so far");
+    for _ in 0..1_000 {
+        book(0.5, now);
+    }
+    let (first, last) = (book(0.0, now), book(1.0, now));
     assert!(last <= remaining / 3, "callers wait for at most a third of their time: {last:?}");
     assert!(first * 2 <= last + Duration::from_millis(1) && first > Duration::from_secs(1));
-    (0..1_000).for_each(|_| load.record_selection(true));
-    assert_eq!(load.retry_after(remaining, 1.0), Duration::from_millis(100));
+    assert_eq!(book(0.0, now + remaining), Duration::from_millis(100));
 }
 
 /// Simulates 8 s of twice the load that the servers can take. Returns how many requests
@@ -89,7 +92,6 @@
         let all: Vec<Candidate> = ends.iter().enumerate().map(candidate).collect();
         let key = random.random_range(0..50);
         let chosen = pick(&all, Some(key), 0.0, &BOUND, now);
-        load.record_selection(chosen.is_some());
         let Some(at) = chosen else {
             refused += 1;
             continue;
--- a/tests/it/shortage_load.rs
+++ b/tests/it/shortage_load.rs
@@ -79,10 +79,10 @@
         let mut now = from;
         while now < from + time {
             self.end_requests(now);
-            for at in 0..self.callers.len() {
-                due[at] += self.callers[at].per_s * factor * STEP.as_secs_f64();
-                while due[at] >= 1.0 {
-                    due[at] -= 1.0;
+            for (at, due) in due.iter_mut().enumerate() {
+                *due += self.callers[at].per_s * factor * STEP.as_secs_f64();
+                while *due >= 1.0 {
+                    *due -= 1.0;
                     self.ask(at, now);
                 }
             }
