--- a/benches/decide.rs
+++ b/benches/decide.rs
@@ -8,8 +8,8 @@
 
 use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
 use filberttiller::decide::{
-    Candidate, Engine, LoadBound, PlaceQuery, RequestTokens, SentTokens, SharedPart, TokenLedger,
-    TokenQuery, USUAL_PACE, combine, pick, place,
+    Candidate, Engine, Lane, LoadBound, PlaceQuery, RequestTokens, SentTokens, SharedPart,
+    Standing, TokenLedger, TokenQuery, USUAL_PACE, WaitQueue, combine, pick, place,
 };
 use smallvec::smallvec;
 
@@ -121,5 +121,22 @@
     group.finish();
 }
 
-criterion_group!(benches, decisions, token_decisions);
+fn waiting(c: &mut Criterion) {
+    let lane = |at: u64| Lane::new((at % 3) as u8, Standing::New);
+    let mut queue = WaitQueue::default();
+    for at in 0..10_000 {
+        queue.push(lane(at), at % 50, at);
+    }
+    let mut at = 0;
+    c.bench_function("wait queue/push and pop, 10000 waiting", |b| {
+        b.iter(|| {
+            at += 1;
+            queue.push(lane(at), at % 50, at);
+            black_box(queue.ahead(lane(at), at % 50));
+            black_box(queue.pop())
+        });
+    });
+}
+
+criterion_group!(benches, decisions, token_decisions, waiting);
 criterion_main!(benches);
--- a/src/relay/choose.rs
+++ b/src/relay/choose.rs
@@ -52,11 +52,6 @@
         };
         // A refusal is logged with what was known of the first choice.
         pending.trace.place = budget.zip(picked.or(first)).map(|(it, at)| it.place(&servers[at]));
-        let remaining = pending.deadline.saturating_duration_since(now);
-        pending.trace.retry_after = self.service_loads.with(service, ServiceLoad::default, |it| {
-            it.record_selection(picked.is_some());
-            (picked.is_none() && any_open).then(|| it.retry_after(remaining, rand::random()))
-        });
         let refusal = if any_open { Refusal::NoRoom } else { Refusal::NoServer };
         let server = picked.map(|at| Arc::clone(&servers[at])).ok_or(refusal)?;
         // Another request may have spent the allowance in the meantime.
