--- a/src/relay/evacuation.rs
+++ b/src/relay/evacuation.rs
@@ -62,6 +62,8 @@
         }
         let current = evacuations.domains();
         self.servers.lock().unwrap().set_evacuated(current);
+        // What waits for servers of the domain is refused at once.
+        self.room.waiters.wake_all();
         self.log_evacuations(&former, current, source);
         true
     }
--- a/src/relay/wait_for_room.rs
+++ b/src/relay/wait_for_room.rs
@@ -128,8 +128,9 @@
         let organisation = organisation_hash(grant);
         let make = || Shortage::new(now);
         let view = self.room.shortages.with(&pending.trace.service, make, |it| it.view(lane, now));
-        let has_allowance =
-            self.of_service(&pending.trace.service).iter().any(|it| it.has_allowance(now));
+        let cold = self.cold_terms(&pending.trace.service);
+        let servers = self.of_service(&pending.trace.service);
+        let has_allowance = servers.iter().any(|it| it.has_allowance(&cold, now));
         // The end of a request brings no room where servers limit the rate of requests.
         let rate = self.room_rate(&pending.trace.service, now).filter(|_| has_allowance);
         let query = WaitQuery {
