pace: answers count as late by a server's level, not by the mean of its service

Cause: with a mean above the usual, answers that are late as before no longer shrank the room of the service.

--- a/src/decide/server_pace.rs
+++ b/src/decide/server_pace.rs
@@ -179,6 +179,11 @@
         f64::from_bits(self.factor.load(Ordering::Relaxed))
     }
 
+    /// The time that work takes, as a multiple of the mean of the server's service.
+    pub fn relative(&self) -> f64 {
+        LEVEL_FACTOR.powi(self.state.lock().unwrap().level.into())
+    }
+
     /// Sets the mean of the server's service, and lets its level follow `factor` by a step.
     pub(super) fn follow(&self, mean: f64, factor: f64, now: Instant) {
         let mean = mean.clamp(MIN_MEAN, MAX_MEAN);
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -44,8 +44,8 @@
         let now = self.clock.now();
         let server = &attempt.server;
         self.record_reached(server);
-        // Where work takes longer for now, late answers are not due to load.
-        let objective = grant.route.objective.mul_f64(server.pace.factor().max(1.0));
+        // Where work takes longer than at the other servers, late answers are not due to load.
+        let objective = grant.route.objective.mul_f64(server.pace.relative().max(1.0));
         let is_late = now.saturating_duration_since(attempt.began) > objective;
         let record = |it: &mut ServiceLoad| it.record_response(is_late, attempt.load, server.slots);
         self.service_loads.with(&pending.trace.service, ServiceLoad::default, record);
