--- a/src/relay/refusal.rs
+++ b/src/relay/refusal.rs
@@ -98,7 +98,7 @@
         match self {
             Refusal::Malformed => StatusCode::BAD_REQUEST,
             Refusal::HeadTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
-            Refusal::TooLarge | Refusal::ExceedsMemory => StatusCode::PAYLOAD_TOO_LARGE,
+            Refusal::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Refusal::NoOrganisation => StatusCode::UNAUTHORIZED,
             Refusal::NoRoute => StatusCode::NOT_FOUND,
             Refusal::ServerFailed => StatusCode::BAD_GATEWAY,
@@ -110,6 +110,7 @@
             | Refusal::NoVersion
             | Refusal::UnknownOrigin
             | Refusal::NoRoom
+            | Refusal::ExceedsMemory
             | Refusal::NoMemory
             | Refusal::Crashes
             | Refusal::PartCrashes
