admission: requests wait for room only where the settings say so

Change: admission.waitForRoom, off by default. Off, a request that finds no room is refused at once with a time to come back, ranks do not yield and nothing is told to other routers.

--- a/src/decide/shortage/wait_decision.rs
+++ b/src/decide/shortage/wait_decision.rs
@@ -34,6 +34,8 @@
 key! {
     /// Why a request does not wait for room.
     pub enum NoWait {
+        /// Requests do not wait by the settings.
+        Off,
         /// Its objective, or the deadline of one that came back, could not be met.
         TooLong,
         /// Nothing shows that there will be room.
@@ -53,6 +55,7 @@
     /// Name in logs and metrics.
     pub fn as_str(self) -> &'static str {
         match self {
+            NoWait::Off => "off",
             NoWait::TooLong => "too_long",
             NoWait::UnknownRate => "unknown_rate",
             NoWait::Full => "full",
--- a/src/relay/limits.rs
+++ b/src/relay/limits.rs
@@ -21,5 +21,8 @@
         pub retry_window: Duration,
         /// Limit on the differences between the loads of backend servers.
         pub bound: LoadBound,
+        /// Requests that find no room wait for it, and less urgent ones yield to more urgent ones;
+        /// else they are refused at once.
+        pub wait_for_room: bool,
     }
 }
--- a/src/relay/wait_for_room.rs
+++ b/src/relay/wait_for_room.rs
@@ -36,6 +36,9 @@
         pending: &mut PendingRequest,
         grant: &Grant,
     ) -> Result<Arc<Server>, Refusal> {
+        if !self.limits().wait_for_room {
+            return self.select_at_once(pending, grant);
+        }
         pending.lane = self.lane(pending, grant, self.clock.now());
         let mut wait = None;
         if let Some(service) = self.service_with_queue(pending, grant) {
@@ -65,6 +68,18 @@
         }
     }
 
+    /// Selects the server for the next attempt where requests do not wait.
+    fn select_at_once(
+        &self,
+        pending: &mut PendingRequest,
+        grant: &Grant,
+    ) -> Result<Arc<Server>, Refusal> {
+        match self.select_server(pending, grant) {
+            Err(Refusal::NoRoom) => Err(self.refuse_room(pending, grant, NoWait::Off)),
+            selected => selected,
+        }
+    }
+
     /// Tells the waiting requests that `server` has room, once the request of `pending` ends.
     pub(crate) fn room_signal(&self, pending: &PendingRequest) -> RoomSignal {
         let service = hash_bytes(pending.trace.service.as_bytes());
@@ -73,6 +88,9 @@
 
     /// The share of the room of `service` that requests in `lane` may use.
     pub(crate) fn room_share(&self, service: &str, lane: Lane, now: Instant) -> f64 {
+        if !self.limits().wait_for_room {
+            return 1.0;
+        }
         let make = || Shortage::new(now);
         self.room.shortages.with(service, make, |it| it.share(lane, now))
     }
@@ -206,7 +224,9 @@
         let remaining = pending.deadline.saturating_duration_since(now);
         let make = || Shortage::new(now);
         let time = self.room.shortages.with(&pending.trace.service, make, |it| {
-            it.record(rank, true, now);
+            if cause != NoWait::Off {
+                it.record(rank, true, now);
+            }
             it.return_time(rank, remaining, rate, rand::random(), now)
         });
         pending.trace.retry_after = Some(time);
