Newcomer's read: one client without room holds up no others, reach changes are told apart, token budgets off

Cause, by reading: the accept loop waited up to 1.5 s for room for one connection; an address over its share could have connections of others closed; whether a cut ended was read beside the lock; a request could wait for a probe past its deadline; memory that the router lacked counted as lost by the server. Change: connections without room wait beside the loop, 16 at the most; shares close connections of their own address alone; ReachChange names both states; the wait ends with the deadline; such an answer counts as timed out. admission.tokenBudgets is off by default. Names and comments.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -66,7 +66,7 @@
 pub use sent_tokens::SentTokens;
 pub use server_pace::{PaceEvidence, PaceReading, PaceReport, ServerPace};
 pub use service_load::ServiceLoad;
-pub use service_reach::{ReachState, ServiceReach};
+pub use service_reach::{ReachChange, ReachState, ServiceReach};
 pub use shortage::{
     Demand, Lane, NoWait, PeerDemand, RankDemand, RankRoom, RefusedCallers, ReturnTimes, Shortage,
     ShortageView, Standing, UsualDeadline, WaitKey, WaitQuery, WaitQueue, may_wait,
--- a/src/decide/service_reach.rs
+++ b/src/decide/service_reach.rs
@@ -25,6 +25,16 @@
     }
 }
 
+key! {
+    /// A change of the state.
+    pub struct ReachChange {
+        /// The former state.
+        pub from: ReachState,
+        /// The state now.
+        pub to: ReachState,
+    }
+}
+
 /// What the new connections of a router to the servers of one service show. Open connections
 /// show nothing, as they may live on while new ones are refused.
 #[derive(Debug, Clone, Default, PartialEq)]
@@ -51,15 +61,15 @@
         self.state != ReachState::Reached
     }
 
-    /// Records that a server was connected to; returns the state if it changed.
-    pub fn record_connected(&mut self) -> Option<ReachState> {
+    /// Records that a server was connected to; returns the change, if there is one.
+    pub fn record_connected(&mut self) -> Option<ReachChange> {
         self.failed.clear();
         self.set(ReachState::Reached)
     }
 
     /// Records that the server with the hash `server`, one of `count`, could not be connected
-    /// to; returns the state if it changed.
-    pub fn record_unconnected(&mut self, server: u64, count: usize) -> Option<ReachState> {
+    /// to; returns the change, if there is one.
+    pub fn record_unconnected(&mut self, server: u64, count: usize) -> Option<ReachChange> {
         if self.state != ReachState::Reached || self.failed.contains(&server) {
             return None;
         }
@@ -71,9 +81,9 @@
         }
     }
 
-    /// Records that `reached` of `probed` servers could be connected to; returns the state if it
-    /// changed.
-    pub fn record_probes(&mut self, reached: usize, probed: usize) -> Option<ReachState> {
+    /// Records that `reached` of `probed` servers could be connected to; returns the change,
+    /// if there is one.
+    pub fn record_probes(&mut self, reached: usize, probed: usize) -> Option<ReachChange> {
         if probed == 0 {
             // A service without servers cannot be reached from other routers either.
             return self.record_connected();
@@ -87,9 +97,8 @@
         }
     }
 
-    fn set(&mut self, state: ReachState) -> Option<ReachState> {
-        let changed = self.state != state;
-        self.state = state;
-        changed.then_some(state)
+    fn set(&mut self, to: ReachState) -> Option<ReachChange> {
+        let from = std::mem::replace(&mut self.state, to);
+        (from != to).then_some(ReachChange { from, to })
     }
 }
--- a/src/decide/shortage/lane.rs
+++ b/src/decide/shortage/lane.rs
@@ -7,7 +7,7 @@
 pub(crate) const MIN_RETURN_TIME: Duration = Duration::from_millis(100);
 
 key! {
-    /// What a request has behind it, the first variant goes first.
+    /// What was done for a request before; the first variant goes first.
     pub enum Standing {
         /// Its stream broke, or an attempt of this router failed.
         Resumed,
--- a/src/decide/shortage/peer_demand.rs
+++ b/src/decide/shortage/peer_demand.rs
@@ -26,7 +26,7 @@
 }
 
 impl PeerDemand {
-    /// Records what `router` told at `at`; older tidings than the known ones change nothing.
+    /// Records what `router` told at `at`; an older report changes nothing.
     pub fn record(&mut self, router: u64, ranks: SmallVec<[RankDemand; 4]>, at: Instant) {
         let entry = Entry { router, at, ranks };
         match self.entries.iter_mut().find(|it| it.router == router) {
--- a/src/decide/shortage/wait_decision.rs
+++ b/src/decide/shortage/wait_decision.rs
@@ -16,7 +16,7 @@
 plain! {
     /// A request that finds no room, and what is known of the room.
     pub struct WaitQuery {
-        /// What it has behind it.
+        /// What was done for it before.
         pub standing: Standing,
         /// Latency objective of its route.
         pub objective: Duration,
--- a/src/events/code.rs
+++ b/src/events/code.rs
@@ -108,8 +108,8 @@
     329 SoftwareMixed "several software versions serve in a service, streams stay at theirs";
     330 SoftwareUniform "one software version serves in a service";
     331 ServerConfirmed "a backend server that restarted has been asked whether it takes work";
-    332 CutOff "no backend server of a service can be reached from here, other routers get its requests";
-    333 CutOffEnded "a backend server of the service can be reached from here again";
+    332 CutOff "too few backend servers of a service can be reached from here, other routers get its requests";
+    333 CutOffEnded "most backend servers of the service can be reached from here again";
     334 ServiceBrittle "backend servers of a service say that they are brittle, they get no requests that would wait";
     335 ServiceSound "backend servers of the service no longer say that they are brittle";
     336 BrittleUnreadable "what an answer says of its backend server being brittle cannot be read";
--- a/src/intake/intake.rs
+++ b/src/intake/intake.rs
@@ -94,7 +94,9 @@
                 return Some(open);
             }
             let now = self.clock.now();
-            self.close_one(Scarcity::Connections, |it| it.door == door, now);
+            let is_full = self.is_full(door);
+            let may_close = |it: &Client| it.door == door && (is_full || it.address() == address);
+            self.close_one(Scarcity::Connections, may_close, now);
             if now >= until {
                 self.note(Code::ConnectionRefused, "connection_refused", now);
                 return None;
@@ -104,7 +106,14 @@
         }
     }
 
-    fn try_open(self: &Arc<Self>, door: Door, address: IpAddr) -> Option<OpenClient> {
+    /// Whether `door` has as many connections as it may have; else an address has its share.
+    fn is_full(&self, door: Door) -> bool {
+        let clients = self.clients.lock().unwrap();
+        clients.by_door.get(&door).copied().unwrap_or(0) >= self.limits.connections(door)
+    }
+
+    /// Counts a new connection; `None` if there is no room for it at once.
+    pub fn try_open(self: &Arc<Self>, door: Door, address: IpAddr) -> Option<OpenClient> {
         let mut clients = self.clients.lock().unwrap();
         let limit = self.limits.connections(door);
         let count = clients.by_door.get(&door).copied().unwrap_or(0);
@@ -122,6 +131,11 @@
         Some(OpenClient { client, number })
     }
 
+    /// Notes that a connection was closed, as too many wait for room already.
+    pub fn note_refused(&self) {
+        self.note(Code::ConnectionRefused, "connection_refused", self.clock.now());
+    }
+
     pub(crate) fn remove(&self, number: u64) {
         let mut clients = self.clients.lock().unwrap();
         let Some(client) = clients.all.remove(&number) else { return };
@@ -142,15 +156,16 @@
         until: Instant,
     ) -> Option<Reservation> {
         loop {
-            if !self.is_share_spent(client, budget)
-                && let Some(reservation) = budget.reserve(bytes)
-            {
+            let is_share_spent = self.is_share_spent(client, budget);
+            if !is_share_spent && let Some(reservation) = budget.reserve(bytes) {
                 return Some(reservation);
             }
             let now = self.clock.now();
-            let is_other =
-                |it: &Client| !std::ptr::eq(it, client) && Arc::ptr_eq(it.budget(), budget);
-            self.close_one(Scarcity::Memory, is_other, now);
+            let may_close = |it: &Client| {
+                let is_other = !std::ptr::eq(it, client) && Arc::ptr_eq(it.budget(), budget);
+                is_other && (!is_share_spent || it.address() == client.address())
+            };
+            self.close_one(Scarcity::Memory, may_close, now);
             if now >= until {
                 self.note(Code::MemoryShort, "memory_short", now);
                 return None;
--- a/src/relay/answer.rs
+++ b/src/relay/answer.rs
@@ -77,7 +77,7 @@
     pub enum StatedCold {
         /// It does not say so.
         Absent,
-        /// For so long; zero once it is warm.
+        /// For so long; a time that is shorter than what is known changes nothing.
         Named(Duration),
         /// It cannot be read.
         Unreadable,
--- a/src/relay/attempt_loop.rs
+++ b/src/relay/attempt_loop.rs
@@ -183,7 +183,7 @@
             Err(e) => {
                 let error = AttemptError::Connect(e);
                 self.record_failure(pending, &attempt, error, RunProgress::Unanswered);
-                self.until_reach_known(&pending.trace.service).await;
+                self.until_reach_known(&pending.trace.service, pending.deadline).await;
                 Ok(AttemptResult::Failed(AttemptError::Connect(e), grant))
             }
         }
--- a/src/relay/connection_context.rs
+++ b/src/relay/connection_context.rs
@@ -13,7 +13,7 @@
 use hyper_util::rt::TokioIo;
 use slog::{Logger, warn};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::watch;
+use tokio::sync::{Semaphore, watch};
 use tokio::time::{sleep, sleep_until};
 
 use crate::clock::SharedClock;
@@ -28,6 +28,8 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// Time for a connection without an active request to close gracefully.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(2);
+/// Limit on the accepted connections that wait for room, on one listener.
+const MAX_WAITING: usize = 16;
 /// Limit on the buffered bytes of a request head.
 const MAX_HEAD_BUFFER_BYTES: usize = 64 * 1024;
 
@@ -63,6 +65,7 @@
     F: Future<Output = Response<RelayBody>> + Send + 'static,
     I: Fn() -> Duration + Clone + Send + Sync + 'static,
 {
+    let waiting = Arc::new(Semaphore::new(MAX_WAITING));
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
@@ -70,13 +73,28 @@
         };
         match accepted {
             Ok((stream, address)) => {
-                let open = tokio::select! {
-                    open = context.intake.open(context.door, address.ip()) => open,
-                    () = wait_until_closed(&mut context.closed) => return,
-                };
-                // The intake has noted why it takes no more connections.
-                let Some(client) = open else { continue };
-                tokio::spawn(serve(stream, client, context.clone(), handle.clone(), idle.clone()));
+                let (handle, idle) = (handle.clone(), idle.clone());
+                match context.intake.try_open(context.door, address.ip()) {
+                    Some(client) => {
+                        tokio::spawn(serve(stream, client, context.clone(), handle, idle));
+                    }
+                    // One client without room must not hold up the others.
+                    None => match Arc::clone(&waiting).try_acquire_owned() {
+                        Ok(permit) => {
+                            let address = address.ip();
+                            let context = context.clone();
+                            tokio::spawn(async move {
+                                // The intake has noted why it takes no more connections.
+                                let open = context.intake.open(context.door, address).await;
+                                drop(permit);
+                                if let Some(client) = open {
+                                    serve(stream, client, context, handle, idle).await;
+                                }
+                            });
+                        }
+                        Err(_) => context.intake.note_refused(),
+                    },
+                }
             }
             Err(e) => {
                 warn!(context.logger, "a connection was not accepted";
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -176,7 +176,11 @@
             Err(ReadError::Broken(e)) => BodyEnd::of_error(e),
             Err(ReadError::TooLong | ReadError::NoMemory) => BodyEnd::Failed,
         });
-        let body = body.map_err(|_| AttemptError::Lost)?;
+        let body = body.map_err(|it| match it {
+            // This router had no memory for it until the deadline.
+            ReadError::NoMemory => AttemptError::TimedOut,
+            ReadError::TooLong | ReadError::Broken(_) => AttemptError::Lost,
+        })?;
         let response = Response::from_parts(self.parts, body);
         Ok((response, self.head, self.connection, self.in_flight))
     }
--- a/src/relay/limits.rs
+++ b/src/relay/limits.rs
@@ -21,6 +21,8 @@
         pub retry_window: Duration,
         /// Limit on the differences between the loads of backend servers.
         pub bound: LoadBound,
+        /// Requests go where their prompts are read in time and their memory fits; else by load alone.
+        pub token_budgets: bool,
         /// Requests that find no room wait for it, and less urgent ones yield to more urgent ones;
         /// else they are refused at once.
         pub wait_for_room: bool,
--- a/src/relay/reach.rs
+++ b/src/relay/reach.rs
@@ -3,11 +3,13 @@
 use std::pin::pin;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
+use std::time::Instant;
 
 use slog::{info, warn};
 use smallvec::SmallVec;
+use tokio::time::timeout_at;
 
-use crate::decide::{ReachState, ServiceReach, hash_bytes};
+use crate::decide::{ReachChange, ReachState, ServiceReach, hash_bytes};
 use crate::events::Code;
 use crate::relay::Relay;
 use crate::servers::Server;
@@ -39,47 +41,50 @@
 
     /// Records a new connection to a server of `service`.
     pub(crate) fn record_connected(&self, service: &str) {
-        let was_cut_off = self.is_cut_off(service);
         let change = self.reaches.with(service, ServiceReach::default, |it| it.record_connected());
-        if change.is_some() && was_cut_off {
-            self.end_cut_off(service);
-        }
-        if change.is_some() {
-            self.reach_known.notify_waiters();
-        }
+        self.follow_reach(service, change);
     }
 
     /// Records that `server`, of `service`, could not be connected to.
     pub(crate) fn record_unconnected(&self, service: &str, server: &Server) {
         let count = self.of_service(service).len();
         let record = |it: &mut ServiceReach| it.record_unconnected(server.hash, count);
-        match self.reaches.with(service, ServiceReach::default, record) {
-            Some(ReachState::CutOff) => self.begin_cut_off(service),
-            Some(ReachState::Suspected) => self.probe_now.notify_one(),
-            Some(ReachState::Reached) | None => {}
-        }
+        let change = self.reaches.with(service, ServiceReach::default, record);
+        self.follow_reach(service, change);
     }
 
     /// Records that `reached` of `probed` servers of `service` could be connected to.
     pub(crate) fn record_probes(&self, service: &str, reached: usize, probed: usize) {
-        let was_cut_off = self.is_cut_off(service);
         let record = |it: &mut ServiceReach| it.record_probes(reached, probed);
-        match self.reaches.with(service, ServiceReach::default, record) {
-            Some(ReachState::CutOff) => self.begin_cut_off(service),
-            Some(ReachState::Reached) if was_cut_off => self.end_cut_off(service),
-            Some(ReachState::Reached) => {
-                let code = Code::CutOffDismissed;
-                info!(self.request_log.logger(), "{}", code.text();
-                    "event" => code.number(), "service" => service, "reached" => reached,
-                    "probed" => probed);
-            }
-            Some(ReachState::Suspected) | None => {}
+        let change = self.reaches.with(service, ServiceReach::default, record);
+        let dismissed = ReachChange { from: ReachState::Suspected, to: ReachState::Reached };
+        if change == Some(dismissed) {
+            let code = Code::CutOffDismissed;
+            info!(self.request_log.logger(), "{}", code.text();
+                "event" => code.number(), "service" => service, "reached" => reached,
+                "probed" => probed);
+        }
+        self.follow_reach(service, change);
+    }
+
+    fn follow_reach(&self, service: &str, change: Option<ReachChange>) {
+        let Some(ReachChange { from, to }) = change else {
+            return;
+        };
+        if from == ReachState::CutOff {
+            self.end_cut_off(service);
+        }
+        match to {
+            ReachState::CutOff => self.begin_cut_off(service),
+            ReachState::Suspected => self.probe_now.notify_one(),
+            ReachState::Reached => {}
         }
         self.reach_known.notify_waiters();
     }
 
-    /// Waits until it is known whether this router is cut off from the servers of `service`.
-    pub(crate) async fn until_reach_known(&self, service: &str) {
+    /// Waits until it is known whether this router is cut off from the servers of `service`, until
+    /// `deadline` at the latest.
+    pub(crate) async fn until_reach_known(&self, service: &str, deadline: Instant) {
         loop {
             let mut known = pin!(self.reach_known.notified());
             known.as_mut().enable();
@@ -87,7 +92,9 @@
             if state != ReachState::Suspected {
                 return;
             }
-            known.await;
+            if timeout_at(deadline.into(), known).await.is_err() {
+                return;
+            }
         }
     }
 
--- a/src/relay/token_budget.rs
+++ b/src/relay/token_budget.rs
@@ -60,6 +60,9 @@
         min_objective: Duration,
         now: Instant,
     ) -> Result<Option<TokenBudget>, Refusal> {
+        if !self.limits().token_budgets {
+            return Ok(None);
+        }
         let service = &pending.trace.service;
         let Some((memory, (prompt, _))) = self.token_memory(service).zip(pending.meta.tokens)
         else {
@@ -85,7 +88,9 @@
 
     /// Whether the servers of any service have token budgets.
     pub(crate) fn has_token_budgets(&self) -> bool {
-        self.rules.load().is_some_and(|it| it.engine_services().next().is_some())
+        let has_engines =
+            || self.rules.load().is_some_and(|it| it.engine_services().next().is_some());
+        self.limits().token_budgets && has_engines()
     }
 
     /// Names of the services whose servers have token budgets.
--- a/src/relay/wait_for_room.rs
+++ b/src/relay/wait_for_room.rs
@@ -118,7 +118,7 @@
         self.room.shortages.with(service, make, |it| it.lane(grant.rank(), standing, now))
     }
 
-    /// What a request has behind it.
+    /// What was done for a request before.
     fn standing(&self, pending: &PendingRequest, grant: &Grant, now: Instant) -> Standing {
         let is_resumed = pending.meta.last_event.is_some() || pending.resumes() > 0;
         if is_resumed || pending.sends > 0 {
--- a/tests/it/relay_parts.rs
+++ b/tests/it/relay_parts.rs
@@ -26,6 +26,7 @@
         retry_ratio: 0.2,
         retry_slack: 58.0,
         retry_window: Duration::from_secs(10),
+        token_budgets: false,
         wait_for_room: false,
         bound: LoadBound { factor: 1.5, extra: 2.0 },
     }
--- a/tests/it/service_reach.rs
+++ b/tests/it/service_reach.rs
@@ -1,6 +1,6 @@
 //! Whether a router takes itself to be cut off from the servers of a service.
 
-use filberttiller::decide::{ReachState, ServiceReach};
+use filberttiller::decide::{ReachChange, ReachState, ServiceReach};
 use rstest::rstest;
 
 /// Servers that fail one after the other, 0 for a new connection that is established.
@@ -30,7 +30,11 @@
 #[case::the_only_one(&[7], 1, ReachState::CutOff)]
 #[case::none_known(&[7], 0, ReachState::CutOff)]
 #[test]
-fn connections(#[case] results: &[u64], #[case] count: usize, #[case] expected: ReachState) {
+fn record_unconnected_state(
+    #[case] results: &[u64],
+    #[case] count: usize,
+    #[case] expected: ReachState,
+) {
     assert_eq!(after(results, count).state(), expected);
 }
 
@@ -45,7 +49,7 @@
 #[case::cut_off_ends(&[(0, 7), (4, 7)], ReachState::Reached)]
 #[case::no_servers_left(&[(0, 7), (0, 0)], ReachState::Reached)]
 #[case::no_servers_when_suspected(&[(0, 0)], ReachState::Reached)]
-fn probes(#[case] results: &[(usize, usize)], #[case] expected: ReachState) {
+fn record_probes_state(#[case] results: &[(usize, usize)], #[case] expected: ReachState) {
     let mut reach = after(&[7, 8, 9], 18);
     for (reached, probed) in results {
         reach.record_probes(*reached, *probed);
@@ -56,11 +60,14 @@
 #[test]
 fn change_reported_once() {
     let mut reach = ServiceReach::default();
+    let change = |from, to| Some(ReachChange { from, to });
+    let suspected = change(ReachState::Reached, ReachState::Suspected);
     let changes: Vec<_> = (1..=5).map(|it| reach.record_unconnected(it, 18)).collect();
-    assert_eq!(changes, [None, None, Some(ReachState::Suspected), None, None]);
-    assert_eq!(reach.record_probes(0, 7), Some(ReachState::CutOff));
+    assert_eq!(changes, [None, None, suspected, None, None]);
+    let cut_off = change(ReachState::Suspected, ReachState::CutOff);
+    assert_eq!(reach.record_probes(0, 7), cut_off);
     assert_eq!(reach.record_probes(0, 7), None);
-    assert_eq!(reach.record_connected(), Some(ReachState::Reached));
+    assert_eq!(reach.record_connected(), change(ReachState::CutOff, ReachState::Reached));
     assert_eq!(reach.record_connected(), None);
 }
 
