--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -6,10 +6,12 @@
 mod arm;
 mod baseline;
 mod chat_table;
+mod client_to_close;
 mod engine;
 mod entry;
 mod failing;
 mod failure_point;
+mod follow_paces;
 mod hash;
 mod key_rates;
 mod learnt;
@@ -21,13 +23,16 @@
 mod parts;
 mod pick;
 mod place;
+mod reading;
 mod retry_budget;
 mod run_progress;
 mod sent_tokens;
 mod server_pace;
 mod service_load;
 mod service_reach;
+mod shortage;
 mod suspect;
+mod token_fit;
 mod token_ledger;
 mod verdict;
 
@@ -38,10 +43,12 @@
 pub use arm::takes_part;
 pub use baseline::{least_loaded, place_v1, rendezvous, round_robin};
 pub use chat_table::{ChatPlace, ChatTable};
+pub use client_to_close::{ClientPhase, ClientState, Scarcity, client_to_close, is_over_share};
 pub use engine::Engine;
 pub use entry::{EntryQuery, EntryRouter, entry_order, home_size, is_home};
 pub use failing::{Results, is_failing, max_avoided};
 pub use failure_point::FailurePoint;
+pub use follow_paces::follow_paces;
 pub use hash::{chat_key, combine, hash_bytes, weighted_score};
 pub use key_rates::{KeyRates, UNSEEN_TIME};
 pub(crate) use learnt::{Learnt, is_news, remove_oldest};
@@ -51,14 +58,20 @@
 pub use parts::{
     AnsweredPart, BlamedPart, CutRun, PartChange, PartIds, PartNews, PartPolicy, PartSuspects,
 };
-pub use pick::{Candidate, LoadBound, pick};
+pub use pick::{Candidate, LoadBound, USUAL_PACE, pick};
 pub use place::{PlaceQuery, Placement, place};
+pub use reading::ReadingRate;
 pub use retry_budget::{RetryBudget, RetryRate};
 pub use run_progress::RunProgress;
 pub use sent_tokens::SentTokens;
-pub use server_pace::ServerPace;
+pub use server_pace::{PaceEvidence, PaceReading, PaceReport, ServerPace};
 pub use service_load::ServiceLoad;
-pub use service_reach::ServiceReach;
+pub use service_reach::{ReachChange, ReachState, ServiceReach};
+pub use shortage::{
+    Demand, Lane, NoWait, PeerDemand, RankDemand, RankRoom, RefusedCallers, ReturnTimes, Shortage,
+    ShortageView, Standing, UsualDeadline, WaitKey, WaitQuery, WaitQueue, may_wait,
+};
 pub use suspect::{SuspectPolicy, suspect_policy};
-pub use token_ledger::RequestTokens;
+pub use token_fit::TokenQuery;
+pub use token_ledger::{RequestTokens, ServerTokens, SharedPart, TokenLedger, TokenPlace};
 pub use verdict::Verdict;
--- a/src/events/code.rs
+++ b/src/events/code.rs
@@ -45,6 +45,9 @@
     108 TurnedUnready "this router is not ready for callers";
     110 LinesDropped "log lines were dropped because there were too many";
     111 AcceptFailed "a connection could not be accepted";
+    112 ConnectionRefused "a connection was not accepted because there are too many";
+    113 MemoryShort "memory for requests and answers is short, a request was refused or an answer cut";
+    114 ClientClosed "the connection of a slow or idle client was closed to make room for others";
     // 2xx: tickets and state
     200 TicketAccepted "a ticket came into force";
     201 TicketRejected "a ticket was rejected";
@@ -72,6 +75,10 @@
     232 StreamsUnread "what the store has of streams and software versions cannot be read";
     233 StreamRecordUnreadable "a record of streams or of a software version cannot be decoded";
     234 SoftwareRegistered "a software version was registered in the store, streams may begin at it";
+    235 DomainEvacuated "a failure domain is evacuated, its backend servers get no requests";
+    236 DomainTakenBack "a failure domain is no longer evacuated";
+    237 ServiceEvacuated "all backend servers of a service are in evacuated failure domains";
+    238 ServiceTakenBack "a service has backend servers outside evacuated failure domains again";
     // 3xx: membership
     300 ListUnreachable "the instance list is unreachable";
     301 ListReachable "the instance list is reachable again";
@@ -101,11 +108,17 @@
     329 SoftwareMixed "several software versions serve in a service, streams stay at theirs";
     330 SoftwareUniform "one software version serves in a service";
     331 ServerConfirmed "a backend server that restarted has been asked whether it takes work";
-    332 CutOff "no backend server of a service can be reached from here, other routers get its requests";
-    333 CutOffEnded "a backend server of the service can be reached from here again";
+    332 CutOff "too few backend servers of a service can be reached from here, other routers get its requests";
+    333 CutOffEnded "most backend servers of the service can be reached from here again";
     334 ServiceBrittle "backend servers of a service say that they are brittle, they get no requests that would wait";
     335 ServiceSound "backend servers of the service no longer say that they are brittle";
     336 BrittleUnreadable "what an answer says of its backend server being brittle cannot be read";
+    337 CutOffDismissed "several backend servers of a service went at once, others can be reached from here";
+    340 ServerCold "a backend server is cold, the fleet sends it few requests for a while";
+    341 ServerWarm "a backend server is no longer cold";
+    342 ColdUnreadable "for how long an answer says that its backend server is cold cannot be read";
+    345 DemandUnreadable "the demand that another router tells of makes no sense and does not count";
+    346 TokensUnreadable "what another router tells of tokens at backend servers cannot be read";
     // 4xx: placement and admission
     400 Placed "a request was assigned to a backend server";
     401 NoRoom "no backend server can take the request at present";
@@ -142,6 +155,7 @@
     519 LimitUnreadable "the limit that a backend server names cannot be read";
     520 ServerBacksOff "a backend server turned a request away and wants no others for a while";
     521 DelayUnreadable "the time for which a backend server wants no requests cannot be read";
+    522 PaceUnreadable "the pace that a backend server reports cannot be read";
     // 6xx: at-most-once calls, idempotency keys and requests that crash backend servers
     600 OnceRun "the owner of an idempotency key ran its call";
     601 OnceRepeated "a repeated at-most-once call got the first response";
--- a/src/peers/peer.rs
+++ b/src/peers/peer.rs
@@ -5,7 +5,7 @@
 
 use smallvec::SmallVec;
 
-use crate::decide::hash_bytes;
+use crate::decide::{ServerTokens, hash_bytes};
 use crate::peers::{FailureKind, PeerFailure};
 use crate::wire::{ServerLoad, Sighting, WireObservation, WireRouter};
 
@@ -34,11 +34,15 @@
     /// When an exchange with it last failed in another way, here or at another router. Counts
     /// only while it has not been seen since.
     pub unreached: Option<Instant>,
+    /// A router reported it, or it did so itself: it is more than an announcement.
+    pub seen: bool,
     /// It sends sightings, and so reads them.
     pub sends_sightings: bool,
     /// Requests in flight by backend server, from its own last message, and when that
     /// message was received.
     pub loads: Option<(Instant, Vec<ServerLoad>)>,
+    /// Its tokens at the backend servers of `loads` with requests in flight, in the same order.
+    pub tokens: Vec<ServerTokens>,
     /// Hashes of the names of services whose backend servers it does not reach, as it last said.
     pub cut_off: SmallVec<[u64; 2]>,
 }
@@ -55,8 +59,10 @@
             changed: now,
             refused: None,
             unreached: None,
+            seen: false,
             sends_sightings: false,
             loads: None,
+            tokens: Vec::new(),
             cut_off: SmallVec::new(),
         }
     }
@@ -94,11 +100,15 @@
     ) -> bool {
         let later = seen_at > self.last_seen;
         match (router.born.cmp(&self.router.born), source) {
-            (Ordering::Equal, ReportSource::Indirect) => later && self.refused.is_none(),
+            (Ordering::Equal, ReportSource::Indirect | ReportSource::Announced) => {
+                later && self.refused.is_none()
+            }
             (Ordering::Equal, ReportSource::Direct)
-            | (Ordering::Greater, ReportSource::Indirect) => later,
+            | (Ordering::Greater, ReportSource::Indirect | ReportSource::Announced) => later,
             (_, ReportSource::Direct) => seen_at >= self.last_seen,
-            (Ordering::Less, ReportSource::Indirect) => seen_at > self.last_seen + PEER_TIMEOUT,
+            (Ordering::Less, ReportSource::Indirect | ReportSource::Announced) => {
+                seen_at > self.last_seen + PEER_TIMEOUT
+            }
         }
     }
 
@@ -153,6 +163,8 @@
 pub(crate) enum ReportSource {
     /// The router itself.
     Direct,
-    /// Another router, or the platform's store.
+    /// Another router.
     Indirect,
+    /// The platform's store.
+    Announced,
 }
--- a/src/relay/attempt_loop.rs
+++ b/src/relay/attempt_loop.rs
@@ -160,8 +160,11 @@
         let server = self.select_with_room(pending, &grant).await?;
         let now = self.clock.now();
         let load = server.load(now);
-        let in_flight = server.begin_request(self.request_tokens(pending, &server, now));
+        let in_flight = server.begin_request(pending.tokens());
+        let in_flight = in_flight.with_signal(self.room_signal(pending));
+        let pace = server.pace.reading(now);
         pending.slot_since = (load < server.slots).then_some(now);
+        pending.slot_pace = server.pace.factor();
         // A request that may run only once must not use a pooled connection, as the server may
         // be about to close it. Nor must a retry.
         let force_new =
@@ -173,34 +176,19 @@
             Ok(_) => {}
             Err(_) => self.record_unconnected(&pending.trace.service, &server),
         }
-        let attempt = Attempt { server, load, began: now, is_first_use };
+        let unread = pending.known_unread();
+        let attempt = Attempt { server, load, pace, unread, began: now, is_first_use };
         match opened {
             Ok(connection) => Ok(self.send(pending, grant, &attempt, connection, in_flight).await),
             Err(e) => {
                 let error = AttemptError::Connect(e);
                 self.record_failure(pending, &attempt, error, RunProgress::Unanswered);
+                self.until_reach_known(&pending.trace.service, pending.deadline).await;
                 Ok(AttemptResult::Failed(AttemptError::Connect(e), grant))
             }
         }
     }
 
-    /// Selects the server for the next attempt, once one has room for it.
-    async fn select_with_room(
-        &self,
-        pending: &mut PendingRequest,
-        grant: &Grant,
-    ) -> Result<Arc<Server>, Refusal> {
-        loop {
-            match self.select_server(pending, grant) {
-                Err(Refusal::NoRoom) => {
-                    self.wait_for_room(pending, grant, Refusal::NoRoom).await?;
-                    pending.selections -= 1;
-                }
-                selected => return selected,
-            }
-        }
-    }
-
     /// Sends a request on an open connection and processes the answer.
     async fn send(
         self: &Arc<Relay>,
@@ -218,7 +206,8 @@
         pending.trace.verdict = Verdict::MayHaveRun;
         let id = pending.meta.id.clone();
         let (read, deadline) = (self.codec.answer, pending.deadline.into());
-        let reply = exchange(&request, connection, in_flight, &id, read, deadline);
+        let clock = Arc::clone(&self.clock);
+        let reply = exchange(&request, connection, in_flight, &id, read, deadline, &clock);
         let Some(result) = self.wait_with_patience(reply, pending, &grant, &attempt.server).await
         else {
             attempt.record(pending, "abandoned");
@@ -302,7 +291,8 @@
             return Ok(TakenAnswer::Stream(Box::new(reply)));
         }
         let deadline = pending.deadline.into();
-        let (response, head, connection, _) = reply.read_full(deadline, &mut pending.trace).await?;
+        let (response, head, connection, _) =
+            reply.read_full(deadline, &pending.client, &mut pending.trace).await?;
         self.record_service_time(pending);
         self.pool_connection(&pending.trace.service, server, connection, head.keep_alive);
         let may_repeat = status.is_server_error() && grant.route.is_repeatable();
--- a/src/relay/choose.rs
+++ b/src/relay/choose.rs
@@ -7,12 +7,12 @@
 use smallvec::SmallVec;
 
 use crate::decide::{
-    Candidate, RequestTokens, ServiceLoad, UNSEEN_TIME, combine, max_at_brittle, pick,
+    Candidate, ServiceLoad, UNSEEN_TIME, USUAL_PACE, combine, max_at_brittle, pick,
 };
 use crate::relay::exchange::UpstreamRequest;
 use crate::relay::pending_request::{Grant, PendingRequest};
 use crate::relay::{OutgoingMeta, Refusal, Relay, drop_hop_headers};
-use crate::servers::Server;
+use crate::servers::{ColdTerms, Server};
 
 /// Limit on the servers selected for one request before it is refused. A stream that
 /// resumes starts anew.
@@ -34,7 +34,7 @@
         let service = pending.target_service(grant).ok_or(Refusal::NoServer)?;
         pending.trace.service.clear();
         pending.trace.service.push_str(service);
-        let servers = self.servers.lock().unwrap().of_service(service).ok_or(Refusal::NoServer)?;
+        let servers = self.available_servers(service)?;
         let now = self.clock.now();
         let objective = self.min_objective(service, grant);
         if !has_software(&servers, pending.software) {
@@ -43,16 +43,36 @@
         let candidates = self.candidates(pending, grant, &servers, objective, now);
         let any_open = candidates.iter().any(|it| !it.closed);
         let competing = key.map_or(0.0, |key| self.competing(service, key, now));
-        let picked = pick(&candidates, key, competing, &self.limits().bound, seed);
-        let remaining = pending.deadline.saturating_duration_since(now);
-        pending.trace.retry_after = self.service_loads.with(service, ServiceLoad::default, |it| {
-            it.record_selection(picked.is_some());
-            (picked.is_none() && any_open).then(|| it.retry_after(remaining, rand::random()))
-        });
+        let budget = self.token_budget(pending, grant, objective, now)?;
+        let bound = self.limits().bound.clone();
+        let first = pick(&candidates, key, competing, &bound, seed);
+        let picked = match &budget {
+            Some(it) => first.and_then(|first| it.choose(&candidates, &servers, first, &bound)),
+            None => first,
+        };
+        // A refusal is logged with what was known of the first choice.
+        pending.trace.place = budget.zip(picked.or(first)).map(|(it, at)| it.place(&servers[at]));
         let refusal = if any_open { Refusal::NoRoom } else { Refusal::NoServer };
         let server = picked.map(|at| Arc::clone(&servers[at])).ok_or(refusal)?;
         // Another request may have spent the allowance in the meantime.
-        if server.take_allowance(now) { Ok(server) } else { Err(Refusal::NoRoom) }
+        if server.take_allowance(&self.cold_terms(service), now) {
+            Ok(server)
+        } else {
+            Err(Refusal::NoRoom)
+        }
+    }
+
+    /// Servers of `service` that take work.
+    ///
+    /// # Errors
+    /// Says why there are none.
+    fn available_servers(&self, service: &str) -> Result<Arc<[Arc<Server>]>, Refusal> {
+        let servers = self.servers.lock().unwrap();
+        let refusal = || match servers.is_evacuated(service) {
+            true => Refusal::Evacuated,
+            false => Refusal::NoServer,
+        };
+        servers.of_service(service).ok_or_else(refusal)
     }
 
     /// Requests with the prefix `key` of the other routers that are in flight at `service` and
@@ -77,19 +97,24 @@
         now: Instant,
     ) -> SmallVec<[Candidate; 32]> {
         let max_loads = |load: &mut ServiceLoad| {
-            servers.iter().map(|it| load.max_in_flight(it.slots, objective)).collect()
+            let max =
+                |it: &Arc<Server>| load.max_in_flight_at(it.slots, objective, it.pace.factor());
+            servers.iter().map(max).collect()
         };
         let service = &pending.trace.service;
+        let share = self.room_share(service, pending.lane, now);
         let max_loads: SmallVec<[u32; 32]> =
             self.service_loads.with(service, ServiceLoad::default, max_loads);
         let is_brittle = self.is_brittle(service);
         let routers = self.routers.load(Ordering::Relaxed);
+        let cold = self.cold_terms(service);
         // Without a registered version the store has been out of reach: better any than none.
         let only_registered = self.begins_resumable_stream(pending, grant)
             && servers.iter().any(|it| it.is_registered());
         let all = servers.iter().zip(max_loads).map(|(it, max_load)| {
             let max_load = if is_brittle { brittle_load(it, routers) } else { max_load };
-            let mut candidate = candidate(it, pending, max_load, now);
+            let max_load = (f64::from(max_load) * share).ceil() as u32;
+            let mut candidate = candidate(it, pending, max_load, &cold, now);
             candidate.closed |= only_registered && !it.is_registered();
             candidate
         });
@@ -122,16 +147,6 @@
         candidates.iter().any(|it| is_other(it) && !it.closed && it.load < it.max_load)
     }
 
-    /// Tokens that `pending` takes at `server`.
-    pub(crate) fn request_tokens(
-        &self,
-        _pending: &PendingRequest,
-        _server: &Arc<Server>,
-        _now: Instant,
-    ) -> RequestTokens {
-        RequestTokens::default()
-    }
-
     /// A server that can hand over the prefix `key` to `server`: a known holder, or else
     /// the first other server in the hash order, which other routers prefer for the prefix.
     fn prefix_source(
@@ -144,7 +159,8 @@
         if self.prefix_holders.holds(key, server, now) {
             return None;
         }
-        self.prefix_holders.source(key, server, now).or_else(|| {
+        let may_send = |it: &Server| !self.is_evacuated(it);
+        self.prefix_holders.source(key, server, now, may_send).or_else(|| {
             let servers = self.servers.lock().unwrap().of_service(&pending.trace.service)?;
             let others = servers.iter().filter(|it| !Arc::ptr_eq(it, server));
             let reachable = others.filter(|it| it.is_reachable(now));
@@ -194,10 +210,23 @@
     if server.own() < own { all } else { 0 }
 }
 
-fn candidate(server: &Server, pending: &PendingRequest, max_load: u32, now: Instant) -> Candidate {
+fn candidate(
+    server: &Server,
+    pending: &PendingRequest,
+    max_load: u32,
+    cold: &ColdTerms,
+    now: Instant,
+) -> Candidate {
     let open = server.is_reachable(now) && !server.is_ejected();
     let excluded = pending.excluded.contains(&server.hash);
     let closed = !open || excluded || !server.fits_software(pending.software);
-    let max_load = if server.has_allowance(now) { max_load } else { 0 };
-    Candidate { hash: server.hash, load: server.load(now), slots: server.slots, max_load, closed }
+    let max_load = if server.has_allowance(cold, now) { max_load } else { 0 };
+    Candidate {
+        hash: server.hash,
+        load: server.load(now),
+        slots: server.slots,
+        pace: (server.pace.factor() * f64::from(USUAL_PACE)).round() as u32,
+        max_load,
+        closed,
+    }
 }
--- a/src/relay/forward.rs
+++ b/src/relay/forward.rs
@@ -17,6 +17,7 @@
 use crate::relay::exchange::{Reply, UpstreamRequest, send_request, validate_reply};
 use crate::relay::forwarder::pick_forwarder;
 use crate::relay::pending_request::{Grant, PendingRequest};
+use crate::relay::request_trace::KnownLoad;
 use crate::relay::{
     AttemptError, Connection, Forwarder, Refusal, Relay, StatedLeaving, drop_hop_headers,
     may_be_events,
@@ -56,7 +57,8 @@
         grant: &'a Grant,
     ) -> Option<&'a str> {
         let service = pending.target_service(grant)?;
-        (!pending.is_forwarded() && self.is_cut_off(service)).then_some(service)
+        let is_due = !pending.is_forwarded() && self.is_cut_off(service);
+        (is_due && !self.servers.lock().unwrap().is_evacuated(service)).then_some(service)
     }
 
     /// Whether another router may take a request for `service`.
@@ -119,7 +121,7 @@
             Err(OfferError::Failed(it)) => (it.as_str(), before.and(it.verdict())),
         };
         pending.trace.verdict = verdict;
-        pending.trace.record_attempt(&target.name, 0, result, began);
+        pending.trace.record_attempt(&target.name, KnownLoad::default(), result, began);
         offered
     }
 
@@ -201,7 +203,7 @@
             return Ok(AttemptResult::Answer(Answer::Stream(Box::new(reply), grant.route)));
         }
         let deadline = pending.deadline.into();
-        match reply.read_full(deadline, &mut pending.trace).await {
+        match reply.read_full(deadline, &pending.client, &mut pending.trace).await {
             Ok((response, ..)) => Ok(AttemptResult::Answer(Answer::Full(response))),
             Err(error) => Ok(AttemptResult::Failed(error, grant)),
         }
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -15,9 +15,11 @@
 mod by_service;
 mod choose;
 mod codec;
+mod cold_servers;
 mod connection;
 mod connection_context;
 mod connection_pool;
+mod evacuation;
 mod event_framer;
 mod exchange;
 mod forward;
@@ -41,17 +43,21 @@
 mod request_meta;
 mod request_trace;
 mod retry_budgets;
+mod room_state;
+mod stated_load;
 mod statements;
 mod stream;
 mod stream_origins;
 mod suspect;
 mod suspect_parts;
+mod token_budget;
 mod tracked_stream;
 mod wait_for_room;
+mod wait_trace;
 
 pub use answer::{
     AnswerHead, ServerStatements, StatedBrittle, StatedCold, StatedDelay, StatedLeaving,
-    StatedLimit, StatedLoad,
+    StatedLimit, StatedLoad, StatedPace,
 };
 pub use attempt_error::AttemptError;
 pub use body::{RelayBody, RelayError, full_body};
--- a/src/relay/pending_request.rs
+++ b/src/relay/pending_request.rs
@@ -7,8 +7,9 @@
 use hyper::http::request::Parts;
 use smallvec::SmallVec;
 
-use crate::decide::hash_bytes;
+use crate::decide::{Lane, RequestTokens, hash_bytes};
 use crate::fleet::RunningSuspect;
+use crate::intake::Client;
 use crate::relay::part_trial::PartTrial;
 use crate::relay::request_trace::RequestTrace;
 use crate::relay::{RequestMeta, StreamOrigin};
@@ -36,6 +37,8 @@
 /// A request that waits for its answer.
 #[derive(Debug)]
 pub(crate) struct PendingRequest {
+    /// Who sent it.
+    pub client: Arc<Client>,
     pub head: Parts,
     pub meta: RequestMeta,
     pub body: Bytes,
@@ -58,14 +61,19 @@
     pub sends: u32,
     /// How many servers were selected for it, the current one included.
     pub selections: usize,
+    /// Its place among others where servers are short of room.
+    pub lane: Lane,
     /// When it took a slot at the current server; absent if none was free.
     pub slot_since: Option<Instant>,
+    /// The pace of the current server when it was selected.
+    pub slot_pace: f64,
     /// The decisions on it, for its log line.
     pub trace: RequestTrace,
 }
 
 /// A request that is allowed and fully read.
 pub(crate) struct Admitted {
+    pub client: Arc<Client>,
     pub head: Parts,
     pub meta: RequestMeta,
     pub body: Bytes,
@@ -77,6 +85,7 @@
     pub fn with_trace(self, trace: RequestTrace) -> Box<PendingRequest> {
         let forwarding = &trace.forwarding;
         Box::new(PendingRequest {
+            client: self.client,
             head: self.head,
             last_event: self.meta.last_event.clone(),
             meta: self.meta,
@@ -89,7 +98,9 @@
             part_trial: None,
             sends: forwarding.as_ref().map_or(0, |it| it.sends),
             selections: 0,
+            lane: Lane::default(),
             slot_since: None,
+            slot_pace: 1.0,
             trace,
         })
     }
@@ -116,6 +127,22 @@
         grant.route.target(self.meta.prefix_key().unwrap_or_else(|| self.id_hash()))
     }
 
+    /// Tokens that it takes at the selected server; none where servers have no budget.
+    pub fn tokens(&self) -> RequestTokens {
+        let place = self.trace.place;
+        place.map_or_else(RequestTokens::default, |it| RequestTokens {
+            unread: it.unread,
+            ..self.meta.request_tokens()
+        })
+    }
+
+    /// Tokens of prompts that the selected server has to read until its answer; absent if its
+    /// prefix may or may not be cached.
+    pub fn known_unread(&self) -> Option<u64> {
+        let place = self.trace.place.filter(|it| it.is_cached);
+        place.map(|it| it.ahead + it.unread)
+    }
+
     /// Hash of the id of the caller's attempt that brought the first event of its stream: this
     /// one, unless it takes a stream up.
     pub fn stream_hash(&self) -> u64 {
--- a/src/relay/refusal.rs
+++ b/src/relay/refusal.rs
@@ -27,12 +27,18 @@
         Leaving,
         /// No backend server is available.
         NoServer,
+        /// All backend servers are in failure domains that operators have evacuated.
+        Evacuated,
         /// No backend server has the software version that began the stream.
         NoVersion,
         /// It takes a stream up, and no router knows the software version that began it.
         UnknownOrigin,
         /// All backend servers are at capacity.
         NoRoom,
+        /// The router has no memory for its body.
+        NoMemory,
+        /// Its prompt exceeds the memory of every backend server.
+        ExceedsMemory,
         /// Backend servers that ran it crashed.
         Crashes,
         /// Backend servers crashed that ran requests with a part of its prompt.
@@ -59,9 +65,12 @@
         Refusal::NoRules,
         Refusal::Leaving,
         Refusal::NoServer,
+        Refusal::Evacuated,
         Refusal::NoVersion,
         Refusal::UnknownOrigin,
         Refusal::NoRoom,
+        Refusal::NoMemory,
+        Refusal::ExceedsMemory,
         Refusal::Crashes,
         Refusal::PartCrashes,
         Refusal::ServerFailed,
@@ -80,6 +89,7 @@
                 | Refusal::NoOrganisation
                 | Refusal::Leaving
                 | Refusal::NoServer
+                | Refusal::NoMemory
         )
     }
 
@@ -96,9 +106,12 @@
             Refusal::NoRules
             | Refusal::Leaving
             | Refusal::NoServer
+            | Refusal::Evacuated
             | Refusal::NoVersion
             | Refusal::UnknownOrigin
             | Refusal::NoRoom
+            | Refusal::ExceedsMemory
+            | Refusal::NoMemory
             | Refusal::Crashes
             | Refusal::PartCrashes
             | Refusal::TooLate
@@ -121,9 +134,11 @@
             Refusal::NoRules | Refusal::Leaving => Some(Duration::from_millis(100)),
             // A server that crashed may start again with its version.
             Refusal::NoServer | Refusal::NoVersion => Some(Duration::from_millis(500)),
-            Refusal::NoRoom | Refusal::Shed | Refusal::UnknownOrigin => {
+            Refusal::NoRoom | Refusal::NoMemory | Refusal::Shed | Refusal::UnknownOrigin => {
                 Some(Duration::from_millis(300))
             }
+            // Operators take a domain back by hand.
+            Refusal::Evacuated => Some(Duration::from_secs(1)),
             Refusal::Crashes | Refusal::PartCrashes => Some(Duration::from_secs(10)),
             _ => None,
         }
@@ -140,9 +155,12 @@
             Refusal::NoRules => "no_rules",
             Refusal::Leaving => "leaving",
             Refusal::NoServer => "no_server",
+            Refusal::Evacuated => "evacuated",
             Refusal::NoVersion => "no_version",
             Refusal::UnknownOrigin => "unknown_origin",
             Refusal::NoRoom => "no_room",
+            Refusal::NoMemory => "no_memory",
+            Refusal::ExceedsMemory => "exceeds_memory",
             Refusal::Crashes => "crashes",
             Refusal::PartCrashes => "part_crashes",
             Refusal::ServerFailed => "server_failed",
--- a/src/relay/request_log.rs
+++ b/src/relay/request_log.rs
@@ -3,7 +3,9 @@
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
-use prometheus::{HistogramOpts, HistogramVec, IntCounter, IntCounterVec, Opts, Registry};
+use prometheus::{
+    HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+};
 use slog::{Logger, info, warn};
 
 use crate::clock::SharedClock;
@@ -37,6 +39,10 @@
     lines: Mutex<LineCounts>,
     requests: IntCounterVec,
     attempts: IntCounterVec,
+    unreadable: IntCounterVec,
+    /// Requests that wait for room.
+    pub(crate) waiting: IntGauge,
+    waits: IntCounterVec,
     dropped_lines: IntCounter,
     pub(crate) head_time: HistogramVec,
     total_time: HistogramVec,
@@ -66,12 +72,26 @@
         let help = "Log lines left out because there were too many";
         let dropped_lines = IntCounter::new("filberttiller_log_lines_dropped_total", help)?;
         registry.register(Box::new(dropped_lines.clone()))?;
+        let help = "Requests that wait for a backend server with room";
+        let waiting = IntGauge::new("filberttiller_relay_waiting", help)?;
+        registry.register(Box::new(waiting.clone()))?;
         let help = "Requests by outcome and reason";
         let lines = LineCounts { began: clock.now(), done: 0, failed: 0, dropped: 0 };
         Ok(RequestLog {
             lines: Mutex::new(lines),
             requests: counters("filberttiller_relay_requests_total", help, &["outcome", "reason"])?,
             attempts: counters("filberttiller_relay_tries_total", "Tries by result", &["result"])?,
+            unreadable: counters(
+                "filberttiller_relay_unreadable_total",
+                "Statements of backend servers that cannot be read",
+                &["statement"],
+            )?,
+            waiting,
+            waits: counters(
+                "filberttiller_relay_waits_total",
+                "Requests that found no room at once, by what became of them",
+                &["result"],
+            )?,
             dropped_lines,
             head_time: times("filberttiller_relay_head_seconds", "Time to the head of the answer")?,
             total_time: times(
@@ -93,6 +113,16 @@
         self.attempts.with_label_values(&[result]).inc();
     }
 
+    /// Counts a statement of a backend server that cannot be read.
+    pub fn count_unreadable(&self, statement: &str) {
+        self.unreadable.with_label_values(&[statement]).inc();
+    }
+
+    /// Counts a request that found no room at once, by what became of it.
+    pub(crate) fn count_wait(&self, result: &str) {
+        self.waits.with_label_values(&[result]).inc();
+    }
+
     /// Counts a request at its end, and logs it within the rate limits.
     pub(crate) fn write(&self, trace: &RequestTrace, outcome: Outcome, reason: &str) {
         self.requests.with_label_values(&[outcome.as_str(), reason]).inc();
@@ -107,6 +137,8 @@
         let code = outcome.code();
         let software = trace.software.iter().map(SoftwareVersion::as_str).collect::<Vec<_>>();
         let software = (!software.is_empty()).then(|| software.join(" "));
+        let place = trace.place;
+        let tokens_age = place.and_then(|it| it.age);
         let head = trace.head_time.map(|it| it.as_millis() as u64);
         info!(self.logger, "request";
             "event" => code.number(), "outcome" => outcome.as_str(), "reason" => reason,
@@ -120,7 +152,11 @@
             "forwarded" => trace.forwarding.is_some(), "resumed" => trace.resumed, "resumes" => trace.resumes.as_deref(),
             "origin" => trace.origin, "software" => software,
             "blamed_part" => trace.blamed_part.map(|it| format!("{it:x}")),
+            "wait" => trace.wait.as_ref().map(ToString::to_string),
             "retry_after_ms" => trace.retry_after.map(|it| it.as_millis() as u64),
+            "unread_ahead" => place.map(|it| it.ahead), "unread" => place.map(|it| it.unread),
+            "held" => place.map(|it| it.held),
+            "tokens_age_ms" => tokens_age.map(|it| it.as_millis() as u64),
             "took_ms" => took.as_millis() as u64);
     }
 
--- a/src/relay/statements.rs
+++ b/src/relay/statements.rs
@@ -20,15 +20,13 @@
     ) {
         self.record_stated_limit(server, stated.limit);
         if let Some(load) = stated.load {
-            let now = self.clock.now();
-            server.set_reported_load(load.total(), now);
-            if let Some(pace) = load.pace {
-                server.pace.record(pace, now);
-            }
+            self.record_stated_load(server, load, request);
+            server.tokens.record_waiting(load.waiting, self.clock.now());
         }
         self.record_stated_leaving(server, stated.leaving, request);
         self.record_stated_brittle(service, server, stated.brittle);
         self.record_stated_delay(server, stated.delay, request);
+        self.record_stated_cold(server, stated.cold, request);
     }
 
     /// Merges that another router knows of a server that said at `at` that it leaves.
--- a/src/relay/tracked_stream.rs
+++ b/src/relay/tracked_stream.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::task::{Context, Poll, ready};
+use std::time::Instant;
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
@@ -43,11 +44,17 @@
         }
     }
 
-    fn begin_write(&mut self) {
+    fn begin_write(&mut self, now: Instant) {
         if !self.is_unwritten {
             self.is_unwritten = true;
             self.total.fetch_add(1, Ordering::Relaxed);
-            self.activity.begin_write();
+            self.activity.begin_write(now);
+        }
+    }
+
+    fn record_write(&self, result: &io::Result<usize>, now: Instant) {
+        if let Ok(count) = result {
+            self.activity.client.record_write(*count, now);
         }
     }
 
@@ -66,7 +73,11 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(context, buffer)
+        let before = buffer.filled().len();
+        let result = ready!(Pin::new(&mut self.stream).poll_read(context, buffer));
+        let count = buffer.filled().len() - before;
+        self.activity.client.record_read(count, self.clock.now());
+        Poll::Ready(result)
     }
 }
 
@@ -76,8 +87,11 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        self.begin_write();
-        Pin::new(&mut self.stream).poll_write(context, bytes)
+        let now = self.clock.now();
+        self.begin_write(now);
+        let result = ready!(Pin::new(&mut self.stream).poll_write(context, bytes));
+        self.record_write(&result, now);
+        Poll::Ready(result)
     }
 
     fn poll_write_vectored(
@@ -85,8 +99,11 @@
         context: &mut Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        self.begin_write();
-        Pin::new(&mut self.stream).poll_write_vectored(context, slices)
+        let now = self.clock.now();
+        self.begin_write(now);
+        let result = ready!(Pin::new(&mut self.stream).poll_write_vectored(context, slices));
+        self.record_write(&result, now);
+        Poll::Ready(result)
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/src/router/exchange_loop.rs
+++ b/src/router/exchange_loop.rs
@@ -41,6 +41,8 @@
         expire_peers(&router, now);
         router.relay.parts.lock().unwrap().remove_expired(now);
         router.relay.origins.lock().unwrap().remove_expired(now);
+        router.relay.servers.lock().unwrap().follow_paces(now);
+        router.pace_metrics.update(&router.relay);
         // Ends early on a change to report; the next round begins in either case.
         let _ = timeout(ROUND_INTERVAL, router.exchange_now.notified()).await;
     }
@@ -51,6 +53,8 @@
     peers.attend(now);
     peers.remove_expired(now);
     router.update_forwarders(&peers, now);
+    router.update_tokens(&peers, now);
+    router.update_cold_senders(&peers);
 }
 
 async fn exchange_with<S: Store>(router: Arc<Router<S>>, peer: SocketAddr, body: Bytes) {
--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -3,8 +3,10 @@
 mod blame_store;
 mod client_protocol;
 mod cursor;
+mod demand_news;
 mod endpoints;
 mod exchange_loop;
+mod gauges;
 mod leaving_news;
 mod lifecycle;
 mod limit_news;
@@ -12,6 +14,8 @@
 mod news;
 mod origin_search;
 mod origins;
+mod pace_metrics;
+mod pace_news;
 mod reach_watch;
 mod router;
 mod router_error;
@@ -24,6 +28,7 @@
 mod store;
 mod stream_records;
 mod stream_writer;
+mod token_news;
 
 pub use client_protocol::ClientProtocol;
 pub use lifecycle::{drain, run, start};
--- a/src/router/router.rs
+++ b/src/router/router.rs
@@ -7,14 +7,15 @@
 use std::time::{Duration, Instant, UNIX_EPOCH};
 
 use error_stack::{Report, ResultExt};
-use prometheus::Registry;
+use prometheus::{IntGaugeVec, Registry};
 use slog::{Logger, info, warn};
 use tokio::sync::{Notify, mpsc, watch};
 
 use crate::clock::SharedClock;
-use crate::decide::{LimitSenders, Results, hash_bytes};
+use crate::decide::{LimitSenders, Results, ServerTokens, hash_bytes};
 use crate::events::{Code, LogOnce};
 use crate::fleet::CrashReport;
+use crate::intake::{Door, Intake};
 use crate::peers::{
     Message, OwnReport, Peer, PeerClient, PeerLoad, PeerTable, part_news_from_wire,
     part_news_to_wire,
@@ -22,15 +23,20 @@
 use crate::relay::{
     ConnectionContext, Forwarder, MAX_WAITING_QUERIES, OriginQuery, Relay, RequestLog,
 };
+use crate::router::demand_news::{demand_news, merge_demand};
+use crate::router::gauges::RouterGauges;
 use crate::router::leaving_news::{leaving_news, merge_leaving};
 use crate::router::limit_news::{limit_news, merge_limits};
+use crate::router::pace_metrics::PaceMetrics;
+use crate::router::pace_news::{merge_paces, pace_news};
 use crate::router::software_news::{merge_software, software_news};
 use crate::router::stream_records::StreamRecords;
+use crate::router::token_news::token_gauge;
 use crate::router::{ClientProtocol, RouterError, RouterSettings, Store};
 use crate::servers::{RouterProcess, ServerRecord, StoreEra, TableRevision};
 use crate::wire::{
     ServerLoad, WireNews, WireRouter, WireServer, WireServers, WireServersAddition,
-    WireServersRequest, pack_loads,
+    WireServersRequest, pack_loads, pack_tokens,
 };
 
 /// Weight of the results at a backend server up to which an idle one is not reported.
@@ -39,6 +45,15 @@
 /// Limit of the crash reports in one message to another router.
 const MAX_TOLD_CRASHES: usize = 32;
 
+/// What a router reports of its requests at backend servers.
+#[derive(Default)]
+struct AtServers {
+    loads: Vec<ServerLoad>,
+    /// Tokens at the servers of `loads` with requests in flight, in the same order; none where no
+    /// servers have token budgets.
+    tokens: Vec<ServerTokens>,
+}
+
 /// A router: its store, its peers and its relay.
 #[derive(Debug)]
 pub struct Router<S> {
@@ -54,8 +69,16 @@
     pub peers: Mutex<PeerTable>,
     /// Registry of all metrics.
     pub registry: Registry,
+    /// The pace of backend servers in them.
+    pub(crate) pace_metrics: PaceMetrics,
+    /// Metrics that a scrape computes.
+    pub(crate) gauges: RouterGauges,
     /// The logger.
     pub logger: Logger,
+    /// What is held for all clients.
+    pub(crate) intake: Arc<Intake>,
+    /// When it started, as time since boot.
+    started: Duration,
     /// Number of requests of callers whose responses are not complete.
     pub in_flight: Arc<AtomicU32>,
     /// Set to true once new requests are refused.
@@ -70,6 +93,9 @@
     pub(crate) store_era: Mutex<StoreEra>,
     /// For the line that the store's era cannot be read.
     unreadable_era: LogOnce,
+    /// For the line that tokens told by another router cannot be read.
+    pub(crate) unreadable_tokens: LogOnce,
+    pub(crate) token_gauge: IntGaugeVec,
     /// Notified when the store was restored from a copy, so that what it lost is written again.
     pub(crate) restored: Notify,
     /// Blamed prompt parts that the store has, as last read or written.
@@ -95,6 +121,11 @@
         let registry = Registry::new();
         let request_log = RequestLog::new(logger.clone(), Arc::clone(&clock), &registry)
             .change_context(RouterError::SetUp)?;
+        let token_gauge = token_gauge(&registry).change_context(RouterError::SetUp)?;
+        let pace_metrics = PaceMetrics::new(&registry).change_context(RouterError::SetUp)?;
+        let intake = Intake::new(settings.intake, Arc::clone(&clock), logger.clone(), &registry)
+            .change_context(RouterError::SetUp)?;
+        let gauges = RouterGauges::new(&registry).change_context(RouterError::SetUp)?;
         let born = clock.wall().duration_since(UNIX_EPOCH).unwrap_or_default();
         let own = WireRouter {
             name: settings.name.clone(),
@@ -105,6 +136,7 @@
         };
         let limits = settings.limits.clone();
         let (queries, origin_queries) = mpsc::channel(MAX_WAITING_QUERIES);
+        let started = clock.boot();
         let relay = Relay::new(protocol.codec, limits, clock, Arc::new(request_log), queries);
         let process = RouterProcess { router: hash_bytes(own.name.as_bytes()), born: own.born };
         relay.servers.lock().unwrap().set_process(process);
@@ -116,7 +148,11 @@
             relay: Arc::new(relay),
             peers: Mutex::new(PeerTable::new(own)),
             registry,
+            pace_metrics,
+            gauges,
             logger,
+            intake: Arc::new(intake),
+            started,
             in_flight: Arc::default(),
             closed: watch::Sender::new(false),
             exchange_now,
@@ -124,6 +160,8 @@
             origin_queries: Mutex::new(Some(origin_queries)),
             store_era: Mutex::default(),
             unreadable_era: LogOnce::default(),
+            unreadable_tokens: LogOnce::default(),
+            token_gauge,
             restored: Notify::new(),
             stored_blame: Mutex::default(),
             stream_records: StreamRecords::default(),
@@ -131,8 +169,8 @@
         })
     }
 
-    /// The context that all connections of callers share.
-    pub fn connection_context(&self) -> ConnectionContext {
+    /// The context that all connections at `door` share.
+    pub fn connection_context(&self, door: Door) -> ConnectionContext {
         let clock = Arc::clone(self.relay.clock());
         let closed = self.closed.subscribe();
         ConnectionContext {
@@ -141,6 +179,8 @@
             active_requests: Arc::clone(&self.in_flight),
             forwarded_requests: Arc::clone(&self.in_flight),
             closed,
+            intake: Arc::clone(&self.intake),
+            door,
         }
     }
 
@@ -155,15 +195,25 @@
         let crashes = self.relay.crashes.most_relevant(MAX_TOLD_CRASHES, now);
         let version = self.relay.rules.load().map(|it| it.version);
         let age = self.relay.lease.age(self.relay.clock().boot());
+        let at_servers = self.at_servers(now);
         let own = OwnReport {
             ready: self.relay.is_ready(),
             leaving: self.is_leaving(),
-            loads: self.loads(now),
+            loads: pack_loads(at_servers.loads),
             crashes: crashes.into_iter().map(|it| it.to_wire(now)).collect(),
             rules: version.zip(age.map(|it| it.as_millis() as u64)),
         };
         let exchange = self.peers.lock().unwrap().message(own, now, &mut rand::rng());
-        Message { exchange, news: self.news(now) }
+        let tokens = pack_tokens(&at_servers.tokens);
+        Message { exchange, news: WireNews { tokens, ..self.news(now) } }
+    }
+
+    /// Sets which routers share what cold servers take.
+    pub(crate) fn update_cold_senders(&self, peers: &PeerTable) {
+        let age = self.relay.clock().boot().saturating_sub(self.started);
+        let own = hash_bytes(self.settings.name.as_bytes());
+        let senders = peers.cold_senders(age).map(|others| LimitSenders { own, others });
+        self.relay.set_cold_senders(senders);
     }
 
     /// Sets which routers may take requests of this one.
@@ -179,17 +229,22 @@
         self.relay.forwarders.store(Arc::new(all));
     }
 
-    /// The loads of this router at all backend servers, packed.
-    fn loads(&self, now: Instant) -> Vec<u8> {
+    /// The loads and tokens of this router at all backend servers.
+    fn at_servers(&self, now: Instant) -> AtServers {
+        let has_budgets = self.relay.has_token_budgets();
         let servers = self.relay.servers.lock().unwrap();
-        let loads = servers.all().map(|it| {
+        let mut reported = AtServers::default();
+        for it in servers.all() {
             let in_flight = it.own().min(u8::MAX.into()) as u8;
             let Results { good, bad } = it.local_results(now);
-            ServerLoad { server: it.hash as u32, in_flight, good, bad }
-        });
-        let is_reported =
-            |it: &ServerLoad| it.in_flight > 0 || it.good + it.bad > MIN_REPORTED_RESULTS;
-        pack_loads(loads.filter(is_reported))
+            if in_flight > 0 || good + bad > MIN_REPORTED_RESULTS {
+                reported.loads.push(ServerLoad { server: it.hash as u32, in_flight, good, bad });
+            }
+            if in_flight > 0 && has_budgets {
+                reported.tokens.push(it.tokens.own());
+            }
+        }
+        reported
     }
 
     fn news(&self, now: Instant) -> WireNews {
@@ -206,17 +261,24 @@
             cut_off: self.relay.cut_off_hashes().into_vec(),
             sightings,
             failures,
+            tokens: Vec::new(),
+            paces: pace_news(&self.relay, now),
+            evacuations: self.relay.evacuation_news(now),
+            demand: demand_news(&self.relay, now),
         }
     }
 
     /// Handles the reply to a message that was sent at `sent`, as time since boot. If the
-    /// other router has the same rules, its confirmation of them renews the lease here too.
-    pub(crate) fn receive_reply(&self, message: Message, sent: Duration) {
+    /// other router has the same rules and knows of the same evacuations, its confirmation of them
+    /// renews the lease here too.
+    pub(crate) fn receive_reply(&self, mut message: Message, sent: Duration) {
+        let now = self.relay.clock().now();
+        let is_current = self.relay.merge_evacuations(message.news.evacuations.take(), now);
         let own = self.relay.rules.load().map_or(0, |it| it.version);
         if let Some((version, age_ms)) = message.exchange.rules {
             let confirmed = sent.checked_sub(Duration::from_millis(age_ms));
             match (version.cmp(&own), confirmed) {
-                (Ordering::Equal, Some(at)) => self.relay.lease.renew(at),
+                (Ordering::Equal, Some(at)) if is_current => self.relay.lease.renew(at),
                 (Ordering::Greater, _) => self.newer_rules.notify_one(),
                 _ => {}
             }
@@ -299,15 +361,19 @@
         let now = self.relay.clock().now();
         let Message { exchange, news } = message;
         self.relay.merge_part_news(part_news_from_wire(news.parts, now));
+        self.relay.merge_evacuations(news.evacuations, now);
         merge_limits(&self.relay, &news.limits, now);
         merge_leaving(&self.relay, &news.leaving, now);
         merge_software(&self.relay, news.software, now);
+        merge_paces(&self.relay, &news.paces, now);
+        merge_demand(&self.relay, &exchange.own.router.name, &news.demand, now);
         for crash in &exchange.crashes {
             self.relay.crashes.insert(CrashReport::from_wire(crash, now), now);
         }
         let mut peers = self.peers.lock().unwrap();
         let sender = exchange.own.router.name.clone();
         peers.merge_message(exchange, now);
+        self.merge_tokens(&mut peers, &sender, &news.tokens);
         peers.set_cut_off(&sender, news.cut_off.into());
         peers.merge_sightings(&sender, &news.sightings, now);
         peers.merge_failures(news.failures, now);
@@ -326,6 +392,7 @@
                 loads.get(&(server.hash as u32)).copied().unwrap_or_default();
             server.set_reported_by_peers(in_flight, results);
         }
+        self.relay.room.waiters.wake_services();
         servers.update_ejections(now, |server, all| {
             let ejected = server.is_ejected();
             let code = if ejected { Code::ServerSetAside } else { Code::ServerProbed };
--- a/src/servers/server.rs
+++ b/src/servers/server.rs
@@ -5,10 +5,13 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use crate::decide::{LimitSenders, RequestTokens, Results, ServerPace, combine, hash_bytes};
+use crate::decide::{
+    LimitSenders, RequestTokens, Results, ServerPace, TokenLedger, combine, hash_bytes,
+};
 use crate::servers::result_window::ResultWindow;
 use crate::servers::{
-    LimitChange, LimitStatement, ServerRecord, ServerState, SoftwareVersion, StatedCondition,
+    ColdTerms, LimitChange, LimitStatement, RoomSignal, ServerRecord, ServerState, SoftwareVersion,
+    StatedCondition,
 };
 
 /// Pause after the first failed connection.
@@ -73,6 +76,8 @@
     registered: AtomicBool,
     /// How long work takes there at present.
     pub pace: ServerPace,
+    /// Tokens of the requests in flight there.
+    pub tokens: TokenLedger,
     /// What it stated itself, shared with other values of the same incarnation.
     pub stated: Arc<StatedCondition>,
 }
@@ -99,6 +104,7 @@
             ejected: AtomicBool::new(false),
             registered: AtomicBool::new(false),
             pace: ServerPace::default(),
+            tokens: TokenLedger::default(),
             stated: Arc::default(),
         }
     }
@@ -112,6 +118,7 @@
     pub fn matches(&self, record: &ServerRecord) -> bool {
         let same = self.born == record.born
             && self.address == record.address
+            && *self.domain == *record.domain
             && self.software == record.software;
         let is_ready_again =
             self.leaving.load(Ordering::Relaxed) && record.state == ServerState::Ready;
@@ -161,6 +168,33 @@
         self.stated.limit.lock().unwrap().set_senders(self.hash, senders);
     }
 
+    /// Notes that it stays cold for `time`.
+    pub fn extend_cold(&self, time: Duration, now: Instant) {
+        self.stated.cold.lock().unwrap().extend(time, now);
+    }
+
+    /// How much longer it is cold.
+    pub fn cold_time(&self, now: Instant) -> Duration {
+        self.stated.cold.lock().unwrap().remaining(now)
+    }
+
+    /// To be called when other routers than before share what cold servers take.
+    pub fn forget_cold_share(&self) {
+        self.stated.cold.lock().unwrap().forget_share();
+    }
+
+    /// Requests a second that this router may send to it while it is cold; absent where nothing
+    /// limits them.
+    pub fn cold_share(&self, terms: &ColdTerms, now: Instant) -> Option<f64> {
+        self.stated.cold.lock().unwrap().share(self.hash, terms, now)
+    }
+
+    /// Counts a request against this router's share of what it takes while it is cold; false if
+    /// that is spent.
+    pub fn take_cold_allowance(&self, terms: &ColdTerms, now: Instant) -> bool {
+        self.stated.cold.lock().unwrap().take(self.hash, terms, now)
+    }
+
     /// What it last said of its limit, if it ever named one, and whether other routers are
     /// told at once.
     pub fn limit_statement(&self, now: Instant) -> Option<(LimitStatement, bool)> {
@@ -168,11 +202,13 @@
         Some((limit.statement()?, limit.is_news(now)))
     }
 
-    /// Whether this router may send a request within its share of the limit, and the server
-    /// has not asked for time, as far as is known.
-    pub fn has_allowance(&self, now: Instant) -> bool {
+    /// Whether this router may send a request within its shares of the limit and of what a cold
+    /// server takes, and the server has not asked for time, as far as is known.
+    pub fn has_allowance(&self, terms: &ColdTerms, now: Instant) -> bool {
         let takes_work = !self.is_unconfirmed() && !self.stated.backoff.holds(now);
-        takes_work && self.stated.limit.lock().unwrap().has_allowance(now)
+        takes_work
+            && self.stated.limit.lock().unwrap().has_allowance(now)
+            && self.stated.cold.lock().unwrap().has_allowance(self.hash, terms, now)
     }
 
     /// Whether it is unclear which incarnation stated that it leaves or wants time.
@@ -185,9 +221,9 @@
         self.stated.unconfirmed.store(false, Ordering::Relaxed);
     }
 
-    /// Counts a request against this router's share of the limit; false if it is spent.
-    pub fn take_allowance(&self, now: Instant) -> bool {
-        self.stated.limit.lock().unwrap().take(now)
+    /// Counts a request against this router's shares; false if one is spent.
+    pub fn take_allowance(&self, terms: &ColdTerms, now: Instant) -> bool {
+        self.stated.limit.lock().unwrap().take(now) && self.take_cold_allowance(terms, now)
     }
 
     /// Whether it takes no new work, by its record or by what it said itself.
@@ -271,7 +307,8 @@
     /// Counts a request of `tokens` as in flight until the returned value is dropped.
     pub fn begin_request(self: &Arc<Server>, tokens: RequestTokens) -> InFlight {
         self.own.fetch_add(1, Ordering::Relaxed);
-        InFlight { server: Arc::clone(self), tokens }
+        self.tokens.begin(&tokens);
+        InFlight { server: Arc::clone(self), unread: tokens.unread, tokens, room: None }
     }
 
     /// Whether requests may be sent to it now, judged by connections alone.
@@ -307,22 +344,42 @@
 pub struct InFlight {
     server: Arc<Server>,
     tokens: RequestTokens,
+    /// What counts as unread of its prompt.
+    unread: u64,
+    /// Sent once it ends.
+    room: Option<RoomSignal>,
 }
 
 impl InFlight {
+    /// The same request, whose end wakes those that wait for room.
+    pub fn with_signal(mut self, room: RoomSignal) -> InFlight {
+        self.room = Some(room);
+        self
+    }
+
     /// The server that it was sent to.
     pub fn server(&self) -> &Arc<Server> {
         &self.server
     }
 
     /// Tokens of the request.
-    pub fn tokens(&self) -> RequestTokens {
-        self.tokens
+    pub fn tokens(&self) -> &RequestTokens {
+        &self.tokens
+    }
+
+    /// Counts its prompt as read, once its answer has begun.
+    pub fn end_reading(&mut self, now: Instant) {
+        self.server.tokens.end_reading(&self.tokens, now);
+        self.unread = 0;
     }
 }
 
 impl Drop for InFlight {
     fn drop(&mut self) {
         self.server.own.fetch_sub(1, Ordering::Relaxed);
+        self.server.tokens.end(&self.tokens, self.unread);
+        if let Some(room) = &self.room {
+            room.send();
+        }
     }
 }
--- a/src/servers/table.rs
+++ b/src/servers/table.rs
@@ -4,9 +4,10 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use crate::decide::{Results, combine, hash_bytes, is_failing, max_avoided};
+use crate::decide::{Results, combine, follow_paces, hash_bytes, is_failing, max_avoided};
 use crate::servers::leaving_statements::LeavingStatements;
 use crate::servers::software_history::SoftwareHistory;
+use crate::servers::table_evacuation::EvacuatedServers;
 use crate::servers::table_id::TableId;
 use crate::servers::{
     Change, Effect, Page, Position, RegisteredSoftware, RouterProcess, Server, ServerRecord,
@@ -44,6 +45,9 @@
     entries: HashMap<String, Entry>,
     /// Servers that take work. Invariant: consistent with `entries`.
     pub(super) services: HashMap<String, Arc<[Arc<Server>]>>,
+    /// Those that do not because their failure domains are evacuated. Invariant: consistent with
+    /// `entries`.
+    pub(super) evacuated: EvacuatedServers,
     /// Incarnations that said that they leave, whatever their records say.
     leaving: LeavingStatements,
     /// Software versions that served lately, of servers that are gone too.
@@ -74,9 +78,16 @@
         self.services.get(service).cloned()
     }
 
-    /// All servers that take work.
+    /// Servers that take work, and their services.
+    pub fn by_service(&self) -> impl Iterator<Item = (&str, &Arc<Server>)> {
+        let all = self.services.iter();
+        all.flat_map(|(name, servers)| servers.iter().map(|it| (name.as_str(), it)))
+    }
+
+    /// All servers that take work, or will once their failure domains are taken back.
     pub fn all(&self) -> impl Iterator<Item = &Arc<Server>> {
-        self.services.values().flat_map(|it| it.iter())
+        let evacuated = self.evacuated.by_service.values();
+        self.services.values().flat_map(|it| it.iter()).chain(evacuated.flatten())
     }
 
     /// Updates which servers are ejected, by their results. `on_change` is called for
@@ -97,6 +108,13 @@
         }
     }
 
+    /// Updates how far each server counts as slower or quicker than the others of its service.
+    pub fn follow_paces(&self, now: Instant) {
+        for servers in self.services.values() {
+            follow_paces(servers.iter().map(|it| &it.pace), now);
+        }
+    }
+
     /// The changes after `known`; all servers when those are not known, or if it is a revision
     /// of another table.
     pub fn since(&self, known: TableRevision) -> TableChanges {
@@ -254,6 +272,9 @@
         let known = known.filter(|it| it.matches(&record));
         let is_new = known.is_none();
         let server = known.unwrap_or_else(|| self.new_server(id, &record, former.as_ref(), now));
+        if former.as_ref().is_none_or(|it| record.is_newer_than(&it.record)) {
+            server.extend_cold(record.warm_up, now);
+        }
         let was_leaving = server.is_leaving();
         if record.state == ServerState::Leaving {
             server.mark_leaving();
@@ -343,13 +364,18 @@
         if had_left { Effect::Gone } else { Effect::Left }
     }
 
-    fn rebuild(&mut self) {
+    pub(super) fn rebuild(&mut self) {
         let mut services: HashMap<String, Vec<Arc<Server>>> = HashMap::new();
+        self.evacuated.by_service.clear();
         for it in self.entries.values() {
             let Some(server) = it.server.as_ref().filter(|it| !it.is_leaving()) else {
                 continue;
             };
-            services.entry(it.record.service.clone()).or_default().push(Arc::clone(server));
+            let by_service = match self.evacuated.contains(server) {
+                true => &mut self.evacuated.by_service,
+                false => &mut services,
+            };
+            by_service.entry(it.record.service.clone()).or_default().push(Arc::clone(server));
         }
         for it in services.values_mut() {
             it.sort_by_key(|it| it.hash);
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -12,9 +12,11 @@
 mod log;
 mod once;
 mod order;
+mod pace;
 mod packed;
 mod part_news;
 mod peer;
+mod server_tokens;
 mod sighting;
 mod status;
 mod stream_record;
@@ -34,14 +36,17 @@
 pub use log::{Appended, Page, Record};
 pub use once::{KeyAnswer, KeyQuery, NewKey, WireClaims};
 pub use order::{OrderRecord, OrderRequest, WireOrder};
+pub use pace::{ToldPace, pack_paces, unpack_paces};
 pub use packed::{PackError, pack_gossip, packed_len, unpack_gossip};
 pub use part_news::{WireAnsweredPart, WireBlamedPart, WireCutRun, WirePartNews, WireStoredBlame};
 pub use peer::{
-    ServerLoad, WireExchange, WireNews, WireObservation, WireOriginQuery, WireOriginReply,
-    WirePeerFailure, WirePosition, WireRouter, WireSeenSoftware, WireServer, WireServerLeaving,
-    WireServerLimit, WireServers, WireServersAddition, WireServersRequest, WireServiceSoftware,
-    WireStreamOrigin, WireStreamOrigins, pack_loads, unpack_loads,
+    ServerLoad, WireDemand, WireEvacuations, WireExchange, WireNews, WireObservation,
+    WireOriginQuery, WireOriginReply, WirePeerFailure, WirePosition, WireRankDemand, WireRouter,
+    WireSeenSoftware, WireServer, WireServerLeaving, WireServerLimit, WireServers,
+    WireServersAddition, WireServersRequest, WireServiceSoftware, WireStreamOrigin,
+    WireStreamOrigins, pack_loads, unpack_loads,
 };
+pub use server_tokens::{pack_tokens, unpack_tokens};
 pub use sighting::{Sighting, pack_sightings, unpack_sightings};
 pub use status::{WireEngine, WireRequestCount, WireStatus, WireWantedItem};
 pub use stream_record::{
--- a/src/wire/peer.rs
+++ b/src/wire/peer.rs
@@ -122,8 +122,38 @@
         /// Exchanges with other routers that failed.
         #[serde(skip_serializing_if = "Vec::is_empty")]
         pub failures: Vec<WirePeerFailure>,
+        /// Requests for services that are short of room.
+        #[serde(skip_serializing_if = "Vec::is_empty")]
+        pub demand: Vec<WireDemand>,
+        /// The sender's tokens at the backend servers at which it has requests in flight, packed
+        /// by [`pack_tokens`](crate::wire::pack_tokens).
+        #[serde(with = "serde_bytes", skip_serializing_if = "Vec::is_empty")]
+        pub tokens: Vec<u8>,
+        /// What backend servers lately reported of their pace to the sender, packed by
+        /// [`pack_paces`](crate::wire::pack_paces).
+        #[serde(with = "serde_bytes", skip_serializing_if = "Vec::is_empty")]
+        pub paces: Vec<u8>,
+        /// Evacuated failure domains; absent while none is known and none was until lately.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        pub evacuations: Option<WireEvacuations>,
     }
 
+    /// Failure domains that operators have evacuated, as of a position in their records.
+    pub struct WireEvacuations {
+        /// Names of the domains.
+        pub domains: Vec<String>,
+        /// Position of the next record.
+        pub position: WirePosition,
+    }
+
+    /// Requests of the last seconds for a service that is short of room: hash of its name, and
+    /// the requests by rank.
+    pub struct WireDemand(pub u64, pub Vec<WireRankDemand>);
+
+    /// Requests of one rank: the rank, how many asked for room, and how many of them got none,
+    /// older ones weighted less.
+    pub struct WireRankDemand(pub u8, pub f32, pub f32);
+
     /// An exchange with a process of a router that failed: hash of the router's name, when the
     /// process started, whether the connection was refused, and how long ago in milliseconds.
     pub struct WirePeerFailure(pub u64, pub u64, pub bool, pub u64);
@@ -246,5 +276,9 @@
             && self.cut_off.is_empty()
             && self.sightings.is_empty()
             && self.failures.is_empty()
+            && self.demand.is_empty()
+            && self.tokens.is_empty()
+            && self.paces.is_empty()
+            && self.evacuations.is_none()
     }
 }
