--- a/benches/intake.rs
+++ b/benches/intake.rs
@@ -7,7 +7,7 @@
 use criterion::{Criterion, criterion_group, criterion_main};
 use filberttiller::clock::SystemClock;
 use filberttiller::events::discard_logger;
-use filberttiller::intake::{Door, Intake, IntakeLimits, OpenClient};
+use filberttiller::intake::{Intake, IntakeLimits, Listener, OpenClient};
 use prometheus::Registry;
 use tokio::runtime::Builder;
 
@@ -17,7 +17,7 @@
     let intake = Intake::new(limits, clock, discard_logger(), &Registry::new()).unwrap();
     let runtime = Builder::new_current_thread().enable_time().build().unwrap();
     let address = IpAddr::from([127, 0, 0, 1]);
-    runtime.block_on(Arc::new(intake).open(Door::Callers, address)).expect("there is room")
+    runtime.block_on(Arc::new(intake).open(Listener::Callers, address)).expect("there is room")
 }
 
 fn account(criterion: &mut Criterion) {
--- a/src/decide/shortage/demand.rs
+++ b/src/decide/shortage/demand.rs
@@ -8,7 +8,7 @@
 const HALF_LIFE_S: f64 = 2.0;
 /// Count of refused requests below which a rank counts as served.
 const MIN_REFUSED: f64 = 0.05;
-/// Limit on the ranks of one service; requests of further ranks count with the last one.
+/// Limit on the ranks of one service; requests of further ranks count with the nearest one.
 const MAX_RANKS: usize = 10;
 
 plain! {
--- a/src/intake/client.rs
+++ b/src/intake/client.rs
@@ -9,7 +9,7 @@
 
 use crate::decide::{ClientPhase, ClientState};
 use crate::intake::progress::Progress;
-use crate::intake::{Door, Intake, MemoryBudget};
+use crate::intake::{Intake, Listener, MemoryBudget};
 
 /// What an open connection takes before any request.
 const CONNECTION_BYTES: usize = 24 * 1024;
@@ -18,7 +18,7 @@
 #[derive(Debug)]
 pub struct Client {
     pub(crate) intake: Arc<Intake>,
-    pub(crate) door: Door,
+    pub(crate) listener: Listener,
     address: IpAddr,
     progress: Mutex<Progress>,
     /// Bytes of bodies and answers that are reserved for it.
@@ -30,11 +30,16 @@
 
 impl Client {
     /// A client that has just connected.
-    pub(crate) fn new(intake: &Arc<Intake>, door: Door, address: IpAddr, now: Instant) -> Client {
-        intake.budget(door).add(CONNECTION_BYTES);
+    pub(crate) fn new(
+        intake: &Arc<Intake>,
+        listener: Listener,
+        address: IpAddr,
+        now: Instant,
+    ) -> Client {
+        intake.budget(listener).add(CONNECTION_BYTES);
         Client {
             intake: Arc::clone(intake),
-            door,
+            listener,
             address,
             progress: Mutex::new(Progress::new(now)),
             reserved: AtomicUsize::new(0),
@@ -157,9 +162,9 @@
         ClientState { address: self.address, phase, since, rate, held: self.held() }
     }
 
-    /// The budget for what its door brings in.
+    /// The budget for requests of its listener.
     pub(crate) fn budget(&self) -> &Arc<MemoryBudget> {
-        self.intake.budget(self.door)
+        self.intake.budget(self.listener)
     }
 
     fn progress(&self) -> MutexGuard<'_, Progress> {
--- a/src/intake/intake.rs
+++ b/src/intake/intake.rs
@@ -13,7 +13,7 @@
 use crate::clock::SharedClock;
 use crate::decide::{ClientState, Scarcity, client_to_close, is_over_share};
 use crate::events::Code;
-use crate::intake::{Client, Door, IntakeLimits, MemoryBudget, OpenClient, Reservation};
+use crate::intake::{Client, IntakeLimits, Listener, MemoryBudget, OpenClient, Reservation};
 
 /// Longest wait of a new connection for another one to close.
 const OPEN_TIME: Duration = Duration::from_millis(1_500);
@@ -26,7 +26,7 @@
 #[derive(Debug, Default)]
 struct Clients {
     all: HashMap<u64, Arc<Client>>,
-    by_door: HashMap<Door, usize>,
+    by_listener: HashMap<Listener, usize>,
     next: u64,
 }
 
@@ -77,25 +77,26 @@
         })
     }
 
-    /// The budget for what `door` brings in.
-    pub fn budget(&self, door: Door) -> &Arc<MemoryBudget> {
-        match door {
-            Door::Callers => &self.callers,
+    /// The budget for requests of `listener`.
+    pub fn budget(&self, listener: Listener) -> &Arc<MemoryBudget> {
+        match listener {
+            Listener::Callers => &self.callers,
             _ => &self.control,
         }
     }
 
     /// Counts a new connection; `None` if there is no room and no other connection can be closed
     /// for it.
-    pub async fn open(self: &Arc<Self>, door: Door, address: IpAddr) -> Option<OpenClient> {
+    pub async fn open(self: &Arc<Self>, listener: Listener, address: IpAddr) -> Option<OpenClient> {
         let until = self.clock.now() + OPEN_TIME;
         loop {
-            if let Some(open) = self.try_open(door, address) {
+            if let Some(open) = self.try_open(listener, address) {
                 return Some(open);
             }
             let now = self.clock.now();
-            let is_full = self.is_full(door);
-            let may_close = |it: &Client| it.door == door && (is_full || it.address() == address);
+            let is_full = self.is_full(listener);
+            let may_close =
+                |it: &Client| it.listener == listener && (is_full || it.address() == address);
             self.close_one(Scarcity::Connections, may_close, now);
             if now >= until {
                 self.note(Code::ConnectionRefused, "connection_refused", now);
@@ -106,27 +107,28 @@
         }
     }
 
-    /// Whether `door` has as many connections as it may have; else an address has its share.
-    fn is_full(&self, door: Door) -> bool {
+    /// Whether `listener` has as many connections as it may have; else an address has its share.
+    fn is_full(&self, listener: Listener) -> bool {
         let clients = self.clients.lock().unwrap();
-        clients.by_door.get(&door).copied().unwrap_or(0) >= self.limits.connections(door)
+        clients.by_listener.get(&listener).copied().unwrap_or(0)
+            >= self.limits.connections(listener)
     }
 
     /// Counts a new connection; `None` if there is no room for it at once.
-    pub fn try_open(self: &Arc<Self>, door: Door, address: IpAddr) -> Option<OpenClient> {
+    pub fn try_open(self: &Arc<Self>, listener: Listener, address: IpAddr) -> Option<OpenClient> {
         let mut clients = self.clients.lock().unwrap();
-        let limit = self.limits.connections(door);
-        let count = clients.by_door.get(&door).copied().unwrap_or(0);
-        let is_same = |it: &&Arc<Client>| it.door == door && it.address() == address;
+        let limit = self.limits.connections(listener);
+        let count = clients.by_listener.get(&listener).copied().unwrap_or(0);
+        let is_same = |it: &&Arc<Client>| it.listener == listener && it.address() == address;
         let is_over = |own| is_over_share(own, count, limit);
         if count >= limit || is_over(limit) && is_over(clients.all.values().filter(is_same).count())
         {
             return None;
         }
-        clients.by_door.insert(door, count + 1);
+        clients.by_listener.insert(listener, count + 1);
         let number = clients.next;
         clients.next += 1;
-        let client = Arc::new(Client::new(self, door, address, self.clock.now()));
+        let client = Arc::new(Client::new(self, listener, address, self.clock.now()));
         clients.all.insert(number, Arc::clone(&client));
         Some(OpenClient { client, number })
     }
@@ -139,7 +141,7 @@
     pub(crate) fn remove(&self, number: u64) {
         let mut clients = self.clients.lock().unwrap();
         let Some(client) = clients.all.remove(&number) else { return };
-        if let Some(count) = clients.by_door.get_mut(&client.door) {
+        if let Some(count) = clients.by_listener.get_mut(&client.listener) {
             *count -= 1;
         }
         drop(clients);
--- a/src/intake/limits.rs
+++ b/src/intake/limits.rs
@@ -2,7 +2,7 @@
 
 key! {
     /// A listening socket.
-    pub enum Door {
+    pub enum Listener {
         /// Requests of callers.
         Callers,
         /// Readiness requests of the platform.
@@ -52,14 +52,14 @@
         }
     }
 
-    /// Connections that `door` may have.
-    pub fn connections(&self, door: Door) -> usize {
-        let parts = match door {
-            Door::Callers => 16,
+    /// Connections that `listener` may have.
+    pub fn connections(&self, listener: Listener) -> usize {
+        let parts = match listener {
+            Listener::Callers => 16,
             // While a router reaches no server, the others get its requests here.
-            Door::Peers => 4,
-            Door::Entry => 2,
-            Door::Ready | Door::Metrics => 1,
+            Listener::Peers => 4,
+            Listener::Entry => 2,
+            Listener::Ready | Listener::Metrics => 1,
         };
         (self.sockets / PARTS).saturating_mul(parts).max(MIN_CONNECTIONS)
     }
--- a/src/intake/mod.rs
+++ b/src/intake/mod.rs
@@ -11,6 +11,6 @@
 
 pub use client::{Client, OpenClient};
 pub use intake::Intake;
-pub use limits::{Door, IntakeLimits};
+pub use limits::{IntakeLimits, Listener};
 pub use memory_budget::{MemoryBudget, Reservation};
 pub use read_body::{ReadError, read_body};
--- a/src/relay/active_request.rs
+++ b/src/relay/active_request.rs
@@ -125,7 +125,7 @@
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Self::Error>>> {
         let frame = ready!(Pin::new(&mut self.body).poll_frame(context));
-        // An answer that is known in full counts where it is held.
+        // The bytes of a full answer are reserved where it is read.
         if let (Some(Ok(frame)), Either::Right(_)) = (&frame, &self.body) {
             let bytes = frame.data_ref().map_or(0, Bytes::len);
             self.request.activity.client.record_queued(bytes);
--- a/src/relay/connection_context.rs
+++ b/src/relay/connection_context.rs
@@ -18,7 +18,7 @@
 
 use crate::clock::SharedClock;
 use crate::events::Code;
-use crate::intake::{Door, Intake, OpenClient};
+use crate::intake::{Intake, Listener, OpenClient};
 use crate::relay::active_request::{ActiveRequest, Activity};
 use crate::relay::connection::set_socket_options;
 use crate::relay::tracked_stream::TrackedStream;
@@ -50,7 +50,7 @@
     /// Limits the connections, and what is held for them.
     pub intake: Arc<Intake>,
     /// The listener.
-    pub door: Door,
+    pub listener: Listener,
 }
 
 /// Accepts connections until `closed` is set and serves their requests with `handle`.
@@ -74,7 +74,7 @@
         match accepted {
             Ok((stream, address)) => {
                 let (handle, idle) = (handle.clone(), idle.clone());
-                match context.intake.try_open(context.door, address.ip()) {
+                match context.intake.try_open(context.listener, address.ip()) {
                     Some(client) => {
                         tokio::spawn(serve(stream, client, context.clone(), handle, idle));
                     }
@@ -85,7 +85,7 @@
                             let context = context.clone();
                             tokio::spawn(async move {
                                 // The intake has noted why it takes no more connections.
-                                let open = context.intake.open(context.door, address).await;
+                                let open = context.intake.open(context.listener, address).await;
                                 drop(permit);
                                 if let Some(client) = open {
                                     serve(stream, client, context, handle, idle).await;
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -11,7 +11,7 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::clock::SharedClock;
-use crate::intake::{Client, Door, ReadError, read_body};
+use crate::intake::{Client, Listener, ReadError, read_body};
 use crate::relay::body::MAX_BODY_BYTES;
 use crate::relay::connection::SendError;
 use crate::relay::request_trace::RequestTrace;
@@ -167,7 +167,7 @@
         client: &Arc<Client>,
         trace: &mut RequestTrace,
     ) -> Result<(Response<Bytes>, AnswerHead, Connection, Option<InFlight>), AttemptError> {
-        let budget = client.intake.budget(Door::Callers);
+        let budget = client.intake.budget(Listener::Callers);
         let until = deadline.into_std();
         let body = read_body(self.body, client, budget, 0, MAX_BODY_BYTES, until);
         let body = timeout_at(deadline, body).await.map_err(|_| AttemptError::TimedOut)?;
--- a/src/relay/relay.rs
+++ b/src/relay/relay.rs
@@ -21,7 +21,7 @@
 };
 use crate::events::Code;
 use crate::fleet::CrashTable;
-use crate::intake::{Client, Door, ReadError, read_body};
+use crate::intake::{Client, Listener, ReadError, read_body};
 use crate::relay::attempt_loop::Answer;
 use crate::relay::body::MAX_BODY_BYTES;
 use crate::relay::brittle_services::BrittleState;
@@ -247,7 +247,7 @@
         let now = self.clock.now();
         let until = deadline.min(now + MEMORY_WAIT);
         let _sending = client.begin_body(now);
-        let budget = client.intake.budget(Door::Callers);
+        let budget = client.intake.budget(Listener::Callers);
         let body = read_body(body, client, budget, head_bytes, limit, until);
         match timeout_at(deadline.into(), body).await {
             Ok(Ok(body)) => Ok(body),
@@ -308,7 +308,7 @@
         let (parts, body) = response.into_parts();
         let Either::Right(events) = body else { return Response::from_parts(parts, body) };
         let until = self.clock.now() + MEMORY_WAIT;
-        let budget = client.intake.budget(Door::Callers);
+        let budget = client.intake.budget(Listener::Callers);
         match read_body(events, client, budget, 0, MAX_BODY_BYTES, until).await {
             Ok(body) => Response::from_parts(parts, full_body(body)),
             Err(e) => {
--- a/src/router/endpoints.rs
+++ b/src/router/endpoints.rs
@@ -14,7 +14,7 @@
 use tokio::time::timeout;
 
 use crate::events::Code;
-use crate::intake::{Client, Door, ReadError, read_body};
+use crate::intake::{Client, Listener, ReadError, read_body};
 use crate::peers::{
     EXCHANGE_PATH, Message, ORIGIN_PATH, ORIGINS_PATH, SERVERS_PATH, decode, encode, encode_with,
 };
@@ -136,7 +136,7 @@
     let client = client.expect("each connection has a client");
     let now = router.relay.clock().now();
     let _sending = client.begin_body(now);
-    let budget = client.intake.budget(Door::Peers);
+    let budget = client.intake.budget(Listener::Peers);
     let until = now + MEMORY_WAIT;
     read_body(request.into_body(), &client, budget, 0, MAX_MESSAGE_BYTES, until).await
 }
--- a/src/router/gauges.rs
+++ b/src/router/gauges.rs
@@ -6,7 +6,7 @@
 
 use crate::relay::Relay;
 
-/// What operators and cold servers keep requests from.
+/// Evacuated and cold backend servers.
 #[derive(Debug)]
 pub(crate) struct RouterGauges {
     evacuated_domains: IntGauge,
--- a/src/router/lifecycle.rs
+++ b/src/router/lifecycle.rs
@@ -12,7 +12,7 @@
 use tokio::time::sleep;
 
 use crate::events::Code;
-use crate::intake::Door;
+use crate::intake::Listener;
 use crate::relay::{Relay, Sender, serve_connections};
 use crate::router::blame_store::store_blame;
 use crate::router::exchange_loop::{exchange, find_routers};
@@ -83,8 +83,8 @@
 
 fn serve<S: Store>(router: &Arc<Router<S>>, listeners: Listeners) {
     let internal_idle = || INTERNAL_IDLE_TIMEOUT;
-    let internal = |door| {
-        let mut context = router.connection_context(door);
+    let internal = |listener| {
+        let mut context = router.connection_context(listener);
         // A drain waits only for requests of callers, and closes only their port.
         context.active_requests = Arc::default();
         context.closed = watch::Sender::new(false).subscribe();
@@ -95,14 +95,24 @@
     let handler = move |request| Arc::clone(&it).handle(request, Sender::Caller, *closed.borrow());
     let it = Arc::clone(&router.relay);
     let idle = move || caller_idle_timeout(&it);
-    let context = router.connection_context(Door::Callers);
+    let context = router.connection_context(Listener::Callers);
     tokio::spawn(serve_connections(listeners.callers, context, handler, idle));
     let it = Arc::clone(router);
     let handler = move |request| ready(endpoints::readiness(&it, &request));
-    tokio::spawn(serve_connections(listeners.ready, internal(Door::Ready), handler, internal_idle));
+    tokio::spawn(serve_connections(
+        listeners.ready,
+        internal(Listener::Ready),
+        handler,
+        internal_idle,
+    ));
     let it = Arc::clone(router);
     let handler = move |request| ready(endpoints::entry_addresses(&it, &request));
-    tokio::spawn(serve_connections(listeners.entry, internal(Door::Entry), handler, internal_idle));
+    tokio::spawn(serve_connections(
+        listeners.entry,
+        internal(Listener::Entry),
+        handler,
+        internal_idle,
+    ));
     let it = Arc::clone(router);
     let handler = move |request| {
         let it = Arc::clone(&it);
@@ -113,12 +123,17 @@
             }
         }
     };
-    tokio::spawn(serve_connections(listeners.peers, internal(Door::Peers), handler, internal_idle));
+    tokio::spawn(serve_connections(
+        listeners.peers,
+        internal(Listener::Peers),
+        handler,
+        internal_idle,
+    ));
     let it = Arc::clone(router);
     let handler = move |_| ready(endpoints::metrics(&it));
     tokio::spawn(serve_connections(
         listeners.metrics,
-        internal(Door::Metrics),
+        internal(Listener::Metrics),
         handler,
         internal_idle,
     ));
--- a/src/router/router.rs
+++ b/src/router/router.rs
@@ -15,7 +15,7 @@
 use crate::decide::{LimitSenders, Results, ServerTokens, hash_bytes};
 use crate::events::{Code, LogOnce};
 use crate::fleet::CrashReport;
-use crate::intake::{Door, Intake};
+use crate::intake::{Intake, Listener};
 use crate::peers::{
     Message, OwnReport, Peer, PeerClient, PeerLoad, PeerTable, part_news_from_wire,
     part_news_to_wire,
@@ -169,8 +169,8 @@
         })
     }
 
-    /// The context that all connections at `door` share.
-    pub fn connection_context(&self, door: Door) -> ConnectionContext {
+    /// The context that all connections at `listener` share.
+    pub fn connection_context(&self, listener: Listener) -> ConnectionContext {
         let clock = Arc::clone(self.relay.clock());
         let closed = self.closed.subscribe();
         ConnectionContext {
@@ -180,7 +180,7 @@
             forwarded_requests: Arc::clone(&self.in_flight),
             closed,
             intake: Arc::clone(&self.intake),
-            door,
+            listener,
         }
     }
 
--- a/tests/it/intake.rs
+++ b/tests/it/intake.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use filberttiller::decide::{ClientPhase, ClientState, Scarcity, client_to_close, is_over_share};
-use filberttiller::intake::{Door, IntakeLimits, MemoryBudget};
+use filberttiller::intake::{IntakeLimits, Listener, MemoryBudget};
 use rstest::rstest;
 
 const MB: usize = 1024 * 1024;
@@ -95,7 +95,8 @@
 #[test]
 fn connections_leave_descriptors() {
     let limits = IntakeLimits::of_machine(112 * MB, 2_670);
-    let doors = [Door::Callers, Door::Ready, Door::Entry, Door::Peers, Door::Metrics];
+    let doors =
+        [Listener::Callers, Listener::Ready, Listener::Entry, Listener::Peers, Listener::Metrics];
     let all: usize = doors.iter().map(|it| limits.connections(*it)).sum();
     assert!(all <= 2_670 * 3 / 4, "{all} connections");
 }
--- a/tests/it/unwritten_answers.rs
+++ b/tests/it/unwritten_answers.rs
@@ -10,7 +10,7 @@
 use bytes::Bytes;
 use filberttiller::clock::{SharedClock, SystemClock};
 use filberttiller::events::discard_logger;
-use filberttiller::intake::{Door, Intake, IntakeLimits};
+use filberttiller::intake::{Intake, IntakeLimits, Listener};
 use filberttiller::relay::{ConnectionContext, full_body, serve_connections};
 use hyper::Response;
 use prometheus::Registry;
@@ -42,7 +42,7 @@
         forwarded_requests: Arc::clone(&active),
         closed: closed.subscribe(),
         intake: Arc::new(intake),
-        door: Door::Callers,
+        listener: Listener::Callers,
     };
     let body = Bytes::from(vec![b'x'; ANSWER_BYTES]);
     let handler = move |_| ready(Response::new(full_body(body.clone())));
