--- /dev/null
+++ b/review/standin-2/main.rs
@@ -0,0 +1,69 @@
+//! Stand-ins and clients of the second review. `standin-2 CASE RECORD` runs a case.
+//!
+//! Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+
+mod client;
+mod config;
+mod half_heads;
+mod http;
+mod reader_leaves;
+mod record;
+mod router;
+mod slow_reader;
+mod store;
+mod system;
+mod worker;
+
+use std::path::{Path, PathBuf};
+use std::process::exit;
+use std::sync::Mutex;
+
+use record::Record;
+
+/// Folders to remove at the end.
+static FOLDERS: Mutex<Vec<PathBuf>> = Mutex::new(Vec::new());
+
+/// Ends the case, as it could not run.
+pub fn unable(reason: &str) -> ! {
+    eprintln!("the case could not run: {reason}");
+    exit(2)
+}
+
+/// Whether the disruption takes place.
+pub fn is_disrupted() -> bool {
+    std::env::var("TROUBLE").map_or(true, |it| it != "0")
+}
+
+/// A number that a trial of the case sets, or `default`.
+pub fn number(name: &str, default: u64) -> u64 {
+    std::env::var(name).ok().and_then(|it| it.parse().ok()).unwrap_or(default)
+}
+
+/// A folder for the files of this run.
+pub fn folder() -> PathBuf {
+    let path = std::env::temp_dir().join(format!("review-2-{}", std::process::id()));
+    std::fs::create_dir_all(&path).unwrap_or_else(|e| unable(&format!("a folder: {e}")));
+    FOLDERS.lock().unwrap().push(path.clone());
+    path
+}
+
+fn main() {
+    let words: Vec<String> = std::env::args().collect();
+    let [_, case, path] = words.as_slice() else { unable("usage: standin-2 CASE RECORD") };
+    let record = Record::new(Path::new(path));
+    record.say(if is_disrupted() { "with the disruption" } else { "without the disruption" });
+    let is_broken = match case.as_str() {
+        "reader-leaves" => reader_leaves::run(&record),
+        "half-heads" => half_heads::run(&record),
+        "slow-reader" => slow_reader::run(&record),
+        _ => unable("no such case"),
+    };
+    record.say(if is_broken { "the rule was broken" } else { "the rule held" });
+    record.flush();
+    if std::env::var("KEEP").is_err() {
+        for it in FOLDERS.lock().unwrap().iter() {
+            let _ = std::fs::remove_dir_all(it);
+        }
+    }
+    exit(i32::from(is_broken))
+}
