review, case 8: a crowd that stops half-way in its heads takes a process over its memory

Shown: Fault (memory over the limit). Each connection may hold 64 KB of an incomplete head, four times the operator's limit, and nothing closes connections while only such bytes are counted. Case 7 now reads steadily instead of pausing once.

--- a/review/standin-2/router.rs
+++ b/review/standin-2/router.rs
@@ -102,9 +102,18 @@
 
     /// Resident memory in bytes, from the kernel's page on the process.
     pub fn memory(&self) -> u64 {
+        self.status_bytes("VmRSS:")
+    }
+
+    /// The most that the resident memory ever was.
+    pub fn peak_memory(&self) -> u64 {
+        self.status_bytes("VmHWM:")
+    }
+
+    fn status_bytes(&self, name: &str) -> u64 {
         let text = fs::read_to_string(format!("/proc/{}/status", self.child.id()));
         let text = text.unwrap_or_default();
-        let line = text.lines().find(|it| it.starts_with("VmRSS:"));
+        let line = text.lines().find(|it| it.starts_with(name));
         let kb = line.and_then(|it| it.split_whitespace().nth(1)?.parse::<u64>().ok());
         kb.unwrap_or(0) * 1024
     }
--- a/review/standin-2/slow_reader.rs
+++ b/review/standin-2/slow_reader.rs
@@ -19,8 +19,8 @@
 const CLIENTS: usize = 8;
 /// The client waits so long for the whole answer, `Deadline-Ms`.
 const DEADLINE_MS: u64 = 10_000;
-/// Bytes that a client reads before it pauses.
-const FIRST_BYTES: usize = 2_000;
+/// Bytes that a client reads at a time.
+const PIECE_BYTES: usize = 1_000;
 
 pub fn run(record: &Record) -> bool {
     let folder = folder();
@@ -97,11 +97,10 @@
 impl SlowReader {
     /// Reads an answer until its body of `size` bytes is complete.
     fn read_all(&mut self, size: usize) -> io::Result<()> {
-        let pause = Duration::from_millis(if is_disrupted() { number("PAUSE", 2_800) } else { 0 });
+        let pause = Duration::from_millis(if is_disrupted() { number("PAUSE", 500) } else { 0 });
         let mut bytes = Vec::new();
-        let mut has_paused = false;
         loop {
-            let mut piece = [0; 1_000];
+            let mut piece = [0; PIECE_BYTES];
             let count = self.connection.stream.read(&mut piece)?;
             if count == 0 {
                 return Err(io::Error::other("closed before its end"));
@@ -112,10 +111,7 @@
             if head.is_some_and(|at| bytes.len() - at - 4 >= size) {
                 return Ok(());
             }
-            if self.read >= FIRST_BYTES && !has_paused {
-                thread::sleep(pause);
-                has_paused = true;
-            }
+            thread::sleep(pause);
         }
     }
 }
