review, case 6: streams go on at another software version after a restored store and a kill of all routers

All routers are killed while the platform's store is away, and the store comes back from a copy that is older than a software version of the workers. The new processes find no registration of that version, take the other one for the only one that can have begun a stream, and continue at it what the client takes up.

--- a/review/standin-2/half_heads.rs
+++ b/review/standin-2/half_heads.rs
@@ -25,7 +25,7 @@
 pub fn run(record: &Record) -> bool {
     let folder = folder();
     let store = Store::new(record);
-    let worker = Worker::start("i-1", "app", |worker, request, connection| {
+    let worker = Worker::start("i-1", "app", "v1", |worker, request, connection| {
         connection.send(&worker.reply(request, b"{}")).is_ok()
     });
     keep_beating(&[worker], &store);
--- a/review/standin-2/reader_leaves.rs
+++ b/review/standin-2/reader_leaves.rs
@@ -31,7 +31,7 @@
     let store = Store::new(record);
     let workers: Vec<Arc<Worker>> = (0..WORKERS)
         .map(|it| {
-            Worker::start(&format!("i-{it}"), "app", |worker, request, connection| {
+            Worker::start(&format!("i-{it}"), "app", "v1", |worker, request, connection| {
                 thread::sleep(Duration::from_millis(2));
                 connection.send(&worker.reply(request, b"{}")).is_ok()
             })
--- a/review/standin-2/slow_reader.rs
+++ b/review/standin-2/slow_reader.rs
@@ -28,7 +28,7 @@
     let size = number("SIZE", 12_000) as usize;
     let workers: Vec<_> = ["i-1", "i-2"]
         .map(|id| {
-            Worker::start(id, "app", move |worker, request, connection| {
+            Worker::start(id, "app", "v1", move |worker, request, connection| {
                 let size = if request.word(1).ends_with("list") { size } else { 800 };
                 connection.send(&worker.reply(request, &vec![b'x'; size])).is_ok()
             })
--- a/review/standin-2/store.rs
+++ b/review/standin-2/store.rs
@@ -4,7 +4,7 @@
 
 use std::collections::{BTreeMap, HashMap};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicU8, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU8, AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -30,8 +30,15 @@
     Silent = 3,
 }
 
+/// A copy of all that the store holds.
+pub struct Copy(HashMap<String, Topic>);
+
 struct Shared {
     topics: Mutex<HashMap<String, Topic>>,
+    /// How often the store came back from a copy, and 1.
+    era: AtomicU64,
+    /// The store is away: nobody reaches it.
+    is_away: AtomicBool,
     written: Condvar,
     record: Record,
 }
@@ -64,10 +71,41 @@
 impl Store {
     pub fn new(record: &Record) -> Store {
         let record = record.clone();
-        let shared = Shared { topics: Mutex::default(), written: Condvar::new(), record };
+        let shared = Shared {
+            topics: Mutex::default(),
+            era: AtomicU64::new(1),
+            is_away: AtomicBool::new(false),
+            written: Condvar::new(),
+            record,
+        };
         Store { shared: Arc::new(shared) }
     }
 
+    /// Makes a copy.
+    pub fn copy(&self) -> Copy {
+        self.shared.record.line("store: a copy is made");
+        Copy(self.shared.topics.lock().unwrap().clone())
+    }
+
+    /// The store goes away.
+    pub fn go_away(&self) {
+        self.shared.record.line("store: goes away");
+        self.shared.is_away.store(true, Ordering::SeqCst);
+    }
+
+    /// The store comes back from a copy.
+    pub fn come_back(&self, copy: Copy) {
+        *self.shared.topics.lock().unwrap() = copy.0;
+        self.shared.era.fetch_add(1, Ordering::SeqCst);
+        self.shared.is_away.store(false, Ordering::SeqCst);
+        self.shared.written.notify_all();
+        self.shared.record.line("store: is back from the copy");
+    }
+
+    fn is_away(&self) -> bool {
+        self.shared.is_away.load(Ordering::SeqCst)
+    }
+
     /// Opens an address for one machine.
     pub fn view(&self) -> Arc<View> {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
@@ -91,6 +129,9 @@
         let mut record = vec![key.len() as u8];
         record.extend_from_slice(key.as_bytes());
         record.extend_from_slice(value);
+        while self.is_away() {
+            thread::sleep(Duration::from_millis(20));
+        }
         let mut topics = self.shared.topics.lock().unwrap();
         append(topics.entry(topic.to_owned()).or_default(), record);
         let at = Instant::now();
@@ -119,13 +160,18 @@
                 view.calls.lock().unwrap().push((Instant::now(), request.start.clone()));
             }
             let start = format!("HTTP/1.1 {status}");
-            if connection.send(&encode(&start, &[("store-era", "1")], &body)).is_err() {
+            let era = self.shared.era.load(Ordering::SeqCst).to_string();
+            if connection.send(&encode(&start, &[("store-era", era.as_str())], &body)).is_err() {
                 return;
             }
         }
     }
 
     fn may_answer(&self, connection: &mut Connection, view: &View) -> bool {
+        if self.is_away() {
+            crate::system::reset(&connection.stream);
+            return false;
+        }
         match view.access.load(Ordering::SeqCst) {
             2 => {
                 crate::system::reset(&connection.stream);
--- a/review/standin-2/worker.rs
+++ b/review/standin-2/worker.rs
@@ -33,6 +33,7 @@
     pub fn start(
         id: &str,
         service: &str,
+        version: &str,
         answer: impl Fn(&Worker, &Message, &mut Connection) -> bool + Send + Sync + 'static,
     ) -> Arc<Worker> {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
@@ -41,7 +42,7 @@
             id: id.to_owned(),
             address: listener.local_addr().expect("an address"),
             service: service.to_owned(),
-            version: "v1".to_owned(),
+            version: version.to_owned(),
             born: born.as_millis() as u64,
             runs: Mutex::default(),
             beats: Mutex::new(Some(0)),
