--- a/review/standin-2/config.rs
+++ b/review/standin-2/config.rs
@@ -40,3 +40,9 @@
     )
     .into_bytes()
 }
+
+/// The configuration without the keys of its tenant.
+pub fn without_keys(config: Vec<u8>) -> Vec<u8> {
+    let text = String::from_utf8(config).expect("a configuration is text");
+    text.replace(&format!("\"{KEY}\""), "").into_bytes()
+}
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -9,6 +9,7 @@
 mod reader_leaves;
 mod record;
 mod router;
+mod restored_key;
 mod restored_versions;
 mod slow_reader;
 mod store;
@@ -56,6 +57,7 @@
     let is_broken = match case.as_str() {
         "reader-leaves" => reader_leaves::run(&record),
         "half-heads" => half_heads::run(&record),
+        "restored-key" => restored_key::run(&record),
         "restored-versions" => restored_versions::run(&record),
         "slow-reader" => slow_reader::run(&record),
         _ => unable("no such case"),
