--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,5 @@
 set -e
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-rustc --edition 2024 -O -C strip=none -o target/review-2/standin-2 review/standin-2/main.rs
+rustc --edition 2024 -O -C strip=none -o target/review-2/standin-2.new review/standin-2/main.rs
+mv target/review-2/standin-2.new target/review-2/standin-2
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -8,9 +8,9 @@
 mod http;
 mod reader_leaves;
 mod record;
-mod router;
 mod restored_key;
 mod restored_versions;
+mod router;
 mod slow_reader;
 mod store;
 mod system;
@@ -18,17 +18,49 @@
 
 use std::path::{Path, PathBuf};
 use std::process::exit;
-use std::sync::Mutex;
+use std::sync::{Mutex, OnceLock};
 
 use record::Record;
 
 /// Folders to remove at the end.
 static FOLDERS: Mutex<Vec<PathBuf>> = Mutex::new(Vec::new());
+/// Processes that were started.
+static PROCESSES: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+static RECORD: OnceLock<Record> = OnceLock::new();
 
 /// Ends the case, as it could not run.
 pub fn unable(reason: &str) -> ! {
+    if let Some(record) = RECORD.get() {
+        record.line(&format!("the case could not run: {reason}"));
+    }
     eprintln!("the case could not run: {reason}");
-    exit(2)
+    end(2)
+}
+
+/// Notes a process that is to end with this one.
+pub fn note_process(process: u32) {
+    PROCESSES.lock().unwrap().push(process);
+}
+
+/// Notes that a process has ended, so that its id may stand for another one.
+pub fn forget_process(process: u32) {
+    PROCESSES.lock().unwrap().retain(|it| *it != process);
+}
+
+/// Ends all processes that were started, and this one.
+fn end(code: i32) -> ! {
+    for it in PROCESSES.lock().unwrap().iter() {
+        system::signal(*it, system::SIGKILL);
+    }
+    if let Some(record) = RECORD.get() {
+        record.flush();
+    }
+    if std::env::var("KEEP").is_err() {
+        for it in FOLDERS.lock().unwrap().iter() {
+            let _ = std::fs::remove_dir_all(it);
+        }
+    }
+    exit(code)
 }
 
 /// Whether the disruption takes place.
@@ -53,21 +85,19 @@
     let words: Vec<String> = std::env::args().collect();
     let [_, case, path] = words.as_slice() else { unable("usage: standin-2 CASE RECORD") };
     let record = Record::new(Path::new(path));
+    let record = RECORD.get_or_init(|| record);
     record.say(if is_disrupted() { "with the disruption" } else { "without the disruption" });
-    let is_broken = match case.as_str() {
-        "reader-leaves" => reader_leaves::run(&record),
-        "half-heads" => half_heads::run(&record),
-        "restored-key" => restored_key::run(&record),
-        "restored-versions" => restored_versions::run(&record),
-        "slow-reader" => slow_reader::run(&record),
+    let run: fn(&Record) -> bool = match case.as_str() {
+        "restored-versions" => restored_versions::run,
+        "slow-reader" => slow_reader::run,
+        "restored-key" => restored_key::run,
+        "reader-leaves" => reader_leaves::run,
+        "half-heads" => half_heads::run,
         _ => unable("no such case"),
     };
+    let Ok(is_broken) = std::panic::catch_unwind(|| run(record)) else {
+        unable("a part of the stand-in failed");
+    };
     record.say(if is_broken { "the rule was broken" } else { "the rule held" });
-    record.flush();
-    if std::env::var("KEEP").is_err() {
-        for it in FOLDERS.lock().unwrap().iter() {
-            let _ = std::fs::remove_dir_all(it);
-        }
-    }
-    exit(i32::from(is_broken))
+    end(i32::from(is_broken))
 }
--- a/review/standin-2/reader_leaves.rs
+++ b/review/standin-2/reader_leaves.rs
@@ -135,11 +135,17 @@
             let is_late = after > DRAIN && is_in_touch;
             late += usize::from(is_late);
             if after > DRAIN {
-                record.line_at(run.at, &format!(
-                    "{}: runs {} from front-{} {:.3} s after its entry was removed{}",
-                    worker.id, run.id, router + 1, after.as_secs_f64(),
-                    if is_late { "" } else { " (not in touch)" }
-                ));
+                record.line_at(
+                    run.at,
+                    &format!(
+                        "{}: runs {} from front-{} {:.3} s after its entry was removed{}",
+                        worker.id,
+                        run.id,
+                        router + 1,
+                        after.as_secs_f64(),
+                        if is_late { "" } else { " (not in touch)" }
+                    ),
+                );
             }
         }
         let last = worker.runs.lock().unwrap().iter().map(|it| it.at).max();
--- a/review/standin-2/restored_key.rs
+++ b/review/standin-2/restored_key.rs
@@ -85,7 +85,8 @@
             let request = encode_request("GET", "/read/stock", &id, 2_000, b"");
             let answer = send(router.callers, &request, Duration::from_secs(2));
             let text = answer.map_or_else(|e| e.to_string(), |it| it.status().to_string());
-            record.line_at(at, &format!("client: {id} with the key to front-{}: {text}", place + 1));
+            record
+                .line_at(at, &format!("client: {id} with the key to front-{}: {text}", place + 1));
             sent.insert(id, (place, at));
         }
         thread::sleep(PAUSE);
@@ -105,11 +106,17 @@
         let Some((place, at)) = sent.get(&run.id) else { continue };
         let after = at.saturating_duration_since(revoked);
         late += usize::from(after > REVOKE);
-        record.line_at(run.at, &format!(
-            "worker: runs {} of front-{}, sent {:.3} s after its key was taken away",
-            run.id, place + 1, after.as_secs_f64()
-        ));
+        record.line_at(
+            run.at,
+            &format!(
+                "worker: runs {} of front-{}, sent {:.3} s after its key was taken away",
+                run.id,
+                place + 1,
+                after.as_secs_f64()
+            ),
+        );
     }
-    record.say(&format!("requests that ran with a key that was taken away over 5 s before: {late}"));
+    record
+        .say(&format!("requests that ran with a key that was taken away over 5 s before: {late}"));
     late > 0
 }
--- a/review/standin-2/restored_versions.rs
+++ b/review/standin-2/restored_versions.rs
@@ -7,7 +7,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use crate::client::{KEY, HOST, connect, new_id};
+use crate::client::{HOST, KEY, connect, new_id};
 use crate::config::{Route, encode_config};
 use crate::http::{Connection, Message, encode};
 use crate::record::Record;
@@ -69,7 +69,8 @@
     routers.iter().for_each(|it| it.signal(system::SIGKILL));
     thread::sleep(AWAY);
     if is_disrupted() {
-        record.say("the store comes back from the copy; the operator writes its configuration again");
+        record
+            .say("the store comes back from the copy; the operator writes its configuration again");
         store.come_back(copy);
         store.put("keyed.op", "config", &config);
     }
@@ -156,7 +157,8 @@
         if !self.events.is_empty() {
             headers.extend([("Last-Event-Id", last.as_str()), ("Resumes", first.as_str())]);
         }
-        self.record.line(&format!("client {}: {id} sent, after event {last} of {first}", self.number));
+        self.record
+            .line(&format!("client {}: {id} sent, after event {last} of {first}", self.number));
         connection.send(&encode("POST /ask/rank HTTP/1.1", &headers, b"{}"))?;
         let head = connection.head()?.ok_or(io::ErrorKind::UnexpectedEof)?;
         if head.status() != 200 {
@@ -185,11 +187,7 @@
         let changes = events.windows(2).filter(|it| it[0] != it[1]).count();
         mixed += usize::from(changes > 0);
         let of = |version: &str| events.iter().filter(|it| *it == version).count();
-        record.line(&format!(
-            "stream {number}: {} events of v1 and {} of v2",
-            of("v1"),
-            of("v2")
-        ));
+        record.line(&format!("stream {number}: {} events of v1 and {} of v2", of("v1"), of("v2")));
     }
     let complete = streams.iter().filter(|it| it.len() == EVENTS).count();
     record.say(&format!("complete streams: {complete} of {}", streams.len()));
--- a/review/standin-2/router.rs
+++ b/review/standin-2/router.rs
@@ -5,8 +5,8 @@
 use std::fs::{self, File};
 use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
-use std::sync::atomic::{AtomicU16, Ordering};
 use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -92,6 +92,7 @@
     /// Starts the process again, after its end.
     pub fn restart(&mut self) {
         let _ = self.child.wait();
+        crate::forget_process(self.child.id());
         self.child = spawn(&self.settings, &self.log);
     }
 
@@ -144,6 +145,7 @@
         self.signal(system::SIGCONT);
         let _ = self.child.kill();
         let _ = self.child.wait();
+        crate::forget_process(self.child.id());
     }
 }
 
@@ -154,5 +156,8 @@
     };
     let mut command = Command::new(PROGRAM);
     let command = command.arg(settings).stdin(Stdio::null()).stdout(file()).stderr(file());
-    command.spawn().unwrap_or_else(|e| crate::unable(&format!("{PROGRAM}: {e}")))
+    let child = command.spawn();
+    let child = child.unwrap_or_else(|e| crate::unable(&format!("{PROGRAM}: {e}")));
+    crate::note_process(child.id());
+    child
 }
