streams: no version is ruled out by what a restored store lacks

Cause: "no process registered the other version" was concluded from a store that had lost the registration; a new process had seen no other era. A router that lived on forgot all registrations at the change of the era.

Why this works: a registration names the era in which it was written. A router that followed the store before and saw one version alone still concludes that from what it saw itself. No record and no call is added.

--- a/src/router/origin_search.rs
+++ b/src/router/origin_search.rs
@@ -47,7 +47,7 @@
 /// have begun it.
 async fn find_origin<S: Store>(router: &Router<S>, stream: u64, service: &str) -> FoundOrigin {
     let refresh = pin!(refresh(router));
-    let is_current = match is_mixed(router, service) {
+    let is_current = match needs_others(router, service) {
         true => {
             let ask = pin!(ask(router, stream, service));
             match select(ask, refresh).await {
@@ -65,15 +65,16 @@
     }
     // The store named who may have begun it: these are asked, the others need not be.
     let mut asked = Asked::default();
-    if !is_current || is_mixed(router, service) {
+    if !is_current || needs_others(router, service) {
         asked = ask(router, stream, service).await;
     }
     if let Some(software) = asked.software {
         return FoundOrigin::Known(software);
     }
     let servers = router.relay.servers.lock().unwrap();
+    let is_complete = servers.knows_all_software(service, router.relay.clock().now());
     match *servers.possible_software(service, &asked.processes) {
-        [software] if is_current => FoundOrigin::Only(software),
+        [software] if is_current && is_complete => FoundOrigin::Only(software),
         _ => FoundOrigin::Unknown,
     }
 }
@@ -83,8 +84,11 @@
     timeout(STORE_TIMEOUT, router.stream_records.refresh()).await.unwrap_or(false)
 }
 
-fn is_mixed<S: Store>(router: &Router<S>, service: &str) -> bool {
-    router.relay.servers.lock().unwrap().software(service) == ServiceSoftware::Several
+/// Whether several versions may have begun a stream of `service`, so that others have to be asked.
+fn needs_others<S: Store>(router: &Router<S>, service: &str) -> bool {
+    let servers = router.relay.servers.lock().unwrap();
+    let is_mixed = servers.software(service) == ServiceSoftware::Several;
+    is_mixed || !servers.knows_all_software(service, router.relay.clock().now())
 }
 
 /// What other routers replied to a question about a stream.
--- a/src/router/origins.rs
+++ b/src/router/origins.rs
@@ -23,11 +23,12 @@
 const MAX_ROWS: usize = 1_000;
 
 /// Tells other routers of streams that began, for ever, while several software versions serve
-/// in a service. Each stream is told to the first routers in its rendezvous order.
+/// in a service or a restored store may not say so. Each stream is told to the first routers in
+/// its rendezvous order.
 pub(crate) async fn tell_origins<S: Store>(router: Arc<Router<S>>) {
     loop {
         sleep(TELL_INTERVAL).await;
-        let services = mixed_services(&router);
+        let services = told_services(&router);
         if services.is_empty() || !has_peers(&router) {
             continue;
         }
@@ -38,6 +39,13 @@
     }
 }
 
+/// Hashes of the names of the services whose streams other routers are told of.
+fn told_services<S: Store>(router: &Router<S>) -> SmallVec<[u64; 4]> {
+    let now = router.relay.clock().now();
+    let servers = router.relay.servers.lock().unwrap();
+    servers.told_services(now).map(|it| hash_bytes(it.as_bytes())).collect()
+}
+
 /// Hashes of the names of the services with several software versions.
 pub(crate) fn mixed_services<S: Store>(router: &Router<S>) -> SmallVec<[u64; 4]> {
     let servers = router.relay.servers.lock().unwrap();
--- a/src/router/router.rs
+++ b/src/router/router.rs
@@ -304,12 +304,21 @@
             warn!(self.logger, "{}", code.text(); "event" => code.number(),
                 "former" => format!("{former:?}"), "era" => format!("{era:?}"));
             self.stored_blame.lock().unwrap().clear();
-            self.relay.servers.lock().unwrap().clear_registered();
+            self.note_restoration(era);
             self.relay.origins.lock().unwrap().record_all_unwritten();
             self.restored.notify_one();
         }
     }
 
+    /// Notes that the store was restored from a copy, which began the state `era`.
+    fn note_restoration(&self, era: StoreEra) {
+        if let StoreEra::Number(era) = era {
+            let now = self.relay.clock().now();
+            let is_follower = self.stream_records.position().is_some();
+            self.relay.servers.lock().unwrap().note_restoration(era, now, is_follower);
+        }
+    }
+
     /// This process.
     pub(crate) fn process(&self) -> RouterProcess {
         let peers = self.peers.lock().unwrap();
--- a/src/router/stream_records.rs
+++ b/src/router/stream_records.rs
@@ -11,7 +11,7 @@
 use crate::router::cursor::Cursor;
 use crate::router::origins::{from_wire, merge_origins};
 use crate::router::{Router, Store, StoreError};
-use crate::servers::{Change, HISTORY_TIME, Position, Registration, RouterProcess};
+use crate::servers::{Change, HISTORY_TIME, Position, Registration, RouterProcess, StoreEra};
 use crate::wire::{WireRegisteredSoftware, WireStartedStreams, WireStreamRecord};
 
 /// Prefix of the keys of software versions.
@@ -185,7 +185,9 @@
     let now = router.relay.clock().now();
     for Change { key, value } in changes {
         match value {
-            Some(Ok(WireStreamRecord::Software(it))) => merge_software(router, key, it, now),
+            Some(Ok(WireStreamRecord::Software(it))) => {
+                merge_software(router, key, it, next.era, now);
+            }
             Some(Ok(WireStreamRecord::Streams(it))) => merge_streams(router, key, it, now),
             Some(Err(e)) => warn!(router.logger, "{}", Code::StreamRecordUnreadable.text();
                 "event" => Code::StreamRecordUnreadable.number(), "key" => key, "error" => e),
@@ -225,16 +227,37 @@
     }
 }
 
+/// The time of a restoration that was noticed `at_ms` milliseconds after 1970.
+fn noticed<S: Store>(router: &Router<S>, at_ms: u64, now: Instant) -> Instant {
+    let at = UNIX_EPOCH.checked_add(Duration::from_millis(at_ms));
+    let age = at.and_then(|it| router.relay.clock().wall().duration_since(it).ok());
+    now.checked_sub(age.unwrap_or_default()).unwrap_or(now)
+}
+
 fn merge_software<S: Store>(
     router: &Router<S>,
     key: String,
     record: WireRegisteredSoftware,
+    era: StoreEra,
     now: Instant,
 ) {
-    let registration = Registration::from(record.process);
+    let WireRegisteredSoftware { service, software, process, era: written, restored_ms } = record;
+    let registration = Registration::from(process);
     {
         let mut servers = router.relay.servers.lock().unwrap();
-        servers.register_software(&record.service, record.software, registration, now);
+        match (written, era) {
+            // The store was restored since, and may lack what was written after it.
+            (Some(written), StoreEra::Number(era)) if written < era => {
+                servers.learn_restoration(era, now);
+                servers.register_former_software(&service, software, registration, now);
+            }
+            _ => {
+                servers.register_software(&service, software, registration, now);
+                if let Some((era, at_ms)) = written.zip(restored_ms) {
+                    servers.learn_restoration(era, noticed(router, at_ms, now));
+                }
+            }
+        }
     }
     let own = router.process();
     let Registration::Process(process) = registration else {
--- a/src/router/stream_writer.rs
+++ b/src/router/stream_writer.rs
@@ -12,7 +12,7 @@
 use crate::router::origins::{mixed_services, to_wire};
 use crate::router::stream_records::{WrittenRecord, software_key, streams_key};
 use crate::router::{Router, Store, StoreError, StreamRecord};
-use crate::servers::{DueRegistration, RegisteredSoftware, Registration};
+use crate::servers::{DueRegistration, RegisteredSoftware, Registration, StoreEra};
 use crate::wire::{WireRegisteredSoftware, WireStartedStreams, WireStreamRecord};
 
 /// Shortest pause between two writes.
@@ -68,7 +68,9 @@
         self.written.extend(router.stream_records.take_leftovers());
         let is_write_due = !software.is_empty() || !origins.is_empty();
         let removed = self.take_expired(is_write_due, now);
-        let mut records: Vec<StreamRecord> = software.iter().map(software_record).collect();
+        let stamp = EraStamp::new(router, now);
+        let mut records: Vec<StreamRecord> =
+            software.iter().map(|it| software_record(it, stamp)).collect();
         records.extend(removed.iter().map(|it| removal(it.key.clone())));
         if !origins.is_empty() {
             records.push(self.streams_record(router, &origins, now));
@@ -79,7 +81,9 @@
         match router.store.put_stream_records(&records, None).await {
             Ok(era) => {
                 router.note_era(era);
-                register(router, &software, now);
+                if stamp.is_of(era) {
+                    register(router, &software, now);
+                }
                 Ok(())
             }
             Err(e) => {
@@ -165,11 +169,44 @@
     }
 }
 
-fn software_record(due: &DueRegistration) -> StreamRecord {
+/// The state of the store in which a registration is written.
+#[derive(Debug, Clone, Copy)]
+struct EraStamp {
+    /// Its number, if the store names one.
+    era: Option<u64>,
+    /// When it was noticed that it follows a restoration, in milliseconds since 1970.
+    restored_ms: Option<u64>,
+}
+
+impl EraStamp {
+    /// The state that `router` knows of at `now`.
+    fn new<S: Store>(router: &Router<S>, now: Instant) -> EraStamp {
+        let StoreEra::Number(era) = *router.store_era.lock().unwrap() else {
+            return EraStamp { era: None, restored_ms: None };
+        };
+        let restored = router.relay.servers.lock().unwrap().restored_at(era);
+        let wall = router.relay.clock().wall().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let ms = |at| wall.saturating_sub(now.saturating_duration_since(at)).as_millis() as u64;
+        EraStamp { era: Some(era), restored_ms: restored.map(ms) }
+    }
+
+    /// Whether what bears it was written to the store while that was in the state `era`. If not,
+    /// the store was restored right before, and the registration has to be written again.
+    fn is_of(self, era: StoreEra) -> bool {
+        match era {
+            StoreEra::Number(era) => self.era.is_none_or(|it| it == era),
+            StoreEra::Unnamed | StoreEra::Unreadable => true,
+        }
+    }
+}
+
+fn software_record(due: &DueRegistration, stamp: EraStamp) -> StreamRecord {
     let record = WireRegisteredSoftware {
         service: due.service.clone(),
         software: due.software,
         process: due.registration.into(),
+        era: stamp.era,
+        restored_ms: stamp.restored_ms,
     };
     let software = RegisteredSoftware::key(&due.service, due.software);
     StreamRecord {
@@ -209,17 +246,25 @@
     }
     let ((outdated, unshared), at) = (due(), router.stream_records.position());
     let removed = outdated.iter().map(|(key, it)| removal(software_key(*key, *it)));
-    let records: Vec<StreamRecord> = unshared.iter().map(software_record).chain(removed).collect();
+    let now = router.relay.clock().now();
+    let stamp = EraStamp::new(router, now);
+    let shared = unshared.iter().map(|it| software_record(it, stamp));
+    let records: Vec<StreamRecord> = shared.chain(removed).collect();
     if records.is_empty() {
         return Ok(());
     }
     match router.store.put_stream_records(&records, at).await {
-        Ok(era) => router.note_era(era),
+        Ok(era) => {
+            router.note_era(era);
+            if !stamp.is_of(era) {
+                return Ok(());
+            }
+        }
         // Something was written meanwhile, which may be a version that is back.
         Err(StoreError::Refused(PRECONDITION_FAILED)) => return Ok(()),
         Err(e) => return Err(e),
     }
-    register(router, &unshared, router.relay.clock().now());
+    register(router, &unshared, now);
     let mut servers = router.relay.servers.lock().unwrap();
     outdated.iter().for_each(|(key, it)| servers.unregister_software(*key, *it));
     Ok(())
--- a/src/servers/mod.rs
+++ b/src/servers/mod.rs
@@ -10,6 +10,7 @@
 mod list_cursor;
 mod record;
 mod registered_software;
+mod restoration;
 mod result_window;
 mod room_waiters;
 mod server;
--- a/src/servers/registered_software.rs
+++ b/src/servers/registered_software.rs
@@ -50,6 +50,9 @@
     /// Versions in `shared` at which no stream begins until they are registered anew.
     unconfirmed: HashSet<u64>,
     processes: HashMap<u64, SmallVec<[RouterProcess; 4]>>,
+    /// Registrations in `processes` that the store may have lost: streams may have begun there, and
+    /// none begins until the process has registered anew.
+    lost: HashSet<(u64, RouterProcess)>,
 }
 
 impl RegisteredSoftware {
@@ -68,7 +71,7 @@
                 if is_new {
                     processes.push(process);
                 }
-                is_new
+                is_new | self.lost.remove(&(key, process))
             }
         }
     }
@@ -84,6 +87,7 @@
                 if let Some(processes) = self.processes.get_mut(&key) {
                     processes.retain(|it| *it != process);
                 }
+                self.lost.remove(&(key, process));
             }
         }
     }
@@ -97,9 +101,28 @@
         }
     }
 
-    /// Forgets all, as the store may have lost them.
-    pub fn clear(&mut self) {
-        *self = RegisteredSoftware::default();
+    /// Notes that the store may have lost this registration: it tells where streams may have begun,
+    /// and allows none to begin.
+    pub fn insert_lost(&mut self, key: u64, registration: Registration) {
+        self.insert(key, registration);
+        match registration {
+            Registration::Shared => drop(self.unconfirmed.insert(key)),
+            Registration::Process(process) => drop(self.lost.insert((key, process))),
+        }
+    }
+
+    /// Notes that the store may have lost all registrations.
+    pub fn mark_lost(&mut self) {
+        self.unconfirmed = self.shared.clone();
+        let all = self.processes.iter();
+        self.lost = all.flat_map(|(key, all)| all.iter().map(|it| (*key, *it))).collect();
+    }
+
+    /// Forgets the registrations of processes that the store may have lost.
+    pub fn forget_lost(&mut self) {
+        for (key, process) in std::mem::take(&mut self.lost) {
+            self.remove(key, Registration::Process(process));
+        }
     }
 
     /// Whether the version with the key `key` is registered for all routers.
@@ -110,7 +133,8 @@
     /// Whether `process` may begin streams at the version with the key `key`.
     pub fn allows(&self, key: u64, process: RouterProcess) -> bool {
         let is_shared = self.shared.contains(&key) && !self.unconfirmed.contains(&key);
-        is_shared || self.processes(key).contains(&process)
+        let is_own = self.processes(key).contains(&process);
+        is_shared || is_own && !self.lost.contains(&(key, process))
     }
 
     /// The processes that registered the version with the key `key` for themselves.
--- a/src/servers/software_history.rs
+++ b/src/servers/software_history.rs
@@ -78,6 +78,11 @@
         self.services.get(service).into_iter().flat_map(|it| it.keys().copied())
     }
 
+    /// All services.
+    pub fn services(&self) -> impl Iterator<Item = &str> {
+        self.services.keys().map(String::as_str)
+    }
+
     /// Services with several versions.
     pub fn mixed(&self) -> impl Iterator<Item = &str> {
         self.services.iter().filter(|(_, it)| it.len() > 1).map(|(service, _)| service.as_str())
--- a/src/servers/table.rs
+++ b/src/servers/table.rs
@@ -6,6 +6,7 @@
 
 use crate::decide::{Results, combine, follow_paces, hash_bytes, is_failing, max_avoided};
 use crate::servers::leaving_statements::LeavingStatements;
+use crate::servers::restoration::Restoration;
 use crate::servers::software_history::SoftwareHistory;
 use crate::servers::table_evacuation::EvacuatedServers;
 use crate::servers::table_id::TableId;
@@ -54,6 +55,8 @@
     pub(super) software: SoftwareHistory,
     /// Those at which streams may begin.
     pub(super) registered: RegisteredSoftware,
+    /// The last restoration of the store, if one is known.
+    pub(super) restoration: Option<Restoration>,
     /// The process that this table belongs to.
     pub(super) process: RouterProcess,
     /// New incarnations that are to be confirmed by a health check, and their services.
--- a/src/servers/table_software.rs
+++ b/src/servers/table_software.rs
@@ -5,6 +5,7 @@
 
 use smallvec::{SmallVec, smallvec};
 
+use crate::servers::restoration::Restoration;
 use crate::servers::{
     DueRegistration, RegisteredSoftware, Registration, RouterProcess, SeenSoftware, ServerTable,
     ServiceSoftware,
@@ -26,6 +27,9 @@
             }
         }
         self.software.remove_expired(now);
+        if self.restoration.is_some_and(|it| !it.is_recent(now)) {
+            self.registered.forget_lost();
+        }
         if returned {
             self.mark_registered();
         }
@@ -71,12 +75,67 @@
         self.mark_registered();
     }
 
-    /// Forgets which versions are registered, as the store may have lost its records.
-    pub fn clear_registered(&mut self) {
-        self.registered.clear();
+    /// Notes a registration that was written before the store was restored: streams may have begun
+    /// at the version, and none begins there until it is registered anew.
+    pub fn register_former_software(
+        &mut self,
+        service: &str,
+        software: u64,
+        registration: Registration,
+        now: Instant,
+    ) {
+        if !self.software.contains(service, software) {
+            self.software.record(service, software, now);
+        }
+        self.registered.insert_lost(RegisteredSoftware::key(service, software), registration);
         self.mark_registered();
     }
 
+    /// Notes that the store was restored from a copy, which began the state `era`. Its
+    /// registrations count as lost. `is_follower`: this process followed the store before.
+    pub fn note_restoration(&mut self, era: u64, now: Instant, is_follower: bool) {
+        let restoration = Restoration::new(era, now);
+        self.merge_restoration(match is_follower {
+            true => restoration.live_through(now),
+            false => restoration,
+        });
+        self.registered.mark_lost();
+        self.mark_registered();
+    }
+
+    /// Notes that another process noticed at `noticed` that a restoration began the state `era`.
+    pub fn learn_restoration(&mut self, era: u64, noticed: Instant) {
+        self.merge_restoration(Restoration::new(era, noticed));
+    }
+
+    fn merge_restoration(&mut self, it: Restoration) {
+        self.restoration = Some(self.restoration.map_or(it, |known| known.merge(it)));
+    }
+
+    /// When it was noticed that a restoration began the state `era` of the store, if that is known.
+    pub fn restored_at(&self, era: u64) -> Option<Instant> {
+        let known = self.restoration.filter(|it| it.era() == era);
+        known.map(|it| it.noticed())
+    }
+
+    /// Services whose streams other routers are to be told of: those with several versions, and all
+    /// while the store may lack the registration of another version.
+    pub fn told_services(&self, now: Instant) -> impl Iterator<Item = &str> {
+        let is_restored = self.restoration.is_some_and(|it| it.is_recent(now));
+        let all = self.software.services().filter(move |_| is_restored);
+        self.software.mixed().chain(all)
+    }
+
+    /// Whether every version that may have begun a stream of `service` is known, or registered in
+    /// the store. A restoration may have taken registrations away, with the proof of that.
+    pub fn knows_all_software(&self, service: &str, now: Instant) -> bool {
+        let Some(restoration) = self.restoration.filter(|it| it.is_recent(now)) else {
+            return true;
+        };
+        let has_one = matches!(self.software.of_service(service), ServiceSoftware::One(_));
+        has_one && restoration.knows_versions(now)
+    }
+
     /// Keys of the versions at which all routers may begin streams.
     pub fn registered(&self) -> Vec<u64> {
         self.registered.shared().collect()
--- a/src/wire/stream_record.rs
+++ b/src/wire/stream_record.rs
@@ -20,6 +20,13 @@
         /// The process that registered it for itself; absent if it did so for all routers.
         #[serde(default, skip_serializing_if = "Option::is_none")]
         pub process: Option<WireProcess>,
+        /// The state of the store in which it was written; absent if the store names none.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        pub era: Option<u64>,
+        /// When it was noticed that this state follows a restoration from a copy, in milliseconds
+        /// since 1970; absent if it is not known to.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        pub restored_ms: Option<u64>,
     }
 
     /// A process of a router: hash of the router's name, and when it started in milliseconds
