servers: a reader's grace for records that may reappear stays its own

Cause: ServerTable::since gave out the servers that a reader uses, among them those that it keeps for 2 s after an outage of its own. Routers that poll it took the excuse over, and the position of a list without these servers.

Why this works: a list names servers with records only; one that is back is told again. Each router's grace follows from its own failed calls to the store, counted from its last current list, or from a new era of the store that it or its reader saw.

--- a/src/router/servers_watch.rs
+++ b/src/router/servers_watch.rs
@@ -44,8 +44,8 @@
         let mut began = clock.now();
         let mut sent = clock.boot();
         let read = match reader(&router) {
-            Some(peer) if is_first => first_read(&router, peer, &mut list).await,
-            Some(peer) if poll(&router, peer, &mut list).await => None,
+            Some(peer) if is_first => first_read(&router, peer, &mut list, &mut health).await,
+            Some(peer) if poll(&router, peer, &mut list, &mut health).await => None,
             _ => {
                 (began, sent) = (clock.now(), clock.boot());
                 Some(router.store.servers(cursor.offset()).await)
@@ -69,14 +69,7 @@
                     // Servers that the copy lacks write their records again.
                     expect_records(&router, clock.now() + SETTLE_TIME);
                 }
-                let transition = health.record_success(clock.now());
-                if let SourceTransition::Restored(long, last) = transition {
-                    info!(router.logger, "the store supplies the backend servers again";
-                        "event" => Code::ServersBack.number());
-                    if long {
-                        expect_records(&router, last + SETTLE_TIME);
-                    }
-                }
+                note_success(&router, &mut health);
                 cursor.advance(page.next);
                 let is_last = page.is_last;
                 apply(&router, page);
@@ -95,6 +88,9 @@
             }
             Err(e) => {
                 if health.record_failure(began) == SourceTransition::Lost {
+                    if let Some(at) = last_list(&router) {
+                        health.extend_outage(at);
+                    }
                     warn!(router.logger, "backend servers cannot be read";
                         "event" => Code::ServersLost.number(), "error" => %e);
                 }
@@ -112,8 +108,9 @@
     router: &Router<S>,
     peer: SocketAddr,
     list: &mut ListCursor,
+    health: &mut SourceHealth,
 ) -> Option<Result<Page<ServerRecord>, StoreError>> {
-    let poll = pin!(poll(router, peer, list));
+    let poll = pin!(poll(router, peer, list, health));
     let read = pin!(router.store.servers(None));
     match select(poll, read).await {
         Either::Left((true, _)) => None,
@@ -129,6 +126,37 @@
     if has_followers { FOLLOWED_READ_PAUSE } else { READ_PAUSE }
 }
 
+/// Notes that a list was read, from the store or a reader. After an outage that this router noticed
+/// itself, records may be missing for a while.
+fn note_success<S: Store>(router: &Router<S>, health: &mut SourceHealth) {
+    let transition = health.record_success(router.relay.clock().now());
+    if let SourceTransition::Restored(long, last) = transition {
+        info!(router.logger, "the store supplies the backend servers again";
+            "event" => Code::ServersBack.number());
+        if long {
+            expect_records(router, last + SETTLE_TIME);
+        }
+    }
+}
+
+/// When a router that polls a reader last had a current list: it calls the store itself only once
+/// the reader has not reached it for a while.
+fn last_list<S: Store>(router: &Router<S>) -> Option<Instant> {
+    let relay = &router.relay;
+    let age = relay.servers_lease.age(relay.clock().boot()).filter(|_| !router.is_reader());
+    relay.clock().now().checked_sub(age?)
+}
+
+/// Notes the state of the store that a reader names. Servers that a copy lacks write their records
+/// again.
+fn note_reader_era<S: Store>(router: &Router<S>, next: Position) {
+    let known = router.relay.servers.lock().unwrap().position();
+    if next.era.follows(known.era) && !next.is_before(known) {
+        router.note_era(next.era);
+        expect_records(router, router.relay.clock().now() + SETTLE_TIME);
+    }
+}
+
 /// Lets records that go from now on reappear for a while, until `latest` at most.
 fn expect_records<S: Store>(router: &Router<S>, latest: Instant) {
     let now = router.relay.clock().now();
@@ -140,8 +168,14 @@
     router.peers.lock().unwrap().reader(router.relay.clock().now())
 }
 
-/// Polls a reader for changes. Returns false if it fails or if its last read is too old.
-async fn poll<S: Store>(router: &Router<S>, peer: SocketAddr, list: &mut ListCursor) -> bool {
+/// Polls a reader for changes. Returns false if it fails or if its last read is too old. What the
+/// reader concludes from an outage of its own is not taken over.
+async fn poll<S: Store>(
+    router: &Router<S>,
+    peer: SocketAddr,
+    list: &mut ListCursor,
+    health: &mut SourceHealth,
+) -> bool {
     let clock = router.relay.clock();
     let sent = clock.boot();
     let TableRevision { table, number } = list.known(peer);
@@ -164,7 +198,10 @@
         return false;
     };
     router.relay.servers_lease.renew(read);
-    router.relay.servers.lock().unwrap().merge_registered(&addition.registered);
+    let next = addition.position.map(Position::from).unwrap_or_default();
+    note_success(router, health);
+    note_reader_era(router, next);
+    merge_registered(router, &addition.registered, next);
     let versions = addition.versions;
     let change = |(key, row): (String, Option<WireServer>)| {
         let record = |it: WireServer| {
@@ -175,7 +212,6 @@
         Change { key, value }
     };
     let changes = reply.rows.into_iter().map(change).collect();
-    let next = addition.position.map(Position::from).unwrap_or_default();
     // What a lagging reader supplies is asked for again.
     if apply(router, Page { changes, next, is_complete: reply.whole, is_last: true }) {
         list.advance(peer, TableRevision { table: reply.epoch, number: reply.stamp });
@@ -183,6 +219,15 @@
     true
 }
 
+/// Notes which versions a reader knows to be registered in the store, unless it does not know yet
+/// that the store was restored.
+fn merge_registered<S: Store>(router: &Router<S>, registered: &[u64], next: Position) {
+    let known = *router.store_era.lock().unwrap();
+    if !known.follows(next.era) {
+        router.relay.servers.lock().unwrap().merge_registered(registered);
+    }
+}
+
 /// Returns false if the page is older than what is known.
 fn apply<S: Store>(router: &Router<S>, page: Page<ServerRecord>) -> bool {
     let now = router.relay.clock().now();
--- a/src/router/source_health.rs
+++ b/src/router/source_health.rs
@@ -54,6 +54,12 @@
         if first { SourceTransition::Lost } else { SourceTransition::None }
     }
 
+    /// Notes that what the source supplies was last current at `at`, which other routers may have
+    /// told: an outage that has been noticed since began then.
+    pub fn extend_outage(&mut self, at: Instant) {
+        self.lost_since = self.lost_since.map(|it| it.min(at));
+    }
+
     /// The delay before the next call.
     pub fn retry_delay(&self, random: &mut impl Rng) -> Duration {
         let growth = 2u32.saturating_pow(self.failures.saturating_sub(1).min(8));
--- a/src/servers/table.rs
+++ b/src/servers/table.rs
@@ -36,6 +36,13 @@
     revision: u64,
 }
 
+impl Entry {
+    /// Whether `record` says of a server that is in use what is known already.
+    fn is_heartbeat(&self, record: &ServerRecord) -> bool {
+        self.server.is_some() && self.gone.is_none() && record.is_heartbeat_after(&self.record)
+    }
+}
+
 /// The backend servers by id and by service.
 #[derive(Debug, Default)]
 pub struct ServerTable {
@@ -76,6 +83,11 @@
         self.reappear_until = Some(latest.min(now + REAPPEAR_TIME));
     }
 
+    /// Up to where the store was read, by this router or by the one that supplied its records.
+    pub fn position(&self) -> Position {
+        self.position
+    }
+
     /// Servers of `service` that take work.
     pub fn of_service(&self, service: &str) -> Option<Arc<[Arc<Server>]>> {
         self.services.get(service).cloned()
@@ -119,7 +131,8 @@
     }
 
     /// The changes after `known`; all servers when those are not known, or if it is a revision
-    /// of another table.
+    /// of another table. Servers without a record are gone, also those that this router still uses
+    /// after an outage of its own: who asks may have had none.
     pub fn since(&self, known: TableRevision) -> TableChanges {
         let is_complete = known.table != self.id.0
             || known.number < self.removed_revision
@@ -127,8 +140,8 @@
         let is_changed = |it: &Entry| is_complete || it.revision > known.number;
         let changed = self.entries.iter().filter(|(_, it)| is_changed(it));
         let entry = |(id, it): (&String, &Entry)| {
-            let record = it.server.as_ref().map(|_| it.record.clone());
-            (id.clone(), record)
+            let has_record = it.server.is_some() && it.gone.is_none();
+            (id.clone(), has_record.then(|| it.record.clone()))
         };
         let entries = changed.map(entry).filter(|(_, record)| !is_complete || record.is_some());
         TableChanges {
@@ -268,7 +281,7 @@
         }
         let former = self.entries.remove(id);
         let revision = match &former {
-            Some(it) if it.server.is_some() && record.is_heartbeat_after(&it.record) => it.revision,
+            Some(it) if it.is_heartbeat(&record) => it.revision,
             _ => self.next_revision(),
         };
         let known = former.as_ref().and_then(|it| it.server.clone());
@@ -354,11 +367,11 @@
             return Effect::None;
         }
         it.gone = Some(now);
+        it.revision = revision;
         if retained_until.is_some() && it.server.as_ref().is_some_and(|it| !it.is_leaving()) {
             it.retained_until = retained_until;
             return Effect::Retained;
         }
-        it.revision = revision;
         let Some(server) = it.server.take() else {
             return Effect::Gone;
         };
--- a/tests/it/server_lists.rs
+++ b/tests/it/server_lists.rs
@@ -2,7 +2,7 @@
 //! change, start together or lag.
 
 use std::net::SocketAddr;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use filberttiller::servers::{
     Change, ListCursor, Page, Position, ServerRecord, ServerState, ServerTable, StoreEra,
@@ -148,6 +148,72 @@
     assert_eq!(ids(&follower.table), ["a"]);
 }
 
+impl Follower {
+    /// This router serves others, as a reader does.
+    fn into_reader(self, port: u16) -> Reader {
+        Reader { table: self.table, ..Reader::new(port) }
+    }
+}
+
+/// A reader that was cut off from the store and keeps what is gone for a while.
+fn reader_after_outage() -> Reader {
+    let mut reader = Reader::new(1);
+    reader.read(vec![put("a", ready(1, 1)), put("b", ready(1, 1))], at(0, 2), true);
+    let now = Instant::now();
+    reader.table.source_recovered(now, now + Duration::from_secs(2));
+    reader
+}
+
+/// Guards against routers that go on sending to a server that is gone, as the reader that they poll
+/// was cut off itself and expects its record back (DRAIN).
+#[rstest]
+#[case::change(false)]
+#[case::first_list(true)]
+fn poll_reader_after_its_outage(#[case] is_first: bool) {
+    let mut reader = reader_after_outage();
+    let mut followers = [Follower::default(), Follower::default()];
+    if !is_first {
+        assert!(followers.iter_mut().all(|it| it.poll(&reader)));
+    }
+    reader.read(vec![gone("a")], at(0, 3), false);
+    assert_eq!(ids(&reader.table), ["a", "b"], "its own outage excuses it");
+    assert!(followers.iter_mut().all(|it| it.poll(&reader)));
+    followers.iter().for_each(|it| assert_eq!(ids(&it.table), ["b"]));
+    reader.read(vec![put("a", ready(1, 9))], at(0, 4), false);
+    assert!(followers.iter_mut().all(|it| it.poll(&reader)));
+    followers.iter().for_each(|it| assert_eq!(ids(&it.table), ["a", "b"], "its record is back"));
+}
+
+/// A router that noticed the outage itself expects the record back too, and tells no other router
+/// so.
+#[test]
+fn poll_after_own_outage() {
+    let mut reader = reader_after_outage();
+    let mut follower = Follower::default();
+    follower.poll(&reader);
+    let now = Instant::now();
+    follower.table.source_recovered(now, now + Duration::from_secs(2));
+    reader.read(vec![gone("a")], at(0, 3), false);
+    follower.poll(&reader);
+    assert_eq!(ids(&follower.table), ["a", "b"]);
+    let mut last = Follower::default();
+    last.poll(&follower.into_reader(2));
+    assert_eq!(ids(&last.table), ["b"]);
+}
+
+/// Once the reader gives the server up, those who poll it have nothing more to learn.
+#[test]
+fn poll_after_retention() {
+    let mut reader = reader_after_outage();
+    let mut follower = Follower::default();
+    reader.read(vec![gone("a")], at(0, 3), false);
+    follower.poll(&reader);
+    reader.table.expire(Instant::now() + Duration::from_secs(3), |_, _| {});
+    follower.poll(&reader);
+    assert_eq!(ids(&reader.table), ["b"]);
+    assert_eq!(ids(&follower.table), ["b"]);
+}
+
 /// A restored store gives positions out again: what was read of it since is not older.
 #[rstest]
 #[case::restored(at(1, 2), true)]
--- a/tests/it/source_health.rs
+++ b/tests/it/source_health.rs
@@ -44,3 +44,16 @@
     assert!(delays.iter().all(|it| *it >= millis(400) && *it <= millis(800)));
     assert!(delays.windows(2).any(|it| it[0] != it[1]));
 }
+
+/// Guards against a router that notices an outage late, as it polls another one, and takes it for
+/// too short to hide changes; or that counts from a call that did not fail.
+#[test]
+fn extend_outage_to_last_success() {
+    let (mut health, now) = (SourceHealth::default(), Instant::now());
+    health.extend_outage(now);
+    assert_eq!(health.record_success(now), SourceTransition::None);
+    health.record_failure(now + millis(1_600));
+    health.extend_outage(now);
+    let restored = SourceTransition::Restored(true, now + millis(1_600));
+    assert_eq!(health.record_success(now + millis(2_000)), restored);
+}
