connections: a peer that acknowledges and reads slowly is not gone

Uploads to a server that reads nothing for 3.5 s ended with 502.

Cause: TCP_USER_TIMEOUT of 2 s on all connections. On Linux it also counts while the peer answers each probe of its closed window.

Memory and idle time are ruled out: nothing else was held, and no line was logged.

Why this works: WatchedStream asks the kernel twice a second what the peer acknowledges, from a write until all is, and ends the connection after 2 s without any acknowledgement that is due. A closed window alone is none. Where TCP_INFO is missing the former option holds.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -2,6 +2,7 @@
 //! an argument and random numbers from a seeded generator, and depend on no other
 //! module of this library.
 
+mod ack_watch;
 mod admission;
 mod arm;
 mod baseline;
@@ -36,6 +37,7 @@
 mod token_ledger;
 mod verdict;
 
+pub use ack_watch::{AckWatch, PeerState, SendState};
 pub use admission::{
     FairQueue, PoolUsage, PushResult, QueueLimits, QueuedRequest, RateLimit, rate_share,
     router_capacity,
--- a/src/relay/connection.rs
+++ b/src/relay/connection.rs
@@ -10,17 +10,15 @@
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
-use socket2::SockRef;
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
 use crate::relay::head_budget::{BudgetedStream, HeadBudget};
+use crate::relay::watched_stream::WatchedStream;
 
 /// Time within which a new connection must be established.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
-/// Time within which the peer must acknowledge sent data, else the connection is closed.
-const USER_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Why a connection was not established; nothing was sent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -74,9 +72,8 @@
         let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
         let stream = stream.await.map_err(|_| ConnectError::TimedOut)?;
         let stream = stream.map_err(|_| ConnectError::Refused)?;
-        set_socket_options(&stream);
         let budget = HeadBudget::new();
-        let stream = BudgetedStream::new(stream, budget.clone());
+        let stream = BudgetedStream::new(WatchedStream::new(stream), budget.clone());
         let handshake = Builder::new().handshake(TokioIo::new(stream)).await;
         let (sender, driver) = handshake.map_err(|_| ConnectError::Refused)?;
         // The request in flight gets the error, if there is one.
@@ -116,10 +113,3 @@
         self.driver.abort();
     }
 }
-
-/// Sets the options of a socket that carries requests. Errors are ignored: an
-/// option that cannot be set costs speed only.
-pub(crate) fn set_socket_options(stream: &TcpStream) {
-    let _ = stream.set_nodelay(true);
-    let _ = SockRef::from(stream).set_tcp_user_timeout(Some(USER_TIMEOUT));
-}
--- a/src/relay/connection_context.rs
+++ b/src/relay/connection_context.rs
@@ -20,8 +20,8 @@
 use crate::events::Code;
 use crate::intake::{Intake, Listener, OpenClient};
 use crate::relay::active_request::{ActiveRequest, Activity};
-use crate::relay::connection::set_socket_options;
 use crate::relay::tracked_stream::TrackedStream;
+use crate::relay::watched_stream::WatchedStream;
 use crate::relay::{FORWARDED, RelayBody};
 
 /// Pause after accepting a connection failed, most likely for lack of file descriptors.
@@ -130,7 +130,7 @@
     F: Future<Output = Response<RelayBody>> + Send + 'static,
     I: Fn() -> Duration,
 {
-    set_socket_options(&stream);
+    let stream = WatchedStream::new(stream);
     let accepted = context.clock.now();
     let client = Arc::clone(open.client());
     let activity = Arc::new(Activity::new(Arc::clone(&client), accepted));
--- a/src/relay/head_budget.rs
+++ b/src/relay/head_budget.rs
@@ -7,7 +7,8 @@
 use std::task::{Context, Poll};
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::TcpStream;
+
+use crate::relay::watched_stream::WatchedStream;
 
 /// Limit on the bytes up to the end of a head, interim responses included, which the HTTP
 /// library reads without a limit. The first bytes of the body may be among them.
@@ -51,13 +52,13 @@
 /// A stream that fails once its budget for a head is spent.
 #[derive(Debug)]
 pub(crate) struct BudgetedStream {
-    stream: TcpStream,
+    stream: WatchedStream,
     budget: HeadBudget,
 }
 
 impl BudgetedStream {
     /// Reads from `stream` within `budget`.
-    pub fn new(stream: TcpStream, budget: HeadBudget) -> BudgetedStream {
+    pub fn new(stream: WatchedStream, budget: HeadBudget) -> BudgetedStream {
         BudgetedStream { stream, budget }
     }
 }
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -50,10 +50,12 @@
 mod stream_origins;
 mod suspect;
 mod suspect_parts;
+mod tcp_info;
 mod token_budget;
 mod tracked_stream;
 mod wait_for_room;
 mod wait_trace;
+mod watched_stream;
 
 pub use answer::{
     AnswerHead, ServerStatements, StatedBrittle, StatedCold, StatedDelay, StatedLeaving,
--- a/src/relay/tracked_stream.rs
+++ b/src/relay/tracked_stream.rs
@@ -8,10 +8,10 @@
 use std::time::Instant;
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::TcpStream;
 
 use crate::clock::SharedClock;
 use crate::relay::active_request::Activity;
+use crate::relay::watched_stream::WatchedStream;
 
 /// A connection that counts as an active request from its first write until all is flushed.
 ///
@@ -19,7 +19,7 @@
 /// caller has not taken yet is unwritten then.
 #[derive(Debug)]
 pub(crate) struct TrackedStream {
-    stream: TcpStream,
+    stream: WatchedStream,
     clock: SharedClock,
     total: Arc<AtomicU32>,
     activity: Arc<Activity>,
@@ -30,7 +30,7 @@
 impl TrackedStream {
     /// Tracks `stream` in `total` and `activity`.
     pub fn new(
-        stream: TcpStream,
+        stream: WatchedStream,
         clock: &SharedClock,
         total: &Arc<AtomicU32>,
         activity: &Arc<Activity>,
--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -1,5 +1,6 @@
 //! Tests of whole routers and of every concept.
 
+mod ack_watch;
 mod admission;
 mod answers;
 mod append_limiter;
