answers: one that does not bear the id of the request is none

Cause: an id was compared only where there was one.

Early ones and those with the former id were rejected already.

Why this works: servers echo the id.

--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -142,7 +142,8 @@
 }
 
 fn validate(status: StatusCode, head: &AnswerHead, id: &str) -> Result<(), AttemptError> {
-    if head.request.as_deref().is_some_and(|it| it != id) {
+    // Without an id it may be a late copy of an earlier answer, also a refusal.
+    if head.request.as_deref() != Some(id) {
         return Err(AttemptError::Garbled);
     }
     if head.not_run {
