answers: a status outside 200 to 599 is no answer

Cause: nothing checked the range; the library allows 100 to 999.

Evidence: answers_without_length::invalid_status_is_no_answer, 36 cases: 18 fail on the code before, on new and on kept connections alike.

Why this works: the check is where each head of an answer is validated, also those of streams and of answers from other routers.

The other half of the matter, a part of an answer taken as whole as the connection is reset during the upload, does not happen here: 80 cases, each with a length and in chunks, pass on the code before and after.

Measured: 116 of 116 cases pass.

--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -1,5 +1,6 @@
 //! Sends a request to one backend server and reads the head of its answer.
 
+use std::ops::RangeInclusive;
 use std::sync::Arc;
 
 use bytes::Bytes;
@@ -21,6 +22,10 @@
 };
 use crate::servers::InFlight;
 
+/// Statuses of answers. Any other is no answer, also that of a change of protocol, which no request
+/// asks for.
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
+
 /// A request as it goes to a backend server.
 #[derive(Debug, Clone)]
 pub(crate) struct UpstreamRequest {
@@ -143,7 +148,7 @@
 
 fn validate(status: StatusCode, head: &AnswerHead, id: &str) -> Result<(), AttemptError> {
     // Without an id it may be a late copy of an earlier answer, also a refusal.
-    if head.request.as_deref() != Some(id) {
+    if head.request.as_deref() != Some(id) || !FINAL_STATUSES.contains(&status.as_u16()) {
         return Err(AttemptError::Garbled);
     }
     if head.not_run {
