answers: bytes that give no part of a body are limited

Cause: the budget for the bytes of a head ended with the head, and in the body only data counted.

Why this works: the budget of the connection goes on through the body, and each part that arrives renews it; 4 MiB is more than the HTTP library reads ahead.

Memory was bounded before, too.

--- a/src/relay/connection.rs
+++ b/src/relay/connection.rs
@@ -14,12 +14,11 @@
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
-use crate::relay::head_budget::{BudgetedStream, HeadBudget};
+use crate::relay::read_budget::{BudgetedStream, ReadBudget};
 use crate::relay::watched_stream::WatchedStream;
 
 /// Time within which a new connection must be established.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
-
 /// Why a connection was not established; nothing was sent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ConnectError {
@@ -55,7 +54,8 @@
 #[derive(Debug)]
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
-    budget: HeadBudget,
+    /// What its server may still send before the next part of an answer.
+    pub(crate) budget: ReadBudget,
     driver: JoinHandle<()>,
     /// When it was last used.
     pub last_used: Instant,
@@ -72,7 +72,7 @@
         let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
         let stream = stream.await.map_err(|_| ConnectError::TimedOut)?;
         let stream = stream.map_err(|_| ConnectError::Refused)?;
-        let budget = HeadBudget::new();
+        let budget = ReadBudget::new();
         let stream = BudgetedStream::new(WatchedStream::new(stream), budget.clone());
         let handshake = Builder::new().handshake(TokioIo::new(stream)).await;
         let (sender, driver) = handshake.map_err(|_| ConnectError::Refused)?;
@@ -96,10 +96,10 @@
         &mut self,
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, SendError> {
-        self.budget.begin();
+        self.budget.begin_head();
         let sent = self.sender.try_send_request(request).await;
         let is_endless = self.budget.is_spent();
-        self.budget.end();
+        self.budget.begin_part();
         sent.map_err(|mut e| match e.take_message() {
             Some(unsent) => SendError::Unsent(Box::new(unsent)),
             None if is_endless || e.error().is_parse() => SendError::Garbled,
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -13,6 +13,7 @@
 
 use crate::clock::SharedClock;
 use crate::intake::{Client, Listener, ReadError, read_body};
+use crate::relay::answer_body::AnswerBody;
 use crate::relay::body::MAX_BODY_BYTES;
 use crate::relay::connection::SendError;
 use crate::relay::request_trace::RequestTrace;
@@ -51,7 +52,7 @@
     pub parts: Parts,
     pub head: AnswerHead,
     pub framing: Framing,
-    pub body: Incoming,
+    pub body: AnswerBody,
     pub connection: Connection,
     /// Absent where another router sent the request to the server.
     pub in_flight: Option<InFlight>,
@@ -134,6 +135,7 @@
     validate(parts.status, &head, id).map_err(|error| ExchangeError::new(error, &head))?;
     drop_hop_headers(&mut parts.headers);
     parts.version = Version::HTTP_11;
+    let body = AnswerBody::new(body, connection.budget.clone());
     Ok(Reply { parts, head, framing, body, connection, in_flight })
 }
 
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -6,6 +6,7 @@
 
 mod active_request;
 mod answer;
+mod answer_body;
 mod attempt;
 mod attempt_error;
 mod attempt_loop;
@@ -25,7 +26,6 @@
 mod forward;
 mod forwarder;
 mod framing;
-mod head_budget;
 mod headers;
 mod health_check;
 mod limits;
@@ -37,6 +37,7 @@
 mod pending_request;
 mod prefix_holders;
 mod reach;
+mod read_budget;
 mod refusal;
 mod relay;
 mod request_log;
--- a/src/relay/head_budget.rs
+++ b/src/relay/read_budget.rs
@@ -1,4 +1,4 @@
-//! Limits the bytes that a backend server may send before the head of its answer is complete.
+//! Limits the bytes that a backend server may send without giving a part of an answer.
 
 use std::io;
 use std::pin::Pin;
@@ -13,27 +13,28 @@
 /// Limit on the bytes up to the end of a head, interim responses included, which the HTTP
 /// library reads without a limit. The first bytes of the body may be among them.
 const MAX_HEAD_BYTES: usize = 1024 * 1024;
-/// No head is awaited.
-const UNLIMITED: usize = usize::MAX;
+/// Limit on the bytes between two parts of a body: sizes of chunks, which the HTTP library reads
+/// without a limit, and what it reads ahead.
+const MAX_FRAMING_BYTES: usize = 4 * 1024 * 1024;
 
-/// Bytes that may still arrive before the head is complete.
+/// Bytes that may still arrive before the next part of an answer.
 #[derive(Debug, Clone)]
-pub(crate) struct HeadBudget(Arc<AtomicUsize>);
+pub(crate) struct ReadBudget(Arc<AtomicUsize>);
 
-impl HeadBudget {
-    /// A budget while no head is awaited.
-    pub fn new() -> HeadBudget {
-        HeadBudget(Arc::new(AtomicUsize::new(UNLIMITED)))
+impl ReadBudget {
+    /// The budget of a new connection.
+    pub fn new() -> ReadBudget {
+        ReadBudget(Arc::new(AtomicUsize::new(MAX_HEAD_BYTES)))
     }
 
-    /// Limits what arrives from now on.
-    pub fn begin(&self) {
+    /// Limits what arrives from now on, before a head is complete.
+    pub fn begin_head(&self) {
         self.0.store(MAX_HEAD_BYTES, Ordering::Relaxed);
     }
 
-    /// Ends the limit, as the head is complete.
-    pub fn end(&self) {
-        self.0.store(UNLIMITED, Ordering::Relaxed);
+    /// Limits what arrives from now on, before the next part of a body.
+    pub fn begin_part(&self) {
+        self.0.store(MAX_FRAMING_BYTES, Ordering::Relaxed);
     }
 
     /// Whether all is spent.
@@ -43,22 +44,20 @@
 
     fn spend(&self, count: usize) {
         let left = self.0.load(Ordering::Relaxed);
-        if left != UNLIMITED {
-            self.0.store(left.saturating_sub(count), Ordering::Relaxed);
-        }
+        self.0.store(left.saturating_sub(count), Ordering::Relaxed);
     }
 }
 
-/// A stream that fails once its budget for a head is spent.
+/// A stream that fails once its budget is spent.
 #[derive(Debug)]
 pub(crate) struct BudgetedStream {
     stream: WatchedStream,
-    budget: HeadBudget,
+    budget: ReadBudget,
 }
 
 impl BudgetedStream {
     /// Reads from `stream` within `budget`.
-    pub fn new(stream: WatchedStream, budget: HeadBudget) -> BudgetedStream {
+    pub fn new(stream: WatchedStream, budget: ReadBudget) -> BudgetedStream {
         BudgetedStream { stream, budget }
     }
 }
@@ -70,7 +69,10 @@
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         if self.budget.is_spent() {
-            let error = io::Error::new(io::ErrorKind::InvalidData, "the head is too large");
+            let error = io::Error::new(
+                io::ErrorKind::InvalidData,
+                "no part of an answer in too many bytes",
+            );
             return Poll::Ready(Err(error));
         }
         let before = buffer.filled().len();
--- a/src/relay/stream.rs
+++ b/src/relay/stream.rs
@@ -8,11 +8,12 @@
 use futures_util::stream;
 use http_body_util::{BodyExt, Either, StreamBody};
 use hyper::Response;
-use hyper::body::{Frame, Incoming};
+use hyper::body::Frame;
 use hyper::http::response::Parts;
 use tokio::time::{Instant, timeout_at};
 
 use crate::decide::{RunProgress, Verdict};
+use crate::relay::answer_body::AnswerBody;
 use crate::relay::attempt_loop::Answer;
 use crate::relay::body::Events;
 use crate::relay::exchange::Reply;
@@ -36,7 +37,7 @@
 struct StreamRelay {
     relay: Arc<Relay>,
     pending: Box<PendingRequest>,
-    body: Incoming,
+    body: AnswerBody,
     head: AnswerHead,
     connection: Option<Connection>,
     /// Absent where another router sends to the server.
@@ -337,7 +338,7 @@
 }
 
 /// Waits for the next complete events of an answer, or its end.
-async fn next_events(body: &mut Incoming, events: &mut EventFramer, framing: Framing) -> Raced {
+async fn next_events(body: &mut AnswerBody, events: &mut EventFramer, framing: Framing) -> Raced {
     loop {
         let bytes = match body.frame().await {
             Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
