connections: receive buffers to servers have a size

Seen: endless_answers::endless_answer_ended took 17.3 and 18.8 MB of one answer without end, bound 16 MB, buffers of sockets included.

Cause: the kernel let the receive buffer grow to 6 MB beside the 8 MiB that the router reads. On the users' platform bytes that were received and not read count as memory of the process.

--- a/src/relay/connection.rs
+++ b/src/relay/connection.rs
@@ -1,6 +1,7 @@
 //! A connection to a backend server.
 
 use std::fmt;
+use std::io;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -10,7 +11,7 @@
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
-use tokio::net::TcpStream;
+use tokio::net::TcpSocket;
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
@@ -19,6 +20,10 @@
 
 /// Time within which a new connection must be established.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
+/// Receive buffer of a connection, which the kernel may double. What it holds counts as memory of
+/// the process on the users' platform.
+const RECEIVE_BUFFER_BYTES: u32 = 256 * 1024;
+
 /// Why a connection was not established; nothing was sent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ConnectError {
@@ -69,7 +74,8 @@
     /// # Errors
     /// Fails when the peer refuses it or does not answer in time.
     pub async fn open(address: SocketAddr, now: Instant) -> Result<Connection, ConnectError> {
-        let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
+        let socket = new_socket(address).map_err(|_| ConnectError::Refused)?;
+        let stream = timeout(CONNECT_TIMEOUT, socket.connect(address));
         let stream = stream.await.map_err(|_| ConnectError::TimedOut)?;
         let stream = stream.map_err(|_| ConnectError::Refused)?;
         let budget = ReadBudget::new();
@@ -108,6 +114,16 @@
     }
 }
 
+/// A socket that takes a limited amount of bytes ahead.
+fn new_socket(address: SocketAddr) -> io::Result<TcpSocket> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES)?;
+    Ok(socket)
+}
+
 impl Drop for Connection {
     fn drop(&mut self) {
         self.driver.abort();
