callers: who leaves answers unread gets no further request served

Cause: answers of a few hundred bytes fit the send buffer by the thousand, so that nothing held the next request back.

--- a/src/relay/tracked_stream.rs
+++ b/src/relay/tracked_stream.rs
@@ -73,6 +73,10 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        if self.activity.requests.load(Ordering::Relaxed) == 0 {
+            // Who leaves answers unread gets no further request served.
+            ready!(self.stream.poll_all_read(context))?;
+        }
         let before = buffer.filled().len();
         let result = ready!(Pin::new(&mut self.stream).poll_read(context, buffer));
         let count = buffer.filled().len() - before;
--- a/src/relay/watched_stream.rs
+++ b/src/relay/watched_stream.rs
@@ -31,6 +31,8 @@
     is_supported: bool,
     /// Present from a write until all is acknowledged.
     watch: Option<AckWatch>,
+    /// At the last look the peer had not read all that was written.
+    has_unread: bool,
     /// The next look. Made by the first write.
     timer: Option<Pin<Box<Sleep>>>,
 }
@@ -44,7 +46,7 @@
         if !is_supported {
             let _ = SockRef::from(&stream).set_tcp_user_timeout(Some(USER_TIMEOUT));
         }
-        WatchedStream { stream, is_supported, watch: None, timer: None }
+        WatchedStream { stream, is_supported, watch: None, has_unread: false, timer: None }
     }
 
     fn begin_watch(&mut self) {
@@ -72,7 +74,9 @@
                 return Ok(());
             }
             let now = Instant::now();
-            match watch.check(&read_send_state(&self.stream)?, now.into_std()) {
+            let state = read_send_state(&self.stream)?;
+            self.has_unread = state.unsent_bytes > 0;
+            match watch.check(&state, now.into_std()) {
                 PeerState::Idle => self.watch = None,
                 PeerState::Busy => self.set_timer(now + CHECK_INTERVAL),
                 PeerState::Gone => {
@@ -85,6 +89,15 @@
         Ok(())
     }
 
+    /// Ready once the peer has read what was written, as of the last look.
+    ///
+    /// # Errors
+    /// Fails when the peer is gone.
+    pub fn poll_all_read(&mut self, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.check(context)?;
+        if self.has_unread { Poll::Pending } else { Poll::Ready(Ok(())) }
+    }
+
     fn record_write(
         &mut self,
         context: &mut Context<'_>,
