servers, router: rows of the table and eras of the store in files of their own

A state of the store that another router names counts only if it is later than the one that is known: a reader that lags could otherwise bring the known state back for a moment, and a second restoration would have been noted (found by reading; the tests of lists, restorations and readers pass).

--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -26,6 +26,7 @@
 mod source_health;
 mod state_change_log;
 mod store;
+mod store_eras;
 mod stream_records;
 mod stream_writer;
 mod token_news;
--- a/src/router/router.rs
+++ b/src/router/router.rs
@@ -8,7 +8,7 @@
 
 use error_stack::{Report, ResultExt};
 use prometheus::{IntGaugeVec, Registry};
-use slog::{Logger, info, warn};
+use slog::{Logger, info};
 use tokio::sync::{Notify, mpsc, watch};
 
 use crate::clock::SharedClock;
@@ -92,7 +92,7 @@
     /// The state of the store that it last named.
     pub(crate) store_era: Mutex<StoreEra>,
     /// For the line that the store's era cannot be read.
-    unreadable_era: LogOnce,
+    pub(crate) unreadable_era: LogOnce,
     /// For the line that tokens told by another router cannot be read.
     pub(crate) unreadable_tokens: LogOnce,
     pub(crate) token_gauge: IntGaugeVec,
@@ -286,39 +286,6 @@
         self.receive(message);
     }
 
-    /// Notes the state of the store that an answer named. After a restoration, what this router
-    /// keeps in the store counts as lost.
-    pub(crate) fn note_era(&self, era: StoreEra) {
-        let former = {
-            let mut known = self.store_era.lock().unwrap();
-            let former = *known;
-            *known = era.or(former);
-            former
-        };
-        if era == StoreEra::Unreadable && self.unreadable_era.is_first() {
-            let code = Code::EraUnreadable;
-            warn!(self.logger, "{}", code.text(); "event" => code.number());
-        }
-        if era.follows(former) {
-            let code = Code::StoreRestored;
-            warn!(self.logger, "{}", code.text(); "event" => code.number(),
-                "former" => format!("{former:?}"), "era" => format!("{era:?}"));
-            self.stored_blame.lock().unwrap().clear();
-            self.note_restoration(era);
-            self.relay.origins.lock().unwrap().record_all_unwritten();
-            self.restored.notify_one();
-        }
-    }
-
-    /// Notes that the store was restored from a copy, which began the state `era`.
-    fn note_restoration(&self, era: StoreEra) {
-        if let StoreEra::Number(era) = era {
-            let now = self.relay.clock().now();
-            let is_follower = self.stream_records.position().is_some();
-            self.relay.servers.lock().unwrap().note_restoration(era, now, is_follower);
-        }
-    }
-
     /// This process.
     pub(crate) fn process(&self) -> RouterProcess {
         let peers = self.peers.lock().unwrap();
--- a/src/router/servers_watch.rs
+++ b/src/router/servers_watch.rs
@@ -150,9 +150,9 @@
 /// Notes the state of the store that a reader names. Servers that a copy lacks write their records
 /// again.
 fn note_reader_era<S: Store>(router: &Router<S>, next: Position) {
+    router.note_told_era(next.era);
     let known = router.relay.servers.lock().unwrap().position();
-    if next.era.follows(known.era) && !next.is_before(known) {
-        router.note_era(next.era);
+    if known.era.is_before(next.era) {
         expect_records(router, router.relay.clock().now() + SETTLE_TIME);
     }
 }
--- a/src/servers/change.rs
+++ b/src/servers/change.rs
@@ -44,6 +44,11 @@
         }
     }
 
+    /// Whether this era is known to be earlier than `other`.
+    pub fn is_before(self, other: StoreEra) -> bool {
+        matches!((self, other), (StoreEra::Number(a), StoreEra::Number(b)) if a < b)
+    }
+
     /// Whether the store was restored between `former` and this era.
     pub fn follows(self, former: StoreEra) -> bool {
         // Any other number counts: the answer may also be a late one of an earlier era.
--- a/src/servers/mod.rs
+++ b/src/servers/mod.rs
@@ -20,6 +20,7 @@
 mod stated_condition;
 mod table;
 mod table_changes;
+mod table_entry;
 mod table_evacuation;
 mod table_id;
 mod table_software;
--- a/src/servers/table.rs
+++ b/src/servers/table.rs
@@ -8,6 +8,7 @@
 use crate::servers::leaving_statements::LeavingStatements;
 use crate::servers::restoration::Restoration;
 use crate::servers::software_history::SoftwareHistory;
+use crate::servers::table_entry::Entry;
 use crate::servers::table_evacuation::EvacuatedServers;
 use crate::servers::table_id::TableId;
 use crate::servers::{
@@ -21,28 +22,6 @@
 /// records are ignored.
 const RETENTION_TIME: Duration = Duration::from_secs(60);
 
-#[derive(Debug)]
-struct Entry {
-    record: ServerRecord,
-    /// What the incarnation stated; it outlives changes of the record.
-    stated: Arc<StatedCondition>,
-    /// Absent when its newest record cannot be used or is gone.
-    server: Option<Arc<Server>>,
-    /// When its record went; absent while the record exists.
-    gone: Option<Instant>,
-    /// Its record went during an outage: the server is still used until then.
-    retained_until: Option<Instant>,
-    /// Revision of its last change that is relevant to other routers.
-    revision: u64,
-}
-
-impl Entry {
-    /// Whether `record` says of a server that is in use what is known already.
-    fn is_heartbeat(&self, record: &ServerRecord) -> bool {
-        self.server.is_some() && self.gone.is_none() && record.is_heartbeat_after(&self.record)
-    }
-}
-
 /// The backend servers by id and by service.
 #[derive(Debug, Default)]
 pub struct ServerTable {
