--- a/standins/src/platform/server_answer.rs
+++ b/standins/src/platform/server_answer.rs
@@ -49,6 +49,13 @@
     Ok(NextStep::Reset)
 }
 
+/// An answer that says that the request `id` did not run.
+pub(crate) fn refusal(id: &str, status: &str, stated: &str) -> String {
+    format!(
+        "HTTP/1.1 {status}\r\nrequest-id: {id}\r\nnot-run: 1\r\n{stated}content-length: 0\r\n\r\n"
+    )
+}
+
 /// A whole answer to the request `id`; `stated` are headers of the server's condition.
 pub(crate) fn full_answer(
     id: &str,
--- a/standins/src/platform/server_standin.rs
+++ b/standins/src/platform/server_standin.rs
@@ -14,7 +14,7 @@
 use tokio::time::sleep;
 
 use crate::platform::server_answer::{
-    HANG_TIME, NextStep, full_answer, pause_before_reset, stream_events, stream_head,
+    HANG_TIME, NextStep, full_answer, pause_before_reset, refusal, stream_events, stream_head,
     write_without_end,
 };
 use crate::platform::{HandledRequest, ServerBehaviour};
@@ -274,9 +274,7 @@
     let stated = shared.statements();
     let is_addressee = request.header("expect-instance").is_none_or(|it| it == shared.id);
     if !is_addressee {
-        let text = format!(
-            "HTTP/1.1 421 Misdirected Request\r\nnot-run: 1\r\n{stated}content-length: 0\r\n\r\n"
-        );
+        let text = refusal(&id, "421 Misdirected Request", &stated);
         writer.write_all(text.as_bytes()).await?;
         return Ok(NextStep::KeepOpen);
     }
@@ -285,9 +283,7 @@
         shared.turned_away.lock().unwrap().push(request.at);
         let delay = shared.delay_asked.lock().unwrap().clone();
         let delay = delay.map(|it| format!("retry-after: {it}\r\n")).unwrap_or_default();
-        let text = format!(
-            "HTTP/1.1 503 Service Unavailable\r\nnot-run: 1\r\n{stated}{delay}content-length: 0\r\n\r\n"
-        );
+        let text = refusal(&id, "503 Service Unavailable", &format!("{stated}{delay}"));
         writer.write_all(text.as_bytes()).await?;
         if shared.has_fallen() {
             shared.crashed.notify_one();
