--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -47,6 +47,7 @@
 mod recorded_messages;
 mod relay_parts;
 mod reservation;
+mod restored_software;
 mod room_waiters;
 mod rules;
 mod scripted_server;
--- a/tests/it/stream_origins.rs
+++ b/tests/it/stream_origins.rs
@@ -16,8 +16,8 @@
 
 use crate::support::server_record;
 
-const SERVICE: &str = "s";
-const SECOND: Duration = Duration::from_secs(1);
+pub const SERVICE: &str = "s";
+pub const SECOND: Duration = Duration::from_secs(1);
 
 fn origin(stream: u64, deadline: Instant) -> StreamOrigin {
     StreamOrigin { stream, software: 7, deadline }
@@ -122,7 +122,7 @@
     table.record_software(now)
 }
 
-fn key(software: &str) -> u64 {
+pub fn key(software: &str) -> u64 {
     hash_bytes(software.as_bytes())
 }
 
@@ -206,19 +206,19 @@
     assert_eq!(table.software(SERVICE), expected);
 }
 
-fn process(router: u64) -> RouterProcess {
+pub fn process(router: u64) -> RouterProcess {
     RouterProcess { router, born: 1 }
 }
 
 /// The table of a process, with servers of the versions `seen`.
-fn table(own: RouterProcess, seen: &[&str], now: Instant) -> ServerTable {
+pub fn table(own: RouterProcess, seen: &[&str], now: Instant) -> ServerTable {
     let mut table = ServerTable::default();
     table.set_process(own);
     apply(&mut table, seen.iter().map(|it| put(it, it, 1)).collect(), now);
     table
 }
 
-fn due(software: &str, registration: Registration) -> Vec<DueRegistration> {
+pub fn due(software: &str, registration: Registration) -> Vec<DueRegistration> {
     vec![DueRegistration { service: SERVICE.to_owned(), software: key(software), registration }]
 }
 
@@ -242,80 +242,6 @@
     assert_eq!((table.unregistered().len(), registered(&table)), (2, 0), "lost by the store");
 }
 
-/// Guards against a stream that goes on at the only version that a restored store names, although
-/// what it lost may have named another one (ORDER).
-#[rstest]
-#[case::lived_through(true, &["v1"], 3, true)]
-#[case::records_not_back(true, &["v1"], 2, false)]
-#[case::several_versions(true, &["v1", "v2"], 119, false)]
-#[case::started_later(false, &["v1"], 119, false)]
-#[case::no_stream_from_before(false, &["v1"], 120, true)]
-fn knows_all_software_after_restoration(
-    #[case] is_follower: bool,
-    #[case] seen: &[&str],
-    #[case] seconds: u32,
-    #[case] expected: bool,
-) {
-    let now = Instant::now();
-    let mut table = table(process(1), seen, now);
-    assert!(table.knows_all_software(SERVICE, now));
-    table.note_restoration(2, now, is_follower);
-    assert_eq!(table.knows_all_software(SERVICE, now + seconds * SECOND), expected);
-}
-
-/// A restoration counts from when it was first noticed; a second one counts anew.
-#[test]
-fn learn_restoration_first_and_last() {
-    let now = Instant::now();
-    let mut table = table(process(1), &["v1"], now);
-    table.learn_restoration(2, now + 9 * SECOND);
-    table.learn_restoration(2, now);
-    assert!(table.knows_all_software(SERVICE, now + 120 * SECOND));
-    table.learn_restoration(3, now + 60 * SECOND);
-    table.learn_restoration(2, now);
-    assert!(!table.knows_all_software(SERVICE, now + 120 * SECOND));
-    assert_eq!(table.restored_at(3), Some(now + 60 * SECOND));
-    assert_eq!(table.restored_at(2), None);
-}
-
-/// Guards against a router that forgets, as the store was restored, that another one may have begun
-/// streams at a version (ORDER).
-#[test]
-fn possible_software_after_restoration() {
-    let now = Instant::now();
-    let mut table = table(process(1), &["v1", "v2"], now);
-    table.register_software(SERVICE, key("v1"), Registration::Shared, now);
-    table.register_software(SERVICE, key("v2"), Registration::Process(process(2)), now);
-    table.note_restoration(2, now, true);
-    assert_eq!(table.possible_software(SERVICE, &[]).len(), 2);
-    assert_eq!(table.unregistered().len(), 2, "no stream begins until they are registered anew");
-    table.record_software(now + 60 * SECOND);
-    table.record_software(now + 120 * SECOND);
-    assert_eq!(table.possible_software(SERVICE, &[]).to_vec(), [key("v1")], "streams are over");
-}
-
-/// A registration that was written before a restoration allows no stream to begin.
-#[test]
-fn register_former_software_allows_none() {
-    let now = Instant::now();
-    let mut table = table(process(1), &["v1"], now);
-    table.register_former_software(SERVICE, key("v1"), Registration::Shared, now);
-    assert_eq!(table.unregistered(), due("v1", Registration::Shared));
-    table.register_software(SERVICE, key("v1"), Registration::Shared, now);
-    assert!(table.unregistered().is_empty());
-}
-
-/// While a restored store may lack something, other routers are told of all streams.
-#[test]
-fn told_services_after_restoration() {
-    let now = Instant::now();
-    let mut table = table(process(1), &["v1"], now);
-    assert_eq!(table.told_services(now).count(), 0);
-    table.note_restoration(2, now, true);
-    assert_eq!(table.told_services(now).collect::<Vec<_>>(), [SERVICE]);
-    assert_eq!(table.told_services(now + 120 * SECOND).count(), 0);
-}
-
 #[test]
 fn merge_registered_of_reader() {
     let now = Instant::now();
